Thin whole path: entry, agent, stand-ins, publication, weights, demo

A request goes from a caller through an entry and an agent to a stand-in engine; a configuration is published by compare-and-swap and spreads by watch, gossip and pull; weights are staged in chunks from the origin and from peers and ordered into the engine once whole.

Known to fail: a booking sent 3 times runs 3 times; claims are not built.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test check bench format generate
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/bramleylug demo $(DEMO_FLAGS)
+
+test: setup
+	$(BIN)/python -m testing
+
+check: setup
+	$(BIN)/ruff format --check src testing
+	$(BIN)/flake8 src testing
+	$(BIN)/mypy
+	$(BIN)/python -m testing
+
+bench: setup
+	$(BIN)/bramleylug bench all --report report
+
+format: setup
+	$(BIN)/ruff format src testing
+
+generate: setup
+	$(BIN)/python -m grpc_tools.protoc -I src --python_out=src --pyi_out=src --grpc_python_out=src src/bramleylug/wire/*.proto
--- /dev/null
+++ b/src/bramleylug/__init__.py
@@ -0,0 +1,1 @@
+"""Weight distribution and request routing for bursts."""
--- /dev/null
+++ b/src/bramleylug/admission/__init__.py
@@ -0,0 +1,1 @@
+"""What an upstream host admits, queues and refuses."""
--- /dev/null
+++ b/src/bramleylug/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent daemon beside each upstream."""
--- /dev/null
+++ b/src/bramleylug/agent/daemon.py
@@ -0,0 +1,111 @@
+"""The agent: the last word on one upstream host."""
+
+from http import HTTPStatus
+from pathlib import Path
+from tempfile import mkdtemp
+from threading import Thread
+from typing import final
+
+from circuits import BaseComponent
+
+from bramleylug.admission.limiter import Limiter
+from bramleylug.agent.gate import Gate
+from bramleylug.agent.serving import Serving
+from bramleylug.agent.upstream import Upstream
+from bramleylug.agent.versions import VersionKeeper
+from bramleylug.configuration.document import ServiceSpec
+from bramleylug.node.node import Node
+from bramleylug.node.pages import serve_page
+from bramleylug.settings.daemons import AgentSettings
+from bramleylug.web.server import Exchange, WebServer
+from bramleylug.weights.staging import Staging
+from bramleylug.weights.transfer import ChunkServer, OriginClient
+from bramleylug.wire.membership_pb2 import Member
+from bramleylug.wire.requests_pb2_grpc import add_ServingServicer_to_server
+from bramleylug.wire.weights_pb2_grpc import add_WeightsServicer_to_server
+
+
+@final
+class AgentDaemon(BaseComponent):
+    """Agent of one upstream.
+
+    :param settings: checked settings.
+    """
+
+    channel = 'agent'
+
+    def __init__(self, settings: AgentSettings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.node = Node(settings, 'agent', workers=settings.workers)
+        self.node.register(self)
+        self.web = WebServer(settings.http_bind, self.serve).register(self)
+        self.gate = Gate(settings.zone, settings.service)
+        self.limiter = Limiter()
+        upstream = Upstream(settings.upstream)
+        folder = settings.staging_dir or mkdtemp(prefix='bramleylug-')
+        self.staging = Staging(Path(folder), settings.staging_bytes)
+        self.serving = Serving(
+            self.gate,
+            self.limiter,
+            upstream,
+            lambda: self.node.holder.document,
+        )
+        self.chunk_server = ChunkServer(self.staging)
+        add_ServingServicer_to_server(self.serving, self.node.server)
+        add_WeightsServicer_to_server(self.chunk_server, self.node.server)
+        self.keeper = VersionKeeper(
+            self.node,
+            self.gate,
+            self.limiter,
+            upstream,
+            self.staging,
+            OriginClient(settings.origin),
+        )
+        self.node.describe = self.describe
+
+    def open(self) -> None:
+        """Start all work beside the circuits loop."""
+        self.node.open(self.web.address)
+        Thread(target=self.keeper.run, name='weights', daemon=True).start()
+
+    def close(self) -> None:
+        """Stop all work beside the circuits loop."""
+        self.node.close()
+
+    def begin_leaving(self) -> None:
+        """Take no new work from now on."""
+        self.gate.leaving = True
+        self.node.leave()
+
+    def is_quiet(self) -> bool:
+        """Tell whether every request has ended."""
+        return not self.limiter.running
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer health and metrics pages."""
+        if not serve_page(exchange, ready=self.gate.is_open):
+            exchange.reply_json(HTTPStatus.NOT_FOUND, {'error': 'no such page'})
+
+    def describe(self, record: Member) -> None:
+        """Fill the own membership record."""
+        del record.services[:]
+        spec = self.node.holder.document.services.get(self.settings.service)
+        record.draining = self.gate.leaving
+        record.services.add(
+            service=self.settings.service,
+            digest=self.gate.open_digest,
+            ready=self.gate.is_open,
+            limit=self._limit(spec),
+        )
+        model, version = self.keeper.wanted
+        del record.versions[:]
+        if model:
+            record.versions.add(
+                model=model,
+                version=version,
+                progress=int(self.keeper.progress * 1000),
+            )
+
+    def _limit(self, spec: ServiceSpec | None) -> int:
+        return 0 if spec is None else self.limiter.limit(spec)
--- /dev/null
+++ b/src/bramleylug/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments with regression bounds."""
--- /dev/null
+++ b/src/bramleylug/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the daemons and the operators."""
--- /dev/null
+++ b/src/bramleylug/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Service files, the accepted document and its publication."""
--- /dev/null
+++ b/src/bramleylug/configuration/document.py
@@ -0,0 +1,178 @@
+"""The accepted configuration: one document, changed step by step."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field, replace
+from typing import Any, Literal, TypedDict, final
+
+DOCUMENT_KEY = 'bramleylug/configuration'
+DOCUMENT_LIMIT_BYTES = 1024 * 1024
+HISTORY_LENGTH = 64
+
+ServiceKind = Literal['model', 'plain']
+ZoneState = Literal['in', 'out']
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceSpec:
+    """One service as its operators declare it.
+
+    :ivar zones: availability zones it runs in.
+    :ivar concurrency: requests one warm upstream bears.
+    :ivar cold_concurrency: requests an upstream bears right after a start.
+    :ivar ramp_successes: answers until an upstream counts as warm.
+    :ivar deadline_ms: time for a request that names none.
+    :ivar queue_bytes: request bytes held at one upstream.
+    :ivar idempotent: whether a request may run more than once.
+    :ivar fencing: whether the upstream refuses old fencing numbers.
+    """
+
+    name: str
+    kind: ServiceKind
+    zones: tuple[str, ...]
+    model: str = ''
+    version: str = ''
+    replicas: int = 1
+    max_unavailable: int = 1
+    concurrency: int = 16
+    cold_concurrency: int = 2
+    ramp_successes: int = 20
+    deadline_ms: int = 60000
+    queue_bytes: int = 1048576
+    idempotent: bool = True
+    fencing: bool = True
+
+
+class Change(TypedDict):
+    """What one publication sets; ``None`` removes a service."""
+
+    services: dict[str, dict[str, Any] | None]
+    zones: dict[str, ZoneState]
+
+
+class HistoryEntry(TypedDict):
+    """One accepted change, for the audit trail and for lost answers."""
+
+    revision: int
+    change_id: str
+    who: str
+    when_s: float
+    change: Change
+    before: Change
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Document:
+    """The whole accepted configuration at one revision.
+
+    :ivar lineage: identity of the history, set by the first change.
+    :ivar zones: state of each zone that was ever named.
+    :ivar history: the latest changes, oldest first.
+    """
+
+    revision: int = 0
+    lineage: str = ''
+    services: Mapping[str, ServiceSpec] = field(default_factory=dict)
+    zones: Mapping[str, ZoneState] = field(default_factory=dict)
+    history: tuple[HistoryEntry, ...] = ()
+
+    @classmethod
+    def from_json(cls, text: bytes) -> 'Document':
+        """Read a document; empty text is the empty document."""
+        if not text:
+            return cls()
+        fields = json.loads(text)
+        return cls(
+            revision=fields['revision'],
+            lineage=fields['lineage'],
+            services={
+                name: spec_from_json(name, spec)
+                for name, spec in fields['services'].items()
+            },
+            zones=fields['zones'],
+            history=tuple(fields['history']),
+        )
+
+    def to_json(self) -> bytes:
+        """Return the document as JSON."""
+        fields = {
+            'revision': self.revision,
+            'lineage': self.lineage,
+            'services': {
+                name: spec_to_json(spec) for name, spec in self.services.items()
+            },
+            'zones': dict(self.zones),
+            'history': list(self.history),
+        }
+        return json.dumps(fields, sort_keys=True).encode()
+
+    def zone_is_in(self, zone: str) -> bool:
+        """Tell whether a zone may get new work."""
+        return self.zones.get(zone, 'in') == 'in'
+
+    def find_change(self, change_id: str) -> HistoryEntry | None:
+        """Return the accepted change with this id, if it is still known."""
+        for entry in self.history:
+            if entry['change_id'] == change_id:
+                return entry
+        return None
+
+    def with_change(
+        self, change: Change, *, change_id: str, who: str, when_s: float
+    ) -> 'Document':
+        """Return the next revision, with the change applied."""
+        entry = HistoryEntry(
+            revision=self.revision + 1,
+            change_id=change_id,
+            who=who,
+            when_s=when_s,
+            change=change,
+            before=self._before(change),
+        )
+        changed = apply_change(self, change)
+        return replace(
+            changed,
+            revision=self.revision + 1,
+            lineage=self.lineage or change_id,
+            history=(*self.history, entry)[-HISTORY_LENGTH:],
+        )
+
+    def _before(self, change: Change) -> Change:
+        services = {
+            name: spec_to_json(self.services[name])
+            if name in self.services
+            else None
+            for name in change['services']
+        }
+        zones = {zone: self.zones.get(zone, 'in') for zone in change['zones']}
+        return Change(services=services, zones=zones)
+
+
+def apply_change(document: Document, change: Change) -> Document:
+    """Return the document with a change's services and zones set."""
+    services = dict(document.services)
+    for name, spec in change['services'].items():
+        if spec is None:
+            services.pop(name, None)
+        else:
+            services[name] = spec_from_json(name, spec)
+    return replace(
+        document,
+        services=services,
+        zones={**document.zones, **change['zones']},
+    )
+
+
+def spec_to_json(spec: ServiceSpec) -> dict[str, Any]:
+    """Return a service's fields without its name."""
+    fields = asdict(spec)
+    fields.pop('name')
+    fields['zones'] = list(spec.zones)
+    return fields
+
+
+def spec_from_json(name: str, fields: Mapping[str, Any]) -> ServiceSpec:
+    """Build a service from its fields."""
+    return ServiceSpec(name=name, **{**fields, 'zones': tuple(fields['zones'])})
--- /dev/null
+++ b/src/bramleylug/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The embedded demonstration of the whole path."""
--- /dev/null
+++ b/src/bramleylug/demo/story.py
@@ -0,0 +1,199 @@
+"""The demonstration: rollout, traffic, a zone out and back, bookings."""
+
+import json
+import time
+import uuid
+from importlib.resources import files
+from pathlib import Path
+from typing import Any, NamedTuple, final
+
+from tqdm import tqdm
+
+from bramleylug.configuration.document import Change
+from bramleylug.configuration.files import collect
+from bramleylug.configuration.publisher import Accepted, publish
+from bramleylug.demo.cluster import (
+    MODEL_SERVICE,
+    RECORDS_SERVICE,
+    ZONES,
+    EmbeddedCluster,
+)
+from bramleylug.demo.traffic import Traffic, post
+
+MODEL = 'seat-fitting-model'
+FIRST_VERSION = '1'
+SECOND_VERSION = '2'
+MODEL_BYTES = 67108864
+READY_LIMIT_S = 30.0
+ZONE_LIMIT_S = 3.0
+OBSERVE_S = 2.0
+CALLERS = 4
+COPIES_LIMIT = 1.5
+SAMPLE_S = 0.02
+BOOKING_TRIES = 3
+
+
+class Row(NamedTuple):
+    """One line of the closing table."""
+
+    name: str
+    figure: str
+    kept: bool
+
+
+@final
+class Story:
+    """Plays the demonstration on an embedded cluster.
+
+    :ivar rows: what happened, and whether each promise was kept.
+    """
+
+    def __init__(self, cluster: EmbeddedCluster, services: Path) -> None:
+        self.cluster = cluster
+        self.services = services
+        self.rows: list[Row] = []
+
+    def play(self) -> bool:
+        """Play all of it and tell whether every promise was kept."""
+        manifest = self.cluster.origin.add_version(
+            MODEL, FIRST_VERSION, MODEL_BYTES
+        )
+        self._publish(collect([self.services]).to_change())
+        self._roll_out('first version', manifest.digest)
+        traffic = Traffic(self._entries, MODEL_SERVICE, CALLERS)
+        traffic.start()
+        self._second_version()
+        self._zone_out_and_back()
+        self._bookings()
+        traffic.stop()
+        self._conclude(traffic)
+        return all(row.kept for row in self.rows)
+
+    def _publish(self, change: Change) -> int:
+        outcome = publish(
+            self.cluster.store,
+            change,
+            change_id=uuid.uuid4().hex,
+            who='demo',
+            when_s=time.time(),
+        )
+        if not isinstance(outcome, Accepted):
+            raise RuntimeError(f'not published: {outcome}')
+        return outcome.revision
+
+    def _second_version(self) -> None:
+        manifest = self.cluster.origin.add_version(
+            MODEL, SECOND_VERSION, MODEL_BYTES
+        )
+        change = collect([self.services]).to_change()
+        spec: dict[str, Any] = change['services'][MODEL_SERVICE] or {}
+        spec['version'] = SECOND_VERSION
+        self._publish(change)
+        self._roll_out('second version under traffic', manifest.digest)
+
+    def _roll_out(self, name: str, digest: str) -> None:
+        sent_before = self.cluster.origin.bytes_sent
+        keepers = [agent.keeper for agent in self._model_agents()]
+        with tqdm(total=100, desc=name, unit='%', disable=None) as bar:
+
+            def done() -> bool:
+                share = sum(keeper.progress for keeper in keepers)
+                bar.update(int(100 * share / len(keepers)) - bar.n)
+                return all(
+                    agent.gate.is_open and agent.gate.open_digest == digest
+                    for agent in self._model_agents()
+                )
+
+            took_s = self.cluster.wait_until(done, READY_LIMIT_S)
+        copies = (self.cluster.origin.bytes_sent - sent_before) / MODEL_BYTES
+        self.rows.append(
+            Row(
+                f'{name}: {len(keepers)} replicas after',
+                f'{took_s:.1f} s',
+                True,
+            )
+        )
+        self.rows.append(
+            Row(
+                f'{name}: origin copies',
+                f'{copies:.2f}',
+                copies <= COPIES_LIMIT,
+            )
+        )
+
+    def _zone_out_and_back(self) -> None:
+        zone = ZONES[0]
+        engine = self.cluster.engines[0]
+        accepted_s = time.monotonic()
+        self._publish(Change(services={}, zones={zone: 'out'}))
+        last_s = accepted_s
+        seen = engine.started_runs
+        while time.monotonic() - accepted_s < ZONE_LIMIT_S + OBSERVE_S:
+            if engine.started_runs != seen:
+                seen, last_s = engine.started_runs, time.monotonic()
+            time.sleep(SAMPLE_S)
+        quiet_s = last_s - accepted_s
+        self._publish(Change(services={}, zones={zone: 'in'}))
+        self.rows.append(
+            Row(
+                'zone out: last new work after',
+                f'{quiet_s:.2f} s',
+                quiet_s <= ZONE_LIMIT_S,
+            )
+        )
+        self.cluster.wait_until(
+            lambda: engine.started_runs > seen, READY_LIMIT_S
+        )
+
+    def _bookings(self) -> None:
+        key = uuid.uuid4().hex
+        for address in self._entries()[:1] * BOOKING_TRIES:
+            post(
+                address,
+                f'/v1/services/{RECORDS_SERVICE}/bookings',
+                json.dumps({'seat': 7}),
+                {'Idempotency-Key': key},
+            )
+        runs = sum(records.runs[key] for records in self.cluster.records)
+        self.rows.append(
+            Row('booking sent 3 times: runs', str(runs), runs == 1)
+        )
+
+    def _conclude(self, traffic: Traffic) -> None:
+        counts = traffic.counts()
+        for result in ('answered', 'refused', 'failed'):
+            kept = result != 'failed' or not counts[result]
+            self.rows.append(
+                Row(f'requests {result}', str(counts[result]), kept)
+            )
+        mixed = traffic.mixed()
+        self.rows.append(Row('mixed-weight answers', str(mixed), not mixed))
+        crashes = sum(engine.crashes for engine in self.cluster.engines)
+        self.rows.append(Row('engines fallen over', str(crashes), not crashes))
+
+    def _model_agents(self) -> list[Any]:
+        return [
+            agent
+            for agent in self.cluster.agents
+            if agent.settings.service == MODEL_SERVICE
+        ]
+
+    def _entries(self) -> list[str]:
+        for entry in self.cluster.entries:
+            answer = entry.entry_addresses()
+            if answer['entries']:
+                return [item['address'] for item in answer['entries']]
+        return []
+
+
+def example_services() -> Path:
+    """Return the folder of the service files shipped with the package."""
+    return Path(str(files('bramleylug.demo') / 'services'))
+
+
+def print_table(rows: list[Row]) -> None:
+    """Print the closing table."""
+    width = max(len(row.name) for row in rows)
+    for row in rows:
+        verdict = 'kept' if row.kept else 'BROKEN'
+        print(f'{row.name:<{width}}  {row.figure:>10}  {verdict}')
--- /dev/null
+++ b/src/bramleylug/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon, which callers talk to."""
--- /dev/null
+++ b/src/bramleylug/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the systems the project meets."""
--- /dev/null
+++ b/src/bramleylug/fakes/engine.py
@@ -0,0 +1,237 @@
+"""Stand-in of a model engine."""
+
+import json
+import uuid
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, final
+
+from circuits import BaseComponent, Event, Timer, handler
+
+from bramleylug.web.server import Exchange, WebServer
+from bramleylug.weights.manifest import Manifest
+
+TICK_S = 0.02
+MEBIBYTE = 1024 * 1024
+PENDING_LIMIT_BYTES = 65536
+REPORT_LAG_S = 1.0
+
+
+class engine_tick(Event):  # noqa: N801
+    """Time to generate tokens."""
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineSettings:
+    """How the stand-in behaves.
+
+    :ivar bears_cold: requests it bears right after a start.
+    :ivar warm_after: answers until it bears ``bears_warm`` requests.
+    """
+
+    bind: str = '127.0.0.1:0'
+    bears_cold: int = 2
+    bears_warm: int = 16
+    warm_after: int = 20
+    tokens_per_s: float = 200
+    memory_bytes: int = 64 * MEBIBYTE
+    honours_fencing: bool = True
+
+
+@final
+@dataclass(slots=True)
+class Stream:
+    """One running request."""
+
+    exchange: Exchange
+    tokens_left: int
+    digest: str
+    held_bytes: int
+    credit: float = 0
+    sent: int = field(default=0)
+
+
+@final
+class FakeEngine(BaseComponent):
+    """Model engine that falls over beyond what it bears.
+
+    ``POST /v1/generate`` streams tokens, ``GET /v1/state`` reports with a
+    lag, ``POST /v1/orders`` loads a staged version, ``/control`` injects
+    faults. Every answer names the digest of the weights it ran on.
+
+    :ivar crashes: how often it fell over.
+    """
+
+    channel = 'web'
+
+    def __init__(self, settings: EngineSettings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.web = WebServer(settings.bind, self.serve).register(self)
+        self.crashes = 0
+        self.fencing = 0
+        self.started_runs = 0
+        self.late_orders = 0
+        self.restart()
+        Timer(TICK_S, engine_tick(), 'web', persist=True).register(self)
+
+    @property
+    def bears(self) -> int:
+        """Requests it bears now; grows with the answers since its start."""
+        settings = self.settings
+        share = min(1, self.answered / settings.warm_after)
+        span = settings.bears_warm - settings.bears_cold
+        return settings.bears_cold + int(span * share)
+
+    def restart(self) -> None:
+        """Come back cold and without weights, under a new boot id."""
+        self.boot_id = uuid.uuid4().hex
+        self.digest = ''
+        self.model = ''
+        self.version = ''
+        self.answered = 0
+        self.streams: list[Stream] = []
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        routes = {
+            '/v1/generate': self._generate,
+            '/v1/state': self._report,
+            '/v1/orders': self._order,
+            '/control': self._control,
+        }
+        route = routes.get(exchange.path)
+        if route is None:
+            exchange.reply_json(404, {'error': 'no such path'})
+            return
+        try:
+            route(exchange)
+        except (ValueError, KeyError) as error:
+            exchange.reply_json(400, {'error': str(error)})
+
+    def fall_over(self) -> None:
+        """Cut every running request and restart."""
+        self.crashes += 1
+        for stream in self.streams:
+            stream.exchange.abort()
+        self.restart()
+
+    def _generate(self, exchange: Exchange) -> None:
+        wanted = json.loads(exchange.body())
+        if not self.digest:
+            exchange.reply_json(503, {'error': 'no weights'})
+            return
+        self.started_runs += 1
+        stream = Stream(
+            exchange,
+            int(wanted.get('tokens', 16)),
+            self.digest,
+            len(exchange.body()),
+        )
+        self.streams.append(stream)
+        held = sum(running.held_bytes for running in self.streams)
+        overloaded = len(self.streams) > self.bears
+        if (
+            overloaded
+            or held > self.settings.memory_bytes
+            or (wanted.get('crash'))
+        ):
+            self.fall_over()
+            return
+        exchange.on_closed = lambda: self._cancel(stream)
+        exchange.start(
+            200,
+            {
+                'Content-Type': 'application/x-ndjson',
+                'X-Weights-Digest': self.digest,
+                'X-Boot-Id': self.boot_id,
+            },
+        )
+
+    def _cancel(self, stream: Stream) -> None:
+        if stream in self.streams:
+            self.streams.remove(stream)
+
+    def _report(self, exchange: Exchange) -> None:
+        exchange.reply_json(200, self.state())
+
+    def state(self) -> dict[str, Any]:
+        """Return what the engine tells about itself."""
+        return {
+            'boot_id': self.boot_id,
+            'model': self.model,
+            'version': self.version,
+            'digest': self.digest,
+            'running': len(self.streams),
+            'answered': self.answered,
+            'fencing': self.fencing,
+        }
+
+    def _order(self, exchange: Exchange) -> None:
+        order = json.loads(exchange.body())
+        fencing = int(order['fencing'])
+        if fencing < self.fencing:
+            self.late_orders += 1
+            if self.settings.honours_fencing:
+                exchange.reply_json(409, {'error': 'old fencing number'})
+                return
+        self.fencing = max(self.fencing, fencing)
+        manifest = _read_version(Path(order['path']))
+        self.model = manifest.model
+        self.version = manifest.version
+        self.digest = manifest.digest
+        self.answered = 0
+        exchange.reply_json(200, self.state())
+
+    def _control(self, exchange: Exchange) -> None:
+        wanted = json.loads(exchange.body())
+        if wanted.get('fall_over'):
+            self.fall_over()
+        exchange.reply_json(200, {**self.state(), 'crashes': self.crashes})
+
+    @handler('engine_tick')
+    def _on_tick(self) -> None:
+        for stream in tuple(self.streams):
+            self._advance(stream)
+
+    def _advance(self, stream: Stream) -> None:
+        if stream.exchange.pending_bytes > PENDING_LIMIT_BYTES:
+            return
+        stream.credit += self.settings.tokens_per_s * TICK_S
+        count = min(int(stream.credit), stream.tokens_left)
+        stream.credit -= count
+        stream.tokens_left -= count
+        lines = [
+            json.dumps({'token': stream.sent + index, 'digest': stream.digest})
+            for index in range(count)
+        ]
+        stream.sent += count
+        if lines:
+            piece = '\n'.join(lines) + '\n'
+            stream.exchange.send(piece.encode())
+        if not stream.tokens_left:
+            self.streams.remove(stream)
+            self.answered += 1
+            stream.exchange.on_closed = lambda: None
+            stream.exchange.finish()
+
+
+def _read_version(path: Path) -> Manifest:
+    """Read a staged version and check that it is whole.
+
+    :raises ValueError: when a chunk is missing or differs.
+    """
+    manifest = Manifest.from_json((path / 'manifest').read_bytes())
+    read = Manifest.from_pieces(
+        manifest.model,
+        manifest.version,
+        (
+            (path / f'{index:06d}').read_bytes()
+            for index in range(len(manifest.chunk_hashes))
+        ),
+        manifest.chunk_bytes,
+    )
+    if read != manifest:
+        raise ValueError('staged version differs from its manifest')
+    return manifest
--- /dev/null
+++ b/src/bramleylug/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: gossip between instances."""
--- /dev/null
+++ b/src/bramleylug/node/__init__.py
@@ -0,0 +1,1 @@
+"""What every daemon is made of: membership, configuration, pages."""
--- /dev/null
+++ b/src/bramleylug/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered events, metrics and health pages."""
--- /dev/null
+++ b/src/bramleylug/observability/events.py
@@ -0,0 +1,97 @@
+"""Numbered log events and their catalogue.
+
+The first digit after ``BL`` names the concern: 1 configuration and
+membership, 2 serving at the entry, 3 weights, 4 admission and claims at the
+agent, 5 processes, keys and settings.
+"""
+
+from enum import Enum, unique
+from typing import NamedTuple, final
+
+from loguru import logger
+
+
+class EventSpec(NamedTuple):
+    """Number, level, message with its fields, and what an operator does."""
+
+    number: str
+    level: str
+    message: str
+    advice: str
+
+
+@final
+@unique
+class LogEvent(Enum):
+    """Every event the daemons log."""
+
+    # 1: configuration and membership
+    configuration_in_force = EventSpec(
+        'BL1001',
+        'INFO',
+        'configuration revision {revision} is in force',
+        'Nothing to do.',
+    )
+    # 2: serving at the entry
+    # 3: weights
+    staging_full = EventSpec(
+        'BL3001',
+        'ERROR',
+        'no room for weights: {error}',
+        'Give the host more staging room or drop a version.',
+    )
+    weights_loaded = EventSpec(
+        'BL3002',
+        'INFO',
+        'engine reports weights {digest}',
+        'Nothing to do.',
+    )
+    # 4: admission and claims at the agent
+    # 5: processes, keys and settings
+    keys_missing = EventSpec(
+        'BL5001',
+        'WARNING',
+        'started without {what}: only loopback addresses are served',
+        'Name keys in the settings before serving other hosts.',
+    )
+    planned_stop = EventSpec(
+        'BL5002', 'INFO', 'planned stop of {name}', 'Nothing to do.'
+    )
+    stopped = EventSpec(
+        'BL5003', 'INFO', '{name} stopped with nothing running', 'None.'
+    )
+    worker_failed = EventSpec(
+        'BL5004',
+        'ERROR',
+        'background work {work} failed and goes on: {error}',
+        'Report it with the log lines around it.',
+    )
+
+
+def emit(event: LogEvent, **fields: object) -> None:
+    """Log a numbered event.
+
+    :param fields: what the message names, and a ``request_id`` where the
+        event concerns one request.
+    """
+    spec = event.value
+    logger.bind(event=spec.number, **fields).log(
+        spec.level, f'{spec.number} {spec.message}', **fields
+    )
+
+
+def catalogue() -> str:
+    """Return the text of docs/EVENTS.md."""
+    lines = [
+        '# Log events',
+        '',
+        'Made by `python -m bramleylug.observability.catalogue`.',
+        '',
+        '| number | level | message | what to do |',
+        '| --- | --- | --- | --- |',
+    ]
+    lines.extend(
+        f'| {spec.number} | {spec.level} | {spec.message} | {spec.advice} |'
+        for spec in sorted(event.value for event in LogEvent)
+    )
+    return '\n'.join(lines) + '\n'
--- /dev/null
+++ b/src/bramleylug/observability/metrics.py
@@ -0,0 +1,23 @@
+"""Metrics of the daemons, one registry a process."""
+
+from typing import Any
+
+from aioprometheus.collectors import Counter, Gauge
+
+REQUESTS = Counter(
+    'bramleylug_requests_total', 'Requests by service and outcome'
+)
+REFUSALS = Counter('bramleylug_refusals_total', 'Refusals by reason')
+BAD_INPUT = Counter(
+    'bramleylug_bad_input_total', 'Input that was refused, by kind'
+)
+RUNNING = Gauge('bramleylug_running_requests', 'Requests that have not ended')
+REVISION = Gauge(
+    'bramleylug_configuration_revision', 'Configuration revision in force'
+)
+MEMBERS = Gauge('bramleylug_members', 'Members that are alive in this view')
+
+
+def count(counter: Any, **labels: str) -> None:
+    """Add one to a counter."""
+    counter.inc(labels)
--- /dev/null
+++ b/src/bramleylug/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of entries and upstreams, retries."""
--- /dev/null
+++ b/src/bramleylug/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings from flags and environment variables."""
--- /dev/null
+++ b/src/bramleylug/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP serving on circuits.web with flow control."""
--- /dev/null
+++ b/src/bramleylug/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Manifests, chunk transfer and versions on a host."""
--- /dev/null
+++ b/src/bramleylug/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the project's own processes."""
--- /dev/null
+++ b/testing/__main__.py
@@ -0,0 +1,60 @@
+"""Runs the tests, passes over what KNOWN-RED.txt names, and counts."""
+
+import sys
+import unittest
+from pathlib import Path
+
+from hypothesis import settings
+
+KNOWN_RED = Path(__file__).parent.parent / 'KNOWN-RED.txt'
+TEST_PREFIX = 'test: '
+
+settings.register_profile('ci', derandomize=True, deadline=None)
+settings.load_profile('ci')
+
+
+def known_red() -> frozenset[str]:
+    """Return the ids of the tests that are known to fail."""
+    if not KNOWN_RED.exists():
+        return frozenset()
+    return frozenset(
+        line.removeprefix(TEST_PREFIX).strip()
+        for line in KNOWN_RED.read_text().splitlines()
+        if line.startswith(TEST_PREFIX)
+    )
+
+
+def flatten(suite: unittest.TestSuite) -> list[unittest.TestCase]:
+    """Return the single tests of a suite."""
+    found: list[unittest.TestCase] = []
+    for part in suite:
+        if isinstance(part, unittest.TestSuite):
+            found.extend(flatten(part))
+        else:
+            found.append(part)
+    return found
+
+
+def main() -> int:
+    """Run all tests and return the exit code."""
+    pattern = sys.argv[1] if len(sys.argv) > 1 else 'test_*.py'
+    root = Path(__file__).parent
+    loaded = unittest.defaultTestLoader.discover(
+        str(root), pattern, top_level_dir=str(root.parent)
+    )
+    red = known_red()
+    tests = flatten(loaded)
+    chosen = [test for test in tests if test.id() not in red]
+    for name in sorted(red):
+        print(f'known red, passed over: {name}')
+    result = unittest.TextTestRunner().run(unittest.TestSuite(chosen))
+    failed = len({test.id() for test, _ in (*result.failures, *result.errors)})
+    failed += len(result.unexpectedSuccesses)
+    skipped = len(result.skipped)
+    passed = result.testsRun - failed - skipped
+    print(f'{passed} passed, {failed} failed, {skipped} skipped')
+    return int(bool(failed) or not result.testsRun)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
