Mutual TLS between processes, settings checked together, planned stop

Cause: connections were in the clear, settings reported one kind of fault at a time, and the stop did not wait for lasting quiet. The booking row of the demo is still broken: claims are missing.

--- a/src/bramleylug/agent/versions.py
+++ b/src/bramleylug/agent/versions.py
@@ -15,6 +15,7 @@
 from bramleylug.weights.planner import Fetch, FromOrigin, FromPeer, Planner
 from bramleylug.weights.staging import Staging, StagingFullError
 from bramleylug.weights.transfer import OriginClient, PeerClient
+from bramleylug.wire.channels import ChannelCache
 
 POLL_S = 0.1
 DRAIN_S = 30.0
@@ -46,7 +47,9 @@
         self.upstream = upstream
         self.staging = staging
         self.origin = origin
-        self.peers = PeerClient(node.settings.region)
+        self.peers = PeerClient(
+            node.settings.region, ChannelCache(node.keyring)
+        )
         self.pool = ThreadPoolExecutor(PARALLEL_FETCHES)
         self.manifests: dict[tuple[str, str], Manifest] = {}
         self.verified: dict[str, tuple[str, str]] = {}
--- a/src/bramleylug/cli/main.py
+++ b/src/bramleylug/cli/main.py
@@ -2,14 +2,14 @@
 
 import os
 import sys
-from argparse import ArgumentParser, Namespace
+from argparse import Namespace
 from collections.abc import Callable
-from enum import IntEnum, unique
-from typing import final
 
-from loguru import logger
-
-from bramleylug.cli import bench, fakes, operators
+from bramleylug.cli import bench, demo, fakes, operators
+from bramleylug.cli.parser import ExitCode, OneLineParser
+from bramleylug.node.lifecycle import DaemonRunner
+from bramleylug.observability.events import LogEvent, emit
+from bramleylug.observability.logs import set_up_logs
 from bramleylug.settings.daemons import (
     AgentSettings,
     EntrySettings,
@@ -18,20 +18,9 @@
 from bramleylug.settings.fields import SettingsError, add_flags, load_settings
 
 
-@final
-@unique
-class ExitCode(IntEnum):
-    """Exit codes of every command."""
-
-    ok = 0
-    broken = 1
-    usage = 2
-
-
 def main(arguments: list[str] | None = None) -> int:
     """Run ``bramleylug`` and return its exit code."""
-    parser = build_parser()
-    namespace = parser.parse_args(arguments)
+    namespace = build_parser().parse_args(arguments)
     run: Callable[[Namespace], int] = namespace.run
     try:
         return run(namespace)
@@ -39,6 +28,9 @@
         for fault in error.faults:
             print(f'bramleylug: {fault}', file=sys.stderr)
         return ExitCode.usage
+    except OSError as error:
+        print(f'bramleylug: {error}', file=sys.stderr)
+        return ExitCode.unavailable
 
 
 def entry_main() -> int:
@@ -51,9 +43,14 @@
     return main(['agent', *sys.argv[1:]])
 
 
-def build_parser() -> ArgumentParser:
+def build_parser() -> OneLineParser:
     """Return the parser of all commands."""
-    parser = ArgumentParser(prog='bramleylug')
+    codes = ', '.join(f'{code} {code.name}' for code in ExitCode)
+    parser = OneLineParser(
+        prog='bramleylug',
+        description='Weight distribution and request routing for bursts.',
+        epilog=f'Exit codes: {codes}.',
+    )
     commands = parser.add_subparsers(required=True, metavar='COMMAND')
     entry = commands.add_parser('entry', help='run an entry')
     add_flags(entry, EntrySettings)
@@ -61,36 +58,39 @@
     agent = commands.add_parser('agent', help='run an agent')
     add_flags(agent, AgentSettings)
     agent.set_defaults(run=_run_agent)
-    fakes.add_commands(commands)
-    operators.add_commands(commands)
-    bench.add_commands(commands)
+    for module in (fakes, operators, bench, demo):
+        module.add_commands(commands)
     return parser
 
 
 def _run_entry(namespace: Namespace) -> int:
     settings = load_settings(EntrySettings, namespace, os.environ)
-    _set_up_logs(settings)
+    _prepare(settings)
     from bramleylug.entry.daemon import EntryDaemon  # noqa: PLC0415
-    from bramleylug.node.lifecycle import DaemonRunner  # noqa: PLC0415
 
-    DaemonRunner(EntryDaemon(settings)).run()
+    DaemonRunner(EntryDaemon(settings), settings.name).run()
     return ExitCode.ok
 
 
 def _run_agent(namespace: Namespace) -> int:
     settings = load_settings(AgentSettings, namespace, os.environ)
-    _set_up_logs(settings)
+    _prepare(settings)
     from bramleylug.agent.daemon import AgentDaemon  # noqa: PLC0415
-    from bramleylug.node.lifecycle import DaemonRunner  # noqa: PLC0415
 
-    DaemonRunner(AgentDaemon(settings)).run()
+    DaemonRunner(AgentDaemon(settings), settings.name).run()
     return ExitCode.ok
 
 
-def _set_up_logs(settings: NodeSettings) -> None:
-    logger.remove()
-    logger.add(sys.stderr, level=settings.log_level)
-    logger.configure(extra={'name': settings.name})
+def _prepare(settings: NodeSettings) -> None:
+    set_up_logs(
+        settings.name,
+        level=settings.log_level,
+        as_json=settings.log_format == 'json',
+    )
+    if not settings.key_files.given:
+        emit(LogEvent.keys_missing, what='TLS files')
+    if not settings.gossip_keys:
+        emit(LogEvent.keys_missing, what='gossip keys')
 
 
 if __name__ == '__main__':
--- a/src/bramleylug/cli/operators.py
+++ b/src/bramleylug/cli/operators.py
@@ -27,7 +27,7 @@
 
 
 def add_commands(commands: Any) -> None:
-    """Add check, publish, zone, audit and demo."""
+    """Add check, publish, zone and audit."""
     check = commands.add_parser('check', help='check service files')
     check.add_argument('paths', nargs='+', type=Path)
     check.set_defaults(run=_check)
@@ -45,9 +45,6 @@
     audit = commands.add_parser('audit', help='list accepted changes')
     _add_store(audit)
     audit.set_defaults(run=_audit)
-    demo = commands.add_parser('demo', help='run the whole path embedded')
-    demo.add_argument('--keep', action='store_true', help='leave it running')
-    demo.set_defaults(run=_demo)
 
 
 def _add_store(parser: Any) -> None:
@@ -114,32 +111,3 @@
             for entry in Document.from_json(text).history:
                 print(json.dumps(entry))
     return 0
-
-
-def _demo(namespace: Namespace) -> int:
-    from bramleylug.demo.cluster import EmbeddedCluster  # noqa: PLC0415
-    from bramleylug.demo.story import (  # noqa: PLC0415
-        Story,
-        example_services,
-        print_table,
-    )
-
-    cluster = EmbeddedCluster()
-    cluster.start()
-    story = Story(cluster, example_services())
-    kept = story.play()
-    print_table(story.rows)
-    if namespace.keep:
-        _keep(cluster)
-    cluster.stop()
-    return 0 if kept else 1
-
-
-def _keep(cluster: Any) -> None:
-    for entry in cluster.entries:
-        print(f'curl http://{entry.web.address}/v1/entries')
-    try:
-        while True:
-            time.sleep(1)
-    except KeyboardInterrupt:
-        return
--- a/src/bramleylug/demo/cluster.py
+++ b/src/bramleylug/demo/cluster.py
@@ -55,7 +55,7 @@
             self._add_agent(RECORDS_SERVICE, zone, records.web.address)
         self._publish_hosts()
         for daemon in self._daemons():
-            runner = DaemonRunner(daemon)
+            runner = DaemonRunner(daemon, daemon.settings.name)
             runner.start()
             self.runners.append(runner)
 
--- a/src/bramleylug/demo/story.py
+++ b/src/bramleylug/demo/story.py
@@ -3,9 +3,8 @@
 import json
 import time
 import uuid
-from importlib.resources import files
 from pathlib import Path
-from typing import Any, NamedTuple, final
+from typing import Any, final
 
 from tqdm import tqdm
 
@@ -18,6 +17,7 @@
     ZONES,
     EmbeddedCluster,
 )
+from bramleylug.demo.table import Row
 from bramleylug.demo.traffic import Traffic, post
 
 MODEL = 'seat-fitting-model'
@@ -33,14 +33,6 @@
 BOOKING_TRIES = 3
 
 
-class Row(NamedTuple):
-    """One line of the closing table."""
-
-    name: str
-    figure: str
-    kept: bool
-
-
 @final
 class Story:
     """Plays the demonstration on an embedded cluster.
@@ -184,16 +176,3 @@
             if answer['entries']:
                 return [item['address'] for item in answer['entries']]
         return []
-
-
-def example_services() -> Path:
-    """Return the folder of the service files shipped with the package."""
-    return Path(str(files('bramleylug.demo') / 'services'))
-
-
-def print_table(rows: list[Row]) -> None:
-    """Print the closing table."""
-    width = max(len(row.name) for row in rows)
-    for row in rows:
-        verdict = 'kept' if row.kept else 'BROKEN'
-        print(f'{row.name:<{width}}  {row.figure:>10}  {verdict}')
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -16,7 +16,7 @@
 from bramleylug.node.node import Node
 from bramleylug.settings.daemons import EntrySettings
 from bramleylug.web.server import Exchange
-from bramleylug.wire.channels import CHANNEL_OPTIONS
+from bramleylug.wire.channels import open_aio_channel
 from bramleylug.wire.requests_pb2 import (
     RUN_STATE_RAN,
     Header,
@@ -41,7 +41,7 @@
         self.node = node
         self.picker = Picker(settings.zone, Random(settings.name))
         self.budget = RetryBudget(settings.retry_share)
-        self.stubs: dict[str, Any] = {}
+        self.stubs: dict[str, tuple[int, Any]] = {}
         self.running = 0
 
     async def serve(self, exchange: Exchange) -> None:
@@ -113,12 +113,14 @@
         return self.settings.deadline
 
     def _stub(self, address: str) -> Any:
-        if address not in self.stubs:
-            channel = grpc.aio.insecure_channel(
-                address, options=CHANNEL_OPTIONS
-            )
-            self.stubs[address] = ServingStub(channel)
-        return self.stubs[address]
+        keyring = self.node.keyring
+        keyring.load()
+        known = self.stubs.get(address)
+        if known is None or known[0] != keyring.generation:
+            stub = ServingStub(open_aio_channel(address, keyring))
+            known = (keyring.generation, stub)
+            self.stubs[address] = known
+        return known[1]
 
 
 async def _pass_on(call: Any, writer: AnswerWriter) -> Outcome:
--- a/src/bramleylug/node/lifecycle.py
+++ b/src/bramleylug/node/lifecycle.py
@@ -1,13 +1,18 @@
-"""Running a daemon until it is asked to stop, and stopping it planned."""
+"""Running a daemon until it is asked to stop, and stopping it as planned."""
 
 import signal
 import time
-from threading import Thread
+from collections.abc import Callable
+from threading import Event, Lock, Thread
 from types import FrameType
 from typing import Any, Protocol, final
 
+from bramleylug.observability.events import LogEvent, emit
+
 QUIET_POLL_S = 0.05
-SPREAD_S = 1.0
+QUIET_CHECKS = 4
+SPREAD_S = 1.5
+JOIN_S = 5.0
 
 
 class Daemon(Protocol):
@@ -23,7 +28,7 @@
         """Take no new work from now on."""
 
     def is_quiet(self) -> bool:
-        """Tell whether every request has ended."""
+        """Tell whether every request has ended and its answer has left."""
 
     def run(self) -> Any:
         """Run the circuits loop."""
@@ -34,19 +39,33 @@
 
 @final
 class DaemonRunner:
-    """Runs one daemon in the main thread or in one of its own."""
-
-    def __init__(self, daemon: Daemon) -> None:
+    """Runs one daemon in a thread and stops it as planned.
+
+    :param name: name of the instance, for log lines.
+    :param sleep: waits for seconds.
+    """
+
+    def __init__(
+        self,
+        daemon: Daemon,
+        name: str,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
         self.daemon = daemon
+        self.name = name
+        self.sleep = sleep
         self.thread: Thread | None = None
+        self.asked_to_stop = Event()
+        self.lock = Lock()
+        self.stopped = False
 
     def run(self) -> None:
         """Run until SIGTERM or SIGINT, then finish what runs."""
-        self.start()
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
-        while self.thread is not None and self.thread.is_alive():
-            self.thread.join(1)
+        self.start()
+        self.asked_to_stop.wait()
+        self.leave()
 
     def start(self) -> None:
         """Run in a thread of its own."""
@@ -55,17 +74,31 @@
         self.thread.start()
 
     def leave(self) -> None:
-        """Stop as planned: refuse new work, finish what runs, end."""
+        """Stop as planned: refuse new work, finish what runs, end.
+
+        Callers that connect while the news spreads are still answered with
+        a refusal that names other addresses.
+        """
+        emit(LogEvent.planned_stop, name=self.name)
         self.daemon.begin_leaving()
-        time.sleep(SPREAD_S)
-        while not self.daemon.is_quiet():
-            time.sleep(QUIET_POLL_S)
+        self.sleep(SPREAD_S)
+        quiet = 0
+        while quiet < QUIET_CHECKS:
+            quiet = quiet + 1 if self.daemon.is_quiet() else 0
+            self.sleep(QUIET_POLL_S)
         self.stop()
+        emit(LogEvent.stopped, name=self.name)
 
     def stop(self) -> None:
-        """Stop at once."""
+        """Stop at once; a second call does nothing."""
+        with self.lock:
+            if self.stopped:
+                return
+            self.stopped = True
         self.daemon.close()
         self.daemon.stop()
+        if self.thread is not None:
+            self.thread.join(JOIN_S)
 
     def _on_signal(self, signo: int, frame: FrameType | None) -> None:
-        Thread(target=self.leave, daemon=True).start()
+        self.asked_to_stop.set()
--- a/src/bramleylug/node/node.py
+++ b/src/bramleylug/node/node.py
@@ -30,6 +30,7 @@
     add_ConfigurationSyncServicer_to_server,
 )
 from bramleylug.wire.membership_pb2 import Member
+from bramleylug.wire.security import Keyring
 
 TICK_S = 0.1
 MILLISECONDS = 1000
@@ -61,12 +62,15 @@
         super().__init__()
         self.settings = settings
         self.store = store or GrpcStore(open_channel(settings.store))
+        self.keyring = Keyring(settings.key_files)
         self.holder = ConfigurationHolder(time.time)
         self.server = build_server(workers)
         add_ConfigurationSyncServicer_to_server(
             ConfigurationServicer(self.holder), self.server
         )
-        self.grpc_address = bind_server(self.server, settings.grpc_bind)
+        self.grpc_address = bind_server(
+            self.server, settings.grpc_bind, self.keyring
+        )
         host, _, port = settings.gossip_bind.rpartition(':')
         self.udp = UDPServer((host, int(port)), channel=GOSSIP_CHANNEL)
         self.udp.register(self)
--- a/src/bramleylug/node/synchronization.py
+++ b/src/bramleylug/node/synchronization.py
@@ -96,7 +96,7 @@
             self._pull(member.grpc_address, document.revision)
 
     def _pull(self, address: str, after_revision: int) -> None:
-        with open_channel(address) as channel:
+        with open_channel(address, self.node.keyring) as channel:
             stub = ConfigurationSyncStub(channel)
             try:
                 reply = stub.Pull(
--- a/src/bramleylug/settings/daemons.py
+++ b/src/bramleylug/settings/daemons.py
@@ -1,11 +1,16 @@
 """Settings of the entry and the agent."""
 
 from dataclasses import dataclass
+from pathlib import Path
 from typing import final
 
 from bramleylug.settings.fields import setting
+from bramleylug.wire.security import KeyFiles, is_loopback
 
 MEBIBYTE = 1024 * 1024
+PORT_LIMIT = 65536
+LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+LOG_FORMATS = ('text', 'json')
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,6 +32,54 @@
         'files of datagram keys, the first signs, all are accepted', ()
     )
     log_level: str = setting('least level of log lines', 'INFO')
+    log_format: str = setting('text, or json for one object a line', 'text')
+
+    @property
+    def key_files(self) -> KeyFiles:
+        """Files of mutual TLS with other instances."""
+        return KeyFiles(self.tls_certificate, self.tls_key, self.tls_ca)
+
+    def faults(self) -> list[str]:
+        """Return what is wrong with the settings, one line a fault."""
+        faults = self.key_files.faults()
+        faults.extend(self._address_faults())
+        faults.extend(self._exposure_faults())
+        faults.extend(
+            f'--gossip-keys: no such file {path!r}'
+            for path in self.gossip_keys
+            if not Path(path).is_file()
+        )
+        if self.log_level not in LOG_LEVELS:
+            faults.append(f'--log-level: one of {", ".join(LOG_LEVELS)}')
+        if self.log_format not in LOG_FORMATS:
+            faults.append(f'--log-format: one of {", ".join(LOG_FORMATS)}')
+        return faults
+
+    def addresses(self) -> dict[str, str]:
+        """Return every address setting by its flag."""
+        addresses = {
+            '--store': self.store,
+            '--http-bind': self.http_bind,
+            '--grpc-bind': self.grpc_bind,
+            '--gossip-bind': self.gossip_bind,
+        }
+        addresses.update({'--seeds': seed for seed in self.seeds})
+        return addresses
+
+    def _address_faults(self) -> list[str]:
+        return [
+            f'{flag}: {address!r} is not host:port'
+            for flag, address in self.addresses().items()
+            if not is_address(address)
+        ]
+
+    def _exposure_faults(self) -> list[str]:
+        faults = []
+        if not self.key_files.given and not is_loopback(self.grpc_bind):
+            faults.append('--grpc-bind: without TLS files only loopback')
+        if not self.gossip_keys and not is_loopback(self.gossip_bind):
+            faults.append('--gossip-bind: without gossip keys only loopback')
+        return faults
 
 
 @final
@@ -83,3 +136,17 @@
         'link share for weights sent', 125_000_000, unit='bytes/s'
     )
     workers: int = setting('threads for requests and chunks', 128)
+
+    def addresses(self) -> dict[str, str]:
+        """Return every address setting by its flag."""
+        addresses = NodeSettings.addresses(self)
+        addresses['--upstream'] = self.upstream
+        if self.origin:
+            addresses['--origin'] = self.origin
+        return addresses
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is ``host:port``."""
+    host, _, port = text.rpartition(':')
+    return bool(host) and port.isdecimal() and int(port) < PORT_LIMIT
--- a/src/bramleylug/settings/fields.py
+++ b/src/bramleylug/settings/fields.py
@@ -56,9 +56,13 @@
         if text is None:
             text = environment.get(variable_name(spec))
         _read_one(spec, text, values, faults)
-    if not faults:
-        settings = settings_class(**values)
-        faults.extend(getattr(settings, 'faults', list)())
+    settings = settings_class(**values)
+    known = {fault.split()[0].rstrip(':') for fault in faults}
+    faults.extend(
+        fault
+        for fault in getattr(settings, 'faults', list)()
+        if fault.split()[0].rstrip(':') not in known
+    )
     if faults:
         raise SettingsError(faults)
     return settings
@@ -85,6 +89,7 @@
             faults.append(
                 f'{flag_name(spec)} ({variable_name(spec)}) is missing'
             )
+            values[spec.name] = ''
         return
     try:
         values[spec.name] = _convert(spec.type, text)
@@ -92,6 +97,7 @@
         faults.append(
             f'{flag_name(spec)}: {text!r} is not {_type_words(spec)}',
         )
+        values[spec.name] = spec.default
 
 
 def _convert(kind: Any, text: str) -> Any:
--- a/src/bramleylug/weights/transfer.py
+++ b/src/bramleylug/weights/transfer.py
@@ -8,7 +8,7 @@
 
 from bramleylug.weights.manifest import Manifest, ManifestError
 from bramleylug.weights.staging import Staging
-from bramleylug.wire.channels import open_channel
+from bramleylug.wire.channels import ChannelCache
 from bramleylug.wire.weights_pb2 import (
     ChunkPiece,
     ChunkRequest,
@@ -68,9 +68,9 @@
 class PeerClient:
     """Reads chunks from other agents."""
 
-    def __init__(self, region: str) -> None:
+    def __init__(self, region: str, channels: ChannelCache) -> None:
         self.region = region
-        self.channels: dict[str, grpc.Channel] = {}
+        self.channels = channels
 
     def chunk(
         self, address: str, manifest: Manifest, index: int
@@ -82,7 +82,7 @@
             index=index,
             region=self.region,
         )
-        stub = WeightsStub(self._channel(address))
+        stub = WeightsStub(self.channels.get(address))
         try:
             return b''.join(
                 piece.data
@@ -91,11 +91,6 @@
         except grpc.RpcError:
             return None
 
-    def _channel(self, address: str) -> grpc.Channel:
-        if address not in self.channels:
-            self.channels[address] = open_channel(address)
-        return self.channels[address]
-
 
 @final
 class ChunkServer(WeightsServicer):
--- a/src/bramleylug/wire/channels.py
+++ b/src/bramleylug/wire/channels.py
@@ -1,9 +1,13 @@
 """gRPC channels and servers between the project's own processes."""
 
 from concurrent.futures import ThreadPoolExecutor
+from threading import Lock
+from typing import final
 
 import grpc
 
+from bramleylug.wire.security import PEER_NAME, KeyFiles, Keyring
+
 MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
 CHANNEL_OPTIONS = (
     ('grpc.max_receive_message_length', MESSAGE_LIMIT_BYTES),
@@ -14,11 +18,61 @@
     ('grpc.max_reconnect_backoff_ms', 1000),
     ('grpc.so_reuseport', 0),
 )
+TLS_OPTIONS = (
+    *CHANNEL_OPTIONS,
+    ('grpc.ssl_target_name_override', PEER_NAME),
+)
+NO_KEYS = Keyring(KeyFiles())
 
 
-def open_channel(address: str) -> grpc.Channel:
+def open_channel(address: str, keyring: Keyring = NO_KEYS) -> grpc.Channel:
     """Return a channel to a peer; it connects when first used."""
-    return grpc.insecure_channel(address, options=CHANNEL_OPTIONS)
+    credentials = keyring.channel_credentials()
+    if credentials is None:
+        return grpc.insecure_channel(address, options=CHANNEL_OPTIONS)
+    return grpc.secure_channel(address, credentials, options=TLS_OPTIONS)
+
+
+def open_aio_channel(
+    address: str, keyring: Keyring = NO_KEYS
+) -> grpc.aio.Channel:
+    """Return a channel to a peer for the running event loop."""
+    credentials = keyring.channel_credentials()
+    if credentials is None:
+        return grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+    return grpc.aio.secure_channel(address, credentials, options=TLS_OPTIONS)
+
+
+@final
+class ChannelCache:
+    """Keeps one channel a peer and opens it anew when the keys change.
+
+    Safe to use from any thread.
+    """
+
+    def __init__(self, keyring: Keyring = NO_KEYS) -> None:
+        self.keyring = keyring
+        self.lock = Lock()
+        self.channels: dict[str, tuple[int, grpc.Channel]] = {}
+
+    def get(self, address: str) -> grpc.Channel:
+        """Return the channel to a peer."""
+        self.keyring.load()
+        generation = self.keyring.generation
+        with self.lock:
+            known = self.channels.get(address)
+            if known is not None and known[0] == generation:
+                return known[1]
+            channel = open_channel(address, self.keyring)
+            self.channels[address] = (generation, channel)
+            return channel
+
+    def forget(self, address: str) -> None:
+        """Close the channel to a peer that has gone."""
+        with self.lock:
+            known = self.channels.pop(address, None)
+        if known is not None:
+            known[1].close()
 
 
 def build_server(workers: int) -> grpc.Server:
@@ -29,7 +83,19 @@
     )
 
 
-def bind_server(server: grpc.Server, bind: str) -> str:
-    """Bind a server and return its address, ``host:port``."""
-    port = server.add_insecure_port(bind)
+def bind_server(
+    server: grpc.Server, bind: str, keyring: Keyring = NO_KEYS
+) -> str:
+    """Bind a server and return its address, ``host:port``.
+
+    :raises OSError: when the address cannot be bound.
+    """
+    credentials = keyring.server_credentials()
+    try:
+        if credentials is None:
+            port = server.add_insecure_port(bind)
+        else:
+            port = server.add_secure_port(bind, credentials)
+    except RuntimeError as error:
+        raise OSError(f'cannot bind {bind}: {error}') from error
     return f'{bind.rpartition(":")[0]}:{port}'
--- a/testing/__main__.py
+++ b/testing/__main__.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from hypothesis import settings
+from loguru import logger
 
 KNOWN_RED = Path(__file__).parent.parent / 'KNOWN-RED.txt'
 TEST_PREFIX = 'test: '
@@ -37,6 +38,7 @@
 
 def main() -> int:
     """Run all tests and return the exit code."""
+    logger.remove()
     pattern = sys.argv[1] if len(sys.argv) > 1 else 'test_*.py'
     root = Path(__file__).parent
     loaded = unittest.defaultTestLoader.discover(
--- /dev/null
+++ b/testing/wire/test_security.py
@@ -0,0 +1,109 @@
+"""Tests of mutual TLS between processes."""
+
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+import grpc
+import trustme
+
+from bramleylug.fakes.store import FakeStore
+from bramleylug.wire.channels import (
+    ChannelCache,
+    bind_server,
+    build_server,
+    open_channel,
+)
+from bramleylug.wire.platform_pb2 import GetRequest
+from bramleylug.wire.platform_pb2_grpc import (
+    PlatformStoreStub,
+    add_PlatformStoreServicer_to_server,
+)
+from bramleylug.wire.security import KeyFiles, Keyring
+
+CALL_TIMEOUT_S = 5
+
+
+def write_keys(folder: Path, authority: trustme.CA) -> KeyFiles:
+    """Write a certificate of this authority and return its files."""
+    issued = authority.issue_cert('bramleylug')
+    files = KeyFiles(
+        str(folder / 'certificate.pem'),
+        str(folder / 'key.pem'),
+        str(folder / 'authority.pem'),
+    )
+    Path(files.certificate).write_bytes(issued.cert_chain_pems[0].bytes())
+    Path(files.key).write_bytes(issued.private_key_pem.bytes())
+    Path(files.authority).write_bytes(authority.cert_pem.bytes())
+    return files
+
+
+class TestMutualTls(unittest.TestCase):
+    """Only processes of one authority talk to one another."""
+
+    def setUp(self) -> None:
+        """Serve a store behind mutual TLS."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.authority = trustme.CA()
+        self.files = write_keys(self.folder, self.authority)
+        server = build_server(2)
+        add_PlatformStoreServicer_to_server(FakeStore(), server)
+        self.address = bind_server(server, '127.0.0.1:0', Keyring(self.files))
+        server.start()
+        self.addCleanup(lambda: server.stop(0))
+
+    def read(self, channel: grpc.Channel) -> int:
+        """Return the version of an absent key."""
+        with channel:
+            reply = PlatformStoreStub(channel).Get(
+                GetRequest(key='absent'), timeout=CALL_TIMEOUT_S
+            )
+        return reply.version
+
+    def test_peer_of_the_same_authority_is_served(self) -> None:
+        """Both show a certificate of the authority."""
+        channel = open_channel(self.address, Keyring(self.files))
+
+        self.assertEqual(self.read(channel), 0)
+
+    def test_peer_without_certificate_is_refused(self) -> None:
+        """A connection in the clear gets no answer."""
+        with self.assertRaises(grpc.RpcError):
+            self.read(open_channel(self.address))
+
+    def test_peer_of_another_authority_is_refused(self) -> None:
+        """A certificate from elsewhere does not count."""
+        folder = self.folder / 'other'
+        folder.mkdir()
+        strange = write_keys(folder, trustme.CA())
+
+        with self.assertRaises(grpc.RpcError):
+            self.read(open_channel(self.address, Keyring(strange)))
+
+    def test_changed_files_are_served_without_restart(self) -> None:
+        """After a rotation the new authority counts, the old does not."""
+        old = Keyring(self.files)
+        old.load()
+        former_material = old.material
+        write_keys(self.folder, trustme.CA())
+        for path in self.files:
+            os.utime(path, ns=(1, 1))
+
+        channel = open_channel(self.address, Keyring(self.files))
+
+        self.assertEqual(self.read(channel), 0)
+        self.assertNotEqual(old.load(), former_material)
+
+    def test_cached_channel_is_opened_anew_after_a_change(self) -> None:
+        """A cache does not go on with a former certificate."""
+        cache = ChannelCache(Keyring(self.files))
+        former = cache.get(self.address)
+        self.assertIs(cache.get(self.address), former)
+        write_keys(self.folder, self.authority)
+        for path in self.files:
+            os.utime(path, ns=(2, 2))
+
+        self.assertIsNot(cache.get(self.address), former)
