--- /dev/null
+++ b/examples/caller.py
@@ -0,0 +1,97 @@
+"""A caller that asks which entry to use, keeps the answer and sends to it.
+
+Usage: ``python examples/caller.py ENTRY SERVICE PATH BODY [TIMES]``, where
+ENTRY is ``host:port`` of any entry.
+"""
+
+import json
+import sys
+import time
+from http.client import HTTPConnection, HTTPException
+
+TIMEOUT_S = 60
+TRIES = 5
+RETRY_S = 1.0
+
+
+class Caller:
+    """Keeps the list of entries for as long as the answer says.
+
+    :param entry: first entry to ask, ``host:port``.
+    """
+
+    def __init__(self, entry: str, service: str) -> None:
+        self.known = [entry]
+        self.service = service
+        self.keep_until_s = 0.0
+
+    def send(self, path: str, body: str, headers: dict[str, str]) -> str:
+        """Send a request until it was answered or may not be repeated."""
+        for attempt in range(TRIES):
+            address = self.entries()[attempt % len(self.known)]
+            status, run, text = post(
+                address, f'/v1/services/{self.service}{path}', body, headers
+            )
+            if status == 200:
+                return text
+            if run != 'not_run' and 'Idempotency-Key' not in headers:
+                return f'{status} {run}: {text}'
+            self.keep_until_s = 0
+            time.sleep(RETRY_S)
+        return text
+
+    def entries(self) -> list[str]:
+        """Return the entries in the order of use."""
+        if time.monotonic() < self.keep_until_s:
+            return self.known
+        for address in self.known:
+            answer = get(address, f'/v1/entries?service={self.service}')
+            if answer and answer['entries']:
+                self.known = [item['address'] for item in answer['entries']]
+                self.keep_until_s = time.monotonic() + answer['keep_s']
+                break
+        return self.known
+
+
+def get(address: str, path: str) -> dict | None:
+    """Return a JSON answer, or ``None`` without one."""
+    connection = HTTPConnection(address, timeout=TIMEOUT_S)
+    try:
+        connection.request('GET', path)
+        return json.loads(connection.getresponse().read())
+    except (OSError, HTTPException, ValueError):
+        return None
+    finally:
+        connection.close()
+
+
+def post(
+    address: str, path: str, body: str, headers: dict[str, str]
+) -> tuple[int, str, str]:
+    """Return status, what became of the request, and the body."""
+    connection = HTTPConnection(address, timeout=TIMEOUT_S)
+    try:
+        connection.connect()
+    except OSError as error:
+        return 0, 'not_run', str(error)
+    try:
+        connection.request('POST', path, body, headers)
+        response = connection.getresponse()
+        run = response.getheader('X-Run', 'ran')
+        return response.status, run, response.read().decode()
+    except (OSError, HTTPException) as error:
+        return 0, 'unknown', str(error)
+    finally:
+        connection.close()
+
+
+def main() -> None:
+    """Send a request some times and print each answer."""
+    entry, service, path, body, *times = sys.argv[1:]
+    caller = Caller(entry, service)
+    for _ in range(int(times[0]) if times else 1):
+        print(caller.send(path, body, {}))
+
+
+if __name__ == '__main__':
+    main()
--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -84,9 +84,17 @@
 
     def serve(self, exchange: Exchange) -> None:
         """Answer health and metrics pages."""
-        if not serve_page(exchange, ready=self.gate.is_open):
+        if not serve_page(exchange, self.node, not_ready=self.not_ready()):
             exchange.reply_json(HTTPStatus.NOT_FOUND, {'error': 'no such page'})
 
+    def not_ready(self) -> str:
+        """Return why no request is admitted; empty when some are."""
+        if not self.node.holder.trustworthy:
+            return 'no accepted configuration is known'
+        if self.gate.leaving:
+            return 'leaving'
+        return '' if self.gate.is_open else 'no whole verified version'
+
     def describe(self, record: Member) -> None:
         """Fill the own membership record."""
         del record.services[:]
--- a/src/bramleylug/entry/daemon.py
+++ b/src/bramleylug/entry/daemon.py
@@ -65,9 +65,15 @@
         """Fill the own membership record."""
         record.draining = self.leaving
 
+    def not_ready(self) -> str:
+        """Return why no request is taken; empty when some are."""
+        if not self.node.holder.trustworthy:
+            return 'no accepted configuration is known'
+        return 'leaving' if self.leaving else ''
+
     def serve(self, exchange: Exchange) -> None:
         """Answer one request of a caller."""
-        if serve_page(exchange, ready=self.node.holder.trustworthy):
+        if serve_page(exchange, self.node, not_ready=self.not_ready()):
             return
         if exchange.path == '/v1/entries':
             exchange.reply_json(HTTPStatus.OK, self.entry_addresses())
--- a/src/bramleylug/node/pages.py
+++ b/src/bramleylug/node/pages.py
@@ -1,31 +1,61 @@
 """Health and metrics pages of the daemons."""
 
+import os
 from http import HTTPStatus
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 from aioprometheus.collectors import REGISTRY
 from aioprometheus.renderer import render
 
+from bramleylug.observability.metrics import (
+    MEMBERS,
+    PROCESSOR_SECONDS,
+    RESIDENT_BYTES,
+    REVISION,
+)
 from bramleylug.web.server import Exchange
 
+if TYPE_CHECKING:
+    from bramleylug.node.node import Node
+
 TEXT_FORMAT = ('text/plain',)
+STATM = Path('/proc/self/statm')
 
 
-def serve_page(exchange: Exchange, *, ready: bool) -> bool:
+def serve_page(exchange: Exchange, node: 'Node', *, not_ready: str) -> bool:
     """Answer ``/healthz``, ``/readyz`` or ``/metrics``.
 
+    :param not_ready: why the process is not ready; empty when it is.
     :returns: whether the path was one of them.
     """
     match exchange.path:
         case '/healthz':
             exchange.reply(HTTPStatus.OK, b'ok\n')
+        case '/readyz' if not_ready:
+            reason = f'{not_ready}\n'.encode()
+            exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE, reason)
         case '/readyz':
-            exchange.reply(
-                HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE,
-                b'ready\n' if ready else b'',
-            )
+            exchange.reply(HTTPStatus.OK, b'ready\n')
         case '/metrics':
+            _measure(node)
             body, headers = render(REGISTRY, TEXT_FORMAT)
             exchange.reply(HTTPStatus.OK, body, headers)
         case _:
             return False
     return True
+
+
+def _measure(node: 'Node') -> None:
+    labels = {'instance': node.settings.name}
+    MEMBERS.set(labels, len(node.members))
+    REVISION.set(labels, node.holder.document.revision)
+    times = os.times()
+    PROCESSOR_SECONDS.set(labels, times.user + times.system)
+    RESIDENT_BYTES.set(labels, resident_bytes())
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    pages = int(STATM.read_text().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE')
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -15,6 +15,12 @@
 REVISION = Gauge(
     'bramleylug_configuration_revision', 'Configuration revision in force'
 )
+PROCESSOR_SECONDS = Gauge(
+    'bramleylug_processor_seconds', 'Processor time of the process so far'
+)
+RESIDENT_BYTES = Gauge(
+    'bramleylug_resident_bytes', 'Resident memory of the process'
+)
 MEMBERS = Gauge('bramleylug_members', 'Members that are alive in this view')
 
 
--- /dev/null
+++ b/testing/node/test_pages.py
@@ -0,0 +1,56 @@
+"""Tests of the pages of a daemon, on a real one without peers."""
+
+import unittest
+from http.client import HTTPConnection
+
+from bramleylug.entry.daemon import EntryDaemon
+from bramleylug.node.lifecycle import DaemonRunner
+from bramleylug.settings.daemons import EntrySettings
+from testing.builders import build_document
+
+
+class TestPages(unittest.TestCase):
+    """Health, readiness and metrics of an entry whose store is down."""
+
+    def setUp(self) -> None:
+        """Run an entry."""
+        settings = EntrySettings(
+            name='e1', zone='zone-a', region='west', store='127.0.0.1:1'
+        )
+        self.daemon = EntryDaemon(settings)
+        runner = DaemonRunner(self.daemon, 'e1')
+        runner.start()
+        self.addCleanup(runner.stop)
+
+    def get(self, path: str) -> tuple[int, str]:
+        """Return status and text of a page."""
+        connection = HTTPConnection(self.daemon.web.address, timeout=5)
+        self.addCleanup(connection.close)
+        connection.request('GET', path)
+        response = connection.getresponse()
+        return response.status, response.read().decode()
+
+    def test_process_without_configuration_is_not_ready(self) -> None:
+        """It lives, and says why it takes no work."""
+        self.assertEqual(self.get('/healthz'), (200, 'ok\n'))
+        self.assertEqual(
+            self.get('/readyz'),
+            (503, 'no accepted configuration is known\n'),
+        )
+
+    def test_process_with_configuration_is_ready(self) -> None:
+        """Any accepted revision will do."""
+        self.daemon.node.holder.offer(build_document())
+
+        self.assertEqual(self.get('/readyz'), (200, 'ready\n'))
+
+    def test_metrics_name_the_revision(self) -> None:
+        """The page is what a scraper reads."""
+        self.daemon.node.holder.offer(build_document(revision=7))
+
+        status, text = self.get('/metrics')
+
+        self.assertEqual(status, 200)
+        self.assertIn(
+            'bramleylug_configuration_revision{instance="e1"} 7', text
+        )
