--- /dev/null
+++ b/src/bramleylug/bench/load.py
@@ -0,0 +1,175 @@
+"""Load generators for HTTP callers, open and closed loop."""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+from threading import Event, Thread
+from typing import Literal, NamedTuple, final
+
+import numpy
+
+from bramleylug.bench.recorder import Recorder
+
+CALL_TIMEOUT_S = 30.0
+OPEN_LOOP_WORKERS = 256
+ANSWERED_STATUSES = range(200, 300)
+
+CallResult = Literal['answered', 'refused', 'failed']
+
+
+class Answer(NamedTuple):
+    """What one call brought.
+
+    :ivar result: ``refused`` only where the answer says ``not_run``.
+    :ivar status: HTTP status; 0 without an answer.
+    """
+
+    result: CallResult
+    status: int = 0
+    body: bytes = b''
+    retry_after_s: float = 0.0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """One request to an entry."""
+
+    path: str
+    body: str = ''
+    method: str = 'POST'
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+Send = Callable[[int], Answer]
+
+
+def call_http(
+    address: str, call: HttpCall, timeout_s: float = CALL_TIMEOUT_S
+) -> Answer:
+    """Send a request on a connection of its own and read all of the answer.
+
+    :param address: ``host:port`` of an entry.
+    """
+    connection = HTTPConnection(address, timeout=timeout_s)
+    try:
+        connection.request(call.method, call.path, call.body, call.headers)
+        response = connection.getresponse()
+        body = response.read()
+    except (OSError, HTTPException):
+        return Answer('failed')
+    finally:
+        connection.close()
+    return Answer(
+        classify(response.status, response.headers.get('X-Run', '')),
+        response.status,
+        body,
+        float(response.headers.get('Retry-After', 0)),
+    )
+
+
+def classify(status: int, run: str) -> CallResult:
+    """Return the class of an answer.
+
+    :param run: the ``X-Run`` header; empty where there is none.
+    """
+    if status in ANSWERED_STATUSES:
+        return 'answered'
+    return 'refused' if run == 'not_run' else 'failed'
+
+
+def arrival_times(rate: float, duration_s: float, seed: int) -> list[float]:
+    """Return the seconds of Poisson arrivals, the same for the same seed.
+
+    :param rate: mean arrivals per second.
+    """
+    random = numpy.random.default_rng(seed)
+    count = random.poisson(rate * duration_s)
+    return sorted(random.uniform(0, duration_s, count).tolist())
+
+
+def run_open_loop(
+    send: Send,
+    arrivals: list[float],
+    *,
+    recorder: Recorder | None = None,
+    workers: int = OPEN_LOOP_WORKERS,
+) -> Recorder:
+    """Send at fixed times, whether or not earlier answers came.
+
+    Latency counts from the time a call was due, so that a stall is not
+    hidden by calls that were never sent.
+
+    :param send: called with the number of the call, on a pool of threads.
+    :param arrivals: seconds after the start, from :func:`arrival_times`.
+    """
+    record = recorder or Recorder()
+    started_s = time.monotonic()
+
+    def call(number: int, due_s: float) -> None:
+        answer = send(number)
+        now_s = time.monotonic()
+        record.add(answer.result, now_s - started_s, now_s - due_s)
+
+    with ThreadPoolExecutor(workers) as pool:
+        for number, arrival_s in enumerate(arrivals):
+            due_s = started_s + arrival_s
+            time.sleep(max(0.0, due_s - time.monotonic()))
+            pool.submit(call, number, due_s)
+    return record
+
+
+@final
+class ClosedLoop:
+    """Callers that each wait for an answer before the next call.
+
+    :param send: called with a number that no two calls share.
+    :param pause_s: time between an answer and the caller's next call.
+    """
+
+    def __init__(
+        self, send: Send, callers: int, *, pause_s: float = 0.0
+    ) -> None:
+        self.send = send
+        self.callers = callers
+        self.pause_s = pause_s
+        self.recorder = Recorder()
+        self.stopping = Event()
+        self.started_s = time.monotonic()
+        self.threads = [
+            Thread(target=self._keep_calling, args=(caller,), daemon=True)
+            for caller in range(callers)
+        ]
+
+    def start(self) -> None:
+        """Start all callers."""
+        self.started_s = time.monotonic()
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> Recorder:
+        """Let running calls end and return what was recorded."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        return self.recorder
+
+    def run_for(self, duration_s: float) -> Recorder:
+        """Start, keep calling for some time, and stop."""
+        self.start()
+        self.stopping.wait(duration_s)
+        return self.stop()
+
+    def _keep_calling(self, caller: int) -> None:
+        number = caller
+        while not self.stopping.is_set():
+            sent_s = time.monotonic()
+            answer = self.send(number)
+            now_s = time.monotonic()
+            self.recorder.add(
+                answer.result, now_s - self.started_s, now_s - sent_s
+            )
+            number += self.callers
+            self.stopping.wait(self.pause_s)
--- /dev/null
+++ b/src/bramleylug/bench/meters.py
@@ -0,0 +1,69 @@
+"""Processor time and memory of this process and of others."""
+
+import os
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Self, final
+
+PROC = Path('/proc')
+BYTES_PER_KIB = 1024
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+# Fields 14 and 15 of proc(5) stat, counted after the command's bracket.
+UTIME_FIELD = 11
+STIME_FIELD = 12
+
+
+@final
+@dataclass(slots=True)
+class ProcessorMeter:
+    """Processor time that this process uses within a ``with`` block.
+
+    :ivar used_s: processor seconds, user and system, of all threads.
+    :ivar elapsed_s: seconds on the clock.
+    """
+
+    used_s: float = 0.0
+    elapsed_s: float = 0.0
+
+    def __enter__(self) -> Self:
+        """Start to count."""
+        self.used_s = -time.process_time()
+        self.elapsed_s = -time.monotonic()
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        """Stop to count."""
+        self.used_s += time.process_time()
+        self.elapsed_s += time.monotonic()
+
+    @property
+    def cores(self) -> float:
+        """Cores in use on average."""
+        return self.used_s / self.elapsed_s if self.elapsed_s > 0 else 0.0
+
+
+def resident_bytes(pid: int | None = None) -> int:
+    """Return the resident memory of a process, by default of this one."""
+    return _status_bytes(pid, 'VmRSS:')
+
+
+def peak_resident_bytes(pid: int | None = None) -> int:
+    """Return the most memory a process has had resident."""
+    return _status_bytes(pid, 'VmHWM:')
+
+
+def processor_seconds(pid: int) -> float:
+    """Return the processor time that another process has used."""
+    stat = (PROC / str(pid) / 'stat').read_text()
+    fields = stat.rpartition(')')[2].split()
+    ticks = int(fields[UTIME_FIELD]) + int(fields[STIME_FIELD])
+    return ticks / TICKS_PER_S
+
+
+def _status_bytes(pid: int | None, name: str) -> int:
+    status = (PROC / str(pid or 'self') / 'status').read_text()
+    for line in status.splitlines():
+        if line.startswith(name):
+            return int(line.split()[1]) * BYTES_PER_KIB
+    return 0
