--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -90,7 +90,8 @@
     def not_ready(self) -> str:
         """Return why no request is admitted; empty when some are."""
         if not self.node.holder.trustworthy:
-            return 'no accepted configuration is known'
+            reason = self.node.holder.not_ready_reason
+            return f'no accepted configuration is known: {reason}'
         if self.gate.leaving:
             return 'leaving'
         return '' if self.gate.is_open else 'no whole verified version'
--- a/src/bramleylug/cli/main.py
+++ b/src/bramleylug/cli/main.py
@@ -5,7 +5,7 @@
 from argparse import Namespace
 from collections.abc import Callable
 
-from bramleylug.cli import bench, demo, fakes, operators
+from bramleylug.cli import bench, configuration, demo, fakes, status
 from bramleylug.cli.parser import ExitCode, OneLineParser
 from bramleylug.node.lifecycle import DaemonRunner
 from bramleylug.observability.events import LogEvent, emit
@@ -58,7 +58,7 @@
     agent = commands.add_parser('agent', help='run an agent')
     add_flags(agent, AgentSettings)
     agent.set_defaults(run=_run_agent)
-    for module in (fakes, operators, bench, demo):
+    for module in (fakes, configuration, status, bench, demo):
         module.add_commands(commands)
     return parser
 
--- /dev/null
+++ b/src/bramleylug/configuration/difference.py
@@ -0,0 +1,39 @@
+"""What a change would alter, in lines an operator can read."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from bramleylug.configuration.document import Change, Document, service_fields
+
+
+def describe_change(document: Document, change: Change) -> list[str]:
+    """Return one line for each service, field or zone that would differ."""
+    lines: list[str] = []
+    for name, fields in sorted(change['services'].items()):
+        before = service_fields(document, name)
+        lines.extend(_describe_service(name, before, fields))
+    for zone, state in sorted(change['zones'].items()):
+        known = document.zones.get(zone, 'in')
+        if known != state:
+            lines.append(f'~ zone {zone}: {known} -> {state}')
+    return lines
+
+
+def _describe_service(
+    name: str,
+    before: Mapping[str, Any] | None,
+    after: Mapping[str, Any] | None,
+) -> Iterator[str]:
+    if before == after:
+        return
+    if after is None:
+        yield f'- service {name}'
+    elif before is None:
+        yield f'+ service {name}'
+        for field, found in after.items():
+            yield f'    {field} = {found!r}'
+    else:
+        yield f'~ service {name}'
+        for field, found in after.items():
+            if before.get(field) != found:
+                yield f'    {field}: {before.get(field)!r} -> {found!r}'
--- a/src/bramleylug/configuration/document.py
+++ b/src/bramleylug/configuration/document.py
@@ -8,6 +8,7 @@
 DOCUMENT_KEY = 'bramleylug/configuration'
 DOCUMENT_LIMIT_BYTES = 1024 * 1024
 HISTORY_LENGTH = 64
+HISTORY_BYTES = 196608
 
 ServiceKind = Literal['model', 'plain']
 ZoneState = Literal['in', 'out']
@@ -70,6 +71,8 @@
     :ivar lineage: identity of the history, set by the first change.
     :ivar zones: state of each zone that was ever named.
     :ivar history: the latest changes, oldest first.
+    :ivar archived: changes up to this revision have audit records of their
+        own in the store, so that the history may drop them.
     """
 
     revision: int = 0
@@ -77,6 +80,7 @@
     services: Mapping[str, ServiceSpec] = field(default_factory=dict)
     zones: Mapping[str, ZoneState] = field(default_factory=dict)
     history: tuple[HistoryEntry, ...] = ()
+    archived: int = 0
 
     @classmethod
     def from_json(cls, text: bytes) -> 'Document':
@@ -93,6 +97,7 @@
             },
             zones=fields['zones'],
             history=tuple(fields['history']),
+            archived=fields.get('archived', 0),
         )
 
     def to_json(self) -> bytes:
@@ -105,8 +110,9 @@
             },
             'zones': dict(self.zones),
             'history': list(self.history),
+            'archived': self.archived,
         }
-        return json.dumps(fields, sort_keys=True).encode()
+        return to_text(fields)
 
     def zone_is_in(self, zone: str) -> bool:
         """Tell whether a zone may get new work."""
@@ -136,20 +142,63 @@
             changed,
             revision=self.revision + 1,
             lineage=self.lineage or change_id,
-            history=(*self.history, entry)[-HISTORY_LENGTH:],
+            history=trim_history((*self.history, entry), self.archived),
         )
 
     def _before(self, change: Change) -> Change:
         services = {
-            name: spec_to_json(self.services[name])
-            if name in self.services
-            else None
-            for name in change['services']
+            name: service_fields(self, name) for name in change['services']
         }
         zones = {zone: self.zones.get(zone, 'in') for zone in change['zones']}
         return Change(services=services, zones=zones)
 
 
+def to_text(fields: Any) -> bytes:
+    """Return compact JSON with sorted keys."""
+    return json.dumps(fields, sort_keys=True, separators=(',', ':')).encode()
+
+
+def trim_history(
+    history: tuple[HistoryEntry, ...], archived: int
+) -> tuple[HistoryEntry, ...]:
+    """Drop the oldest changes above the bounds of length and bytes.
+
+    :param archived: only changes up to this revision may be dropped.
+    """
+    sizes = [len(to_text(entry)) for entry in history]
+    total = sum(sizes)
+    dropped = 0
+    for entry, size in zip(history[:-1], sizes, strict=False):
+        over = len(history) - dropped > HISTORY_LENGTH or total > HISTORY_BYTES
+        if not over or entry['revision'] > archived:
+            break
+        total -= size
+        dropped += 1
+    return history[dropped:]
+
+
+def touched(change: Change, document: Document) -> Change:
+    """Return the part of a change that differs from a document."""
+    return Change(
+        services={
+            name: fields
+            for name, fields in change['services'].items()
+            if fields != service_fields(document, name)
+        },
+        zones={
+            zone: state
+            for zone, state in change['zones'].items()
+            if state != document.zones.get(zone, 'in')
+        },
+    )
+
+
+def service_fields(document: Document, name: str) -> dict[str, Any] | None:
+    """Return a service's fields, or ``None`` where it does not exist."""
+    spec = document.services.get(name)
+    return None if spec is None else spec_to_json(spec)
+
+
 def apply_change(document: Document, change: Change) -> Document:
     """Return the document with a change's services and zones set."""
     services = dict(document.services)
@@ -174,5 +223,10 @@
 
 
 def spec_from_json(name: str, fields: Mapping[str, Any]) -> ServiceSpec:
-    """Build a service from its fields."""
-    return ServiceSpec(name=name, **{**fields, 'zones': tuple(fields['zones'])})
+    """Build a service from its fields; those of later versions are dropped."""
+    known = {
+        key: field_value
+        for key, field_value in fields.items()
+        if key in ServiceSpec.__slots__
+    }
+    return ServiceSpec(name=name, **{**known, 'zones': tuple(fields['zones'])})
--- a/src/bramleylug/configuration/files.py
+++ b/src/bramleylug/configuration/files.py
@@ -1,15 +1,20 @@
 """Service files: TOML beside each service's code."""
 
+import re
 import tomllib
-from dataclasses import MISSING, fields
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, final
 
 from bramleylug.configuration.document import (
     Change,
     ServiceSpec,
+    spec_from_json,
     spec_to_json,
 )
+from bramleylug.configuration.rules import check_fields, suggest
+
+ZONES_FILE = 'zones.toml'
+ERROR_LINE = re.compile(r'\(at line (\d+)')
 
 
 class Finding(NamedTuple):
@@ -40,60 +45,147 @@
         )
 
 
+class SourceFile(NamedTuple):
+    """A TOML file whose keys can be found by line."""
+
+    path: Path
+    text: str
+    table: dict[str, Any]
+
+    def finding(self, key: str, message: str, word: str = '') -> Finding:
+        """Return a finding at a key, or at a quoted word behind it."""
+        return Finding(str(self.path), self.line_of(key, word), message)
+
+    def line_of(self, key: str, word: str = '') -> int:
+        """Return the line of a key; 1 where the file does not have it."""
+        start = re.compile(
+            rf'\s*(\[+\s*)?["\']?{re.escape(key)}["\']?\s*[=\].]'
+        )
+        quoted = re.compile(rf'["\']{re.escape(word)}["\']')
+        found = 0
+        for number, line in enumerate(self.text.splitlines(), start=1):
+            if not found and key and start.match(line):
+                found = number
+            if found and (not word or quoted.search(line)):
+                return number
+        return found or 1
+
+
+@final
+class Collector:
+    """Reads service files and gathers every finding.
+
+    A file named ``zones.toml`` with ``zones = [...]`` declares the zones
+    that services may name.
+    """
+
+    def __init__(self) -> None:
+        self.findings: list[Finding] = []
+        self.sources: dict[str, SourceFile] = {}
+        self.services: dict[str, ServiceSpec] = {}
+        self.zones: list[str] = []
+        self.zones_file = ''
+
+    def read(self, path: Path) -> None:
+        """Take in one file."""
+        source = self._parse(path)
+        if source is None:
+            return
+        if path.name == ZONES_FILE:
+            self._take_zones(source)
+        else:
+            self._take_service(source)
+
+    def finish(self) -> Collected:
+        """Check the references between the files."""
+        if self.zones_file:
+            for name, spec in self.services.items():
+                for zone in spec.zones:
+                    self._check_zone(self.sources[name], zone)
+        return Collected(self.services, tuple(sorted(self.findings)))
+
+    def _parse(self, path: Path) -> SourceFile | None:
+        try:
+            text = path.read_text()
+        except (OSError, ValueError) as error:
+            self.findings.append(Finding(str(path), 1, f'not read: {error}'))
+            return None
+        try:
+            return SourceFile(path, text, tomllib.loads(text))
+        except tomllib.TOMLDecodeError as error:
+            place = ERROR_LINE.search(str(error))
+            last = len(text.splitlines()) or 1
+            line = int(place[1]) if place else last
+            self.findings.append(Finding(str(path), line, str(error)))
+            return None
+
+    def _take_zones(self, source: SourceFile) -> None:
+        zones = source.table.get('zones')
+        if not isinstance(zones, list) or list(source.table) != ['zones']:
+            self.findings.append(
+                source.finding(
+                    'zones', 'declare zones = ["zone-a", ...] and nothing else'
+                )
+            )
+            return
+        self.zones_file = str(source.path)
+        self.zones.extend(map(str, zones))
+
+    def _take_service(self, source: SourceFile) -> None:
+        faults = check_fields(source.table)
+        self.findings.extend(
+            source.finding(fault.field, _with_field(fault.field, fault.message))
+            for fault in faults
+        )
+        name = source.table.get('name')
+        if not isinstance(name, str):
+            return
+        first = self.sources.setdefault(name, source)
+        if first is not source:
+            place = f'{first.path}:{first.line_of("name")}'
+            self.findings.append(
+                source.finding(
+                    'name',
+                    f'service {name!r} stands twice, first at {place}; '
+                    'rename or remove one',
+                )
+            )
+        elif not faults:
+            fields = {
+                key: part for key, part in source.table.items() if key != 'name'
+            }
+            self.services[name] = spec_from_json(name, fields)
+
+    def _check_zone(self, source: SourceFile, zone: str) -> None:
+        if zone not in self.zones:
+            self.findings.append(
+                source.finding(
+                    'zones',
+                    f'zone {zone!r} is not declared in {self.zones_file}'
+                    f'{suggest(zone, self.zones)}',
+                    zone,
+                )
+            )
+
+
 def collect(paths: list[Path]) -> Collected:
     """Read service files and folders of them.
 
     :param paths: files, or folders searched for ``*.toml``.
     """
-    services: dict[str, ServiceSpec] = {}
-    findings: list[Finding] = []
+    collector = Collector()
     for path in _files(paths):
-        spec = _read_file(path, findings)
-        if spec is None:
-            continue
-        if spec.name in services:
-            findings.append(
-                Finding(str(path), 1, f'service {spec.name!r} stands twice')
-            )
-        services[spec.name] = spec
-    return Collected(services, tuple(findings))
+        collector.read(path)
+    return collector.finish()
 
 
 def _files(paths: list[Path]) -> list[Path]:
-    found: list[Path] = []
+    found: dict[Path, None] = {}
     for path in paths:
-        found.extend(sorted(path.rglob('*.toml')) if path.is_dir() else [path])
-    return found
-
-
-def _read_file(path: Path, findings: list[Finding]) -> ServiceSpec | None:
-    try:
-        text = path.read_text()
-        table = tomllib.loads(text)
-    except (OSError, ValueError) as error:
-        findings.append(Finding(str(path), 1, str(error)))
-        return None
-    known = {spec.name: spec for spec in fields(ServiceSpec)}
-    count = len(findings)
-    for key in table:
-        if key not in known:
-            findings.append(
-                Finding(str(path), _line_of(text, key), f'unknown key {key!r}')
-            )
-    for name, spec in known.items():
-        if spec.default is MISSING and name not in table:
-            findings.append(Finding(str(path), 1, f'{name} is missing'))
-    if len(findings) > count:
-        return None
-    return _build(table)
-
-
-def _build(table: dict[str, Any]) -> ServiceSpec:
-    return ServiceSpec(**{**table, 'zones': tuple(table['zones'])})
+        inside = sorted(path.rglob('*.toml')) if path.is_dir() else [path]
+        found.update(dict.fromkeys(inside))
+    return list(found)
 
 
-def _line_of(text: str, key: str) -> int:
-    for number, line in enumerate(text.splitlines(), start=1):
-        if line.strip().startswith(key):
-            return number
-    return 1
+def _with_field(field: str, message: str) -> str:
+    return f'{field}: {message}' if field else message
--- a/src/bramleylug/configuration/holder.py
+++ b/src/bramleylug/configuration/holder.py
@@ -1,10 +1,28 @@
 """The revision in force in this process, which only ever rises."""
 
-from collections.abc import Callable
-from threading import Lock
-from typing import final
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from threading import RLock
+from typing import NamedTuple, final
 
-from bramleylug.configuration.document import Document
+from bramleylug.configuration.document import (
+    Document,
+    HistoryEntry,
+    apply_change,
+    trim_history,
+)
+from bramleylug.configuration.recovery import follows
+from bramleylug.observability.events import LogEvent, emit
+
+
+class Deltas(NamedTuple):
+    """Changes that follow one another by number.
+
+    :ivar lineage: identity of the history they belong to.
+    """
+
+    lineage: str
+    entries: Sequence[HistoryEntry]
 
 
 @final
@@ -13,30 +31,105 @@
 
     :ivar document: the document in force; immutable, replaced as a whole.
     :ivar since_s: when it came in force, in seconds of the clock.
+    :ivar doubt: why the document may be older than what is accepted; empty
+        once the store or enough peers confirmed it.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
-        self.lock = Lock()
+        self.lock = RLock()
         self.document = Document()
         self.since_s = 0.0
+        self.doubt = ''
         self.on_change: list[Callable[[Document], None]] = []
 
     @property
     def trustworthy(self) -> bool:
-        """Whether any accepted revision has been seen."""
-        return self.document.revision > 0
+        """Whether the document is known to be the accepted one."""
+        return not self.not_ready_reason
+
+    @property
+    def not_ready_reason(self) -> str:
+        """Why the document must not be acted on; empty when it may."""
+        if self.doubt:
+            return self.doubt
+        if not self.document.revision:
+            return 'no configuration has been published'
+        return ''
+
+    def question(self, doubt: str) -> None:
+        """Update the doubt; once it is empty it stays so."""
+        with self.lock:
+            if self.doubt:
+                self.doubt = doubt
 
     def offer(self, document: Document) -> bool:
-        """Apply a document when its revision is higher.
+        """Apply a document when it is a later one of the same lineage.
 
         :returns: whether it came in force.
         """
         with self.lock:
-            if document.revision <= self.document.revision:
+            held = self.document
+            if document.revision <= held.revision:
                 return False
-            self.document = document
-            self.since_s = self.clock()
-        for listener in self.on_change:
-            listener(document)
+            if not follows(document, held):
+                emit(
+                    LogEvent.lineage_refused,
+                    revision=document.revision,
+                    lineage=document.lineage,
+                    held=held.revision,
+                )
+                return False
+            self._replace(document)
         return True
+
+    def offer_deltas(self, deltas: Deltas) -> bool:
+        """Apply the changes that follow the held revision without a gap.
+
+        :returns: whether any came in force; false also asks for the whole
+            document when the first one leaves a gap.
+        """
+        with self.lock:
+            document = self.document
+            if not document.revision or deltas.lineage != document.lineage:
+                return False
+            for entry in deltas.entries:
+                if entry['revision'] == document.revision + 1:
+                    document = _follow(document, entry)
+            if document is self.document:
+                return False
+            self._replace(document)
+        return True
+
+    def deltas_after(self, revision: int, change_id: str) -> Deltas | None:
+        """Return what follows a revision that a change made.
+
+        :returns: ``None`` when the history does not reach back to it.
+        """
+        document = self.document
+        base = document.find_change(change_id)
+        if base is None or base['revision'] != revision:
+            return None
+        entries = [
+            entry for entry in document.history if entry['revision'] > revision
+        ]
+        return Deltas(document.lineage, entries)
+
+    def _replace(self, document: Document) -> None:
+        # Listeners run under the lock, so they see revisions in their order.
+        self.document = document
+        self.since_s = self.clock()
+        for listener in self.on_change:
+            try:
+                listener(document)
+            except Exception as error:
+                emit(LogEvent.worker_failed, work='listener', error=error)
+
+
+def _follow(document: Document, entry: HistoryEntry) -> Document:
+    return replace(
+        apply_change(document, entry['change']),
+        revision=entry['revision'],
+        history=trim_history((*document.history, entry), entry['revision']),
+        archived=entry['revision'] - 1,
+    )
--- a/src/bramleylug/configuration/publisher.py
+++ b/src/bramleylug/configuration/publisher.py
@@ -1,17 +1,25 @@
 """Publication: a change becomes accepted by one compare-and-swap."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import final
 
+from bramleylug.configuration.audit import archive, find_archived
 from bramleylug.configuration.document import (
     DOCUMENT_KEY,
     DOCUMENT_LIMIT_BYTES,
     Change,
     Document,
+    HistoryEntry,
+    service_fields,
+    spec_from_json,
+    spec_to_json,
+    touched,
 )
+from bramleylug.configuration.rules import check_change
 from bramleylug.platform.store import (
     Conflict,
     Store,
+    StoredValue,
     Swapped,
     Unavailable,
     Uncertain,
@@ -24,9 +32,13 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The change is part of the accepted configuration."""
+    """The change is part of the accepted configuration.
+
+    :ivar changed: false when the configuration said all of it before.
+    """
 
     revision: int
+    changed: bool = True
 
 
 @final
@@ -55,58 +67,196 @@
     change_id: str,
     who: str,
     when_s: float,
+    base: Document | None = None,
+    repeated: bool = False,
 ) -> PublishOutcome:
     """Publish a change; repeating it with its id is safe.
 
     :param when_s: seconds since the epoch, for the audit trail.
+    :param base: what the change was made for; the first read when absent.
+    :param repeated: whether the id may have been sent before.
+    """
+    faults = check_change(change)
+    if faults:
+        refusal = '; '.join(faults)
+        return AcceptanceUnknown(refusal) if repeated else NotAccepted(refusal)
+    attempt = Publication(
+        store, normalize(change), change_id=change_id, who=who, when_s=when_s
+    )
+    attempt.base = base
+    attempt.repeated = repeated
+    return attempt.run()
+
+
+def normalize(change: Change) -> Change:
+    """Return a change with every field of its services spelt out."""
+    return Change(
+        services={
+            name: None
+            if fields is None
+            else spec_to_json(spec_from_json(name, fields))
+            for name, fields in change['services'].items()
+        },
+        zones=change['zones'],
+    )
+
+
+@final
+class Publication:
+    """One attempt to have a change accepted.
+
+    :ivar doubt: version that an uncertain write expected. It can land only
+        while the document has this version, so a later version that lacks
+        the change id settles that it never will.
+    :ivar repeated: whether an earlier attempt may have left a write behind.
+        It expected at most the version of the first read.
     """
-    uncertain = False
-    for _ in range(ATTEMPTS):
-        stored = store.read(DOCUMENT_KEY, timeout_s=STORE_TIMEOUT_S)
+
+    def __init__(
+        self,
+        store: Store,
+        change: Change,
+        *,
+        change_id: str,
+        who: str,
+        when_s: float,
+    ) -> None:
+        self.store = store
+        self.change = change
+        self.change_id = change_id
+        self.who = who
+        self.when_s = when_s
+        self.base: Document | None = None
+        self.doubt: int | None = None
+        self.repeated = False
+
+    def run(self) -> PublishOutcome:
+        """Read and write until the outcome is settled or tries run out."""
+        for _ in range(ATTEMPTS):
+            outcome = self._step()
+            if outcome is not None:
+                return self._admit_doubt(outcome)
+        return self._admit_doubt(
+            NotAccepted('too many other changes at once; publish again')
+        )
+
+    def _step(self) -> Accepted | NotAccepted | None:
+        stored = self.store.read(DOCUMENT_KEY, timeout_s=STORE_TIMEOUT_S)
         if isinstance(stored, Unavailable):
-            return _give_up(stored.message, uncertain=uncertain)
+            return NotAccepted(f'the store cannot be read: {stored.message}')
+        if self.repeated:
+            self.doubt = stored.version
+            self.repeated = False
         document = Document.from_json(stored.value)
-        known = document.find_change(change_id)
+        known = self._find(document)
+        if isinstance(known, Unavailable):
+            return NotAccepted(f'the store cannot be read: {known.message}')
         if known is not None:
+            return self._recognize(known)
+        if self.doubt is not None and stored.version > self.doubt:
+            self.doubt = None
+        refusal = self._refuse(document)
+        if refusal is not None:
+            return refusal
+        return self._write(document, stored)
+
+    def _find(self, document: Document) -> HistoryEntry | Unavailable | None:
+        known = document.find_change(self.change_id)
+        if known is not None or not document.revision:
+            return known
+        return find_archived(self.store, document.lineage, self.change_id)
+
+    def _recognize(self, known: HistoryEntry) -> Accepted | NotAccepted:
+        self.doubt = None
+        accepted = known['change']
+        same = all(
+            name in self.change['services']
+            and self.change['services'][name] == fields
+            for name, fields in accepted['services'].items()
+        ) and all(
+            self.change['zones'].get(zone) == state
+            for zone, state in accepted['zones'].items()
+        )
+        if same:
             return Accepted(known['revision'])
-        changed = document.with_change(
-            change, change_id=change_id, who=who, when_s=when_s
+        return NotAccepted(
+            f'change id {self.change_id} was used for another change, '
+            f'revision {known["revision"]} by {known["who"]}; take a new id'
         )
-        match _write(store, changed, stored.version):
-            case Accepted() | NotAccepted() as outcome:
-                return _admit_doubt(outcome, uncertain=uncertain)
-            case Uncertain():
-                uncertain = True
-    return _give_up('too many other changes', uncertain=uncertain)
-
-
-def _write(
-    store: Store, changed: Document, version: int
-) -> Accepted | NotAccepted | Conflict | Uncertain:
-    text = changed.to_json()
-    if len(text) > DOCUMENT_LIMIT_BYTES:
-        return NotAccepted('the configuration would exceed 1 MB')
-    outcome = store.compare_and_swap(
-        DOCUMENT_KEY, version, text, timeout_s=STORE_TIMEOUT_S
-    )
-    match outcome:
-        case Swapped():
-            return Accepted(changed.revision)
-        case Unavailable(message):
-            return NotAccepted(message)
-        case Conflict() | Uncertain():
-            return outcome
 
+    def _refuse(self, document: Document) -> NotAccepted | None:
+        if self.base is None:
+            self.base = document
+        for name, fields in self.change['services'].items():
+            found = service_fields(document, name)
+            if found not in (service_fields(self.base, name), fields):
+                return self._name_rival(document, 'services', name)
+        for zone, state in self.change['zones'].items():
+            if document.zones.get(zone, 'in') not in (
+                self.base.zones.get(zone, 'in'),
+                state,
+            ):
+                return self._name_rival(document, 'zones', zone)
+        return None
 
-def _admit_doubt(
-    outcome: Accepted | NotAccepted, *, uncertain: bool
-) -> PublishOutcome:
-    if isinstance(outcome, Accepted):
-        return outcome
-    return _give_up(outcome.message, uncertain=uncertain)
+    def _name_rival(
+        self, document: Document, part: str, name: str
+    ) -> NotAccepted:
+        kind = part.removesuffix('s')
+        for entry in reversed(document.history):
+            if name in entry['change'][part]:  # type: ignore[literal-required]
+                return NotAccepted(
+                    f'{entry["who"]} changed {kind} {name!r} meanwhile '
+                    f'(revision {entry["revision"]}, change '
+                    f'{entry["change_id"]}); look at it and publish again'
+                )
+        return NotAccepted(
+            f'{kind} {name!r} was changed meanwhile; see the audit trail'
+        )
+
+    def _write(
+        self, document: Document, stored: StoredValue
+    ) -> Accepted | NotAccepted | None:
+        change = touched(self.change, document)
+        if not change['services'] and not change['zones']:
+            return Accepted(document.revision, changed=False)
+        if not archive(self.store, document):
+            return NotAccepted('the audit trail cannot be written')
+        archived = replace(document, archived=document.revision)
+        changed = archived.with_change(
+            change,
+            change_id=self.change_id,
+            who=self.who,
+            when_s=self.when_s,
+        )
+        text = changed.to_json()
+        if len(text) > DOCUMENT_LIMIT_BYTES:
+            return NotAccepted(
+                f'the configuration would have {len(text)} bytes, '
+                f'more than {DOCUMENT_LIMIT_BYTES}; remove services'
+            )
+        return self._swap(changed, text, stored.version)
 
+    def _swap(
+        self, changed: Document, text: bytes, version: int
+    ) -> Accepted | NotAccepted | None:
+        match self.store.compare_and_swap(
+            DOCUMENT_KEY, version, text, timeout_s=STORE_TIMEOUT_S
+        ):
+            case Swapped():
+                self.doubt = None
+                archive(self.store, changed)
+                return Accepted(changed.revision)
+            case Unavailable(message):
+                return NotAccepted(f'the store refused the write: {message}')
+            case Uncertain():
+                self.doubt = max(version, self.doubt or 0)
+            case Conflict():
+                return None
+        return None
 
-def _give_up(message: str, *, uncertain: bool) -> PublishOutcome:
-    if uncertain:
-        return AcceptanceUnknown(message)
-    return NotAccepted(message)
+    def _admit_doubt(self, outcome: Accepted | NotAccepted) -> PublishOutcome:
+        doubtful = self.repeated or self.doubt is not None
+        if isinstance(outcome, NotAccepted) and doubtful:
+            return AcceptanceUnknown(outcome.message)
+        return outcome
--- /dev/null
+++ b/src/bramleylug/configuration/recovery.py
@@ -0,0 +1,58 @@
+"""What a watcher does with a store that holds less than was accepted."""
+
+from dataclasses import replace
+
+from bramleylug.configuration.document import Document
+
+
+def restore(held: Document, stored: Document) -> Document | None:
+    """Return the document to write over one that lost accepted changes.
+
+    A store that was rolled back holds a lower revision than processes have
+    in force. The held document goes back into it. Changes that a publisher
+    had accepted on top of the old value are kept: they follow as the next
+    revisions, so that neither side of the fork is lost.
+
+    :returns: ``None`` when the store has lost nothing, or follows another
+        lineage, which only an operator may settle.
+    """
+    foreign = bool(stored.revision) and stored.lineage != held.lineage
+    if not held.revision or foreign or not _has_lost(stored, held):
+        return None
+    known = {entry['change_id'] for entry in held.history}
+    fork = [
+        entry for entry in stored.history if entry['change_id'] not in known
+    ]
+    oldest = held.history[0]['revision'] if held.history else held.revision
+    restored = replace(held, archived=min(held.archived, stored.archived))
+    for entry in fork:
+        if entry['revision'] < oldest:
+            continue
+        restored = restored.with_change(
+            entry['change'],
+            change_id=entry['change_id'],
+            who=entry['who'],
+            when_s=entry['when_s'],
+        )
+    return restored
+
+
+def follows(document: Document, held: Document) -> bool:
+    """Tell whether a document goes on from the one held.
+
+    It does when it is of the same lineage and its history, as far as it
+    reaches back, contains the last change held.
+    """
+    if not held.revision:
+        return True
+    if document.lineage != held.lineage:
+        return False
+    if not held.history or not document.history:
+        return True
+    if document.find_change(held.history[-1]['change_id']) is not None:
+        return True
+    return document.history[0]['revision'] > held.revision
+
+
+def _has_lost(stored: Document, held: Document) -> bool:
+    return stored.revision < held.revision or not follows(stored, held)
--- /dev/null
+++ b/src/bramleylug/configuration/rules.py
@@ -0,0 +1,183 @@
+"""What a service's fields must be, for files and for publishers."""
+
+import re
+from collections.abc import Iterator, Mapping
+from dataclasses import MISSING, fields
+from difflib import get_close_matches
+from functools import partial
+from types import MappingProxyType
+from typing import Any, Literal, NamedTuple, get_args, get_origin
+
+from bramleylug.configuration.document import (
+    Change,
+    ServiceSpec,
+    spec_from_json,
+)
+
+NAME_PATTERN = re.compile('[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?')
+NAME_ADVICE = 'use 1 to 63 of a-z, 0-9 and - inside'
+KIND_ADVICE: Mapping[Any, str] = MappingProxyType(
+    {
+        str: 'write text in quotes',
+        int: 'write a whole number without quotes',
+        float: 'write a number without quotes',
+        bool: 'write true or false without quotes',
+        tuple[str, ...]: 'write a list of quoted names, as ["zone-a"]',
+    }
+)
+
+
+class Fault(NamedTuple):
+    """One thing wrong with a service, and what would be right.
+
+    :ivar field: the field at fault; empty for the service as a whole.
+    """
+
+    field: str
+    message: str
+
+
+def check_fields(table: Mapping[str, Any]) -> list[Fault]:
+    """Return what is wrong with the fields of one service."""
+    faults = list(_unknown_fields(table))
+    faults.extend(_missing_fields(table))
+    faults.extend(_wrong_types(table))
+    if faults:
+        return faults
+    spec = spec_from_json(
+        table['name'],
+        {key: part for key, part in table.items() if key != 'name'},
+    )
+    return list(check_spec(spec))
+
+
+def check_spec(spec: ServiceSpec) -> Iterator[Fault]:
+    """Yield what makes no sense in a service whose types are right."""
+    if not NAME_PATTERN.fullmatch(spec.name):
+        yield Fault('name', f'{spec.name!r} is no name; {NAME_ADVICE}')
+    yield from _check_zones(spec)
+    yield from _check_model(spec)
+    yield from _check_limits(spec)
+
+
+def check_change(change: Change) -> list[str]:
+    """Return what is wrong with a change, for the publisher's side."""
+    faults = [
+        f'service {name!r}: {fault.field}: {fault.message}'
+        for name, table in change['services'].items()
+        if table is not None
+        for fault in check_fields({**table, 'name': name})
+    ]
+    faults.extend(
+        f'zone {zone!r}: {state!r} is no state; use "in" or "out"'
+        for zone, state in change['zones'].items()
+        if state not in {'in', 'out'}
+    )
+    return faults
+
+
+def suggest(word: str, known: list[str]) -> str:
+    """Return ``; did you mean ...?`` for a near miss, else nothing."""
+    near = get_close_matches(word, known, n=1)
+    return f'; did you mean {near[0]!r}?' if near else ''
+
+
+def _unknown_fields(table: Mapping[str, Any]) -> Iterator[Fault]:
+    known = [spec.name for spec in fields(ServiceSpec)]
+    for key in table:
+        if key not in known:
+            yield Fault(key, f'unknown key {key!r}{suggest(key, known)}')
+
+
+def _missing_fields(table: Mapping[str, Any]) -> Iterator[Fault]:
+    for spec in fields(ServiceSpec):
+        if spec.default is MISSING and spec.name not in table:
+            yield Fault('', f'{spec.name} is missing; {_advice(spec.type)}')
+
+
+def _wrong_types(table: Mapping[str, Any]) -> Iterator[Fault]:
+    for spec in fields(ServiceSpec):
+        if spec.name not in table:
+            continue
+        found = table[spec.name]
+        if not _is_of(found, spec.type):
+            yield Fault(
+                spec.name, f'{found!r} is wrong here; {_advice(spec.type)}'
+            )
+
+
+def _is_of(found: Any, kind: Any) -> bool:
+    if get_origin(kind) is Literal:
+        return found in get_args(kind)
+    if kind == tuple[str, ...]:
+        return isinstance(found, (list, tuple)) and all(
+            isinstance(part, str) for part in found
+        )
+    if kind is float:
+        return isinstance(found, (int, float)) and not isinstance(found, bool)
+    if isinstance(found, bool):
+        return kind is bool
+    return isinstance(found, kind)
+
+
+def _advice(kind: Any) -> str:
+    if get_origin(kind) is Literal:
+        words = ' or '.join(f'"{word}"' for word in get_args(kind))
+        return f'use {words}'
+    return KIND_ADVICE[kind]
+
+
+def _check_zones(spec: ServiceSpec) -> Iterator[Fault]:
+    if not spec.zones:
+        yield Fault('zones', 'no zone is named; name at least one')
+    for zone in sorted(set(spec.zones)):
+        if spec.zones.count(zone) > 1:
+            yield Fault('zones', f'zone {zone!r} stands twice; name it once')
+        if not NAME_PATTERN.fullmatch(zone):
+            yield Fault('zones', f'{zone!r} is no zone name; {NAME_ADVICE}')
+
+
+def _check_model(spec: ServiceSpec) -> Iterator[Fault]:
+    if spec.kind == 'model':
+        for field in ('model', 'version'):
+            if not getattr(spec, field):
+                yield Fault(field, f'a model service needs a {field}')
+        return
+    for field in ('model', 'version'):
+        if getattr(spec, field):
+            yield Fault(field, f'a plain service has no {field}; leave it out')
+
+
+def _check_limits(spec: ServiceSpec) -> Iterator[Fault]:
+    for field, least in (
+        ('replicas', 1),
+        ('max_unavailable', 1),
+        ('concurrency', 1),
+        ('cold_concurrency', 1),
+        ('ramp_successes', 0),
+        ('deadline_ms', 1),
+        ('queue_bytes', 0),
+    ):
+        found = getattr(spec, field)
+        if found < least:
+            yield Fault(field, f'{found} makes no sense; at least {least}')
+    yield from _check_pairs(
+        spec,
+        (
+            ('max_unavailable', 'replicas'),
+            ('cold_concurrency', 'concurrency'),
+        ),
+    )
+
+
+def _check_pairs(
+    spec: ServiceSpec, pairs: tuple[tuple[str, str], ...]
+) -> Iterator[Fault]:
+    read = partial(getattr, spec)
+    for small, large in pairs:
+        if read(small) > read(large):
+            yield Fault(
+                small,
+                f'{read(small)} is more than {large} ({read(large)}); '
+                f'lower {small} or raise {large}',
+            )
--- a/src/bramleylug/entry/daemon.py
+++ b/src/bramleylug/entry/daemon.py
@@ -68,7 +68,8 @@
     def not_ready(self) -> str:
         """Return why no request is taken; empty when some are."""
         if not self.node.holder.trustworthy:
-            return 'no accepted configuration is known'
+            reason = self.node.holder.not_ready_reason
+            return f'no accepted configuration is known: {reason}'
         return 'leaving' if self.leaving else ''
 
     def serve(self, exchange: Exchange) -> None:
--- a/src/bramleylug/membership/datagrams.py
+++ b/src/bramleylug/membership/datagrams.py
@@ -1,7 +1,9 @@
-"""Datagrams of membership, authenticated by a keyed hash."""
+"""Datagrams of membership, deflated and authenticated by a keyed hash."""
 
 import hashlib
 import hmac
+import zlib
+from collections import Counter
 from typing import final
 
 from google.protobuf.message import DecodeError
@@ -9,9 +11,16 @@
 from bramleylug.wire.membership_pb2 import Datagram, Gossip
 
 DATAGRAM_LIMIT_BYTES = 1400
+PAYLOAD_LIMIT_BYTES = 65536
+PAYLOAD_LEAST_BYTES = 600
+PAYLOAD_MOST_BYTES = 8000
+SHRINK = 0.8
+GROWTH = 1.02
+ROOM = 0.85
 KEY_ID_BYTES = 4
 KEY_BYTES = 64
 MAC_BYTES = 16
+DEFLATE_LEVEL = 1
 
 
 @final
@@ -19,42 +28,71 @@
     """Signs with the first key and accepts every key, for rotation.
 
     :param keys: shared secrets; none leaves datagrams unauthenticated.
-    :ivar dropped: datagrams that were not accepted.
+    :ivar dropped: datagrams that were not accepted, by cause.
+    :ivar payload_bytes: bytes of records that lately fitted one datagram;
+        records of one fleet are alike, so many fit once deflated.
     """
 
     def __init__(self, keys: tuple[bytes, ...] = ()) -> None:
         self.keys = {_key_id(key): key for key in keys}
         self.signing_key = keys[0] if keys else b''
-        self.dropped = 0
+        self.signing_id = _key_id(self.signing_key)
+        self.dropped: Counter[str] = Counter()
+        self.payload_bytes = float(PAYLOAD_LEAST_BYTES)
 
     def encode(self, message: Gossip) -> bytes:
-        """Return the datagram of a message."""
-        payload = message.SerializeToString()
-        return Datagram(
-            key_id=_key_id(self.signing_key),
-            mac=_mac(self.signing_key, payload),
-            payload=payload,
-        ).SerializeToString()
+        """Return the datagram of a message, less the records too many."""
+        raw = self._seal(message)
+        while len(raw) > DATAGRAM_LIMIT_BYTES and message.members:
+            self.payload_bytes = max(
+                PAYLOAD_LEAST_BYTES, self.payload_bytes * SHRINK
+            )
+            del message.members[len(message.members) // 2 :]
+            del message.buckets[:]
+            raw = self._seal(message)
+        if len(raw) < DATAGRAM_LIMIT_BYTES * ROOM:
+            self.payload_bytes = min(
+                PAYLOAD_MOST_BYTES, self.payload_bytes * GROWTH
+            )
+        return raw
 
     def decode(self, raw: bytes) -> Gossip | None:
         """Return the message, or ``None`` when it must be dropped."""
+        if len(raw) > DATAGRAM_LIMIT_BYTES:
+            self.dropped['oversized'] += 1
+            return None
         try:
             datagram = Datagram.FromString(raw)
-            key = self._key(datagram.key_id)
-            if key is not None and hmac.compare_digest(
-                _mac(key, datagram.payload), datagram.mac
-            ):
-                return Gossip.FromString(datagram.payload)
         except DecodeError:
-            self.dropped += 1
+            self.dropped['malformed'] += 1
+            return None
+        key = self.keys.get(datagram.key_id) if self.keys else b''
+        if key is None or not hmac.compare_digest(
+            _mac(key, datagram.payload), datagram.mac
+        ):
+            self.dropped['forged'] += 1
+            return None
+        try:
+            return Gossip.FromString(_inflate(datagram.payload))
+        except (DecodeError, zlib.error):
+            self.dropped['malformed'] += 1
             return None
-        self.dropped += 1
-        return None
 
-    def _key(self, key_id: bytes) -> bytes | None:
-        if not self.keys:
-            return b''
-        return self.keys.get(key_id)
+    def _seal(self, message: Gossip) -> bytes:
+        payload = zlib.compress(message.SerializeToString(), DEFLATE_LEVEL)
+        return Datagram(
+            key_id=self.signing_id,
+            mac=_mac(self.signing_key, payload),
+            payload=payload,
+        ).SerializeToString()
+
+
+def _inflate(payload: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    text = inflater.decompress(payload, PAYLOAD_LIMIT_BYTES)
+    if not inflater.eof:
+        raise zlib.error('truncated or too large')
+    return text
 
 
 def _key_id(key: bytes) -> bytes:
--- a/src/bramleylug/membership/gossip.py
+++ b/src/bramleylug/membership/gossip.py
@@ -1,207 +1,272 @@
-"""Membership by gossip: who is there and what each instance tells."""
+"""Membership by gossip, after SWIM: who is there and what each one tells.
 
-from collections.abc import Callable
-from dataclasses import dataclass
+Each member probes one other a second, asks a few more to probe it when no
+answer comes, suspects it when theirs fail too, and gives it time to refute.
+News rides on these messages a bounded number of times; digests of the whole
+view, exchanged now and then, mend what got lost.
+"""
+
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import final
 
+from bramleylug.membership.actions import (
+    GossipAction,
+    MembersChanged,
+    RevisionSeen,
+    Send,
+)
+from bramleylug.membership.messages import Composer
+from bramleylug.membership.probes import FailureDetector
+from bramleylug.membership.reconciliation import Reconciler
+from bramleylug.membership.records import with_state
+from bramleylug.membership.suspects import CrashSuspects
+from bramleylug.membership.view import View
 from bramleylug.wire.membership_pb2 import (
     GOSSIP_KIND_ACK,
+    GOSSIP_KIND_DIGEST,
     GOSSIP_KIND_PING,
-    MEMBER_STATE_ALIVE,
+    GOSSIP_KIND_PING_REQUEST,
+    GOSSIP_KIND_RUMOR,
+    GOSSIP_KIND_SYNC,
     MEMBER_STATE_DEAD,
     MEMBER_STATE_LEFT,
-    MEMBER_STATE_SUSPECT,
     Gossip,
     Member,
 )
 
-PROBE_INTERVAL_S = 0.5
-DEAD_AFTER_S = 5.0
-RECORDS_PER_MESSAGE = 8
-SMALL_FLEET = 16
-GONE_STATES = frozenset((MEMBER_STATE_LEFT, MEMBER_STATE_DEAD))
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Send a message to a gossip address."""
-
-    address: str
-    message: Gossip
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class MembersChanged:
-    """The view of the members differs from before."""
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class RevisionSeen:
-    """A member has a configuration revision in force."""
-
-    revision: int
-    member: str
-
-
-GossipAction = Send | MembersChanged | RevisionSeen
+RUMOR_FANOUT = 4
+RUMOR_INTERVAL_S = 0.5
+RUMOR_ROUNDS = 2
+BACKLOG_NAMES = 32
+SEED_INTERVAL_S = 5.0
+LONELY_INTERVAL_S = 1.0
+SEEDS_AT_ONCE = 3
+LEAVE_FANOUT = 8
+PAUSE_S = 3.0
+REPLAYED = 'replayed'
 
 
 @final
 class Membership:
-    """View of all members, fed with messages and the time.
+    """One instance of the protocol, fed with messages and the time.
 
     :param own: record of this instance; its owner alone changes it.
-    :param random: chooses whom to probe.
-    :ivar members: every known member by name, this one included.
+    :param random: chooses whom to probe and whom to tell.
+    :param wall: seconds since the epoch.
+    :ivar seeds: addresses that are asked while they are not known members.
+    :ivar dropped: messages that were not taken in, by cause.
+    :ivar highest_revision: highest configuration revision heard of.
     """
 
-    def __init__(self, own: Member, random: Random) -> None:
-        self.own = own
+    def __init__(
+        self,
+        own: Member,
+        random: Random,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.view = View(own)
         self.random = random
-        self.members: dict[str, Member] = {own.name: own}
-        self.heard_s: dict[str, float] = {}
+        self.wall = wall
+        self.suspects = CrashSuspects()
+        self.composer = Composer(self.view, self.suspects, random)
+        self.detector = FailureDetector(self.composer)
+        self.reconciler = Reconciler(self.composer)
+        self.dropped: Counter[str] = Counter()
         self.seeds: tuple[str, ...] = ()
-        self.next_probe_s = 0.0
-        self.sequence = 0
-
-    def update_own(self, edit: Callable[[Member], None]) -> None:
-        """Change the own record, so that the change spreads."""
-        edited = Member()
-        edited.CopyFrom(self.own)
-        edit(edited)
-        if edited != self.own:
-            edited.sequence += 1
-            self.own = edited
-            self.members[edited.name] = edited
+        self.highest_revision = 0
+        self.ticked_s: float | None = None
+        self.seed_s = 0.0
+        self.rumor_s = 0.0
+        self.rumor_rounds = 0
+
+    @property
+    def own(self) -> Member:
+        """Record of this instance."""
+        return self.view.own
+
+    @property
+    def members(self) -> Mapping[str, Member]:
+        """Every known member by name, those that are gone included."""
+        return self.view.members
 
     def alive(self) -> tuple[Member, ...]:
         """Return the members that are not known to be gone."""
-        return tuple(
-            member
-            for member in self.members.values()
-            if member.state not in GONE_STATES
-        )
+        return self.view.alive()
+
+    def update_own(self, edit: Callable[[Member], None], now_s: float) -> None:
+        """Change the own record, so that the change spreads."""
+        self.view.update_own(edit, now_s)
+
+    def set_revision(self, revision: int) -> None:
+        """Tell all members that a configuration revision is in force."""
+        if revision > self.composer.revision:
+            self.composer.revision = revision
+            self.highest_revision = max(self.highest_revision, revision)
+            self.announce()
+
+    def announce(self) -> None:
+        """Tell some members at once, rather than with the next probes."""
+        self.rumor_rounds = RUMOR_ROUNDS
+
+    def add_suspect(self, fingerprint: bytes) -> None:
+        """Tell all members of a request that crashed an upstream."""
+        self.suspects.report(fingerprint, self.wall())
+        self.announce()
 
     def tick(self, now_s: float) -> list[GossipAction]:
         """Return what is due; call it several times a second."""
-        actions = self._expire(now_s)
-        if now_s < self.next_probe_s:
-            return actions
-        self.next_probe_s = now_s + PROBE_INTERVAL_S
-        address = self._probe_address()
-        if address is not None:
-            actions.append(Send(address, self._message(GOSSIP_KIND_PING)))
-        return actions
+        last_s = self.ticked_s
+        self.ticked_s = now_s
+        if last_s is not None and now_s - last_s > PAUSE_S:
+            self.view.postpone(now_s - last_s)
+            self.detector.forget_probe()
+        self.view.expire(now_s)
+        self.suspects.expire(self.wall())
+        return [
+            *self.detector.tick(now_s),
+            *self._spread(now_s),
+            *self._ask_seeds(now_s),
+            *self.reconciler.tick(now_s),
+            *self._report_change(),
+        ]
 
     def receive(self, message: Gossip, now_s: float) -> list[GossipAction]:
         """Take in a message that was checked to be authentic."""
+        cause = self._find_fault(message)
+        if cause:
+            self.dropped[cause] += 1
+            return self._correct(message) if cause == REPLAYED else []
+        lonely = len(self.alive()) == 1
         actions: list[GossipAction] = []
-        changed = False
-        for record in message.members:
-            changed = self._merge(record, now_s) or changed
-        if changed:
-            actions.append(MembersChanged())
-        if message.revision > self.own.revision:
+        if message.kind != GOSSIP_KIND_SYNC:
+            for record in message.members:
+                self.view.merge(record, now_s)
+        if self.suspects.merge(message.suspects, self.wall()):
+            self.announce()
+        self.highest_revision = max(self.highest_revision, message.revision)
+        actions.extend(self._answer(message, now_s))
+        if message.revision > self.composer.revision:
             actions.append(RevisionSeen(message.revision, message.sender))
-        sender = self.members.get(message.sender)
-        if sender is not None:
-            self.heard_s[sender.name] = now_s
-            if message.kind == GOSSIP_KIND_PING:
-                answer = self._message(GOSSIP_KIND_ACK)
-                actions.append(Send(sender.gossip_address, answer))
-        return actions
-
-    def leave(self) -> list[GossipAction]:
+        if lonely and len(self.alive()) > 1:
+            self.reconciler.hurry(now_s)
+        return [*actions, *self._report_change()]
+
+    def leave(self, now_s: float) -> list[GossipAction]:
         """Tell some members that this instance leaves."""
-        self.update_own(_mark_left)
-        others = [member for member in self.alive() if not self._is_own(member)]
-        self.random.shuffle(others)
+        self.view.update_own(_mark_left, now_s)
+        return [
+            self.composer.rumor(member)
+            for member in self.composer.sample(LEAVE_FANOUT)
+        ]
+
+    def _find_fault(self, message: Gossip) -> str:
+        if message.sender == self.own.name:
+            return 'reflected'
+        known = self.members.get(message.sender)
+        if known and message.sender_incarnation < known.incarnation:
+            return REPLAYED
+        return ''
+
+    def _correct(self, message: Gossip) -> list[GossipAction]:
+        """Tell a process that restarted with a clock set back."""
+        known = self.members[message.sender]
+        if message.kind != GOSSIP_KIND_PING:
+            return []
         return [
-            Send(member.gossip_address, self._message(GOSSIP_KIND_PING))
-            for member in others[:RECORDS_PER_MESSAGE]
+            Send(
+                record.gossip_address,
+                self.composer.compose(GOSSIP_KIND_RUMOR, _as_gone(known)),
+            )
+            for record in message.members
+            if record.name == message.sender
         ]
 
-    def _is_own(self, member: Member) -> bool:
-        return member.name == self.own.name
+    def _answer(self, message: Gossip, now_s: float) -> list[Send]:
+        sender = self.members.get(message.sender)
+        if sender is None:
+            return []
+        match message.kind:
+            case kind if kind == GOSSIP_KIND_PING:
+                answer = self.composer.compose(GOSSIP_KIND_ACK, sender)
+                answer.sequence = message.sequence
+                return [Send(sender.gossip_address, answer)]
+            case kind if kind == GOSSIP_KIND_ACK:
+                return self.detector.acknowledge(message)
+            case kind if kind == GOSSIP_KIND_PING_REQUEST:
+                return self.detector.probe_for(message, now_s)
+        return [
+            Send(sender.gossip_address, reply)
+            for reply in self._reconcile(message, now_s)
+        ]
 
-    def _probe_address(self) -> str | None:
-        addresses = [
-            member.gossip_address
-            for member in self.alive()
-            if not self._is_own(member)
+    def _reconcile(self, message: Gossip, now_s: float) -> list[Gossip]:
+        match message.kind:
+            case kind if kind == GOSSIP_KIND_DIGEST:
+                return self.reconciler.answer(message)
+            case kind if kind == GOSSIP_KIND_SYNC:
+                return self.reconciler.take(message, now_s)
+        return []
+
+    def _spread(self, now_s: float) -> list[Send]:
+        updates = self.view.updates
+        urgent = bool(self.rumor_rounds or updates.urgent)
+        backlog = len(updates.sent) > BACKLOG_NAMES
+        if now_s < self.rumor_s or not (urgent or backlog):
+            return []
+        self.rumor_s = now_s + RUMOR_INTERVAL_S
+        self.rumor_rounds = max(0, self.rumor_rounds - 1)
+        count = RUMOR_FANOUT if urgent else 1
+        return [
+            self.composer.rumor(member)
+            for member in self.composer.sample(count)
         ]
-        known = set(addresses)
-        addresses.extend(
-            seed
-            for seed in self.seeds
-            if seed not in known and seed != self.own.gossip_address
-        )
-        return self.random.choice(addresses) if addresses else None
-
-    def _message(self, kind: int) -> Gossip:
-        self.sequence += 1
-        others = [
-            member
-            for member in self.members.values()
-            if not self._is_own(member)
+
+    def _ask_seeds(self, now_s: float) -> list[Send]:
+        if now_s < self.seed_s:
+            return []
+        lonely = len(self.alive()) == 1
+        interval_s = SEED_INTERVAL_S
+        count = 1
+        if lonely:
+            interval_s = LONELY_INTERVAL_S
+            count = SEEDS_AT_ONCE
+        self.seed_s = now_s + interval_s
+        absent = self._absent()
+        chosen = self.random.sample(sorted(absent), min(len(absent), count))
+        return [
+            Send(
+                address,
+                self.composer.compose(GOSSIP_KIND_PING, absent[address]),
+            )
+            for address in chosen
         ]
-        count = min(len(others), RECORDS_PER_MESSAGE)
-        return Gossip(
-            kind=kind,  # type: ignore[arg-type]
-            sequence=self.sequence,
-            sender=self.own.name,
-            sender_incarnation=self.own.incarnation,
-            revision=self.own.revision,
-            members=[self.own, *self.random.sample(others, count)],
-        )
-
-    def _merge(self, record: Member, now_s: float) -> bool:
-        if record.name == self.own.name:
-            return self._refute(record)
-        known = self.members.get(record.name)
-        if known is not None and _age(record) <= _age(known):
-            return False
-        self.members[record.name] = record
-        self.heard_s[record.name] = now_s
-        return True
-
-    def _refute(self, record: Member) -> bool:
-        if record.incarnation > self.own.incarnation or (
-            record.incarnation == self.own.incarnation
-            and record.state == MEMBER_STATE_DEAD
-        ):
-            self.own.incarnation = record.incarnation + 1
-        return False
-
-    def _expire(self, now_s: float) -> list[GossipAction]:
-        changed = False
-        for member in self.alive():
-            if self._is_own(member):
-                continue
-            silent_s = now_s - self.heard_s.setdefault(member.name, now_s)
-            if silent_s > DEAD_AFTER_S * max(
-                1, len(self.members) / SMALL_FLEET
-            ):
-                dead = Member()
-                dead.CopyFrom(member)
-                dead.state = MEMBER_STATE_DEAD
-                self.members[member.name] = dead
-                changed = True
-        return [MembersChanged()] if changed else []
-
-
-def _age(member: Member) -> tuple[int, int, int]:
-    severity = {
-        MEMBER_STATE_ALIVE: 0,
-        MEMBER_STATE_SUSPECT: 1,
-        MEMBER_STATE_LEFT: 2,
-        MEMBER_STATE_DEAD: 3,
-    }
-    return member.incarnation, member.sequence, severity[member.state]
+
+    def _absent(self) -> dict[str, Member | None]:
+        """Return addresses that may answer although nobody is known there."""
+        present = {member.gossip_address for member in self.alive()}
+        absent: dict[str, Member | None] = dict.fromkeys(self.seeds)
+        for name in self.view.gone_s:
+            member = self.members[name]
+            if member.state == MEMBER_STATE_DEAD:
+                absent[member.gossip_address] = member
+        return {
+            address: member
+            for address, member in absent.items()
+            if address not in present and address != self.own.gossip_address
+        }
+
+    def _report_change(self) -> list[MembersChanged]:
+        if not self.view.changed:
+            return []
+        self.view.changed = False
+        return [MembersChanged()]
+
+
+def _as_gone(member: Member) -> Member:
+    return with_state(member, MEMBER_STATE_DEAD)
 
 
 def _mark_left(member: Member) -> None:
--- a/src/bramleylug/node/node.py
+++ b/src/bramleylug/node/node.py
@@ -1,29 +1,32 @@
 """The part that entry and agent share."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
-from threading import Thread
 from typing import final
 
 from circuits import BaseComponent, Event, Timer, handler
 from circuits.net.events import write
 from circuits.net.sockets import UDPServer
+from bramleylug.configuration.document import Document
 from bramleylug.configuration.holder import ConfigurationHolder
-from bramleylug.membership.datagrams import DatagramCodec
-from bramleylug.membership.gossip import (
+from bramleylug.membership.actions import (
     GossipAction,
-    Membership,
     MembersChanged,
     RevisionSeen,
     Send,
 )
+from bramleylug.membership.datagrams import DatagramCodec
+from bramleylug.membership.gossip import Membership
 from bramleylug.node.synchronization import (
     ConfigurationServicer,
     ConfigurationSource,
 )
+from bramleylug.node.workers import start_worker
+from bramleylug.observability.events import LogEvent, emit
+from bramleylug.observability.metrics import BAD_INPUT
 from bramleylug.platform.grpc_store import GrpcStore
-from bramleylug.platform.store import Store
+from bramleylug.platform.store import HostEntry, Store
 from bramleylug.settings.daemons import NodeSettings
 from bramleylug.wire.channels import bind_server, build_server, open_channel
 from bramleylug.wire.configuration_pb2_grpc import (
@@ -33,6 +36,9 @@
 from bramleylug.wire.security import Keyring
 
 TICK_S = 0.1
+HOSTS_INTERVAL_S = 10.0
+HOSTS_TIMEOUT_S = 2.0
+LONELY_INTERVAL_S = 1.0
 MILLISECONDS = 1000
 GOSSIP_CHANNEL = 'gossip'
 
@@ -41,11 +47,17 @@
     """Time to advance membership."""
 
 
+class node_call(Event):  # noqa: N801
+    """Run a callable on the loop that owns membership."""
+
+
 @final
 class Node(BaseComponent):
     """Membership and configuration of one instance.
 
     :ivar members: the alive members; replaced as a whole on each change.
+    :ivar suspects: fingerprints of requests that crashed an upstream, with
+        their crashes; immutable, replaced as a whole.
     :ivar describe: fills the own record; called on the loop.
     """
 
@@ -83,6 +95,11 @@
         self.source = ConfigurationSource(self)
         self.stopping = False
 
+    @property
+    def suspects(self) -> Mapping[bytes, int]:
+        """Crashes by the fingerprint of the request that caused them."""
+        return self.membership.suspects.crashes
+
     def open(self, http_address: str) -> None:
         """Start serving other instances and looking for them.
 
@@ -90,13 +107,11 @@
         """
         self.membership.own.http_address = http_address
         self.membership.seeds = self.settings.seeds
+        self.holder.on_change.append(self._on_document)
         self.server.start()
         Timer(TICK_S, node_tick(), GOSSIP_CHANNEL, persist=True).register(self)
-        for name, work in (
-            ('watch', self.source.watch),
-            ('seed', self._read_hosts),
-        ):
-            Thread(target=work, name=name, daemon=True).start()
+        self.source.open()
+        start_worker('hosts', self._read_hosts, lambda: self.stopping)
 
     def close(self) -> None:
         """Stop background work and the gRPC server."""
@@ -105,7 +120,18 @@
 
     def leave(self) -> None:
         """Tell the others that this instance takes no new work."""
-        self._act(self.membership.leave())
+        self.call(lambda: self._act(self.membership.leave(time.monotonic())))
+
+    def report_suspect(self, fingerprint: bytes) -> None:
+        """Tell all members of a request that crashed an upstream.
+
+        May be called from any thread.
+        """
+        self.call(lambda: self.membership.add_suspect(fingerprint))
+
+    def call(self, action: Callable[[], None]) -> None:
+        """Run a callable on the loop; may be called from any thread."""
+        self.fire(node_call(action), GOSSIP_CHANNEL)
 
     def find(self, name: str) -> Member | None:
         """Return an alive member by name."""
@@ -128,20 +154,33 @@
 
     @handler('node_tick')
     def _on_tick(self) -> None:
-        self.membership.update_own(self._refresh)
-        self._act(self.membership.tick(time.monotonic()))
-        self.members = self.membership.alive()
+        now_s = time.monotonic()
+        self.membership.update_own(self._refresh, now_s)
+        self._act(self.membership.tick(now_s))
 
-    def _refresh(self, record: Member) -> None:
-        record.revision = self.holder.document.revision
-        record.revision_since_s = int(self.holder.since_s)
-        self.describe(record)
+    @handler('node_call')
+    def _on_call(self, action: Callable[[], None]) -> None:
+        action()
 
     @handler('read')
     def _on_read(self, address: tuple[str, int], raw: bytes) -> None:
         message = self.codec.decode(raw)
         if message is not None:
             self._act(self.membership.receive(message, time.monotonic()))
+        self._count_dropped()
+
+    def _on_document(self, document: Document) -> None:
+        emit(LogEvent.configuration_in_force, revision=document.revision)
+        self.call(self._announce)
+
+    def _announce(self) -> None:
+        self.membership.set_revision(self.holder.document.revision)
+        self._on_tick()
+
+    def _refresh(self, record: Member) -> None:
+        record.revision = self.holder.document.revision
+        record.revision_since_s = int(self.holder.since_s)
+        self.describe(record)
 
     def _act(self, actions: list[GossipAction]) -> None:
         for action in actions:
@@ -152,18 +191,32 @@
                     self.fire(write((host, int(port)), raw), GOSSIP_CHANNEL)
                 case MembersChanged():
                     self.members = self.membership.alive()
-                case RevisionSeen(_, member):
-                    self.source.pull_from(member)
+                case RevisionSeen(revision, member):
+                    self.source.pull_from(member, revision)
+        self.membership.composer.record_bytes = int(self.codec.payload_bytes)
+
+    def _count_dropped(self) -> None:
+        for dropped in (self.codec.dropped, self.membership.dropped):
+            for cause, times in dropped.items():
+                BAD_INPUT.add({'kind': f'gossip_{cause}'}, times)
+            dropped.clear()
 
     def _read_hosts(self) -> None:
-        while not self.stopping:
-            hosts = self.store.list_hosts(timeout_s=2)
-            if hosts is not None:
-                self.membership.seeds = (
-                    *self.settings.seeds,
-                    *(host.gossip_address for host in hosts),
-                )
-            time.sleep(5)
+        lonely = len(self.members) == 1
+        if lonely or self.source.is_watcher():
+            hosts = self.store.list_hosts(timeout_s=HOSTS_TIMEOUT_S)
+            if hosts:
+                self.call(lambda: self._take_hosts(hosts))
+        time.sleep(LONELY_INTERVAL_S if lonely else HOSTS_INTERVAL_S)
+
+    def _take_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
+        self.membership.seeds = (
+            *self.settings.seeds,
+            *(host.gossip_address for host in hosts if not host.leaving),
+        )
+        self.membership.view.listed = {
+            host.name: host.leaving for host in hosts
+        }
 
 
 def _read_keys(paths: tuple[str, ...]) -> tuple[bytes, ...]:
--- a/src/bramleylug/node/pages.py
+++ b/src/bramleylug/node/pages.py
@@ -8,6 +8,7 @@
 from aioprometheus.collectors import REGISTRY
 from aioprometheus.renderer import render
 
+from bramleylug.node.members import describe_members
 from bramleylug.observability.metrics import (
     MEMBERS,
     PROCESSOR_SECONDS,
@@ -24,7 +25,7 @@
 
 
 def serve_page(exchange: Exchange, node: 'Node', *, not_ready: str) -> bool:
-    """Answer ``/healthz``, ``/readyz`` or ``/metrics``.
+    """Answer ``/healthz``, ``/readyz``, ``/metrics`` or ``/v1/members``.
 
     :param not_ready: why the process is not ready; empty when it is.
     :returns: whether the path was one of them.
@@ -41,6 +42,8 @@
             _measure(node)
             body, headers = render(REGISTRY, TEXT_FORMAT)
             exchange.reply(HTTPStatus.OK, body, headers)
+        case '/v1/members':
+            exchange.reply_json(HTTPStatus.OK, describe_members(node))
         case _:
             return False
     return True
--- a/src/bramleylug/node/synchronization.py
+++ b/src/bramleylug/node/synchronization.py
@@ -1,18 +1,26 @@
 """Bringing the accepted configuration into a process."""
 
+import json
 import time
-from queue import SimpleQueue
-from threading import Thread
+from queue import Empty, SimpleQueue
 from typing import TYPE_CHECKING, Any, final
 
 from grpc import RpcError
 
-from bramleylug.configuration.document import DOCUMENT_KEY, Document
-from bramleylug.configuration.holder import ConfigurationHolder
-from bramleylug.platform.store import StoredValue, Unavailable
+from bramleylug.configuration.document import DOCUMENT_KEY, Document, to_text
+from bramleylug.configuration.holder import ConfigurationHolder, Deltas
+from bramleylug.configuration.recovery import restore
+from bramleylug.configuration.startup import (
+    NOTHING_HEARD,
+    PEERS_TO_ASK,
+    Startup,
+)
+from bramleylug.node.workers import start_worker
+from bramleylug.observability.events import LogEvent, emit
+from bramleylug.platform.store import StoredValue, Swapped, Unavailable
 from bramleylug.routing.rendezvous import rank
 from bramleylug.wire.channels import open_channel
-from bramleylug.wire.configuration_pb2 import PullReply, PullRequest
+from bramleylug.wire.configuration_pb2 import Delta, PullReply, PullRequest
 from bramleylug.wire.configuration_pb2_grpc import (
     ConfigurationSyncServicer,
     ConfigurationSyncStub,
@@ -23,8 +31,11 @@
 
 WATCHERS_PER_ZONE = 2
 WATCH_WAIT_S = 10.0
+READ_TIMEOUT_S = 1.0
+WRITE_TIMEOUT_S = 2.0
 PULL_TIMEOUT_S = 2.0
 IDLE_S = 0.5
+POLL_S = 0.1
 
 
 @final
@@ -36,16 +47,7 @@
 
     def Pull(self, request: PullRequest, context: Any) -> PullReply:
         """Return what the caller lacks."""
-        document = self.holder.document
-        if document.revision <= request.after_revision:
-            return PullReply(
-                revision=document.revision, lineage=document.lineage
-            )
-        return PullReply(
-            revision=document.revision,
-            lineage=document.lineage,
-            document=document.to_json(),
-        )
+        return answer_pull(self.holder, request)
 
 
 @final
@@ -57,53 +59,206 @@
 
     def __init__(self, node: 'Node') -> None:
         self.node = node
-        self.wanted: SimpleQueue[str] = SimpleQueue()
-        Thread(target=self._pull_loop, name='pull', daemon=True).start()
+        self.wanted: SimpleQueue[tuple[int, str]] = SimpleQueue()
+        self.version = 0
+        self.startup = Startup(time.monotonic())
+
+    def open(self) -> None:
+        """Start the threads that bring the configuration in."""
+        self.startup = Startup(time.monotonic())
+        self.node.holder.doubt = NOTHING_HEARD
+        for name, step in (
+            ('watch', self.watch),
+            ('pull', self.pull),
+            ('confirm', self.confirm),
+        ):
+            start_worker(name, step, self._is_stopped)
 
-    def pull_from(self, member: str) -> None:
-        """Ask a member for its configuration, on a thread of its own."""
-        self.wanted.put(member)
+    def pull_from(self, member: str, revision: int) -> None:
+        """Ask a member that has a later revision, on a thread of its own."""
+        self.wanted.put((revision, member))
 
     def watch(self) -> None:
-        """Watch the store for as long as the node runs."""
-        version = 0
-        while not self.node.stopping:
-            if not self._is_watcher():
+        """Wait for one change of the store where it is the duty."""
+        if not self.is_watcher():
+            time.sleep(IDLE_S)
+            return
+        match self.node.store.wait_for_change(
+            DOCUMENT_KEY, self.version, wait_s=WATCH_WAIT_S
+        ):
+            case StoredValue() as stored:
+                self.take_stored(stored)
+            case Unavailable():
                 time.sleep(IDLE_S)
-                continue
-            match self.node.store.wait_for_change(
-                DOCUMENT_KEY, version, wait_s=WATCH_WAIT_S
-            ):
-                case StoredValue(text, found):
-                    version = found
-                    self.node.holder.offer(Document.from_json(text))
-                case Unavailable():
-                    time.sleep(IDLE_S)
-
-    def _is_watcher(self) -> bool:
+
+    def pull(self) -> None:
+        """Take the first member that is known to be ahead and ask it."""
+        try:
+            revision, name = self.wanted.get(timeout=IDLE_S)
+        except Empty:
+            return
+        if revision > self.node.holder.document.revision and not (
+            self.pull_now(name)
+        ):
+            time.sleep(POLL_S)
+
+    def confirm(self) -> None:
+        """Ask the store, else peers, until the revision can be trusted."""
+        holder = self.node.holder
+        if not holder.doubt:
+            time.sleep(IDLE_S)
+            return
+        if not self.startup.store_answered:
+            self._ask_all()
+        holder.question(
+            self.startup.doubt(
+                time.monotonic(),
+                others=len(self.node.members) - 1,
+                held=holder.document.revision,
+                highest=self.node.membership.highest_revision,
+            )
+        )
+        if not holder.doubt:
+            emit(
+                LogEvent.configuration_confirmed,
+                revision=holder.document.revision,
+            )
+        time.sleep(POLL_S)
+
+    def pull_now(self, name: str) -> bool:
+        """Ask one member for what this process lacks.
+
+        :returns: whether it answered and nothing of it is lacking now.
+        """
+        member = self.node.find(name)
+        if member is None:
+            return False
+        for whole in (False, True):
+            reply = self._call(member.grpc_address, whole=whole)
+            if reply is None:
+                return False
+            if _take(self.node.holder, reply):
+                self.startup.answered.add(name)
+                return True
+        return False
+
+    def take_stored(self, stored: StoredValue) -> None:
+        """Apply what the store holds, or write back what it lost."""
+        self.version = stored.version
+        document = Document.from_json(stored.value)
+        held = self.node.holder.document
+        restored = restore(held, document)
+        if restored is None:
+            self.node.holder.offer(document)
+        else:
+            self._write_back(restored, document, stored.version)
+
+    def is_watcher(self) -> bool:
+        """Tell whether this process watches the store for its zone."""
         node = self.node
         zone = node.settings.zone
         names = [member.name for member in node.members if member.zone == zone]
         ranked = rank(f'watch/{zone}', names)
         return node.settings.name in ranked[:WATCHERS_PER_ZONE]
 
-    def _pull_loop(self) -> None:
-        while True:
-            member = self.node.find(self.wanted.get())
-            document = self.node.holder.document
-            if member is None or member.revision <= document.revision:
-                continue
-            self._pull(member.grpc_address, document.revision)
+    def _write_back(
+        self, restored: Document, document: Document, version: int
+    ) -> None:
+        held = self.node.holder.document
+        outcome = self.node.store.compare_and_swap(
+            DOCUMENT_KEY,
+            version,
+            restored.to_json(),
+            timeout_s=WRITE_TIMEOUT_S,
+        )
+        match outcome:
+            case Swapped(written):
+                emit(
+                    LogEvent.store_rolled_back,
+                    stored=document.revision,
+                    held=held.revision,
+                    restored=restored.revision,
+                )
+                self.version = written
+                self.node.holder.offer(restored)
+            case _:
+                # Another watcher wrote first, the read was stale, or the
+                # store is down: the next read tells.
+                emit(
+                    LogEvent.not_restored,
+                    held=held.revision,
+                    cause=type(outcome).__name__,
+                )
+                self.version = 0
+                time.sleep(IDLE_S)
 
-    def _pull(self, address: str, after_revision: int) -> None:
+    def _ask_all(self) -> None:
+        stored = self.node.store.read(DOCUMENT_KEY, timeout_s=READ_TIMEOUT_S)
+        if isinstance(stored, StoredValue):
+            self.take_stored(stored)
+            self.startup.store_answered = True
+            return
+        names = [
+            member.name
+            for member in self.node.members
+            if member.name != self.node.settings.name
+            and member.name not in self.startup.answered
+        ]
+        for name in rank(self.node.settings.name, names)[:PEERS_TO_ASK]:
+            self.pull_now(name)
+
+    def _call(self, address: str, *, whole: bool) -> PullReply | None:
+        request = build_pull(self.node.holder.document, whole=whole)
         with open_channel(address, self.node.keyring) as channel:
             stub = ConfigurationSyncStub(channel)
             try:
-                reply = stub.Pull(
-                    PullRequest(after_revision=after_revision),
-                    timeout=PULL_TIMEOUT_S,
-                )
+                reply: PullReply = stub.Pull(request, timeout=PULL_TIMEOUT_S)
             except RpcError:
-                return
-        if reply.document:
-            self.node.holder.offer(Document.from_json(reply.document))
+                return None
+        return reply
+
+    def _is_stopped(self) -> bool:
+        return self.node.stopping
+
+
+def build_pull(document: Document, *, whole: bool = False) -> PullRequest:
+    """Return the request for what follows a document.
+
+    :param whole: whether to ask for the whole document, not for changes.
+    """
+    last = document.history[-1]['change_id'] if document.history else ''
+    return PullRequest(
+        after_revision=document.revision,
+        lineage=document.lineage,
+        change_id='' if whole else last,
+    )
+
+
+def answer_pull(holder: ConfigurationHolder, request: PullRequest) -> PullReply:
+    """Return the changes a caller lacks, or all when that is impossible."""
+    document = holder.document
+    reply = PullReply(revision=document.revision, lineage=document.lineage)
+    if document.revision <= request.after_revision:
+        return reply
+    deltas = holder.deltas_after(request.after_revision, request.change_id)
+    if deltas is None or deltas.lineage != request.lineage:
+        reply.document = document.to_json()
+        return reply
+    reply.deltas.extend(
+        Delta(
+            revision=entry['revision'],
+            change_id=entry['change_id'],
+            change=to_text(entry),
+        )
+        for entry in deltas.entries
+    )
+    return reply
+
+
+def _take(holder: ConfigurationHolder, reply: PullReply) -> bool:
+    if reply.document:
+        holder.offer(Document.from_json(reply.document))
+    elif reply.deltas:
+        entries = [json.loads(delta.change) for delta in reply.deltas]
+        holder.offer_deltas(Deltas(reply.lineage, entries))
+    return holder.document.revision >= reply.revision
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -32,6 +32,32 @@
         'configuration revision {revision} is in force',
         'Nothing to do.',
     )
+    lineage_refused = EventSpec(
+        'BL1002',
+        'ERROR',
+        'revision {revision} of lineage {lineage} does not follow '
+        'revision {held} in force and is refused',
+        'Compare `audit` with `status`; another store or a fork is in use.',
+    )
+    store_rolled_back = EventSpec(
+        'BL1003',
+        'ERROR',
+        'the store holds revision {stored} but {held} was accepted; '
+        'revision {restored} is written back',
+        'Find out why the store lost writes; look at `audit`.',
+    )
+    not_restored = EventSpec(
+        'BL1004',
+        'WARNING',
+        'the accepted revision {held} was not written back: {cause}',
+        'None while it is tried again; look at the store when it goes on.',
+    )
+    configuration_confirmed = EventSpec(
+        'BL1005',
+        'INFO',
+        'revision {revision} is confirmed as the accepted one',
+        'Nothing to do.',
+    )
     # 2: serving at the entry
     # 3: weights
     staging_full = EventSpec(
--- a/testing/node/test_pages.py
+++ b/testing/node/test_pages.py
@@ -35,12 +35,19 @@
         self.assertEqual(self.get('/healthz'), (200, 'ok\n'))
         self.assertEqual(
             self.get('/readyz'),
-            (503, 'no accepted configuration is known\n'),
+            (
+                503,
+                'no accepted configuration is known: '
+                'neither the store nor a peer has answered yet\n',
+            ),
         )
 
     def test_process_with_configuration_is_ready(self) -> None:
-        """Any accepted revision will do."""
+        """Any revision will do once it is confirmed as the accepted one."""
         self.daemon.node.holder.offer(build_document())
+        self.assertEqual(self.get('/readyz')[0], 503)
+
+        self.daemon.node.holder.question('')
 
         self.assertEqual(self.get('/readyz'), (200, 'ready\n'))
 
