--- /dev/null
+++ b/testing/configuration/test_publication_steps.py
@@ -0,0 +1,168 @@
+"""Every interleaving of publisher steps that a state machine reaches."""
+
+import unittest
+from itertools import count
+
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+from hypothesis.strategies import data, integers, sampled_from
+
+from bramleylug.configuration.audit import read_trail
+from bramleylug.configuration.publisher import (
+    Accepted,
+    AcceptanceUnknown,
+    NotAccepted,
+)
+from testing.builders import build_change
+from testing.configuration.model_store import (
+    FAULTS,
+    ModelStore,
+    SteppedPublisher,
+)
+
+ZONES = ('north', 'south')
+PUBLISHERS = 3
+
+
+def _has_room(machine: 'PublicationMachine') -> bool:
+    return len(machine.running) < PUBLISHERS
+
+
+def _can_repeat(machine: 'PublicationMachine') -> bool:
+    return bool(machine.ended) and _has_room(machine)
+
+
+def _is_busy(machine: 'PublicationMachine') -> bool:
+    return bool(machine.running)
+
+
+def _has_late(machine: 'PublicationMachine') -> bool:
+    return bool(machine.store.late)
+
+
+class PublicationMachine(RuleBasedStateMachine):
+    """Publishers whose calls interleave, with faults and late writes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = ModelStore()
+        self.numbers = count(1)
+        self.running: list[SteppedPublisher] = []
+        self.ended: list[SteppedPublisher] = []
+        self.begun: list[SteppedPublisher] = []
+        self.checked = (0, 0)
+        self.highest = 0
+
+    @precondition(_has_room)
+    @rule(zone=sampled_from(ZONES), state=sampled_from(('in', 'out')))
+    def start(self, zone: str, state: str) -> None:
+        """A publisher begins."""
+        change = build_change(**{zone: state})
+        self._follow(
+            SteppedPublisher(self.store, change, f'c{next(self.numbers)}')
+        )
+
+    @precondition(_can_repeat)
+    @rule(choice=data())
+    def repeat(self, choice: object) -> None:
+        """An operator repeats a change with its id."""
+        ended = choice.draw(sampled_from(self.ended))
+        self._follow(
+            SteppedPublisher(
+                self.store, ended.change, ended.change_id, repeated=True
+            )
+        )
+
+    @precondition(_is_busy)
+    @rule(choice=integers(0, PUBLISHERS - 1), fault=sampled_from(FAULTS))
+    def step(self, choice: int, fault: str) -> None:
+        """One call of one publisher happens, with or without a fault."""
+        self.running[choice % len(self.running)].step(fault)
+        self._settle()
+
+    @precondition(_is_busy)
+    @rule(choice=integers(0, PUBLISHERS - 1))
+    def finish(self, choice: int) -> None:
+        """One publisher meets no more faults."""
+        publisher = self.running[choice % len(self.running)]
+        while not publisher.ended:
+            publisher.step('none')
+        self._settle()
+
+    @precondition(_is_busy)
+    @rule(choice=integers(0, PUBLISHERS - 1))
+    def die(self, choice: int) -> None:
+        """A publisher dies between two calls."""
+        self.running.pop(choice % len(self.running)).kill()
+
+    @precondition(_has_late)
+    @rule(choice=integers(0, 7))
+    def land(self, choice: int) -> None:
+        """A write that was on its way arrives."""
+        late = self.store.late
+        self.store.apply(*late.pop(choice % len(late)))
+
+    @invariant()
+    def revisions_never_go_down(self) -> None:
+        """The stored revision only rises."""
+        revision = self.store.document().revision
+        assert revision >= self.highest
+        self.highest = revision
+
+    @invariant()
+    def words_are_true(self) -> None:
+        """Accepted is kept once, not accepted never lands, unknown is so."""
+        self.store.faults = []
+        state = (self.store.document().revision, len(self.ended))
+        if state == self.checked:
+            return
+        self.checked = state
+        trail = read_trail(self.store, last=0)
+        assert not trail.missing
+        ids = [entry['change_id'] for entry in trail.entries]
+        assert len(ids) == len(set(ids))
+        for publisher in self.ended:
+            match publisher.outcome:
+                case Accepted(revision, True):
+                    assert ids[revision - 1] == publisher.change_id
+                case NotAccepted():
+                    assert self._is_settled(publisher, ids)
+                case AcceptanceUnknown():
+                    assert publisher.doubtful
+
+    def teardown(self) -> None:
+        """End the threads."""
+        for publisher in self.running:
+            publisher.kill()
+
+    def _is_settled(self, publisher: SteppedPublisher, ids: list[str]) -> bool:
+        """Tell whether a refused change stayed out until it was repeated."""
+        later = self.begun[self.begun.index(publisher) + 1 :]
+        repeated = publisher.change_id in {run.change_id for run in later}
+        return repeated or publisher.change_id not in ids
+
+    def _follow(self, publisher: SteppedPublisher) -> None:
+        self.begun.append(publisher)
+        self.running.append(publisher)
+        self._settle()
+
+    def _settle(self) -> None:
+        self.ended.extend(run for run in self.running if run.ended)
+        self.running = [run for run in self.running if not run.ended]
+
+
+class TestPublicationSteps(unittest.TestCase):
+    """The promises of publication as invariants."""
+
+    def test_promises_hold_in_every_interleaving(self) -> None:
+        """Accepted, not accepted and unknown are true throughout."""
+        machine = PublicationMachine.TestCase()
+        machine.settings = settings(
+            max_examples=80, stateful_step_count=40, derandomize=True
+        )
+        machine.runTest()
--- a/testing/configuration/test_publisher.py
+++ b/testing/configuration/test_publisher.py
@@ -2,13 +2,27 @@
 
 import unittest
 
-from bramleylug.configuration.document import DOCUMENT_KEY, Document
-from bramleylug.configuration.publisher import Accepted, publish
+from bramleylug.configuration.audit import read_trail
+from bramleylug.configuration.document import (
+    DOCUMENT_KEY,
+    HISTORY_LENGTH,
+    Document,
+    spec_to_json,
+)
+from bramleylug.configuration.publisher import (
+    Accepted,
+    AcceptanceUnknown,
+    NotAccepted,
+    PublishOutcome,
+    publish,
+)
 from bramleylug.platform.grpc_store import GrpcStore
 from bramleylug.fakes.store import FakeStoreServer
 from bramleylug.wire.channels import open_channel
 from bramleylug.wire.platform_pb2 import StoreFaults
-from testing.builders import build_change
+from bramleylug.platform.store import Conflict
+from testing.builders import build_change, build_spec
+from testing.configuration.model_store import ModelStore, SteppedPublisher
 
 
 class TestLostAnswers(unittest.TestCase):
@@ -38,3 +52,214 @@
         self.assertEqual(outcome, Accepted(1))
         stored = self.store.read(DOCUMENT_KEY, timeout_s=1)
         self.assertEqual(Document.from_json(stored.value).revision, 1)
+
+
+class PublisherTestCase(unittest.TestCase):
+    """Publishes to a store in memory."""
+
+    def setUp(self) -> None:
+        """Start with an empty store."""
+        self.store = ModelStore()
+
+    def publish(
+        self, change_id: str, state: str = 'out', **options: object
+    ) -> PublishOutcome:
+        """Set zone ``north``."""
+        return publish(
+            self.store,
+            build_change(north=state),
+            change_id=change_id,
+            who=f'writer of {change_id}',
+            when_s=1,
+            **options,
+        )
+
+
+class TestDoubt(PublisherTestCase):
+    """Accepted, not accepted and unknown are each true."""
+
+    def test_late_write_that_may_still_land_is_unknown(self) -> None:
+        """The store goes down after the write was sent."""
+        self.store.faults = ['none', 'late', 'refused']
+
+        outcome = self.publish('a')
+
+        self.assertEqual(
+            outcome, AcceptanceUnknown('the store cannot be read: down')
+        )
+
+    def test_late_write_never_lands_after_a_later_version(self) -> None:
+        """The rival's version settles it; then the refusal is definite."""
+        self.publish('first', 'out')
+        late = SteppedPublisher(self.store, build_change(north='in'), 'a')
+        for fault in ('none', 'none', 'none', 'none', 'late'):
+            late.step(fault)
+        self.publish('rival', 'in')
+        self.publish('rival-2', 'out')
+        for fault in ('none', 'none', 'refused'):
+            late.step(fault)
+
+        self.assertIsInstance(late.outcome, NotAccepted)
+        outcome = self.store.apply(*self.store.late[0])
+        self.assertIsInstance(outcome, Conflict)
+
+    def test_repeated_id_is_accepted_once(self) -> None:
+        """Its first attempt took effect although it said unknown."""
+        self.store.faults = ['none', 'lost after', 'refused']
+        self.assertIsInstance(self.publish('a'), AcceptanceUnknown)
+
+        self.assertEqual(self.publish('a', repeated=True), Accepted(1))
+
+    def test_repeated_id_refused_by_the_store_stays_unknown(self) -> None:
+        """A write of the first attempt may still be on its way."""
+        self.store.faults = ['none', 'refused']
+
+        outcome = self.publish('a', repeated=True)
+
+        self.assertIsInstance(outcome, AcceptanceUnknown)
+
+    def test_id_that_left_the_history_is_known(self) -> None:
+        """Repeating it does not undo what came after it."""
+        self.publish('a', 'out')
+        for number in range(HISTORY_LENGTH + 2):
+            self.publish(f'b{number}', 'in' if number % 2 == 0 else 'out')
+        self.assertIsNone(self.store.document().find_change('a'))
+
+        self.assertEqual(self.publish('a', repeated=True), Accepted(1))
+
+    def test_id_of_another_change_is_refused(self) -> None:
+        """An id stands for one change only."""
+        self.publish('a', 'out')
+
+        outcome = self.publish('a', 'in', repeated=True)
+
+        self.assertEqual(
+            outcome,
+            NotAccepted(
+                'change id a was used for another change, revision 1 by '
+                'writer of a; take a new id'
+            ),
+        )
+
+    def test_refused_write_is_not_accepted(self) -> None:
+        """Nothing was written."""
+        self.store.faults = ['none', 'refused']
+
+        outcome = self.publish('a')
+
+        self.assertEqual(
+            outcome, NotAccepted('the store refused the write: down')
+        )
+
+
+class TestRaces(PublisherTestCase):
+    """Racing publishers rebase, or learn who was first."""
+
+    def test_change_of_another_zone_is_rebased(self) -> None:
+        """Both changes are accepted."""
+        first = SteppedPublisher(self.store, build_change(south='out'), 'a')
+        first.step('none')
+        self.publish('rival')
+        while not first.ended:
+            first.step('none')
+
+        self.assertEqual(first.outcome, Accepted(2))
+        self.assertEqual(
+            dict(self.store.document().zones), {'north': 'out', 'south': 'out'}
+        )
+
+    def test_change_of_the_same_service_names_the_rival(self) -> None:
+        """The loser is told who changed what."""
+        change = build_change()
+        change['services']['seat-fitting'] = spec_to_json(build_spec())
+        first = SteppedPublisher(self.store, change, 'a')
+        first.step('none')
+        rival = build_change()
+        rival['services']['seat-fitting'] = spec_to_json(build_spec(replicas=2))
+        publish(self.store, rival, change_id='r', who='rival', when_s=1)
+        while not first.ended:
+            first.step('none')
+
+        self.assertEqual(
+            first.outcome,
+            NotAccepted(
+                "rival changed service 'seat-fitting' meanwhile (revision 1, "
+                'change r); look at it and publish again'
+            ),
+        )
+
+    def test_base_of_the_operator_counts(self) -> None:
+        """What changed after the difference was shown is a conflict."""
+        shown = self.store.document()
+        self.publish('rival', 'out')
+
+        outcome = self.publish('a', 'in', base=shown)
+
+        self.assertEqual(
+            outcome,
+            NotAccepted(
+                "writer of rival changed zone 'north' meanwhile (revision 1, "
+                'change rival); look at it and publish again'
+            ),
+        )
+
+    def test_faulty_change_is_not_accepted(self) -> None:
+        """The publisher checks what a caller of the library hands it."""
+        change = build_change()
+        change['services']['a'] = spec_to_json(build_spec(concurrency=0))
+
+        outcome = publish(
+            self.store, change, change_id='a', who='tester', when_s=1
+        )
+
+        self.assertIn('0 makes no sense; at least 1', outcome.message)
+        self.assertEqual(self.store.calls, [])
+
+    def test_document_above_one_megabyte_is_refused(self) -> None:
+        """The store could not hold it."""
+        change = build_change()
+        for number in range(4000):
+            name = f'service-{number}'
+            change['services'][name] = spec_to_json(build_spec(name))
+
+        outcome = publish(
+            self.store, change, change_id='a', who='tester', when_s=1
+        )
+
+        self.assertIn('more than 1048576; remove services', outcome.message)
+        self.assertEqual(self.store.held, {})
+
+
+class TestAudit(PublisherTestCase):
+    """The trail is complete whatever becomes of a publisher."""
+
+    def test_next_publisher_repairs_the_record_of_one_that_died(self) -> None:
+        """Its change has a record of its own before history may drop it."""
+        first = SteppedPublisher(self.store, build_change(south='out'), 'a')
+        first.step('none')
+        first.step('none')
+        first.kill()
+        for number in range(HISTORY_LENGTH + 2):
+            self.publish(f'b{number}', 'out' if number % 2 == 0 else 'in')
+
+        trail = read_trail(self.store, last=0)
+
+        self.assertEqual(trail.missing, ())
+        self.assertEqual(trail.entries[0]['change_id'], 'a')
+        self.assertEqual(len(trail.entries), HISTORY_LENGTH + 3)
+
+    def test_no_change_is_accepted_without_its_predecessors_record(
+        self,
+    ) -> None:
+        """History must never drop what has no record."""
+        first = SteppedPublisher(self.store, build_change(south='out'), 'a')
+        first.step('none')
+        first.step('none')
+        first.kill()
+        self.store.faults = ['none', 'none', 'refused']
+
+        outcome = self.publish('b')
+
+        self.assertEqual(
+            outcome, NotAccepted('the audit trail cannot be written')
+        )
