--- a/src/bramleylug/membership/datagrams.py
+++ b/src/bramleylug/membership/datagrams.py
@@ -56,6 +56,14 @@
             )
         return raw
 
+    def sign(self, payload: bytes) -> bytes:
+        """Return the datagram of a deflated message."""
+        return Datagram(
+            key_id=self.signing_id,
+            mac=_mac(self.signing_key, payload),
+            payload=payload,
+        ).SerializeToString()
+
     def decode(self, raw: bytes) -> Gossip | None:
         """Return the message, or ``None`` when it must be dropped."""
         if len(raw) > DATAGRAM_LIMIT_BYTES:
@@ -79,12 +87,8 @@
             return None
 
     def _seal(self, message: Gossip) -> bytes:
-        payload = zlib.compress(message.SerializeToString(), DEFLATE_LEVEL)
-        return Datagram(
-            key_id=self.signing_id,
-            mac=_mac(self.signing_key, payload),
-            payload=payload,
-        ).SerializeToString()
+        text = message.SerializeToString()
+        return self.sign(zlib.compress(text, DEFLATE_LEVEL))
 
 
 def _inflate(payload: bytes) -> bytes:
--- a/src/bramleylug/membership/gossip.py
+++ b/src/bramleylug/membership/gossip.py
@@ -123,6 +123,8 @@
         if last_s is not None and now_s - last_s > PAUSE_S:
             self.view.postpone(now_s - last_s)
             self.detector.forget_probe()
+        if self.view.joined:
+            self.reconciler.hurry(now_s)
         self.view.expire(now_s)
         self.suspects.expire(self.wall())
         return [
@@ -139,19 +141,17 @@
         if cause:
             self.dropped[cause] += 1
             return self._correct(message) if cause == REPLAYED else []
-        lonely = len(self.alive()) == 1
         actions: list[GossipAction] = []
         if message.kind != GOSSIP_KIND_SYNC:
             for record in message.members:
                 self.view.merge(record, now_s)
         if self.suspects.merge(message.suspects, self.wall()):
             self.announce()
+        self.view.heard_from(message.sender, now_s)
         self.highest_revision = max(self.highest_revision, message.revision)
         actions.extend(self._answer(message, now_s))
         if message.revision > self.composer.revision:
             actions.append(RevisionSeen(message.revision, message.sender))
-        if lonely and len(self.alive()) > 1:
-            self.reconciler.hurry(now_s)
         return [*actions, *self._report_change()]
 
     def leave(self, now_s: float) -> list[GossipAction]:
--- a/src/bramleylug/membership/reconciliation.py
+++ b/src/bramleylug/membership/reconciliation.py
@@ -85,8 +85,8 @@
         return self._pack(lacking)
 
     def hurry(self, now_s: float) -> None:
-        """Compare at once."""
-        self.next_s = now_s
+        """Compare soon, since members came."""
+        self.next_s = min(self.next_s, now_s + CATCH_UP_INTERVAL_S)
 
     def _digest(self) -> Gossip:
         message = self.composer.bare(GOSSIP_KIND_DIGEST)
--- a/src/bramleylug/membership/updates.py
+++ b/src/bramleylug/membership/updates.py
@@ -8,6 +8,7 @@
 
 SPREAD_FACTOR = 0.5
 LEAST_TRANSMISSIONS = 3
+URGENT_FACTOR = 2
 NAMES_PER_MESSAGE = 32
 
 
@@ -75,5 +76,7 @@
 
     def _count(self, name: str, limit: int) -> None:
         self.sent[name] += 1
+        if name in self.urgent:
+            limit *= URGENT_FACTOR
         if self.sent[name] >= limit:
             self.discard(name)
--- a/src/bramleylug/membership/view.py
+++ b/src/bramleylug/membership/view.py
@@ -23,6 +23,8 @@
 )
 
 LEAST_SUSPICION_S = 3.0
+SUSPICION_FACTOR = 1.25
+REMINDER_SHARE = 0.5
 CONFIRMED_SHARE = 0.5
 DEPARTED_KEEP_S = 600.0
 DEAD_KEEP_S = 10800.0
@@ -45,6 +47,7 @@
         self.summary = Summary()
         self.updates = UpdateQueue()
         self.suspicions: dict[str, float] = {}
+        self.reminded: set[str] = set()
         self.gone_s: dict[str, float] = {}
         self.joined: list[str] = []
         self.listed: Mapping[str, bool] = {}
@@ -66,7 +69,8 @@
     def suspicion_s(self) -> float:
         """Return the time a suspect has for its refutation."""
         rounds = math.log2(len(self.alive()) + 1)
-        return max(LEAST_SUSPICION_S, rounds * PROBE_INTERVAL_S)
+        suspicion_s = SUSPICION_FACTOR * rounds * PROBE_INTERVAL_S
+        return max(LEAST_SUSPICION_S, suspicion_s)
 
     def merge(
         self, heard: Member, now_s: float, *, synced: bool = False
@@ -87,9 +91,7 @@
             return self._add(heard, now_s, synced=synced)
         merged = merge_records(known, heard)
         if merged is known:
-            if heard == known:
-                limit = transmission_limit(len(self.members))
-                self.updates.heard_again(known.name, limit)
+            self._hear_old(known, heard)
             return False
         urgent = _is_urgent(known, merged)
         if urgent or not synced:
@@ -114,10 +116,17 @@
                 dead = with_state(self.members[name], MEMBER_STATE_DEAD)
                 self.updates.add(name, urgent=True)
                 self._put(dead, now_s)
+            elif now_s - since_s >= allowed_s * REMINDER_SHARE:
+                self._remind(name)
         for name, since_s in list(self.gone_s.items()):
             if now_s - since_s >= self._keep_s(name):
                 self._forget(name)
 
+    def heard_from(self, name: str, now_s: float) -> None:
+        """Give a suspect that was heard itself its whole time again."""
+        if self.suspicions.get(name) is not None:
+            self.suspicions[name] = now_s
+
     def postpone(self, pause_s: float) -> None:
         """Give suspects the time that this process did not run."""
         for name in self.suspicions:
@@ -143,6 +152,20 @@
         self._put(edited, now_s)
         self.updates.add(edited.name, urgent=urgent)
 
+    def _hear_old(self, known: Member, heard: Member) -> None:
+        if heard == known:
+            limit = transmission_limit(len(self.members))
+            self.updates.heard_again(known.name, limit)
+        elif heard.state != known.state and heard.state != MEMBER_STATE_ALIVE:
+            # The sender missed the refutation: the answer shall carry it.
+            self.updates.add(known.name)
+
+    def _remind(self, name: str) -> None:
+        """Pass a suspicion on once more; who knows better answers."""
+        if name not in self.reminded:
+            self.reminded.add(name)
+            self.updates.add(name)
+
     def _add(self, heard: Member, now_s: float, *, synced: bool) -> bool:
         if is_gone(heard):
             return False
@@ -174,6 +197,7 @@
             self.suspicions.setdefault(name, now_s)
         else:
             self.suspicions.pop(name, None)
+            self.reminded.discard(name)
         if is_gone(record):
             self.gone_s.setdefault(name, now_s)
         else:
--- /dev/null
+++ b/testing/membership/test_datagrams.py
@@ -0,0 +1,87 @@
+"""Tests of datagrams that must be dropped."""
+
+import unittest
+import zlib
+from random import Random
+
+from hypothesis import given
+from hypothesis.strategies import binary
+
+from bramleylug.membership.datagrams import DATAGRAM_LIMIT_BYTES, DatagramCodec
+from bramleylug.wire.membership_pb2 import Datagram, Gossip
+from testing.builders import build_member
+
+OLD, NEW = b'old key', b'new key'
+
+
+class TestDatagramCodec(unittest.TestCase):
+    """Only whole datagrams under a known key are taken in."""
+
+    def setUp(self) -> None:
+        """Use one key."""
+        self.codec = DatagramCodec((OLD,))
+        self.message = Gossip(sender='a', members=[build_member('a')])
+
+    def test_datagram_is_read_back(self) -> None:
+        """Nothing is lost."""
+        raw = self.codec.encode(self.message)
+
+        self.assertEqual(self.codec.decode(raw), self.message)
+
+    def test_both_keys_are_accepted_during_rotation(self) -> None:
+        """The first one signs."""
+        rotating = DatagramCodec((NEW, OLD))
+
+        self.assertIsNotNone(rotating.decode(self.codec.encode(self.message)))
+        self.assertIsNone(self.codec.decode(rotating.encode(self.message)))
+        self.assertEqual(self.codec.dropped, {'forged': 1})
+
+    def test_altered_payload_is_forged(self) -> None:
+        """The hash covers every byte."""
+        datagram = Datagram.FromString(self.codec.encode(self.message))
+        datagram.payload += b'x'
+
+        self.assertIsNone(self.codec.decode(datagram.SerializeToString()))
+        self.assertEqual(self.codec.dropped, {'forged': 1})
+
+    def test_truncated_datagram_is_dropped(self) -> None:
+        """At whatever length."""
+        raw = self.codec.encode(self.message)
+        for _ in raw:
+            raw = raw[:-1]
+            self.assertIsNone(self.codec.decode(raw))
+
+        self.assertEqual(raw, b'')
+        self.assertEqual(set(self.codec.dropped), {'forged', 'malformed'})
+
+    def test_oversized_datagram_is_dropped(self) -> None:
+        """Before anything is read."""
+        self.assertIsNone(self.codec.decode(bytes(DATAGRAM_LIMIT_BYTES + 1)))
+        self.assertEqual(self.codec.dropped, {'oversized': 1})
+
+    def test_payload_that_inflates_without_bound_is_dropped(self) -> None:
+        """A few bytes must not become megabytes."""
+        codec = DatagramCodec()
+        raw = codec.sign(zlib.compress(bytes(300000), 9))
+
+        self.assertIsNone(codec.decode(raw))
+        self.assertEqual(codec.dropped, {'malformed': 1})
+
+    def test_many_records_fit_one_datagram(self) -> None:
+        """Those too many are left out."""
+        random = Random(1)
+        members = [
+            build_member(f'host-{number}', incarnation=random.randrange(10**12))
+            for number in range(500)
+        ]
+        message = Gossip(sender='a', members=members)
+
+        raw = self.codec.encode(message)
+
+        self.assertLessEqual(len(raw), DATAGRAM_LIMIT_BYTES)
+        self.assertGreater(len(self.codec.decode(raw).members), 15)
+
+    @given(binary(max_size=200))
+    def test_noise_is_dropped(self, raw: bytes) -> None:
+        """Nothing but the count changes."""
+        self.assertIsNone(DatagramCodec((OLD,)).decode(raw))
