--- a/src/bramleylug/cli/fakes.py
+++ b/src/bramleylug/cli/fakes.py
@@ -1,39 +1,63 @@
-"""Commands that run the stand-ins."""
+"""Commands that run the stand-ins and set their faults."""
 
+import json
 import time
-from argparse import ArgumentParser, Namespace
+from argparse import Namespace
+from dataclasses import fields, replace
 from typing import Any
 
+from bramleylug.cli.faults import (
+    parse_words,
+    set_http_faults,
+    set_store_faults,
+    store_faults,
+)
+from bramleylug.cli.parser import ExitCode
+from bramleylug.settings.fields import SettingsError
+
 DEFAULT_BIND = '127.0.0.1:0'
+KINDS = ('store', 'origin', 'engine', 'records')
 
 
 def add_commands(commands: Any) -> None:
-    """Add ``fakes store|origin|engine|records``."""
-    parser: ArgumentParser = commands.add_parser('fakes', help='run a stand-in')
+    """Add ``fakes store|origin|engine|records|control``."""
+    parser = commands.add_parser('fakes', help='run a stand-in')
     kinds = parser.add_subparsers(required=True, metavar='KIND')
-    store = kinds.add_parser('store', help='the platform store')
-    store.set_defaults(run=_run_store)
-    origin = kinds.add_parser('origin', help='the origin of weights')
-    origin.add_argument(
-        '--weights',
-        action='append',
-        default=[],
-        metavar='MODEL@VERSION=BYTES',
-        help='weights to make and serve; may be repeated',
-    )
-    origin.set_defaults(run=_run_origin)
-    engine = kinds.add_parser('engine', help='a model engine')
-    engine.set_defaults(run=_run_engine)
-    records = kinds.add_parser('records', help='a records service')
-    records.set_defaults(run=_run_records)
-    for kind in (store, origin, engine, records):
+    runs = (_run_store, _run_origin, _run_engine, _run_records)
+    for name, run in zip(KINDS, runs, strict=True):
+        kind = kinds.add_parser(name, help=f'run the {name}')
         kind.add_argument('--bind', default=DEFAULT_BIND, metavar='HOST:PORT')
+        kind.add_argument(
+            '--set',
+            action='append',
+            default=[],
+            metavar='NAME=VALUE',
+            help='how it behaves; may be repeated',
+        )
+        kind.set_defaults(run=run)
+        if name == 'origin':
+            kind.add_argument(
+                '--weights',
+                action='append',
+                default=[],
+                metavar='MODEL@VERSION=BYTES',
+                help='weights to make and serve; may be repeated',
+            )
+    control = kinds.add_parser(
+        'control', help='set faults of a running stand-in, print its counts'
+    )
+    control.add_argument('kind', choices=KINDS)
+    control.add_argument('address', metavar='HOST:PORT')
+    control.add_argument('words', nargs='*', metavar='NAME=VALUE')
+    control.set_defaults(run=_control)
 
 
 def _run_store(namespace: Namespace) -> int:
     from bramleylug.fakes.store import FakeStoreServer  # noqa: PLC0415
 
+    faults = store_faults(parse_words(namespace.set))
     server = FakeStoreServer(namespace.bind)
+    server.store.SetFaults(faults, None)
     server.start()
     print(f'store at {server.address}', flush=True)
     while True:
@@ -43,11 +67,9 @@
 def _run_origin(namespace: Namespace) -> int:
     from bramleylug.fakes.origin import FakeOrigin  # noqa: PLC0415
 
-    origin = FakeOrigin(namespace.bind)
+    origin = FakeOrigin(namespace.bind, **parse_words(namespace.set))
     for text in namespace.weights:
-        name, _, size = text.partition('=')
-        model, _, version = name.partition('@')
-        origin.add_version(model, version, int(size))
+        origin.add_version(*_read_weights(text))
     return _run(origin, 'origin')
 
 
@@ -57,16 +79,53 @@
         FakeEngine,
     )
 
-    return _run(FakeEngine(EngineSettings(bind=namespace.bind)), 'engine')
+    settings = _configure(EngineSettings(bind=namespace.bind), namespace.set)
+    return _run(FakeEngine(settings), 'engine')
 
 
 def _run_records(namespace: Namespace) -> int:
     from bramleylug.fakes.records import FakeRecords  # noqa: PLC0415
 
-    return _run(FakeRecords(namespace.bind), 'records')
+    records = FakeRecords(namespace.bind, **parse_words(namespace.set))
+    return _run(records, 'records')
+
+
+def _control(namespace: Namespace) -> int:
+    set_faults = set_http_faults
+    if namespace.kind == 'store':
+        set_faults = set_store_faults
+    words = parse_words(namespace.words)
+    print(json.dumps(set_faults(namespace.address, words)))
+    return ExitCode.ok
+
+
+def _configure(settings: Any, words: list[str]) -> Any:
+    """Return settings with some of their fields replaced.
+
+    :raises SettingsError: naming the fields there are.
+    """
+    known = [spec.name for spec in fields(settings)]
+    parsed = parse_words(words)
+    unknown = [name for name in parsed if name not in known]
+    if unknown:
+        raise SettingsError(
+            [
+                f'no such setting {name!r}; there are {", ".join(known)}'
+                for name in unknown
+            ]
+        )
+    return replace(settings, **parsed)
+
+
+def _read_weights(text: str) -> tuple[str, str, int]:
+    name, _, size = text.partition('=')
+    model, _, version = name.partition('@')
+    if not (model and version and size.isdecimal()):
+        raise SettingsError([f'--weights: {text!r} is not MODEL@VERSION=BYTES'])
+    return model, version, int(size)
 
 
 def _run(fake: Any, name: str) -> int:
     print(f'{name} at {fake.web.address}', flush=True)
     fake.run()
-    return 0
+    return ExitCode.ok
--- a/src/bramleylug/demo/cluster.py
+++ b/src/bramleylug/demo/cluster.py
@@ -68,6 +68,12 @@
         self.store_server.stop()
         self.folder.cleanup()
 
+    def runner_of(self, daemon: object) -> DaemonRunner:
+        """Return the runner of one daemon."""
+        return next(
+            runner for runner in self.runners if runner.daemon is daemon
+        )
+
     def wait_until(self, check: Callable[[], bool], limit_s: float) -> float:
         """Wait for a condition and return the seconds it took.
 
--- a/src/bramleylug/demo/story.py
+++ b/src/bramleylug/demo/story.py
@@ -57,6 +57,7 @@
         self._second_version()
         self._zone_out_and_back()
         self._bookings()
+        self._planned_stop()
         traffic.stop()
         self._conclude(traffic)
         return all(row.kept for row in self.rows)
@@ -116,6 +117,10 @@
     def _zone_out_and_back(self) -> None:
         zone = ZONES[0]
         engine = self.cluster.engines[0]
+        runs_before = engine.started_runs
+        self.cluster.wait_until(
+            lambda: engine.started_runs > runs_before, READY_LIMIT_S
+        )
         accepted_s = time.monotonic()
         self._publish(Change(services={}, zones={zone: 'out'}))
         last_s = accepted_s
@@ -133,9 +138,12 @@
                 quiet_s <= ZONE_LIMIT_S,
             )
         )
-        self.cluster.wait_until(
+        back_s = self.cluster.wait_until(
             lambda: engine.started_runs > seen, READY_LIMIT_S
         )
+        self.rows.append(
+            Row('zone in: first new work after', f'{back_s:.2f} s', True)
+        )
 
     def _bookings(self) -> None:
         key = uuid.uuid4().hex
@@ -148,7 +156,26 @@
             )
         runs = sum(records.runs[key] for records in self.cluster.records)
         self.rows.append(
-            Row('booking sent 3 times: runs', str(runs), runs == 1)
+            Row(
+                f'booking sent {BOOKING_TRIES} times: runs',
+                f'{runs}',
+                runs == 1,
+            )
+        )
+        repeated = sum(
+            count > 1
+            for records in self.cluster.records
+            for count in records.runs.values()
+        )
+        self.rows.append(Row('duplicates', str(repeated), not repeated))
+
+    def _planned_stop(self) -> None:
+        runner = self.cluster.runner_of(self._model_agents()[1])
+        started_s = time.monotonic()
+        runner.leave()
+        took_s = time.monotonic() - started_s
+        self.rows.append(
+            Row('planned stop of an agent took', f'{took_s:.1f} s', True)
         )
 
     def _conclude(self, traffic: Traffic) -> None:
--- /dev/null
+++ b/testing/demo/test_whole_path.py
@@ -0,0 +1,88 @@
+"""The whole path once, small: publication, weights, request, answer."""
+
+import json
+import unittest
+import uuid
+from pathlib import Path
+
+from bramleylug.configuration.document import Change
+from bramleylug.configuration.files import collect
+from bramleylug.configuration.publisher import Accepted, publish
+from bramleylug.demo.cluster import MODEL_SERVICE, EmbeddedCluster
+from bramleylug.demo.story import FIRST_VERSION, MODEL
+from bramleylug.demo.traffic import generate, post
+
+EXAMPLES = Path(__file__).parents[2] / 'examples'
+MODEL_BYTES = 2 * 1024 * 1024 + 5
+LIMIT_S = 60
+
+
+class TestWholePath(unittest.TestCase):
+    """From the service files to an answer that names its weights."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Publish the examples to a running cluster and wait for weights."""
+        cls.cluster = EmbeddedCluster()
+        cls.cluster.start()
+        cls.addClassCleanup(cls.cluster.stop)
+        cls.manifest = cls.cluster.origin.add_version(
+            MODEL, FIRST_VERSION, MODEL_BYTES
+        )
+        cls.publish(collect([EXAMPLES]).to_change())
+        cls.cluster.wait_until(cls.ready_everywhere, LIMIT_S)
+
+    @classmethod
+    def publish(cls, change: Change) -> None:
+        """Publish a change that must be accepted."""
+        outcome = publish(
+            cls.cluster.store,
+            change,
+            change_id=uuid.uuid4().hex,
+            who='test',
+            when_s=0,
+        )
+        if not isinstance(outcome, Accepted):
+            raise AssertionError(outcome)
+
+    @classmethod
+    def ready_everywhere(cls) -> bool:
+        """Tell whether every entry sees every agent ready."""
+        return all(
+            sum(
+                state.ready
+                for member in entry.node.members
+                for state in member.services
+            )
+            == len(cls.cluster.agents)
+            for entry in cls.cluster.entries
+        )
+
+    def test_answer_is_whole_and_names_the_published_weights(self) -> None:
+        """Every token comes from the one digest."""
+        call = generate(self.cluster.entries[0].web.address, MODEL_SERVICE)
+
+        self.assertEqual(call.result, 'answered')
+        self.assertEqual(call.digests, {self.manifest.digest})
+
+    def test_unknown_service_is_refused_as_not_run(self) -> None:
+        """The refusal says so in its body."""
+        status, text = post(
+            self.cluster.entries[0].web.address, '/v1/services/nope/x', '', {}
+        )
+
+        self.assertEqual(status, 404)
+        self.assertEqual(json.loads(text)['run'], 'not_run')
+        self.assertEqual(json.loads(text)['code'], 'unknown_service')
+
+    def test_booking_is_answered_with_its_own_request(self) -> None:
+        """The answer repeats what was sent."""
+        status, text = post(
+            self.cluster.entries[1].web.address,
+            '/v1/services/bookings/bookings',
+            '{"seat": 7}',
+            {'Idempotency-Key': 'one'},
+        )
+
+        self.assertEqual(status, 200)
+        self.assertEqual(json.loads(text)['request'], '{"seat": 7}')
