--- a/src/bramleylug/bench/catalogue.py
+++ b/src/bramleylug/bench/catalogue.py
@@ -12,6 +12,7 @@
 BENCHES = {
     name: f'bramleylug.bench.{name}'
     for name in (
+        'faults',
         'path',
         'weights',
         'config',
--- /dev/null
+++ b/src/bramleylug/bench/processes.py
@@ -0,0 +1,194 @@
+"""Daemons and stand-ins as processes of their own, to be killed and frozen.
+
+Only benches start processes; the system's own processes start none.
+"""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from threading import Event, Thread
+from typing import IO, final
+
+from bramleylug.observability.events import LogEvent
+
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 40.0
+POLL_S = 0.05
+COMMAND = (sys.executable, '-m', 'bramleylug.cli.main')
+SERVING_NUMBER = LogEvent.serving.value.number
+
+
+class ChildError(RuntimeError):
+    """A process did not start or did not end in time."""
+
+
+@final
+class Child:
+    """One process.
+
+    :param arguments: of ``bramleylug``.
+    :ivar addresses: where it serves, by ``http``, ``grpc`` and ``gossip``;
+        a stand-in has its one address under ``http``.
+    """
+
+    def __init__(self, name: str, arguments: Iterable[str]) -> None:
+        self.name = name
+        self.arguments = tuple(arguments)
+        self.addresses: dict[str, str] = {}
+        self.lines: list[str] = []
+        self.started = Event()
+        self.process = subprocess.Popen(  # noqa: S603
+            [*COMMAND, *self.arguments],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        for stream in (self.process.stdout, self.process.stderr):
+            Thread(target=self._read, args=(stream,), daemon=True).start()
+
+    def wait_started(self) -> None:
+        """Wait until it tells where it serves.
+
+        :raises ChildError: when it does not.
+        """
+        if not self.started.wait(START_LIMIT_S):
+            self.kill()
+            raise ChildError(f'{self.name} did not start: {self.lines[-3:]}')
+
+    def kill(self) -> None:
+        """End it at once, as a host that fails."""
+        self.process.kill()
+        self.process.wait()
+
+    def freeze(self) -> None:
+        """Stop it from running, as a host that stalls."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it run on."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def stop(self) -> int:
+        """Stop it as planned and return its exit code.
+
+        :raises ChildError: when it does not end in time.
+        """
+        self.process.terminate()
+        try:
+            return self.process.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired as error:
+            self.kill()
+            raise ChildError(f'{self.name} did not stop') from error
+
+    def _read(self, stream: IO[str] | None) -> None:
+        for line in stream or ():
+            self.lines.append(line)
+            if not self.started.is_set():
+                self._look_for_addresses(line)
+
+    def _look_for_addresses(self, line: str) -> None:
+        if line.startswith('{'):
+            extra = json.loads(line)['record']['extra']
+            if extra.get('event') != SERVING_NUMBER:
+                return
+            for kind in ('http', 'grpc', 'gossip'):
+                self.addresses[kind] = extra[kind]
+        elif ' at ' in line:
+            self.addresses['http'] = line.split()[-1]
+        else:
+            return
+        self.started.set()
+
+
+@final
+class Processes:
+    """A fleet of processes on loopback, ended together.
+
+    :ivar children: every process by name.
+    """
+
+    def __init__(self, region: str = 'region-1') -> None:
+        self.region = region
+        self.folder = TemporaryDirectory(prefix='bramleylug-')
+        self.children: dict[str, Child] = {}
+        self.store = ''
+        self.origin = ''
+
+    def start_fake(self, name: str, kind: str, *arguments: str) -> str:
+        """Start a stand-in and return its address."""
+        child = self._start(name, ('fakes', kind, *arguments))
+        return child.addresses['http']
+
+    def start_platform(self, *weights: str) -> None:
+        """Start store and origin.
+
+        :param weights: ``MODEL@VERSION=BYTES`` for the origin.
+        """
+        self.store = self.start_fake('store', 'store')
+        flags = [f'--weights={text}' for text in weights]
+        self.origin = self.start_fake('origin', 'origin', *flags)
+
+    def start_entry(self, name: str, zone: str, *flags: str) -> Child:
+        """Start an entry, or start it anew under its name."""
+        return self._start(name, ('entry', *self._common(name, zone), *flags))
+
+    def start_agent(
+        self, name: str, zone: str, service: str, upstream: str, *flags: str
+    ) -> Child:
+        """Start an agent, or start it anew under its name."""
+        arguments = (
+            'agent',
+            *self._common(name, zone),
+            f'--service={service}',
+            f'--upstream={upstream}',
+            f'--origin={self.origin}',
+            f'--staging-dir={Path(self.folder.name) / name}',
+            *flags,
+        )
+        return self._start(name, arguments)
+
+    def close(self) -> None:
+        """End every process."""
+        for child in self.children.values():
+            child.thaw()
+            child.kill()
+        self.folder.cleanup()
+
+    def _common(self, name: str, zone: str) -> list[str]:
+        seeds = [
+            child.addresses['gossip']
+            for child in self.children.values()
+            if 'gossip' in child.addresses
+        ]
+        return [
+            f'--name={name}',
+            f'--zone={zone}',
+            f'--region={self.region}',
+            f'--store={self.store}',
+            f'--seeds={",".join(seeds)}',
+            '--log-format=json',
+        ]
+
+    def _start(self, name: str, arguments: Iterable[str]) -> Child:
+        child = Child(name, arguments)
+        child.wait_started()
+        self.children[name] = child
+        return child
+
+
+def wait_for(check: Callable[[], bool], limit_s: float) -> float:
+    """Wait until a callable is true and return the seconds it took.
+
+    :raises ChildError: when it does not become true in time.
+    """
+    started_s = time.monotonic()
+    while not check():
+        if time.monotonic() - started_s > limit_s:
+            raise ChildError(f'not reached within {limit_s} s')
+        time.sleep(POLL_S)
+    return time.monotonic() - started_s
--- a/src/bramleylug/cli/main.py
+++ b/src/bramleylug/cli/main.py
@@ -4,6 +4,7 @@
 import sys
 from argparse import Namespace
 from collections.abc import Callable
+from typing import Any
 
 from bramleylug.cli import bench, demo, fakes, operators
 from bramleylug.cli.parser import ExitCode, OneLineParser
@@ -68,8 +69,7 @@
     _prepare(settings)
     from bramleylug.entry.daemon import EntryDaemon  # noqa: PLC0415
 
-    DaemonRunner(EntryDaemon(settings), settings.name).run()
-    return ExitCode.ok
+    return _serve(EntryDaemon(settings))
 
 
 def _run_agent(namespace: Namespace) -> int:
@@ -77,7 +77,18 @@
     _prepare(settings)
     from bramleylug.agent.daemon import AgentDaemon  # noqa: PLC0415
 
-    DaemonRunner(AgentDaemon(settings), settings.name).run()
+    return _serve(AgentDaemon(settings))
+
+
+def _serve(daemon: Any) -> int:
+    node = daemon.node
+    emit(
+        LogEvent.serving,
+        http=daemon.web.address,
+        grpc=node.grpc_address,
+        gossip=node.membership.own.gossip_address,
+    )
+    DaemonRunner(daemon, daemon.settings.name).run()
     return ExitCode.ok
 
 
--- a/src/bramleylug/fakes/engine.py
+++ b/src/bramleylug/fakes/engine.py
@@ -166,6 +166,7 @@
             'running': len(self.streams),
             'answered': self.answered,
             'fencing': self.fencing,
+            'started_runs': self.started_runs,
         }
 
     def _order(self, exchange: Exchange) -> None:
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -60,6 +60,12 @@
     stopped = EventSpec(
         'BL5003', 'INFO', '{name} stopped with nothing running', 'None.'
     )
+    serving = EventSpec(
+        'BL5005',
+        'INFO',
+        'serving http={http} grpc={grpc} gossip={gossip}',
+        'Nothing to do.',
+    )
     worker_failed = EventSpec(
         'BL5004',
         'ERROR',
