Claim keys in the store before a non-idempotent request runs

Cause: a booking sent three times with one key ran three times.

A request runs only after its own random claim id was seen in the store, in the process whose memory holds that id; a lost answer is settled by writing again under the same expected version. Resends get the kept answer, or ran or unknown. The run of a claimed request ends also when its caller has gone, so that a resend gets it.

Small additive edits elsewhere: Reason.key_conflict and its status, three log events, start of the claim thread in the agent daemon.

--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -13,6 +13,7 @@
 from bramleylug.agent.serving import Serving
 from bramleylug.agent.upstream import Upstream
 from bramleylug.agent.versions import VersionKeeper
+from bramleylug.claims.keeper import ClaimKeeper
 from bramleylug.configuration.document import ServiceSpec
 from bramleylug.node.node import Node
 from bramleylug.node.pages import serve_page
@@ -45,11 +46,16 @@
         upstream = Upstream(settings.upstream)
         folder = settings.staging_dir or mkdtemp(prefix='bramleylug-')
         self.staging = Staging(Path(folder), settings.staging_bytes)
+        incarnation = self.node.membership.own.incarnation
+        self.claims = ClaimKeeper(
+            self.node.store, f'{settings.name}/{incarnation}'
+        )
         self.serving = Serving(
             self.gate,
             self.limiter,
             upstream,
             lambda: self.node.holder.document,
+            self.claims,
         )
         self.chunk_server = ChunkServer(self.staging)
         add_ServingServicer_to_server(self.serving, self.node.server)
@@ -67,10 +73,15 @@
     def open(self) -> None:
         """Start all work beside the circuits loop."""
         self.node.open(self.web.address)
-        Thread(target=self.keeper.run, name='weights', daemon=True).start()
+        for name, work in (
+            ('weights', self.keeper.run),
+            ('claims', self.claims.run),
+        ):
+            Thread(target=work, name=name, daemon=True).start()
 
     def close(self) -> None:
         """Stop all work beside the circuits loop."""
+        self.claims.stop()
         self.node.close()
 
     def begin_leaving(self) -> None:
@@ -79,8 +90,8 @@
         self.node.leave()
 
     def is_quiet(self) -> bool:
-        """Tell whether every request has ended."""
-        return not self.limiter.running
+        """Tell whether every request has ended and its result is kept."""
+        return not self.limiter.running and self.claims.settled()
 
     def serve(self, exchange: Exchange) -> None:
         """Answer health and metrics pages."""
--- /dev/null
+++ b/src/bramleylug/agent/recording.py
@@ -0,0 +1,73 @@
+"""Keeping the answer of a claimed request for its resends."""
+
+from typing import final
+
+from bramleylug.agent.upstream import Answer, Part
+from bramleylug.claims.keeper import Claimed, ClaimKeeper
+from bramleylug.outcomes import NotRun, Ran, Unknown
+from bramleylug.wire.claims_pb2 import (
+    CLAIM_STATE_RAN,
+    CLAIM_STATE_UNKNOWN,
+    KeptAnswer,
+)
+from bramleylug.wire.requests_pb2 import Head, Header
+
+KEPT_BODY_BYTES = 8192
+REPLAYED = Header(name='Idempotency-Replayed', value='true')
+
+
+@final
+class AnswerRecorder:
+    """Collects the parts of one answer and reports its result once.
+
+    :ivar reported: whether the result was reported.
+    """
+
+    def __init__(self, claims: ClaimKeeper, claimed: Claimed) -> None:
+        self.claims = claims
+        self.claimed = claimed
+        self.head = Head()
+        self.body = bytearray()
+        self.fits = True
+        self.reported = False
+
+    def add(self, part: Part) -> None:
+        """Take in the next part; an outcome is reported."""
+        match part:
+            case Answer(head):
+                self.head = head
+            case bytes():
+                self._add_piece(part)
+            case NotRun():
+                self.reported = True
+                self.claims.release(self.claimed)
+            case Ran(whole=whole):
+                self._report(CLAIM_STATE_RAN, keep=whole and self.fits)
+            case Unknown():
+                self._report(CLAIM_STATE_UNKNOWN, keep=False)
+
+    def close(self) -> None:
+        """Report an unknown result when none was reported."""
+        if not self.reported:
+            self._report(CLAIM_STATE_UNKNOWN, keep=False)
+
+    def _add_piece(self, piece: bytes) -> None:
+        self.fits = self.fits and (
+            len(self.body) + len(piece) <= KEPT_BODY_BYTES
+        )
+        if self.fits:
+            self.body += piece
+
+    def _report(self, state: int, *, keep: bool) -> None:
+        self.reported = True
+        kept = KeptAnswer(head=self.head, body=bytes(self.body))
+        answer = kept.SerializeToString() if keep else b''
+        self.claims.finish(self.claimed, state, answer)
+
+
+def replayed_parts(answer: bytes) -> tuple[Part, ...]:
+    """Return the parts of a kept answer, marked as a replay."""
+    kept = KeptAnswer.FromString(answer)
+    kept.head.headers.append(REPLAYED)
+    kept.head.content_length = len(kept.body)
+    return Answer(kept.head), kept.body, Ran(kept.head.status)
--- /dev/null
+++ b/src/bramleylug/claims/keeper.py
@@ -0,0 +1,217 @@
+"""The thread that drives the ledgers against the platform's store."""
+
+import time
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from itertools import count
+from queue import SimpleQueue
+from threading import Event, RLock
+from typing import NamedTuple, final
+
+from bramleylug.claims.actions import (
+    Action,
+    Ask,
+    Instant,
+    ReadShard,
+    Run,
+    Settle,
+    Verdict,
+    WentBack,
+    WriteShard,
+)
+from bramleylug.claims.keys import (
+    key_digest,
+    request_fingerprint,
+    shard_key,
+    shard_number,
+)
+from bramleylug.claims.ledger import ShardLedger
+from bramleylug.observability.events import LogEvent, emit
+from bramleylug.platform.store import Store
+from bramleylug.wire.requests_pb2 import Request
+
+STORE_THREADS = 8
+STORE_TIMEOUT_S = 1.0
+CLAIM_WAIT_S = 2.0
+BUSY_TICK_S = 0.02
+IDLE_TICK_S = 1.0
+
+
+class ShardName(NamedTuple):
+    """Service and number of a shard."""
+
+    service: str
+    number: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """This request alone may run its key, once.
+
+    The holder reports back by :meth:`ClaimKeeper.finish` or, when no byte
+    of the request reached the upstream, by :meth:`ClaimKeeper.release`.
+    """
+
+    shard: ShardName
+    key: bytes
+
+
+@final
+@dataclass(slots=True)
+class KeeperCounts:
+    """What the keeper did since its start."""
+
+    asks: int = 0
+    writes: int = 0
+    reads: int = 0
+    settled: dict[str, int] = field(default_factory=dict)
+
+
+@final
+class ClaimKeeper:
+    """Claims keys in the store; safe to use from any thread.
+
+    :param holder: name and incarnation of this agent, ``name/incarnation``.
+    """
+
+    def __init__(self, store: Store, holder: str) -> None:
+        self.store = store
+        self.holder = holder
+        self.lock = RLock()
+        self.ledgers: dict[ShardName, ShardLedger] = {}
+        self.waiting: dict[int, SimpleQueue[Run | Verdict]] = {}
+        self.tokens = count()
+        self.pool = ThreadPoolExecutor(STORE_THREADS, 'claims')
+        self.wake = Event()
+        self.stopping = False
+        self.counts = KeeperCounts()
+
+    def claim(self, request: Request, deadline_s: float) -> Claimed | Verdict:
+        """Claim a request's key; blocks for a bounded time.
+
+        :param deadline_s: monotonic seconds when the caller gives up.
+        """
+        digest = key_digest(request)
+        name = ShardName(request.service, shard_number(digest))
+        now = _now()
+        ask = Ask(
+            next(self.tokens),
+            digest,
+            request_fingerprint(request),
+            uuid.uuid4().bytes,
+            min(deadline_s, now.steady_s + CLAIM_WAIT_S),
+        )
+        answer: SimpleQueue[Run | Verdict] = SimpleQueue()
+        with self.lock:
+            self.counts.asks += 1
+            self.waiting[ask.token] = answer
+            self._act(name, self._ledger(name).ask(ask, now))
+        self.wake.set()
+        decision = answer.get()
+        if isinstance(decision, Run):
+            return Claimed(name, digest)
+        return decision
+
+    def finish(self, claimed: Claimed, state: int, answer: bytes) -> None:
+        """Report the result of a run."""
+        with self.lock:
+            ledger = self._ledger(claimed.shard)
+            actions = ledger.finish(claimed.key, state, answer, _now())
+            self._act(claimed.shard, actions)
+        self.wake.set()
+
+    def release(self, claimed: Claimed) -> None:
+        """Report that the request was not run and never will be."""
+        with self.lock:
+            ledger = self._ledger(claimed.shard)
+            self._act(claimed.shard, ledger.release(claimed.key, _now()))
+        self.wake.set()
+
+    def run(self) -> None:
+        """Let time pass in the ledgers until stopped."""
+        while not self.stopping:
+            self.wake.clear()
+            if self.tick():
+                time.sleep(BUSY_TICK_S)
+            else:
+                self.wake.wait(IDLE_TICK_S)
+
+    def tick(self) -> bool:
+        """Do what is due and tell whether more will be due soon."""
+        with self.lock:
+            for name, ledger in tuple(self.ledgers.items()):
+                self._act(name, ledger.advance(_now()))
+            ledgers = self.ledgers.values()
+            return any(one.pending for one in ledgers)
+
+    def settled(self) -> bool:
+        """Tell whether the store has every result, or cannot take it."""
+        with self.lock:
+            return not any(
+                ledger.changed and not ledger.pace.down
+                for ledger in self.ledgers.values()
+            )
+
+    def stop(self) -> None:
+        """Stop claiming."""
+        self.stopping = True
+        self.wake.set()
+        self.pool.shutdown(wait=False, cancel_futures=True)
+
+    def _ledger(self, name: ShardName) -> ShardLedger:
+        if name not in self.ledgers:
+            self.ledgers[name] = ShardLedger(self.holder)
+        return self.ledgers[name]
+
+    def _act(self, name: ShardName, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Run(token):
+                    self.waiting.pop(token).put(action)
+                case Settle(token, verdict):
+                    self._count(verdict)
+                    self.waiting.pop(token).put(verdict)
+                case WriteShard():
+                    self.counts.writes += 1
+                    self._submit(name, action)
+                case ReadShard():
+                    self.counts.reads += 1
+                    self._submit(name, action)
+                case WentBack(sequence):
+                    emit(
+                        LogEvent.claims_went_back,
+                        shard=shard_key(*name),
+                        sequence=sequence,
+                    )
+
+    def _count(self, verdict: Verdict) -> None:
+        kind = type(verdict).__name__
+        self.counts.settled[kind] = self.counts.settled.get(kind, 0) + 1
+
+    def _submit(self, name: ShardName, action: WriteShard | ReadShard) -> None:
+        if not self.stopping:
+            self.pool.submit(self._call_store, name, action)
+
+    def _call_store(
+        self, name: ShardName, action: WriteShard | ReadShard
+    ) -> None:
+        key = shard_key(*name)
+        match action:
+            case WriteShard(expected_version, content):
+                written = self.store.compare_and_swap(
+                    key, expected_version, content, timeout_s=STORE_TIMEOUT_S
+                )
+                with self.lock:
+                    actions = self._ledger(name).wrote(written, _now())
+                    self._act(name, actions)
+            case ReadShard():
+                found = self.store.read(key, timeout_s=STORE_TIMEOUT_S)
+                with self.lock:
+                    actions = self._ledger(name).read(found, _now())
+                    self._act(name, actions)
+
+
+def _now() -> Instant:
+    return Instant(time.monotonic(), time.time())
--- a/src/bramleylug/entry/answers.py
+++ b/src/bramleylug/entry/answers.py
@@ -24,6 +24,7 @@
     Reason.queue_full: HTTPStatus.TOO_MANY_REQUESTS,
     Reason.deadline: HTTPStatus.GATEWAY_TIMEOUT,
     Reason.already_ran: HTTPStatus.CONFLICT,
+    Reason.key_conflict: HTTPStatus.UNPROCESSABLE_ENTITY,
     Reason.crash_suspect: HTTPStatus.UNPROCESSABLE_ENTITY,
 }
 
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -47,6 +47,25 @@
         'Nothing to do.',
     )
     # 4: admission and claims at the agent
+    claims_went_back = EventSpec(
+        'BL4001',
+        'ERROR',
+        'the store holds older claims of {shard}, at sequence {sequence}',
+        'Find out why the store lost writes; keys of agents that stopped '
+        'since then may run again.',
+    )
+    upstream_died = EventSpec(
+        'BL4002',
+        'WARNING',
+        'upstream died with {running} requests running; suspect {fingerprint}',
+        'See the log of the upstream; a second crash bars the request.',
+    )
+    limit_halved = EventSpec(
+        'BL4003',
+        'WARNING',
+        'limit lowered to {limit} requests because {cause}',
+        'Nothing at once; lower the concurrency of the service if it repeats.',
+    )
     # 5: processes, keys and settings
     keys_missing = EventSpec(
         'BL5001',
--- a/src/bramleylug/outcomes.py
+++ b/src/bramleylug/outcomes.py
@@ -31,6 +31,7 @@
     slow_reader = 'slow_reader'
     store_unavailable = 'store_unavailable'
     already_ran = 'already_ran'
+    key_conflict = 'key_conflict'
     crash_suspect = 'crash_suspect'
     internal = 'internal'
 
--- a/testing/builders.py
+++ b/testing/builders.py
@@ -2,8 +2,11 @@
 
 from typing import Any
 
+from bramleylug.claims.actions import Ask
+from bramleylug.claims.document import Claim
 from bramleylug.configuration.document import Change, Document, ServiceSpec
 from bramleylug.wire.membership_pb2 import Member, ServiceState
+from bramleylug.wire.requests_pb2 import Request
 
 
 def build_spec(name: str = 'seat-fitting', **fields: Any) -> ServiceSpec:
@@ -43,3 +46,37 @@
         ],
     }
     return Member(name=name, **{**defaults, **fields})
+
+
+def build_request(**fields: Any) -> Request:
+    """Return a booking with a key."""
+    defaults = {
+        'request_id': 'request-1',
+        'service': 'bookings',
+        'method': 'POST',
+        'path': '/bookings',
+        'body': b'{"seat": 7}',
+        'idempotency_key': 'key-1',
+    }
+    return Request(**{**defaults, **fields})
+
+
+def build_ask(token: int, key: bytes = b'key-1', **fields: Any) -> Ask:
+    """Return an ask that waits two seconds."""
+    defaults = {
+        'fingerprint': b'same',
+        'claim_id': b'claim-%d' % token,
+        'give_up_s': 2.0,
+    }
+    return Ask(token, key, **{**defaults, **fields})
+
+
+def build_claim(key: bytes = b'key-1', **fields: Any) -> Claim:
+    """Return a claim of another agent that has no result yet."""
+    defaults = {
+        'fingerprint': b'same',
+        'claim_id': b'claim-other',
+        'holder': 'agent-9/1',
+        'claimed_s': 1_000_000,
+    }
+    return Claim(key, **{**defaults, **fields})
--- /dev/null
+++ b/testing/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of claims."""
--- /dev/null
+++ b/testing/claims/test_at_most_once.py
@@ -0,0 +1,218 @@
+"""Random histories of agents, claims and store faults."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+from hypothesis.strategies import integers, sampled_from
+
+from bramleylug.claims.actions import (
+    Instant,
+    ReadShard,
+    Replay,
+    Run,
+    Settle,
+    WriteShard,
+)
+from bramleylug.claims.ledger import ShardLedger
+from bramleylug.outcomes import NotRun
+from bramleylug.platform.store import (
+    Conflict,
+    StoredValue,
+    Swapped,
+    Unavailable,
+    Uncertain,
+)
+from bramleylug.wire.claims_pb2 import CLAIM_STATE_RAN, CLAIM_STATE_UNKNOWN
+from testing.builders import build_ask
+
+AGENTS = 3
+EPOCH_S = 1_000_000
+KEYS = (b'key-1', b'key-2')
+
+
+@dataclass
+class Agent:
+    """One incarnation, its call to the store and what it may run."""
+
+    ledger: ShardLedger
+    call: Any = None
+    may_run: list[int] = field(default_factory=list)
+    running: list[int] = field(default_factory=list)
+
+
+class AtMostOnceMachine(RuleBasedStateMachine):
+    """Agents claim two keys through a store that loses answers.
+
+    A pause is an agent whose rules are not chosen for a while.
+    """
+
+    @initialize()
+    def start(self) -> None:
+        """Start three agents and an empty store."""
+        self.now_s = 0.0
+        self.value = StoredValue(b'', 0)
+        self.late: list[WriteShard] = []
+        self.incarnations = Counter()
+        self.agents = [self.build_agent(number) for number in range(AGENTS)]
+        self.tokens = 0
+        self.keys: dict[int, bytes] = {}
+        self.runs: Counter[bytes] = Counter()
+        self.ran_tokens: set[int] = set()
+        self.settled: dict[int, Any] = {}
+
+    def build_agent(self, number: int) -> Agent:
+        """Return the next incarnation of an agent."""
+        self.incarnations[number] += 1
+        name = f'agent-{number}/{self.incarnations[number]}'
+        return Agent(ShardLedger(name))
+
+    @property
+    def now(self) -> Instant:
+        """Return the time by both clocks."""
+        return Instant(self.now_s, EPOCH_S + self.now_s)
+
+    def act(self, agent: Agent, actions: list[Any]) -> None:
+        """Do what a ledger decided."""
+        for action in actions:
+            match action:
+                case WriteShard() | ReadShard():
+                    assert agent.call is None, 'one call at a time'
+                    agent.call = action
+                case Run(token):
+                    agent.may_run.append(token)
+                case Settle(token, verdict):
+                    assert token not in self.settled, 'answered twice'
+                    self.settled[token] = verdict
+
+    @rule(number=integers(0, AGENTS - 1), key=sampled_from(KEYS))
+    def ask(self, number: int, key: bytes) -> None:
+        """Send a booking or its resend to any agent."""
+        agent = self.agents[number]
+        self.tokens += 1
+        self.keys[self.tokens] = key
+        ask = build_ask(self.tokens, key, give_up_s=self.now_s + 2)
+        self.act(agent, agent.ledger.ask(ask, self.now))
+
+    @rule(seconds=sampled_from((0.01, 0.3, 1.0, 3.0)))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.now_s += seconds
+
+    @rule(number=integers(0, AGENTS - 1))
+    def advance(self, number: int) -> None:
+        """Let an agent notice the time."""
+        agent = self.agents[number]
+        self.act(agent, agent.ledger.advance(self.now))
+
+    def swap(self, write: WriteShard) -> Any:
+        """Let a write reach the store."""
+        if write.expected_version != self.value.version:
+            return Conflict(self.value)
+        self.value = StoredValue(write.content, self.value.version + 1)
+        return Swapped(self.value.version)
+
+    @rule(
+        number=integers(0, AGENTS - 1),
+        fault=sampled_from(('none', 'none', 'lost', 'refused', 'late')),
+    )
+    def answer(self, number: int, fault: str) -> None:
+        """Answer an agent's call, lose the answer, refuse or delay it."""
+        agent = self.agents[number]
+        call = agent.call
+        agent.call = None
+        if call is None:
+            return
+        ledger = agent.ledger
+        outcome: Any = Unavailable('refused')
+        if isinstance(call, ReadShard):
+            if fault == 'none':
+                outcome = self.value
+            self.act(agent, ledger.read(outcome, self.now))
+            return
+        if fault == 'none':
+            outcome = self.swap(call)
+        elif fault == 'lost':
+            self.swap(call)
+            outcome = Uncertain('lost')
+        elif fault == 'late':
+            self.late.append(call)
+            outcome = Uncertain('lost')
+        self.act(agent, ledger.wrote(outcome, self.now))
+
+    @rule()
+    def land_late(self) -> None:
+        """Let a delayed write reach the store after all."""
+        if self.late:
+            self.swap(self.late.pop())
+
+    @rule(number=integers(0, AGENTS - 1))
+    def send(self, number: int) -> None:
+        """Let a holder send, perhaps long after it was allowed to."""
+        agent = self.agents[number]
+        if agent.may_run:
+            token = agent.may_run.pop()
+            self.runs[self.keys[token]] += 1
+            self.ran_tokens.add(token)
+            agent.running.append(token)
+
+    @rule(
+        number=integers(0, AGENTS - 1),
+        state=sampled_from((CLAIM_STATE_RAN, CLAIM_STATE_UNKNOWN)),
+    )
+    def finish(self, number: int, state: int) -> None:
+        """End a run."""
+        agent = self.agents[number]
+        if agent.running:
+            token = agent.running.pop()
+            key = self.keys[token]
+            answer = key if state == CLAIM_STATE_RAN else b''
+            self.act(agent, agent.ledger.finish(key, state, answer, self.now))
+
+    @rule(number=integers(0, AGENTS - 1))
+    def release(self, number: int) -> None:
+        """Find that the upstream cannot be reached."""
+        agent = self.agents[number]
+        if agent.may_run:
+            token = agent.may_run.pop()
+            self.settled[token] = NotRun('connection_failed')
+            actions = agent.ledger.release(self.keys[token], self.now)
+            self.act(agent, actions)
+
+    @rule(number=integers(0, AGENTS - 1))
+    def replace(self, number: int) -> None:
+        """Kill an agent; its call may still land, its successor is new."""
+        call = self.agents[number].call
+        if isinstance(call, WriteShard):
+            self.late.append(call)
+        self.agents[number] = self.build_agent(number)
+
+    @invariant()
+    def no_key_runs_twice(self) -> None:
+        """A key runs at most once, over all agents."""
+        assert all(runs <= 1 for runs in getattr(self, 'runs', {}).values())
+
+    @invariant()
+    def not_run_is_true(self) -> None:
+        """A try that was refused as not run has not run."""
+        for token, verdict in getattr(self, 'settled', {}).items():
+            if isinstance(verdict, NotRun):
+                assert token not in self.ran_tokens
+
+    @invariant()
+    def answers_are_the_own_ones(self) -> None:
+        """A kept answer is the one of the key that was asked for."""
+        for token, verdict in getattr(self, 'settled', {}).items():
+            if isinstance(verdict, Replay):
+                assert verdict.answer == self.keys[token]
+
+
+TestAtMostOnce = AtMostOnceMachine.TestCase
+TestAtMostOnce.settings = settings(max_examples=150, stateful_step_count=60)
