--- a/testing/claims/test_at_most_once.py
+++ b/testing/claims/test_at_most_once.py
@@ -1,6 +1,7 @@
 """Random histories of agents, claims and store faults."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -35,7 +36,7 @@
 
 AGENTS = 3
 EPOCH_S = 1_000_000
-KEYS = (b'key-1', b'key-2')
+KEYS = (b'key-1', b'key-1', b'key-2')
 
 
 @dataclass
@@ -79,6 +80,11 @@
         """Return the time by both clocks."""
         return Instant(self.now_s, EPOCH_S + self.now_s)
 
+    def pick(self, number: int, suits: Callable[[Agent], Any]) -> Agent | None:
+        """Return one of the agents that suit, or ``None``."""
+        suitable = [agent for agent in self.agents if suits(agent)]
+        return suitable[number % len(suitable)] if suitable else None
+
     def act(self, agent: Agent, actions: list[Any]) -> None:
         """Do what a ledger decided."""
         for action in actions:
@@ -125,11 +131,11 @@
     )
     def answer(self, number: int, fault: str) -> None:
         """Answer an agent's call, lose the answer, refuse or delay it."""
-        agent = self.agents[number]
+        agent = self.pick(number, lambda one: one.call is not None)
+        if agent is None:
+            return
         call = agent.call
         agent.call = None
-        if call is None:
-            return
         ledger = agent.ledger
         outcome: Any = Unavailable('refused')
         if isinstance(call, ReadShard):
@@ -156,8 +162,8 @@
     @rule(number=integers(0, AGENTS - 1))
     def send(self, number: int) -> None:
         """Let a holder send, perhaps long after it was allowed to."""
-        agent = self.agents[number]
-        if agent.may_run:
+        agent = self.pick(number, lambda one: one.may_run)
+        if agent is not None:
             token = agent.may_run.pop()
             self.runs[self.keys[token]] += 1
             self.ran_tokens.add(token)
@@ -169,8 +175,8 @@
     )
     def finish(self, number: int, state: int) -> None:
         """End a run."""
-        agent = self.agents[number]
-        if agent.running:
+        agent = self.pick(number, lambda one: one.running)
+        if agent is not None:
             token = agent.running.pop()
             key = self.keys[token]
             answer = key if state == CLAIM_STATE_RAN else b''
@@ -179,8 +185,8 @@
     @rule(number=integers(0, AGENTS - 1))
     def release(self, number: int) -> None:
         """Find that the upstream cannot be reached."""
-        agent = self.agents[number]
-        if agent.may_run:
+        agent = self.pick(number, lambda one: one.may_run)
+        if agent is not None:
             token = agent.may_run.pop()
             self.settled[token] = NotRun('connection_failed')
             actions = agent.ledger.release(self.keys[token], self.now)
@@ -215,4 +221,4 @@
 
 
 TestAtMostOnce = AtMostOnceMachine.TestCase
-TestAtMostOnce.settings = settings(max_examples=150, stateful_step_count=60)
+TestAtMostOnce.settings = settings(max_examples=300, stateful_step_count=50)
