Bound the caller port's input and write answers under flow control

Cause: circuits.web gathers heads and bodies without bound, raises on odd hosts, cookies and paths, redirects odd paths by itself and loses the second of two pipelined requests. Change: requests are cut out of the bytes by a bounded reader, heads are checked strictly and then parsed by circuits.web's parser, connections have time limits for head, body, idleness and stalled output, input is counted in a ledger, answers are coalesced and sent without write events, and a cut answer resets its connection without an end before it.

--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -167,7 +167,7 @@
         path=f'/{path}{query}',
         headers=[
             Header(name=name, value=text)
-            for name, text in exchange.request.headers.items()
+            for name, text in exchange.headers.items()
         ],
         body=exchange.body(),
         deadline_ms=int(exchange.header('X-Deadline-Ms', '0')),
--- /dev/null
+++ b/src/bramleylug/web/limits.py
@@ -0,0 +1,36 @@
+"""Limits of an HTTP port."""
+
+from dataclasses import dataclass
+from typing import final
+
+MEBIBYTE = 1024 * 1024
+BODY_BYTES = 100 * MEBIBYTE
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WebLimits:
+    """What a port accepts from its callers.
+
+    :ivar head_bytes: largest request head; also the most bytes of later
+        requests that are kept while one is answered.
+    :ivar body_bytes: largest request body.
+    :ivar connections: connections kept at once.
+    :ivar head_timeout_s: time to finish a request head.
+    :ivar body_timeout_s: time to finish a request body.
+    :ivar idle_timeout_s: time a connection may stay without a request.
+    :ivar stall_timeout_s: time a caller may go without reading.
+    :ivar send_buffer_bytes: kernel send buffer; 0 keeps the kernel's own.
+    """
+
+    head_bytes: int = 32768
+    body_bytes: int = BODY_BYTES
+    connections: int = 4096
+    head_timeout_s: float = 30
+    body_timeout_s: float = 120
+    idle_timeout_s: float = 300
+    stall_timeout_s: float = 120
+    send_buffer_bytes: int = 0
+
+
+DEFAULT_LIMITS = WebLimits()
