Routing by subset, aged load and affinity; attempts that check whole answers (in progress)

Cause: the thin entry chose by its own counts alone, took any gRPC error as unknown and checked no length.

--- a/src/bramleylug/entry/answers.py
+++ b/src/bramleylug/entry/answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, final
 
@@ -13,9 +14,10 @@
     Unknown,
     run_name,
 )
-from bramleylug.web.server import Exchange
+from bramleylug.web.exchange import Exchange
 from bramleylug.wire.requests_pb2 import Head
 
+RETRY_SOON_S = 1.0
 STATUS_BY_REASON = {
     Reason.unknown_service: HTTPStatus.NOT_FOUND,
     Reason.bad_request: HTTPStatus.BAD_REQUEST,
@@ -33,41 +35,44 @@
     """Holds at most a bounded number of bytes for one caller.
 
     :param limit_bytes: bytes held before the agent's stream is paused.
+    :ivar on_gone: called on the event loop when the caller has gone.
     """
 
     def __init__(self, exchange: Exchange, limit_bytes: int) -> None:
         self.exchange = exchange
         self.limit_bytes = limit_bytes
         self.started = False
-        self.chunked = False
+        self.waiting = False
         self.drained = asyncio.Event()
         self.loop = asyncio.get_running_loop()
-        exchange.on_drained = self._wake
-        exchange.on_closed = self._wake
+        self.on_gone: Callable[[], object] = _ignore
+        exchange.on_drained = self._took
+        exchange.on_closed = self._closed
 
     @property
     def caller_gone(self) -> bool:
-        """Whether the caller has closed its connection."""
+        """Whether the caller has closed its connection or was cut."""
         return self.exchange.closed
 
     def start(self, head: Head) -> None:
         """Send the head of the answer."""
         self.started = True
-        headers = {header.name: header.value for header in head.headers}
-        length = (
-            head.content_length if head.HasField('content_length') else None
+        self.exchange.start(
+            head.status,
+            [(header.name, header.value) for header in head.headers],
+            head.content_length if head.HasField('content_length') else None,
         )
-        self.exchange.start(head.status, headers, length)
 
     async def write(self, piece: bytes) -> None:
         """Send a piece, and wait while the caller is behind."""
         self.exchange.send(piece)
-        while (
-            self.exchange.pending_bytes >= self.limit_bytes
-            and not self.exchange.closed
-        ):
+        while self._is_behind():
             self.drained.clear()
-            await self.drained.wait()
+            self.waiting = True
+            # The socket may have taken all between the check and the flag.
+            if self._is_behind():
+                await self.drained.wait()
+            self.waiting = False
 
     def conclude(self, outcome: Outcome) -> None:
         """End the answer with what became of the request."""
@@ -79,15 +84,32 @@
             case _:
                 self.exchange.reply_json(*error_answer(outcome))
 
-    def _wake(self) -> None:
-        self.loop.call_soon_threadsafe(self.drained.set)
+    def _is_behind(self) -> bool:
+        return (
+            self.exchange.pending_bytes >= self.limit_bytes
+            and not self.exchange.closed
+        )
+
+    def _took(self) -> None:
+        if self.waiting and not self._is_behind():
+            self.loop.call_soon_threadsafe(self.drained.set)
+
+    def _closed(self) -> None:
+        self.loop.call_soon_threadsafe(self._note_gone)
+
+    def _note_gone(self) -> None:
+        self.drained.set()
+        self.on_gone()
 
 
 def error_answer(
     outcome: Outcome,
 ) -> tuple[int, dict[str, Any], dict[str, str]]:
     """Return status, JSON and headers that tell a caller of an error."""
-    headers = {'X-Run': run_name(outcome)}
+    headers = {
+        'X-Run': run_name(outcome),
+        'Retry-After': str(math.ceil(RETRY_SOON_S)),
+    }
     document: dict[str, Any] = {
         'code': str(outcome.reason),
         'message': outcome.message,
@@ -100,7 +122,12 @@
                 reason, HTTPStatus.SERVICE_UNAVAILABLE
             )
             headers['Retry-After'] = str(math.ceil(retry_after_s))
+            document['retry_after_s'] = retry_after_s
             document['elsewhere'] = list(elsewhere)
         case Unknown(reason) | Ran(reason=Reason() as reason):
             status = STATUS_BY_REASON.get(reason, HTTPStatus.BAD_GATEWAY)
     return int(status), document, headers
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -1,32 +1,31 @@
-"""Sending a caller's request to an agent and its answer to the caller."""
+"""Serving a caller's request by trying agents."""
 
 import asyncio
 import time
-import uuid
 from collections.abc import Callable
 from random import Random
-from typing import Any, final
-
-import grpc
+from typing import final
 
 from bramleylug.entry.answers import AnswerWriter
-from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown
-from bramleylug.routing.picker import Candidate, Picker
-from bramleylug.routing.retries import RetryBudget
+from bramleylug.entry.attempts import MILLISECONDS, Attempt
+from bramleylug.entry.channels import ChannelPool
+from bramleylug.entry.requests import build_request
+from bramleylug.entry.reservations import Reservation
 from bramleylug.node.node import Node
+from bramleylug.observability.events import LogEvent, emit
+from bramleylug.observability.metrics import REFUSALS, REQUESTS, count
+from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown, run_name
+from bramleylug.routing.fleet import Candidate, Place
+from bramleylug.routing.picker import Picker, View, Wanted
+from bramleylug.routing.retries import RetryBudget, may_repeat
 from bramleylug.settings.daemons import EntrySettings
-from bramleylug.web.server import Exchange
-from bramleylug.wire.channels import CHANNEL_OPTIONS
-from bramleylug.wire.requests_pb2 import (
-    RUN_STATE_RAN,
-    Header,
-    Reply,
-    Request,
-)
-from bramleylug.wire.requests_pb2_grpc import ServingStub
-
-SERVICE_PREFIX = '/v1/services/'
+from bramleylug.web.exchange import Exchange
+from bramleylug.wire.requests_pb2 import Request
+
 MAX_TRIES = 3
+WINDOW_SHARE = 4
+WRITER_SHARE = 8
+OVERLOAD_REASONS = frozenset((Reason.overloaded, Reason.queue_full))
 
 
 @final
@@ -39,40 +38,57 @@
     def __init__(self, settings: EntrySettings, node: Node) -> None:
         self.settings = settings
         self.node = node
-        self.picker = Picker(settings.zone, Random(settings.name))
+        place = Place(settings.name, settings.zone, settings.region)
+        self.picker = Picker(place, Random(settings.name))
         self.budget = RetryBudget(settings.retry_share)
-        self.stubs: dict[str, Any] = {}
+        self.channels = ChannelPool(settings.caller_bytes // WINDOW_SHARE)
         self.running = 0
 
-    async def serve(self, exchange: Exchange) -> None:
+    async def serve(
+        self, exchange: Exchange, reservation: Reservation
+    ) -> None:
         """Serve one exchange to its end."""
         self.running += 1
-        writer = AnswerWriter(exchange, self.settings.caller_bytes)
+        writer = AnswerWriter(
+            exchange, self.settings.caller_bytes // WRITER_SHARE
+        )
+        outcome: Outcome = Unknown(Reason.internal, 'entry failed')
+        service = ''
         try:
-            outcome = await self._try_agents(build_request(exchange), writer)
+            request = build_request(exchange)
+            if isinstance(request, NotRun):
+                outcome = request
+            else:
+                service = request.service
+                outcome = await self._try_agents(request, writer)
         finally:
             self.running -= 1
-        writer.conclude(outcome)
+            reservation.done()
+            self._record(outcome, service, exchange)
+            writer.conclude(outcome)
+
+    def view(self) -> View:
+        """Return what the entry knows now."""
+        node = self.node
+        return View(node.members, node.holder.document, time.monotonic())
 
     async def _try_agents(
         self, request: Request, writer: AnswerWriter
     ) -> Outcome:
         deadline_s = time.monotonic() + self._deadline_s(request)
+        wanted = Wanted(request.service, affinity_key(request))
         tried: list[str] = []
         self.budget.first_try()
         outcome: Outcome = NotRun(Reason.no_upstream)
         while len(tried) < MAX_TRIES:
             left_s = deadline_s - time.monotonic()
             if left_s <= 0:
-                return outcome if tried else NotRun(Reason.deadline)
-            document = self.node.holder.document
-            chosen = self.picker.choose(
-                request.service, document, self.node.members, tried
-            )
+                return outcome if tried else _too_late()
+            chosen = self.picker.choose(wanted, self.view(), tried)
             if isinstance(chosen, NotRun):
                 return outcome if tried else chosen
             tried.append(chosen.candidate.name)
-            request.deadline_ms = int(left_s * 1000)
+            request.deadline_ms = max(1, int(left_s * MILLISECONDS))
             outcome = await self._try_agent(chosen.candidate, request, writer)
             if not self._may_retry(outcome, request, writer):
                 return outcome
@@ -81,100 +97,87 @@
     def _may_retry(
         self, outcome: Outcome, request: Request, writer: AnswerWriter
     ) -> bool:
-        if writer.started:
+        if writer.started or writer.caller_gone:
             return False
-        match outcome:
-            case NotRun():
-                return self.budget.take()
-            case Unknown():
-                spec = self.node.holder.document.services[request.service]
-                return spec.idempotent and self.budget.take()
-            case Ran():
-                return False
+        spec = self.node.holder.document.services.get(request.service)
+        return may_repeat(outcome, request, spec) and self.budget.take()
 
     async def _try_agent(
         self, candidate: Candidate, request: Request, writer: AnswerWriter
     ) -> Outcome:
-        self.picker.started(candidate.name)
-        call = self._stub(candidate.address).Dispatch(
-            request, timeout=request.deadline_ms / 1000
-        )
+        request.configuration_revision = self.node.holder.document.revision
+        attempt = Attempt(request, writer)
+        self.picker.loads.started(candidate.name)
         try:
-            return await _pass_on(call, writer)
-        except grpc.aio.AioRpcError as error:
-            return Unknown(Reason.connection_failed, str(error.details()))
+            outcome = await attempt.run(self.channels.find(candidate.address))
         finally:
-            call.cancel()
-            self.picker.ended(candidate.name)
+            self.picker.loads.ended(candidate.name)
+        self._learn(candidate.name, attempt, outcome)
+        return outcome
+
+    def _learn(self, name: str, attempt: Attempt, outcome: Outcome) -> None:
+        now_s = time.monotonic()
+        loads = self.picker.loads
+        if attempt.load is not None:
+            loads.heard(
+                name,
+                attempt.load.running + attempt.load.queued,
+                attempt.load.limit,
+                now_s,
+            )
+        match outcome:
+            case NotRun(Reason.connection_failed):
+                loads.unreachable(name, now_s)
+            case NotRun(retry_after_s=retry_after_s):
+                loads.refused(name, retry_after_s, now_s)
+            case Unknown(Reason.connection_failed):
+                loads.unreachable(name, now_s)
+            case Ran(whole=True):
+                loads.answered(name)
 
     def _deadline_s(self, request: Request) -> float:
         if request.deadline_ms:
-            return request.deadline_ms / 1000
+            return request.deadline_ms / MILLISECONDS
         return self.settings.deadline
 
-    def _stub(self, address: str) -> Any:
-        if address not in self.stubs:
-            channel = grpc.aio.insecure_channel(
-                address, options=CHANNEL_OPTIONS
-            )
-            self.stubs[address] = ServingStub(channel)
-        return self.stubs[address]
-
-
-async def _pass_on(call: Any, writer: AnswerWriter) -> Outcome:
-    status = 0
-    while True:
-        reply = await call.read()
-        if not reply:
-            return Unknown(Reason.answer_cut, 'agent ended without an outcome')
-        match reply.WhichOneof('part'):
-            case 'head':
-                status = reply.head.status
-                writer.start(reply.head)
-            case 'piece':
-                await writer.write(reply.piece)
-            case 'end':
-                return Ran(status)
+    def _record(
+        self, outcome: Outcome, service: str, exchange: Exchange
+    ) -> None:
+        known = service in self.node.holder.document.services
+        count(
+            REQUESTS,
+            service=service if known else '',
+            outcome=run_name(outcome),
+        )
+        match outcome:
+            case Ran(whole=True):
+                return
+            case NotRun(reason, message):
+                count(REFUSALS, reason=str(reason))
+                event = LogEvent.request_refused
+            case _ if exchange.closed:
+                event = LogEvent.caller_gone
+                message = 'too slow' if exchange.stalled else 'gone'
             case _:
-                return _outcome_of(reply, status)
-        if writer.caller_gone:
-            return Ran(status, False, Reason.slow_reader, 'caller has gone')
-
-
-def _outcome_of(reply: Reply, status: int) -> Outcome:
-    if reply.HasField('refusal'):
-        refusal = reply.refusal
-        return NotRun(
-            Reason(refusal.reason),
-            refusal.message,
-            refusal.retry_after_ms / 1000,
-            tuple(refusal.elsewhere),
+                event = LogEvent.request_broken
+                message = outcome.message
+        emit(
+            event,
+            request_id=exchange.request_id,
+            reason=str(outcome.reason),
+            message=message,
         )
-    broken = reply.broken
-    if broken.run == RUN_STATE_RAN:
-        return Ran(status, False, Reason(broken.reason), broken.message)
-    return Unknown(Reason(broken.reason), broken.message)
-
-
-def build_request(exchange: Exchange) -> Request:
-    """Return the message for a request under ``/v1/services/``."""
-    service, _, path = exchange.path.removeprefix(SERVICE_PREFIX).partition('/')
-    query = f'?{exchange.query}' if exchange.query else ''
-    return Request(
-        request_id=exchange.header('X-Request-Id') or uuid.uuid4().hex,
-        service=service,
-        method=exchange.method,
-        path=f'/{path}{query}',
-        headers=[
-            Header(name=name, value=text)
-            for name, text in exchange.headers.items()
-        ],
-        body=exchange.body(),
-        deadline_ms=int(exchange.header('X-Deadline-Ms', '0')),
-        workspace=exchange.header('X-Workspace'),
-        prefix_key=exchange.header('X-Prefix-Key'),
-        idempotency_key=exchange.header('Idempotency-Key'),
-    )
+
+
+def affinity_key(request: Request) -> str:
+    """Return the key by which requests share an upstream's prefix cache."""
+    if not request.prefix_key:
+        return ''
+    return f'{request.workspace}/{request.prefix_key}'
+
+
+def _too_late() -> NotRun:
+    return NotRun(Reason.deadline, 'deadline passed before a try')
 
 
 @final
@@ -190,10 +193,10 @@
         asyncio.set_event_loop(self.loop)
         self.loop.run_forever()
 
-    def submit(self, exchange: Exchange) -> None:
+    def submit(self, exchange: Exchange, reservation: Reservation) -> None:
         """Serve an exchange; may be called from any thread."""
         asyncio.run_coroutine_threadsafe(
-            self.dispatcher.serve(exchange), self.loop
+            self.dispatcher.serve(exchange, reservation), self.loop
         )
 
     def stop(self) -> None:
--- /dev/null
+++ b/src/bramleylug/entry/requests.py
@@ -0,0 +1,74 @@
+"""Turning a caller's request into the message for an agent."""
+
+import re
+
+from bramleylug.outcomes import NotRun, Reason
+from bramleylug.web.exchange import Exchange
+from bramleylug.wire.requests_pb2 import Header, Request
+
+SERVICE_PREFIX = '/v1/services/'
+DEADLINE = re.compile('[0-9]{1,9}')
+PRIORITY = re.compile('-?[0-9]{1,4}')
+KEY_CHARACTERS = 256
+KEY_HEADERS = ('X-Workspace', 'X-Prefix-Key', 'Idempotency-Key')
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+def build_request(exchange: Exchange) -> Request | NotRun:
+    """Return the message for a request under ``/v1/services/``.
+
+    :returns: a refusal where a header has no usable value.
+    """
+    fault = _find_fault(exchange)
+    if fault:
+        return NotRun(Reason.bad_request, fault)
+    service, _, path = exchange.path.removeprefix(SERVICE_PREFIX).partition('/')
+    query = f'?{exchange.query}' if exchange.query else ''
+    return Request(
+        request_id=exchange.request_id,
+        service=service,
+        method=exchange.method,
+        path=f'/{path}{query}',
+        headers=_end_to_end_headers(exchange),
+        body=exchange.body(),
+        deadline_ms=int(exchange.header('X-Deadline-Ms', '0')),
+        workspace=exchange.header('X-Workspace'),
+        prefix_key=exchange.header('X-Prefix-Key'),
+        idempotency_key=exchange.header('Idempotency-Key'),
+        priority=int(exchange.header('X-Priority', '0')),
+    )
+
+
+def _find_fault(exchange: Exchange) -> str:
+    if not DEADLINE.fullmatch(exchange.header('X-Deadline-Ms', '0')):
+        return 'X-Deadline-Ms is no number of milliseconds'
+    if not PRIORITY.fullmatch(exchange.header('X-Priority', '0')):
+        return 'X-Priority is no small whole number'
+    for name in KEY_HEADERS:
+        if len(exchange.header(name)) > KEY_CHARACTERS:
+            return f'{name} is longer than {KEY_CHARACTERS} characters'
+    return ''
+
+
+def _end_to_end_headers(exchange: Exchange) -> list[Header]:
+    named = exchange.header('Connection').lower().split(',')
+    dropped = HOP_HEADERS.union(name.strip() for name in named)
+    return [
+        Header(name=name, value=text)
+        for name, text in exchange.headers.items()
+        if name.lower() not in dropped
+    ]
--- /dev/null
+++ b/src/bramleylug/routing/fleet.py
@@ -0,0 +1,140 @@
+"""The upstreams one entry may choose from, kept until the view changes."""
+
+from collections import defaultdict
+from collections.abc import Collection, Mapping
+from typing import NamedTuple, final
+
+from bramleylug.configuration.document import Document
+from bramleylug.routing.subset import SUBSET_SIZE, SubsetCache
+from bramleylug.wire.membership_pb2 import Member
+
+AGENT_ROLE = 'agent'
+ENTRY_ROLE = 'entry'
+SPILL_SIZE = 6
+
+
+class Candidate(NamedTuple):
+    """An agent that may take a request.
+
+    :ivar limit: requests its membership record says it takes at once.
+    """
+
+    name: str
+    address: str
+    zone: str
+    region: str
+    limit: int
+
+
+class Place(NamedTuple):
+    """Where this entry stands."""
+
+    name: str
+    zone: str
+    region: str
+
+
+Tiers = tuple[tuple[Candidate, ...], ...]
+
+
+@final
+class Fleet:
+    """Candidates by service in tiers: own zone, own region, elsewhere.
+
+    :ivar place: where this entry stands.
+    :ivar zones_out: zones that operators have taken out.
+    """
+
+    def __init__(self, place: Place) -> None:
+        self.place = place
+        self.members: tuple[Member, ...] = ()
+        self.document = Document()
+        self.zones_out: frozenset[str] = frozenset()
+        self.by_service: Mapping[str, Tiers] = {}
+        self.cache = SubsetCache(place.name)
+
+    def observe(self, members: tuple[Member, ...], document: Document) -> bool:
+        """Take in the view; cheap when it is the same as before.
+
+        :returns: whether it differs.
+        """
+        if document is self.document and members == self.members:
+            return False
+        self.members = members
+        self.document = document
+        self.zones_out = frozenset(
+            zone for zone, state in document.zones.items() if state == 'out'
+        )
+        self.by_service = self._arrange()
+        return True
+
+    def tiers(self, service: str) -> Tiers:
+        """Return the candidates of a service, the nearest first."""
+        return self.by_service.get(service, ())
+
+    def serves(self, service: str) -> bool:
+        """Tell whether any upstream is ready for a service."""
+        return any(self.tiers(service))
+
+    def addresses(self) -> frozenset[str]:
+        """Return the address of every member."""
+        return frozenset(member.grpc_address for member in self.members)
+
+    def _arrange(self) -> dict[str, Tiers]:
+        found: dict[str, dict[str, list[Candidate]]] = defaultdict(
+            lambda: defaultdict(list)
+        )
+        for member in self.members:
+            if not self._takes_work(member):
+                continue
+            for state in member.services:
+                if state.ready:
+                    found[state.service][member.zone].append(
+                        _candidate(member, state.limit)
+                    )
+        return {service: self._tiers(zones) for service, zones in found.items()}
+
+    def _takes_work(self, member: Member) -> bool:
+        return (
+            member.role == AGENT_ROLE
+            and not member.draining
+            and member.zone not in self.zones_out
+        )
+
+    def _tiers(self, zones: Mapping[str, Collection[Candidate]]) -> Tiers:
+        tiers: tuple[list[Candidate], ...] = ([], [], [])
+        for zone in sorted(zones):
+            for candidate in self._subset(zone, zones[zone]):
+                tiers[self._distance(candidate)].append(candidate)
+        return tuple(tuple(tier) for tier in tiers)
+
+    def _subset(
+        self, zone: str, candidates: Collection[Candidate]
+    ) -> list[Candidate]:
+        own_zone = zone == self.place.zone
+        chosen = self.cache.find(
+            self._entries(zone if own_zone else ''),
+            frozenset(candidate.name for candidate in candidates),
+            SUBSET_SIZE if own_zone else SPILL_SIZE,
+        )
+        return [
+            candidate for candidate in candidates if candidate.name in chosen
+        ]
+
+    def _entries(self, zone: str) -> frozenset[str]:
+        return frozenset(
+            member.name
+            for member in self.members
+            if member.role == ENTRY_ROLE and zone in {'', member.zone}
+        )
+
+    def _distance(self, candidate: Candidate) -> int:
+        if candidate.zone == self.place.zone:
+            return 0
+        return 1 if candidate.region == self.place.region else 2
+
+
+def _candidate(member: Member, limit: int) -> Candidate:
+    return Candidate(
+        member.name, member.grpc_address, member.zone, member.region, limit
+    )
--- /dev/null
+++ b/src/bramleylug/routing/loads.py
@@ -0,0 +1,145 @@
+"""What an entry knows of the upstreams' load, and how old it is."""
+
+from collections import Counter
+from typing import NamedTuple, final
+
+NEWS_HALF_LIFE_S = 1.0
+AVOID_LEAST_S = 0.05
+AVOID_MOST_S = 5.0
+CONNECT_AVOID_S = 0.5
+RAMP_S = 5.0
+RAMP_LEAST = 0.1
+FORGET_S = 300.0
+
+
+class News(NamedTuple):
+    """Load that an agent told of.
+
+    :ivar others: requests there that this entry did not send.
+    :ivar limit: requests it takes at once; 0 when it did not say.
+    """
+
+    others: int
+    limit: int
+    at_s: float
+
+
+class Avoidance(NamedTuple):
+    """Until when an agent is not to be asked, and how often in a row."""
+
+    until_s: float
+    times: int
+
+
+@final
+class LoadBook:
+    """Loads of all upstreams, estimated from own counts and old news.
+
+    :ivar in_flight: requests this entry has running, by agent.
+    """
+
+    def __init__(self) -> None:
+        self.in_flight: Counter[str] = Counter()
+        self.news: dict[str, News] = {}
+        self.avoided: dict[str, Avoidance] = {}
+
+    def started(self, name: str) -> None:
+        """Note that a request was sent to an agent."""
+        self.in_flight[name] += 1
+
+    def ended(self, name: str) -> None:
+        """Note that a request to an agent has ended."""
+        self.in_flight[name] -= 1
+        if self.in_flight[name] <= 0:
+            del self.in_flight[name]
+
+    def heard(self, name: str, waiting: int, limit: int, now_s: float) -> None:
+        """Take in the load that rode on a reply.
+
+        :param waiting: requests running and queued at the agent.
+        """
+        others = max(0, waiting - self.in_flight[name])
+        self.news[name] = News(others, limit, now_s)
+
+    def estimate(self, name: str, now_s: float) -> float:
+        """Return the requests an agent has now, as far as is known.
+
+        Own requests are the floor; what others had there counts for less
+        the older the news is. Without news nothing is guessed for others.
+        """
+        own = self.in_flight.get(name, 0)
+        news = self.news.get(name)
+        if news is None:
+            return own
+        weight = 0.5 ** ((now_s - news.at_s) / NEWS_HALF_LIFE_S)
+        return own + news.others * weight
+
+    def limit(self, name: str, told: int, now_s: float) -> int:
+        """Return the requests an agent takes at once.
+
+        :param told: limit in the membership record, which may be older.
+        """
+        news = self.news.get(name)
+        if news is None or not news.limit:
+            return max(1, told)
+        if told and now_s - news.at_s > NEWS_HALF_LIFE_S:
+            return told
+        return news.limit
+
+    def refused(self, name: str, retry_after_s: float, now_s: float) -> None:
+        """Avoid an agent for as long as it asked for."""
+        wait_s = min(AVOID_MOST_S, max(AVOID_LEAST_S, retry_after_s))
+        self.avoided[name] = Avoidance(now_s + wait_s, 0)
+
+    def unreachable(self, name: str, now_s: float) -> None:
+        """Avoid an agent that did not answer, longer each time in a row."""
+        before = self.avoided.get(name)
+        times = 1 if before is None else before.times + 1
+        wait_s = min(AVOID_MOST_S, CONNECT_AVOID_S * 2 ** (times - 1))
+        self.avoided[name] = Avoidance(now_s + wait_s, times)
+
+    def answered(self, name: str) -> None:
+        """Note that an agent serves."""
+        self.avoided.pop(name, None)
+
+    def avoided_for_s(self, name: str, now_s: float) -> float:
+        """Return the seconds for which an agent is still to be avoided."""
+        avoidance = self.avoided.get(name)
+        if avoidance is None:
+            return 0
+        return max(0, avoidance.until_s - now_s)
+
+    def forget(self, names: frozenset[str], now_s: float) -> None:
+        """Drop what is known of agents that are gone for long."""
+        for name, news in tuple(self.news.items()):
+            if name not in names and now_s - news.at_s > FORGET_S:
+                self.news.pop(name)
+                self.avoided.pop(name, None)
+
+
+@final
+class ZoneRamp:
+    """Share of its limit that a zone gets after it was taken back in."""
+
+    def __init__(self) -> None:
+        self.out: frozenset[str] = frozenset()
+        self.back_s: dict[str, float] = {}
+
+    def observe(self, zones_out: frozenset[str], now_s: float) -> None:
+        """Note which zones are out."""
+        for zone in self.out - zones_out:
+            self.back_s[zone] = now_s
+        for zone in zones_out:
+            self.back_s.pop(zone, None)
+        self.out = zones_out
+
+    def share(self, zone: str, now_s: float) -> float:
+        """Return the share, from :data:`RAMP_LEAST` to 1."""
+        back_s = self.back_s.get(zone)
+        if back_s is None:
+            return 1.0
+        passed = (now_s - back_s) / RAMP_S
+        if passed >= 1:
+            self.back_s.pop(zone)
+            return 1.0
+        return max(RAMP_LEAST, passed)
--- a/src/bramleylug/routing/picker.py
+++ b/src/bramleylug/routing/picker.py
@@ -1,26 +1,40 @@
 """Choice of the upstream for one request."""
 
-from collections import Counter
-from collections.abc import Collection
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import NamedTuple, final
 
 from bramleylug.configuration.document import Document
 from bramleylug.outcomes import NotRun, Reason
+from bramleylug.routing.fleet import Candidate, Fleet, Place
+from bramleylug.routing.loads import LoadBook, ZoneRamp
+from bramleylug.routing.rendezvous import rank
 from bramleylug.wire.membership_pb2 import Member
 
-AGENT_ROLE = 'agent'
 RETRY_SOON_S = 1.0
+PROBE_INTERVAL_S = 0.05
+AFFINITY_TRIES = 3
+AFFINITY_HEADROOM = 1.25
 
 
-class Candidate(NamedTuple):
-    """An agent that may take a request."""
+class Wanted(NamedTuple):
+    """What a request asks of the choice.
 
-    name: str
-    address: str
-    zone: str
-    limit: int
+    :ivar affinity: requests with the same key go to the same upstream
+        while it bears them; empty for any.
+    """
+
+    service: str
+    affinity: str = ''
+
+
+class View(NamedTuple):
+    """What the entry knows at one time."""
+
+    members: tuple[Member, ...]
+    document: Document
+    now_s: float
 
 
 @final
@@ -33,78 +47,136 @@
 
 @final
 class Picker:
-    """Chooses the better of two agents by own in-flight counts.
+    """Chooses an upstream: near, with room, the better of two by load.
 
-    :param zone: zone of this entry, which is preferred.
-    :ivar in_flight: requests this entry has running, by agent.
+    :param place: where this entry stands.
+    :ivar loads: what is known of the upstreams' load.
     """
 
-    def __init__(self, zone: str, random: Random) -> None:
-        self.zone = zone
+    def __init__(self, place: Place, random: Random) -> None:
         self.random = random
-        self.in_flight: Counter[str] = Counter()
+        self.fleet = Fleet(place)
+        self.loads = LoadBook()
+        self.ramp = ZoneRamp()
+        self.probed_s: dict[str, float] = {}
 
     def choose(
-        self,
-        service: str,
-        document: Document,
-        members: Collection[Member],
-        tried: Collection[str] = (),
+        self, wanted: Wanted, view: View, tried: Collection[str] = ()
     ) -> Chosen | NotRun:
         """Choose an agent that was not tried yet."""
-        if service not in document.services:
-            return NotRun(Reason.unknown_service, f'no service {service!r}')
-        candidates = [
-            candidate
-            for candidate in find_candidates(service, document, members)
-            if candidate.name not in tried
-        ]
-        if not candidates:
+        if wanted.service not in view.document.services:
             return NotRun(
-                Reason.no_upstream, 'no upstream is ready', RETRY_SOON_S
+                Reason.unknown_service, f'no service {wanted.service!r}'
             )
-        near = [
-            candidate
-            for candidate in candidates
-            if candidate.zone == self.zone and self._has_room(candidate)
+        self.observe(view)
+        tiers = [
+            [candidate for candidate in tier if candidate.name not in tried]
+            for tier in self.fleet.tiers(wanted.service)
         ]
-        return Chosen(self._better_of_two(near or candidates))
-
-    def started(self, name: str) -> None:
-        """Note that a request was sent to an agent."""
-        self.in_flight[name] += 1
+        candidate = self._choose_from(tiers, wanted, view.now_s)
+        if candidate is not None:
+            return Chosen(candidate)
+        return self._refuse(tiers, view.now_s)
+
+    def observe(self, view: View) -> bool:
+        """Take in the view.
+
+        :returns: whether members or configuration differ from before.
+        """
+        changed = self.fleet.observe(view.members, view.document)
+        if changed:
+            self.ramp.observe(self.fleet.zones_out, view.now_s)
+            names = frozenset(member.name for member in view.members)
+            self.loads.forget(names, view.now_s)
+        return changed
+
+    def _choose_from(
+        self,
+        tiers: Sequence[Sequence[Candidate]],
+        wanted: Wanted,
+        now_s: float,
+    ) -> Candidate | None:
+        usable = [
+            [
+                candidate
+                for candidate in tier
+                if not self.loads.avoided_for_s(candidate.name, now_s)
+            ]
+            for tier in tiers
+        ]
+        for tier in usable:
+            roomy = [
+                candidate
+                for candidate in tier
+                if self._load(candidate, now_s) < 1
+            ]
+            if roomy:
+                return self._choose_within(roomy, wanted.affinity, now_s)
+        full = [candidate for tier in usable for candidate in tier]
+        if full:
+            return self._better_of_two(full, now_s)
+        return self._probe(tiers, now_s)
+
+    def _choose_within(
+        self, candidates: list[Candidate], affinity: str, now_s: float
+    ) -> Candidate:
+        if affinity:
+            bound = self._affinity_bound(candidates, now_s)
+            by_name = {candidate.name: candidate for candidate in candidates}
+            for name in rank(affinity, by_name)[:AFFINITY_TRIES]:
+                if self._load(by_name[name], now_s) <= bound:
+                    return by_name[name]
+        return self._better_of_two(candidates, now_s)
+
+    def _affinity_bound(
+        self, candidates: list[Candidate], now_s: float
+    ) -> float:
+        loads = [self._load(candidate, now_s) for candidate in candidates]
+        least_limit = min(
+            self._limit(candidate, now_s) for candidate in candidates
+        )
+        mean = sum(loads) / len(loads)
+        return AFFINITY_HEADROOM * mean + 1 / least_limit
+
+    def _better_of_two(
+        self, candidates: list[Candidate], now_s: float
+    ) -> Candidate:
+        pair = self.random.sample(candidates, min(2, len(candidates)))
+        return min(pair, key=self._load_at(now_s))
+
+    def _probe(
+        self, tiers: Sequence[Sequence[Candidate]], now_s: float
+    ) -> Candidate | None:
+        """Return an avoided agent that is due to be asked again."""
+        for tier in tiers:
+            for candidate in tier:
+                probed_s = self.probed_s.get(candidate.name, -PROBE_INTERVAL_S)
+                if now_s - probed_s >= PROBE_INTERVAL_S:
+                    self.probed_s[candidate.name] = now_s
+                    return candidate
+        return None
+
+    def _refuse(
+        self, tiers: Sequence[Sequence[Candidate]], now_s: float
+    ) -> NotRun:
+        waits = [
+            self.loads.avoided_for_s(candidate.name, now_s)
+            for tier in tiers
+            for candidate in tier
+        ]
+        if waits:
+            return NotRun(
+                Reason.overloaded, 'every upstream is full', min(waits)
+            )
+        return NotRun(Reason.no_upstream, 'no upstream is ready', RETRY_SOON_S)
 
-    def ended(self, name: str) -> None:
-        """Note that a request to an agent has ended."""
-        self.in_flight[name] -= 1
+    def _load_at(self, now_s: float) -> Callable[[Candidate], float]:
+        return lambda candidate: self._load(candidate, now_s)
 
-    def _has_room(self, candidate: Candidate) -> bool:
-        return self.in_flight[candidate.name] < candidate.limit
+    def _load(self, candidate: Candidate, now_s: float) -> float:
+        share = self.ramp.share(candidate.zone, now_s)
+        limit = max(1, self._limit(candidate, now_s) * share)
+        return self.loads.estimate(candidate.name, now_s) / limit
 
-    def _better_of_two(self, candidates: list[Candidate]) -> Candidate:
-        pair = self.random.sample(candidates, min(2, len(candidates)))
-        return min(pair, key=self._load)
-
-    def _load(self, candidate: Candidate) -> float:
-        return self.in_flight[candidate.name] / max(1, candidate.limit)
-
-
-def find_candidates(
-    service: str, document: Document, members: Collection[Member]
-) -> list[Candidate]:
-    """Return the agents that are ready to serve a service."""
-    return [
-        Candidate(member.name, member.grpc_address, member.zone, state.limit)
-        for member in members
-        if _takes_work(member, document)
-        for state in member.services
-        if state.service == service and state.ready
-    ]
-
-
-def _takes_work(member: Member, document: Document) -> bool:
-    return (
-        member.role == AGENT_ROLE
-        and not member.draining
-        and document.zone_is_in(member.zone)
-    )
+    def _limit(self, candidate: Candidate, now_s: float) -> int:
+        return self.loads.limit(candidate.name, candidate.limit, now_s)
--- a/src/bramleylug/routing/retries.py
+++ b/src/bramleylug/routing/retries.py
@@ -1,7 +1,11 @@
-"""Retry budget: a share of the first tries."""
+"""When a request may be tried again: a budget and the outcome."""
 
 from typing import final
 
+from bramleylug.configuration.document import ServiceSpec
+from bramleylug.outcomes import NotRun, Outcome, Ran, Unknown
+from bramleylug.wire.requests_pb2 import Request
+
 RESERVE = 3.0
 CEILING = 50.0
 
@@ -27,3 +31,24 @@
             return False
         self.tokens -= 1
         return True
+
+
+def may_repeat(
+    outcome: Outcome, request: Request, spec: ServiceSpec | None
+) -> bool:
+    """Tell whether sending a request again can't run it a second time.
+
+    A request that may have run is repeated only where its service is
+    idempotent and its caller named no key: a key asks for one run.
+    """
+    match outcome:
+        case NotRun():
+            return True
+        case Unknown():
+            return (
+                spec is not None
+                and spec.idempotent
+                and not request.idempotency_key
+            )
+        case Ran():
+            return False
