--- a/src/bramleylug/entry/attempts.py
+++ b/src/bramleylug/entry/attempts.py
@@ -12,6 +12,7 @@
 from bramleylug.wire.requests_pb2 import (
     RUN_STATE_RAN,
     Break,
+    Head,
     Load,
     Refusal,
     Reply,
@@ -81,11 +82,7 @@
             case 'piece':
                 return await self._take_piece(reply.piece)
             case 'head':
-                fault = self.check.take_head(reply.head)
-                if fault:
-                    return self._cut(fault)
-                self.writer.start(reply.head)
-                return None
+                return self._take_head(reply.head)
             case 'end':
                 fault = self.check.take_end(reply.end)
                 return self._cut(fault) if fault else Ran(self.check.status)
@@ -95,6 +92,13 @@
                 return self._broken(reply.broken)
         return self._cut('agent sent an unknown part')
 
+    def _take_head(self, head: Head) -> Outcome | None:
+        fault = self.check.take_head(head)
+        if fault:
+            return self._cut(fault)
+        self.writer.start(head)
+        return None
+
     async def _take_piece(self, piece: bytes) -> Outcome | None:
         fault = self.check.take_piece(piece)
         if fault:
--- a/src/bramleylug/entry/channels.py
+++ b/src/bramleylug/entry/channels.py
@@ -6,8 +6,9 @@
 
 import grpc
 
-from bramleylug.wire.channels import CHANNEL_OPTIONS
+from bramleylug.wire.channels import open_aio_channel
 from bramleylug.wire.requests_pb2_grpc import ServingStub
+from bramleylug.wire.security import Keyring
 
 CONNECT_TIMEOUT_S = 1.0
 FAILED_STATES = frozenset(
@@ -23,13 +24,15 @@
     """One channel to an agent.
 
     :ivar stub: client of the agent's serving interface.
+    :ivar generation: generation of the keys it was opened with.
+    :ivar calls: calls that have not ended.
     """
 
-    def __init__(self, address: str, window_bytes: int) -> None:
-        self.channel: Any = grpc.aio.insecure_channel(
-            address, options=channel_options(window_bytes)
-        )
-        self.stub: Any = ServingStub(self.channel)
+    def __init__(self, channel: Any, generation: int = 0) -> None:
+        self.channel = channel
+        self.stub: Any = ServingStub(channel)
+        self.generation = generation
+        self.calls = 0
 
     async def connect(self) -> bool:
         """Connect if it is not yet.
@@ -62,27 +65,41 @@
     :param window_bytes: bytes an agent may send ahead on one stream.
     """
 
-    def __init__(self, window_bytes: int) -> None:
+    def __init__(self, keyring: Keyring, window_bytes: int) -> None:
+        self.keyring = keyring
         self.window_bytes = window_bytes
         self.channels: dict[str, AgentChannel] = {}
+        self.retired: list[AgentChannel] = []
 
     def find(self, address: str) -> AgentChannel:
         """Return the channel to an address."""
-        if address not in self.channels:
-            self.channels[address] = AgentChannel(address, self.window_bytes)
-        return self.channels[address]
+        self.keyring.load()
+        known = self.channels.get(address)
+        if known is not None:
+            if known.generation == self.keyring.generation:
+                return known
+            self.retired.append(known)
+        channel = open_aio_channel(
+            address, self.keyring, window_options(self.window_bytes)
+        )
+        opened = AgentChannel(channel, self.keyring.generation)
+        self.channels[address] = opened
+        return opened
 
     async def keep_only(self, addresses: Collection[str]) -> None:
         """Close the channels to agents that are gone, after their calls."""
         for address in self.channels.keys() - set(addresses):
-            gone = self.channels.pop(address)
-            await gone.channel.close(grace=None)
+            self.retired.append(self.channels.pop(address))
+        ended = [channel for channel in self.retired if not channel.calls]
+        self.retired = [channel for channel in self.retired if channel.calls]
+        await asyncio.gather(
+            *(channel.channel.close(grace=None) for channel in ended)
+        )
 
 
-def channel_options(window_bytes: int) -> tuple[tuple[str, int], ...]:
+def window_options(window_bytes: int) -> tuple[tuple[str, int], ...]:
     """Return options that keep the bytes read ahead on a stream bounded."""
     return (
-        *CHANNEL_OPTIONS,
         ('grpc.enable_retries', 0),
         ('grpc.http2.bdp_probe', 0),
         ('grpc.http2.lookahead_bytes', window_bytes),
--- a/src/bramleylug/entry/checks.py
+++ b/src/bramleylug/entry/checks.py
@@ -23,7 +23,7 @@
     @property
     def status(self) -> int:
         """Status of the answer; 0 before its head."""
-        return self.head.status if self.head is not None else 0
+        return 0 if self.head is None else self.head.status
 
     def take_head(self, head: Head) -> str:
         """Take the head; returns what is wrong, or nothing."""
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -9,7 +9,7 @@
 from bramleylug.entry.answers import AnswerWriter
 from bramleylug.entry.attempts import MILLISECONDS, Attempt
 from bramleylug.entry.channels import ChannelPool
-from bramleylug.entry.requests import build_request
+from bramleylug.entry.requests import build_request, service_of
 from bramleylug.entry.reservations import Reservation
 from bramleylug.node.node import Node
 from bramleylug.observability.events import LogEvent, emit
@@ -23,9 +23,9 @@
 from bramleylug.wire.requests_pb2 import Request
 
 MAX_TRIES = 3
+TIDY_S = 2.0
 WINDOW_SHARE = 4
 WRITER_SHARE = 8
-OVERLOAD_REASONS = frozenset((Reason.overloaded, Reason.queue_full))
 
 
 @final
@@ -41,37 +41,44 @@
         place = Place(settings.name, settings.zone, settings.region)
         self.picker = Picker(place, Random(settings.name))
         self.budget = RetryBudget(settings.retry_share)
-        self.channels = ChannelPool(settings.caller_bytes // WINDOW_SHARE)
+        self.channels = ChannelPool(
+            node.keyring, settings.caller_bytes // WINDOW_SHARE
+        )
         self.running = 0
 
-    async def serve(
-        self, exchange: Exchange, reservation: Reservation
-    ) -> None:
+    async def serve(self, exchange: Exchange, reservation: Reservation) -> None:
         """Serve one exchange to its end."""
         self.running += 1
         writer = AnswerWriter(
             exchange, self.settings.caller_bytes // WRITER_SHARE
         )
-        outcome: Outcome = Unknown(Reason.internal, 'entry failed')
-        service = ''
         try:
-            request = build_request(exchange)
-            if isinstance(request, NotRun):
-                outcome = request
-            else:
-                service = request.service
-                outcome = await self._try_agents(request, writer)
-        finally:
-            self.running -= 1
-            reservation.done()
-            self._record(outcome, service, exchange)
-            writer.conclude(outcome)
+            outcome = await self._run(exchange, writer)
+        except Exception as error:  # noqa: BLE001
+            outcome = Unknown(Reason.internal, repr(error))
+        self.running -= 1
+        reservation.done()
+        self._record(outcome, exchange)
+        writer.conclude(outcome)
+
+    async def tidy(self) -> None:
+        """Close the channels to agents that are gone, now and then."""
+        while True:
+            await asyncio.sleep(TIDY_S)
+            self.picker.observe(self.view())
+            await self.channels.keep_only(self.picker.fleet.addresses())
 
     def view(self) -> View:
         """Return what the entry knows now."""
         node = self.node
         return View(node.members, node.holder.document, time.monotonic())
 
+    async def _run(self, exchange: Exchange, writer: AnswerWriter) -> Outcome:
+        request = build_request(exchange)
+        if isinstance(request, NotRun):
+            return request
+        return await self._try_agents(request, writer)
+
     async def _try_agents(
         self, request: Request, writer: AnswerWriter
     ) -> Outcome:
@@ -107,10 +114,13 @@
     ) -> Outcome:
         request.configuration_revision = self.node.holder.document.revision
         attempt = Attempt(request, writer)
+        channel = self.channels.find(candidate.address)
+        channel.calls += 1
         self.picker.loads.started(candidate.name)
         try:
-            outcome = await attempt.run(self.channels.find(candidate.address))
+            outcome = await attempt.run(channel)
         finally:
+            channel.calls -= 1
             self.picker.loads.ended(candidate.name)
         self._learn(candidate.name, attempt, outcome)
         return outcome
@@ -140,9 +150,8 @@
             return request.deadline_ms / MILLISECONDS
         return self.settings.deadline
 
-    def _record(
-        self, outcome: Outcome, service: str, exchange: Exchange
-    ) -> None:
+    def _record(self, outcome: Outcome, exchange: Exchange) -> None:
+        service = service_of(exchange.path)
         known = service in self.node.holder.document.services
         count(
             REQUESTS,
@@ -191,6 +200,7 @@
     def run(self) -> None:
         """Run until stopped."""
         asyncio.set_event_loop(self.loop)
+        self.tidying = self.loop.create_task(self.dispatcher.tidy())
         self.loop.run_forever()
 
     def submit(self, exchange: Exchange, reservation: Reservation) -> None:
--- a/src/bramleylug/entry/requests.py
+++ b/src/bramleylug/entry/requests.py
@@ -36,7 +36,8 @@
     fault = _find_fault(exchange)
     if fault:
         return NotRun(Reason.bad_request, fault)
-    service, _, path = exchange.path.removeprefix(SERVICE_PREFIX).partition('/')
+    service = service_of(exchange.path)
+    path = exchange.path[len(SERVICE_PREFIX) + len(service) + 1 :]
     query = f'?{exchange.query}' if exchange.query else ''
     return Request(
         request_id=exchange.request_id,
@@ -53,6 +54,11 @@
     )
 
 
+def service_of(path: str) -> str:
+    """Return the service that a path under ``/v1/services/`` names."""
+    return path.removeprefix(SERVICE_PREFIX).partition('/')[0]
+
+
 def _find_fault(exchange: Exchange) -> str:
     if not DEADLINE.fullmatch(exchange.header('X-Deadline-Ms', '0')):
         return 'X-Deadline-Ms is no number of milliseconds'
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -33,6 +33,24 @@
         'Nothing to do.',
     )
     # 2: serving at the entry
+    request_refused = EventSpec(
+        'BL2001',
+        'DEBUG',
+        'request {request_id} was refused and did not run: {reason} {message}',
+        'Nothing for one; see docs/operations/refusals.md where many are.',
+    )
+    request_broken = EventSpec(
+        'BL2002',
+        'WARNING',
+        'request {request_id} got no whole answer: {reason} {message}',
+        'Look at the upstream and the agent by the request id.',
+    )
+    caller_gone = EventSpec(
+        'BL2003',
+        'INFO',
+        'caller of request {request_id} left early: {message}',
+        'Nothing; where many are too slow, look at their network.',
+    )
     # 3: weights
     staging_full = EventSpec(
         'BL3001',
--- a/src/bramleylug/routing/loads.py
+++ b/src/bramleylug/routing/loads.py
@@ -1,5 +1,6 @@
 """What an entry knows of the upstreams' load, and how old it is."""
 
+import math
 from collections import Counter
 from typing import NamedTuple, final
 
@@ -71,8 +72,8 @@
         news = self.news.get(name)
         if news is None:
             return own
-        weight = 0.5 ** ((now_s - news.at_s) / NEWS_HALF_LIFE_S)
-        return own + news.others * weight
+        halvings = (now_s - news.at_s) / NEWS_HALF_LIFE_S
+        return own + news.others * math.exp2(-halvings)
 
     def limit(self, name: str, told: int, now_s: float) -> int:
         """Return the requests an agent takes at once.
--- a/src/bramleylug/routing/picker.py
+++ b/src/bramleylug/routing/picker.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
+from itertools import chain
 from random import Random
 from typing import NamedTuple, final
 
@@ -112,7 +113,7 @@
             ]
             if roomy:
                 return self._choose_within(roomy, wanted.affinity, now_s)
-        full = [candidate for tier in usable for candidate in tier]
+        full = list(chain.from_iterable(usable))
         if full:
             return self._better_of_two(full, now_s)
         return self._probe(tiers, now_s)
