--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -32,11 +32,18 @@
 class Dispatcher:
     """Runs on the event loop that owns the channels to agents.
 
+    :param clock: seconds that only rise.
     :ivar running: requests that have not ended.
     """
 
-    def __init__(self, settings: EntrySettings, node: Node) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        node: Node,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.settings = settings
+        self.clock = clock
         self.node = node
         place = Place(settings.name, settings.zone, settings.region)
         self.picker = Picker(place, Random(settings.name))
@@ -71,7 +78,7 @@
     def view(self) -> View:
         """Return what the entry knows now."""
         node = self.node
-        return View(node.members, node.holder.document, time.monotonic())
+        return View(node.members, node.holder.document, self.clock())
 
     async def _run(self, exchange: Exchange, writer: AnswerWriter) -> Outcome:
         request = build_request(exchange)
@@ -82,13 +89,13 @@
     async def _try_agents(
         self, request: Request, writer: AnswerWriter
     ) -> Outcome:
-        deadline_s = time.monotonic() + self._deadline_s(request)
+        deadline_s = self.clock() + self._deadline_s(request)
         wanted = Wanted(request.service, affinity_key(request))
         tried: list[str] = []
         self.budget.first_try()
         outcome: Outcome = NotRun(Reason.no_upstream)
         while len(tried) < MAX_TRIES:
-            left_s = deadline_s - time.monotonic()
+            left_s = deadline_s - self.clock()
             if left_s <= 0:
                 return outcome if tried else _too_late()
             chosen = self.picker.choose(wanted, self.view(), tried)
@@ -126,7 +133,7 @@
         return outcome
 
     def _learn(self, name: str, attempt: Attempt, outcome: Outcome) -> None:
-        now_s = time.monotonic()
+        now_s = self.clock()
         loads = self.picker.loads
         if attempt.load is not None:
             loads.heard(
--- a/src/bramleylug/web/connection.py
+++ b/src/bramleylug/web/connection.py
@@ -93,6 +93,7 @@
         held_bytes = self.reader.held_bytes
         if self.exchange is not None:
             held_bytes += len(self.exchange.payload)
+            held_bytes += self.exchange.head.size_bytes
         return held_bytes
 
     def note_input(self, now_s: float) -> None:
--- a/src/bramleylug/web/heads.py
+++ b/src/bramleylug/web/heads.py
@@ -43,6 +43,7 @@
     :ivar path: path as it was sent, percent signs included.
     :ivar query: query string without its question mark.
     :ivar content_length: bytes of the body; ``None`` when it is chunked.
+    :ivar size_bytes: bytes of the head as it was sent.
     """
 
     method: str
@@ -52,6 +53,7 @@
     headers: Headers
     content_length: int | None
     keep_alive: bool
+    size_bytes: int
 
     @property
     def expects_continue(self) -> bool:
@@ -79,7 +81,7 @@
         return _malformed(f'request target: {error}')
     if parser.errno is not None or not parser.is_headers_complete():
         return _malformed(parser.errstr or 'request head is malformed')
-    return _check(parser, lines[0].decode('ascii'))
+    return _check(parser, lines[0].decode('ascii'), len(raw))
 
 
 def _find_fault(lines: list[bytes]) -> BadRequest | None:
@@ -96,7 +98,9 @@
     return None
 
 
-def _check(parser: HttpParser, request_line: str) -> Head | BadRequest:
+def _check(
+    parser: HttpParser, request_line: str, size_bytes: int
+) -> Head | BadRequest:
     method, target, _ = request_line.split(' ')
     path, _, query = target.partition('?')
     version = parser.get_version()
@@ -128,6 +132,7 @@
         headers,
         length,
         parser.should_keep_alive(),
+        size_bytes,
     )
 
 
--- a/src/bramleylug/web/reader.py
+++ b/src/bramleylug/web/reader.py
@@ -69,7 +69,8 @@
     @property
     def held_bytes(self) -> int:
         """Bytes held for requests that are not whole."""
-        return len(self.buffer) + len(self.body)
+        head_bytes = 0 if self.head is None else self.head.size_bytes
+        return head_bytes + len(self.buffer) + len(self.body)
 
     @property
     def between_messages(self) -> bool:
--- a/testing/entry/__init__.py
+++ b/testing/entry/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of entry."""
+"""Tests of the entry."""
