--- a/testing/entry/test_dispatch.py
+++ b/testing/entry/test_dispatch.py
@@ -48,8 +48,7 @@
             {'Idempotency-Key': 'k' * 257},
         )
         errors = [
-            error_of(self.entry.send(MODEL, 'r', **headers))
-            for headers in cases
+            error_of(self.entry.send(MODEL, 'r', headers)) for headers in cases
         ]
 
         self.assertEqual(
