--- a/src/bramleylug/entry/entries.py
+++ b/src/bramleylug/entry/entries.py
@@ -1,13 +1,14 @@
 """The answer to "which address do I use"."""
 
 from collections.abc import Collection
-from typing import TypedDict
+from random import Random
+from typing import NamedTuple, TypedDict
 
 from bramleylug.configuration.document import Document
-from bramleylug.settings.daemons import EntrySettings
+from bramleylug.routing.fleet import ENTRY_ROLE
 from bramleylug.wire.membership_pb2 import Member
 
-ENTRY_ROLE = 'entry'
+OVERLOADED_PERMILLE = 875
 
 
 class EntryAddress(TypedDict):
@@ -24,10 +25,32 @@
     keep_s: float
 
 
+class Asker(NamedTuple):
+    """Who asks for addresses.
+
+    :ivar zone: zone whose entries come first.
+    :ivar region: region whose entries come next.
+    :ivar service: service to be called; empty for any.
+    """
+
+    zone: str
+    region: str
+    service: str = ''
+
+
 def order_entries(
-    members: Collection[Member], document: Document, settings: EntrySettings
-) -> EntriesAnswer:
-    """Return the entries that take new work, own zone first."""
+    members: Collection[Member],
+    document: Document,
+    asker: Asker,
+    random: Random,
+) -> list[EntryAddress]:
+    """Return the entries that take new work, the best first.
+
+    Entries without a ready upstream for the service come last; before that
+    the own zone counts, then the own region. What is equal in this is
+    shuffled for each ask, so that answers that are kept spread callers.
+    Where every entry is overloaded, all of them are named.
+    """
     usable = [
         member
         for member in members
@@ -35,11 +58,23 @@
         and not member.draining
         and document.zone_is_in(member.zone)
     ]
-    usable.sort(key=lambda member: (member.zone != settings.zone, member.name))
-    return EntriesAnswer(
-        entries=[
-            EntryAddress(address=member.http_address, zone=member.zone)
-            for member in usable
-        ],
-        keep_s=settings.keep_entries,
+    relaxed = [
+        member
+        for member in usable
+        if member.load_permille < OVERLOADED_PERMILLE
+    ]
+    chosen = relaxed or usable
+    random.shuffle(chosen)
+    chosen.sort(key=lambda member: _distance(member, asker))
+    return [
+        EntryAddress(address=member.http_address, zone=member.zone)
+        for member in chosen
+    ]
+
+
+def _distance(member: Member, asker: Asker) -> tuple[bool, bool, bool]:
+    return (
+        asker.service in member.unservable,
+        member.zone != asker.zone,
+        member.region != asker.region,
     )
