Run benches with verdicts, report, comparison and a capacity page

One bench that raises stopped all others; now it is a failure with its reason on one line, and the rest run. bench compare takes the direction of worse from each bound's relation; a tenth is taken as noise, an exact bound has none. bench capacity keeps the slopes of runs in docs/capacity-slopes.json and makes the tables of docs/CAPACITY.md from them; each line is a sum of products of sizes and slopes, so that the page shows the same working that the code computes.

--- a/src/bramleylug/bench/results.py
+++ b/src/bramleylug/bench/results.py
@@ -1,6 +1,5 @@
 """What one bench measured, and whether its bounds hold."""
 
-import json
 import operator
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -8,6 +7,7 @@
 
 Relation = Literal['<=', '>=', '==']
 RELATIONS = {'<=': operator.le, '>=': operator.ge, '==': operator.eq}
+Points = list[tuple[float, float]]
 
 
 class Bound(NamedTuple):
@@ -37,6 +37,7 @@
     :ivar baseline: the same figures without the mechanism, in the same run.
     :ivar series: lines for plots: name to points ``(x, y)``.
     :ivar slopes: per-unit costs for docs/CAPACITY.md.
+    :ivar sizes: what the run was made with, for docs/CAPACITY.md.
     """
 
     bench: str
@@ -44,10 +45,9 @@
     figures: Mapping[str, Any]
     bounds: tuple[Bound, ...]
     baseline: Mapping[str, Any] = field(default_factory=dict)
-    series: Mapping[str, list[tuple[float, float]]] = field(
-        default_factory=dict
-    )
+    series: Mapping[str, Points] = field(default_factory=dict)
     slopes: Mapping[str, float] = field(default_factory=dict)
+    sizes: str = ''
 
     @property
     def holds(self) -> bool:
@@ -61,41 +61,72 @@
             'seed': self.seed,
             'figures': dict(self.figures),
             'bounds': [
-                {
-                    'name': bound.name,
-                    'value': bound.value,
-                    'relation': bound.relation,
-                    'bound': bound.bound,
-                    'source': bound.source,
-                    'holds': bound.holds,
-                }
+                {**bound._asdict(), 'holds': bound.holds}
                 for bound in self.bounds
             ],
             'baseline': dict(self.baseline),
             'series': {name: list(line) for name, line in self.series.items()},
             'slopes': dict(self.slopes),
+            'sizes': self.sizes,
             'holds': self.holds,
         }
 
-
-def format_result(result: BenchResult) -> str:
-    """Return a table of figures, baseline, bounds and verdicts."""
-    lines = [f'{result.bench} (seed {result.seed})']
-    for name, figure in result.figures.items():
-        base = result.baseline.get(name, '')
-        lines.append(f'  {name:<44} {_text(figure):>14} {_text(base):>14}')
-    for bound in result.bounds:
-        verdict = 'holds' if bound.holds else 'DOES NOT HOLD'
-        lines.append(
-            f'  bound {bound.name}: {_text(bound.value)} '
-            f'{bound.relation} {_text(bound.bound)} {verdict}'
+    @classmethod
+    def from_json(cls, document: Mapping[str, Any]) -> 'BenchResult':
+        """Read what :meth:`to_json` returned."""
+        bounds = tuple(
+            Bound(**{name: bound[name] for name in Bound._fields})
+            for bound in document['bounds']
+        )
+        series = {
+            name: [(x_value, y_value) for x_value, y_value in line]
+            for name, line in document['series'].items()
+        }
+        return cls(
+            document['bench'],
+            document['seed'],
+            document['figures'],
+            bounds,
+            baseline=document['baseline'],
+            series=series,
+            slopes=document['slopes'],
+            sizes=document.get('sizes', ''),
         )
-    return '\n'.join(lines)
 
 
-def _text(figure: Any) -> str:
-    if isinstance(figure, float):
-        return f'{figure:.4g}'
-    if isinstance(figure, (dict, list)):
-        return json.dumps(figure)
-    return str(figure)
+@final
+@dataclass(frozen=True, slots=True)
+class BenchFailure:
+    """A bench that ended without figures.
+
+    :ivar reason: one line.
+    """
+
+    bench: str
+    seed: int
+    reason: str
+
+    @property
+    def holds(self) -> bool:
+        """A bench without figures keeps no bound."""
+        return False
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the failure as a JSON document."""
+        return {
+            'bench': self.bench,
+            'seed': self.seed,
+            'failure': self.reason,
+            'holds': False,
+        }
+
+
+BenchOutcome = BenchResult | BenchFailure
+
+
+def outcome_from_json(document: Mapping[str, Any]) -> BenchOutcome:
+    """Read a result or a failure."""
+    failure = document.get('failure')
+    if failure is None:
+        return BenchResult.from_json(document)
+    return BenchFailure(document['bench'], document['seed'], failure)
--- a/src/bramleylug/cli/bench.py
+++ b/src/bramleylug/cli/bench.py
@@ -2,37 +2,120 @@
 
 import json
 import sys
-from argparse import Namespace
+from argparse import Namespace, RawDescriptionHelpFormatter
 from pathlib import Path
 from typing import Any
 
-from bramleylug.bench.catalogue import BENCHES, run_bench
-from bramleylug.bench.results import format_result
+from bramleylug.bench.catalogue import BENCHES, run_benches
+from bramleylug.bench.compare import (
+    compare,
+    count_worse,
+    format_differences,
+)
+from bramleylug.bench.results import BenchOutcome, outcome_from_json
+from bramleylug.bench.table import format_outcome, format_summary
 
 DEFAULT_SEED = 1
+ALL = 'all'
+USAGE_ERROR = 2
+DESCRIPTION = f"""\
+Measure against regression bounds; exit 1 where a bound does not hold.
+
+benches: {', '.join(BENCHES)}; all for every one
+
+  bench compare A.json B.json   show what got worse from A to B
+  bench capacity [RUN.json...]  take slopes from runs and make the tables of
+                                docs/CAPACITY.md anew
+"""
 
 
 def add_commands(commands: Any) -> None:
-    """Add ``bench NAME…``."""
-    bench = commands.add_parser('bench', help='measure against bounds')
-    bench.add_argument('names', nargs='+', metavar='NAME|all')
+    """Add ``bench NAME…``, ``bench compare`` and ``bench capacity``."""
+    bench = commands.add_parser(
+        'bench',
+        help='measure against bounds',
+        description=DESCRIPTION,
+        formatter_class=RawDescriptionHelpFormatter,
+    )
+    bench.add_argument('names', nargs='+', metavar='NAME')
     bench.add_argument('--json', type=Path, metavar='FILE')
     bench.add_argument('--report', type=Path, metavar='DIR')
     bench.add_argument('--seed', type=int, default=DEFAULT_SEED)
+    bench.add_argument(
+        '--docs',
+        type=Path,
+        default=Path('docs'),
+        metavar='DIR',
+        help='where CAPACITY.md and its slopes are',
+    )
     bench.set_defaults(run=_run)
 
 
 def _run(namespace: Namespace) -> int:
-    names = list(BENCHES) if 'all' in namespace.names else namespace.names
+    match namespace.names:
+        case ['compare', before, after]:
+            return _compare(Path(before), Path(after))
+        case ['compare', *_]:
+            return _usage('compare takes two files')
+        case ['capacity', *runs]:
+            return _make_capacity(namespace.docs, [Path(run) for run in runs])
+        case [*names]:
+            chosen = list(BENCHES) if ALL in names else names
+            return _measure(namespace, chosen)
+    return USAGE_ERROR
+
+
+def _measure(namespace: Namespace, names: list[str]) -> int:
     unknown = [name for name in names if name not in BENCHES]
     if unknown:
-        print(f'bramleylug: no such bench: {unknown}', file=sys.stderr)
-        return 2
-    results = []
-    for name in names:
-        results.append(run_bench(name, namespace.seed))
-        print(format_result(results[-1]), flush=True)
+        return _usage(
+            f'no such bench: {", ".join(unknown)}; '
+            f'there are {", ".join(BENCHES)}'
+        )
+    outcomes: list[BenchOutcome] = []
+    for outcome in run_benches(names, namespace.seed):
+        outcomes.append(outcome)
+        print(format_outcome(outcome), end='\n\n', flush=True)
+        _keep_json(namespace, outcomes)
+    print(format_summary(outcomes))
+    _report(namespace, outcomes)
+    return 0 if all(ended.holds for ended in outcomes) else 1
+
+
+def _keep_json(namespace: Namespace, outcomes: list[BenchOutcome]) -> None:
     if namespace.json:
-        documents = [result.to_json() for result in results]
+        documents = [outcome.to_json() for outcome in outcomes]
         namespace.json.write_text(json.dumps(documents, indent=1))
-    return 0 if all(result.holds for result in results) else 1
+
+
+def _report(namespace: Namespace, outcomes: list[BenchOutcome]) -> None:
+    if namespace.report:
+        from bramleylug.bench.report import write_report  # noqa: PLC0415
+
+        page = write_report(namespace.report, outcomes, namespace.docs)
+        print(f'report: {page}')
+
+
+def _compare(before: Path, after: Path) -> int:
+    differences = compare(_read_run(before), _read_run(after))
+    print(format_differences(differences))
+    return 1 if count_worse(differences) else 0
+
+
+def _make_capacity(docs: Path, runs: list[Path]) -> int:
+    from bramleylug.bench.capacity import update_page  # noqa: PLC0415
+
+    outcomes = [outcome for run in runs for outcome in _read_run(run)]
+    page = update_page(docs, outcomes)
+    print(f'made: {page}')
+    return 0
+
+
+def _read_run(path: Path) -> list[BenchOutcome]:
+    documents = json.loads(path.read_text())
+    return [outcome_from_json(document) for document in documents]
+
+
+def _usage(message: str) -> int:
+    print(f'bramleylug: {message}', file=sys.stderr)
+    return USAGE_ERROR
--- a/testing/builders.py
+++ b/testing/builders.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.configuration.document import Change, Document, ServiceSpec
 from bramleylug.wire.membership_pb2 import Member, ServiceState
 
@@ -43,3 +44,9 @@
         ],
     }
     return Member(name=name, **{**defaults, **fields})
+
+
+def build_bench_result(*bounds: tuple[Any, ...]) -> BenchResult:
+    """Return a result of ``weights`` with (name, value, relation, bound)."""
+    sourced = tuple(Bound(*bound, source='letter') for bound in bounds)
+    return BenchResult('weights', 1, {}, sourced)
