--- /dev/null
+++ b/src/bramleylug/bench/configuration_costs.py
@@ -0,0 +1,68 @@
+"""What one change of configuration costs the processes it passes."""
+
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import NamedTuple
+
+from bramleylug.configuration.document import (
+    Change,
+    Document,
+    ServiceSpec,
+    spec_to_json,
+)
+
+REPEATS = 20
+MODEL_ZONES = ('zone-0', 'zone-1', 'zone-2')
+
+
+class ConfigurationCosts(NamedTuple):
+    """Costs at one number of services; processor time in seconds."""
+
+    services: int
+    document_bytes: int
+    decode_s: float
+    encode_s: float
+
+
+def measure_configuration(services: int) -> ConfigurationCosts:
+    """Time decoding and encoding of a document."""
+    document = build_document(services)
+    text = document.to_json()
+    return ConfigurationCosts(
+        services=services,
+        document_bytes=len(text),
+        decode_s=seconds_each(lambda: Document.from_json(text)),
+        encode_s=seconds_each(document.to_json),
+    )
+
+
+def build_document(services: int) -> Document:
+    """Return a document with some services and as many changes."""
+    document = Document()
+    for number in range(services):
+        spec = build_service(number)
+        change = Change(services={spec.name: spec_to_json(spec)}, zones={})
+        document = document.with_change(
+            change, change_id=f'change-{number}', who='bench', when_s=number
+        )
+    return replace(document, zones={zone: 'in' for zone in MODEL_ZONES})
+
+
+def build_service(number: int) -> ServiceSpec:
+    """Return a model service in three zones."""
+    return ServiceSpec(
+        name=f'service-{number}',
+        kind='model',
+        zones=MODEL_ZONES,
+        model=f'model-{number}',
+        version='1',
+    )
+
+
+def seconds_each(work: Callable[[], object]) -> float:
+    """Return the mean processor time of some work."""
+    started_s = time.process_time()
+    for _ in range(REPEATS):
+        work()
+    return (time.process_time() - started_s) / REPEATS
--- a/src/bramleylug/bench/footprint.py
+++ b/src/bramleylug/bench/footprint.py
@@ -7,20 +7,18 @@
 
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from subprocess import DEVNULL, Popen, TimeoutExpired
 from typing import NamedTuple
 
-from bramleylug.bench.gossip_costs import GossipCosts, measure_gossip
+from bramleylug.bench.configuration_costs import measure_configuration
+from bramleylug.bench.gossip_costs import (
+    GossipCosts,
+    measure_gossip,
+)
 from bramleylug.bench.meters import processor_seconds, resident_bytes
 from bramleylug.bench.results import Bound, BenchResult
-from bramleylug.configuration.document import (
-    Change,
-    Document,
-    ServiceSpec,
-    spec_to_json,
-)
 from bramleylug.fakes.engine import EngineSettings, FakeEngine
 from bramleylug.fakes.store import FakeStoreServer
 
@@ -30,7 +28,6 @@
 STOP_LIMIT_S = 15.0
 SERVICES = 100
 MEMBERS = 1530
-REPEATS = 20
 MEMORY_LIMIT_MB = 64.0
 PROCESSOR_LIMIT_CORES = 0.025
 RATE_LIMIT = 17000.0
@@ -51,9 +48,7 @@
     """Measure idle daemons and the cost of one change of configuration."""
     entry, agent = _measure_daemons()
     gossip = measure_gossip(MEMBERS, seed)
-    document = build_document(SERVICES)
-    text = document.to_json()
-    decode_s = _seconds_each(lambda: Document.from_json(text))
+    change = measure_configuration(SERVICES)
     figures = {
         'entry_idle_resident_mb': entry.resident_bytes / MEBIBYTE,
         'agent_idle_resident_mb': agent.resident_bytes / MEBIBYTE,
@@ -63,8 +58,9 @@
         'gossip_cores': _gossip_cores(gossip),
         'gossip_members': gossip.members,
         'document_services': SERVICES,
-        'document_bytes': len(text),
-        'document_decode_ms': decode_s * 1000,
+        'document_bytes': change.document_bytes,
+        'document_decode_ms': change.decode_s * 1000,
+        'document_encode_ms': change.encode_s * 1000,
     }
     return BenchResult(
         'footprint',
@@ -83,8 +79,9 @@
             'gossip_messages_per_s': gossip.messages_per_s,
             'gossip_message_bytes': gossip.message_bytes,
             'member_record_bytes': gossip.record_bytes,
-            'document_bytes_per_service': len(text) / SERVICES,
-            'document_decode_s_per_service': decode_s / SERVICES,
+            'document_bytes_per_service': change.document_bytes / SERVICES,
+            'document_decode_s_per_service': change.decode_s / SERVICES,
+            'document_encode_s_per_service': change.encode_s / SERVICES,
         },
         sizes=(
             f'one entry and one agent as processes, idle for {OBSERVE_S:.0f} '
@@ -94,24 +91,6 @@
     )
 
 
-def build_document(services: int) -> Document:
-    """Return a document with some services and as many changes."""
-    document = Document()
-    for number in range(services):
-        spec = ServiceSpec(
-            name=f'service-{number}',
-            kind='model',
-            zones=('zone-a', 'zone-b', 'zone-c'),
-            model=f'model-{number}',
-            version='1',
-        )
-        change = Change(services={spec.name: spec_to_json(spec)}, zones={})
-        document = document.with_change(
-            change, change_id=f'change-{number}', who='bench', when_s=number
-        )
-    return document
-
-
 def _bounds(figures: dict[str, float]) -> Iterator[Bound]:
     for role in ('entry', 'agent'):
         memory = f'{role}_idle_resident_mb'
@@ -190,10 +169,3 @@
     except TimeoutExpired:
         child.kill()
         child.wait()
-
-
-def _seconds_each(work: Callable[[], object]) -> float:
-    started_s = time.process_time()
-    for _ in range(REPEATS):
-        work()
-    return (time.process_time() - started_s) / REPEATS
