--- a/testing/builders.py
+++ b/testing/builders.py
@@ -4,6 +4,7 @@
 
 from bramleylug.claims.actions import Ask
 from bramleylug.claims.document import Claim
+from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.configuration.document import Change, Document, ServiceSpec
 from bramleylug.wire.membership_pb2 import Member, ServiceState
 from bramleylug.wire.requests_pb2 import Request
@@ -80,3 +81,9 @@
         'claimed_s': 1_000_000,
     }
     return Claim(key, **{**defaults, **fields})
+
+
+def build_bench_result(*bounds: tuple[Any, ...]) -> BenchResult:
+    """Return a result of ``weights`` with (name, value, relation, bound)."""
+    sourced = tuple(Bound(*bound, source='letter') for bound in bounds)
+    return BenchResult('weights', 1, {}, sourced)
