--- a/src/bramleylug/membership/view.py
+++ b/src/bramleylug/membership/view.py
@@ -36,13 +36,18 @@
 class View:
     """Every known member by name, this one included.
 
+    :param keep: returns the record to store for one that was heard; a copy
+        does not hold on to the message it came in.
     :ivar listed: the platform's lagging host list, names to whether the
         host leaves. It shortens a suspicion and never starts one.
     :ivar changed: whether members came, went or changed since last asked.
     """
 
-    def __init__(self, own: Member) -> None:
+    def __init__(
+        self, own: Member, keep: Callable[[Member], Member] = copy_record
+    ) -> None:
         self.own = own
+        self.keep = keep
         self.members: dict[str, Member] = {}
         self.summary = Summary()
         self.updates = UpdateQueue()
@@ -93,6 +98,8 @@
         if merged is known:
             self._hear_old(known, heard)
             return False
+        if merged is heard:
+            merged = self.keep(heard)
         urgent = _is_urgent(known, merged)
         if urgent or not synced:
             self.updates.add(merged.name, urgent=urgent)
@@ -172,7 +179,7 @@
         if not synced:
             self.updates.add(heard.name)
         self.joined.append(heard.name)
-        self._put(heard, now_s)
+        self._put(self.keep(heard), now_s)
         return True
 
     def _refute(self, heard: Member) -> None:
