--- a/testing/configuration/model_store.py
+++ b/testing/configuration/model_store.py
@@ -72,6 +72,12 @@
         outcome = self.apply(key, expected_version, value)
         return Uncertain('lost') if fault == 'lost after' else outcome
 
+    def wait_for_change(
+        self, key: str, after_version: int, *, wait_s: float
+    ) -> ReadOutcome:
+        """Return the value at once."""
+        return self.read(key, timeout_s=wait_s)
+
     def apply(self, key: str, version: int, value: bytes) -> SwapOutcome:
         """Write without any fault."""
         current = self.held.get(key, ABSENT)
