Admit by a fair bounded queue, watch crashes and check answers whole

Cause: the limiter refused everything beyond the limit, any workspace could take all of it, in-flight requests of a dead boot held room, and answers without length or end passed as whole.

Change: pure admission (deficit round robin between workspaces, priority within one, wait bounded by three quarters of a service time, bytes held bounded by queue_bytes, threads bounded, retry time from the service rate), limit lowered on a death under load and on late first bytes, boots left behind never taken up again; requests that ran at an upstream when it died run alone next and nowhere after the second death; answers of other weights, other requests, or without an end never pass; calls are broken off with the caller but for claimed ones; leaving and zone out refuse what waits.

Request.crashes lets an entry tell of deaths it saw before gossip does.

Ruled out: order by priority across workspaces, which would let one workspace take all by asking for it.

--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -8,15 +8,20 @@
 
 from circuits import BaseComponent
 
+from bramleylug.admission.controller import AdmissionController
 from bramleylug.admission.limiter import Limiter
+from bramleylug.admission.suspects import LocalSuspects
+from bramleylug.agent.crashes import CrashGuard
 from bramleylug.agent.gate import Gate
+from bramleylug.agent.runner import Runner
 from bramleylug.agent.serving import Serving
 from bramleylug.agent.upstream import Upstream
 from bramleylug.agent.versions import VersionKeeper
 from bramleylug.claims.keeper import ClaimKeeper
-from bramleylug.configuration.document import ServiceSpec
+from bramleylug.configuration.document import Document, ServiceSpec
 from bramleylug.node.node import Node
 from bramleylug.node.pages import serve_page
+from bramleylug.outcomes import NotRun, Reason
 from bramleylug.settings.daemons import AgentSettings
 from bramleylug.web.server import Exchange, WebServer
 from bramleylug.weights.staging import Staging
@@ -43,6 +48,7 @@
         self.web = WebServer(settings.http_bind, self.serve).register(self)
         self.gate = Gate(settings.zone, settings.service)
         self.limiter = Limiter()
+        self.zone_is_in = True
         upstream = Upstream(settings.upstream)
         folder = settings.staging_dir or mkdtemp(prefix='bramleylug-')
         self.staging = Staging(Path(folder), settings.staging_bytes)
@@ -50,13 +56,20 @@
         self.claims = ClaimKeeper(
             self.node.store, f'{settings.name}/{incarnation}'
         )
-        self.serving = Serving(
+        guard = CrashGuard(upstream, LocalSuspects())
+        self.admission = AdmissionController(self.limiter, settings.workers)
+        runner = Runner(
             self.gate,
             self.limiter,
             upstream,
-            lambda: self.node.holder.document,
             self.claims,
+            guard,
+            lambda: self.node.holder.document,
+        )
+        self.serving = Serving(
+            runner, self.admission, lambda: self.node.holder.document
         )
+        self.node.holder.on_change.append(self.follow_zone)
         self.chunk_server = ChunkServer(self.staging)
         add_ServingServicer_to_server(self.serving, self.node.server)
         add_WeightsServicer_to_server(self.chunk_server, self.node.server)
@@ -87,11 +100,23 @@
     def begin_leaving(self) -> None:
         """Take no new work from now on."""
         self.gate.leaving = True
+        self.admission.refuse_all(NotRun(Reason.leaving, 'host is leaving'))
         self.node.leave()
 
     def is_quiet(self) -> bool:
         """Tell whether every request has ended and its result is kept."""
-        return not self.limiter.running and self.claims.settled()
+        return self.admission.is_quiet() and self.claims.settled()
+
+    def follow_zone(self, document: Document) -> None:
+        """Refuse what waits when the zone goes, and ramp when it is back."""
+        zone = self.settings.zone
+        was_in = self.zone_is_in
+        self.zone_is_in = document.zone_is_in(zone)
+        if not self.zone_is_in:
+            refusal = NotRun(Reason.zone_out, f'zone {zone} is taken out')
+            self.admission.refuse_all(refusal)
+        elif not was_in:
+            self.limiter.successes = 0
 
     def serve(self, exchange: Exchange) -> None:
         """Answer health and metrics pages."""
--- /dev/null
+++ b/src/bramleylug/agent/replies.py
@@ -0,0 +1,53 @@
+"""Messages that an agent answers an entry with."""
+
+from bramleylug.admission.controller import LoadFigures
+from bramleylug.agent.upstream import Answer, Part
+from bramleylug.outcomes import NotRun, Ran, Reason, Unknown
+from bramleylug.wire.requests_pb2 import (
+    RUN_STATE_RAN,
+    RUN_STATE_UNKNOWN,
+    Break,
+    End,
+    Load,
+    Refusal,
+    Reply,
+)
+
+
+def build_reply(part: Part, body_bytes: int, figures: LoadFigures) -> Reply:
+    """Return the message for one part of an answer.
+
+    :param body_bytes: bytes of the body that were passed on so far.
+    """
+    match part:
+        case bytes():
+            return Reply(piece=part)
+        case Answer(head):
+            reply = Reply(head=head)
+        case NotRun():
+            reply = Reply(refusal=_refusal(part))
+        case Ran(whole=True):
+            reply = Reply(end=End(body_bytes=body_bytes))
+        case Ran(reason=reason, message=message):
+            reply = Reply(broken=_broken(RUN_STATE_RAN, reason, message))
+        case Unknown(reason, message):
+            reply = Reply(broken=_broken(RUN_STATE_UNKNOWN, reason, message))
+    reply.load.CopyFrom(Load(**figures._asdict()))
+    return reply
+
+
+def _refusal(refusal: NotRun) -> Refusal:
+    return Refusal(
+        reason=refusal.reason,
+        message=refusal.message,
+        retry_after_ms=int(refusal.retry_after_s * 1000),
+        elsewhere=refusal.elsewhere,
+    )
+
+
+def _broken(run: int, reason: Reason | None, message: str) -> Break:
+    return Break(
+        run=run,  # type: ignore[arg-type]
+        reason=reason or Reason.upstream_failed,
+        message=message,
+    )
--- /dev/null
+++ b/src/bramleylug/agent/runner.py
@@ -0,0 +1,181 @@
+"""Running an admitted request on the upstream, at most once by its key."""
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from http import HTTPStatus
+from typing import Any, NamedTuple, final
+
+from bramleylug.admission.controller import Pass
+from bramleylug.admission.limiter import Limiter
+from bramleylug.agent.crashes import CrashGuard
+from bramleylug.agent.gate import Gate
+from bramleylug.agent.recording import AnswerRecorder, replayed_parts
+from bramleylug.agent.upstream import Answer, Part, Upstream, UpstreamCall
+from bramleylug.claims.actions import Replay, Verdict
+from bramleylug.claims.keeper import Claimed, ClaimKeeper
+from bramleylug.configuration.document import Document, ServiceSpec
+from bramleylug.observability.events import LogEvent, emit
+from bramleylug.outcomes import NotRun, Ran, Reason, Unknown
+from bramleylug.wire.requests_pb2 import Request
+
+
+class Job(NamedTuple):
+    """An admitted request.
+
+    :ivar deadline_s: monotonic seconds when its caller gives up.
+    :ivar context: gRPC context of the call; tells when the caller goes.
+    """
+
+    request: Request
+    spec: ServiceSpec
+    turn: Pass
+    fingerprint: bytes
+    deadline_s: float
+    context: Any
+
+
+def needs_claim(request: Request, spec: ServiceSpec) -> bool:
+    """Tell whether a request has to be claimed before it runs."""
+    return bool(request.idempotency_key) and not spec.idempotent
+
+
+def parts_of(verdict: Verdict) -> tuple[Part, ...]:
+    """Return the answer to a request that is not run."""
+    match verdict:
+        case Replay(answer):
+            return replayed_parts(answer)
+        case outcome:
+            return (outcome,)
+
+
+@final
+class Runner:
+    """Sends admitted requests and watches what becomes of them.
+
+    :param document: returns the configuration in force.
+    """
+
+    def __init__(
+        self,
+        gate: Gate,
+        limiter: Limiter,
+        upstream: Upstream,
+        claims: ClaimKeeper,
+        guard: CrashGuard,
+        document: Callable[[], Document],
+    ) -> None:
+        self.gate = gate
+        self.limiter = limiter
+        self.upstream = upstream
+        self.claims = claims
+        self.guard = guard
+        self.document = document
+
+    def run(self, job: Job) -> Iterator[Part]:
+        """Run a request and yield the parts of its answer."""
+        if not needs_claim(job.request, job.spec):
+            call = self.upstream.call(job.deadline_s)
+            if not job.context.add_callback(call.cancel):
+                call.cancel()
+            yield from self._send(job, call)
+            return
+        match self.claims.claim(job.request, job.deadline_s):
+            case Claimed() as claimed:
+                yield from self._run_claimed(job, claimed)
+            case verdict:
+                yield from parts_of(verdict)
+
+    def _run_claimed(self, job: Job, claimed: Claimed) -> Iterator[Part]:
+        """Run to the end, also when the caller has gone."""
+        recorder = AnswerRecorder(self.claims, claimed)
+        parts = self._send(job, self.upstream.call(job.deadline_s))
+        try:
+            for part in parts:
+                recorder.add(part)
+                yield part
+        finally:
+            for left in parts:
+                recorder.add(left)
+            recorder.close()
+
+    def _send(self, job: Job, call: UpstreamCall) -> Iterator[Part]:
+        refusal = self._refusal(job)
+        if refusal is not None:
+            yield refusal
+            return
+        token = job.turn.token
+        self.guard.begin(token, job.turn.permit.boot_id, job.fingerprint)
+        success = False
+        try:
+            for part in self._watch(job, call):
+                success = isinstance(part, Ran) and part.whole
+                yield part
+        finally:
+            self.guard.end(token, success=success)
+
+    def _refusal(self, job: Job) -> NotRun | None:
+        closed = self.gate.check(job.request, self.document())
+        if isinstance(closed, NotRun):
+            return closed
+        if time.monotonic() >= job.deadline_s or not job.context.is_active():
+            return NotRun(Reason.deadline, 'its caller waits no longer')
+        return None
+
+    def _watch(self, job: Job, call: UpstreamCall) -> Iterator[Part]:
+        digest = self.gate.open_digest
+        started_s = time.monotonic()
+        for part in call.run(job.request):
+            checked = part
+            match part:
+                case Answer():
+                    self._observe(part, job.spec, started_s)
+                    checked = _check_weights(part, job.spec, digest)
+                case Unknown() | Ran(whole=False):
+                    checked = self._broke(part, job, call)
+            yield checked
+            if isinstance(checked, Unknown):
+                return
+
+    def _observe(
+        self, answer: Answer, spec: ServiceSpec, started_s: float
+    ) -> None:
+        if answer.boot_id:
+            self.limiter.observe_boot(answer.boot_id)
+        now_s = time.monotonic()
+        adaptation = self.limiter.adaptation
+        if adaptation.observe_first_byte(now_s - started_s, now_s):
+            emit(
+                LogEvent.limit_halved,
+                limit=self.limiter.limit(spec),
+                cause='first bytes come late',
+            )
+
+    def _broke(
+        self, outcome: Unknown | Ran, job: Job, call: UpstreamCall
+    ) -> Unknown | Ran:
+        """Find out whether the upstream died, and say so."""
+        lost = outcome.reason in {Reason.upstream_crashed, Reason.answer_cut}
+        if call.cancelled or not lost:
+            return outcome
+        if self.guard.connection_broke(job.turn.token):
+            return replace(outcome, reason=Reason.upstream_crashed)
+        return replace(outcome, reason=Reason.answer_cut)
+
+
+def _check_weights(
+    answer: Answer, spec: ServiceSpec, digest: str
+) -> Answer | Unknown:
+    """Return the answer, or why it may not be passed on.
+
+    A model engine that restarted between the gate's look and the request
+    answers with other weights, or refuses for want of any.
+    """
+    if spec.kind != 'model' or answer.head.weights_digest == digest:
+        return answer
+    refused = answer.head.status >= HTTPStatus.BAD_REQUEST
+    if refused and answer.head.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return answer
+    return Unknown(
+        Reason.weights_incomplete, 'answer is not of the weights that were open'
+    )
--- a/src/bramleylug/agent/serving.py
+++ b/src/bramleylug/agent/serving.py
@@ -2,26 +2,19 @@
 
 import time
 from collections.abc import Callable, Iterator
+from http import HTTPStatus
 from typing import Any, final
 
-from bramleylug.admission.limiter import Admitted, Limiter
-from bramleylug.agent.gate import Gate
-from bramleylug.agent.recording import AnswerRecorder, replayed_parts
-from bramleylug.agent.upstream import Answer, Part, Upstream
-from bramleylug.claims.actions import Replay
-from bramleylug.claims.keeper import Claimed, ClaimKeeper
+from bramleylug.admission.controller import AdmissionController, Pass
+from bramleylug.admission.queue import Arrival
+from bramleylug.admission.suspects import Standing
+from bramleylug.agent.replies import build_reply
+from bramleylug.agent.runner import Job, Runner, needs_claim, parts_of
+from bramleylug.agent.upstream import Answer, Part
+from bramleylug.claims.keys import request_fingerprint
 from bramleylug.configuration.document import Document, ServiceSpec
-from bramleylug.outcomes import NotRun, Ran, Reason, Unknown
-from bramleylug.wire.requests_pb2 import (
-    RUN_STATE_RAN,
-    RUN_STATE_UNKNOWN,
-    Break,
-    End,
-    Load,
-    Refusal,
-    Reply,
-    Request,
-)
+from bramleylug.outcomes import NotRun, Ran, Reason
+from bramleylug.wire.requests_pb2 import Reply, Request
 from bramleylug.wire.requests_pb2_grpc import ServingServicer
 
 
@@ -34,125 +27,84 @@
 
     def __init__(
         self,
-        gate: Gate,
-        limiter: Limiter,
-        upstream: Upstream,
+        runner: Runner,
+        admission: AdmissionController,
         document: Callable[[], Document],
-        claims: ClaimKeeper,
     ) -> None:
-        self.gate = gate
-        self.limiter = limiter
-        self.upstream = upstream
+        self.runner = runner
+        self.admission = admission
         self.document = document
-        self.claims = claims
 
     def Dispatch(self, request: Request, context: Any) -> Iterator[Reply]:
         """Run one request and stream its answer."""
-        match self.gate.check(request, self.document()):
+        body_bytes = 0
+        for part in self._serve(request, context):
+            if isinstance(part, bytes):
+                body_bytes += len(part)
+            figures = self.admission.figures(
+                self.document().services.get(request.service)
+            )
+            yield build_reply(part, body_bytes, figures)
+
+    def _serve(self, request: Request, context: Any) -> Iterator[Part]:
+        match self.runner.gate.check(request, self.document()):
             case NotRun() as refusal:
-                yield self._refuse(refusal)
-                return
+                yield refusal
             case ServiceSpec() as spec:
-                pass
-        match self.limiter.admit(spec):
-            case NotRun() as refusal:
-                yield self._refuse(refusal)
-            case Admitted() as permit:
-                yield from self._run(request, spec, permit)
+                yield from self._serve_open(request, spec, context)
 
-    def _run(
-        self, request: Request, spec: ServiceSpec, permit: Admitted
-    ) -> Iterator[Reply]:
+    def _serve_open(
+        self, request: Request, spec: ServiceSpec, context: Any
+    ) -> Iterator[Part]:
+        if needs_claim(request, spec):
+            known = self.runner.claims.recall(request)
+            if known is not None:
+                yield from parts_of(known)
+                return
+        fingerprint = request_fingerprint(request)
+        standing = self.runner.guard.standing(fingerprint, request.crashes)
+        if standing is Standing.barred:
+            yield NotRun(
+                Reason.crash_suspect, 'upstreams died when they ran this'
+            )
+            return
         timeout_s = (request.deadline_ms or spec.deadline_ms) / 1000
+        arrival = Arrival(
+            self.admission.next_token(),
+            request.workspace,
+            request.priority,
+            len(request.body),
+            time.monotonic() + timeout_s,
+            standing is Standing.alone,
+        )
+        context.add_callback(lambda: self.admission.cancel(arrival.token))
+        match self.admission.admit(arrival, lambda: self._spec(spec)):
+            case NotRun() as refusal:
+                yield refusal
+            case Pass() as turn:
+                yield from self._run(
+                    Job(
+                        request,
+                        spec,
+                        turn,
+                        fingerprint,
+                        arrival.deadline_s,
+                        context,
+                    )
+                )
+
+    def _run(self, job: Job) -> Iterator[Part]:
+        status = 0
         success = False
         try:
-            closed = self.gate.check(request, self.document())
-            if isinstance(closed, NotRun):
-                yield self._refuse(closed)
-                return
-            for part in self._parts(request, spec, timeout_s):
+            for part in self.runner.run(job):
+                if isinstance(part, Answer):
+                    status = part.head.status
                 success = isinstance(part, Ran) and part.whole
-                yield self._reply(part)
-        finally:
-            self.limiter.release(permit, success=success)
-
-    def _parts(
-        self, request: Request, spec: ServiceSpec, timeout_s: float
-    ) -> Iterator[Part]:
-        if spec.idempotent or not request.idempotency_key:
-            yield from self.upstream.run(request, timeout_s)
-            return
-        deadline_s = time.monotonic() + timeout_s
-        match self.claims.claim(request, deadline_s):
-            case Claimed() as claimed:
-                yield from self._run_claimed(request, claimed, deadline_s)
-            case Replay(answer):
-                yield from replayed_parts(answer)
-            case outcome:
-                yield outcome
-
-    def _run_claimed(
-        self, request: Request, claimed: Claimed, deadline_s: float
-    ) -> Iterator[Part]:
-        """Run to the end, also when the caller has gone."""
-        recorder = AnswerRecorder(self.claims, claimed)
-        parts = self._run_in_time(request, deadline_s)
-        try:
-            for part in parts:
-                recorder.add(part)
                 yield part
         finally:
-            for left in parts:
-                recorder.add(left)
-            recorder.close()
-
-    def _run_in_time(
-        self, request: Request, deadline_s: float
-    ) -> Iterator[Part]:
-        closed = self.gate.check(request, self.document())
-        left_s = deadline_s - time.monotonic()
-        if isinstance(closed, NotRun):
-            yield closed
-        elif left_s <= 0:
-            yield NotRun(Reason.deadline, 'no time left after the claim')
-        else:
-            yield from self.upstream.run(request, left_s)
-
-    def _reply(self, part: Part) -> Reply:
-        match part:
-            case Answer(head):
-                return Reply(head=head)
-            case bytes():
-                return Reply(piece=part)
-            case NotRun():
-                return self._refuse(part)
-            case Ran(whole=True):
-                return Reply(end=End(), load=self._load())
-            case Ran(reason=reason, message=message):
-                return _broken(RUN_STATE_RAN, reason, message)
-            case Unknown(reason, message):
-                return _broken(RUN_STATE_UNKNOWN, reason, message)
+            healthy = success and status < HTTPStatus.INTERNAL_SERVER_ERROR
+            self.admission.end(job.turn, job.spec, success=healthy)
 
-    def _refuse(self, refusal: NotRun) -> Reply:
-        return Reply(
-            refusal=Refusal(
-                reason=refusal.reason,
-                message=refusal.message,
-                retry_after_ms=int(refusal.retry_after_s * 1000),
-                elsewhere=refusal.elsewhere,
-            ),
-            load=self._load(),
-        )
-
-    def _load(self) -> Load:
-        return Load(running=self.limiter.running)
-
-
-def _broken(run: int, reason: Reason | None, message: str) -> Reply:
-    return Reply(
-        broken=Break(
-            run=run,  # type: ignore[arg-type]
-            reason=reason or Reason.upstream_failed,
-            message=message,
-        )
-    )
+    def _spec(self, known: ServiceSpec) -> ServiceSpec:
+        return self.document().services.get(known.name, known)
--- a/src/bramleylug/claims/book.py
+++ b/src/bramleylug/claims/book.py
@@ -53,6 +53,18 @@
             return self.meet(known, ask, now)
         return self.want(ask, now)
 
+    def recall(self, key: bytes, fingerprint: bytes) -> Verdict | None:
+        """Return what a resend is told, where the result is known."""
+        own = self.own.get(key)
+        known = self.document.claims.get(key)
+        if own is not None and key in self.dirty:
+            known = own.claim
+        if known is None or known.held:
+            return None
+        if known.fingerprint != fingerprint:
+            return key_conflict()
+        return verdict_of(known)
+
     def adopt(self, document: ShardDocument, now: Instant) -> list[Action]:
         """Take in what the store holds, and decide what depends on it."""
         self.document = document
--- a/src/bramleylug/claims/keeper.py
+++ b/src/bramleylug/claims/keeper.py
@@ -114,6 +114,15 @@
             return Claimed(name, digest)
         return decision
 
+    def recall(self, request: Request) -> Verdict | None:
+        """Return what a resend is told, where that is known already."""
+        digest = key_digest(request)
+        name = ShardName(request.service, shard_number(digest))
+        with self.lock:
+            return self._ledger(name).book.recall(
+                digest, request_fingerprint(request)
+            )
+
     def finish(self, claimed: Claimed, state: int, answer: bytes) -> None:
         """Report the result of a run."""
         with self.lock:
--- a/src/bramleylug/outcomes.py
+++ b/src/bramleylug/outcomes.py
@@ -27,6 +27,7 @@
     no_upstream = 'no_upstream'
     connection_failed = 'connection_failed'
     upstream_failed = 'upstream_failed'
+    upstream_crashed = 'upstream_crashed'
     answer_cut = 'answer_cut'
     slow_reader = 'slow_reader'
     store_unavailable = 'store_unavailable'
--- a/testing/builders.py
+++ b/testing/builders.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from bramleylug.admission.queue import Arrival
 from bramleylug.claims.actions import Ask
 from bramleylug.claims.document import Claim
 from bramleylug.configuration.document import Change, Document, ServiceSpec
@@ -80,3 +81,14 @@
         'claimed_s': 1_000_000,
     }
     return Claim(key, **{**defaults, **fields})
+
+
+def build_arrival(token: int, **fields: Any) -> Arrival:
+    """Return a small request of one workspace with a long deadline."""
+    defaults = {
+        'workspace': 'workspace-1',
+        'priority': 0,
+        'body_bytes': 10,
+        'deadline_s': 60.0,
+    }
+    return Arrival(token, **{**defaults, **fields})
