--- /dev/null
+++ b/testing/agent/test_upstream.py
@@ -0,0 +1,109 @@
+"""Tests that only whole answers to the own request pass."""
+
+import time
+import unittest
+from typing import Any
+
+from bramleylug.agent.upstream import Upstream
+from bramleylug.outcomes import NotRun, Ran, Reason, Unknown
+from testing.agent.canned import HEAD, CannedUpstream
+from testing.builders import build_request
+
+
+class TestAnswers(unittest.TestCase):
+    """What an upstream sends, and what is made of it."""
+
+    def call(self, answer: bytes) -> list[Any]:
+        """Return the parts that one answer gives."""
+        canned = CannedUpstream(answer)
+        self.addCleanup(canned.close)
+        self.canned = canned
+        call = Upstream(canned.address).call(time.monotonic() + 5)
+        return list(call.run(build_request(priority=3)))
+
+    def test_answer_with_its_length_is_whole(self) -> None:
+        """All bytes came."""
+        parts = self.call(HEAD + b'Content-Length: 2\r\n\r\nok')
+
+        self.assertEqual(parts[1:], [b'ok', Ran(200)])
+
+    def test_answer_short_of_its_length_is_cut(self) -> None:
+        """Bytes are missing."""
+        parts = self.call(HEAD + b'Content-Length: 3\r\n\r\nok')
+
+        self.assertEqual(parts[-1].reason, Reason.answer_cut)
+
+    def test_chunks_with_their_end_are_whole(self) -> None:
+        """The last chunk came."""
+        parts = self.call(
+            HEAD
+            + b'Transfer-Encoding: chunked\r\n\r\n'
+            + b'2\r\nok\r\n0\r\n\r\n'
+        )
+
+        self.assertEqual(parts[1:], [b'ok', Ran(200)])
+
+    def test_chunks_without_their_end_are_cut(self) -> None:
+        """The connection closed between two chunks."""
+        parts = self.call(
+            HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n'
+        )
+
+        self.assertEqual(parts[-1].reason, Reason.answer_cut)
+
+    def test_answer_without_length_or_end_is_not_whole(self) -> None:
+        """A cut could not be told from its end."""
+        parts = self.call(HEAD + b'\r\nok')
+
+        self.assertEqual(parts[-1].whole, False)
+
+    def test_answer_to_another_request_never_passes(self) -> None:
+        """The echoed request id differs."""
+        parts = self.call(
+            HEAD + b'X-Request-Id: other\r\nContent-Length: 2\r\n\r\nok'
+        )
+
+        self.assertIsInstance(parts[0], Unknown)
+        self.assertEqual(len(parts), 1)
+
+    def test_second_answer_on_a_connection_is_dropped(self) -> None:
+        """Only the first belongs to the request."""
+        answer = HEAD + b'Content-Length: 2\r\n\r\nok'
+
+        self.assertEqual(self.call(answer * 2)[1:], [b'ok', Ran(200)])
+
+    def test_connection_lost_before_an_answer_is_unknown(self) -> None:
+        """The request may have run."""
+        parts = self.call(b'')
+
+        self.assertEqual(parts[0].reason, Reason.upstream_crashed)
+
+    def test_priority_and_request_id_are_passed(self) -> None:
+        """The engine may order by them."""
+        self.call(HEAD + b'Content-Length: 0\r\n\r\n')
+
+        self.assertIn(b'X-Priority: 3\r\n', self.canned.received)
+        self.assertIn(b'X-Request-Id: request-1\r\n', self.canned.received)
+
+
+class TestRefused(unittest.TestCase):
+    """What never reached an upstream."""
+
+    def test_refused_connection_is_not_run(self) -> None:
+        """Nothing listens there."""
+        canned = CannedUpstream(b'')
+        canned.close()
+        call = Upstream(canned.address).call(time.monotonic() + 5)
+
+        parts = list(call.run(build_request()))
+
+        self.assertIsInstance(parts[0], NotRun)
+
+    def test_call_cancelled_before_its_start_is_not_run(self) -> None:
+        """The caller went while the request waited."""
+        call = Upstream('127.0.0.1:1').call(time.monotonic() + 5)
+        call.cancel()
+
+        parts = list(call.run(build_request()))
+
+        self.assertEqual(parts[0].reason, Reason.deadline)
