--- a/src/bramleylug/entry/daemon.py
+++ b/src/bramleylug/entry/daemon.py
@@ -1,26 +1,38 @@
 """The entry: what callers connect to."""
 
 from http import HTTPStatus
+from random import Random
 from threading import Thread
 from typing import final
+from urllib.parse import parse_qs
 
 from circuits import BaseComponent
 
-from bramleylug.entry.answers import error_answer
-from bramleylug.entry.dispatch import (
-    SERVICE_PREFIX,
-    Dispatcher,
-    DispatchLoop,
-)
-from bramleylug.entry.entries import EntriesAnswer, order_entries
+from bramleylug.entry.answers import RETRY_SOON_S, error_answer
+from bramleylug.entry.dispatch import Dispatcher, DispatchLoop
+from bramleylug.entry.entries import Asker, EntriesAnswer, order_entries
+from bramleylug.entry.requests import SERVICE_PREFIX
+from bramleylug.entry.reservations import Reservation
 from bramleylug.node.node import Node
 from bramleylug.node.pages import serve_page
+from bramleylug.observability.metrics import REFUSALS, count
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.settings.daemons import EntrySettings
-from bramleylug.web.server import Exchange, WebServer
+from bramleylug.web.exchange import Exchange
+from bramleylug.web.limits import WebLimits
+from bramleylug.web.memory import MemoryLedger
+from bramleylug.web.server import WebServer
+from bramleylug.wire.channels import MESSAGE_LIMIT_BYTES
 from bramleylug.wire.membership_pb2 import Member
 
 GRPC_WORKERS = 8
+ENTRIES_PATH = '/v1/entries'
+LOAD_STEPS = 8
+FULL_PERMILLE = 1000
+BODY_COPIES = 2
+HOLDERS = 2
+SEND_BUFFER_SHARE = 8
+MESSAGE_SPARE_BYTES = 262144
 
 
 @final
@@ -37,8 +49,15 @@
         self.settings = settings
         self.node = Node(settings, 'entry', workers=GRPC_WORKERS)
         self.node.register(self)
-        self.web = WebServer(settings.http_bind, self.serve).register(self)
+        self.ledger = MemoryLedger(settings.memory_bytes)
+        self.web = WebServer(
+            settings.http_bind,
+            self.serve,
+            limits=web_limits(settings),
+            ledger=self.ledger,
+        ).register(self)
         self.dispatch = DispatchLoop(lambda: Dispatcher(settings, self.node))
+        self.random = Random(settings.name)
         self.leaving = False
         self.node.describe = self.describe
 
@@ -55,15 +74,33 @@
     def begin_leaving(self) -> None:
         """Take no new work from now on."""
         self.leaving = True
+        self.web.leave()
         self.node.leave()
 
     def is_quiet(self) -> bool:
-        """Tell whether every request has ended."""
-        return not self.dispatch.dispatcher.running
+        """Tell whether every request has ended and its answer has left.
+
+        Requests that have begun to arrive count, whether or not they are
+        parsed; they are answered with a refusal.
+        """
+        return not (self.web.busy or self.dispatch.dispatcher.running)
 
     def describe(self, record: Member) -> None:
         """Fill the own membership record."""
         record.draining = self.leaving
+        connections = len(self.web.connections.connections)
+        share = max(
+            self.ledger.share, connections / self.settings.max_connections
+        )
+        step = min(LOAD_STEPS, int(share * LOAD_STEPS))
+        record.load_permille = step * FULL_PERMILLE // LOAD_STEPS
+        fleet = self.dispatch.dispatcher.picker.fleet
+        del record.unservable[:]
+        record.unservable.extend(
+            name
+            for name in sorted(self.node.holder.document.services)
+            if not fleet.serves(name)
+        )
 
     def not_ready(self) -> str:
         """Return why no request is taken; empty when some are."""
@@ -75,29 +112,65 @@
         """Answer one request of a caller."""
         if serve_page(exchange, self.node, not_ready=self.not_ready()):
             return
-        if exchange.path == '/v1/entries':
-            exchange.reply_json(HTTPStatus.OK, self.entry_addresses())
+        if exchange.path == ENTRIES_PATH:
+            exchange.reply_json(HTTPStatus.OK, self.entry_addresses(exchange))
         elif exchange.path.startswith(SERVICE_PREFIX):
             self._serve_service(exchange)
         else:
             refusal = NotRun(Reason.bad_request, 'no such path')
-            exchange.reply_json(HTTPStatus.NOT_FOUND, error_answer(refusal)[1])
-
-    def entry_addresses(self) -> EntriesAnswer:
-        """Return the entries callers may use."""
-        return order_entries(
-            self.node.members,
-            self.node.holder.document,
-            self.settings,
+            _, document, headers = error_answer(refusal)
+            exchange.reply_json(HTTPStatus.NOT_FOUND, document, headers)
+
+    def entry_addresses(
+        self, exchange: Exchange | None = None
+    ) -> EntriesAnswer:
+        """Return the entries that the asking caller may use."""
+        query = {} if exchange is None else parse_qs(exchange.query)
+        asker = Asker(
+            query.get('zone', [self.settings.zone])[0],
+            self.settings.region,
+            query.get('service', [''])[0],
+        )
+        return EntriesAnswer(
+            entries=order_entries(
+                self.node.members,
+                self.node.holder.document,
+                asker,
+                self.random,
+            ),
+            keep_s=self.settings.keep_entries,
         )
 
     def _serve_service(self, exchange: Exchange) -> None:
         refusal = self._refusal()
         if refusal is None:
-            self.dispatch.submit(exchange)
-            return
-        exchange.drop_connection_after()
-        exchange.reply_json(*error_answer(refusal))
+            refusal = self._submit(exchange)
+        else:
+            exchange.drop_connection_after()
+        if refusal is not None:
+            count(REFUSALS, reason=str(refusal.reason))
+            exchange.reply_json(*error_answer(refusal))
+
+    def _submit(self, exchange: Exchange) -> NotRun | None:
+        """Hand a request over if there is memory for all it may hold.
+
+        Its body is held twice more while it is sent: as a message, and as
+        the bytes of that message.
+        """
+        reserved_bytes = self.settings.caller_bytes + BODY_COPIES * len(
+            exchange.body()
+        )
+        if not self.ledger.reserve(reserved_bytes):
+            return NotRun(
+                Reason.overloaded,
+                'no memory for one more request',
+                RETRY_SOON_S,
+                self._others(),
+            )
+        reservation = Reservation(self.ledger, reserved_bytes, HOLDERS)
+        exchange.on_ended = reservation.done
+        self.dispatch.submit(exchange, reservation)
+        return None
 
     def _refusal(self) -> NotRun | None:
         reason = None
@@ -109,6 +182,28 @@
             reason = Reason.zone_out
         if reason is None:
             return None
-        usable = self.entry_addresses()['entries']
-        elsewhere = tuple(entry['address'] for entry in usable)
-        return NotRun(reason, 'ask another entry', 0, elsewhere)
+        return NotRun(reason, 'ask another entry', 0, self._others())
+
+    def _others(self) -> tuple[str, ...]:
+        own = self.web.address
+        return tuple(
+            entry['address']
+            for entry in self.entry_addresses()['entries']
+            if entry['address'] != own
+        )
+
+
+def web_limits(settings: EntrySettings) -> WebLimits:
+    """Return the limits of the callers' port."""
+    return WebLimits(
+        head_bytes=settings.header_bytes,
+        body_bytes=min(
+            settings.request_bytes, MESSAGE_LIMIT_BYTES - MESSAGE_SPARE_BYTES
+        ),
+        connections=settings.max_connections,
+        head_timeout_s=settings.header_timeout,
+        body_timeout_s=settings.deadline,
+        idle_timeout_s=settings.idle_timeout,
+        stall_timeout_s=settings.stall_timeout,
+        send_buffer_bytes=settings.caller_bytes // SEND_BUFFER_SHARE,
+    )
--- a/testing/builders.py
+++ b/testing/builders.py
@@ -5,6 +5,7 @@
 from bramleylug.admission.queue import Arrival
 from bramleylug.claims.actions import Ask
 from bramleylug.claims.document import Claim
+from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.configuration.document import Change, Document, ServiceSpec
 from bramleylug.wire.membership_pb2 import Member, ServiceState
 from bramleylug.wire.requests_pb2 import Request
@@ -92,3 +93,9 @@
         'deadline_s': 60.0,
     }
     return Arrival(token, **{**defaults, **fields})
+
+
+def build_bench_result(*bounds: tuple[Any, ...]) -> BenchResult:
+    """Return a result of ``weights`` with (name, value, relation, bound)."""
+    sourced = tuple(Bound(*bound, source='letter') for bound in bounds)
+    return BenchResult('weights', 1, {}, sourced)
