--- a/src/bramleylug/bench/catalogue.py
+++ b/src/bramleylug/bench/catalogue.py
@@ -15,6 +15,7 @@
 BENCHES = {
     name: f'bramleylug.bench.{name}'
     for name in (
+        'faults',
         'path',
         'weights',
         'config',
