Work out watcher, publisher, store and serving lines of the capacity page

Lines may divide, and take constants of the code (watchers a zone, the wait of a watch) from the modules that hold them, so that the page moves with the code. What is not measured yet is said to be so.

--- a/src/bramleylug/bench/capacity.py
+++ b/src/bramleylug/bench/capacity.py
@@ -7,9 +7,15 @@
 from pathlib import Path
 from typing import Any, TypedDict
 
-from bramleylug.bench.capacity_lines import Budget, Line
+from bramleylug.bench.capacity_lines import DIVIDED, Budget, Line
 from bramleylug.bench.capacity_model import LINES
-from bramleylug.bench.quantities import SIZES, Quantities, letter_sizes
+from bramleylug.bench.quantities import (
+    CONSTANTS,
+    SIZES,
+    Quantities,
+    design_constants,
+    known_quantities,
+)
 from bramleylug.bench.results import BenchOutcome, BenchResult
 from bramleylug.bench.table import format_figure
 
@@ -112,6 +118,11 @@
         (f'`{name}`', format_figure(float(size.amount)), size.source)
         for name, size in SIZES.items()
     ]
+    constants = design_constants()
+    rows.extend(
+        (f'`{name}`', format_figure(constants[name]), f'{module}, {constant}')
+        for name, (module, constant) in CONSTANTS.items()
+    )
     return _table(('size', 'amount', 'from'), rows)
 
 
@@ -132,7 +143,7 @@
 
 
 def _role_table(lines: list[Line], slopes: Quantities) -> str:
-    quantities = letter_sizes() | dict(slopes)
+    quantities = known_quantities(slopes)
     rows = [
         (
             line.resource,
@@ -149,16 +160,21 @@
     missing = line.missing(quantities)
     if missing:
         return f'{NOT_MEASURED}: {", ".join(missing)}'
-    products = [
-        ' × '.join(
-            f'`{name}` {format_figure(quantities[name])}' for name in product
-        )
-        for product in line.terms
-    ]
+    products = [_worked_product(names, quantities) for names in line.terms]
     total = format_figure(float(line.total(quantities)))
     return f'{" + ".join(products)} = **{total} {line.unit}**'
 
 
+def _worked_product(names: Iterable[str], quantities: Quantities) -> str:
+    text = ''
+    for name in names:
+        bare = name.removeprefix(DIVIDED)
+        sign = ' × ' if bare == name else ' / '
+        factor = f'`{bare}` {format_figure(quantities[bare])}'
+        text = f'{text}{sign}{factor}'
+    return f'1{text}' if text.startswith(' / ') else text.removeprefix(' × ')
+
+
 def _budget(budget: Budget | None) -> str:
     if budget is None:
         return 'none named'
@@ -178,7 +194,7 @@
 
 
 def _budget_row(line: Line, slopes: Quantities) -> tuple[Any, ...]:
-    quantities = letter_sizes() | dict(slopes)
+    quantities = known_quantities(slopes)
     if line.missing(quantities) or line.budget is None:
         return (float('inf'), NOT_MEASURED, line.title, '', NOT_MEASURED)
     scale = line.breaking_scale(slopes)
--- a/src/bramleylug/bench/capacity_lines.py
+++ b/src/bramleylug/bench/capacity_lines.py
@@ -4,11 +4,13 @@
 from math import inf, prod
 from typing import NamedTuple, final
 
-from bramleylug.bench.quantities import Quantities, letter_sizes
+from bramleylug.bench.quantities import Quantities, known_quantities
 
 LARGEST_SCALE = 4096.0
 BISECTIONS = 40
 
+DIVIDED = '/'
+
 Product = tuple[str, ...]
 
 
@@ -28,7 +30,7 @@
     """One resource of one role, as a sum of products of quantities.
 
     :ivar terms: names of sizes and slopes; each inner tuple is multiplied,
-        and the products are added.
+        and the products are added. A name after ``/`` divides.
     :ivar mechanism: what carries it.
     """
 
@@ -46,7 +48,11 @@
 
     def names(self) -> Iterable[str]:
         """Return the quantities it is made of."""
-        return [name for product in self.terms for name in product]
+        return [
+            name.removeprefix(DIVIDED)
+            for product in self.terms
+            for name in product
+        ]
 
     def missing(self, quantities: Quantities) -> list[str]:
         """Return the quantities that were not measured yet."""
@@ -55,7 +61,8 @@
     def total(self, quantities: Quantities) -> float:
         """Return what the line comes to."""
         return sum(
-            prod(quantities[name] for name in product) for product in self.terms
+            prod(_factor(name, quantities) for name in product)
+            for product in self.terms
         )
 
     def holds(self, quantities: Quantities) -> bool:
@@ -70,14 +77,20 @@
         Infinite where the line does not grow with the fleet.
         """
         low, high = 0.0, 1.0
-        while self.holds(letter_sizes(high) | dict(slopes)):
+        while self.holds(known_quantities(slopes, high)):
             low, high = high, high * 2
             if high > LARGEST_SCALE:
                 return inf
         for _ in range(BISECTIONS):
             middle = (low + high) / 2
-            if self.holds(letter_sizes(middle) | dict(slopes)):
+            if self.holds(known_quantities(slopes, middle)):
                 low = middle
             else:
                 high = middle
         return low
+
+
+def _factor(name: str, quantities: Quantities) -> float:
+    if name.startswith(DIVIDED):
+        return 1 / quantities[name.removeprefix(DIVIDED)]
+    return quantities[name]
--- a/src/bramleylug/bench/capacity_model.py
+++ b/src/bramleylug/bench/capacity_model.py
@@ -7,6 +7,10 @@
 CONTROL_CORES = Budget(0.025, 'letter: 2.5% of a core for control')
 CONTROL_BYTES = Budget(64 * MEBIBYTE, 'letter: 64 MB for control')
 CONTROL_RATE = Budget(17000, 'letter: 17 KB a second for control')
+ONE_CORE = Budget(1, 'one core: a loop is one thread')
+ANSWER_BYTES = Budget(16 * MEBIBYTE, 'setting --memory-bytes')
+STORE_READS = Budget(2000, 'brief: about two thousand reads a second')
+STORE_WRITES = Budget(400, 'brief: several hundred writes a second')
 
 GOSSIP = 'one probe an interval to one peer, whatever the fleet'
 VIEW = 'one record a member, replaced as a whole'
@@ -50,4 +54,119 @@
     )
 
 
-LINES = (*_control_lines('entry'), *_control_lines('agent'))
+_WATCHERS = ('zones', 'watchers_per_zone')
+_DECODING = ('changes_per_s', 'services', 'document_decode_s_per_service')
+
+SERVING_LINES = (
+    Line(
+        'entry',
+        'processor time for requests',
+        'cores',
+        (
+            ('requests_per_node_s', 'entry_s_per_request'),
+            ('tokens_per_node_s', 'entry_s_per_piece'),
+        ),
+        'one asyncio loop for agents, one circuits loop for callers',
+        ONE_CORE,
+    ),
+    Line(
+        'entry',
+        'answer bytes held',
+        'bytes',
+        (('running_per_node', 'caller_bytes'),),
+        'flow control: a full count stops the reading of the agent',
+        ANSWER_BYTES,
+    ),
+    Line(
+        'agent',
+        'processor time for requests',
+        'cores',
+        (
+            ('requests_per_engine_s', 'agent_s_per_request'),
+            ('tokens_per_engine_s', 'agent_s_per_piece'),
+        ),
+        'one thread a running request',
+        ONE_CORE,
+    ),
+)
+
+WATCHER_LINES = (
+    Line(
+        'watcher',
+        'state',
+        'bytes',
+        (('services', 'document_bytes_per_service'),),
+        'the accepted document with its history',
+        Budget(MEBIBYTE, 'brief: the store holds values up to a megabyte'),
+    ),
+    Line(
+        'watcher',
+        'store calls',
+        'calls/s',
+        (('/watch_wait_s',), ('changes_per_s',)),
+        'one waiting call, answered at a change or after the wait',
+    ),
+    Line(
+        'watcher',
+        'processor time for changes',
+        'cores',
+        (_DECODING,),
+        'the document is read once a change',
+        CONTROL_CORES,
+    ),
+)
+
+PUBLISHER_LINES = (
+    Line(
+        'publisher',
+        'processor time',
+        'cores',
+        (
+            _DECODING,
+            ('changes_per_s', 'services', 'document_encode_s_per_service'),
+        ),
+        'one read and one compare-and-swap a change',
+    ),
+    Line(
+        'publisher',
+        'bytes read and written',
+        'bytes/s',
+        (
+            ('changes_per_s', 'services', 'document_bytes_per_service'),
+            ('changes_per_s', 'services', 'document_bytes_per_service'),
+        ),
+        'the whole document each time',
+    ),
+)
+
+STORE_LINES = (
+    Line(
+        'store',
+        'reads for configuration',
+        'calls/s',
+        (
+            (*_WATCHERS, '/watch_wait_s'),
+            (*_WATCHERS, 'changes_per_s'),
+            ('changes_per_s',),
+        ),
+        'a fixed few watchers a zone; everyone else pulls from peers',
+        STORE_READS,
+    ),
+    Line(
+        'store',
+        'writes for configuration',
+        'calls/s',
+        (('changes_per_s',),),
+        'one compare-and-swap a change',
+        STORE_WRITES,
+    ),
+)
+
+LINES = (
+    *_control_lines('entry'),
+    *_control_lines('agent'),
+    *SERVING_LINES,
+    *WATCHER_LINES,
+    *PUBLISHER_LINES,
+    *STORE_LINES,
+)
--- a/src/bramleylug/bench/quantities.py
+++ b/src/bramleylug/bench/quantities.py
@@ -1,6 +1,7 @@
 """The sizes of the letter and what follows from them."""
 
 from collections.abc import Mapping
+from importlib import import_module
 from typing import NamedTuple, final
 
 SECONDS_PER_DAY = 86400
@@ -34,7 +35,7 @@
     'changes_per_s': Size(
         1500 / SECONDS_PER_DAY, 'letter: 1,500 changes a day', grows=False
     ),
-    'watchers': Size(18, 'zones × 2 watchers a zone', grows=False),
+    'services': Size(100, 'assumed: 11 engines a service; grows with it'),
     'requests_per_node_s': Size(
         3100 / 330, 'requests_per_s / nodes', grows=False
     ),
@@ -62,6 +63,7 @@
         'requests_per_engine_s × request_s',
         grows=False,
     ),
+    'caller_bytes': Size(65536, 'setting --caller-bytes', grows=False),
     'member_changes_per_s': Size(
         2 * 110 / SECONDS_PER_DAY,
         'letter: 10 hosts lost and 100 replaced a day, a leave and a join each',
@@ -69,9 +71,28 @@
 }
 
 
+CONSTANTS = {
+    'watchers_per_zone': ('node.synchronization', 'WATCHERS_PER_ZONE'),
+    'watch_wait_s': ('node.synchronization', 'WATCH_WAIT_S'),
+}
+
+
+def design_constants() -> dict[str, float]:
+    """Return the constants of the code that lines are made of."""
+    return {
+        name: float(getattr(import_module(f'bramleylug.{module}'), constant))
+        for name, (module, constant) in CONSTANTS.items()
+    }
+
+
 def letter_sizes(scale: float = 1.0) -> dict[str, float]:
     """Return the sizes, those that grow with the fleet times a scale."""
     return {
         name: size.amount * scale if size.grows else size.amount
         for name, size in SIZES.items()
     }
+
+
+def known_quantities(slopes: Quantities, scale: float = 1.0) -> Quantities:
+    """Return sizes, constants and slopes under one name each."""
+    return {**letter_sizes(scale), **design_constants(), **slopes}
--- a/src/bramleylug/bench/report.py
+++ b/src/bramleylug/bench/report.py
@@ -12,7 +12,7 @@
 from bramleylug.bench.capacity import read_slopes
 from bramleylug.bench.capacity_lines import Line
 from bramleylug.bench.capacity_model import LINES
-from bramleylug.bench.quantities import Quantities, letter_sizes
+from bramleylug.bench.quantities import Quantities, known_quantities
 from bramleylug.bench.results import (
     BenchFailure,
     BenchOutcome,
@@ -104,23 +104,22 @@
     lines = [
         line
         for line in LINES
-        if line.budget is not None and not line.missing(letter_sizes() | slopes)
+        if line.budget is not None
+        and not line.missing(known_quantities(slopes))
     ]
     if not lines:
         return
     figure, axes = _rows_of_axes(len(lines))
     for axis, line in zip(axes, lines, strict=True):
         _draw(axis, _extrapolate(line, slopes), f'{line.title}, {line.unit}')
-        axis.axhline(line.budget, linestyle='--', color='#b00020')
-        axis.axvline(1, linestyle=':', color='#555555')
+        _draw_budget(axis, line)
     yield '<h2>Slopes at the size of the letter (1) and beside it</h2>'
     yield _embed(figure)
 
 
 def _extrapolate(line: Line, slopes: Quantities) -> Points:
     return [
-        (scale, line.total(letter_sizes(scale) | dict(slopes)))
-        for scale in SCALES
+        (scale, line.total(known_quantities(slopes, scale))) for scale in SCALES
     ]
 
 
@@ -138,6 +137,12 @@
     axis.grid(visible=True, alpha=0.3)
 
 
+def _draw_budget(axis: Any, line: Line) -> None:
+    if line.budget is not None:
+        axis.axhline(line.budget.amount, linestyle='--', color='#b00020')
+    axis.axvline(1, linestyle=':', color='#555555')
+
+
 def _embed(figure: Figure) -> str:
     image = BytesIO()
     figure.savefig(image, format='png', dpi=PLOT_DPI)
--- a/testing/bench/test_capacity.py
+++ b/testing/bench/test_capacity.py
@@ -65,6 +65,13 @@
 
         self.assertAlmostEqual(self.line.breaking_scale(slopes), 2.0)
 
+    def test_name_after_slash_divides(self) -> None:
+        """18 watchers with one call in 10 s each."""
+        line = Line('a', 'b', '', (('watchers', '/wait_s'),), '')
+
+        self.assertAlmostEqual(line.total({'watchers': 18, 'wait_s': 10}), 1.8)
+        self.assertEqual(line.missing({'watchers': 18}), ['wait_s'])
+
     def test_missing_slope_is_named(self) -> None:
         """A line is not worked out from what nobody measured."""
         self.assertEqual(
