--- a/testing/builders.py
+++ b/testing/builders.py
@@ -3,9 +3,9 @@
 from typing import Any
 
 from bramleylug.admission.queue import Arrival
+from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.claims.actions import Ask
 from bramleylug.claims.document import Claim
-from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.configuration.document import Change, Document, ServiceSpec
 from bramleylug.wire.membership_pb2 import Member, ServiceState
 from bramleylug.wire.requests_pb2 import Request
