Take in changed datagram keys without a restart

Cause: gossip keys were read once, so a rotation needed restarts; a blank key file would have left datagrams unauthenticated. Change: secret files are read anew every 5 s, a missing or blank file changes nothing, and at the start it stops the process.

--- a/src/bramleylug/membership/datagrams.py
+++ b/src/bramleylug/membership/datagrams.py
@@ -34,11 +34,15 @@
     """
 
     def __init__(self, keys: tuple[bytes, ...] = ()) -> None:
+        self.use_keys(keys)
+        self.dropped: Counter[str] = Counter()
+        self.payload_bytes = float(PAYLOAD_LEAST_BYTES)
+
+    def use_keys(self, keys: tuple[bytes, ...]) -> None:
+        """Sign with the first key and accept every key from now on."""
         self.keys = {_key_id(key): key for key in keys}
         self.signing_key = keys[0] if keys else b''
         self.signing_id = _key_id(self.signing_key)
-        self.dropped: Counter[str] = Counter()
-        self.payload_bytes = float(PAYLOAD_LEAST_BYTES)
 
     def encode(self, message: Gossip) -> bytes:
         """Return the datagram of a message, less the records too many."""
--- a/src/bramleylug/node/node.py
+++ b/src/bramleylug/node/node.py
@@ -28,15 +28,17 @@
 from bramleylug.platform.grpc_store import GrpcStore
 from bramleylug.platform.store import HostEntry, Store
 from bramleylug.settings.daemons import NodeSettings
+from bramleylug.settings.fields import SettingsError
 from bramleylug.wire.channels import bind_server, build_server, open_channel
 from bramleylug.wire.configuration_pb2_grpc import (
     add_ConfigurationSyncServicer_to_server,
 )
 from bramleylug.wire.membership_pb2 import Member
-from bramleylug.wire.security import Keyring
+from bramleylug.wire.security import Keyring, SecretFiles
 
 TICK_S = 0.1
 HOSTS_INTERVAL_S = 10.0
+KEYS_INTERVAL_S = 5.0
 HOSTS_TIMEOUT_S = 2.0
 LONELY_INTERVAL_S = 1.0
 MILLISECONDS = 1000
@@ -86,13 +88,15 @@
         host, _, port = settings.gossip_bind.rpartition(':')
         self.udp = UDPServer((host, int(port)), channel=GOSSIP_CHANNEL)
         self.udp.register(self)
-        self.codec = DatagramCodec(_read_keys(settings.gossip_keys))
+        self.secrets = SecretFiles(settings.gossip_keys)
+        self.codec = DatagramCodec(_first_keys(self.secrets))
         self.membership = Membership(
             self._own_record(role), Random(settings.name)
         )
         self.members: tuple[Member, ...] = self.membership.alive()
         self.describe: Callable[[Member], None] = _describe_nothing
         self.source = ConfigurationSource(self)
+        self.keys_due_s = 0.0
         self.stopping = False
 
     @property
@@ -155,9 +159,18 @@
     @handler('node_tick')
     def _on_tick(self) -> None:
         now_s = time.monotonic()
+        self._renew_keys(now_s)
         self.membership.update_own(self._refresh, now_s)
         self._act(self.membership.tick(now_s))
 
+    def _renew_keys(self, now_s: float) -> None:
+        if now_s < self.keys_due_s:
+            return
+        self.keys_due_s = now_s + KEYS_INTERVAL_S
+        keys = self.secrets.load()
+        if keys is not None:
+            self.codec.use_keys(keys)
+
     @handler('node_call')
     def _on_call(self, action: Callable[[], None]) -> None:
         action()
@@ -219,12 +232,11 @@
         }
 
 
-def _read_keys(paths: tuple[str, ...]) -> tuple[bytes, ...]:
-    keys = []
-    for path in paths:
-        with open(path, 'rb') as key_file:
-            keys.append(key_file.read().strip())
-    return tuple(keys)
+def _first_keys(secrets: SecretFiles) -> tuple[bytes, ...]:
+    keys = secrets.load() or ()
+    if len(keys) != len(secrets.paths):
+        raise SettingsError(['--gossip-keys: a file is unreadable or empty'])
+    return keys
 
 
 def _describe_nothing(record: Member) -> None:
--- a/src/bramleylug/settings/daemons.py
+++ b/src/bramleylug/settings/daemons.py
@@ -45,9 +45,9 @@
         faults.extend(self._address_faults())
         faults.extend(self._exposure_faults())
         faults.extend(
-            f'--gossip-keys: no such file {path!r}'
+            f'--gossip-keys: no such file or empty: {path!r}'
             for path in self.gossip_keys
-            if not Path(path).is_file()
+            if not (Path(path).is_file() and Path(path).stat().st_size)
         )
         if self.log_level not in LOG_LEVELS:
             faults.append(f'--log-level: one of {", ".join(LOG_LEVELS)}')
--- a/src/bramleylug/wire/security.py
+++ b/src/bramleylug/wire/security.py
@@ -124,6 +124,35 @@
         return fetch
 
 
+@final
+class SecretFiles:
+    """Shared secrets, one a file, read anew when a file has changed.
+
+    :param paths: the first signs, every one is accepted.
+    """
+
+    def __init__(self, paths: tuple[str, ...]) -> None:
+        self.paths = paths
+        self.secrets: tuple[bytes, ...] = ()
+
+    def load(self) -> tuple[bytes, ...] | None:
+        """Return the secrets when they changed, else ``None``.
+
+        A file that is missing or empty for a moment changes nothing, so
+        that a replacement under way never leaves datagrams unauthenticated.
+        """
+        try:
+            found = tuple(
+                Path(path).read_bytes().strip() for path in self.paths
+            )
+        except OSError:
+            return None
+        if found == self.secrets or not all(found):
+            return None
+        self.secrets = found
+        return found
+
+
 def is_loopback(address: str) -> bool:
     """Tell whether ``host:port`` is reachable from this host only."""
     host = address.rpartition(':')[0]
--- a/testing/node/test_pages.py
+++ b/testing/node/test_pages.py
@@ -1,14 +1,36 @@
 """Tests of the pages of a daemon, on a real one without peers."""
 
+import tempfile
 import unittest
 from http.client import HTTPConnection
 
 from bramleylug.entry.daemon import EntryDaemon
 from bramleylug.node.lifecycle import DaemonRunner
 from bramleylug.settings.daemons import EntrySettings
+from bramleylug.settings.fields import SettingsError
 from testing.builders import build_document
 
 
+class TestKeys(unittest.TestCase):
+    """A process never starts with fewer keys than its settings name."""
+
+    def test_blank_key_file_stops_the_start(self) -> None:
+        """It would leave datagrams unauthenticated."""
+        with tempfile.NamedTemporaryFile() as blank:
+            blank.write(b'\n')
+            blank.flush()
+            settings = EntrySettings(
+                name='e1',
+                zone='zone-a',
+                region='west',
+                store='127.0.0.1:1',
+                gossip_keys=(blank.name,),
+            )
+
+            with self.assertRaisesRegex(SettingsError, 'unreadable or empty'):
+                EntryDaemon(settings)
+
+
 class TestPages(unittest.TestCase):
     """Health, readiness and metrics of an entry whose store is down."""
 
--- a/testing/wire/test_security.py
+++ b/testing/wire/test_security.py
@@ -20,7 +20,7 @@
     PlatformStoreStub,
     add_PlatformStoreServicer_to_server,
 )
-from bramleylug.wire.security import KeyFiles, Keyring
+from bramleylug.wire.security import KeyFiles, Keyring, SecretFiles
 
 CALL_TIMEOUT_S = 5
 
@@ -39,6 +39,39 @@
     return files
 
 
+class TestSecretFiles(unittest.TestCase):
+    """Datagram keys are taken in while the process runs."""
+
+    def setUp(self) -> None:
+        """Write two secrets."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.paths = [Path(folder.name) / name for name in ('new', 'old')]
+        for path in self.paths:
+            path.write_text(path.name)
+        self.files = SecretFiles(tuple(map(str, self.paths)))
+        self.files.load()
+
+    def test_changed_file_is_read_anew(self) -> None:
+        """The order is that of the settings."""
+        self.paths[0].write_text('newer')
+
+        self.assertEqual(self.files.load(), (b'newer', b'old'))
+
+    def test_unchanged_files_bring_nothing(self) -> None:
+        """The codec keeps its keys."""
+        self.assertIsNone(self.files.load())
+
+    def test_emptied_or_missing_file_changes_nothing(self) -> None:
+        """Datagrams are never left unauthenticated."""
+        self.paths[0].write_text('')
+        emptied = self.files.load()
+        self.paths[0].unlink()
+
+        self.assertIsNone(emptied)
+        self.assertIsNone(self.files.load())
+
+
 class TestMutualTls(unittest.TestCase):
     """Only processes of one authority talk to one another."""
 
