Stand-ins bring about every fault of an upstream at run time

Engine: lagging load report, stall, cut answers, resume by token offset, counts of cancelled and most running. All are settings, changed under /control; an unknown word is refused.

Entry: a keyed request prefers the agent of its key's shard, so that writes of a shard seldom conflict; deaths that a try saw are told to the next agent; a refusal that holds everywhere is not repeated.

--- a/src/bramleylug/claims/keys.py
+++ b/src/bramleylug/claims/keys.py
@@ -39,7 +39,7 @@
     return f'{SHARD_PREFIX}/{service}/{shard}'
 
 
-def affinity_key(request: Request) -> str:
+def shard_affinity(request: Request) -> str:
     """Return what to rank the agents of a service by for a keyed request.
 
     Requests whose keys share a shard prefer one agent, so that writes of
--- a/src/bramleylug/cli/fakes.py
+++ b/src/bramleylug/cli/fakes.py
@@ -84,10 +84,13 @@
 
 
 def _run_records(namespace: Namespace) -> int:
-    from bramleylug.fakes.records import FakeRecords  # noqa: PLC0415
+    from bramleylug.fakes.records import (  # noqa: PLC0415
+        FakeRecords,
+        RecordsSettings,
+    )
 
-    records = FakeRecords(namespace.bind, **parse_words(namespace.set))
-    return _run(records, 'records')
+    settings = _configure(RecordsSettings(bind=namespace.bind), namespace.set)
+    return _run(FakeRecords(settings), 'records')
 
 
 def _control(namespace: Namespace) -> int:
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import final
 
+from bramleylug.claims.keys import shard_affinity
 from bramleylug.entry.answers import AnswerWriter
 from bramleylug.entry.attempts import MILLISECONDS, Attempt
 from bramleylug.entry.channels import ChannelPool
@@ -104,6 +105,7 @@
             tried.append(chosen.candidate.name)
             request.deadline_ms = max(1, int(left_s * MILLISECONDS))
             outcome = await self._try_agent(chosen.candidate, request, writer)
+            request.crashes += int(outcome.reason is Reason.upstream_crashed)
             if not self._may_retry(outcome, request, writer):
                 return outcome
         return outcome
@@ -186,9 +188,12 @@
 
 
 def affinity_key(request: Request) -> str:
-    """Return the key by which requests share an upstream's prefix cache."""
+    """Return the key by which requests prefer one upstream.
+
+    They share its prefix cache, or the shard that their keys are claimed in.
+    """
     if not request.prefix_key:
-        return ''
+        return shard_affinity(request) if request.idempotency_key else ''
     return f'{request.workspace}/{request.prefix_key}'
 
 
--- a/src/bramleylug/fakes/engine.py
+++ b/src/bramleylug/fakes/engine.py
@@ -2,19 +2,19 @@
 
 import json
 import uuid
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import Any, final
+from typing import Any, NamedTuple, final
 
 from circuits import BaseComponent, Event, Timer, handler
 
+from bramleylug.fakes.control import changed_settings
 from bramleylug.web.server import Exchange, WebServer
 from bramleylug.weights.manifest import Manifest
 
 TICK_S = 0.02
 MEBIBYTE = 1024 * 1024
 PENDING_LIMIT_BYTES = 65536
-REPORT_LAG_S = 1.0
 
 
 class engine_tick(Event):  # noqa: N801
@@ -24,10 +24,14 @@
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineSettings:
-    """How the stand-in behaves.
+    """How the stand-in behaves; all but ``bind`` may change at run time.
 
     :ivar bears_cold: requests it bears right after a start.
     :ivar warm_after: answers until it bears ``bears_warm`` requests.
+    :ivar memory_bytes: request bodies it holds before it falls over.
+    :ivar report_lag_s: age of the load that it reports.
+    :ivar stalled: whether it generates nothing for now.
+    :ivar cut_answers: next answers that break off.
     """
 
     bind: str = '127.0.0.1:0'
@@ -37,6 +41,9 @@
     tokens_per_s: float = 200
     memory_bytes: int = 64 * MEBIBYTE
     honours_fencing: bool = True
+    report_lag_s: float = 1.0
+    stalled: bool = False
+    cut_answers: int = 0
 
 
 @final
@@ -52,6 +59,13 @@
     sent: int = field(default=0)
 
 
+class LoadReport(NamedTuple):
+    """What the engine tells of its load until the next report."""
+
+    at_s: float
+    running: int
+
+
 @final
 class FakeEngine(BaseComponent):
     """Model engine that falls over beyond what it bears.
@@ -73,6 +87,9 @@
         self.fencing = 0
         self.started_runs = 0
         self.late_orders = 0
+        self.cancelled = 0
+        self.most_running = 0
+        self.now_s = 0.0
         self.restart()
         Timer(TICK_S, engine_tick(), 'web', persist=True).register(self)
 
@@ -92,6 +109,7 @@
         self.version = ''
         self.answered = 0
         self.streams: list[Stream] = []
+        self.report = LoadReport(0, 0)
 
     def serve(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -123,20 +141,10 @@
             exchange.reply_json(503, {'error': 'no weights'})
             return
         self.started_runs += 1
-        stream = Stream(
-            exchange,
-            int(wanted.get('tokens', 16)),
-            self.digest,
-            len(exchange.body()),
-        )
+        stream = _build_stream(exchange, wanted, self.digest)
         self.streams.append(stream)
-        held = sum(running.held_bytes for running in self.streams)
-        overloaded = len(self.streams) > self.bears
-        if (
-            overloaded
-            or held > self.settings.memory_bytes
-            or (wanted.get('crash'))
-        ):
+        self.most_running = max(self.most_running, len(self.streams))
+        if self._is_too_much() or wanted.get('crash'):
             self.fall_over()
             return
         exchange.on_closed = lambda: self._cancel(stream)
@@ -146,13 +154,20 @@
                 'Content-Type': 'application/x-ndjson',
                 'X-Weights-Digest': self.digest,
                 'X-Boot-Id': self.boot_id,
+                'X-Request-Id': exchange.header('X-Request-Id'),
             },
         )
 
     def _cancel(self, stream: Stream) -> None:
         if stream in self.streams:
+            self.cancelled += 1
             self.streams.remove(stream)
 
+    def _is_too_much(self) -> bool:
+        held = sum(stream.held_bytes for stream in self.streams)
+        overloaded = len(self.streams) > self.bears
+        return overloaded or held > self.settings.memory_bytes
+
     def _report(self, exchange: Exchange) -> None:
         exchange.reply_json(200, self.state())
 
@@ -163,7 +178,7 @@
             'model': self.model,
             'version': self.version,
             'digest': self.digest,
-            'running': len(self.streams),
+            'running': self.report.running,
             'answered': self.answered,
             'fencing': self.fencing,
             'started_runs': self.started_runs,
@@ -186,13 +201,27 @@
         exchange.reply_json(200, self.state())
 
     def _control(self, exchange: Exchange) -> None:
-        wanted = json.loads(exchange.body())
-        if wanted.get('fall_over'):
+        changed, words = changed_settings(
+            self.settings, exchange.body(), also=('fall_over',)
+        )
+        self.settings = changed
+        if words.get('fall_over'):
             self.fall_over()
-        exchange.reply_json(200, {**self.state(), 'crashes': self.crashes})
+        counts = {
+            'crashes': self.crashes,
+            'cancelled': self.cancelled,
+            'most_running': self.most_running,
+            'started_runs': self.started_runs,
+        }
+        exchange.reply_json(200, {**self.state(), **counts})
 
     @handler('engine_tick')
     def _on_tick(self) -> None:
+        self.now_s += TICK_S
+        if self.now_s - self.report.at_s >= self.settings.report_lag_s:
+            self.report = LoadReport(self.now_s, len(self.streams))
+        if self.settings.stalled:
+            return
         for stream in tuple(self.streams):
             self._advance(stream)
 
@@ -211,13 +240,29 @@
         if lines:
             piece = '\n'.join(lines) + '\n'
             stream.exchange.send(piece.encode())
-        if not stream.tokens_left:
+        if stream.sent and self.settings.cut_answers:
+            self.settings = replace(
+                self.settings, cut_answers=self.settings.cut_answers - 1
+            )
+            self.streams.remove(stream)
+            stream.exchange.abort()
+        elif not stream.tokens_left:
             self.streams.remove(stream)
             self.answered += 1
             stream.exchange.on_closed = lambda: None
             stream.exchange.finish()
 
 
+def _build_stream(
+    exchange: Exchange, wanted: dict[str, Any], digest: str
+) -> Stream:
+    """Return a stream, resumed after the tokens that were sent before."""
+    offset = int(wanted.get('offset', 0))
+    tokens = int(wanted.get('tokens', 16))
+    held = len(exchange.body())
+    return Stream(exchange, tokens - offset, digest, held, sent=offset)
+
+
 def _read_version(path: Path) -> Manifest:
     """Read a staged version and check that it is whole.
 
--- a/src/bramleylug/routing/retries.py
+++ b/src/bramleylug/routing/retries.py
@@ -3,11 +3,14 @@
 from typing import final
 
 from bramleylug.configuration.document import ServiceSpec
-from bramleylug.outcomes import NotRun, Outcome, Ran, Unknown
+from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown
 from bramleylug.wire.requests_pb2 import Request
 
 RESERVE = 3.0
 CEILING = 50.0
+REFUSED_EVERYWHERE = frozenset(
+    (Reason.key_conflict, Reason.crash_suspect, Reason.too_large)
+)
 
 
 @final
@@ -42,8 +45,8 @@
     idempotent and its caller named no key: a key asks for one run.
     """
     match outcome:
-        case NotRun():
-            return True
+        case NotRun(reason):
+            return reason not in REFUSED_EVERYWHERE
         case Unknown():
             return (
                 spec is not None
--- a/testing/routing/test_retries.py
+++ b/testing/routing/test_retries.py
@@ -41,3 +41,9 @@
         allowed = [may_repeat(*case) for case in cases]
 
         self.assertEqual(allowed, [True] * 5 + [False] * 7)
+
+    def test_refusal_that_holds_everywhere_is_not_repeated(self) -> None:
+        """Another agent would say the same."""
+        refusal = NotRun(Reason.crash_suspect)
+
+        self.assertFalse(may_repeat(refusal, Request(), build_spec()))
