--- a/src/bramleylug/bench/gossip_costs.py
+++ b/src/bramleylug/bench/gossip_costs.py
@@ -4,9 +4,12 @@
 from random import Random
 from typing import NamedTuple
 
+from bramleylug.membership.actions import Send
 from bramleylug.membership.datagrams import DatagramCodec
-from bramleylug.membership.gossip import Membership, Send
+from bramleylug.membership.gossip import Membership
 from bramleylug.wire.membership_pb2 import (
+    GOSSIP_KIND_ACK,
+    GOSSIP_KIND_PING,
     Gossip,
     HeldVersion,
     Member,
@@ -101,9 +104,24 @@
         for action in view.tick(tick * TICK_S):
             if isinstance(action, Send):
                 sent.append(codec.encode(action.message))
+                _answer(view, action)
     return sent, (time.process_time() - started_s) / ticks
 
 
+def _answer(view: Membership, probe: Send) -> None:
+    """Acknowledge a probe as a living member would."""
+    if probe.message.kind == GOSSIP_KIND_PING:
+        for member in view.alive():
+            if member.gossip_address == probe.address:
+                answer = Gossip(
+                    kind=GOSSIP_KIND_ACK,
+                    sequence=probe.message.sequence,
+                    sender=member.name,
+                    sender_incarnation=member.incarnation,
+                )
+                view.receive(answer, view.ticked_s or 0)
+
+
 def _receive_s(
     view: Membership, codec: DatagramCodec, datagrams: list[bytes]
 ) -> float:
