--- a/src/bramleylug/bench/configuration_costs.py
+++ b/src/bramleylug/bench/configuration_costs.py
@@ -12,6 +12,7 @@
 )
 
 REPEATS = 5
+BATCHES = 24
 MODEL_ZONES = ('zone-0', 'zone-1', 'zone-2')
 
 
@@ -32,9 +33,11 @@
         services=services,
         document_bytes=len(text),
         decode_s=least_seconds(
-            lambda: Document.from_json(text), repeats=REPEATS
+            lambda: Document.from_json(text), repeats=REPEATS, batches=BATCHES
+        ),
+        encode_s=least_seconds(
+            document.to_json, repeats=REPEATS, batches=BATCHES
         ),
-        encode_s=least_seconds(document.to_json, repeats=REPEATS),
     )
 
 
--- a/src/bramleylug/bench/meters.py
+++ b/src/bramleylug/bench/meters.py
@@ -1,5 +1,6 @@
 """Processor time and memory of this process and of others."""
 
+import json
 import os
 import time
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 # Fields 14 and 15 of proc(5) stat, counted after the command's bracket.
 UTIME_FIELD = 11
 STIME_FIELD = 12
+REFERENCE_NUMBERS = 1000
 
 
 @final
@@ -55,6 +57,16 @@
     return min(_mean_seconds(work, repeats) for _ in range(batches))
 
 
+def reference_seconds() -> float:
+    """Return the processor time of a fixed piece of work.
+
+    Two runs compare only where it is about the same: a shared machine can
+    take twice as long for the same work.
+    """
+    numbers = list(range(REFERENCE_NUMBERS))
+    return least_seconds(lambda: json.dumps(numbers), repeats=100, batches=10)
+
+
 def resident_bytes(pid: int | None = None) -> int:
     """Return the resident memory of a process, by default of this one."""
     return _status_bytes(pid, 'VmRSS:')
