--- a/src/bramleylug/settings/daemons.py
+++ b/src/bramleylug/settings/daemons.py
@@ -88,13 +88,14 @@
     """Settings of ``bramleylug entry``."""
 
     memory_bytes: int = setting(
-        'answer bytes held for all callers', 16 * MEBIBYTE, unit='bytes'
+        'bytes held for all callers', 64 * MEBIBYTE, unit='bytes'
     )
     caller_bytes: int = setting(
         'answer bytes held for one caller', 65536, unit='bytes'
     )
     request_bytes: int = setting('largest request body', MEBIBYTE, unit='bytes')
     header_bytes: int = setting('largest request head', 32768, unit='bytes')
+    max_connections: int = setting('connections of callers kept', 2048)
     idle_timeout: float = setting(
         'idle time before a connection is closed', 60, unit='s'
     )
--- a/src/bramleylug/wire/channels.py
+++ b/src/bramleylug/wire/channels.py
@@ -34,13 +34,19 @@
 
 
 def open_aio_channel(
-    address: str, keyring: Keyring = NO_KEYS
+    address: str,
+    keyring: Keyring = NO_KEYS,
+    extra_options: tuple[tuple[str, int], ...] = (),
 ) -> grpc.aio.Channel:
     """Return a channel to a peer for the running event loop."""
     credentials = keyring.channel_credentials()
     if credentials is None:
-        return grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
-    return grpc.aio.secure_channel(address, credentials, options=TLS_OPTIONS)
+        return grpc.aio.insecure_channel(
+            address, options=(*CHANNEL_OPTIONS, *extra_options)
+        )
+    return grpc.aio.secure_channel(
+        address, credentials, options=(*TLS_OPTIONS, *extra_options)
+    )
 
 
 @final
