--- a/src/bramleylug/bench/meters.py
+++ b/src/bramleylug/bench/meters.py
@@ -1,7 +1,9 @@
 """Processor time and memory of this process and of others."""
 
+import json
 import os
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Self, final
@@ -12,6 +14,7 @@
 # Fields 14 and 15 of proc(5) stat, counted after the command's bracket.
 UTIME_FIELD = 11
 STIME_FIELD = 12
+REFERENCE_NUMBERS = 1000
 
 
 @final
@@ -43,6 +46,27 @@
         return self.used_s / self.elapsed_s if self.elapsed_s > 0 else 0.0
 
 
+def least_seconds(
+    work: Callable[[], object], *, repeats: int = 1, batches: int = 5
+) -> float:
+    """Return the least mean processor time of some work over the batches.
+
+    Counts the calling thread only. The least is nearest to the cost of the
+    work itself: others on the machine only ever add to it.
+    """
+    return min(_mean_seconds(work, repeats) for _ in range(batches))
+
+
+def reference_seconds() -> float:
+    """Return the processor time of a fixed piece of work.
+
+    Two runs compare only where it is about the same: a shared machine can
+    take twice as long for the same work.
+    """
+    numbers = list(range(REFERENCE_NUMBERS))
+    return least_seconds(lambda: json.dumps(numbers), repeats=100, batches=10)
+
+
 def resident_bytes(pid: int | None = None) -> int:
     """Return the resident memory of a process, by default of this one."""
     return _status_bytes(pid, 'VmRSS:')
@@ -67,3 +91,10 @@
         if line.startswith(name):
             return int(line.split()[1]) * BYTES_PER_KIB
     return 0
+
+
+def _mean_seconds(work: Callable[[], object], repeats: int) -> float:
+    started_s = time.thread_time()
+    for _ in range(repeats):
+        work()
+    return (time.thread_time() - started_s) / repeats
