--- a/src/bramleylug/agent/gate.py
+++ b/src/bramleylug/agent/gate.py
@@ -18,6 +18,7 @@
 
     :ivar open_digest: digest of the weights requests may run on.
     :ivar boot_id: boot of the upstream that reported them.
+    :ivar doubts: how often an answer contradicted the report.
     """
 
     def __init__(self, zone: str, service: str) -> None:
@@ -28,19 +29,46 @@
         self.boot_id = ''
         self.is_open = False
         self.leaving = False
+        self.doubts = 0
 
-    def open(self, boot_id: str, digest: str) -> None:
-        """Let requests in, for this boot and these weights."""
+    def open(
+        self, boot_id: str, digest: str, doubts: int | None = None
+    ) -> bool:
+        """Let requests in, for this boot and these weights.
+
+        :param doubts: the count before the upstream was asked for its
+            report; an answer that came since outdates the report.
+        :returns: whether the gate is open.
+        """
         with self.lock:
-            self.boot_id = boot_id
-            self.open_digest = digest
-            self.is_open = True
+            if doubts in {None, self.doubts}:
+                self.boot_id = boot_id
+                self.open_digest = digest
+                self.is_open = True
+            return self.is_open
 
     def close(self) -> None:
         """Let no request in until opened again."""
         with self.lock:
             self.is_open = False
 
+    def observe_answer(self, digest: str, boot_id: str = '') -> bool:
+        """Close at once when an answer names other weights or another boot.
+
+        :param digest: of the weights the answer ran on; empty when the
+            upstream does not say.
+        :param boot_id: of the upstream that answered; empty likewise.
+        :returns: whether the answer is from what the gate opened for.
+        """
+        with self.lock:
+            sound = digest in {'', self.open_digest} and (
+                boot_id in {'', self.boot_id}
+            )
+            if not sound:
+                self.doubts += 1
+                self.is_open = False
+            return sound
+
     def check(
         self, request: Request, document: Document
     ) -> ServiceSpec | NotRun:
--- /dev/null
+++ b/src/bramleylug/agent/replicas.py
@@ -0,0 +1,50 @@
+"""Which hosts hold the replicas of a service."""
+
+from collections.abc import Iterable
+
+from bramleylug.configuration.document import Document, ServiceSpec
+from bramleylug.routing.rendezvous import rank
+from bramleylug.wire.membership_pb2 import Member
+
+
+def serves(member: Member, service: str) -> bool:
+    """Tell whether a member's upstream is one of a service."""
+    return any(state.service == service for state in member.services)
+
+
+def choose_hosts(
+    spec: ServiceSpec, document: Document, members: Iterable[Member], own: str
+) -> list[str]:
+    """Return the agents that hold a replica, by rendezvous rank.
+
+    Only agents in zones that are in count; a host that leaves is replaced
+    by the next. ``replicas = 0`` chooses every agent of the service.
+
+    :param own: this host, which always counts, so that it keeps up with the
+        version while its zone is out.
+    """
+    names = {
+        member.name
+        for member in members
+        if serves(member, spec.name)
+        and not member.draining
+        and document.zone_is_in(member.zone)
+    }
+    names.add(own)
+    ranked = rank(f'replicas/{spec.name}', names)
+    return ranked[: spec.replicas] if spec.replicas else ranked
+
+
+def count_ready(
+    members: Iterable[Member], names: Iterable[str], service: str, digest: str
+) -> int:
+    """Return how many of the named agents serve a version."""
+    wanted = frozenset(names)
+    return sum(
+        member.name in wanted
+        and any(
+            state.service == service and state.ready and state.digest == digest
+            for state in member.services
+        )
+        for member in members
+    )
--- /dev/null
+++ b/src/bramleylug/agent/turns.py
@@ -0,0 +1,150 @@
+"""Turns to swap: at most ``max_unavailable`` hosts of a service at once."""
+
+import time
+import uuid
+from collections.abc import Sequence
+from dataclasses import dataclass
+from threading import Lock
+from typing import final
+
+from bramleylug.platform.store import (
+    Conflict,
+    Store,
+    StoredValue,
+    Swapped,
+    SwapOutcome,
+    Unavailable,
+    Uncertain,
+)
+from bramleylug.routing.rendezvous import rank
+
+TURN_S = 20.0
+KEEP_ALIVE_S = 5.0
+TRY_INTERVAL_S = 1.0
+MARGIN_S = 1.0
+STORE_TIMEOUT_S = 2.0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """A lease on one of the service's swap slots.
+
+    :ivar until_s: until when the store surely keeps it: counted from before
+        the store was asked, less a margin for clocks that differ in rate.
+    """
+
+    lease_id: int
+    until_s: float
+    confirmed_s: float
+
+
+def is_next(
+    name: str, waiting: Sequence[str], max_unavailable: int, version: str
+) -> bool:
+    """Tell whether a host tries for a turn now.
+
+    Bounds the calls of the store: of all hosts that wait, only twice as
+    many as there are slots try.
+    """
+    ranked = rank(version, {*waiting, name})
+    return ranked.index(name) < 2 * max_unavailable
+
+
+@final
+class SwapTurns:
+    """Takes, keeps and gives back this host's turn.
+
+    While the store is down no turn is taken, and one that is held lapses
+    here before it does in the store.
+
+    :ivar reason: why there is no turn.
+    """
+
+    def __init__(self, store: Store, service: str, name: str) -> None:
+        self.store = store
+        self.service = service
+        self.name = name
+        self.turn: Turn | None = None
+        self.reason = ''
+        self.lock = Lock()
+        self.tried_s = float('-inf')
+
+    def current(self) -> Turn | None:
+        """Return the turn that is held and surely lasts."""
+        turn = self.turn
+        if turn is not None and time.monotonic() < turn.until_s:
+            return turn
+        return None
+
+    def take(self, slots: int) -> None:
+        """Try for one of the slots, at most once an interval."""
+        now_s = time.monotonic()
+        if self.turn is not None or now_s - self.tried_s < TRY_INTERVAL_S:
+            return
+        self.tried_s = now_s
+        free = self._find_free(slots)
+        if free is None:
+            return
+        lease_id = self.store.grant_lease(TURN_S, timeout_s=STORE_TIMEOUT_S)
+        if lease_id is None:
+            self.reason = 'the store is unavailable'
+            return
+        if self._claim(free, lease_id):
+            self.turn = Turn(lease_id, now_s + TURN_S - MARGIN_S, now_s)
+            self.reason = ''
+        else:
+            self.store.revoke_lease(lease_id, timeout_s=STORE_TIMEOUT_S)
+
+    def keep(self, *, confirm: bool = False) -> None:
+        """Renew the turn when it is due, or to have it confirmed."""
+        turn, now_s = self.turn, time.monotonic()
+        if turn is None:
+            return
+        if not confirm and now_s - turn.confirmed_s < KEEP_ALIVE_S:
+            return
+        if self.store.keep_alive(turn.lease_id, timeout_s=STORE_TIMEOUT_S):
+            until_s = now_s + TURN_S - MARGIN_S
+            self.turn = Turn(turn.lease_id, until_s, now_s)
+        elif now_s >= turn.until_s:
+            self.turn = None
+            self.reason = 'the lease lapsed'
+
+    def release(self) -> None:
+        """Give the turn back."""
+        turn, self.turn = self.turn, None
+        if turn is not None:
+            self.store.revoke_lease(turn.lease_id, timeout_s=STORE_TIMEOUT_S)
+
+    def _find_free(self, slots: int) -> str | None:
+        self.reason = 'max_unavailable hosts are swapping'
+        for slot in range(slots):
+            key = f'bramleylug/swaps/{self.service}/{slot}'
+            match self.store.read(key, timeout_s=STORE_TIMEOUT_S):
+                case StoredValue(version=0):
+                    return key
+                case Unavailable():
+                    self.reason = 'the store is unavailable'
+                    return None
+                case StoredValue():
+                    continue
+        return None
+
+    def _claim(self, key: str, lease_id: int) -> bool:
+        value = f'{self.name}/{uuid.uuid4().hex}'.encode()
+        outcome = self.store.compare_and_swap(
+            key, 0, value, timeout_s=STORE_TIMEOUT_S, lease_id=lease_id
+        )
+        return self._is_ours(key, value, outcome)
+
+    def _is_ours(self, key: str, value: bytes, outcome: SwapOutcome) -> bool:
+        match outcome:
+            case Swapped():
+                return True
+            case Conflict(current):
+                return current.value == value
+            case Unavailable():
+                return False
+            case Uncertain():
+                read = self.store.read(key, timeout_s=STORE_TIMEOUT_S)
+                return isinstance(read, StoredValue) and read.value == value
--- a/src/bramleylug/agent/upstream.py
+++ b/src/bramleylug/agent/upstream.py
@@ -1,7 +1,8 @@
 """Calls of the upstream beside the agent, over HTTP on loopback."""
 
 import json
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
 from http.client import HTTPConnection, HTTPException, HTTPResponse
@@ -43,10 +44,13 @@
     """Client of one upstream; each call uses a connection of its own.
 
     :param address: ``host:port``.
+    :ivar on_answer: called with the head of each answer and the seconds it
+        took to arrive.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.on_answer: Callable[[Head, float], None] = _ignore
 
     def run(self, request: Request, timeout_s: float) -> Iterator[Part]:
         """Run a request and yield its answer, then what became of it.
@@ -54,6 +58,7 @@
         The last part is always an outcome; ``Ran(whole=False)`` marks an
         answer that broke off after its head.
         """
+        started_s = time.monotonic()
         connection = HTTPConnection(self.address, timeout=timeout_s)
         try:
             connection.connect()
@@ -61,7 +66,10 @@
             yield NotRun(Reason.connection_failed, str(error))
             return
         try:
-            yield from _exchange(connection, request)
+            for part in _exchange(connection, request):
+                if isinstance(part, Answer):
+                    self.on_answer(part.head, time.monotonic() - started_s)
+                yield part
         finally:
             connection.close()
 
@@ -135,3 +143,7 @@
     if response.length is not None:
         head.content_length = response.length
     return head
+
+
+def _ignore(head: Head, latency_s: float) -> None:
+    """Take no notice of an answer."""
--- /dev/null
+++ b/src/bramleylug/agent/version_policy.py
@@ -0,0 +1,348 @@
+"""Decides when the engine gets another version and when requests may run."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum, unique
+from typing import Any, final
+
+from bramleylug.weights.manifest import VersionKey
+
+DRAIN_S = 30.0
+RETRY_S = 5.0
+FENCING_BITS = 16
+FENCING_MASK = (1 << FENCING_BITS) - 1
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What the engine says it holds.
+
+    :ivar adapters: digest of each loaded adapter by ``model@version``.
+    """
+
+    boot_id: str
+    digest: str = ''
+    fencing: int = 0
+    adapters: Mapping[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def from_state(cls, state: Mapping[str, Any]) -> 'EngineReport':
+        """Read the answer to ``GET /v1/state``."""
+        return cls(
+            str(state['boot_id']),
+            str(state.get('digest', '')),
+            int(state.get('fencing', 0)),
+            dict(state.get('adapters', {})),
+        )
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """What a step is decided on.
+
+    :ivar wanted: configured version, ``None`` when this host is not to
+        serve one.
+    :ivar report: ``None`` when the engine does not answer.
+    :ivar running: requests at the engine.
+    :ivar turn_until_s: until when this host's turn to swap surely lasts;
+        ``None`` without one.
+    :ivar turn_confirmed_s: when the store last confirmed the turn.
+    :ivar adapters: digest of each configured adapter that is verified, by
+        ``model@version``.
+    :ivar surplus: whether enough other hosts serve the wanted version.
+    """
+
+    wanted: VersionKey | None
+    revision: int
+    report: EngineReport | None
+    running: int = 0
+    turn_until_s: float | None = None
+    turn_confirmed_s: float = float('-inf')
+    adapters: Mapping[str, str] = field(default_factory=dict)
+    surplus: bool = False
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class CloseGate:
+    """Admit no request from now on."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class OpenGate:
+    """Admit requests for this boot and these weights."""
+
+    boot_id: str
+    digest: str
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class TakeTurn:
+    """Ask for a turn to swap."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ConfirmTurn:
+    """Have the store confirm the turn."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ReleaseTurn:
+    """Give the turn back, or ask for it no longer."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class OrderVersion:
+    """Order the engine to load a committed version."""
+
+    key: VersionKey
+    digest: str
+    fencing: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class OrderAdapter:
+    """Order the engine to load a committed adapter, or to drop one.
+
+    :ivar adapter: ``model@version``.
+    """
+
+    adapter: str
+    load: bool
+    fencing: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class WentBack:
+    """The engine reports other weights than it was opened with."""
+
+    digest: str
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class DrainUnfinished:
+    """Requests did not finish in time; the old version serves on."""
+
+    running: int
+
+
+VersionAction = (
+    CloseGate
+    | OpenGate
+    | TakeTurn
+    | ConfirmTurn
+    | ReleaseTurn
+    | OrderVersion
+    | OrderAdapter
+    | WentBack
+    | DrainUnfinished
+)
+
+
+@final
+@unique
+class Phase(Enum):
+    """Where a swap stands."""
+
+    steady = 'steady'
+    waiting = 'waiting'
+    draining = 'draining'
+    loading = 'loading'
+
+
+@final
+class VersionPolicy:
+    """Life of versions on one engine, as a pure object.
+
+    :ivar verified: digests of the versions committed on this host.
+    :ivar reached: digest the gate was last opened with.
+    """
+
+    def __init__(self) -> None:
+        self.verified: dict[str, VersionKey] = {}
+        self.reached = ''
+        self.phase = Phase.steady
+        self.closed_s = 0.0
+        self.retry_s = float('-inf')
+        self.ordering = False
+        self.ordering_adapter = False
+        self.adapter_retry_s = float('-inf')
+        self.went_back = ''
+
+    def note_verified(self, key: VersionKey, digest: str) -> None:
+        """Note that a version is whole, verified and committed."""
+        self.verified[digest] = key
+
+    def note_evicted(self, key: VersionKey) -> None:
+        """Note that a version is no longer staged."""
+        self.verified = {
+            digest: held
+            for digest, held in self.verified.items()
+            if held != key
+        }
+
+    def note_order_ended(self, now_s: float, *, accepted: bool) -> None:
+        """Note that an order was answered, refused or timed out."""
+        self.ordering = False
+        if not accepted:
+            self.retry_s = now_s + RETRY_S
+
+    def note_adapter_order_ended(self, now_s: float, *, accepted: bool) -> None:
+        """Note that an adapter order was answered, refused or timed out."""
+        self.ordering_adapter = False
+        if not accepted:
+            self.adapter_retry_s = now_s + RETRY_S
+
+    def step(self, seen: Observation, now_s: float) -> list[VersionAction]:
+        """Return what to do now."""
+        if seen.report is None or seen.surplus:
+            return [CloseGate(), *self._settle()]
+        if self.ordering:
+            return [CloseGate()]
+        goal = self._goal(seen.wanted)
+        if seen.report.digest and seen.report.digest == goal:
+            return [
+                *self._serve(seen.report),
+                *self._order_adapters(seen, seen.report, now_s),
+            ]
+        if self._may_serve(seen.report):
+            return self._swap(seen, seen.report, goal, now_s)
+        return self._recover(seen, seen.report, goal, now_s)
+
+    def _goal(self, wanted: VersionKey | None) -> str:
+        """Return the digest to load: the wanted one once it is verified."""
+        for digest, key in self.verified.items():
+            if key == wanted:
+                return digest
+        return self.reached
+
+    def _may_serve(self, report: EngineReport) -> bool:
+        return report.digest in self.verified and (
+            self.reached in {'', report.digest}
+        )
+
+    def _serve(self, report: EngineReport) -> list[VersionAction]:
+        if report.digest not in self.verified:
+            return [CloseGate(), *self._settle()]
+        self.reached = report.digest
+        self.went_back = ''
+        return [OpenGate(report.boot_id, report.digest), *self._settle()]
+
+    def _order_adapters(
+        self, seen: Observation, report: EngineReport, now_s: float
+    ) -> list[VersionAction]:
+        """Load or drop one adapter; the engine serves on meanwhile."""
+        if self.ordering_adapter or now_s < self.adapter_retry_s:
+            return []
+        fencing = next_fencing(seen.revision, report.fencing)
+        for adapter, digest in seen.adapters.items():
+            if report.adapters.get(adapter) != digest:
+                self.ordering_adapter = True
+                return [OrderAdapter(adapter, load=True, fencing=fencing)]
+        for adapter in report.adapters:
+            if adapter not in seen.adapters:
+                self.ordering_adapter = True
+                return [OrderAdapter(adapter, load=False, fencing=fencing)]
+        return []
+
+    def _settle(self) -> list[VersionAction]:
+        if self.phase is Phase.steady:
+            return []
+        self.phase = Phase.steady
+        return [ReleaseTurn()]
+
+    def _swap(
+        self,
+        seen: Observation,
+        report: EngineReport,
+        goal: str,
+        now_s: float,
+    ) -> list[VersionAction]:
+        reopen = OpenGate(report.boot_id, report.digest)
+        if goal in {'', report.digest} or now_s < self.retry_s:
+            self.reached = report.digest
+            return [reopen, *self._settle()]
+        until_s = seen.turn_until_s
+        has_turn = until_s is not None and now_s < until_s
+        if self.phase is Phase.draining:
+            return self._drain(seen, report, goal, now_s, has_turn=has_turn)
+        self.reached = report.digest
+        if not has_turn:
+            self.phase = Phase.waiting
+            return [reopen, TakeTurn()]
+        self.phase = Phase.draining
+        self.closed_s = now_s
+        return [CloseGate(), ConfirmTurn()]
+
+    def _drain(
+        self,
+        seen: Observation,
+        report: EngineReport,
+        goal: str,
+        now_s: float,
+        *,
+        has_turn: bool,
+    ) -> list[VersionAction]:
+        late = now_s - self.closed_s >= DRAIN_S
+        if late or not has_turn:
+            self.retry_s = now_s + RETRY_S
+            actions: list[VersionAction] = [
+                OpenGate(report.boot_id, report.digest),
+                *self._settle(),
+            ]
+            if seen.running:
+                actions.append(DrainUnfinished(seen.running))
+            return actions
+        if seen.turn_confirmed_s < self.closed_s:
+            return [CloseGate(), ConfirmTurn()]
+        if seen.running:
+            return [CloseGate()]
+        self.phase = Phase.loading
+        return [CloseGate(), self._order(seen, report, goal)]
+
+    def _recover(
+        self,
+        seen: Observation,
+        report: EngineReport,
+        goal: str,
+        now_s: float,
+    ) -> list[VersionAction]:
+        """Load a cold engine, or one that went back; it needs no turn."""
+        actions: list[VersionAction] = [CloseGate(), *self._settle()]
+        if self.reached and report.digest not in {'', goal, self.went_back}:
+            self.went_back = report.digest
+            actions.append(WentBack(report.digest))
+        if goal not in self.verified or seen.running or now_s < self.retry_s:
+            return actions
+        return [*actions, self._order(seen, report, goal)]
+
+    def _order(
+        self, seen: Observation, report: EngineReport, goal: str
+    ) -> OrderVersion:
+        self.ordering = True
+        fencing = next_fencing(seen.revision, report.fencing)
+        return OrderVersion(self.verified[goal], goal, fencing)
+
+
+def next_fencing(revision: int, seen: int) -> int:
+    """Return the fencing number of a new order.
+
+    Orders of a later revision pass those of an earlier one; within one
+    revision each order passes the one before.
+
+    :param seen: highest number the engine reports.
+    """
+    base = revision << FENCING_BITS
+    if seen >> FENCING_BITS == revision:
+        return min(seen + 1, base | FENCING_MASK)
+    return base
--- /dev/null
+++ b/src/bramleylug/bench/weights_hosts.py
@@ -0,0 +1,163 @@
+"""Hosts of a burst in one process: real transfers over limited links."""
+
+import time
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from threading import Thread
+from typing import NamedTuple, final
+
+from bramleylug.fakes.origin import FakeOrigin
+from bramleylug.weights.chunk_server import ChunkServer
+from bramleylug.weights.manifest import Manifest
+from bramleylug.weights.rates import LinkShare
+from bramleylug.weights.staging import Staging
+from bramleylug.weights.swarm import Links, PeerAddress, Transfer
+from bramleylug.weights.transfer import OriginClient, PeerClient
+from bramleylug.wire.channels import ChannelCache, bind_server, build_server
+from bramleylug.wire.weights_pb2_grpc import add_WeightsServicer_to_server
+
+SERVER_THREADS = 12
+ANY_PORT = '127.0.0.1:0'
+POLL_S = 0.02
+
+
+class BurstSettings(NamedTuple):
+    """Sizes of one burst.
+
+    :ivar burst_s: time in which the origin's link carries four copies and
+        each host's link two.
+    """
+
+    hosts: int
+    model_bytes: int
+    chunk_bytes: int
+    burst_s: float
+    regions: int = 1
+
+    @property
+    def host_rate(self) -> float:
+        """Bytes a second of a host's link, each way."""
+        return 2 * self.model_bytes / self.burst_s
+
+    @property
+    def origin_rate(self) -> float:
+        """Bytes a second of the origin's link."""
+        return 4 * self.model_bytes / self.burst_s
+
+
+@final
+class BurstHost:
+    """One host: staging, chunk server, transfer."""
+
+    def __init__(
+        self, name: str, region: str, folder: Path, rate: float, origin: str
+    ) -> None:
+        self.name = name
+        self.region = region
+        self.staging = Staging(folder / name, 1 << 40)
+        self.download = LinkShare(rate)
+        self.upload = LinkShare(rate)
+        self.chunk_server = ChunkServer(self.staging, self.upload)
+        self.server = build_server(SERVER_THREADS)
+        add_WeightsServicer_to_server(self.chunk_server, self.server)
+        self.address = bind_server(self.server, ANY_PORT)
+        self.server.start()
+        self.origin = OriginClient(origin, self.download)
+        self.peers = PeerClient(
+            name, region, self.download, ChannelCache()
+        )
+        self.transfer: Transfer | None = None
+        self.whole_s: float | None = None
+        self.stopped = False
+
+    def begin(
+        self, manifest: Manifest, peers: dict[str, PeerAddress]
+    ) -> None:
+        """Start the transfer in a thread."""
+        self.staging.begin(manifest)
+        others = {name: at for name, at in peers.items() if name != self.name}
+        links = Links(
+            name=self.name,
+            region=self.region,
+            staging=self.staging,
+            server=self.chunk_server,
+            origin=self.origin,
+            peers=self.peers,
+        )
+        self.transfer = Transfer(links, manifest, lambda: others)
+        Thread(target=self._run, args=(manifest,), daemon=True).start()
+
+    def die(self) -> None:
+        """Stop at once, like a host that lost power."""
+        self.stopped = True
+        self.server.stop(0)
+        if self.transfer is not None:
+            self.transfer.stop()
+
+    def _run(self, manifest: Manifest) -> None:
+        assert self.transfer is not None
+        if self.transfer.run() and self.staging.commit(manifest) is not None:
+            self.whole_s = time.monotonic()
+
+
+@final
+class Burst:
+    """One burst of a version to every host."""
+
+    def __init__(self, settings: BurstSettings) -> None:
+        self.settings = settings
+        self.folder = TemporaryDirectory(prefix='bramleylug-bench-')
+        self.origin = FakeOrigin(rate=settings.origin_rate)
+        self.origin.start()
+        self.manifest = self.origin.add_version(
+            'model', '1', settings.model_bytes, settings.chunk_bytes
+        )
+        self.hosts = [
+            BurstHost(
+                f'host-{index}',
+                f'region-{index % settings.regions}',
+                Path(self.folder.name),
+                settings.host_rate,
+                self.origin.web.address,
+            )
+            for index in range(settings.hosts)
+        ]
+        self.started_s = 0.0
+
+    def start(self) -> None:
+        """Start every host's transfer."""
+        peers = {
+            host.name: PeerAddress(host.address, host.region)
+            for host in self.hosts
+        }
+        self.started_s = time.monotonic()
+        for host in self.hosts:
+            host.begin(self.manifest, peers)
+
+    def wait(self, limit_s: float) -> bool:
+        """Wait until every host that lives holds the version."""
+        while time.monotonic() - self.started_s < limit_s:
+            if all(host.whole_s or host.stopped for host in self.hosts):
+                return True
+            time.sleep(POLL_S)
+        return False
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for host in self.hosts:
+            host.die()
+        self.origin.stop()
+        self.folder.cleanup()
+
+    def replica_times_s(self) -> list[float]:
+        """Return when each replica was whole, since the start, sorted."""
+        return sorted(
+            host.whole_s - self.started_s
+            for host in self.hosts
+            if host.whole_s is not None
+        )
+
+    @property
+    def origin_copies(self) -> float:
+        """Copies of the version read from the origin."""
+        return self.origin.bytes_sent / self.settings.model_bytes
--- a/src/bramleylug/configuration/document.py
+++ b/src/bramleylug/configuration/document.py
@@ -19,6 +19,9 @@
     """One service as its operators declare it.
 
     :ivar zones: availability zones it runs in.
+    :ivar replicas: agents that hold the version; 0 for every agent.
+    :ivar max_unavailable: hosts that swap at once; 0 pauses swaps.
+    :ivar adapters: adapters the engines load, each ``model@version``.
     :ivar concurrency: requests one warm upstream bears.
     :ivar cold_concurrency: requests an upstream bears right after a start.
     :ivar ramp_successes: answers until an upstream counts as warm.
@@ -33,7 +36,8 @@
     zones: tuple[str, ...]
     model: str = ''
     version: str = ''
-    replicas: int = 1
+    adapters: tuple[str, ...] = ()
+    replicas: int = 0
     max_unavailable: int = 1
     concurrency: int = 16
     cold_concurrency: int = 2
@@ -170,9 +174,13 @@
     fields = asdict(spec)
     fields.pop('name')
     fields['zones'] = list(spec.zones)
+    fields['adapters'] = list(spec.adapters)
     return fields
 
 
 def spec_from_json(name: str, fields: Mapping[str, Any]) -> ServiceSpec:
     """Build a service from its fields."""
-    return ServiceSpec(name=name, **{**fields, 'zones': tuple(fields['zones'])})
+    lists = {
+        key: tuple(fields.get(key, ())) for key in ('zones', 'adapters')
+    }
+    return ServiceSpec(name=name, **{**fields, **lists})
--- a/src/bramleylug/configuration/files.py
+++ b/src/bramleylug/configuration/files.py
@@ -89,7 +89,8 @@
 
 
 def _build(table: dict[str, Any]) -> ServiceSpec:
-    return ServiceSpec(**{**table, 'zones': tuple(table['zones'])})
+    lists = {key: tuple(table.get(key, ())) for key in ('zones', 'adapters')}
+    return ServiceSpec(**{**table, **lists})
 
 
 def _line_of(text: str, key: str) -> int:
--- a/src/bramleylug/fakes/engine.py
+++ b/src/bramleylug/fakes/engine.py
@@ -88,6 +88,7 @@
         """Come back cold and without weights, under a new boot id."""
         self.boot_id = uuid.uuid4().hex
         self.digest = ''
+        self.adapters: dict[str, str] = {}
         self.model = ''
         self.version = ''
         self.answered = 0
@@ -166,6 +167,7 @@
             'running': len(self.streams),
             'answered': self.answered,
             'fencing': self.fencing,
+            'adapters': self.adapters,
         }
 
     def _order(self, exchange: Exchange) -> None:
@@ -177,13 +179,25 @@
                 exchange.reply_json(409, {'error': 'old fencing number'})
                 return
         self.fencing = max(self.fencing, fencing)
+        if 'adapter' in order:
+            self._order_adapter(order)
+            exchange.reply_json(200, self.state())
+            return
         manifest = _read_version(Path(order['path']))
+        self.adapters = {}
         self.model = manifest.model
         self.version = manifest.version
         self.digest = manifest.digest
         self.answered = 0
         exchange.reply_json(200, self.state())
 
+    def _order_adapter(self, order: dict[str, Any]) -> None:
+        if order.get('drop'):
+            self.adapters.pop(order['adapter'], None)
+            return
+        manifest = _read_version(Path(order['path']))
+        self.adapters[order['adapter']] = manifest.digest
+
     def _control(self, exchange: Exchange) -> None:
         wanted = json.loads(exchange.body())
         if wanted.get('fall_over'):
--- a/src/bramleylug/fakes/origin.py
+++ b/src/bramleylug/fakes/origin.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import time
 from collections import deque
 from typing import final
 
@@ -9,9 +10,15 @@
 from circuits.core.events import Event
 
 from bramleylug.web.server import Exchange, WebServer
-from bramleylug.weights.manifest import Manifest, synthetic_pieces
+from bramleylug.weights.manifest import (
+    CHUNK_BYTES,
+    Manifest,
+    synthetic_pieces,
+)
 
 TICK_S = 0.01
+BACKLOG_S = 0.1
+PIECE_BYTES = 32768
 RANGE_PATTERN = re.compile(r'bytes=(\d+)-(\d+)')
 DEFAULT_RATE = 250_000_000
 
@@ -37,6 +44,8 @@
         self.web = WebServer(bind, self.serve).register(self)
         self.rate = rate
         self.bytes_sent = 0
+        self.budget = 0.0
+        self.ticked_s = time.monotonic()
         self.outage = False
         self.corrupt_chunks: set[int] = set()
         self.versions: dict[tuple[str, str], tuple[Manifest, bytes]] = {}
@@ -44,13 +53,17 @@
         Timer(TICK_S, origin_tick(), 'web', persist=True).register(self)
 
     def add_version(
-        self, model: str, version: str, size_bytes: int
+        self,
+        model: str,
+        version: str,
+        size_bytes: int,
+        chunk_bytes: int = CHUNK_BYTES,
     ) -> Manifest:
         """Make and keep weights of the given size."""
         pieces = list(
-            synthetic_pieces(f'{model}/{version}', size_bytes),
+            synthetic_pieces(f'{model}/{version}', size_bytes, chunk_bytes),
         )
-        manifest = Manifest.from_pieces(model, version, pieces)
+        manifest = Manifest.from_pieces(model, version, pieces, chunk_bytes)
         self.versions[model, version] = (manifest, b''.join(pieces))
         return manifest
 
@@ -102,16 +115,20 @@
 
     @handler('origin_tick')
     def _on_tick(self) -> None:
-        budget = int(self.rate * TICK_S)
-        while budget > 0 and self.waiting:
+        now_s = time.monotonic()
+        self.budget += self.rate * min(now_s - self.ticked_s, BACKLOG_S)
+        self.ticked_s = now_s
+        if not self.waiting:
+            self.budget = min(self.budget, 0)
+        while self.budget > 0 and self.waiting:
             exchange, piece = self.waiting.popleft()
             if exchange.closed:
                 continue
-            share = max(1, budget // (len(self.waiting) + 1))
-            exchange.send(piece[:share])
-            self.bytes_sent += len(piece[:share])
-            budget -= share
-            if piece[share:]:
-                self.waiting.append((exchange, piece[share:]))
+            exchange.send(piece[:PIECE_BYTES])
+            sent = len(piece[:PIECE_BYTES])
+            self.bytes_sent += sent
+            self.budget -= sent
+            if piece[PIECE_BYTES:]:
+                self.waiting.append((exchange, piece[PIECE_BYTES:]))
             else:
                 exchange.finish()
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -46,6 +46,60 @@
         'engine reports weights {digest}',
         'Nothing to do.',
     )
+    chunk_corrupt = EventSpec(
+        'BL3003',
+        'WARNING',
+        'chunk {index} of {weights} from {source} is corrupt',
+        'It is fetched elsewhere; look at that host when it goes on.',
+    )
+    origin_corrupt = EventSpec(
+        'BL3004',
+        'ERROR',
+        'the origin serves chunk {index} of {weights} corrupt for good',
+        'Upload the version again under a new name and publish that.',
+    )
+    manifest_conflict = EventSpec(
+        'BL3005',
+        'ERROR',
+        'manifest of {weights} from {source} is not the pinned one: refused',
+        'A version must not change at the origin: publish a new version.',
+    )
+    manifest_missing = EventSpec(
+        'BL3006',
+        'WARNING',
+        'no manifest of {weights} from the origin or a peer',
+        'Check the version in the service file, and the origin.',
+    )
+    transfer_dropped = EventSpec(
+        'BL3007',
+        'INFO',
+        'transfer of {weights} stopped: it is no longer wanted',
+        'Nothing to do; its chunks are kept while there is room.',
+    )
+    swap_waits = EventSpec(
+        'BL3008',
+        'INFO',
+        'swap to {weights} waits: {reason}',
+        'Nothing to do unless it lasts; see docs/operations/weights.md.',
+    )
+    drain_unfinished = EventSpec(
+        'BL3009',
+        'WARNING',
+        'swap to {weights} put off: {running} requests did not finish',
+        'Nothing to do; it is tried again.',
+    )
+    engine_went_back = EventSpec(
+        'BL3010',
+        'WARNING',
+        'engine reports {digest}, not what it was opened with; gate closed',
+        'It is ordered anew; look at the engine when it goes on.',
+    )
+    version_staged = EventSpec(
+        'BL3011',
+        'INFO',
+        '{weights} is whole and verified',
+        'Nothing to do.',
+    )
     # 4: admission and claims at the agent
     # 5: processes, keys and settings
     keys_missing = EventSpec(
--- /dev/null
+++ b/src/bramleylug/weights/chunk_server.py
@@ -0,0 +1,145 @@
+"""Serves staged chunks, holdings and manifests to other agents."""
+
+from collections.abc import Iterator
+from threading import Lock
+from typing import Any, Protocol, final
+
+import grpc
+
+from bramleylug.weights.manifest import VersionKey
+from bramleylug.weights.peers import Holdings
+from bramleylug.weights.rates import LinkShare
+from bramleylug.weights.staging import Staging
+from bramleylug.weights.transfer import held_message
+from bramleylug.wire.weights_pb2 import (
+    ChunkPiece,
+    ChunkRequest,
+    HeldChunks,
+    HoldingsReply,
+    HoldingsRequest,
+    ManifestReply,
+    ManifestRequest,
+)
+from bramleylug.wire.weights_pb2_grpc import WeightsServicer
+
+PIECE_BYTES = 65536
+UPLOAD_SLOTS = 8
+
+
+class HoldingsListener(Protocol):
+    """A transfer that learns from what askers tell."""
+
+    def hear(self, peer: str, held: HeldChunks) -> None:
+        """Take in a peer's holdings."""
+
+    def duty_bytes(self) -> int:
+        """Return the bytes brought into the region as a home."""
+
+
+@final
+class UploadSlots:
+    """Bounds the uploads that run at once.
+
+    :ivar free: slots that are not taken.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.free = count
+        self.lock = Lock()
+
+    def take(self) -> bool:
+        """Take a slot unless all are taken."""
+        with self.lock:
+            taken = self.free > 0
+            self.free -= int(taken)
+        return taken
+
+    def give_back(self) -> None:
+        """Free a slot."""
+        with self.lock:
+            self.free += 1
+
+
+@final
+class ChunkServer(WeightsServicer):
+    """Serves the chunks this host holds.
+
+    A chunk is served from the moment it is verified. Uploads are bounded in
+    number, so that the threads left answer requests, and in rate.
+
+    :param share: of the link, drawn from for every piece.
+    :ivar bytes_sent: bytes of weights sent to peers.
+    :ivar transfers: the running transfers by version.
+    """
+
+    def __init__(
+        self, staging: Staging, share: LinkShare, slots: int = UPLOAD_SLOTS
+    ) -> None:
+        self.staging = staging
+        self.share = share
+        self.slots = UploadSlots(slots)
+        self.transfers: dict[VersionKey, HoldingsListener] = {}
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of weights sent to peers."""
+        return self.share.taken_bytes
+
+    def ReadChunk(  # noqa: N802
+        self, request: ChunkRequest, context: Any
+    ) -> Iterator[ChunkPiece]:
+        """Send one chunk in pieces."""
+        key = VersionKey(request.model, request.version)
+        self._tell(key, request.asker, request.held)
+        if not self.slots.take():
+            context.abort(
+                grpc.StatusCode.RESOURCE_EXHAUSTED, 'no free upload slot'
+            )
+        try:
+            yield from self._send(key, request.index, context)
+        finally:
+            self.slots.give_back()
+
+    def Holdings(  # noqa: N802
+        self, request: HoldingsRequest, context: Any
+    ) -> HoldingsReply:
+        """Exchange holdings."""
+        key = VersionKey(request.model, request.version)
+        self._tell(key, request.asker, request.held)
+        return HoldingsReply(held=self.holdings(key))
+
+    def ReadManifest(  # noqa: N802
+        self, request: ManifestRequest, context: Any
+    ) -> ManifestReply:
+        """Return the manifest of a staged version."""
+        key = VersionKey(request.model, request.version)
+        manifest = self.staging.manifest(key)
+        text = b'' if manifest is None else manifest.to_json()
+        return ManifestReply(manifest=text)
+
+    def holdings(self, key: VersionKey) -> HeldChunks:
+        """Return what this host holds of a version."""
+        chunks = self.staging.held(key)
+        listener = self.transfers.get(key)
+        duty_bytes = 0 if listener is None else listener.duty_bytes()
+        own = Holdings(chunks, duty_bytes, self.slots.free)
+        return held_message(own, chunks.bit_length())
+
+    def _tell(self, key: VersionKey, asker: str, held: HeldChunks) -> None:
+        listener = self.transfers.get(key)
+        if listener is not None and asker:
+            listener.hear(asker, held)
+
+    def _send(
+        self, key: VersionKey, index: int, context: Any
+    ) -> Iterator[ChunkPiece]:
+        chunk = self.staging.read(key, index)
+        if chunk is None:
+            context.abort(grpc.StatusCode.NOT_FOUND, 'chunk is not held')
+            return
+        held = self.holdings(key)
+        for start in range(0, len(chunk), PIECE_BYTES):
+            piece = chunk[start : start + PIECE_BYTES]
+            self.share.take(len(piece))
+            yield ChunkPiece(data=piece, held=held)
+            held = None  # type: ignore[assignment]
--- /dev/null
+++ b/src/bramleylug/weights/chunk_sets.py
@@ -0,0 +1,74 @@
+"""Sets of chunks as integers: bit ``k`` is set when chunk ``k`` is in it.
+
+Sets of thousands of chunks are joined and compared in well under a
+microsecond, and travel as one bit a chunk.
+"""
+
+from collections.abc import Iterable, Iterator
+
+BYTE_BITS = 8
+
+
+def whole(count: int) -> int:
+    """Return the set of all chunks of a version."""
+    return (1 << count) - 1
+
+
+def of_indices(indices: Iterable[int]) -> int:
+    """Return the set of the given chunks."""
+    chunks = 0
+    for index in indices:
+        chunks |= 1 << index
+    return chunks
+
+
+def to_bytes(chunks: int, count: int) -> bytes:
+    """Return a set as a bitmap, least significant bit first."""
+    return chunks.to_bytes(-(-count // BYTE_BITS), 'little')
+
+
+def from_bytes(bitmap: bytes, count: int) -> int:
+    """Read a bitmap; bits past the last chunk are dropped."""
+    return int.from_bytes(bitmap, 'little') & whole(count)
+
+
+def iterate(chunks: int) -> Iterator[int]:
+    """Yield the indices in a set in rising order."""
+    while chunks:
+        lowest = chunks & -chunks
+        yield lowest.bit_length() - 1
+        chunks ^= lowest
+
+
+def pick(chunks: int, offset: int) -> int:
+    """Return the first index at or after an offset, wrapping around.
+
+    :param chunks: a set with at least one chunk.
+    """
+    upper = chunks >> offset
+    if upper:
+        return offset + (upper & -upper).bit_length() - 1
+    return (chunks & -chunks).bit_length() - 1
+
+
+def count_copies(holdings: Iterable[int]) -> list[int]:
+    """Return how many holdings have each chunk, as bit planes.
+
+    Plane ``p`` has bit ``k`` set when bit ``p`` of chunk ``k``'s count is.
+    """
+    planes: list[int] = []
+    for carry in holdings:
+        for place, plane in enumerate(planes):
+            planes[place], carry = plane ^ carry, plane & carry
+        if carry:
+            planes.append(carry)
+    return planes
+
+
+def rarest(chunks: int, planes: list[int]) -> int:
+    """Return those of the chunks with the fewest copies."""
+    for plane in reversed(planes):
+        fewer = chunks & ~plane
+        if fewer:
+            chunks = fewer
+    return chunks
--- /dev/null
+++ b/src/bramleylug/weights/governor.py
@@ -0,0 +1,78 @@
+"""Weights give way to live traffic."""
+
+from collections import deque
+from typing import NamedTuple, final
+
+WINDOW_S = 1.0
+DECIDE_INTERVAL_S = 0.25
+CALM_WEIGHT = 0.05
+SLOWDOWN_LIMIT = 1.25
+SLACK_S = 0.002
+LATE_QUANTILE = 0.9
+FEWEST_SAMPLES = 5
+LEAST_SHARE = 1 / 16
+SHARE_STEP = 1 / 16
+SAMPLES_LIMIT = 512
+
+
+class Sample(NamedTuple):
+    """Time to the first byte of one live answer."""
+
+    at_s: float
+    latency_s: float
+
+
+@final
+class LinkGovernor:
+    """Share of the link that weights may use.
+
+    Halves the share while live answers are late or queued and pauses below
+    a sixteenth; raises it step by step when they are not (additive increase
+    and multiplicative decrease, Chiu and Jain, 1989).
+
+    :ivar share: from 0, paused, to 1.
+    :ivar usual_s: latency of live answers without transfers.
+    """
+
+    def __init__(self) -> None:
+        self.share = 1.0
+        self.usual_s: float | None = None
+        self.samples: deque[Sample] = deque(maxlen=SAMPLES_LIMIT)
+        self.decided_s = float('-inf')
+
+    def observe(
+        self, latency_s: float, now_s: float, *, transferring: bool
+    ) -> None:
+        """Note a live answer's time to its first byte."""
+        self.samples.append(Sample(now_s, latency_s))
+        if self.usual_s is None:
+            self.usual_s = latency_s
+        elif not transferring or latency_s < self.usual_s:
+            self.usual_s += CALM_WEIGHT * (latency_s - self.usual_s)
+
+    def decide(self, queued: int, now_s: float) -> float:
+        """Return the share from now on.
+
+        :param queued: live requests that wait for a place.
+        """
+        if now_s - self.decided_s < DECIDE_INTERVAL_S:
+            return self.share
+        self.decided_s = now_s
+        if queued or self._suffers(now_s):
+            self.share /= 2
+            if self.share < LEAST_SHARE:
+                self.share = 0.0
+        else:
+            self.share = min(1.0, self.share + SHARE_STEP)
+        return self.share
+
+    def _suffers(self, now_s: float) -> bool:
+        recent = sorted(
+            sample.latency_s
+            for sample in tuple(self.samples)
+            if now_s - sample.at_s <= WINDOW_S
+        )
+        if len(recent) < FEWEST_SAMPLES or self.usual_s is None:
+            return False
+        late_s = recent[int(LATE_QUANTILE * (len(recent) - 1))]
+        return late_s > self.usual_s * SLOWDOWN_LIMIT + SLACK_S
--- a/src/bramleylug/weights/manifest.py
+++ b/src/bramleylug/weights/manifest.py
@@ -2,12 +2,22 @@
 
 import hashlib
 import json
+import re
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from itertools import repeat
-from typing import final
+from typing import NamedTuple, final
 
 CHUNK_BYTES = 1024 * 1024
+NAME_PATTERN = re.compile(r'(?!\.)[^/@\0]+')
+HASH_PATTERN = re.compile('[0-9a-f]{64}')
+
+
+class VersionKey(NamedTuple):
+    """Names one version of a model or adapter."""
+
+    model: str
+    version: str
 
 
 class ManifestError(ValueError):
@@ -64,9 +74,29 @@
         try:
             fields = json.loads(text)
             fields['chunk_hashes'] = tuple(fields['chunk_hashes'])
-            return cls(**fields)
+            manifest = cls(**fields)
+            manifest.check()
         except (ValueError, TypeError, KeyError) as error:
             raise ManifestError(f'manifest cannot be read: {error}') from error
+        return manifest
+
+    @property
+    def key(self) -> VersionKey:
+        """Model and version."""
+        return VersionKey(self.model, self.version)
+
+    def check(self) -> None:
+        """Check that sizes, names and hashes fit one another.
+
+        :raises ValueError: when they do not.
+        """
+        count = -(-self.size_bytes // self.chunk_bytes)
+        if self.size_bytes <= 0 or count != len(self.chunk_hashes):
+            raise ValueError('sizes and hashes do not fit')
+        if not all(map(NAME_PATTERN.fullmatch, self.key)):
+            raise ValueError(f'{self.key} cannot name a folder')
+        if not all(map(HASH_PATTERN.fullmatch, self.chunk_hashes)):
+            raise ValueError('a chunk hash is not SHA-256 in hex')
 
     def to_json(self) -> bytes:
         """Return the manifest as JSON."""
@@ -74,6 +104,10 @@
             {name: getattr(self, name) for name in self.__slots__}
         ).encode()
 
+    def seal(self) -> str:
+        """Return the SHA-256 of the manifest itself, in hex."""
+        return hashlib.sha256(self.to_json()).hexdigest()
+
     def chunk_range(self, index: int) -> tuple[int, int]:
         """Return first byte and length of a chunk."""
         first = index * self.chunk_bytes
@@ -85,9 +119,11 @@
     return hashlib.sha256(chunk).hexdigest()
 
 
-def synthetic_pieces(seed: str, size_bytes: int) -> Iterator[bytes]:
+def synthetic_pieces(
+    seed: str, size_bytes: int, chunk_bytes: int = CHUNK_BYTES
+) -> Iterator[bytes]:
     """Yield chunks of repeatable pseudo-random bytes for stand-ins."""
-    block = hashlib.shake_256(seed.encode()).digest(CHUNK_BYTES)
-    for index, _ in enumerate(repeat(None, -(-size_bytes // CHUNK_BYTES))):
-        length = min(CHUNK_BYTES, size_bytes - index * CHUNK_BYTES)
+    block = hashlib.shake_256(seed.encode()).digest(chunk_bytes)
+    for index, _ in enumerate(repeat(None, -(-size_bytes // chunk_bytes))):
+        length = min(chunk_bytes, size_bytes - index * chunk_bytes)
         yield (index.to_bytes(8, 'big') + block)[:length]
--- /dev/null
+++ b/src/bramleylug/weights/peers.py
@@ -0,0 +1,130 @@
+"""What a host knows of one peer during a transfer."""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import NamedTuple, final
+
+ASK_INTERVAL_S = 0.1
+ASK_INTERVAL_LIMIT_S = 2.0
+BUSY_PAUSE_S = 0.05
+BUSY_PAUSE_LIMIT_S = 1.0
+FAILURE_PAUSE_S = 1.0
+FAILURE_PAUSE_LIMIT_S = 30.0
+BLAME_S = 60.0
+DOUBLINGS_LIMIT = 8
+
+
+@final
+@unique
+class Fault(Enum):
+    """Why a chunk did not arrive."""
+
+    busy = 'busy'
+    not_held = 'not_held'
+    unreachable = 'unreachable'
+    stalled = 'stalled'
+    corrupt = 'corrupt'
+
+
+class Holdings(NamedTuple):
+    """What a peer tells about its transfer of one version.
+
+    :ivar chunks: set of the chunks it holds.
+    :ivar duty_bytes: bytes it has brought into its region as a home.
+    """
+
+    chunks: int
+    duty_bytes: int = 0
+    free_upload_slots: int = 1
+
+
+@final
+@dataclass(slots=True)
+class Peer:
+    """View of one peer.
+
+    :ivar duty_s: when its duty as a home last made progress.
+    :ivar avoid_until_s: nothing is asked of it before.
+    """
+
+    name: str
+    region: str
+    duty_s: float
+    chunks: int = 0
+    duty_bytes: int = 0
+    free_upload_slots: int = 1
+    in_flight: int = 0
+    heard: bool = False
+    asked_s: float = float('-inf')
+    asks_without_news: int = 0
+    told_duty_bytes: int = 0
+    refusals: int = 0
+    failures: int = 0
+    avoid_until_s: float = float('-inf')
+
+    def hear(self, holdings: Holdings, now_s: float) -> bool:
+        """Take in what it tells.
+
+        :returns: whether it holds more than was known.
+        """
+        news = bool(holdings.chunks & ~self.chunks)
+        if holdings.duty_bytes != self.duty_bytes:
+            self.duty_bytes = holdings.duty_bytes
+            self.duty_s = now_s
+        self.asks_without_news = 0 if news else self.asks_without_news + 1
+        self.chunks = holdings.chunks
+        self.free_upload_slots = holdings.free_upload_slots
+        self.heard = True
+        self.failures = 0
+        return news
+
+    def fail(self, fault: Fault, index: int, now_s: float) -> None:
+        """Note that a fetch from it failed."""
+        match fault:
+            case Fault.busy:
+                pause_s = _doubled(
+                    BUSY_PAUSE_S, self.refusals, BUSY_PAUSE_LIMIT_S
+                )
+                self.refusals += 1
+                self.free_upload_slots = 0
+            case Fault.not_held:
+                self.chunks &= ~(1 << index)
+                pause_s = 0.0
+            case Fault.corrupt:
+                self.chunks &= ~(1 << index)
+                pause_s = BLAME_S
+            case Fault.unreachable | Fault.stalled:
+                pause_s = _doubled(
+                    FAILURE_PAUSE_S, self.failures, FAILURE_PAUSE_LIMIT_S
+                )
+                self.failures += 1
+        self.avoid_until_s = max(self.avoid_until_s, now_s + pause_s)
+
+    def succeed(self) -> None:
+        """Note that a fetch from it succeeded."""
+        self.refusals = 0
+        self.failures = 0
+
+    def may_be_asked(
+        self, now_s: float, *, starved: bool, duty_bytes: int
+    ) -> bool:
+        """Tell whether holdings may be exchanged with it.
+
+        :param starved: this host has places for more fetches.
+        :param duty_bytes: what this host has brought in as a home; when it
+            has grown, the peer is told without delay.
+        """
+        interval_s = ASK_INTERVAL_LIMIT_S
+        if duty_bytes > self.told_duty_bytes:
+            interval_s = ASK_INTERVAL_S
+        elif starved or not self.heard:
+            interval_s = _doubled(
+                ASK_INTERVAL_S, self.asks_without_news, ASK_INTERVAL_LIMIT_S
+            )
+        return (
+            self.avoid_until_s <= now_s and now_s - self.asked_s >= interval_s
+        )
+
+
+def _doubled(base_s: float, times: int, limit_s: float) -> float:
+    return min(limit_s, base_s * 2 ** min(times, DOUBLINGS_LIMIT))
--- /dev/null
+++ b/src/bramleylug/weights/swarm.py
@@ -0,0 +1,297 @@
+"""Drives one transfer: the planner decides, threads move the chunks."""
+
+import time
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from queue import Empty, SimpleQueue
+from random import Random
+from typing import NamedTuple, final
+
+from bramleylug.observability.events import LogEvent, emit
+from bramleylug.weights.chunk_server import ChunkServer
+from bramleylug.weights.manifest import Manifest
+from bramleylug.weights.peers import Fault
+from bramleylug.weights.planner import (
+    ASKS_AT_ONCE,
+    PARALLEL_FETCHES,
+    Abandon,
+    Action,
+    AskHoldings,
+    Fetch,
+    FromOrigin,
+    FromPeer,
+    Planner,
+    ReportBadOrigin,
+)
+from bramleylug.weights.staging import Staging
+from bramleylug.weights.transfer import (
+    Failed,
+    OriginClient,
+    PeerClient,
+    read_held,
+)
+from bramleylug.wire.weights_pb2 import ChunkRequest, HeldChunks
+
+WAIT_S = 0.05
+PEERS_INTERVAL_S = 0.2
+
+
+class PeerAddress(NamedTuple):
+    """Where a peer's weights are served."""
+
+    address: str
+    region: str
+
+
+PeerSource = Callable[[], Mapping[str, PeerAddress]]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class PieceArrived:
+    """A piece of a chunk arrived."""
+
+    index: int
+    size_bytes: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ChunkStaged:
+    """A verified chunk is staged."""
+
+    index: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class FetchFailed:
+    """A fetch ended without a sound chunk."""
+
+    index: int
+    fault: Fault
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class HoldingsHeard:
+    """A peer told what it holds; ``None`` when it did not answer."""
+
+    peer: str
+    held: HeldChunks | None
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The version is no longer wanted."""
+
+
+Message = PieceArrived | ChunkStaged | FetchFailed | HoldingsHeard | Stop
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Links:
+    """What a transfer moves chunks with."""
+
+    name: str
+    region: str
+    staging: Staging
+    server: ChunkServer
+    origin: OriginClient
+    peers: PeerClient
+
+
+@final
+class Transfer:
+    """Brings one version to this host; :meth:`run` owns its state.
+
+    :param find_peers: returns the peers that want or hold the version.
+    :ivar stopped: whether it was asked to stop.
+    """
+
+    def __init__(
+        self, links: Links, manifest: Manifest, find_peers: PeerSource
+    ) -> None:
+        self.links = links
+        self.manifest = manifest
+        self.find_peers = find_peers
+        self.inbox: SimpleQueue[Message] = SimpleQueue()
+        self.pool = ThreadPoolExecutor(PARALLEL_FETCHES + ASKS_AT_ONCE)
+        self.planner = Planner(
+            links.name,
+            links.region,
+            manifest,
+            Random(f'{links.name}/{manifest.digest}'),
+            time.monotonic(),
+        )
+        self.planner.held = links.staging.held(manifest.key)
+        self.addresses: Mapping[str, PeerAddress] = {}
+        self.looked_s = float('-inf')
+        self.stopped = False
+
+    @property
+    def progress(self) -> float:
+        """Share of the chunks that are held."""
+        held = self.planner.held.bit_count()
+        return held / len(self.manifest.chunk_hashes)
+
+    def hear(self, peer: str, held: HeldChunks) -> None:
+        """Take in what an asking peer holds."""
+        self.inbox.put(HoldingsHeard(peer, held))
+
+    def duty_bytes(self) -> int:
+        """Return the bytes brought into the region as a home."""
+        return self.planner.duty_bytes
+
+    def stop(self) -> None:
+        """Stop fetching; what is staged stays."""
+        self.inbox.put(Stop())
+
+    def run(self) -> bool:
+        """Fetch until every chunk is held.
+
+        :returns: whether they are.
+        """
+        self.links.server.transfers[self.manifest.key] = self
+        try:
+            while not self.stopped and not self.planner.done:
+                self._look_for_peers()
+                for action in self.planner.plan(time.monotonic()):
+                    self._act(action)
+                self._wait()
+        finally:
+            self.links.server.transfers.pop(self.manifest.key, None)
+            self.links.peers.close()
+            self.pool.shutdown(wait=False, cancel_futures=True)
+        return self.planner.done
+
+    def _look_for_peers(self) -> None:
+        now_s = time.monotonic()
+        if now_s - self.looked_s < PEERS_INTERVAL_S:
+            return
+        self.looked_s = now_s
+        if self.links.peers.share.paused:
+            self.planner.excuse(now_s)
+        self.addresses = self.find_peers()
+        self.planner.set_peers(
+            {name: peer.region for name, peer in self.addresses.items()},
+            now_s,
+        )
+
+    def _wait(self) -> None:
+        """Take in messages until one changes what may be planned."""
+        ends_s = time.monotonic() + WAIT_S
+        left_s = WAIT_S
+        while left_s > 0:
+            try:
+                message = self.inbox.get(timeout=left_s)
+            except Empty:
+                return
+            self._take_in(message)
+            if not isinstance(message, PieceArrived) and self.inbox.empty():
+                return
+            left_s = ends_s - time.monotonic()
+
+    def _take_in(self, message: Message) -> None:
+        planner, now_s = self.planner, time.monotonic()
+        match message:
+            case PieceArrived(index, size_bytes):
+                planner.progress(index, size_bytes, now_s)
+            case ChunkStaged(index):
+                planner.receive(index)
+            case FetchFailed(index, fault):
+                planner.fail(index, fault, now_s)
+            case HoldingsHeard(peer, None):
+                planner.hear(peer, None, now_s)
+            case HoldingsHeard(peer, HeldChunks() as held):
+                planner.hear(peer, read_held(held, planner.count), now_s)
+            case Stop():
+                self.stopped = True
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case FromOrigin() | FromPeer():
+                self.pool.submit(self._fetch, action)
+            case AskHoldings(peer):
+                self.pool.submit(self._ask, peer)
+            case Abandon(index):
+                self.links.peers.cancel(index)
+            case ReportBadOrigin(index):
+                emit(
+                    LogEvent.origin_corrupt,
+                    weights='@'.join(self.manifest.key),
+                    index=index,
+                )
+
+    def _ask(self, peer: str) -> None:
+        found = self.addresses.get(peer)
+        held = None
+        if found is not None:
+            held = self.links.peers.holdings(
+                found.address,
+                self.manifest.key,
+                self.links.server.holdings(self.manifest.key),
+            )
+        self.inbox.put(HoldingsHeard(peer, held))
+
+    def _fetch(self, fetch: Fetch) -> None:
+        index = fetch.index
+        chunk = self._read(fetch)
+        if isinstance(chunk, Failed):
+            self.inbox.put(FetchFailed(index, chunk.fault))
+        elif self.links.staging.add(self.manifest, index, chunk):
+            self.inbox.put(ChunkStaged(index))
+        else:
+            self._report_corrupt(fetch)
+            self.inbox.put(FetchFailed(index, Fault.corrupt))
+
+    def _read(self, fetch: Fetch) -> bytes | Failed:
+        match fetch:
+            case FromOrigin(index):
+                return self.links.origin.chunk(
+                    self.manifest,
+                    index,
+                    lambda size_bytes: self.inbox.put(
+                        PieceArrived(index, size_bytes)
+                    ),
+                )
+            case FromPeer(index, peer):
+                return self._read_peer(index, peer)
+
+    def _read_peer(self, index: int, peer: str) -> bytes | Failed:
+        found = self.addresses.get(peer)
+        if found is None:
+            return Failed(Fault.unreachable)
+
+        def on_piece(size_bytes: int) -> None:
+            self.links.peers.count(found.region, size_bytes)
+            self.inbox.put(PieceArrived(index, size_bytes))
+
+        request = ChunkRequest(
+            model=self.manifest.model,
+            version=self.manifest.version,
+            index=index,
+            region=self.links.region,
+            asker=self.links.name,
+            held=self.links.server.holdings(self.manifest.key),
+        )
+        return self.links.peers.chunk(
+            found.address,
+            request,
+            on_piece,
+            lambda held: self.inbox.put(HoldingsHeard(peer, held)),
+        )
+
+    def _report_corrupt(self, fetch: Fetch) -> None:
+        source = 'the origin'
+        if isinstance(fetch, FromPeer):
+            source = fetch.peer
+        emit(
+            LogEvent.chunk_corrupt,
+            weights='@'.join(self.manifest.key),
+            index=fetch.index,
+            source=source,
+        )
--- a/src/bramleylug/weights/transfer.py
+++ b/src/bramleylug/weights/transfer.py
@@ -1,40 +1,63 @@
 """Moving chunks: from the origin over HTTP, from peers over gRPC."""
 
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
 from http.client import HTTPConnection, HTTPException
-from typing import Any, final
+from threading import Lock
+from typing import final
 
 import grpc
 
-from bramleylug.weights.manifest import Manifest, ManifestError
-from bramleylug.weights.staging import Staging
-from bramleylug.wire.channels import open_channel
+from bramleylug.weights.chunk_sets import from_bytes, to_bytes
+from bramleylug.weights.manifest import Manifest, ManifestError, VersionKey
+from bramleylug.weights.peers import Fault, Holdings
+from bramleylug.weights.planner import STALL_S
+from bramleylug.weights.rates import LinkShare
+from bramleylug.wire.channels import ChannelCache
 from bramleylug.wire.weights_pb2 import (
-    ChunkPiece,
     ChunkRequest,
-    HoldingsReply,
+    HeldChunks,
     HoldingsRequest,
+    ManifestRequest,
 )
-from bramleylug.wire.weights_pb2_grpc import WeightsServicer, WeightsStub
+from bramleylug.wire.weights_pb2_grpc import WeightsStub
 
-PIECE_BYTES = 262144
-TRANSFER_TIMEOUT_S = 30.0
+READ_BYTES = 65536
+ASK_TIMEOUT_S = 2.0
+CHUNK_TIMEOUT_S = 600.0
+CHANNELS_LIMIT = 96
+RETRY_STATUSES = frozenset((200, 206))
+
+PieceHandler = Callable[[int], None]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """A chunk did not arrive."""
+
+    fault: Fault
 
 
 @final
 class OriginClient:
     """Reads manifests and chunks from the origin by HTTP ranges.
 
+    :param share: of the link, drawn from for every piece.
     :ivar bytes_read: bytes of weights read.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, share: LinkShare) -> None:
         self.address = address
+        self.share = share
         self.bytes_read = 0
+        self.lock = Lock()
 
-    def manifest(self, model: str, version: str) -> Manifest | None:
+    def manifest(self, key: VersionKey) -> Manifest | None:
         """Return the manifest of a version, or ``None`` without one."""
-        text = self._get(f'/{model}/{version}/manifest', {})
+        path = f'/{key.model}/{key.version}/manifest'
+        text = self._get(path, {}, lambda size_bytes: None)
         if text is None:
             return None
         try:
@@ -42,86 +65,176 @@
         except ManifestError:
             return None
 
-    def chunk(self, manifest: Manifest, index: int) -> bytes | None:
-        """Return one chunk, unverified, or ``None`` when it failed."""
+    def chunk(
+        self, manifest: Manifest, index: int, on_piece: PieceHandler
+    ) -> bytes | Failed:
+        """Return one chunk, unverified.
+
+        :param on_piece: called with the size of each piece that arrives.
+        """
         first, length = manifest.chunk_range(index)
         path = f'/{manifest.model}/{manifest.version}/weights'
         span = f'bytes={first}-{first + length - 1}'
-        chunk = self._get(path, {'Range': span})
-        self.bytes_read += len(chunk or b'')
-        return chunk
 
-    def _get(self, path: str, headers: dict[str, str]) -> bytes | None:
-        connection = HTTPConnection(self.address, timeout=TRANSFER_TIMEOUT_S)
+        def count(size_bytes: int) -> None:
+            with self.lock:
+                self.bytes_read += size_bytes
+            self.share.take(size_bytes)
+            on_piece(size_bytes)
+
+        chunk = self._get(path, {'Range': span}, count)
+        return Failed(Fault.unreachable) if chunk is None else chunk
+
+    def _get(
+        self, path: str, headers: dict[str, str], on_piece: PieceHandler
+    ) -> bytes | None:
+        connection = HTTPConnection(self.address, timeout=STALL_S)
+        body = bytearray()
         try:
             connection.request('GET', path, headers=headers)
             response = connection.getresponse()
-            body = response.read()
+            while piece := response.read1(READ_BYTES):
+                body += piece
+                on_piece(len(piece))
         except (OSError, HTTPException):
             return None
         finally:
             connection.close()
-        return body if response.status in {200, 206} else None
+        return bytes(body) if response.status in RETRY_STATUSES else None
 
 
 @final
 class PeerClient:
-    """Reads chunks from other agents."""
+    """Reads chunks and holdings from other agents.
 
-    def __init__(self, region: str) -> None:
+    :param share: of the link, drawn from for every piece.
+    :ivar received_bytes: bytes of weights by the region they came from.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        share: LinkShare,
+        channels: ChannelCache,
+    ) -> None:
+        self.name = name
         self.region = region
-        self.channels: dict[str, grpc.Channel] = {}
+        self.share = share
+        self.channels = channels
+        self.addresses: dict[str, None] = {}
+        self.calls: dict[int, grpc.Future] = {}
+        self.received_bytes: Counter[str] = Counter()
+        self.lock = Lock()
 
     def chunk(
-        self, address: str, manifest: Manifest, index: int
-    ) -> bytes | None:
-        """Return one chunk, unverified, or ``None`` when it failed."""
-        request = ChunkRequest(
-            model=manifest.model,
-            version=manifest.version,
-            index=index,
-            region=self.region,
+        self,
+        address: str,
+        request: ChunkRequest,
+        on_piece: PieceHandler,
+        on_holdings: Callable[[HeldChunks], None],
+    ) -> bytes | Failed:
+        """Return one chunk, unverified.
+
+        :param on_piece: called with the size of each piece that arrives.
+        :param on_holdings: called with what the peer tells it holds.
+        """
+        chunk = bytearray()
+        call = self._stub(address).ReadChunk(request, timeout=CHUNK_TIMEOUT_S)
+        self.calls[request.index] = call
+        try:
+            for piece in call:
+                if piece.HasField('held'):
+                    on_holdings(piece.held)
+                chunk += piece.data
+                self.share.take(len(piece.data))
+                on_piece(len(piece.data))
+        except grpc.RpcError as error:
+            return Failed(_fault(error))
+        finally:
+            self.calls.pop(request.index, None)
+        return bytes(chunk)
+
+    def cancel(self, index: int) -> None:
+        """Cancel the read of a chunk, so that it ends as stalled."""
+        call = self.calls.get(index)
+        if call is not None:
+            call.cancel()
+
+    def count(self, region: str, size_bytes: int) -> None:
+        """Count bytes that came from a region."""
+        with self.lock:
+            self.received_bytes[region] += size_bytes
+
+    def holdings(
+        self, address: str, key: VersionKey, held: HeldChunks
+    ) -> HeldChunks | None:
+        """Tell what is held and return what the peer holds."""
+        request = HoldingsRequest(
+            model=key.model, version=key.version, asker=self.name, held=held
         )
-        stub = WeightsStub(self._channel(address))
         try:
-            return b''.join(
-                piece.data
-                for piece in stub.ReadChunk(request, timeout=TRANSFER_TIMEOUT_S)
-            )
+            reply = self._stub(address).Holdings(request, timeout=ASK_TIMEOUT_S)
         except grpc.RpcError:
             return None
+        return reply.held
 
-    def _channel(self, address: str) -> grpc.Channel:
-        if address not in self.channels:
-            self.channels[address] = open_channel(address)
-        return self.channels[address]
-
-
-@final
-class ChunkServer(WeightsServicer):
-    """Serves the chunks this host holds.
-
-    :ivar bytes_sent: bytes of weights sent to peers.
-    """
-
-    def __init__(self, staging: Staging) -> None:
-        self.staging = staging
-        self.bytes_sent = 0
-
-    def ReadChunk(
-        self, request: ChunkRequest, context: Any
-    ) -> Iterator[ChunkPiece]:
-        """Send one chunk in pieces."""
-        chunk = self.staging.read(request.model, request.version, request.index)
-        if chunk is None:
-            context.abort(grpc.StatusCode.NOT_FOUND, 'chunk is not held')
-            return
-        for start in range(0, len(chunk), PIECE_BYTES):
-            piece = chunk[start : start + PIECE_BYTES]
-            self.bytes_sent += len(piece)
-            yield ChunkPiece(data=piece)
-
-    def Holdings(self, request: HoldingsRequest, context: Any) -> HoldingsReply:
-        """Tell which chunks are held."""
-        folders = self.staging.committed_path(request.model, request.version)
-        return HoldingsReply(chunk_count=int(folders is not None))
+    def manifest(self, address: str, key: VersionKey) -> Manifest | None:
+        """Return the manifest a peer holds, or ``None``."""
+        request = ManifestRequest(model=key.model, version=key.version)
+        try:
+            reply = self._stub(address).ReadManifest(
+                request, timeout=ASK_TIMEOUT_S
+            )
+            found = Manifest.from_json(reply.manifest)
+        except (grpc.RpcError, ManifestError):
+            return None
+        return found if found.key == key else None
+
+    def close(self) -> None:
+        """Close every channel; running reads end as failed."""
+        with self.lock:
+            addresses = tuple(self.addresses)
+            self.addresses.clear()
+        for address in addresses:
+            self.channels.forget(address)
+
+    def _stub(self, address: str) -> WeightsStub:
+        """Return a stub; the channel used longest ago makes room."""
+        spare = None
+        with self.lock:
+            self.addresses.pop(address, None)
+            self.addresses[address] = None
+            if len(self.addresses) > CHANNELS_LIMIT:
+                spare = next(iter(self.addresses))
+                self.addresses.pop(spare)
+        if spare is not None:
+            self.channels.forget(spare)
+        return WeightsStub(self.channels.get(address))
+
+
+def held_message(holdings: Holdings, count: int) -> HeldChunks:
+    """Return holdings as they travel."""
+    return HeldChunks(
+        bitmap=to_bytes(holdings.chunks, count),
+        free_upload_slots=holdings.free_upload_slots,
+        duty_bytes=holdings.duty_bytes,
+    )
+
+
+def read_held(message: HeldChunks, count: int) -> Holdings:
+    """Read holdings from a message."""
+    return Holdings(
+        from_bytes(message.bitmap, count),
+        message.duty_bytes,
+        message.free_upload_slots,
+    )
+
+
+def _fault(error: grpc.RpcError) -> Fault:
+    faults = {
+        grpc.StatusCode.RESOURCE_EXHAUSTED: Fault.busy,
+        grpc.StatusCode.NOT_FOUND: Fault.not_held,
+        grpc.StatusCode.CANCELLED: Fault.stalled,
+    }
+    return faults.get(error.code(), Fault.unreachable)
