--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -1,8 +1,6 @@
 """The agent: the last word on one upstream host."""
 
 from http import HTTPStatus
-from pathlib import Path
-from tempfile import mkdtemp
 from threading import Thread
 from typing import final
 
@@ -12,17 +10,18 @@
 from bramleylug.agent.gate import Gate
 from bramleylug.agent.serving import Serving
 from bramleylug.agent.upstream import Upstream
-from bramleylug.agent.versions import VersionKeeper
+from bramleylug.agent.versions import VersionKeeper, fill_versions
+from bramleylug.claims.keeper import ClaimKeeper
 from bramleylug.configuration.document import ServiceSpec
 from bramleylug.node.node import Node
 from bramleylug.node.pages import serve_page
 from bramleylug.settings.daemons import AgentSettings
+from bramleylug.agent.weight_links import WeightLinks
 from bramleylug.web.server import Exchange, WebServer
-from bramleylug.weights.staging import Staging
-from bramleylug.weights.transfer import ChunkServer, OriginClient
+from bramleylug.weights.manifest import VersionKey
+from bramleylug.weights.swarm import PeerAddress
 from bramleylug.wire.membership_pb2 import Member
 from bramleylug.wire.requests_pb2_grpc import add_ServingServicer_to_server
-from bramleylug.wire.weights_pb2_grpc import add_WeightsServicer_to_server
 
 
 @final
@@ -43,34 +42,43 @@
         self.gate = Gate(settings.zone, settings.service)
         self.limiter = Limiter()
         upstream = Upstream(settings.upstream)
-        folder = settings.staging_dir or mkdtemp(prefix='bramleylug-')
-        self.staging = Staging(Path(folder), settings.staging_bytes)
+        incarnation = self.node.membership.own.incarnation
+        self.claims = ClaimKeeper(
+            self.node.store, f'{settings.name}/{incarnation}'
+        )
         self.serving = Serving(
             self.gate,
             self.limiter,
             upstream,
             lambda: self.node.holder.document,
+            self.claims,
         )
-        self.chunk_server = ChunkServer(self.staging)
         add_ServingServicer_to_server(self.serving, self.node.server)
-        add_WeightsServicer_to_server(self.chunk_server, self.node.server)
+        self.weights = WeightLinks(settings, self.node)
         self.keeper = VersionKeeper(
             self.node,
             self.gate,
             self.limiter,
             upstream,
-            self.staging,
-            OriginClient(settings.origin),
+            self.weights.build_stock(self.find_peers),
+            self.weights.shares,
         )
+        upstream.on_answer = self.keeper.watch_answer
         self.node.describe = self.describe
 
     def open(self) -> None:
         """Start all work beside the circuits loop."""
         self.node.open(self.web.address)
-        Thread(target=self.keeper.run, name='weights', daemon=True).start()
+        for name, work in (
+            ('weights', self.keeper.run),
+            ('turns', self.keeper.run_turns),
+            ('claims', self.claims.run),
+        ):
+            Thread(target=work, name=name, daemon=True).start()
 
     def close(self) -> None:
         """Stop all work beside the circuits loop."""
+        self.claims.stop()
         self.node.close()
 
     def begin_leaving(self) -> None:
@@ -79,14 +87,22 @@
         self.node.leave()
 
     def is_quiet(self) -> bool:
-        """Tell whether every request has ended."""
-        return not self.limiter.running
+        """Tell whether every request has ended and its result is kept."""
+        return not self.limiter.running and self.claims.settled()
 
     def serve(self, exchange: Exchange) -> None:
         """Answer health and metrics pages."""
-        if not serve_page(exchange, ready=self.gate.is_open):
+        if not serve_page(exchange, self.node, not_ready=self.not_ready()):
             exchange.reply_json(HTTPStatus.NOT_FOUND, {'error': 'no such page'})
 
+    def not_ready(self) -> str:
+        """Return why no request is admitted; empty when some are."""
+        if not self.node.holder.trustworthy:
+            return 'no accepted configuration is known'
+        if self.gate.leaving:
+            return 'leaving'
+        return '' if self.gate.is_open else 'no whole verified version'
+
     def describe(self, record: Member) -> None:
         """Fill the own membership record."""
         del record.services[:]
@@ -98,14 +114,11 @@
             ready=self.gate.is_open,
             limit=self._limit(spec),
         )
-        model, version = self.keeper.wanted
-        del record.versions[:]
-        if model:
-            record.versions.add(
-                model=model,
-                version=version,
-                progress=int(self.keeper.progress * 1000),
-            )
+        fill_versions(record, self.keeper.stock, self.keeper.wanted)
+
+    def find_peers(self, key: VersionKey) -> dict[str, PeerAddress]:
+        """Return the agents that want or hold a version."""
+        return self.keeper.find_peers(key)
 
     def _limit(self, spec: ServiceSpec | None) -> int:
         return 0 if spec is None else self.limiter.limit(spec)
--- a/src/bramleylug/agent/turns.py
+++ b/src/bramleylug/agent/turns.py
@@ -4,9 +4,9 @@
 import uuid
 from collections.abc import Sequence
 from dataclasses import dataclass
-from threading import Lock
 from typing import final
 
+from bramleylug.configuration.document import ServiceSpec
 from bramleylug.platform.store import (
     Conflict,
     Store,
@@ -59,6 +59,8 @@
     here before it does in the store.
 
     :ivar reason: why there is no turn.
+    :ivar wanted: whether this host wants to swap.
+    :ivar confirm_wanted: whether the store is to confirm the turn.
     """
 
     def __init__(self, store: Store, service: str, name: str) -> None:
@@ -67,7 +69,8 @@
         self.name = name
         self.turn: Turn | None = None
         self.reason = ''
-        self.lock = Lock()
+        self.wanted = False
+        self.confirm_wanted = False
         self.tried_s = float('-inf')
 
     def current(self) -> Turn | None:
@@ -77,6 +80,21 @@
             return turn
         return None
 
+    def tend(self, spec: ServiceSpec, waiting: Sequence[str]) -> None:
+        """Take, keep or give back the turn, as is wanted.
+
+        :param waiting: agents that do not serve the wanted version yet.
+        """
+        if not self.wanted:
+            self.release()
+            return
+        slots = spec.max_unavailable
+        if is_next(self.name, waiting, slots, spec.version):
+            self.take(slots)
+        confirm = self.confirm_wanted
+        self.confirm_wanted = False
+        self.keep(confirm=confirm)
+
     def take(self, slots: int) -> None:
         """Try for one of the slots, at most once an interval."""
         now_s = time.monotonic()
@@ -112,12 +130,13 @@
 
     def release(self) -> None:
         """Give the turn back."""
-        turn, self.turn = self.turn, None
+        turn = self.turn
+        self.turn = None
         if turn is not None:
             self.store.revoke_lease(turn.lease_id, timeout_s=STORE_TIMEOUT_S)
 
     def _find_free(self, slots: int) -> str | None:
-        self.reason = 'max_unavailable hosts are swapping'
+        self.reason = f'{slots} hosts may swap at once, and do'
         for slot in range(slots):
             key = f'bramleylug/swaps/{self.service}/{slot}'
             match self.store.read(key, timeout_s=STORE_TIMEOUT_S):
@@ -126,8 +145,6 @@
                 case Unavailable():
                     self.reason = 'the store is unavailable'
                     return None
-                case StoredValue():
-                    continue
         return None
 
     def _claim(self, key: str, lease_id: int) -> bool:
--- a/src/bramleylug/agent/version_policy.py
+++ b/src/bramleylug/agent/version_policy.py
@@ -1,10 +1,22 @@
 """Decides when the engine gets another version and when requests may run."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
 from enum import Enum, unique
-from typing import Any, final
-
+from typing import final
+
+from bramleylug.agent.version_actions import (
+    CloseGate,
+    ConfirmTurn,
+    DrainUnfinished,
+    EngineReport,
+    Observation,
+    OpenGate,
+    OrderAdapter,
+    OrderVersion,
+    ReleaseTurn,
+    TakeTurn,
+    VersionAction,
+    WentBack,
+)
 from bramleylug.weights.manifest import VersionKey
 
 DRAIN_S = 30.0
@@ -13,142 +25,6 @@
 FENCING_MASK = (1 << FENCING_BITS) - 1
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class EngineReport:
-    """What the engine says it holds.
-
-    :ivar adapters: digest of each loaded adapter by ``model@version``.
-    """
-
-    boot_id: str
-    digest: str = ''
-    fencing: int = 0
-    adapters: Mapping[str, str] = field(default_factory=dict)
-
-    @classmethod
-    def from_state(cls, state: Mapping[str, Any]) -> 'EngineReport':
-        """Read the answer to ``GET /v1/state``."""
-        return cls(
-            str(state['boot_id']),
-            str(state.get('digest', '')),
-            int(state.get('fencing', 0)),
-            dict(state.get('adapters', {})),
-        )
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class Observation:
-    """What a step is decided on.
-
-    :ivar wanted: configured version, ``None`` when this host is not to
-        serve one.
-    :ivar report: ``None`` when the engine does not answer.
-    :ivar running: requests at the engine.
-    :ivar turn_until_s: until when this host's turn to swap surely lasts;
-        ``None`` without one.
-    :ivar turn_confirmed_s: when the store last confirmed the turn.
-    :ivar adapters: digest of each configured adapter that is verified, by
-        ``model@version``.
-    :ivar surplus: whether enough other hosts serve the wanted version.
-    """
-
-    wanted: VersionKey | None
-    revision: int
-    report: EngineReport | None
-    running: int = 0
-    turn_until_s: float | None = None
-    turn_confirmed_s: float = float('-inf')
-    adapters: Mapping[str, str] = field(default_factory=dict)
-    surplus: bool = False
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class CloseGate:
-    """Admit no request from now on."""
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class OpenGate:
-    """Admit requests for this boot and these weights."""
-
-    boot_id: str
-    digest: str
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class TakeTurn:
-    """Ask for a turn to swap."""
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class ConfirmTurn:
-    """Have the store confirm the turn."""
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class ReleaseTurn:
-    """Give the turn back, or ask for it no longer."""
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class OrderVersion:
-    """Order the engine to load a committed version."""
-
-    key: VersionKey
-    digest: str
-    fencing: int
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class OrderAdapter:
-    """Order the engine to load a committed adapter, or to drop one.
-
-    :ivar adapter: ``model@version``.
-    """
-
-    adapter: str
-    load: bool
-    fencing: int
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class WentBack:
-    """The engine reports other weights than it was opened with."""
-
-    digest: str
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class DrainUnfinished:
-    """Requests did not finish in time; the old version serves on."""
-
-    running: int
-
-
-VersionAction = (
-    CloseGate
-    | OpenGate
-    | TakeTurn
-    | ConfirmTurn
-    | ReleaseTurn
-    | OrderVersion
-    | OrderAdapter
-    | WentBack
-    | DrainUnfinished
-)
-
-
 @final
 @unique
 class Phase(Enum):
@@ -197,7 +73,7 @@
         if not accepted:
             self.retry_s = now_s + RETRY_S
 
-    def note_adapter_order_ended(self, now_s: float, *, accepted: bool) -> None:
+    def note_adapter_ended(self, now_s: float, *, accepted: bool) -> None:
         """Note that an adapter order was answered, refused or timed out."""
         self.ordering_adapter = False
         if not accepted:
@@ -272,8 +148,7 @@
         if goal in {'', report.digest} or now_s < self.retry_s:
             self.reached = report.digest
             return [reopen, *self._settle()]
-        until_s = seen.turn_until_s
-        has_turn = until_s is not None and now_s < until_s
+        has_turn = seen.turn is not None and now_s < seen.turn.until_s
         if self.phase is Phase.draining:
             return self._drain(seen, report, goal, now_s, has_turn=has_turn)
         self.reached = report.digest
@@ -303,7 +178,7 @@
             if seen.running:
                 actions.append(DrainUnfinished(seen.running))
             return actions
-        if seen.turn_confirmed_s < self.closed_s:
+        if seen.turn is None or seen.turn.confirmed_s < self.closed_s:
             return [CloseGate(), ConfirmTurn()]
         if seen.running:
             return [CloseGate()]
--- a/src/bramleylug/agent/versions.py
+++ b/src/bramleylug/agent/versions.py
@@ -1,16 +1,15 @@
 """Drives the life of model versions on this host."""
 
 import time
-from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, final
 
 from bramleylug.admission.limiter import Limiter
 from bramleylug.agent.gate import Gate
+from bramleylug.agent.orders import EngineOrders, adapter_key
 from bramleylug.agent.replicas import choose_hosts, count_ready, serves
-from bramleylug.agent.turns import SwapTurns, is_next
+from bramleylug.agent.turns import SwapTurns
 from bramleylug.agent.upstream import Upstream
-from bramleylug.agent.version_policy import (
+from bramleylug.agent.version_actions import (
     CloseGate,
     ConfirmTurn,
     DrainUnfinished,
@@ -22,9 +21,9 @@
     ReleaseTurn,
     TakeTurn,
     VersionAction,
-    VersionPolicy,
     WentBack,
 )
+from bramleylug.agent.version_policy import VersionPolicy
 from bramleylug.configuration.document import ServiceSpec
 from bramleylug.node.node import Node
 from bramleylug.observability.events import LogEvent, emit
@@ -40,8 +39,7 @@
 PROGRESS_STEPS = 4
 WHOLE_PERMILLE = 1000
 BOOT_HEADER = 'x-boot-id'
-
-Order = Callable[[], dict[str, Any] | None]
+NO_VERSION = VersionKey('', '')
 
 
 @final
@@ -69,12 +67,9 @@
         self.governor = LinkGovernor()
         self.policy = VersionPolicy()
         self.turns = SwapTurns(node.store, gate.service, node.settings.name)
-        self.turn_wanted = False
-        self.confirm_wanted = False
         self.waits_for = ''
         self.wanted: VersionKey | None = None
-        self.orders = ThreadPoolExecutor(2)
-        self.ended: list[tuple[VersionAction, bool]] = []
+        self.orders = EngineOrders(upstream, stock.staging)
 
     @property
     def progress(self) -> float:
@@ -95,7 +90,7 @@
         while not self.node.stopping:
             spec = self._spec()
             if spec is not None:
-                self._tend_turn(spec)
+                self.turns.tend(spec, self._waiting(spec))
             time.sleep(POLL_S)
         self.turns.release()
 
@@ -140,26 +135,6 @@
             and (member.name in chosen or _holds(member, key))
         }
 
-    def fill_versions(self, record: Member) -> None:
-        """Fill the versions of the own membership record.
-
-        Progress is told in quarters, so that a burst does not fill the
-        gossip with changed records.
-        """
-        del record.versions[:]
-        held = {*self.stock.staging.rooms}
-        wanted = {self.wanted} if self.wanted is not None else set()
-        for key in sorted(held | wanted):
-            share = self.stock.progress(key)
-            quarter = int(share * PROGRESS_STEPS)
-            if share < 1:
-                quarter = min(quarter, PROGRESS_STEPS - 1)
-            record.versions.add(
-                model=key.model,
-                version=key.version,
-                progress=quarter * WHOLE_PERMILLE // PROGRESS_STEPS,
-            )
-
     def _spec(self) -> ServiceSpec | None:
         services = self.node.holder.document.services
         return services.get(self.gate.service)
@@ -176,10 +151,12 @@
     ) -> Observation:
         chosen = self._chosen(spec)
         is_chosen = self.node.settings.name in chosen
-        key = VersionKey(spec.model, spec.version)
-        self.wanted = key if is_chosen else None
-        adapters = frozenset(map(_adapter_key, spec.adapters))
-        keys = frozenset((key, *adapters)) if is_chosen else frozenset()
+        adapters = frozenset(map(adapter_key, spec.adapters))
+        self.wanted = None
+        keys: frozenset[VersionKey] = frozenset()
+        if is_chosen:
+            self.wanted = VersionKey(spec.model, spec.version)
+            keys = adapters | {self.wanted}
         self.stock.want(keys, self._in_use(report))
         digests = self.stock.digests()
         self.policy.verified = {
@@ -191,10 +168,7 @@
             revision=self.node.holder.document.revision,
             report=report,
             running=self.limiter.running,
-            turn_until_s=None if turn is None else turn.until_s,
-            turn_confirmed_s=float('-inf')
-            if turn is None
-            else turn.confirmed_s,
+            turn=turn,
             adapters={
                 '@'.join(adapter): digests[adapter]
                 for adapter in adapters
@@ -237,14 +211,19 @@
                 self.limiter.observe_boot(f'{boot_id}/{digest}')
                 self.gate.open(boot_id, digest, doubts)
             case TakeTurn():
-                self.turn_wanted = True
+                self.turns.wanted = True
                 self._report_waiting()
             case ConfirmTurn():
-                self.confirm_wanted = True
+                self.turns.confirm_wanted = True
             case ReleaseTurn():
-                self.turn_wanted = False
+                self.turns.wanted = False
             case OrderVersion() | OrderAdapter():
-                self._order(action)
+                self.orders.give(action)
+            case notice:
+                self._report(notice)
+
+    def _report(self, notice: WentBack | DrainUnfinished) -> None:
+        match notice:
             case WentBack(digest):
                 emit(LogEvent.engine_went_back, digest=digest)
             case DrainUnfinished(running):
@@ -254,58 +233,23 @@
                     running=running,
                 )
 
-    def _order(self, action: OrderVersion | OrderAdapter) -> None:
-        order: dict[str, Any] = {'fencing': action.fencing}
-        match action:
-            case OrderVersion(key=key):
-                order['path'] = str(self.stock.staging.committed_path(key))
-            case OrderAdapter(adapter=adapter, load=True):
-                path = self.stock.staging.committed_path(_adapter_key(adapter))
-                order.update(adapter=adapter, path=str(path))
-            case OrderAdapter(adapter=adapter):
-                order.update(adapter=adapter, drop=True)
-        future = self.orders.submit(self.upstream.order, order)
-        future.add_done_callback(lambda done: self._end_order(action, done))
-
-    def _end_order(
-        self,
-        action: VersionAction,
-        done: Future[dict[str, Any] | None],
-    ) -> None:
-        accepted = done.exception() is None and done.result() is not None
-        self.ended.append((action, accepted))
-
     def _note_ended(self, now_s: float) -> None:
-        while self.ended:
-            action, accepted = self.ended.pop(0)
-            if isinstance(action, OrderVersion):
-                self.policy.note_order_ended(now_s, accepted=accepted)
-                if accepted:
-                    emit(LogEvent.weights_loaded, digest=action.digest)
-            else:
-                self.policy.note_adapter_order_ended(now_s, accepted=accepted)
-
-    def _tend_turn(self, spec: ServiceSpec) -> None:
-        if not self.turn_wanted:
-            self.turns.release()
-            return
-        waiting = [
+        for order, accepted in self.orders.take_ended():
+            match order:
+                case OrderVersion():
+                    self.policy.note_order_ended(now_s, accepted=accepted)
+                case OrderAdapter():
+                    self.policy.note_adapter_ended(now_s, accepted=accepted)
+            if accepted:
+                emit(LogEvent.weights_loaded, order=order)
+
+    def _waiting(self, spec: ServiceSpec) -> list[str]:
+        digest = self.stock.digests().get(self.wanted or NO_VERSION, '')
+        return [
             member.name
             for member in self.node.members
-            if serves(member, spec.name)
-            and not _serves_digest(member, self._wanted_digest())
+            if serves(member, spec.name) and not _serves_digest(member, digest)
         ]
-        name = self.node.settings.name
-        if is_next(name, waiting, spec.max_unavailable, spec.version):
-            self.turns.take(spec.max_unavailable)
-        confirm, self.confirm_wanted = self.confirm_wanted, False
-        self.turns.keep(confirm=confirm)
-
-    def _wanted_digest(self) -> str:
-        wanted = self.wanted
-        if wanted is None:
-            return ''
-        return self.stock.digests().get(wanted, '')
 
     def _wanted_name(self) -> str:
         return '@'.join(self.wanted or ())
@@ -327,9 +271,26 @@
             link.set_share(share)
 
 
-def _adapter_key(adapter: str) -> VersionKey:
-    model, _, version = adapter.partition('@')
-    return VersionKey(model, version)
+def fill_versions(
+    record: Member, stock: VersionStock, wanted: VersionKey | None
+) -> None:
+    """Fill the versions of the own membership record.
+
+    Progress is told in quarters, so that a burst does not fill the gossip
+    with changed records.
+    """
+    del record.versions[:]
+    keys = set(stock.staging.rooms)
+    if wanted is not None:
+        keys.add(wanted)
+    for key in sorted(keys):
+        share = stock.progress(key)
+        quarters = int(share * PROGRESS_STEPS)
+        record.versions.add(
+            model=key.model,
+            version=key.version,
+            progress=quarters * WHOLE_PERMILLE // PROGRESS_STEPS,
+        )
 
 
 def _holds(member: Member, key: VersionKey) -> bool:
--- a/src/bramleylug/configuration/document.py
+++ b/src/bramleylug/configuration/document.py
@@ -180,7 +180,5 @@
 
 def spec_from_json(name: str, fields: Mapping[str, Any]) -> ServiceSpec:
     """Build a service from its fields."""
-    lists = {
-        key: tuple(fields.get(key, ())) for key in ('zones', 'adapters')
-    }
+    lists = {key: tuple(fields.get(key, ())) for key in ('zones', 'adapters')}
     return ServiceSpec(name=name, **{**fields, **lists})
--- a/src/bramleylug/demo/cluster.py
+++ b/src/bramleylug/demo/cluster.py
@@ -55,7 +55,7 @@
             self._add_agent(RECORDS_SERVICE, zone, records.web.address)
         self._publish_hosts()
         for daemon in self._daemons():
-            runner = DaemonRunner(daemon)
+            runner = DaemonRunner(daemon, daemon.settings.name)
             runner.start()
             self.runners.append(runner)
 
@@ -68,6 +68,12 @@
         self.store_server.stop()
         self.folder.cleanup()
 
+    def runner_of(self, daemon: object) -> DaemonRunner:
+        """Return the runner of one daemon."""
+        return next(
+            runner for runner in self.runners if runner.daemon is daemon
+        )
+
     def wait_until(self, check: Callable[[], bool], limit_s: float) -> float:
         """Wait for a condition and return the seconds it took.
 
--- a/src/bramleylug/fakes/engine.py
+++ b/src/bramleylug/fakes/engine.py
@@ -168,6 +168,7 @@
             'answered': self.answered,
             'fencing': self.fencing,
             'adapters': self.adapters,
+            'started_runs': self.started_runs,
         }
 
     def _order(self, exchange: Exchange) -> None:
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -33,6 +33,24 @@
         'Nothing to do.',
     )
     # 2: serving at the entry
+    request_refused = EventSpec(
+        'BL2001',
+        'DEBUG',
+        'request {request_id} was refused and did not run: {reason} {message}',
+        'Nothing for one; see docs/operations/refusals.md where many are.',
+    )
+    request_broken = EventSpec(
+        'BL2002',
+        'WARNING',
+        'request {request_id} got no whole answer: {reason} {message}',
+        'Look at the upstream and the agent by the request id.',
+    )
+    caller_gone = EventSpec(
+        'BL2003',
+        'INFO',
+        'caller of request {request_id} left early: {message}',
+        'Nothing; where many are too slow, look at their network.',
+    )
     # 3: weights
     staging_full = EventSpec(
         'BL3001',
@@ -43,7 +61,7 @@
     weights_loaded = EventSpec(
         'BL3002',
         'INFO',
-        'engine reports weights {digest}',
+        'engine took {order}',
         'Nothing to do.',
     )
     chunk_corrupt = EventSpec(
@@ -101,6 +119,25 @@
         'Nothing to do.',
     )
     # 4: admission and claims at the agent
+    claims_went_back = EventSpec(
+        'BL4001',
+        'ERROR',
+        'the store holds older claims of {shard}, at sequence {sequence}',
+        'Find out why the store lost writes; keys of agents that stopped '
+        'since then may run again.',
+    )
+    upstream_died = EventSpec(
+        'BL4002',
+        'WARNING',
+        'upstream died with {running} requests running; suspect {fingerprint}',
+        'See the log of the upstream; a second crash bars the request.',
+    )
+    limit_halved = EventSpec(
+        'BL4003',
+        'WARNING',
+        'limit lowered to {limit} requests because {cause}',
+        'Nothing at once; lower the concurrency of the service if it repeats.',
+    )
     # 5: processes, keys and settings
     keys_missing = EventSpec(
         'BL5001',
@@ -114,6 +151,12 @@
     stopped = EventSpec(
         'BL5003', 'INFO', '{name} stopped with nothing running', 'None.'
     )
+    serving = EventSpec(
+        'BL5005',
+        'INFO',
+        'serving http={http} grpc={grpc} gossip={gossip}',
+        'Nothing to do.',
+    )
     worker_failed = EventSpec(
         'BL5004',
         'ERROR',
--- a/src/bramleylug/weights/chunk_sets.py
+++ b/src/bramleylug/weights/chunk_sets.py
@@ -57,9 +57,11 @@
     Plane ``p`` has bit ``k`` set when bit ``p`` of chunk ``k``'s count is.
     """
     planes: list[int] = []
-    for carry in holdings:
+    for chunks in holdings:
+        carry = chunks
         for place, plane in enumerate(planes):
-            planes[place], carry = plane ^ carry, plane & carry
+            planes[place] = plane ^ carry
+            carry &= plane
         if carry:
             planes.append(carry)
     return planes
--- a/src/bramleylug/weights/homes.py
+++ b/src/bramleylug/weights/homes.py
@@ -10,6 +10,8 @@
 
 HOME_RANKS = 4
 JOINS_LIMIT = 8
+SEED_DIGITS = 16
+HEX = 16
 
 
 class Ranked(NamedTuple):
@@ -36,7 +38,9 @@
         self.chunk_hashes = chunk_hashes
         self.name = name
         self.region = region
-        self.seeds = [int(digest[:16], 16) for digest in chunk_hashes]
+        self.seeds = [
+            int(digest[:SEED_DIGITS], base=HEX) for digest in chunk_hashes
+        ]
         self.hosts: dict[str, str] = {}
         self.regions: frozenset[str] = frozenset()
         self.leads: list[str] = []
@@ -44,7 +48,7 @@
         self.duties: dict[int, int] = {}
         self.remote: dict[int, list[str]] = {}
 
-    def set_hosts(self, hosts: Mapping[str, str]) -> bool:
+    def replace_hosts(self, hosts: Mapping[str, str]) -> bool:
         """Replace the hosts, by name with their region.
 
         :returns: whether anything changed.
@@ -99,7 +103,10 @@
         seed = self.seeds[index]
         return nlargest(
             HOME_RANKS,
-            [Ranked(xxh64_intdigest(name.encode(), seed), name) for name in names],
+            [
+                Ranked(xxh64_intdigest(name.encode(), seed), name)
+                for name in names
+            ],
         )
 
     def _join(
--- a/src/bramleylug/weights/peers.py
+++ b/src/bramleylug/weights/peers.py
@@ -127,4 +127,5 @@
 
 
 def _doubled(base_s: float, times: int, limit_s: float) -> float:
-    return min(limit_s, base_s * 2 ** min(times, DOUBLINGS_LIMIT))
+    factor = 1 << min(times, DOUBLINGS_LIMIT)
+    return min(limit_s, base_s * factor)
--- a/src/bramleylug/weights/pins.py
+++ b/src/bramleylug/weights/pins.py
@@ -67,8 +67,9 @@
         now_s: float,
     ) -> Manifest | None:
         """Return the pinned manifest, or ``None`` until it is found."""
-        if key in self.manifests:
-            return self.manifests[key]
+        known = self.manifests.get(key)
+        if known is not None:
+            return known
         first_s = self.asked_s.setdefault(key, now_s)
         place, asked = choose_peers(key, self.name, tuple(addresses))
         told = self._ask(key, [addresses[name].address for name in asked])
@@ -130,9 +131,7 @@
             _refuse(key, 'a peer')
         return None
 
-    def _read_origin(
-        self, key: VersionKey, pin: str | None
-    ) -> Manifest | None:
+    def _read_origin(self, key: VersionKey, pin: str | None) -> Manifest | None:
         found = self.origin.manifest(key)
         if found is None or found.key != key:
             emit(LogEvent.manifest_missing, weights='@'.join(key))
@@ -169,6 +168,4 @@
 
 
 def _refuse(key: VersionKey, source: str) -> None:
-    emit(
-        LogEvent.manifest_conflict, weights='@'.join(key), source=source
-    )
+    emit(LogEvent.manifest_conflict, weights='@'.join(key), source=source)
--- a/src/bramleylug/weights/planner.py
+++ b/src/bramleylug/weights/planner.py
@@ -1,92 +1,42 @@
 """Which chunk to fetch next, and from where."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from random import Random
 from typing import final
 
 from bramleylug.routing.rendezvous import rank
+from bramleylug.weights.actions import (
+    Abandon,
+    Action,
+    AskHoldings,
+    ReportBadOrigin,
+)
 from bramleylug.weights.chunk_sets import (
     count_copies,
     pick,
     rarest,
     whole,
 )
+from bramleylug.weights.flights import (
+    Fetch,
+    Flight,
+    Flights,
+    FromOrigin,
+    FromPeer,
+)
 from bramleylug.weights.homes import Homes
 from bramleylug.weights.manifest import Manifest
-from bramleylug.weights.origin_reads import OriginReads
+from bramleylug.weights.origin_reads import ORIGIN_PAUSE_LIMIT_S, OriginReads
 from bramleylug.weights.peers import Fault, Holdings, Peer
 
 TAKE_OVER_S = 4.0
 REGION_TAKE_OVER_S = 10.0
-STALL_S = 5.0
 FIRST_ASK_S = 1.0
 NEIGHBOURS = 16
 FIRST_HEARD = 3
 ASKS_AT_ONCE = 2
 ASKS_INTERVAL_S = 0.1
 FETCHES_PER_PEER = 2
-FETCHES_BESIDE_DUTIES = 2
-PARALLEL_FETCHES = 6
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class FromOrigin:
-    """Fetch a chunk from the origin."""
-
-    index: int
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class FromPeer:
-    """Fetch a chunk from a peer."""
-
-    index: int
-    peer: str
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class AskHoldings:
-    """Ask a peer what it holds."""
-
-    peer: str
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class Abandon:
-    """Cancel a fetch that makes no progress; its failure is still fed in."""
-
-    index: int
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class ReportBadOrigin:
-    """Tell operators that the origin serves a corrupt chunk."""
-
-    index: int
-
-
-Fetch = FromOrigin | FromPeer
-Action = Fetch | AskHoldings | Abandon | ReportBadOrigin
-
-
-@final
-@dataclass(slots=True)
-class Flight:
-    """One fetch that has not ended.
-
-    :ivar duty: whether it brings the chunk into this region.
-    """
-
-    fetch: Fetch
-    duty: bool
-    progress_s: float
-    abandoned: bool = False
 
 
 @final
@@ -115,11 +65,11 @@
         self.random = random
         self.count = len(manifest.chunk_hashes)
         self.homes = Homes(manifest.chunk_hashes, name, region)
-        self.homes.set_hosts({})
+        self.homes.replace_hosts({})
         self.origin = OriginReads()
         self.peers: dict[str, Peer] = {}
         self.neighbours: frozenset[str] = frozenset()
-        self.flights: dict[int, Flight] = {}
+        self.flights = Flights()
         self.asks: set[str] = set()
         self.held = 0
         self.duty_bytes = 0
@@ -133,12 +83,12 @@
         """Whether every chunk is held."""
         return self.held == whole(self.count)
 
-    def set_peers(self, regions: Mapping[str, str], now_s: float) -> None:
+    def replace_peers(self, regions: Mapping[str, str], now_s: float) -> None:
         """Replace the peers that want or hold the version.
 
         :param regions: region of each peer by its name.
         """
-        if not self.homes.set_hosts(regions):
+        if not self.homes.replace_hosts(regions):
             return
         for gone in self.peers.keys() - regions.keys():
             self.peers.pop(gone)
@@ -153,9 +103,7 @@
         ]
         self.neighbours = frozenset(rank(self.name, near)[:NEIGHBOURS])
 
-    def hear(
-        self, name: str, holdings: Holdings | None, now_s: float
-    ) -> None:
+    def hear(self, name: str, holdings: Holdings | None, now_s: float) -> None:
         """Take in a peer's holdings, ``None`` when it did not answer."""
         self.asks.discard(name)
         peer = self.peers.get(name)
@@ -168,17 +116,12 @@
 
     def progress(self, index: int, piece_bytes: int, now_s: float) -> None:
         """Note that a piece of a chunk arrived."""
-        flight = self.flights.get(index)
+        flight = self.flights.running.get(index)
         if flight is not None:
             flight.progress_s = now_s
             if flight.duty:
                 self.duty_bytes += piece_bytes
 
-    def excuse(self, now_s: float) -> None:
-        """Note that this host itself holds its fetches back."""
-        for flight in self.flights.values():
-            flight.progress_s = now_s
-
     def receive(self, index: int) -> None:
         """Note that a verified chunk is held."""
         self.held |= 1 << index
@@ -199,24 +142,24 @@
             return
         match flight.fetch:
             case FromOrigin():
-                if self.origin.fail(fault, index, now_s):
-                    self.reports.append(ReportBadOrigin(index))
+                self._fail_origin(index, fault, now_s)
             case FromPeer(peer=name) if name in self.peers:
                 self.peers[name].fail(fault, index, now_s)
 
     def plan(self, now_s: float) -> list[Action]:
         """Return what to start and to cancel now."""
-        actions: list[Action] = [*self.reports]
-        self.reports = []
-        actions.extend(self._abandon(now_s))
+        actions: list[Action] = list(self.reports)
+        self.reports.clear()
+        actions.extend(map(Abandon, self.flights.abandon_stalled(now_s)))
         if self.done:
             return actions
-        fetches = [*self._plan_duties(now_s), *self._plan_swarm(now_s)]
-        starved = len(self.flights) < PARALLEL_FETCHES
-        return [*actions, *fetches, *self._plan_asks(now_s, starved=starved)]
+        actions.extend(self._plan_duties(now_s))
+        actions.extend(self._plan_swarm(now_s))
+        actions.extend(self._plan_asks(now_s, starved=self.flights.has_room))
+        return actions
 
     def _end(self, index: int) -> Flight | None:
-        flight = self.flights.pop(index, None)
+        flight = self.flights.end(index)
         if flight is None:
             return None
         match flight.fetch:
@@ -226,8 +169,17 @@
                 self.peers[name].in_flight -= 1
         return flight
 
+    def _fail_origin(self, index: int, fault: Fault, now_s: float) -> None:
+        if self.origin.fail(fault, index, now_s):
+            self.reports.append(ReportBadOrigin(index))
+        if fault is not Fault.corrupt:
+            # Homes are quiet because the origin is: they get time to retry.
+            excused_s = now_s + ORIGIN_PAUSE_LIMIT_S
+            for peer in self.peers.values():
+                peer.duty_s = max(peer.duty_s, excused_s)
+
     def _start(self, fetch: Fetch, now_s: float, *, duty: bool) -> Fetch:
-        self.flights[fetch.index] = Flight(fetch, duty, now_s)
+        self.flights.start(fetch, now_s, duty=duty)
         match fetch:
             case FromOrigin():
                 self.origin.in_flight += 1
@@ -235,30 +187,8 @@
                 self.peers[name].in_flight += 1
         return fetch
 
-    def _abandon(self, now_s: float) -> list[Abandon]:
-        stalled = []
-        for index, flight in self.flights.items():
-            late = now_s - flight.progress_s >= STALL_S
-            if late and not flight.abandoned:
-                flight.abandoned = True
-                stalled.append(Abandon(index))
-        return stalled
-
     def _missing(self) -> int:
-        flying = 0
-        for index in self.flights:
-            flying |= 1 << index
-        return whole(self.count) & ~self.held & ~flying
-
-    def _has_room(self) -> bool:
-        return len(self.flights) < PARALLEL_FETCHES
-
-    def _has_swarm_room(self) -> bool:
-        """Tell whether a fetch from peers may start beside the duties."""
-        if any(flight.duty for flight in self.flights.values()):
-            beside = sum(not flight.duty for flight in self.flights.values())
-            return self._has_room() and beside < FETCHES_BESIDE_DUTIES
-        return self._has_room()
+        return whole(self.count) & ~self.held & ~self.flights.chunks
 
     def _plan_duties(self, now_s: float) -> Iterable[Fetch]:
         missing = self._missing()
@@ -272,7 +202,7 @@
         duties = [index for index in self.homes.duties if missing >> index & 1]
         self.random.shuffle(duties)
         for index in duties:
-            if not self._has_room():
+            if not self.flights.has_room:
                 return
             if near >> index & 1 or not self._is_due(index, now_s):
                 continue
@@ -284,46 +214,37 @@
         place = self.homes.duties[index]
         if not place:
             return True
-        if not self._origin_progresses(now_s):
+        if self._blames_origin(now_s):
             return False
-        limit_s = place * TAKE_OVER_S
-        homes = self.homes.local_homes(index)[:place]
-        return all(
-            now_s - self.peers[home].duty_s >= limit_s
-            for home in homes
+        homes = [
+            self.peers[home]
+            for home in self.homes.local_homes(index)[:place]
             if home in self.peers
-        )
+        ]
+        return _are_quiet(homes, place * TAKE_OVER_S, now_s)
 
-    def _origin_progresses(self, now_s: float) -> bool:
-        """Tell whether a quiet home may be blamed and not the origin."""
-        return self.origin.answers(now_s) and not any(
-            isinstance(flight.fetch, FromOrigin)
-            and now_s - flight.progress_s >= TAKE_OVER_S / 2
-            for flight in self.flights.values()
+    def _blames_origin(self, now_s: float) -> bool:
+        """Tell whether the origin may be why homes are quiet."""
+        return not self.origin.answers(now_s) or (
+            self.flights.origin_is_quiet(now_s, TAKE_OVER_S / 2)
         )
 
     def _bring(self, index: int, now_s: float) -> Fetch | None:
+        """Return how to bring a chunk into this region, if it may start."""
         if self.homes.lead(index) != self.region:
             leads = [
                 self.peers[home]
                 for home in self.homes.lead_homes(index)
                 if home in self.peers
             ]
-            for peer in leads:
-                if peer.chunks >> index & 1 and self._is_free(peer, now_s):
-                    return FromPeer(index, peer.name)
-            if any(
-                now_s - peer.duty_s < REGION_TAKE_OVER_S for peer in leads
-            ):
+            for source in leads:
+                if source.chunks >> index & 1 and _is_free(source, now_s):
+                    return FromPeer(index, source.name)
+            limit_s = REGION_TAKE_OVER_S
+            limit_s += self.homes.duties[index] * TAKE_OVER_S
+            if not _are_quiet(leads, limit_s, now_s):
                 return None
-        return (
-            FromOrigin(index) if self.origin.may_read(index, now_s) else None
-        )
-
-    def _is_free(self, peer: Peer, now_s: float) -> bool:
-        return (
-            peer.avoid_until_s <= now_s and peer.in_flight < FETCHES_PER_PEER
-        )
+        return FromOrigin(index) if self.origin.may_read(index, now_s) else None
 
     def _near_peers(self, now_s: float) -> list[Peer]:
         return [
@@ -337,8 +258,8 @@
     def _plan_swarm(self, now_s: float) -> Iterable[FromPeer]:
         near = self._near_peers(now_s)
         planes = count_copies(peer.chunks for peer in near)
-        while self._has_swarm_room():
-            sources = [peer for peer in near if self._is_free(peer, now_s)]
+        while self.flights.has_swarm_room:
+            sources = [peer for peer in near if _is_free(peer, now_s)]
             offered = 0
             for peer in sources:
                 offered |= peer.chunks
@@ -347,20 +268,11 @@
                 return
             offset = self.random.randrange(self.count)
             index = pick(rarest(offered, planes), offset)
-            fetch = FromPeer(index, self._choose(sources, index).name)
+            source = _choose(sources, index, self.random)
+            fetch = FromPeer(index, source.name)
             self._start(fetch, now_s, duty=False)
             yield fetch
 
-    def _choose(self, sources: list[Peer], index: int) -> Peer:
-        holders = [peer for peer in sources if peer.chunks >> index & 1]
-        return max(
-            holders,
-            key=lambda peer: (
-                min(peer.free_upload_slots, 2),
-                self.random.random(),
-            ),
-        )
-
     def _plan_asks(
         self, now_s: float, *, starved: bool
     ) -> Iterable[AskHoldings]:
@@ -392,3 +304,19 @@
             if self.homes.lead(index) != self.region:
                 names.update(self.homes.lead_homes(index)[:2])
         return [self.peers[name] for name in names if name in self.peers]
+
+
+def _are_quiet(homes: list[Peer], limit_s: float, now_s: float) -> bool:
+    return all(now_s - home.duty_s >= limit_s for home in homes)
+
+
+def _is_free(peer: Peer, now_s: float) -> bool:
+    return peer.avoid_until_s <= now_s and peer.in_flight < FETCHES_PER_PEER
+
+
+def _choose(sources: list[Peer], index: int, random: Random) -> Peer:
+    """Return a source of a chunk, one with free upload slots if any."""
+    return max(
+        (peer for peer in sources if peer.chunks >> index & 1),
+        key=lambda peer: (min(peer.free_upload_slots, 2), random.random()),
+    )
--- a/src/bramleylug/weights/staging.py
+++ b/src/bramleylug/weights/staging.py
@@ -118,8 +118,9 @@
         except OSError:
             return False
         with self.lock:
-            if manifest.key in self.chunks:
-                self.chunks[manifest.key] |= 1 << index
+            held = self.chunks.get(manifest.key)
+            if held is not None:
+                self.chunks[manifest.key] = held | 1 << index
         return True
 
     def read(self, key: VersionKey, index: int) -> bytes | None:
@@ -217,9 +218,7 @@
         """Return what may be evicted, versions still being served last."""
         recent_s = self.clock() - SERVE_GRACE_S
         free = [
-            key
-            for key in self.rooms
-            if key not in self.kept and key != wanted
+            key for key in self.rooms if key not in self.kept and key != wanted
         ]
         return sorted(
             free,
@@ -241,9 +240,7 @@
             return False
         return read == manifest
 
-    def _sound_chunks(
-        self, manifest: Manifest, folder: Path
-    ) -> Iterator[int]:
+    def _sound_chunks(self, manifest: Manifest, folder: Path) -> Iterator[int]:
         for index, digest in enumerate(manifest.chunk_hashes):
             path = folder / _chunk_name(index)
             if path.exists():
--- a/src/bramleylug/weights/stock.py
+++ b/src/bramleylug/weights/stock.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Mapping
+from functools import partial
 from threading import Event, Lock, Thread
 from typing import final
 
@@ -13,6 +14,7 @@
 
 MANIFEST_RETRY_S = 0.5
 ROOM_RETRY_S = 5.0
+UNVERIFIED_SHARE = 0.999
 
 PeerFinder = Callable[[VersionKey], Mapping[str, PeerAddress]]
 LinksBuilder = Callable[[], Links]
@@ -83,16 +85,16 @@
             else:
                 self.staging.evict(manifest.key)
 
-    def want(self, wanted: frozenset[VersionKey], in_use: frozenset[VersionKey]) -> None:
+    def want(
+        self, wanted: frozenset[VersionKey], in_use: frozenset[VersionKey]
+    ) -> None:
         """Set what is to be held.
 
         :param in_use: versions of the engine, which are never evicted.
         """
         self.staging.kept = wanted | in_use
         with self.lock:
-            dropped = [
-                self.jobs.pop(key) for key in self.jobs.keys() - wanted
-            ]
+            dropped = [self.jobs.pop(key) for key in self.jobs.keys() - wanted]
             started = [
                 Job(key)
                 for key in wanted
@@ -109,11 +111,12 @@
         self.want(frozenset(), frozenset())
 
     def progress(self, key: VersionKey) -> float:
-        """Return the share of a version's chunks that are held."""
+        """Return the share of a version that is held; 1 once it is verified."""
         if key in self.verified:
             return 1
         job = self.jobs.get(key)
-        return 0 if job is None else job.progress
+        share = 0 if job is None else job.progress
+        return min(share, UNVERIFIED_SHARE)
 
     def refusal(self, key: VersionKey) -> str:
         """Return why there is no room for a version; empty when there is."""
@@ -145,7 +148,7 @@
             return
         while not job.dropped.is_set():
             transfer = Transfer(
-                self.build_links(), manifest, lambda: self.find_peers(job.key)
+                self.build_links(), manifest, partial(self.find_peers, job.key)
             )
             job.transfer = transfer
             if job.dropped.is_set():
--- a/src/bramleylug/weights/swarm.py
+++ b/src/bramleylug/weights/swarm.py
@@ -9,21 +9,30 @@
 from typing import NamedTuple, final
 
 from bramleylug.observability.events import LogEvent, emit
-from bramleylug.weights.chunk_server import ChunkServer
-from bramleylug.weights.manifest import Manifest
-from bramleylug.weights.peers import Fault
-from bramleylug.weights.planner import (
-    ASKS_AT_ONCE,
-    PARALLEL_FETCHES,
+from bramleylug.weights.actions import (
     Abandon,
     Action,
     AskHoldings,
+    ReportBadOrigin,
+)
+from bramleylug.weights.chunk_server import ChunkServer
+from bramleylug.weights.flights import (
+    PARALLEL_FETCHES,
     Fetch,
     FromOrigin,
     FromPeer,
-    Planner,
-    ReportBadOrigin,
 )
+from bramleylug.weights.manifest import Manifest
+from bramleylug.weights.messages import (
+    ChunkStaged,
+    FetchFailed,
+    HoldingsHeard,
+    Message,
+    PieceArrived,
+    Stop,
+)
+from bramleylug.weights.peers import Fault
+from bramleylug.weights.planner import ASKS_AT_ONCE, Planner
 from bramleylug.weights.staging import Staging
 from bramleylug.weights.transfer import (
     Failed,
@@ -47,50 +56,6 @@
 PeerSource = Callable[[], Mapping[str, PeerAddress]]
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class PieceArrived:
-    """A piece of a chunk arrived."""
-
-    index: int
-    size_bytes: int
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class ChunkStaged:
-    """A verified chunk is staged."""
-
-    index: int
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class FetchFailed:
-    """A fetch ended without a sound chunk."""
-
-    index: int
-    fault: Fault
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class HoldingsHeard:
-    """A peer told what it holds; ``None`` when it did not answer."""
-
-    peer: str
-    held: HeldChunks | None
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class Stop:
-    """The version is no longer wanted."""
-
-
-Message = PieceArrived | ChunkStaged | FetchFailed | HoldingsHeard | Stop
-
-
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Links:
@@ -157,26 +122,32 @@
         """
         self.links.server.transfers[self.manifest.key] = self
         try:
-            while not self.stopped and not self.planner.done:
-                self._look_for_peers()
-                for action in self.planner.plan(time.monotonic()):
-                    self._act(action)
-                self._wait()
+            self._loop()
         finally:
-            self.links.server.transfers.pop(self.manifest.key, None)
-            self.links.peers.close()
-            self.pool.shutdown(wait=False, cancel_futures=True)
+            self._close()
         return self.planner.done
 
+    def _loop(self) -> None:
+        while not self.stopped and not self.planner.done:
+            self._look_for_peers()
+            for action in self.planner.plan(time.monotonic()):
+                self._act(action)
+            self._wait()
+
+    def _close(self) -> None:
+        self.links.server.transfers.pop(self.manifest.key, None)
+        self.pool.shutdown(wait=False, cancel_futures=True)
+        self.links.peers.close()
+
     def _look_for_peers(self) -> None:
         now_s = time.monotonic()
         if now_s - self.looked_s < PEERS_INTERVAL_S:
             return
         self.looked_s = now_s
         if self.links.peers.share.paused:
-            self.planner.excuse(now_s)
+            self.planner.flights.excuse(now_s)
         self.addresses = self.find_peers()
-        self.planner.set_peers(
+        self.planner.replace_peers(
             {name: peer.region for name, peer in self.addresses.items()},
             now_s,
         )
--- a/src/bramleylug/weights/transfer.py
+++ b/src/bramleylug/weights/transfer.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass
 from http.client import HTTPConnection, HTTPException
 from threading import Lock
-from typing import final
+from typing import Any, final
 
 import grpc
 
 from bramleylug.weights.chunk_sets import from_bytes, to_bytes
 from bramleylug.weights.manifest import Manifest, ManifestError, VersionKey
 from bramleylug.weights.peers import Fault, Holdings
-from bramleylug.weights.planner import STALL_S
+from bramleylug.weights.flights import STALL_S
 from bramleylug.weights.rates import LinkShare
 from bramleylug.wire.channels import ChannelCache
 from bramleylug.wire.weights_pb2 import (
@@ -123,7 +123,7 @@
         self.share = share
         self.channels = channels
         self.addresses: dict[str, None] = {}
-        self.calls: dict[int, grpc.Future] = {}
+        self.calls: dict[int, Any] = {}
         self.received_bytes: Counter[str] = Counter()
         self.lock = Lock()
 
@@ -177,7 +177,8 @@
             reply = self._stub(address).Holdings(request, timeout=ASK_TIMEOUT_S)
         except grpc.RpcError:
             return None
-        return reply.held
+        told: HeldChunks = reply.held
+        return told
 
     def manifest(self, address: str, key: VersionKey) -> Manifest | None:
         """Return the manifest a peer holds, or ``None``."""
