--- a/src/bramleylug/agent/turns.py
+++ b/src/bramleylug/agent/turns.py
@@ -20,7 +20,7 @@
 
 TURN_S = 20.0
 KEEP_ALIVE_S = 5.0
-TRY_INTERVAL_S = 1.0
+TRY_INTERVAL_S = 0.3
 MARGIN_S = 1.0
 STORE_TIMEOUT_S = 2.0
 
