--- a/src/bramleylug/agent/replicas.py
+++ b/src/bramleylug/agent/replicas.py
@@ -1,6 +1,6 @@
 """Which hosts hold the replicas of a service."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from bramleylug.configuration.document import Document, ServiceSpec
 from bramleylug.routing.rendezvous import rank
@@ -35,16 +35,20 @@
     return ranked[: spec.replicas] if spec.replicas else ranked
 
 
-def count_ready(
-    members: Iterable[Member], names: Iterable[str], service: str, digest: str
-) -> int:
-    """Return how many of the named agents serve a version."""
-    wanted = frozenset(names)
-    return sum(
-        member.name in wanted
-        and any(
-            state.service == service and state.ready and state.digest == digest
+def has_enough(
+    spec: ServiceSpec,
+    chosen: Collection[str],
+    members: Iterable[Member],
+) -> bool:
+    """Tell whether every chosen agent serves, and they suffice."""
+    ready = {
+        member.name
+        for member in members
+        if any(
+            state.service == spec.name
+            and state.ready
+            and state.digest == digest
             for state in member.services
         )
-        for member in members
-    )
+    }
+    return len(chosen) >= spec.replicas and ready.issuperset(chosen)
--- a/src/bramleylug/agent/versions.py
+++ b/src/bramleylug/agent/versions.py
@@ -1,12 +1,13 @@
 """Drives the life of model versions on this host."""
 
 import time
+from collections.abc import Callable
 from typing import Any, final
 
 from bramleylug.admission.limiter import Limiter
 from bramleylug.agent.gate import Gate
 from bramleylug.agent.orders import EngineOrders, adapter_key
-from bramleylug.agent.replicas import choose_hosts, count_ready, serves
+from bramleylug.agent.replicas import choose_hosts, has_enough, serves
 from bramleylug.agent.turns import SwapTurns
 from bramleylug.agent.upstream import Upstream
 from bramleylug.agent.version_actions import (
@@ -33,12 +34,10 @@
 from bramleylug.weights.stock import VersionStock
 from bramleylug.weights.swarm import PeerAddress
 from bramleylug.wire.membership_pb2 import Member
-from bramleylug.wire.requests_pb2 import Head
 
 POLL_S = 0.1
 PROGRESS_STEPS = 4
 WHOLE_PERMILLE = 1000
-BOOT_HEADER = 'x-boot-id'
 NO_VERSION = VersionKey('', '')
 
 
@@ -47,6 +46,7 @@
     """Brings the configured version into the engine and opens the gate.
 
     :param shares: of the link, which give way to live traffic.
+    :param queued: returns how many live requests wait.
     """
 
     def __init__(
@@ -57,6 +57,7 @@
         upstream: Upstream,
         stock: VersionStock,
         shares: tuple[LinkShare, ...],
+        queued: Callable[[], int],
     ) -> None:
         self.node = node
         self.gate = gate
@@ -64,6 +65,7 @@
         self.upstream = upstream
         self.stock = stock
         self.shares = shares
+        self.queued = queued
         self.governor = LinkGovernor()
         self.policy = VersionPolicy()
         self.turns = SwapTurns(node.store, gate.service, node.settings.name)
@@ -94,13 +96,8 @@
             time.sleep(POLL_S)
         self.turns.release()
 
-    def watch_answer(self, head: Head, latency_s: float) -> None:
-        """Close the gate when an answer contradicts it; note its latency."""
-        boot_id = ''
-        for header in head.headers:
-            if header.name.lower() == BOOT_HEADER:
-                boot_id = header.value
-        self.gate.observe_answer(head.weights_digest, boot_id)
+    def note_latency(self, latency_s: float) -> None:
+        """Note the time to the first byte of a live answer."""
         self.governor.observe(
             latency_s, time.monotonic(), transferring=self.stock.transferring
         )
@@ -174,7 +171,8 @@
                 for adapter in adapters
                 if adapter in digests
             },
-            surplus=not is_chosen and self._enough(spec, chosen, report),
+            surplus=not is_chosen
+            and has_enough(spec, chosen, self.node.members),
         )
 
     def _chosen(self, spec: ServiceSpec) -> list[str]:
@@ -185,14 +183,6 @@
             self.node.settings.name,
         )
 
-    def _enough(
-        self, spec: ServiceSpec, chosen: list[str], report: EngineReport | None
-    ) -> bool:
-        """Tell whether the chosen hosts serve without this one."""
-        digest = '' if report is None else report.digest
-        ready = count_ready(self.node.members, chosen, spec.name, digest)
-        return len(chosen) >= spec.replicas and ready >= len(chosen)
-
     def _in_use(self, report: EngineReport | None) -> frozenset[VersionKey]:
         digests = {self.policy.reached, self.gate.open_digest}
         if report is not None:
@@ -208,8 +198,7 @@
             case CloseGate():
                 self.gate.close()
             case OpenGate(boot_id, digest):
-                self.limiter.observe_boot(f'{boot_id}/{digest}')
-                self.gate.open(boot_id, digest, doubts)
+                self._open(boot_id, digest, doubts)
             case TakeTurn():
                 self.turns.wanted = True
                 self._report_waiting()
@@ -222,6 +211,12 @@
             case notice:
                 self._report(notice)
 
+    def _open(self, boot_id: str, digest: str, doubts: int) -> None:
+        self.limiter.observe_boot(boot_id)
+        if digest != self.gate.open_digest:
+            self.limiter.successes = 0
+        self.gate.open(boot_id, digest, doubts)
+
     def _report(self, notice: WentBack | DrainUnfinished) -> None:
         match notice:
             case WentBack(digest):
@@ -265,8 +260,7 @@
             )
 
     def _govern(self) -> None:
-        queued = getattr(self.limiter, 'queued', 0)
-        share = self.governor.decide(int(queued), time.monotonic())
+        share = self.governor.decide(self.queued(), time.monotonic())
         for link in self.shares:
             link.set_share(share)
 
--- /dev/null
+++ b/src/bramleylug/bench/configuration_costs.py
@@ -0,0 +1,61 @@
+"""What one change of configuration costs the processes it passes."""
+
+from dataclasses import replace
+from typing import NamedTuple
+
+from bramleylug.bench.meters import least_seconds
+from bramleylug.configuration.document import (
+    Change,
+    Document,
+    ServiceSpec,
+    spec_to_json,
+)
+
+REPEATS = 5
+MODEL_ZONES = ('zone-0', 'zone-1', 'zone-2')
+
+
+class ConfigurationCosts(NamedTuple):
+    """Costs at one number of services; processor time in seconds."""
+
+    services: int
+    document_bytes: int
+    decode_s: float
+    encode_s: float
+
+
+def measure_configuration(services: int) -> ConfigurationCosts:
+    """Time decoding and encoding of a document."""
+    document = build_document(services)
+    text = document.to_json()
+    return ConfigurationCosts(
+        services=services,
+        document_bytes=len(text),
+        decode_s=least_seconds(
+            lambda: Document.from_json(text), repeats=REPEATS
+        ),
+        encode_s=least_seconds(document.to_json, repeats=REPEATS),
+    )
+
+
+def build_document(services: int) -> Document:
+    """Return a document with some services and as many changes."""
+    document = Document()
+    for number in range(services):
+        spec = build_service(number)
+        change = Change(services={spec.name: spec_to_json(spec)}, zones={})
+        document = document.with_change(
+            change, change_id=f'change-{number}', who='bench', when_s=number
+        )
+    return replace(document, zones={zone: 'in' for zone in MODEL_ZONES})
+
+
+def build_service(number: int) -> ServiceSpec:
+    """Return a model service in three zones."""
+    return ServiceSpec(
+        name=f'service-{number}',
+        kind='model',
+        zones=MODEL_ZONES,
+        model=f'model-{number}',
+        version='1',
+    )
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -209,6 +209,7 @@
         asyncio.set_event_loop(self.loop)
         self.tidying = self.loop.create_task(self.dispatcher.tidy())
         self.loop.run_forever()
+        self.loop.run_until_complete(self._cancel_rest())
 
     def submit(self, exchange: Exchange, reservation: Reservation) -> None:
         """Serve an exchange; may be called from any thread."""
@@ -219,3 +220,9 @@
     def stop(self) -> None:
         """Stop the loop."""
         self.loop.call_soon_threadsafe(self.loop.stop)
+
+    async def _cancel_rest(self) -> None:
+        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in rest:
+            task.cancel()
+        await asyncio.gather(*rest, return_exceptions=True)
--- a/testing/builders.py
+++ b/testing/builders.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from bramleylug.admission.queue import Arrival
+from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.claims.actions import Ask
 from bramleylug.claims.document import Claim
 from bramleylug.configuration.document import Change, Document, ServiceSpec
@@ -97,3 +99,20 @@
 def build_chunks(chunks: int = 4, *, version: str = '1') -> list[bytes]:
     """Return the chunks that :func:`build_manifest` describes."""
     return [f'{version:>8}{index:08}'.encode() for index in range(chunks)]
+
+
+def build_arrival(token: int, **fields: Any) -> Arrival:
+    """Return a small request of one workspace with a long deadline."""
+    defaults = {
+        'workspace': 'workspace-1',
+        'priority': 0,
+        'body_bytes': 10,
+        'deadline_s': 60.0,
+    }
+    return Arrival(token, **{**defaults, **fields})
+
+
+def build_bench_result(*bounds: tuple[Any, ...]) -> BenchResult:
+    """Return a result of ``weights`` with (name, value, relation, bound)."""
+    sourced = tuple(Bound(*bound, source='letter') for bound in bounds)
+    return BenchResult('weights', 1, {}, sourced)
