--- a/src/bramleylug/agent/replicas.py
+++ b/src/bramleylug/agent/replicas.py
@@ -45,9 +45,7 @@
         member.name
         for member in members
         if any(
-            state.service == spec.name
-            and state.ready
-            and state.digest == digest
+            state.service == spec.name and state.ready
             for state in member.services
         )
     }
