Weights give way by degrees instead of pausing under any noise

Change: halve above 1.5 times plus 5 ms, pause above 4 times, leave out the queue, which a cold engine fills on an idle link.

--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -75,7 +75,6 @@
             upstream,
             self.weights.build_stock(self.find_peers),
             self.weights.shares,
-            lambda: self.admission.figures(None).queued,
         )
         runner.on_first_byte = self.keeper.note_latency
         self.node.describe = self.describe
--- a/src/bramleylug/agent/versions.py
+++ b/src/bramleylug/agent/versions.py
@@ -1,7 +1,6 @@
 """Drives the life of model versions on this host."""
 
 import time
-from collections.abc import Callable
 from typing import Any, final
 
 from bramleylug.admission.limiter import Limiter
@@ -46,7 +45,6 @@
     """Brings the configured version into the engine and opens the gate.
 
     :param shares: of the link, which give way to live traffic.
-    :param queued: returns how many live requests wait.
     """
 
     def __init__(
@@ -57,7 +55,6 @@
         upstream: Upstream,
         stock: VersionStock,
         shares: tuple[LinkShare, ...],
-        queued: Callable[[], int],
     ) -> None:
         self.node = node
         self.gate = gate
@@ -65,7 +62,6 @@
         self.upstream = upstream
         self.stock = stock
         self.shares = shares
-        self.queued = queued
         self.governor = LinkGovernor()
         self.policy = VersionPolicy()
         self.turns = SwapTurns(node.store, gate.service, node.settings.name)
@@ -260,7 +256,7 @@
             )
 
     def _govern(self) -> None:
-        share = self.governor.decide(self.queued(), time.monotonic())
+        share = self.governor.decide(time.monotonic())
         for link in self.shares:
             link.set_share(share)
 
--- a/src/bramleylug/weights/governor.py
+++ b/src/bramleylug/weights/governor.py
@@ -6,8 +6,9 @@
 WINDOW_S = 1.0
 DECIDE_INTERVAL_S = 0.25
 CALM_WEIGHT = 0.05
-SLOWDOWN_LIMIT = 1.25
-SLACK_S = 0.002
+SLOWDOWN_LIMIT = 1.5
+PAUSE_SLOWDOWN = 4.0
+SLACK_S = 0.005
 LATE_QUANTILE = 0.9
 FEWEST_SAMPLES = 5
 LEAST_SHARE = 0.0625
@@ -26,9 +27,10 @@
 class LinkGovernor:
     """Share of the link that weights may use.
 
-    Halves the share while live answers are late or queued and pauses below
-    a sixteenth; raises it step by step when they are not (additive increase
-    and multiplicative decrease, Chiu and Jain, 1989).
+    Halves the share while live answers are late, pauses while they are very
+    late, and raises it step by step otherwise (additive increase and
+    multiplicative decrease, Chiu and Jain, 1989). Requests that wait for
+    admission do not count: a cold engine makes them wait on an idle link.
 
     :ivar share: from 0, paused, to 1.
     :ivar usual_s: latency of live answers without transfers.
@@ -50,29 +52,28 @@
         elif not transferring or latency_s < self.usual_s:
             self.usual_s += CALM_WEIGHT * (latency_s - self.usual_s)
 
-    def decide(self, queued: int, now_s: float) -> float:
-        """Return the share from now on.
-
-        :param queued: live requests that wait for a place.
-        """
+    def decide(self, now_s: float) -> float:
+        """Return the share from now on."""
         if now_s - self.decided_s < DECIDE_INTERVAL_S:
             return self.share
         self.decided_s = now_s
-        if queued or self._suffers(now_s):
-            self.share /= 2
-            if self.share < LEAST_SHARE:
-                self.share = 0.0
+        slowdown = self._slowdown(now_s)
+        if slowdown > PAUSE_SLOWDOWN:
+            self.share = 0.0
+        elif slowdown > SLOWDOWN_LIMIT:
+            self.share = max(LEAST_SHARE, self.share / 2)
         else:
             self.share = min(1.0, self.share + SHARE_STEP)
         return self.share
 
-    def _suffers(self, now_s: float) -> bool:
+    def _slowdown(self, now_s: float) -> float:
+        """Return how many times longer than usual late answers take."""
         recent = sorted(
             sample.latency_s
             for sample in tuple(self.samples)
             if now_s - sample.at_s <= WINDOW_S
         )
         if len(recent) < FEWEST_SAMPLES or self.usual_s is None:
-            return False
+            return 0.0
         late_s = recent[int(LATE_QUANTILE * (len(recent) - 1))]
-        return late_s > self.usual_s * SLOWDOWN_LIMIT + SLACK_S
+        return late_s / (self.usual_s + SLACK_S)
