--- a/src/bramleylug/fakes/engine.py
+++ b/src/bramleylug/fakes/engine.py
@@ -10,7 +10,7 @@
 
 from bramleylug.fakes.control import changed_settings
 from bramleylug.web.server import Exchange, WebServer
-from bramleylug.weights.manifest import Manifest
+from bramleylug.weights.manifest import Manifest, VersionKey
 
 TICK_S = 0.02
 MEBIBYTE = 1024 * 1024
@@ -106,8 +106,7 @@
         self.boot_id = uuid.uuid4().hex
         self.digest = ''
         self.adapters: dict[str, str] = {}
-        self.model = ''
-        self.version = ''
+        self.loaded = VersionKey('', '')
         self.answered = 0
         self.streams: list[Stream] = []
         self.report = LoadReport(0, 0)
@@ -176,8 +175,8 @@
         """Return what the engine tells about itself."""
         return {
             'boot_id': self.boot_id,
-            'model': self.model,
-            'version': self.version,
+            'model': self.loaded.model,
+            'version': self.loaded.version,
             'digest': self.digest,
             'running': self.report.running,
             'answered': self.answered,
@@ -201,8 +200,7 @@
             return
         manifest = _read_version(Path(order['path']))
         self.adapters = {}
-        self.model = manifest.model
-        self.version = manifest.version
+        self.loaded = manifest.key
         self.digest = manifest.digest
         self.answered = 0
         exchange.reply_json(200, self.state())
