--- a/src/bramleylug/agent/runner.py
+++ b/src/bramleylug/agent/runner.py
@@ -54,6 +54,7 @@
     """Sends admitted requests and watches what becomes of them.
 
     :param document: returns the configuration in force.
+    :ivar on_first_byte: called with the seconds each answer took to begin.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self.claims = claims
         self.guard = guard
         self.document = document
+        self.on_first_byte: Callable[[float], None] = _ignore
 
     def run(self, job: Job) -> Iterator[Part]:
         """Run a request and yield the parts of its answer."""
@@ -140,9 +142,11 @@
     def _observe(
         self, answer: Answer, spec: ServiceSpec, started_s: float
     ) -> None:
+        self.gate.observe_answer(answer.head.weights_digest, answer.boot_id)
         if answer.boot_id:
             self.limiter.observe_boot(answer.boot_id)
         now_s = time.monotonic()
+        self.on_first_byte(now_s - started_s)
         adaptation = self.limiter.adaptation
         if adaptation.observe_first_byte(now_s - started_s, now_s):
             emit(
@@ -179,3 +183,7 @@
     return Unknown(
         Reason.weights_incomplete, 'answer is not of the weights that were open'
     )
+
+
+def _ignore(latency_s: float) -> None:
+    """Take no notice of an answer."""
--- /dev/null
+++ b/src/bramleylug/agent/weight_links.py
@@ -0,0 +1,69 @@
+"""What an agent moves weights with."""
+
+from pathlib import Path
+from tempfile import mkdtemp
+from typing import final
+
+from bramleylug.node.node import Node
+from bramleylug.settings.daemons import AgentSettings
+from bramleylug.weights.chunk_server import ChunkServer
+from bramleylug.weights.pins import ManifestSource
+from bramleylug.weights.rates import LinkShare
+from bramleylug.weights.staging import Staging
+from bramleylug.weights.stock import PeerFinder, VersionStock
+from bramleylug.weights.swarm import Links
+from bramleylug.weights.transfer import OriginClient, PeerClient
+from bramleylug.wire.channels import ChannelCache
+from bramleylug.wire.weights_pb2_grpc import add_WeightsServicer_to_server
+
+
+@final
+class WeightLinks:
+    """Staging, shares of the link, and clients of one agent.
+
+    :ivar shares: of the link, received and sent.
+    """
+
+    def __init__(self, settings: AgentSettings, node: Node) -> None:
+        self.settings = settings
+        self.node = node
+        folder = settings.staging_dir or mkdtemp(prefix='bramleylug-')
+        self.staging = Staging(Path(folder), settings.staging_bytes)
+        self.download = LinkShare(settings.download_rate)
+        self.upload = LinkShare(settings.upload_rate)
+        self.origin = OriginClient(settings.origin, self.download)
+        self.server = ChunkServer(self.staging, self.upload)
+        add_WeightsServicer_to_server(self.server, node.server)
+
+    @property
+    def shares(self) -> tuple[LinkShare, ...]:
+        """Shares of the link that give way to live traffic."""
+        return self.download, self.upload
+
+    def build_stock(self, find_peers: PeerFinder) -> VersionStock:
+        """Return the versions on this host."""
+        source = ManifestSource(
+            self.settings.name,
+            self.node.store,
+            self.origin,
+            self._build_client(),
+        )
+        return VersionStock(self.staging, source, self._build_links, find_peers)
+
+    def _build_links(self) -> Links:
+        return Links(
+            name=self.settings.name,
+            region=self.settings.region,
+            staging=self.staging,
+            server=self.server,
+            origin=self.origin,
+            peers=self._build_client(),
+        )
+
+    def _build_client(self) -> PeerClient:
+        return PeerClient(
+            self.settings.name,
+            self.settings.region,
+            self.download,
+            ChannelCache(self.node.keyring),
+        )
--- a/src/bramleylug/configuration/rules.py
+++ b/src/bramleylug/configuration/rules.py
@@ -150,8 +150,8 @@
 
 def _check_limits(spec: ServiceSpec) -> Iterator[Fault]:
     for field, least in (
-        ('replicas', 1),
-        ('max_unavailable', 1),
+        ('replicas', 0),
+        ('max_unavailable', 0),
         ('concurrency', 1),
         ('cold_concurrency', 1),
         ('ramp_successes', 0),
@@ -161,13 +161,9 @@
         found = getattr(spec, field)
         if found < least:
             yield Fault(field, f'{found} makes no sense; at least {least}')
-    yield from _check_pairs(
-        spec,
-        (
-            ('max_unavailable', 'replicas'),
-            ('cold_concurrency', 'concurrency'),
-        ),
-    )
+    yield from _check_pairs(spec, (('cold_concurrency', 'concurrency'),))
+    if spec.replicas:
+        yield from _check_pairs(spec, (('max_unavailable', 'replicas'),))
 
 
 def _check_pairs(
