Send the head of an answer with its first piece

Change: the head waits for the first piece or the end; requests are spawned on the dispatch loop without a second future.

--- a/src/bramleylug/entry/answers.py
+++ b/src/bramleylug/entry/answers.py
@@ -34,6 +34,9 @@
 class AnswerWriter:
     """Holds at most a bounded number of bytes for one caller.
 
+    The head is sent with the first piece of the body, or with the end: a
+    try that breaks off before that has sent nothing.
+
     :param limit_bytes: bytes held before the agent's stream is paused.
     :ivar on_gone: called on the event loop when the caller has gone.
     """
@@ -41,6 +44,7 @@
     def __init__(self, exchange: Exchange, limit_bytes: int) -> None:
         self.exchange = exchange
         self.limit_bytes = limit_bytes
+        self.head = Head()
         self.started = False
         self.waiting = False
         self.drained = asyncio.Event()
@@ -55,16 +59,12 @@
         return self.exchange.closed
 
     def start(self, head: Head) -> None:
-        """Send the head of the answer."""
-        self.started = True
-        self.exchange.start(
-            head.status,
-            [(header.name, header.value) for header in head.headers],
-            head.content_length if head.HasField('content_length') else None,
-        )
+        """Take the head of the answer."""
+        self.head = head
 
     async def write(self, piece: bytes) -> None:
         """Send a piece, and wait while the caller is behind."""
+        self._send_head()
         self.exchange.send(piece)
         while self._is_behind():
             self.drained.clear()
@@ -78,12 +78,24 @@
         """End the answer with what became of the request."""
         match outcome:
             case Ran(whole=True):
+                self._send_head()
                 self.exchange.finish()
             case _ if self.started:
                 self.exchange.abort()
             case _:
                 self.exchange.reply_json(*error_answer(outcome))
 
+    def _send_head(self) -> None:
+        if self.started:
+            return
+        self.started = True
+        head = self.head
+        self.exchange.start(
+            head.status,
+            [(header.name, header.value) for header in head.headers],
+            head.content_length if head.HasField('content_length') else None,
+        )
+
     def _is_behind(self) -> bool:
         return (
             self.exchange.pending_bytes >= self.limit_bytes
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -203,19 +203,25 @@
     def __init__(self, build: Callable[[], Dispatcher]) -> None:
         self.loop = asyncio.new_event_loop()
         self.dispatcher = build()
+        self.tasks: set[asyncio.Task[None]] = set()
 
     def run(self) -> None:
         """Run until stopped."""
         asyncio.set_event_loop(self.loop)
-        self.tidying = self.loop.create_task(self.dispatcher.tidy())
+        self.tasks.add(self.loop.create_task(self.dispatcher.tidy()))
         self.loop.run_forever()
 
     def submit(self, exchange: Exchange, reservation: Reservation) -> None:
         """Serve an exchange; may be called from any thread."""
-        asyncio.run_coroutine_threadsafe(
-            self.dispatcher.serve(exchange, reservation), self.loop
-        )
+        self.loop.call_soon_threadsafe(self._spawn, exchange, reservation)
 
     def stop(self) -> None:
         """Stop the loop."""
         self.loop.call_soon_threadsafe(self.loop.stop)
+
+    def _spawn(self, exchange: Exchange, reservation: Reservation) -> None:
+        task = self.loop.create_task(
+            self.dispatcher.serve(exchange, reservation)
+        )
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
