--- a/src/bramleylug/cli/main.py
+++ b/src/bramleylug/cli/main.py
@@ -4,8 +4,9 @@
 import sys
 from argparse import Namespace
 from collections.abc import Callable
+from typing import Any
 
-from bramleylug.cli import bench, demo, fakes, operators
+from bramleylug.cli import bench, configuration, demo, fakes, status
 from bramleylug.cli.parser import ExitCode, OneLineParser
 from bramleylug.node.lifecycle import DaemonRunner
 from bramleylug.observability.events import LogEvent, emit
@@ -58,7 +59,7 @@
     agent = commands.add_parser('agent', help='run an agent')
     add_flags(agent, AgentSettings)
     agent.set_defaults(run=_run_agent)
-    for module in (fakes, operators, bench, demo):
+    for module in (fakes, configuration, status, bench, demo):
         module.add_commands(commands)
     return parser
 
@@ -68,8 +69,7 @@
     _prepare(settings)
     from bramleylug.entry.daemon import EntryDaemon  # noqa: PLC0415
 
-    DaemonRunner(EntryDaemon(settings), settings.name).run()
-    return ExitCode.ok
+    return _serve(EntryDaemon(settings))
 
 
 def _run_agent(namespace: Namespace) -> int:
@@ -77,7 +77,18 @@
     _prepare(settings)
     from bramleylug.agent.daemon import AgentDaemon  # noqa: PLC0415
 
-    DaemonRunner(AgentDaemon(settings), settings.name).run()
+    return _serve(AgentDaemon(settings))
+
+
+def _serve(daemon: Any) -> int:
+    node = daemon.node
+    emit(
+        LogEvent.serving,
+        http=daemon.web.address,
+        grpc=node.grpc_address,
+        gossip=node.membership.own.gossip_address,
+    )
+    DaemonRunner(daemon, daemon.settings.name).run()
     return ExitCode.ok
 
 
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -32,6 +32,32 @@
         'configuration revision {revision} is in force',
         'Nothing to do.',
     )
+    lineage_refused = EventSpec(
+        'BL1002',
+        'ERROR',
+        'revision {revision} of lineage {lineage} does not follow '
+        'revision {held} in force and is refused',
+        'Compare `audit` with `status`; another store or a fork is in use.',
+    )
+    store_rolled_back = EventSpec(
+        'BL1003',
+        'ERROR',
+        'the store holds revision {stored} but {held} was accepted; '
+        'revision {restored} is written back',
+        'Find out why the store lost writes; look at `audit`.',
+    )
+    not_restored = EventSpec(
+        'BL1004',
+        'WARNING',
+        'the accepted revision {held} was not written back: {cause}',
+        'None while it is tried again; look at the store when it goes on.',
+    )
+    configuration_confirmed = EventSpec(
+        'BL1005',
+        'INFO',
+        'revision {revision} is confirmed as the accepted one',
+        'Nothing to do.',
+    )
     # 2: serving at the entry
     request_refused = EventSpec(
         'BL2001',
@@ -65,6 +91,25 @@
         'Nothing to do.',
     )
     # 4: admission and claims at the agent
+    claims_went_back = EventSpec(
+        'BL4001',
+        'ERROR',
+        'the store holds older claims of {shard}, at sequence {sequence}',
+        'Find out why the store lost writes; keys of agents that stopped '
+        'since then may run again.',
+    )
+    upstream_died = EventSpec(
+        'BL4002',
+        'WARNING',
+        'upstream died with {running} requests running; suspect {fingerprint}',
+        'See the log of the upstream; a second crash bars the request.',
+    )
+    limit_halved = EventSpec(
+        'BL4003',
+        'WARNING',
+        'limit lowered to {limit} requests because {cause}',
+        'Nothing at once; lower the concurrency of the service if it repeats.',
+    )
     # 5: processes, keys and settings
     keys_missing = EventSpec(
         'BL5001',
@@ -78,6 +123,12 @@
     stopped = EventSpec(
         'BL5003', 'INFO', '{name} stopped with nothing running', 'None.'
     )
+    serving = EventSpec(
+        'BL5005',
+        'INFO',
+        'serving http={http} grpc={grpc} gossip={gossip}',
+        'Nothing to do.',
+    )
     worker_failed = EventSpec(
         'BL5004',
         'ERROR',
--- a/src/bramleylug/outcomes.py
+++ b/src/bramleylug/outcomes.py
@@ -27,10 +27,12 @@
     no_upstream = 'no_upstream'
     connection_failed = 'connection_failed'
     upstream_failed = 'upstream_failed'
+    upstream_crashed = 'upstream_crashed'
     answer_cut = 'answer_cut'
     slow_reader = 'slow_reader'
     store_unavailable = 'store_unavailable'
     already_ran = 'already_ran'
+    key_conflict = 'key_conflict'
     crash_suspect = 'crash_suspect'
     internal = 'internal'
 
