A refusal after a try that may have run the request is not told as not run

Cause: a request whose first try was lost and whose second was refused got the second's answer, not_run, though it may have run. Crashes of earlier tries were not told to the next agent. Change: outcomes of tries are combined, crashes counted in the request, no third upstream after two crashes.

--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -17,7 +17,7 @@
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown, run_name
 from bramleylug.routing.fleet import Candidate, Place
 from bramleylug.routing.picker import Picker, View, Wanted
-from bramleylug.routing.retries import RetryBudget, may_repeat
+from bramleylug.routing.retries import RetryBudget, combine, may_repeat
 from bramleylug.settings.daemons import EntrySettings
 from bramleylug.web.exchange import Exchange
 from bramleylug.wire.requests_pb2 import Request
@@ -93,20 +93,21 @@
         wanted = Wanted(request.service, affinity_key(request))
         tried: list[str] = []
         self.budget.first_try()
-        outcome: Outcome = NotRun(Reason.no_upstream)
+        outcome: Outcome | None = None
         while len(tried) < MAX_TRIES:
             left_s = deadline_s - self.clock()
             if left_s <= 0:
-                return outcome if tried else _too_late()
+                return outcome or _too_late()
             chosen = self.picker.choose(wanted, self.view(), tried)
             if isinstance(chosen, NotRun):
-                return outcome if tried else chosen
+                return outcome or chosen
             tried.append(chosen.candidate.name)
             request.deadline_ms = max(1, int(left_s * MILLISECONDS))
-            outcome = await self._try_agent(chosen.candidate, request, writer)
+            latest = await self._try_agent(chosen.candidate, request, writer)
+            outcome = combine(outcome, latest)
             if not self._may_retry(outcome, request, writer):
                 return outcome
-        return outcome
+        return outcome or _too_late()
 
     def _may_retry(
         self, outcome: Outcome, request: Request, writer: AnswerWriter
@@ -149,6 +150,8 @@
                 loads.refused(name, retry_after_s, now_s)
             case Unknown(Reason.connection_failed):
                 loads.unreachable(name, now_s)
+            case Unknown(Reason.upstream_crashed):
+                attempt.request.crashes += 1
             case Ran(whole=True):
                 loads.answered(name)
 
--- a/src/bramleylug/routing/retries.py
+++ b/src/bramleylug/routing/retries.py
@@ -8,6 +8,7 @@
 
 RESERVE = 3.0
 CEILING = 50.0
+MOST_CRASHES = 2
 
 
 @final
@@ -33,6 +34,17 @@
         return True
 
 
+def combine(before: Outcome | None, latest: Outcome) -> Outcome:
+    """Return what became of a request after one more try.
+
+    Where an earlier try may have run it, a refusal of a later one does not
+    make it not run.
+    """
+    if isinstance(before, Unknown) and isinstance(latest, NotRun):
+        return before
+    return latest
+
+
 def may_repeat(
     outcome: Outcome, request: Request, spec: ServiceSpec | None
 ) -> bool:
@@ -41,6 +53,8 @@
     A request that may have run is repeated only where its service is
     idempotent and its caller named no key: a key asks for one run.
     """
+    if request.crashes >= MOST_CRASHES:
+        return False
     match outcome:
         case NotRun():
             return True
--- a/testing/entry/models.py
+++ b/testing/entry/models.py
@@ -84,6 +84,7 @@
             'long': [*whole[:2], *whole[1:]],
             'twice': [whole[0], *whole],
             'silent end': whole[:2],
+            'crash': [Reply(broken=Break(reason='upstream_crashed'))],
             'broken': [whole[0], Reply(broken=Break(reason='answer_cut'))],
         }[self.behaviour]
 
@@ -100,6 +101,7 @@
     'twice',
     'silent end',
     'broken',
+    'crash',
 )
 
 
--- a/testing/entry/test_dispatch.py
+++ b/testing/entry/test_dispatch.py
@@ -92,7 +92,8 @@
 
     def setUp(self) -> None:
         """Start with a near agent that fails and a far one that serves."""
-        self.entry = ModelEntry(('zone-a', 'zone-b'))
+        self.entry = ModelEntry(('zone-a', 'zone-b', 'zone-b'))
+        self.entry.agents['agent-2'].behaviour = 'unreachable'
         self.near = self.entry.agents['agent-0']
         self.far = self.entry.agents['agent-1']
 
@@ -117,6 +118,29 @@
 
         self.assertEqual(self.entry.runs, {'plain': 2, 'keyed': 1, 'once': 1})
 
+    def test_refusal_after_an_unknown_try_is_no_not_run(self) -> None:
+        """The first agent may have run it."""
+        self.near.behaviour = 'lose'
+        self.far.behaviour = 'refuse'
+        error = error_of(self.entry.send(MODEL, 'r'))
+
+        self.assertEqual(
+            (error['run'], error['code']), ('unknown', 'connection_failed')
+        )
+
+    def test_request_that_crashes_upstreams_is_tried_twice_at_most(
+        self,
+    ) -> None:
+        """The second agent learns of the first crash."""
+        for each in self.entry.agents.values():
+            each.behaviour = 'crash'
+        self.entry.send(MODEL, 'r')
+
+        self.assertEqual(
+            [agent.asked[0].crashes for agent in (self.near, self.far)], [0, 1]
+        )
+        self.assertEqual(self.entry.runs['r'], 2)
+
     def test_time_spent_is_taken_from_the_deadline(self) -> None:
         """The second agent gets what is left."""
         self.near.behaviour = 'refuse'
--- a/testing/entry/test_machine.py
+++ b/testing/entry/test_machine.py
@@ -5,6 +5,7 @@
 
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from loguru import logger
 
 from testing.entry.models import (
     BEHAVIOURS,
@@ -16,6 +17,8 @@
 )
 
 ZONES = ('zone-a', 'zone-a', 'zone-b', 'zone-c')
+# What makes a second try is drawn more often.
+OFTEN = ('refuse', 'lose', 'refuse', 'crash', 'unreachable') * 2
 AGENTS = strategies.integers(min_value=0, max_value=len(ZONES) - 1)
 
 
@@ -28,11 +31,23 @@
         self.sent = 0
         self.zones_out: set[str] = set()
         self.retries = 0
+        logger.disable('bramleylug')
 
-    @rule(agent=AGENTS, behaviour=strategies.sampled_from(BEHAVIOURS))
-    def change(self, agent: int, behaviour: str) -> None:
-        """An agent starts to behave in another way."""
-        self.entry.agents[f'agent-{agent}'].behaviour = behaviour
+    def teardown(self) -> None:
+        """Let log lines pass again."""
+        logger.enable('bramleylug')
+
+    @rule(
+        behaviours=strategies.lists(
+            strategies.sampled_from(OFTEN + BEHAVIOURS),
+            min_size=len(ZONES),
+            max_size=len(ZONES),
+        )
+    )
+    def change(self, behaviours: list[str]) -> None:
+        """Agents start to behave in other ways."""
+        for agent, behaviour in enumerate(behaviours):
+            self.entry.agents[f'agent-{agent}'].behaviour = behaviour
 
     @rule(zone=strategies.sampled_from(ZONES), out=strategies.booleans())
     def move_zone(self, zone: str, out: bool) -> None:
@@ -58,11 +73,22 @@
         self.entry.now_s += seconds
 
     @rule(
-        service=strategies.sampled_from((MODEL, BOOKINGS)),
-        keyed=strategies.booleans(),
+        kinds=strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from((MODEL, BOOKINGS)),
+                strategies.booleans(),
+            ),
+            min_size=1,
+            max_size=6,
+        )
     )
-    def send(self, service: str, keyed: bool) -> None:
-        """A caller sends a request and checks what it got."""
+    def send(self, kinds: list[tuple[str, bool]]) -> None:
+        """Callers send requests and check what they got."""
+        for service, keyed in kinds:
+            self.send_one(service, keyed=keyed)
+
+    def send_one(self, service: str, *, keyed: bool) -> None:
+        """Send one request and check its answer."""
         self.sent += 1
         request_id = f'request-{self.sent}'
         asked_before = self.asked()
@@ -114,6 +140,6 @@
 
 
 EntryMachine.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
 )
 TestEntryMachine = EntryMachine.TestCase
