--- /dev/null
+++ b/src/bramleylug/bench/path.py
@@ -0,0 +1,272 @@
+"""What the system adds to a request and to a token, beside the engine."""
+
+import json
+import time
+from collections.abc import Callable
+from http.client import HTTPConnection
+from threading import Event, Thread
+from typing import NamedTuple
+
+from bramleylug.bench.load import HttpCall
+from bramleylug.bench.meters import processor_seconds, resident_bytes
+from bramleylug.bench.processes import Child
+from bramleylug.bench.recorder import Recorder
+from bramleylug.bench.results import BenchResult, Bound
+from bramleylug.bench.serving import (
+    FleetPlan,
+    ServingFleet,
+    generate,
+    generate_directly,
+)
+
+ZONE = 'zone-a'
+CALLERS = 16
+STREAMS = 24
+STREAM_TOKENS = 200
+TOKENS_PER_S = 50.0
+REQUESTS_S = 5.0
+IDLE_CONNECTIONS = 1000
+MILLISECONDS = 1000
+MICROSECONDS = 1_000_000
+ENTRIES = 330
+TARGET_REQUESTS_PER_S = 3100 / ENTRIES
+TARGET_TOKENS_PER_S = 760_000 / ENTRIES
+TOKEN_GAP_MS = 34.0
+LETTER = (
+    'letter: 330 nodes, 3,100 requests and 760,000 tokens a second at the '
+    'peak: an entry carries its share on one core'
+)
+LETTER_GAP = 'letter: 34 ms between tokens for 95 in 100'
+
+
+class Cost(NamedTuple):
+    """What one kind of load cost.
+
+    :ivar processor_s: processor seconds by process name.
+    """
+
+    units: int
+    elapsed_s: float
+    processor_s: dict[str, float]
+    recorder: Recorder
+
+    def per_unit(self, name: str) -> float:
+        """Return the processor seconds of one process for each unit."""
+        return self.processor_s[name] / max(1, self.units)
+
+    def percentile_ms(self, percent: float) -> float:
+        """Return a percentile of the latency in milliseconds."""
+        return self.recorder.percentile_s(percent) * MILLISECONDS
+
+
+class Costs(NamedTuple):
+    """All that one run measured.
+
+    :ivar through: short requests by the entry, ``direct`` at the engine.
+    :ivar streams: long answers by the entry, ``straight`` at the engine.
+    """
+
+    idle_bytes: float
+    through: Cost
+    direct: Cost
+    streams: Cost
+    straight: Cost
+
+
+def run(seed: int) -> BenchResult:
+    """Measure through the system and directly at the engine."""
+    plan = FleetPlan(
+        zones=(ZONE,),
+        bears=STREAMS * 4,
+        cold=STREAMS * 4,
+        warm_after=1,
+        tokens_per_s=TOKENS_PER_S,
+    )
+    with ServingFleet(plan) as fleet:
+        fleet.warm_up()
+        children = {
+            'entry': fleet.entries[ZONE],
+            'agent': fleet.agents[ZONE],
+            'engine': fleet.processes.children[f'engine-{ZONE}'],
+        }
+        entry, engine = fleet.entry_address(ZONE), fleet.engines[ZONE]
+        costs = Costs(
+            _idle_connection_bytes(entry, children['entry']),
+            _requests(entry, generate(1), children),
+            _requests(engine, generate_directly(1), children),
+            _streams(entry, generate(STREAM_TOKENS), children),
+            _streams(engine, generate_directly(STREAM_TOKENS), children),
+        )
+    return _result(seed, costs)
+
+
+def _result(seed: int, costs: Costs) -> BenchResult:
+    slopes = {
+        'entry_processor_s_per_request': costs.through.per_unit('entry'),
+        'entry_processor_s_per_token': costs.streams.per_unit('entry'),
+        'agent_processor_s_per_request': costs.through.per_unit('agent'),
+        'agent_processor_s_per_token': costs.streams.per_unit('agent'),
+        'entry_bytes_per_idle_connection': costs.idle_bytes,
+    }
+    return BenchResult(
+        'path',
+        seed,
+        {
+            **_figures(costs.through, costs.direct),
+            **_token_figures(costs.streams, costs.straight),
+            'idle_connection_bytes': costs.idle_bytes,
+        },
+        _bounds(costs.through, costs.streams),
+        {
+            'engine_processor_us_per_token': (
+                costs.straight.per_unit('engine') * MICROSECONDS
+            ),
+            'request_ms_p50': costs.direct.percentile_ms(50),
+            'request_ms_p99': costs.direct.percentile_ms(99),
+            'requests_per_s': costs.direct.units / costs.direct.elapsed_s,
+            'token_gap_ms_p95': costs.straight.percentile_ms(95),
+        },
+        {},
+        slopes,
+    )
+
+
+def _figures(through: Cost, direct: Cost) -> dict[str, float]:
+    entry, agent = through.per_unit('entry'), through.per_unit('agent')
+    added_ms = through.percentile_ms(50) - direct.percentile_ms(50)
+    return {
+        'entry_processor_ms_per_request': entry * MILLISECONDS,
+        'agent_processor_ms_per_request': agent * MILLISECONDS,
+        'requests_per_s_and_core_of_the_entry': 1 / entry,
+        'request_ms_p50': through.percentile_ms(50),
+        'request_ms_p99': through.percentile_ms(99),
+        'requests_per_s': through.units / through.elapsed_s,
+        'request_processor_ratio': (entry + agent) / direct.per_unit('engine'),
+        'added_request_ms_p50': added_ms,
+    }
+
+
+def _token_figures(streams: Cost, straight: Cost) -> dict[str, float]:
+    entry, agent = streams.per_unit('entry'), streams.per_unit('agent')
+    return {
+        'entry_processor_us_per_token': entry * MICROSECONDS,
+        'agent_processor_us_per_token': agent * MICROSECONDS,
+        'engine_processor_us_per_token': (
+            streams.per_unit('engine') * MICROSECONDS
+        ),
+        'token_gap_ms_p95': streams.percentile_ms(95),
+        'token_processor_ratio': (entry + agent) / straight.per_unit('engine'),
+    }
+
+
+def _bounds(through: Cost, streams: Cost) -> tuple[Bound, ...]:
+    return (
+        Bound(
+            'entry_cores_at_target',
+            through.per_unit('entry') * TARGET_REQUESTS_PER_S
+            + streams.per_unit('entry') * TARGET_TOKENS_PER_S,
+            '<=',
+            1.0,
+            LETTER,
+        ),
+        Bound(
+            'token_gap_ms_p95',
+            streams.percentile_ms(95),
+            '<=',
+            TOKEN_GAP_MS,
+            LETTER_GAP,
+        ),
+        Bound(
+            'requests_failed',
+            through.recorder.total - through.recorder.counts['answered'],
+            '==',
+            0,
+            'brief: every caller gets the whole answer to its own request',
+        ),
+    )
+
+
+def _requests(address: str, call: HttpCall, children: dict[str, Child]) -> Cost:
+    """Let callers on kept connections ask for one token after the other."""
+    recorder = Recorder()
+    stopping = Event()
+
+    def keep_calling() -> None:
+        connection = HTTPConnection(address, timeout=30)
+        while not stopping.is_set():
+            sent_s = time.monotonic()
+            connection.request(call.method, call.path, call.body)
+            response = connection.getresponse()
+            response.read()
+            result = 'answered' if response.status == 200 else 'failed'
+            recorder.add(result, 0, time.monotonic() - sent_s)
+        connection.close()
+
+    def load() -> int:
+        threads = [Thread(target=keep_calling) for _ in range(CALLERS)]
+        for thread in threads:
+            thread.start()
+        stopping.wait(REQUESTS_S)
+        stopping.set()
+        for thread in threads:
+            thread.join()
+        return recorder.total
+
+    return _measure(load, recorder, children)
+
+
+def _streams(address: str, call: HttpCall, children: dict[str, Child]) -> Cost:
+    """Let callers read long answers and note the time between tokens."""
+    recorder = Recorder()
+
+    def read_stream() -> None:
+        connection = HTTPConnection(address, timeout=60)
+        connection.request(call.method, call.path, call.body)
+        response = connection.getresponse()
+        last_s = time.monotonic()
+        while line := response.readline():
+            now_s = time.monotonic()
+            if json.loads(line)['token']:
+                recorder.add('answered', 0, now_s - last_s)
+            last_s = now_s
+        connection.close()
+
+    def load() -> int:
+        threads = [Thread(target=read_stream) for _ in range(STREAMS)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return recorder.total
+
+    return _measure(load, recorder, children)
+
+
+def _measure(
+    load: Callable[[], int], recorder: Recorder, children: dict[str, Child]
+) -> Cost:
+    pids = {name: child.process.pid for name, child in children.items()}
+    before = {name: processor_seconds(pid) for name, pid in pids.items()}
+    started_s = time.monotonic()
+    units = load()
+    elapsed_s = time.monotonic() - started_s
+    used = {
+        name: processor_seconds(pid) - before[name]
+        for name, pid in pids.items()
+    }
+    return Cost(units, elapsed_s, used, recorder)
+
+
+def _idle_connection_bytes(address: str, entry: Child) -> float:
+    """Return what one kept connection holds that has had an answer."""
+    before = resident_bytes(entry.process.pid)
+    connections = [
+        HTTPConnection(address, timeout=30) for _ in range(IDLE_CONNECTIONS)
+    ]
+    for connection in connections:
+        connection.request('GET', '/healthz')
+        connection.getresponse().read()
+    held = resident_bytes(entry.process.pid) - before
+    for connection in connections:
+        connection.close()
+    return held / IDLE_CONNECTIONS
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import final
 
+from bramleylug.claims.keys import shard_affinity
 from bramleylug.entry.answers import AnswerWriter
 from bramleylug.entry.attempts import MILLISECONDS, Attempt
 from bramleylug.entry.channels import ChannelPool
@@ -105,6 +106,7 @@
             request.deadline_ms = max(1, int(left_s * MILLISECONDS))
             latest = await self._try_agent(chosen.candidate, request, writer)
             outcome = combine(outcome, latest)
+            request.crashes += int(latest.reason is Reason.upstream_crashed)
             if not self._may_retry(outcome, request, writer):
                 return outcome
         return outcome or _too_late()
@@ -150,8 +152,6 @@
                 loads.refused(name, retry_after_s, now_s)
             case Unknown(Reason.connection_failed):
                 loads.unreachable(name, now_s)
-            case Unknown(Reason.upstream_crashed):
-                attempt.request.crashes += 1
             case Ran(whole=True):
                 loads.answered(name)
 
@@ -189,9 +189,12 @@
 
 
 def affinity_key(request: Request) -> str:
-    """Return the key by which requests share an upstream's prefix cache."""
+    """Return the key by which requests prefer one upstream.
+
+    They share its prefix cache, or the shard that their keys are claimed in.
+    """
     if not request.prefix_key:
-        return ''
+        return shard_affinity(request) if request.idempotency_key else ''
     return f'{request.workspace}/{request.prefix_key}'
 
 
@@ -213,6 +216,7 @@
         asyncio.set_event_loop(self.loop)
         self.tasks.add(self.loop.create_task(self.dispatcher.tidy()))
         self.loop.run_forever()
+        self.loop.run_until_complete(self._cancel_rest())
 
     def submit(self, exchange: Exchange, reservation: Reservation) -> None:
         """Serve an exchange; may be called from any thread."""
@@ -228,3 +232,9 @@
         )
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+
+    async def _cancel_rest(self) -> None:
+        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in rest:
+            task.cancel()
+        await asyncio.gather(*rest, return_exceptions=True)
