List the entries of each zone once when the fleet is arranged

Cause: in a view of 1,530 members with 20 services in 9 zones, every change of any member made an entry scan all members once for each service and zone; the profile shows 0.72 of 1.10 s there. Change: the entries of each zone are gathered in one pass. Conclusion: the subset cache was not the cause; 180 subsets fit into it.

--- a/src/bramleylug/routing/fleet.py
+++ b/src/bramleylug/routing/fleet.py
@@ -11,6 +11,7 @@
 AGENT_ROLE = 'agent'
 ENTRY_ROLE = 'entry'
 SPILL_SIZE = 6
+ALL_ZONES = ''
 
 
 class Candidate(NamedTuple):
@@ -92,7 +93,11 @@
                     found[state.service][member.zone].append(
                         _candidate(member, state.limit)
                     )
-        return {service: self._tiers(zones) for service, zones in found.items()}
+        entries = self._entries_by_zone()
+        return {
+            service: self._tiers(zones, entries)
+            for service, zones in found.items()
+        }
 
     def _takes_work(self, member: Member) -> bool:
         return (
@@ -101,19 +106,26 @@
             and member.zone not in self.zones_out
         )
 
-    def _tiers(self, zones: Mapping[str, Collection[Candidate]]) -> Tiers:
+    def _tiers(
+        self,
+        zones: Mapping[str, Collection[Candidate]],
+        entries: Mapping[str, frozenset[str]],
+    ) -> Tiers:
         tiers: tuple[list[Candidate], ...] = ([], [], [])
         for zone in sorted(zones):
-            for candidate in self._subset(zone, zones[zone]):
+            for candidate in self._subset(zone, zones[zone], entries):
                 tiers[self._distance(candidate)].append(candidate)
         return tuple(tuple(tier) for tier in tiers)
 
     def _subset(
-        self, zone: str, candidates: Collection[Candidate]
+        self,
+        zone: str,
+        candidates: Collection[Candidate],
+        entries: Mapping[str, frozenset[str]],
     ) -> list[Candidate]:
         own_zone = zone == self.place.zone
         chosen = self.cache.find(
-            self._entries(zone if own_zone else ''),
+            entries.get(zone if own_zone else ALL_ZONES, frozenset()),
             frozenset(candidate.name for candidate in candidates),
             SUBSET_SIZE if own_zone else SPILL_SIZE,
         )
@@ -121,12 +133,13 @@
             candidate for candidate in candidates if candidate.name in chosen
         ]
 
-    def _entries(self, zone: str) -> frozenset[str]:
-        return frozenset(
-            member.name
-            for member in self.members
-            if member.role == ENTRY_ROLE and zone in {'', member.zone}
-        )
+    def _entries_by_zone(self) -> dict[str, frozenset[str]]:
+        found: dict[str, list[str]] = defaultdict(list)
+        for member in self.members:
+            if member.role == ENTRY_ROLE:
+                found[member.zone].append(member.name)
+                found[ALL_ZONES].append(member.name)
+        return {zone: frozenset(names) for zone, names in found.items()}
 
     def _distance(self, candidate: Candidate) -> int:
         if candidate.zone == self.place.zone:
