--- a/src/bramleylug/bench/capacity_model.py
+++ b/src/bramleylug/bench/capacity_model.py
@@ -63,12 +63,23 @@
         'processor time for requests',
         'cores',
         (
-            ('requests_per_node_s', 'entry_s_per_request'),
-            ('tokens_per_node_s', 'entry_s_per_piece'),
+            ('requests_per_node_s', 'entry_processor_s_per_request'),
+            ('tokens_per_node_s', 'entry_processor_s_per_token'),
         ),
         'one asyncio loop for agents, one circuits loop for callers',
         ONE_CORE,
     ),
+    Line(
+        'entry',
+        'processor time for choices, each in a view that has changed',
+        'cores',
+        (
+            ('requests_per_node_s', 'choose_s_per_request'),
+            ('requests_per_node_s', 'members', 'fleet_arrange_s_per_member'),
+        ),
+        'candidates kept until the view changes; a subset of each zone',
+        ONE_CORE,
+    ),
     Line(
         'entry',
         'answer bytes held',
@@ -82,8 +93,8 @@
         'processor time for requests',
         'cores',
         (
-            ('requests_per_engine_s', 'agent_s_per_request'),
-            ('tokens_per_engine_s', 'agent_s_per_piece'),
+            ('requests_per_engine_s', 'agent_processor_s_per_request'),
+            ('tokens_per_engine_s', 'agent_processor_s_per_token'),
         ),
         'one thread a running request',
         ONE_CORE,
--- a/src/bramleylug/bench/footprint.py
+++ b/src/bramleylug/bench/footprint.py
@@ -11,13 +11,18 @@
 from typing import Any, NamedTuple
 
 from bramleylug.bench.configuration_costs import measure_configuration
-from bramleylug.bench.gossip_costs import GossipCosts, measure_gossip
+from bramleylug.bench.gossip_costs import (
+    GossipCosts,
+    build_fleet,
+    measure_gossip,
+)
 from bramleylug.bench.meters import (
     processor_seconds,
     reference_seconds,
     resident_bytes,
 )
 from bramleylug.bench.processes import Child, ChildError, Processes
+from bramleylug.bench.routing_costs import measure_routing
 from bramleylug.bench.results import Bound, BenchResult
 
 MEBIBYTE = 1024 * 1024
@@ -27,6 +32,7 @@
 OBSERVE_S = 10.0
 SERVICES = 100
 MEMBERS = 1530
+ENTRIES = 330
 ZONE = 'zone-a'
 SIZES = (
     f'one entry and one agent as processes, idle for {OBSERVE_S:.0f} s; a '
@@ -58,6 +64,8 @@
     """Measure idle daemons, gossip, and a change of configuration."""
     gossip = measure_gossip(MEMBERS, seed)
     change = measure_configuration(SERVICES)
+    fleet = build_fleet(ENTRIES, MEMBERS - ENTRIES)
+    routing = measure_routing(SERVICES, fleet, seed)
     daemons = _measure_daemons()
     figures: dict[str, Any] = {}
     slopes: dict[str, float] = {
@@ -68,6 +76,8 @@
         'gossip_messages_per_s': gossip.messages_per_s,
         'gossip_message_bytes': gossip.message_bytes,
         'member_record_bytes': gossip.record_bytes,
+        'fleet_arrange_s_per_member': routing.arrange_s / MEMBERS,
+        'choose_s_per_request': routing.choose_s,
         'document_bytes_per_service': change.document_bytes / SERVICES,
         'document_decode_s_per_service': change.decode_s / SERVICES,
         'document_encode_s_per_service': change.encode_s / SERVICES,
@@ -82,6 +92,8 @@
         gossip_cores=_gossip_cores(gossip),
         reference_work_us=reference_seconds() * MICROSECONDS,
         document_bytes=change.document_bytes,
+        fleet_arrange_ms=routing.arrange_s * MILLISECONDS,
+        choose_us=routing.choose_s * MICROSECONDS,
         document_decode_ms=change.decode_s * MILLISECONDS,
         document_encode_ms=change.encode_s * MILLISECONDS,
     )
--- a/src/bramleylug/bench/gossip_costs.py
+++ b/src/bramleylug/bench/gossip_costs.py
@@ -42,7 +42,7 @@
 def measure_gossip(members: int, seed: int) -> GossipCosts:
     """Drive one membership view as big as the fleet, on virtual time."""
     random = Random(seed)
-    fleet = [build_record(number) for number in range(members)]
+    fleet = build_fleet(0, members)
     view = Membership(fleet[0], random)
     view.receive(Gossip(members=fleet[1:]), 0.0)
     codec = DatagramCodec((b'bench',))
@@ -61,6 +61,16 @@
     )
 
 
+def build_fleet(entries: int, agents: int) -> tuple[Member, ...]:
+    """Return the records of a fleet."""
+    fleet = [build_record(number) for number in range(entries + agents)]
+    for record in fleet[:entries]:
+        record.role = 'entry'
+        del record.services[:]
+        del record.versions[:]
+    return tuple(fleet)
+
+
 def build_record(number: int) -> Member:
     """Return the record of an agent as a real fleet would tell it."""
     address = f'10.{number // 65536}.{number // 256 % 256}.{number % 256}'
--- /dev/null
+++ b/src/bramleylug/bench/routing_costs.py
@@ -0,0 +1,54 @@
+"""What the choice of an upstream costs an entry in a large fleet."""
+
+from dataclasses import replace
+from itertools import count
+from random import Random
+from typing import NamedTuple
+
+from bramleylug.bench.configuration_costs import build_document
+from bramleylug.bench.meters import least_seconds
+from bramleylug.routing.fleet import Place
+from bramleylug.routing.picker import Picker, View, Wanted
+from bramleylug.wire.membership_pb2 import Member
+
+BATCHES = 20
+CHOICES = 100
+
+
+class RoutingCosts(NamedTuple):
+    """Processor time in seconds.
+
+    :ivar arrange_s: taking in a view in which one member changed.
+    :ivar choose_s: one choice in a view that is known.
+    """
+
+    arrange_s: float
+    choose_s: float
+
+
+def measure_routing(
+    services: int, fleet: tuple[Member, ...], seed: int
+) -> RoutingCosts:
+    """Drive one picker on a view as big as the fleet.
+
+    :param fleet: records of all members; the services are those of
+        :func:`build_document`.
+    """
+    place = Place('entry-00001', fleet[0].zone, fleet[0].region)
+    picker = Picker(place, Random(seed))
+    document = replace(build_document(services), zones={})
+    view = View(fleet, document, 0)
+    wanted = Wanted('service-0')
+    sequences = count(1)
+
+    def arrange() -> None:
+        changed = Member()
+        changed.CopyFrom(fleet[-1])
+        changed.sequence += next(sequences)
+        picker.observe(view._replace(members=(*fleet[:-1], changed)))
+
+    arrange_s = least_seconds(arrange, batches=BATCHES)
+    choose_s = least_seconds(
+        lambda: picker.choose(wanted, view), repeats=CHOICES, batches=BATCHES
+    )
+    return RoutingCosts(arrange_s, choose_s)
