--- a/src/bramleylug/bench/gossip_costs.py
+++ b/src/bramleylug/bench/gossip_costs.py
@@ -5,9 +5,12 @@
 from typing import NamedTuple
 
 from bramleylug.bench.meters import least_seconds
+from bramleylug.membership.actions import Send
 from bramleylug.membership.datagrams import DatagramCodec
-from bramleylug.membership.gossip import Membership, Send
+from bramleylug.membership.gossip import Membership
 from bramleylug.wire.membership_pb2 import (
+    GOSSIP_KIND_ACK,
+    GOSSIP_KIND_PING,
     Gossip,
     HeldVersion,
     Member,
@@ -114,10 +117,25 @@
         for action in view.tick(next(clock) * TICK_S):
             if isinstance(action, Send):
                 sent.append(codec.encode(action.message))
+                _answer(view, action)
 
     return sent, least_seconds(tick, repeats=ticks // BATCHES, batches=BATCHES)
 
 
+def _answer(view: Membership, probe: Send) -> None:
+    """Acknowledge a probe as a living member would."""
+    if probe.message.kind == GOSSIP_KIND_PING:
+        for member in view.alive():
+            if member.gossip_address == probe.address:
+                answer = Gossip(
+                    kind=GOSSIP_KIND_ACK,
+                    sequence=probe.message.sequence,
+                    sender=member.name,
+                    sender_incarnation=member.incarnation,
+                )
+                view.receive(answer, view.ticked_s or 0)
+
+
 def _receive_s(
     view: Membership, codec: DatagramCodec, datagrams: list[bytes]
 ) -> float:
--- a/testing/builders.py
+++ b/testing/builders.py
@@ -2,9 +2,10 @@
 
 from typing import Any
 
+from bramleylug.admission.queue import Arrival
+from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.claims.actions import Ask
 from bramleylug.claims.document import Claim
-from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.configuration.document import Change, Document, ServiceSpec
 from bramleylug.wire.membership_pb2 import Member, ServiceState
 from bramleylug.wire.requests_pb2 import Request
@@ -83,6 +84,17 @@
     return Claim(key, **{**defaults, **fields})
 
 
+def build_arrival(token: int, **fields: Any) -> Arrival:
+    """Return a small request of one workspace with a long deadline."""
+    defaults = {
+        'workspace': 'workspace-1',
+        'priority': 0,
+        'body_bytes': 10,
+        'deadline_s': 60.0,
+    }
+    return Arrival(token, **{**defaults, **fields})
+
+
 def build_bench_result(*bounds: tuple[Any, ...]) -> BenchResult:
     """Return a result of ``weights`` with (name, value, relation, bound)."""
     sourced = tuple(Bound(*bound, source='letter') for bound in bounds)
--- a/testing/node/test_pages.py
+++ b/testing/node/test_pages.py
@@ -1,14 +1,36 @@
 """Tests of the pages of a daemon, on a real one without peers."""
 
+import tempfile
 import unittest
 from http.client import HTTPConnection
 
 from bramleylug.entry.daemon import EntryDaemon
 from bramleylug.node.lifecycle import DaemonRunner
 from bramleylug.settings.daemons import EntrySettings
+from bramleylug.settings.fields import SettingsError
 from testing.builders import build_document
 
 
+class TestKeys(unittest.TestCase):
+    """A process never starts with fewer keys than its settings name."""
+
+    def test_blank_key_file_stops_the_start(self) -> None:
+        """It would leave datagrams unauthenticated."""
+        with tempfile.NamedTemporaryFile() as blank:
+            blank.write(b'\n')
+            blank.flush()
+            settings = EntrySettings(
+                name='e1',
+                zone='zone-a',
+                region='west',
+                store='127.0.0.1:1',
+                gossip_keys=(blank.name,),
+            )
+
+            with self.assertRaisesRegex(SettingsError, 'unreadable or empty'):
+                EntryDaemon(settings)
+
+
 class TestPages(unittest.TestCase):
     """Health, readiness and metrics of an entry whose store is down."""
 
@@ -35,12 +57,19 @@
         self.assertEqual(self.get('/healthz'), (200, 'ok\n'))
         self.assertEqual(
             self.get('/readyz'),
-            (503, 'no accepted configuration is known\n'),
+            (
+                503,
+                'no accepted configuration is known: '
+                'neither the store nor a peer has answered yet\n',
+            ),
         )
 
     def test_process_with_configuration_is_ready(self) -> None:
-        """Any accepted revision will do."""
+        """Any revision will do once it is confirmed as the accepted one."""
         self.daemon.node.holder.offer(build_document())
+        self.assertEqual(self.get('/readyz')[0], 503)
+
+        self.daemon.node.holder.question('')
 
         self.assertEqual(self.get('/readyz'), (200, 'ready\n'))
 
