Tell idle connections the truth before they are closed

Cause: a request that crossed the close of an idle connection got no answer. Change: the connection is sent a refusal, not run, before it is closed: when the host leaves and after the idle timeout. While a host leaves, a new connection counts as busy for two seconds, since its request may be on its way. The test of the silent close is replaced: it now brings a request after the refusal and checks that it is not served.

--- a/src/bramleylug/web/connection.py
+++ b/src/bramleylug/web/connection.py
@@ -15,6 +15,7 @@
     from bramleylug.web.memory import MemoryLedger
 
 LINGER_S = 2.0
+NEW_CONNECTION_S = 2.0
 LINGER_BYTES = 4 * 1024 * 1024
 
 
@@ -72,6 +73,7 @@
         self.paused = False
         self.held_bytes = 0
         self.dropped_bytes = 0
+        self.accepted_s = now_s
         self.input_since_s = now_s
         self.output_since_s = now_s
         self.awaits_body = False
@@ -96,6 +98,11 @@
             held_bytes += self.exchange.head.size_bytes
         return held_bytes
 
+    def may_bring_request(self, now_s: float) -> bool:
+        """Tell whether a request may be on its way on a new connection."""
+        young = now_s - self.accepted_s < NEW_CONNECTION_S
+        return young and not self.lingering
+
     def note_input(self, now_s: float) -> None:
         """Start the clock of a request at its first byte and its body."""
         if self.reader.between_messages:
@@ -198,6 +205,12 @@
 TOO_MANY_CONNECTIONS = BadRequest(
     HTTPStatus.SERVICE_UNAVAILABLE, 'connections', 'too many connections'
 )
+IDLE = BadRequest(
+    HTTPStatus.REQUEST_TIMEOUT, 'idle', 'no request came for long'
+)
+LEAVING = BadRequest(
+    HTTPStatus.SERVICE_UNAVAILABLE, 'leaving', 'host is leaving'
+)
 MEMORY_FULL = BadRequest(
     HTTPStatus.SERVICE_UNAVAILABLE, 'memory', 'no memory for the request'
 )
--- a/src/bramleylug/web/port.py
+++ b/src/bramleylug/web/port.py
@@ -18,6 +18,8 @@
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import BAD_INPUT, count
 from bramleylug.web.connection import (
+    IDLE,
+    LEAVING,
     MEMORY_FULL,
     REQUEST_CUT,
     REQUEST_TIMEOUT,
@@ -32,6 +34,7 @@
 from bramleylug.web.memory import MemoryLedger
 from bramleylug.web.reader import Message, SendContinue
 
+CLOSINGS = frozenset((IDLE, LEAVING))
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -69,8 +72,11 @@
     @property
     def busy(self) -> bool:
         """Whether a request has begun to arrive or is not yet answered."""
+        now_s = self.context.clock()
         return any(
-            connection.busy for connection in tuple(self.connections.values())
+            connection.busy
+            or (self.leaving and connection.may_bring_request(now_s))
+            for connection in tuple(self.connections.values())
         )
 
     def write(self, connection: Connection, piece: bytes) -> None:
@@ -86,7 +92,18 @@
         """Close a connection so that its caller sees it was cut."""
         if connection.sock in self.connections:
             self.transport.reset(connection.sock)
-            self._forget(connection)
+            self.disconnected(connection.sock)
+
+    def leave(self) -> None:
+        """Close idle connections now, others after their answer.
+
+        An idle connection is told that nothing ran before it is closed, so
+        that a request that crosses the close has its answer.
+        """
+        self.leaving = True
+        for connection in self.connections.values():
+            if not connection.busy:
+                self._refuse(connection, LEAVING)
 
     def accepted(self, sock: socket) -> None:
         """Take in a new connection."""
@@ -129,10 +146,15 @@
             self.flush()
 
     def disconnected(self, sock: socket) -> None:
-        """Note that a socket has been closed."""
-        connection = self.connections.get(sock)
-        if connection is not None:
-            self._forget(connection)
+        """Forget a socket that has been closed."""
+        connection = self.connections.pop(sock, None)
+        if connection is None:
+            return
+        connection.hold(0, self.context.ledger)
+        exchange = connection.exchange
+        connection.exchange = None
+        if exchange is not None:
+            exchange.socket_closed()
 
     def sweep(self) -> None:
         """Close or refuse what has been too slow."""
@@ -144,7 +166,9 @@
                 case Expiry.stalled:
                     connection.mark_stalled()
                     self.reset(connection)
-                case Expiry.idle | Expiry.linger:
+                case Expiry.idle:
+                    self._refuse(connection, IDLE)
+                case Expiry.linger:
                     self._drop(connection)
         self.flush()
 
@@ -193,7 +217,8 @@
 
     def _refuse(self, connection: Connection, fault: BadRequest) -> None:
         """Answer input that is no acceptable request, and close."""
-        count(BAD_INPUT, kind=fault.kind)
+        if fault not in CLOSINGS:
+            count(BAD_INPUT, kind=fault.kind)
         self.write(connection, _error_answer(fault))
         connection.closing = True
 
@@ -237,16 +262,7 @@
 
     def _drop(self, connection: Connection) -> None:
         self.transport.drop(connection.sock)
-        self._forget(connection)
-
-    def _forget(self, connection: Connection) -> None:
-        if self.connections.pop(connection.sock, None) is None:
-            return
-        connection.hold(0, self.context.ledger)
-        exchange = connection.exchange
-        connection.exchange = None
-        if exchange is not None:
-            exchange.socket_closed()
+        self.disconnected(connection.sock)
 
 
 def _error_answer(fault: BadRequest) -> bytes:
@@ -254,7 +270,7 @@
     if fault.kind.endswith('_size'):
         code = 'too_large'
     if fault.status == HTTPStatus.SERVICE_UNAVAILABLE:
-        code = 'overloaded'
+        code = 'leaving' if fault is LEAVING else 'overloaded'
     document = {'code': code, 'message': fault.message, 'run': 'not_run'}
     body = json.dumps(document)
     lines = (
--- a/src/bramleylug/web/server.py
+++ b/src/bramleylug/web/server.py
@@ -88,8 +88,9 @@
         return bool(self.actions) or self.connections.busy
 
     def leave(self) -> None:
-        """Close each connection after its next answer."""
+        """Close idle connections now, others after their answer."""
         self.connections.leaving = True
+        self.call(self.connections.leave)
 
     def call(self, action: Callable[[], None]) -> None:
         """Run a callable on the loop; may be called from any thread.
--- a/testing/web/test_port.py
+++ b/testing/web/test_port.py
@@ -45,7 +45,7 @@
         bench = PortBench()
         sock = bench.connect()
         bench.receive(sock, REQUEST[:-1])
-        bench.port.leaving = True
+        bench.port.leave()
         busy = bench.port.busy
         bench.receive(sock, REQUEST[-1:])
         bench.served[0].reply(200, b'done')
@@ -54,6 +54,25 @@
         self.assertIn(b'Connection: close', sock.sent)
         self.assertFalse(bench.port.busy)
 
+    def test_leaving_port_closes_idle_connections_with_a_true_word(
+        self,
+    ) -> None:
+        """A new connection may still bring a request, for a while."""
+        bench = PortBench()
+        idle = bench.connect()
+        bench.pass_time(3)
+        bench.call(bench.port.leave)
+        late = bench.connect()
+        busy = bench.port.busy
+        bench.pass_time(1)
+        bench.receive(late, REQUEST)
+        bench.served[0].reply(503, b'elsewhere')
+
+        self.assertIn(b'"code": "leaving"', idle.sent)
+        self.assertTrue(busy)
+        self.assertTrue(late.sent.endswith(b'elsewhere'))
+        self.assertFalse(bench.port.busy)
+
     def test_request_id_is_returned_when_plain(self) -> None:
         """A long or odd id is replaced."""
         bench = PortBench()
@@ -122,13 +141,17 @@
         self.assertEqual(early, [True, False])
         self.assertIn(b'408', socks[1].sent)
 
-    def test_idle_connection_is_closed(self) -> None:
-        """A connection without a request ends silently."""
+    def test_idle_connection_is_closed_with_a_true_word(self) -> None:
+        """A request that crosses the close is answered as not run."""
         bench = PortBench(idle_timeout_s=5)
         sock = bench.connect()
         bench.pass_time(6)
+        bench.receive(sock, REQUEST)
+        bench.pass_time(3)
 
-        self.assertEqual((sock.sent, bench.transport.ended), (b'', ['closed']))
+        self.assertIn(b'"run": "not_run"', sock.sent)
+        self.assertEqual(bench.served, [])
+        self.assertEqual(bench.transport.ended, ['closed'])
 
     def test_connections_are_bounded(self) -> None:
         """One too many is refused and did not run."""
