--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -14,7 +14,7 @@
 from bramleylug.entry.reservations import Reservation
 from bramleylug.node.node import Node
 from bramleylug.observability.events import LogEvent, emit
-from bramleylug.observability.metrics import REFUSALS, REQUESTS, count
+from bramleylug.observability.metrics import REFUSALS, REQUESTS, RUNNING, count
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown, run_name
 from bramleylug.routing.fleet import Candidate, Place
 from bramleylug.routing.picker import Picker, View, Wanted
@@ -56,7 +56,7 @@
 
     async def serve(self, exchange: Exchange, reservation: Reservation) -> None:
         """Serve one exchange to its end."""
-        self.running += 1
+        self._count_running(1)
         writer = AnswerWriter(
             exchange, self.settings.caller_bytes // WRITER_SHARE
         )
@@ -64,7 +64,7 @@
             outcome = await self._run(exchange, writer)
         except Exception as error:  # noqa: BLE001
             outcome = Unknown(Reason.internal, repr(error))
-        self.running -= 1
+        self._count_running(-1)
         reservation.done()
         self._record(outcome, exchange)
         writer.conclude(outcome)
@@ -160,6 +160,10 @@
             return request.deadline_ms / MILLISECONDS
         return self.settings.deadline
 
+    def _count_running(self, change: int) -> None:
+        self.running += change
+        RUNNING.set({'instance': self.settings.name}, self.running)
+
     def _record(self, outcome: Outcome, exchange: Exchange) -> None:
         service = service_of(exchange.path)
         known = service in self.node.holder.document.services
