--- a/src/bramleylug/membership/datagrams.py
+++ b/src/bramleylug/membership/datagrams.py
@@ -13,6 +13,7 @@
 DATAGRAM_LIMIT_BYTES = 1400
 PAYLOAD_LIMIT_BYTES = 65536
 PAYLOAD_LEAST_BYTES = 600
+PAYLOAD_FIRST_BYTES = 4000
 PAYLOAD_MOST_BYTES = 8000
 SHRINK = 0.8
 GROWTH = 1.02
@@ -36,7 +37,7 @@
     def __init__(self, keys: tuple[bytes, ...] = ()) -> None:
         self.use_keys(keys)
         self.dropped: Counter[str] = Counter()
-        self.payload_bytes = float(PAYLOAD_LEAST_BYTES)
+        self.payload_bytes = float(PAYLOAD_FIRST_BYTES)
 
     def use_keys(self, keys: tuple[bytes, ...]) -> None:
         """Sign with the first key and accept every key from now on."""
--- a/testing/configuration/test_files.py
+++ b/testing/configuration/test_files.py
@@ -80,7 +80,10 @@
 
     def test_limits_that_make_no_sense_are_findings(self) -> None:
         """A cold upstream bears no more than a warm one."""
-        limits = 'max_unavailable = 2\nconcurrency = 4\ncold_concurrency = 8\n'
+        limits = (
+            'max_unavailable = 2\nconcurrency = 4\ncold_concurrency = 8\n'
+            'replicas = 1\n'
+        )
 
         self.assertEqual(
             self.collect(one=GOOD + limits),
