--- a/src/bramleylug/routing/fleet.py
+++ b/src/bramleylug/routing/fleet.py
@@ -1,5 +1,6 @@
 """The upstreams one entry may choose from, kept until the view changes."""
 
+import math
 from collections import defaultdict
 from collections.abc import Collection, Mapping
 from typing import NamedTuple, final
@@ -11,6 +12,8 @@
 AGENT_ROLE = 'agent'
 ENTRY_ROLE = 'entry'
 SPILL_SIZE = 6
+SMALL_FLEET = 100
+ARRANGE_INTERVAL_S = 1.0
 
 
 class Candidate(NamedTuple):
@@ -51,15 +54,24 @@
         self.document = Document()
         self.zones_out: frozenset[str] = frozenset()
         self.by_service: Mapping[str, Tiers] = {}
+        self.entries: frozenset[str] = frozenset()
+        self.near_entries: frozenset[str] = frozenset()
+        self.arranged_s = -math.inf
         self.cache = SubsetCache(place.name)
 
-    def observe(self, members: tuple[Member, ...], document: Document) -> bool:
+    def observe(
+        self, members: tuple[Member, ...], document: Document, now_s: float
+    ) -> bool:
         """Take in the view; cheap when it is the same as before.
 
+        In a large fleet members change all the time: what differs by them
+        alone is taken in at most every :data:`ARRANGE_INTERVAL_S`.
+
         :returns: whether it differs.
         """
-        if document is self.document and members == self.members:
+        if document is self.document and not self._is_due(members, now_s):
             return False
+        self.arranged_s = now_s
         self.members = members
         self.document = document
         self.zones_out = frozenset(
@@ -80,7 +92,17 @@
         """Return the address of every member."""
         return frozenset(member.grpc_address for member in self.members)
 
+    def _is_due(self, members: tuple[Member, ...], now_s: float) -> bool:
+        if members is self.members or (
+            len(members) > SMALL_FLEET
+            and now_s - self.arranged_s < ARRANGE_INTERVAL_S
+        ):
+            return False
+        return members != self.members
+
     def _arrange(self) -> dict[str, Tiers]:
+        self.entries = self._entries('')
+        self.near_entries = self._entries(self.place.zone)
         found: dict[str, dict[str, list[Candidate]]] = defaultdict(
             lambda: defaultdict(list)
         )
@@ -113,7 +135,7 @@
     ) -> list[Candidate]:
         own_zone = zone == self.place.zone
         chosen = self.cache.find(
-            self._entries(zone if own_zone else ''),
+            self.near_entries if own_zone else self.entries,
             frozenset(candidate.name for candidate in candidates),
             SUBSET_SIZE if own_zone else SPILL_SIZE,
         )
--- a/src/bramleylug/routing/picker.py
+++ b/src/bramleylug/routing/picker.py
@@ -84,7 +84,7 @@
 
         :returns: whether members or configuration differ from before.
         """
-        changed = self.fleet.observe(view.members, view.document)
+        changed = self.fleet.observe(view.members, view.document, view.now_s)
         if changed:
             self.ramp.observe(self.fleet.zones_out, view.now_s)
             names = frozenset(member.name for member in view.members)
