--- a/src/bramleylug/bench/capacity_model.py
+++ b/src/bramleylug/bench/capacity_model.py
@@ -20,7 +20,7 @@
     ('gossip_ticks_per_s', 'gossip_tick_s_per_member', 'members'),
 )
 _GOSSIP_BYTES = (('gossip_messages_per_s', 'gossip_message_bytes'),)
-_VIEW_BYTES = ('members', 'member_record_bytes')
+_VIEW_BYTES = ('members', 'member_resident_bytes')
 
 
 def _control_lines(role: str) -> tuple[Line, ...]:
--- a/src/bramleylug/bench/footprint.py
+++ b/src/bramleylug/bench/footprint.py
@@ -20,9 +20,11 @@
     processor_seconds,
     reference_seconds,
     resident_bytes,
+    resident_bytes_each,
 )
 from bramleylug.bench.processes import Child, ChildError, Processes
 from bramleylug.bench.routing_costs import measure_routing
+from bramleylug.wire.membership_pb2 import Member
 from bramleylug.bench.results import Bound, BenchResult
 
 MEBIBYTE = 1024 * 1024
@@ -33,6 +35,7 @@
 SERVICES = 100
 MEMBERS = 1530
 ENTRIES = 330
+RECORDS = 20000
 ZONE = 'zone-a'
 SIZES = (
     f'one entry and one agent as processes, idle for {OBSERVE_S:.0f} s; a '
@@ -76,6 +79,7 @@
         'gossip_messages_per_s': gossip.messages_per_s,
         'gossip_message_bytes': gossip.message_bytes,
         'member_record_bytes': gossip.record_bytes,
+        'member_resident_bytes': _member_resident_bytes(fleet[-1]),
         'fleet_arrange_s_per_member': routing.arrange_s / MEMBERS,
         'choose_s_per_request': routing.choose_s,
         'document_bytes_per_service': change.document_bytes / SERVICES,
@@ -115,6 +119,11 @@
     )
 
 
+def _member_resident_bytes(record: Member) -> float:
+    raw = record.SerializeToString()
+    return resident_bytes_each(lambda: Member.FromString(raw), RECORDS)
+
+
 def _measure_daemons() -> dict[str, Footprint]:
     with closing(Processes()) as fleet:
         fleet.start_platform()
--- a/src/bramleylug/bench/meters.py
+++ b/src/bramleylug/bench/meters.py
@@ -72,6 +72,16 @@
     return _status_bytes(pid, 'VmRSS:')
 
 
+def resident_bytes_each(build: Callable[[], object], count: int) -> float:
+    """Return the resident memory that one of many equal objects takes.
+
+    :param count: enough that their memory is not found in free lists.
+    """
+    before = resident_bytes()
+    kept = [build() for _ in range(count)]
+    return (resident_bytes() - before) / len(kept)
+
+
 def peak_resident_bytes(pid: int | None = None) -> int:
     """Return the most memory a process has had resident."""
     return _status_bytes(pid, 'VmHWM:')
