Work the control, claim, chunk home and fault lines out from the benches' slopes

The control lines take the membership bench's burst of 1,200 hosts changing version in place of footprint's own gossip figures, which measured the former protocol; footprint keeps daemons, choices and documents. A new run replaces every slope that its bench measured before. The membership bench gives three more slopes: bytes an update, spread, and the time until a death is known everywhere.

--- a/src/bramleylug/bench/capacity.py
+++ b/src/bramleylug/bench/capacity.py
@@ -44,7 +44,7 @@
 
     :raises PageError: when the page lacks a marker.
     """
-    slopes = {**read_records(docs), **take_slopes(outcomes, _today())}
+    slopes = merge_slopes(read_records(docs), take_slopes(outcomes, _today()))
     (docs / SLOPES_NAME).write_text(
         json.dumps(slopes, indent=1, sort_keys=True) + '\n'
     )
@@ -91,6 +91,19 @@
     }
 
 
+def merge_slopes(
+    kept: dict[str, Slope], taken: dict[str, Slope]
+) -> dict[str, Slope]:
+    """Return the kept slopes with those of each new run in their place."""
+    benches = {slope['bench'] for slope in taken.values()}
+    rest = {
+        name: slope
+        for name, slope in kept.items()
+        if slope['bench'] not in benches
+    }
+    return {**rest, **taken}
+
+
 def fill_page(text: str, records: dict[str, Slope]) -> str:
     """Return the page with each table made anew between its markers."""
     for name, table in _tables(records):
--- a/src/bramleylug/bench/capacity_model.py
+++ b/src/bramleylug/bench/capacity_model.py
@@ -1,25 +1,23 @@
 """What each role comes to, as lines over sizes and slopes."""
 
-from bramleylug.bench.capacity_lines import Budget, Line
-
-MEBIBYTE = 1024 * 1024
-
-CONTROL_CORES = Budget(0.025, 'letter: 2.5% of a core for control')
-CONTROL_BYTES = Budget(64 * MEBIBYTE, 'letter: 64 MB for control')
-CONTROL_RATE = Budget(17000, 'letter: 17 KB a second for control')
-ONE_CORE = Budget(1, 'one core: a loop is one thread')
-ANSWER_BYTES = Budget(16 * MEBIBYTE, 'setting --memory-bytes')
-STORE_READS = Budget(2000, 'brief: about two thousand reads a second')
-STORE_WRITES = Budget(400, 'brief: several hundred writes a second')
+from bramleylug.bench.budgets import (
+    ANSWER_BYTES,
+    CONTROL_BYTES,
+    CONTROL_CORES,
+    CONTROL_RATE,
+    IN_FORCE,
+    ONE_CORE,
+    STORE_READS,
+    STORE_VALUE,
+    STORE_WRITES,
+)
+from bramleylug.bench.capacity_faults import FAULT_LINES
+from bramleylug.bench.capacity_lines import Line
 
-GOSSIP = 'one probe an interval to one peer, whatever the fleet'
+GOSSIP = 'one probe a second to one peer, whatever the fleet; news rides on it'
 VIEW = 'one record a member, replaced as a whole'
 
-_CONTROL_PROCESSOR = (
-    ('gossip_received_per_s', 'gossip_receive_s'),
-    ('gossip_ticks_per_s', 'gossip_tick_s_per_member', 'members'),
-)
-_GOSSIP_BYTES = (('gossip_messages_per_s', 'gossip_message_bytes'),)
+_AT_SIZE = ('members', '/measured_members')
 _VIEW_BYTES = ('members', 'member_resident_bytes')
 
 
@@ -29,9 +27,9 @@
     return (
         Line(
             role,
-            'processor time for control',
+            'processor time for control, 1,200 hosts changing version',
             'cores',
-            (idle_cores, *_CONTROL_PROCESSOR),
+            (idle_cores, ('membership_burst_cores', *_AT_SIZE)),
             GOSSIP,
             CONTROL_CORES,
         ),
@@ -45,9 +43,9 @@
         ),
         Line(
             role,
-            'bytes sent and received for control',
+            'bytes for control, 1,200 hosts changing version',
             'bytes/s',
-            _GOSSIP_BYTES,
+            (('membership_burst_bytes_per_s', *_AT_SIZE),),
             GOSSIP,
             CONTROL_RATE,
         ),
@@ -108,7 +106,7 @@
         'bytes',
         (('services', 'document_bytes_per_service'),),
         'the accepted document with its history',
-        Budget(MEBIBYTE, 'brief: the store holds values up to a megabyte'),
+        STORE_VALUE,
     ),
     Line(
         'watcher',
@@ -138,6 +136,14 @@
         ),
         'one read and one compare-and-swap a change',
     ),
+    Line(
+        'publisher',
+        'until a change is in force everywhere',
+        's',
+        (('membership_spread_s',),),
+        'watchers see it at once; its revision rides on every message',
+        IN_FORCE,
+    ),
     Line(
         'publisher',
         'bytes read and written',
@@ -150,14 +156,78 @@
     ),
 )
 
+CLAIM_LINES = (
+    Line(
+        'claim owner',
+        'claims to one agent, were all bookings on one service',
+        'claims/s',
+        (('bookings_per_s', '/records_agents'),),
+        'the shard of a key ranks the agents, so that few of them conflict',
+    ),
+    Line(
+        'claim owner',
+        'processor time for claims',
+        'cores',
+        (
+            (
+                'bookings_per_s',
+                '/records_agents',
+                'agent processor seconds per booking',
+            ),
+        ),
+        'one thread drives the ledgers of all shards',
+        ONE_CORE,
+    ),
+    Line(
+        'claim owner',
+        'store writes of one service at most',
+        'calls/s',
+        (('claim_shards', '/claim_commit_interval_s'),),
+        'group commit: one write at a time a shard, four a second',
+        STORE_WRITES,
+    ),
+)
+
+HOME_LINES = (
+    Line(
+        'chunk home',
+        'state',
+        'bytes',
+        (('version_bytes',), ('version_bytes',)),
+        'the version in service and the one that arrives, in memory',
+    ),
+    Line(
+        'chunk home',
+        'bytes read from the origin by one host',
+        'bytes',
+        (('version_bytes', '/hosts'),),
+        'each chunk has one home that reads it from the origin',
+    ),
+    Line(
+        'chunk home',
+        'bytes sent to other regions by one host',
+        'bytes',
+        (('version_bytes', 'other_regions', '/hosts'),),
+        'each other region has one home a chunk, which fetches it once',
+    ),
+    Line(
+        'chunk home',
+        'bytes sent within the region by one host, on average',
+        'bytes',
+        (('version_bytes',),),
+        'rarest first from any peer that holds it',
+    ),
+)
+
 STORE_LINES = (
     Line(
         'store',
-        'reads for configuration',
+        'reads for configuration and the host list',
         'calls/s',
         (
             (*_WATCHERS, '/watch_wait_s'),
             (*_WATCHERS, 'changes_per_s'),
+            (*_WATCHERS, '/hosts_interval_s'),
             ('changes_per_s',),
         ),
         'a fixed few watchers a zone; everyone else pulls from peers',
@@ -171,6 +241,14 @@
         'one compare-and-swap a change',
         STORE_WRITES,
     ),
+    Line(
+        'store',
+        'writes for claims',
+        'calls/s',
+        (('bookings_per_s', 'store writes per booking'),),
+        'group commit by shard',
+        STORE_WRITES,
+    ),
 )
 
 LINES = (
@@ -179,5 +257,8 @@
     *SERVING_LINES,
     *WATCHER_LINES,
     *PUBLISHER_LINES,
+    *CLAIM_LINES,
+    *HOME_LINES,
     *STORE_LINES,
+    *FAULT_LINES,
 )
--- a/src/bramleylug/bench/fleet.py
+++ b/src/bramleylug/bench/fleet.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple, final
 
-from bramleylug.bench.gossip_costs import UDP_IP_HEADER_BYTES, build_record
+from bramleylug.bench.members import UDP_IP_HEADER_BYTES, build_record
 from bramleylug.bench.virtual_network import VirtualNetwork
 from bramleylug.membership.actions import Send
 from bramleylug.membership.datagrams import DatagramCodec
--- a/src/bramleylug/bench/footprint.py
+++ b/src/bramleylug/bench/footprint.py
@@ -11,11 +11,7 @@
 from typing import Any, NamedTuple
 
 from bramleylug.bench.configuration_costs import measure_configuration
-from bramleylug.bench.gossip_costs import (
-    GossipCosts,
-    build_fleet,
-    measure_gossip,
-)
+from bramleylug.bench.members import build_records
 from bramleylug.bench.meters import (
     processor_seconds,
     reference_seconds,
@@ -51,8 +47,6 @@
     'agent_idle_resident_mb': 64.0,
     'entry_idle_cores': 0.025,
     'agent_idle_cores': 0.025,
-    'gossip_cores': 0.025,
-    'gossip_bytes_per_s': 17000.0,
 }
 
 
@@ -64,21 +58,13 @@
 
 
 def run(seed: int) -> BenchResult:
-    """Measure idle daemons, gossip, and a change of configuration."""
-    gossip = measure_gossip(MEMBERS, seed)
+    """Measure idle daemons, choices, and a change of configuration."""
     change = measure_configuration(SERVICES)
-    fleet = build_fleet(ENTRIES, MEMBERS - ENTRIES)
+    fleet = build_records(ENTRIES, MEMBERS - ENTRIES)
     routing = measure_routing(SERVICES, fleet, seed)
     daemons = _measure_daemons()
     figures: dict[str, Any] = {}
     slopes: dict[str, float] = {
-        'gossip_tick_s_per_member': gossip.tick_s / MEMBERS,
-        'gossip_ticks_per_s': gossip.ticks_per_s,
-        'gossip_received_per_s': gossip.messages_per_s / 2,
-        'gossip_receive_s': gossip.receive_s,
-        'gossip_messages_per_s': gossip.messages_per_s,
-        'gossip_message_bytes': gossip.message_bytes,
-        'member_record_bytes': gossip.record_bytes,
         'member_resident_bytes': _member_resident_bytes(fleet[-1]),
         'fleet_arrange_s_per_member': routing.arrange_s / MEMBERS,
         'choose_s_per_request': routing.choose_s,
@@ -92,8 +78,6 @@
         slopes[f'{role}_idle_resident_bytes'] = found.resident_bytes
         slopes[f'{role}_idle_cores'] = found.cores
     figures.update(
-        gossip_bytes_per_s=gossip.messages_per_s * gossip.message_bytes,
-        gossip_cores=_gossip_cores(gossip),
         reference_work_us=reference_seconds() * MICROSECONDS,
         document_bytes=change.document_bytes,
         fleet_arrange_ms=routing.arrange_s * MILLISECONDS,
@@ -112,13 +96,6 @@
         yield Bound(name, figures[name], '<=', limit, LETTER)
 
 
-def _gossip_cores(gossip: GossipCosts) -> float:
-    return (
-        gossip.tick_s * gossip.ticks_per_s
-        + gossip.receive_s * gossip.messages_per_s / 2
-    )
-
-
 def _member_resident_bytes(record: Member) -> float:
     raw = record.SerializeToString()
     return resident_bytes_each(lambda: Member.FromString(raw), RECORDS)
--- a/src/bramleylug/bench/membership.py
+++ b/src/bramleylug/bench/membership.py
@@ -76,7 +76,19 @@
             'membership_burst_bytes_per_s': burst.bytes_per_s,
             'membership_burst_messages_per_s': burst.messages_per_s,
             'membership_burst_cores': burst.cores,
+            'membership_bytes_per_update': (
+                burst.bytes_per_s - quiet.bytes_per_s
+            )
+            / figures['burst_updates_per_s'],
+            'membership_spread_s': spread_s,
+            'dead_known_everywhere_s': small['dead_known_everywhere_s'],
         },
+        sizes=(
+            f'{MEMBERS:,} members in virtual time; a burst of {CHANGING:,} '
+            f'hosts with {UPDATES_PER_CHANGE} updates each in '
+            f'{CHANGE_WINDOW_S:.0f} s; a death among {SMALL_FLEET} members '
+            'at 10% loss'
+        ),
     )
 
 
--- a/src/bramleylug/bench/quantities.py
+++ b/src/bramleylug/bench/quantities.py
@@ -5,6 +5,8 @@
 from typing import NamedTuple, final
 
 SECONDS_PER_DAY = 86400
+CONTROL_BYTES_PER_S = 17000
+QUIET_RATE = 'membership_quiet_bytes_per_s'
 
 Quantities = Mapping[str, float]
 
@@ -64,9 +66,28 @@
         grows=False,
     ),
     'caller_bytes': Size(65536, 'setting --caller-bytes', grows=False),
+    'measured_members': Size(
+        1530,
+        'size of bench membership; costs are taken to grow with it',
+        grows=False,
+    ),
+    'bookings_per_s': Size(310, 'assumed: one request in ten is a booking'),
+    'records_agents': Size(110, 'assumed: one upstream in ten is of records'),
+    'version_bytes': Size(
+        16 * 1024**3, 'assumed: a version of 16 GiB', grows=False
+    ),
+    'other_regions': Size(3, 'regions - 1', grows=False),
+    'rack_hosts': Size(20, 'assumed: 20 hosts a rack', grows=False),
+    'zone_members': Size(1530 / 9, 'members / zones'),
+    'region_members': Size(1530 / 4, 'members / regions'),
+    'updates_per_death': Size(2, 'suspected, then dead', grows=False),
+    'updates_per_return': Size(
+        2, 'the refutation, then the own record', grows=False
+    ),
     'member_changes_per_s': Size(
-        2 * 110 / SECONDS_PER_DAY,
-        'letter: 10 hosts lost and 100 replaced a day, a leave and a join each',
+        (3 * 10 + 2 * 100) / SECONDS_PER_DAY,
+        'letter: 10 hosts lost (suspected, dead, joined) and 100 replaced '
+        '(left, joined) a day',
     ),
 }
 
@@ -74,6 +95,10 @@
 CONSTANTS = {
     'watchers_per_zone': ('node.synchronization', 'WATCHERS_PER_ZONE'),
     'watch_wait_s': ('node.synchronization', 'WATCH_WAIT_S'),
+    'watch_retry_s': ('node.synchronization', 'IDLE_S'),
+    'hosts_interval_s': ('node.node', 'HOSTS_INTERVAL_S'),
+    'claim_shards': ('claims.keys', 'SHARDS'),
+    'claim_commit_interval_s': ('claims.pace', 'COMMIT_INTERVAL_S'),
 }
 
 
@@ -95,4 +120,16 @@
 
 def known_quantities(slopes: Quantities, scale: float = 1.0) -> Quantities:
     """Return sizes, constants and slopes under one name each."""
-    return {**letter_sizes(scale), **design_constants(), **slopes}
+    return {
+        **letter_sizes(scale),
+        **design_constants(),
+        **slopes,
+        **_derived(slopes),
+    }
+
+
+def _derived(slopes: Quantities) -> dict[str, float]:
+    quiet = slopes.get(QUIET_RATE)
+    if quiet is None:
+        return {}
+    return {'spare_control_bytes_per_s': CONTROL_BYTES_PER_S - quiet}
--- a/testing/bench/test_capacity.py
+++ b/testing/bench/test_capacity.py
@@ -7,6 +7,7 @@
     PAGE_NAME,
     PageError,
     fill_page,
+    merge_slopes,
     read_records,
     take_slopes,
 )
@@ -107,3 +108,17 @@
                 'date': '2026-12-04',
             },
         )
+
+    def test_new_run_replaces_all_slopes_of_its_bench(self) -> None:
+        """A slope that a bench no longer measures goes."""
+        old = BenchResult('zone', 1, {}, (), slopes={'probe_s': 1, 'gone': 1})
+        other = BenchResult('path', 1, {}, (), slopes={'request_s': 1})
+        new = BenchResult('zone', 1, {}, (), slopes={'probe_s': 2})
+
+        merged = merge_slopes(
+            take_slopes([old, other], '2026-12-04'),
+            take_slopes([new], '2026-12-05'),
+        )
+
+        self.assertEqual(sorted(merged), ['probe_s', 'request_s'])
+        self.assertEqual(merged['probe_s']['amount'], 2)
