--- a/src/bramleylug/fakes/engine.py
+++ b/src/bramleylug/fakes/engine.py
@@ -10,7 +10,7 @@
 
 from bramleylug.fakes.control import changed_settings
 from bramleylug.web.server import Exchange, WebServer
-from bramleylug.weights.manifest import Manifest
+from bramleylug.weights.manifest import Manifest, VersionKey
 
 TICK_S = 0.02
 MEBIBYTE = 1024 * 1024
@@ -105,8 +105,8 @@
         """Come back cold and without weights, under a new boot id."""
         self.boot_id = uuid.uuid4().hex
         self.digest = ''
-        self.model = ''
-        self.version = ''
+        self.adapters: dict[str, str] = {}
+        self.loaded = VersionKey('', '')
         self.answered = 0
         self.streams: list[Stream] = []
         self.report = LoadReport(0, 0)
@@ -175,12 +175,13 @@
         """Return what the engine tells about itself."""
         return {
             'boot_id': self.boot_id,
-            'model': self.model,
-            'version': self.version,
+            'model': self.loaded.model,
+            'version': self.loaded.version,
             'digest': self.digest,
             'running': self.report.running,
             'answered': self.answered,
             'fencing': self.fencing,
+            'adapters': self.adapters,
             'started_runs': self.started_runs,
         }
 
@@ -193,13 +194,24 @@
                 exchange.reply_json(409, {'error': 'old fencing number'})
                 return
         self.fencing = max(self.fencing, fencing)
+        if 'adapter' in order:
+            self._order_adapter(order)
+            exchange.reply_json(200, self.state())
+            return
         manifest = _read_version(Path(order['path']))
-        self.model = manifest.model
-        self.version = manifest.version
+        self.adapters = {}
+        self.loaded = manifest.key
         self.digest = manifest.digest
         self.answered = 0
         exchange.reply_json(200, self.state())
 
+    def _order_adapter(self, order: dict[str, Any]) -> None:
+        if order.get('drop'):
+            self.adapters.pop(order['adapter'], None)
+            return
+        manifest = _read_version(Path(order['path']))
+        self.adapters[order['adapter']] = manifest.digest
+
     def _control(self, exchange: Exchange) -> None:
         changed, words = changed_settings(
             self.settings, exchange.body(), also=('fall_over',)
