Crash suspects are shared over gossip, and no crash is lost or counted twice

Change: the agent's guard uses the node's view; a suspect carries the identities of its crashes, which are united.

--- a/src/bramleylug/admission/suspects.py
+++ b/src/bramleylug/admission/suspects.py
@@ -6,6 +6,8 @@
 from enum import Enum, unique
 from typing import Protocol, TypeVar, final
 
+from xxhash import xxh64_digest
+
 BARRED_CRASHES = 2
 REMEMBERED_SUCCESSES = 4096
 REMEMBERED_BLAMES = 1024
@@ -20,8 +22,8 @@
     def suspects(self) -> Mapping[bytes, int]:
         """Return crashes by request fingerprint."""
 
-    def report_suspect(self, fingerprint: bytes) -> None:
-        """Count one crash and spread it."""
+    def report_suspect(self, fingerprint: bytes, crash_id: bytes) -> None:
+        """Count one crash and spread it; a known crash id counts once."""
 
 
 @final
@@ -30,11 +32,14 @@
 
     def __init__(self) -> None:
         self.suspects: dict[bytes, int] = {}
+        self.known: set[tuple[bytes, bytes]] = set()
 
-    def report_suspect(self, fingerprint: bytes) -> None:
-        """Count one crash."""
-        crashes = self.suspects.get(fingerprint, 0)
-        self.suspects[fingerprint] = crashes + 1
+    def report_suspect(self, fingerprint: bytes, crash_id: bytes) -> None:
+        """Count one crash; a known crash id counts once."""
+        self.known.add((fingerprint, crash_id))
+        self.suspects[fingerprint] = sum(
+            known == fingerprint for known, _ in self.known
+        )
 
 
 @final
@@ -65,10 +70,12 @@
     success clears it.
 
     :param view: counts across instances.
+    :param name: name of this agent; boots are told apart within it.
     """
 
-    def __init__(self, view: SuspectView) -> None:
+    def __init__(self, view: SuspectView, name: str) -> None:
         self.view = view
+        self.name = name
         self.successes: OrderedDict[bytes, None] = OrderedDict()
         self.blamed: OrderedDict[tuple[str, bytes], None] = OrderedDict()
 
@@ -97,9 +104,10 @@
             if fingerprint not in self.successes
             and (boot_id, fingerprint) not in self.blamed
         )
+        crash_id = xxh64_digest(f'{self.name}/{boot_id}'.encode())
         for fingerprint in fresh:
             _remember(self.blamed, (boot_id, fingerprint), REMEMBERED_BLAMES)
-            self.view.report_suspect(fingerprint)
+            self.view.report_suspect(fingerprint, crash_id)
         return Blame(fresh)
 
 
--- a/src/bramleylug/agent/crashes.py
+++ b/src/bramleylug/agent/crashes.py
@@ -12,12 +12,15 @@
 class CrashGuard:
     """Knows what runs at the upstream; safe to use from any thread.
 
+    :param name: name of this agent.
     :ivar running: boot and fingerprint of each request by its token.
     """
 
-    def __init__(self, upstream: Upstream, view: SuspectView) -> None:
+    def __init__(
+        self, upstream: Upstream, view: SuspectView, name: str
+    ) -> None:
         self.upstream = upstream
-        self.watch = CrashWatch(view)
+        self.watch = CrashWatch(view, name)
         self.lock = Lock()
         self.running: dict[int, tuple[str, bytes]] = {}
 
--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -8,7 +8,6 @@
 
 from bramleylug.admission.controller import AdmissionController
 from bramleylug.admission.limiter import Limiter
-from bramleylug.admission.suspects import LocalSuspects
 from bramleylug.agent.crashes import CrashGuard
 from bramleylug.agent.gate import Gate
 from bramleylug.agent.runner import Runner
@@ -52,7 +51,7 @@
         self.claims = ClaimKeeper(
             self.node.store, f'{settings.name}/{incarnation}'
         )
-        guard = CrashGuard(upstream, LocalSuspects())
+        guard = CrashGuard(upstream, self.node, settings.name)
         self.admission = AdmissionController(self.limiter, settings.workers)
         runner = Runner(
             self.gate,
--- a/src/bramleylug/bench/revision_watch.py
+++ b/src/bramleylug/bench/revision_watch.py
@@ -71,11 +71,11 @@
     def _time(self, former: Sample, sample: Sample) -> None:
         """Note how long the process had gone without the next revision.
 
-        The time is counted to the sample before, in which it still had the
-        former one, so that the pause between two samples is not counted.
+        The time is counted to this sample, so the pause between two samples
+        is part of it.
         """
         first_s = self.first_seen_s.get(former.revision + 1, sample.at_s)
-        self.latest_s = max(self.latest_s, former.at_s - first_s)
+        self.latest_s = max(self.latest_s, sample.at_s - first_s)
 
     def _keep_sampling(self) -> None:
         while not self.stopping.wait(SAMPLE_S):
--- a/src/bramleylug/membership/gossip.py
+++ b/src/bramleylug/membership/gossip.py
@@ -111,9 +111,9 @@
         """Tell some members at once, rather than with the next probes."""
         self.rumor_rounds = RUMOR_ROUNDS
 
-    def add_suspect(self, fingerprint: bytes) -> None:
+    def add_suspect(self, fingerprint: bytes, crash_id: bytes) -> None:
         """Tell all members of a request that crashed an upstream."""
-        self.suspects.report(fingerprint, self.wall())
+        self.suspects.report(fingerprint, crash_id, self.wall())
         self.announce()
 
     def tick(self, now_s: float) -> list[GossipAction]:
--- a/src/bramleylug/membership/suspects.py
+++ b/src/bramleylug/membership/suspects.py
@@ -8,14 +8,18 @@
 
 SUSPECT_TTL_S = 3600
 SUSPECTS_LIMIT = 256
-CRASHES_LIMIT = 1000
+CRASHES_LIMIT = 4
+CRASH_ID_LIMIT_BYTES = 16
 FINGERPRINT_LIMIT_BYTES = 64
 SUSPECTS_PER_MESSAGE = 4
 
 
 @final
 class CrashSuspects:
-    """Fingerprints with their crashes; the highest count heard wins.
+    """Fingerprints with the crashes they caused, each counted once.
+
+    Two members may tell of two crashes before they hear of each other, so
+    what they know is united; a count would lose one of them.
 
     :ivar crashes: immutable, replaced as a whole; read from any thread.
     """
@@ -25,19 +29,19 @@
         self.crashes: Mapping[bytes, int] = MappingProxyType({})
         self.turn: list[bytes] = []
 
-    def report(self, fingerprint: bytes, wall_s: float) -> None:
-        """Count one more crash.
+    def report(
+        self, fingerprint: bytes, crash_id: bytes, wall_s: float
+    ) -> None:
+        """Take in one crash.
 
         :param wall_s: seconds since the epoch.
         """
-        known = self.crashes.get(fingerprint, 0)
-        self._put(
-            Suspect(
-                fingerprint=fingerprint,
-                crashes=known + 1,
-                expires_s=int(wall_s) + SUSPECT_TTL_S,
-            )
+        told = Suspect(
+            fingerprint=fingerprint,
+            crash_ids=[crash_id],
+            expires_s=int(wall_s) + SUSPECT_TTL_S,
         )
+        self.merge([told], wall_s)
 
     def merge(self, heard: Iterable[Suspect], wall_s: float) -> bool:
         """Take in what another member tells.
@@ -46,12 +50,8 @@
         """
         news = False
         for suspect in heard:
-            known = self.suspects.get(suspect.fingerprint)
-            if _is_sound(suspect, wall_s) and (
-                known is None or suspect.crashes > known.crashes
-            ):
-                self._put(suspect)
-                news = True
+            if _is_sound(suspect, wall_s):
+                news = self._unite(suspect) or news
         return news
 
     def expire(self, wall_s: float) -> None:
@@ -74,6 +74,20 @@
         del self.turn[-SUSPECTS_PER_MESSAGE:]
         return [self.suspects[name] for name in names if name in self.suspects]
 
+    def _unite(self, told: Suspect) -> bool:
+        known = self.suspects.get(told.fingerprint, Suspect())
+        crash_ids = {*known.crash_ids, *told.crash_ids}
+        if len(crash_ids) == len(known.crash_ids):
+            return False
+        self._put(
+            Suspect(
+                fingerprint=told.fingerprint,
+                crash_ids=sorted(crash_ids)[:CRASHES_LIMIT],
+                expires_s=max(known.expires_s, told.expires_s),
+            )
+        )
+        return True
+
     def _put(self, suspect: Suspect) -> None:
         self.suspects.pop(suspect.fingerprint, None)
         self.suspects[suspect.fingerprint] = suspect
@@ -85,7 +99,7 @@
     def _publish(self) -> None:
         self.crashes = MappingProxyType(
             {
-                fingerprint: suspect.crashes
+                fingerprint: len(suspect.crash_ids)
                 for fingerprint, suspect in self.suspects.items()
             }
         )
@@ -94,6 +108,7 @@
 def _is_sound(suspect: Suspect, wall_s: float) -> bool:
     return (
         0 < len(suspect.fingerprint) <= FINGERPRINT_LIMIT_BYTES
-        and 0 < suspect.crashes <= CRASHES_LIMIT
+        and 0 < len(suspect.crash_ids) <= CRASHES_LIMIT
+        and max(map(len, suspect.crash_ids)) <= CRASH_ID_LIMIT_BYTES
         and wall_s < suspect.expires_s <= wall_s + 2 * SUSPECT_TTL_S
     )
--- a/src/bramleylug/node/node.py
+++ b/src/bramleylug/node/node.py
@@ -126,12 +126,14 @@
         """Tell the others that this instance takes no new work."""
         self.call(lambda: self._act(self.membership.leave(time.monotonic())))
 
-    def report_suspect(self, fingerprint: bytes) -> None:
+    def report_suspect(self, fingerprint: bytes, crash_id: bytes) -> None:
         """Tell all members of a request that crashed an upstream.
 
         May be called from any thread.
+
+        :param crash_id: names the crash; told twice it counts once.
         """
-        self.call(lambda: self.membership.add_suspect(fingerprint))
+        self.call(lambda: self.membership.add_suspect(fingerprint, crash_id))
 
     def call(self, action: Callable[[], None]) -> None:
         """Run a callable on the loop; may be called from any thread."""
--- a/testing/admission/test_suspects.py
+++ b/testing/admission/test_suspects.py
@@ -16,8 +16,8 @@
     def setUp(self) -> None:
         """Let two upstreams hear each other."""
         view = LocalSuspects()
-        self.watch = CrashWatch(view)
-        self.elsewhere = CrashWatch(view)
+        self.watch = CrashWatch(view, 'agent-1')
+        self.elsewhere = CrashWatch(view, 'agent-2')
 
     def test_first_crash_makes_it_run_alone(self) -> None:
         """The next death has one cause."""
--- a/testing/agent/test_serving.py
+++ b/testing/agent/test_serving.py
@@ -70,7 +70,7 @@
             limiter,
             upstream,
             claims,
-            CrashGuard(upstream, self.suspects),
+            CrashGuard(upstream, self.suspects, holder),
             lambda: document,
         )
         admission = AdmissionController(limiter, 16)
--- a/testing/membership/test_gossip.py
+++ b/testing/membership/test_gossip.py
@@ -221,11 +221,31 @@
             {7},
         )
 
-    def test_crash_suspects_are_merged_by_maximum(self) -> None:
-        """A second crash elsewhere counts on top of the first one heard."""
-        self.network.get('host-01').add_suspect(b'f')
+    def test_crashes_told_at_once_are_both_counted(self) -> None:
+        """Neither of two members had heard of the other's crash."""
+        self.network.get('host-01').add_suspect(b'f', b'boot-1')
+        self.network.get('host-02').add_suspect(b'f', b'boot-2')
+
+        self.network.run(3)
+
+        for member in self.network.members.values():
+            self.assertEqual(dict(member.suspects.crashes), {b'f': 2})
+
+    def test_one_crash_told_by_two_members_counts_once(self) -> None:
+        """A restarted agent may tell of a crash again."""
+        self.network.get('host-01').add_suspect(b'f', b'boot-1')
+        self.network.get('host-02').add_suspect(b'f', b'boot-1')
+
+        self.network.run(3)
+
+        for member in self.network.members.values():
+            self.assertEqual(dict(member.suspects.crashes), {b'f': 1})
+
+    def test_later_crash_counts_on_top_of_the_first_one_heard(self) -> None:
+        """Everybody learns of both."""
+        self.network.get('host-01').add_suspect(b'f', b'boot-1')
         self.network.run(3)
-        self.network.get('host-02').add_suspect(b'f')
+        self.network.get('host-02').add_suspect(b'f', b'boot-2')
 
         self.network.run(3)
 
@@ -234,7 +254,7 @@
 
     def test_crash_suspects_expire(self) -> None:
         """Nobody revives them."""
-        self.network.get('host-01').add_suspect(b'f')
+        self.network.get('host-01').add_suspect(b'f', b'boot-1')
         self.network.run(3)
         self.network.now_s += HOUR_S
         self.network.run(3)
