Nodes outlive bad datagrams, failing callbacks and long pauses

Cause: circuits' UDP server closes its socket for any failed receive and for some failed sends, which would cut an instance off for good; a callback that raises skipped the whole tick; records in an unknown state raised; an older publisher dropped service fields of a later release.

Change: a datagram server that drops the one datagram; callbacks and messages whose failure is logged and passed over; unknown states dropped and counted; a publisher that refuses a configuration with fields it does not know; confirmation of the revision again after a pause of 10 s; a bounded queue of pulls.

--- a/src/bramleylug/cli/status.py
+++ b/src/bramleylug/cli/status.py
@@ -6,6 +6,7 @@
 from argparse import Namespace
 from collections import Counter
 from collections.abc import Iterator, Sequence
+from contextlib import suppress
 from http import HTTPStatus
 from http.client import HTTPConnection, HTTPException
 from typing import Any, NamedTuple, cast
@@ -136,10 +137,11 @@
 
 def _status(namespace: Namespace) -> int:
     code = _print_status(namespace)
-    while namespace.watch:
-        time.sleep(WATCH_INTERVAL_S)
-        print()
-        code = _print_status(namespace)
+    with suppress(KeyboardInterrupt):
+        while namespace.watch:
+            time.sleep(WATCH_INTERVAL_S)
+            print()
+            code = _print_status(namespace)
     return code
 
 
--- a/src/bramleylug/configuration/document.py
+++ b/src/bramleylug/configuration/document.py
@@ -153,6 +153,13 @@
         return Change(services=services, zones=zones)
 
 
+def later_fields(text: bytes) -> list[str]:
+    """Return service fields of a stored document that are not known here."""
+    services = json.loads(text)['services'] if text else {}
+    found = {key for fields in services.values() for key in fields}
+    return sorted(found.difference(ServiceSpec.__slots__))
+
+
 def to_text(fields: Any) -> bytes:
     """Return compact JSON with sorted keys."""
     return json.dumps(fields, sort_keys=True, separators=(',', ':')).encode()
--- a/src/bramleylug/configuration/publisher.py
+++ b/src/bramleylug/configuration/publisher.py
@@ -10,6 +10,7 @@
     Change,
     Document,
     HistoryEntry,
+    later_fields,
     service_fields,
     spec_from_json,
     spec_to_json,
@@ -155,6 +156,12 @@
             return self._recognize(known)
         if self.doubt is not None and stored.version > self.doubt:
             self.doubt = None
+        later = later_fields(stored.value)
+        if later:
+            return NotAccepted(
+                f'the configuration uses {", ".join(later)}, unknown to this '
+                'release; publish with the later one'
+            )
         refusal = self._refuse(document)
         if refusal is not None:
             return refusal
--- a/src/bramleylug/membership/gossip.py
+++ b/src/bramleylug/membership/gossip.py
@@ -21,7 +21,7 @@
 from bramleylug.membership.messages import Composer
 from bramleylug.membership.probes import FailureDetector
 from bramleylug.membership.reconciliation import Reconciler
-from bramleylug.membership.records import with_state
+from bramleylug.membership.records import is_sound, with_state
 from bramleylug.membership.suspects import CrashSuspects
 from bramleylug.membership.view import View
 from bramleylug.wire.membership_pb2 import (
@@ -40,7 +40,8 @@
 RUMOR_FANOUT = 4
 RUMOR_INTERVAL_S = 0.5
 RUMOR_ROUNDS = 2
-BACKLOG_NAMES = 32
+BACKLOG_NAMES = 8
+BACKLOG_FANOUT = 2
 SEED_INTERVAL_S = 5.0
 LONELY_INTERVAL_S = 1.0
 SEEDS_AT_ONCE = 3
@@ -168,7 +169,7 @@
         known = self.members.get(message.sender)
         if known and message.sender_incarnation < known.incarnation:
             return REPLAYED
-        return ''
+        return '' if all(map(is_sound, message.members)) else 'malformed'
 
     def _correct(self, message: Gossip) -> list[GossipAction]:
         """Tell a process that restarted with a clock set back."""
@@ -218,7 +219,7 @@
             return []
         self.rumor_s = now_s + RUMOR_INTERVAL_S
         self.rumor_rounds = max(0, self.rumor_rounds - 1)
-        count = RUMOR_FANOUT if urgent else 1
+        count = RUMOR_FANOUT if urgent else BACKLOG_FANOUT
         return [
             self.composer.rumor(member)
             for member in self.composer.sample(count)
--- a/src/bramleylug/membership/records.py
+++ b/src/bramleylug/membership/records.py
@@ -28,6 +28,11 @@
     return member.state in GONE_STATES
 
 
+def is_sound(member: Member) -> bool:
+    """Tell whether a record can be understood."""
+    return bool(member.name) and member.state in SEVERITY
+
+
 def with_state(member: Member, state: int) -> Member:
     """Return a copy of a record in another state."""
     copied = copy_record(member)
--- a/src/bramleylug/membership/view.py
+++ b/src/bramleylug/membership/view.py
@@ -243,6 +243,7 @@
     plain = copy_record(record)
     plain.revision = 0
     plain.revision_since_s = 0
+    plain.load_permille = 0
     for service in plain.services:
         service.limit = 0
         service.running = 0
--- a/src/bramleylug/node/node.py
+++ b/src/bramleylug/node/node.py
@@ -7,7 +7,6 @@
 
 from circuits import BaseComponent, Event, Timer, handler
 from circuits.net.events import write
-from circuits.net.sockets import UDPServer
 from bramleylug.configuration.document import Document
 from bramleylug.configuration.holder import ConfigurationHolder
 from bramleylug.membership.actions import (
@@ -22,6 +21,7 @@
     ConfigurationServicer,
     ConfigurationSource,
 )
+from bramleylug.node.udp import DatagramServer
 from bramleylug.node.workers import start_worker
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import BAD_INPUT
@@ -41,6 +41,7 @@
 KEYS_INTERVAL_S = 5.0
 HOSTS_TIMEOUT_S = 2.0
 LONELY_INTERVAL_S = 1.0
+LONG_PAUSE_S = 10.0
 MILLISECONDS = 1000
 GOSSIP_CHANNEL = 'gossip'
 
@@ -86,7 +87,7 @@
             self.server, settings.grpc_bind, self.keyring
         )
         host, _, port = settings.gossip_bind.rpartition(':')
-        self.udp = UDPServer((host, int(port)), channel=GOSSIP_CHANNEL)
+        self.udp = DatagramServer((host, int(port)), channel=GOSSIP_CHANNEL)
         self.udp.register(self)
         self.secrets = SecretFiles(settings.gossip_keys)
         self.codec = DatagramCodec(_first_keys(self.secrets))
@@ -159,6 +160,9 @@
     @handler('node_tick')
     def _on_tick(self) -> None:
         now_s = time.monotonic()
+        last_s = self.membership.ticked_s
+        if last_s is not None and now_s - last_s > LONG_PAUSE_S:
+            self.source.reopen()
         self._renew_keys(now_s)
         self.membership.update_own(self._refresh, now_s)
         self._act(self.membership.tick(now_s))
@@ -178,8 +182,11 @@
     @handler('read')
     def _on_read(self, address: tuple[str, int], raw: bytes) -> None:
         message = self.codec.decode(raw)
-        if message is not None:
-            self._act(self.membership.receive(message, time.monotonic()))
+        try:
+            if message is not None:
+                self._act(self.membership.receive(message, time.monotonic()))
+        except Exception as error:
+            emit(LogEvent.worker_failed, work='gossip', error=repr(error))
         self._count_dropped()
 
     def _on_document(self, document: Document) -> None:
@@ -193,7 +200,10 @@
     def _refresh(self, record: Member) -> None:
         record.revision = self.holder.document.revision
         record.revision_since_s = int(self.holder.since_s)
-        self.describe(record)
+        try:
+            self.describe(record)
+        except Exception as error:
+            emit(LogEvent.worker_failed, work='describe', error=repr(error))
 
     def _act(self, actions: list[GossipAction]) -> None:
         for action in actions:
--- a/src/bramleylug/node/synchronization.py
+++ b/src/bramleylug/node/synchronization.py
@@ -2,7 +2,8 @@
 
 import json
 import time
-from queue import Empty, SimpleQueue
+from contextlib import suppress
+from queue import Empty, Full, Queue
 from typing import TYPE_CHECKING, Any, final
 
 from grpc import RpcError
@@ -35,6 +36,8 @@
 WRITE_TIMEOUT_S = 2.0
 PULL_TIMEOUT_S = 2.0
 IDLE_S = 0.5
+PULLS_LIMIT = 16
+AFTER_PAUSE = 'the process was paused and asks for the revision'
 POLL_S = 0.1
 
 
@@ -59,7 +62,7 @@
 
     def __init__(self, node: 'Node') -> None:
         self.node = node
-        self.wanted: SimpleQueue[tuple[int, str]] = SimpleQueue()
+        self.wanted: Queue[tuple[int, str]] = Queue(PULLS_LIMIT)
         self.version = 0
         self.startup = Startup(time.monotonic())
 
@@ -74,9 +77,15 @@
         ):
             start_worker(name, step, self._is_stopped)
 
+    def reopen(self) -> None:
+        """Trust nothing after a long pause until it is confirmed again."""
+        self.startup = Startup(time.monotonic())
+        self.node.holder.doubt = AFTER_PAUSE
+
     def pull_from(self, member: str, revision: int) -> None:
         """Ask a member that has a later revision, on a thread of its own."""
-        self.wanted.put((revision, member))
+        with suppress(Full):
+            self.wanted.put_nowait((revision, member))
 
     def watch(self) -> None:
         """Wait for one change of the store where it is the duty."""
--- a/testing/configuration/test_publisher.py
+++ b/testing/configuration/test_publisher.py
@@ -1,5 +1,6 @@
 """Tests of publication."""
 
+import json
 import unittest
 
 from bramleylug.configuration.audit import read_trail
@@ -20,7 +21,7 @@
 from bramleylug.fakes.store import FakeStoreServer
 from bramleylug.wire.channels import open_channel
 from bramleylug.wire.platform_pb2 import StoreFaults
-from bramleylug.platform.store import Conflict
+from bramleylug.platform.store import Conflict, StoredValue
 from testing.builders import build_change, build_spec
 from testing.configuration.model_store import ModelStore, SteppedPublisher
 
@@ -215,6 +216,25 @@
         self.assertIn('0 makes no sense; at least 1', outcome.message)
         self.assertEqual(self.store.calls, [])
 
+    def test_fields_of_a_later_release_are_not_lost(self) -> None:
+        """An older publisher would drop them from every service."""
+        self.publish('a')
+        fields = json.loads(self.store.held[DOCUMENT_KEY].value)
+        later = {'kind': 'plain', 'zones': ['z'], 'colour': 'red'}
+        fields['services'] = {'bookings': later}
+        text = json.dumps(fields).encode()
+        self.store.held[DOCUMENT_KEY] = StoredValue(text, 2)
+
+        outcome = self.publish('b', 'in')
+
+        self.assertEqual(
+            outcome,
+            NotAccepted(
+                'the configuration uses colour, unknown to this release; '
+                'publish with the later one'
+            ),
+        )
+
     def test_document_above_one_megabyte_is_refused(self) -> None:
         """The store could not hold it."""
         change = build_change()
--- a/testing/membership/test_gossip.py
+++ b/testing/membership/test_gossip.py
@@ -268,6 +268,20 @@
         self.assertEqual(member.dropped['replayed'], 1)
         self.assertFalse(member.members['host-02'].draining)
 
+    def test_record_in_an_unknown_state_is_dropped(self) -> None:
+        """A later release may know more states."""
+        message = Gossip(
+            sender='host-02',
+            sender_incarnation=1,
+            members=[build_member('host-03', incarnation=9, state=17)],
+        )
+
+        self.network.deliver('host-01:1', message)
+
+        member = self.network.get('host-01')
+        self.assertEqual(member.dropped['malformed'], 1)
+        self.assertEqual(member.members['host-03'].incarnation, 1)
+
     def test_suspect_that_hears_of_it_refutes(self) -> None:
         """Its next incarnation outranks the suspicion."""
         record = build_member('host-02', state=MEMBER_STATE_SUSPECT)
--- a/testing/node/test_synchronization.py
+++ b/testing/node/test_synchronization.py
@@ -106,6 +106,18 @@
 
         self.assertTrue(source.node.holder.trustworthy)
 
+    def test_long_pause_asks_again(self) -> None:
+        """What was in force may be old news."""
+        source = build_source(ModelStore())
+        source.node.holder.offer(build_history('a'))
+
+        source.reopen()
+
+        self.assertEqual(
+            source.node.holder.not_ready_reason,
+            'the process was paused and asks for the revision',
+        )
+
     def test_store_down_and_peers_silent_leaves_it_not_ready(self) -> None:
         """The reason names what is missing."""
         store = ModelStore()
