--- /dev/null
+++ b/testing/node/test_node.py
@@ -0,0 +1,119 @@
+"""Tests of the node on its loop, without any peer."""
+
+import unittest
+
+from circuits.net.events import read
+
+from bramleylug.membership.datagrams import DatagramCodec
+from bramleylug.node.node import Node, node_tick
+from bramleylug.node.udp import DatagramServer
+from bramleylug.observability.metrics import BAD_INPUT
+from bramleylug.settings.daemons import NodeSettings
+from bramleylug.wire.membership_pb2 import (
+    GOSSIP_KIND_PING_REQUEST,
+    Gossip,
+    Member,
+)
+from testing.builders import build_member
+
+PEER = ('127.0.0.1', 9)
+CHANNEL = 'gossip'
+
+
+class FailingSocket:
+    """A socket whose every call fails."""
+
+    def recvfrom(self, _bytes: int) -> None:
+        """Fail as an unreachable network does."""
+        raise OSError('network is unreachable')
+
+    def sendto(self, _datagram: bytes, _address: object) -> None:
+        """Fail as a full buffer does."""
+        raise BrokenPipeError
+
+
+def fail(record: Member) -> None:
+    """Fail to describe this instance."""
+    raise ValueError(record.name)
+
+
+class TestNode(unittest.TestCase):
+    """Nothing that comes in or fails stops the loop's work."""
+
+    def setUp(self) -> None:
+        """Bind a node and leave its loop to the test."""
+        settings = NodeSettings(
+            name='own', zone='zone-a', region='west', store='127.0.0.1:1'
+        )
+        self.node = Node(settings, 'agent', workers=1)
+        self.addCleanup(self.node.close)
+
+    def receive(self, raw: bytes) -> None:
+        """Let the loop take in one datagram."""
+        self.node.fire(read(PEER, raw), CHANNEL)
+        while len(self.node):
+            self.node.flush()
+
+    def test_dropped_datagrams_are_counted_by_cause(self) -> None:
+        """The metrics tell an operator."""
+        labels = {'kind': 'gossip_oversized'}
+        self.receive(bytes(1401))
+        before = BAD_INPUT.get(labels)
+
+        self.receive(bytes(1401))
+
+        self.assertEqual(BAD_INPUT.get(labels) - before, 1)
+
+    def test_message_that_cannot_be_carried_out_is_passed_over(self) -> None:
+        """The next one is taken in."""
+        request = Gossip(
+            kind=GOSSIP_KIND_PING_REQUEST,
+            sender='peer',
+            sender_incarnation=1,
+            target='nobody',
+            target_address='no address',
+            members=[build_member('peer')],
+        )
+        codec = DatagramCodec()
+
+        self.receive(codec.encode(request))
+        later = Gossip(sender='later', members=[build_member('later')])
+        later.sender_incarnation = 1
+        self.receive(codec.encode(later))
+
+        self.assertIn('later', self.node.membership.members)
+
+    def test_description_that_fails_stops_no_tick(self) -> None:
+        """Membership goes on with the record as it was."""
+        self.node.describe = fail
+
+        self.node.fire(node_tick(), CHANNEL)
+        self.node.flush()
+
+        self.assertIsNotNone(self.node.membership.ticked_s)
+
+    def test_suspects_of_crashes_are_an_immutable_snapshot(self) -> None:
+        """A report from any thread replaces it."""
+        before = self.node.suspects
+
+        self.node.report_suspect(b'fingerprint')
+        self.node.flush()
+
+        self.assertEqual(dict(before), {})
+        self.assertEqual(dict(self.node.suspects), {b'fingerprint': 1})
+
+
+class TestDatagramServer(unittest.TestCase):
+    """Errors of single datagrams do not close the socket."""
+
+    def test_failed_calls_leave_the_socket_open(self) -> None:
+        """The instance stays reachable."""
+        server = DatagramServer(('127.0.0.1', 0))
+        own = server._sock
+        server._sock = FailingSocket()
+        server._read()
+        server._write(PEER, b'x')
+        server._sock = own
+        self.addCleanup(own.close)
+
+        self.assertNotEqual(own.fileno(), -1)
