--- a/src/bramleylug/bench/membership.py
+++ b/src/bramleylug/bench/membership.py
@@ -62,6 +62,7 @@
         'burst_updates_per_s': CHANGING * UPDATES_PER_CHANGE / CHANGE_WINDOW_S,
         'burst_records_stale_share': _stale_share(fleet),
         'revision_spread_s': spread_s,
+        **_kill_one(fleet),
         **small,
     }
     return BenchResult(
@@ -195,6 +196,8 @@
     fleet.paused.add(address)
     started_s = fleet.now_s
     times: dict[str, float] = {}
+    first = f'dead_known_first_s_{len(fleet.members)}'
+    last = f'dead_known_everywhere_s_{len(fleet.members)}'
     others = [
         member for other, member in fleet.members.items() if other != address
     ]
@@ -202,8 +205,8 @@
         fleet.step()
         gone = held_gone(others, name)
         if gone:
-            times.setdefault('dead_known_first_s', fleet.now_s - started_s)
+            times.setdefault(first, fleet.now_s - started_s)
         if gone == len(others):
-            times['dead_known_everywhere_s'] = fleet.now_s - started_s
+            times[last] = fleet.now_s - started_s
             break
     return times
--- a/src/bramleylug/node/synchronization.py
+++ b/src/bramleylug/node/synchronization.py
@@ -37,6 +37,7 @@
 PULL_TIMEOUT_S = 2.0
 IDLE_S = 0.5
 PULLS_LIMIT = 16
+REFUSED_S = 1.0
 AFTER_PAUSE = 'the process was paused and asks for the revision'
 POLL_S = 0.1
 
@@ -58,11 +59,13 @@
     """Watches the store where it is this process's duty, pulls elsewhere.
 
     :param node: the instance whose holder is fed.
+    :ivar refused: until when members that had nothing of use are not asked.
     """
 
     def __init__(self, node: 'Node') -> None:
         self.node = node
         self.wanted: Queue[tuple[int, str]] = Queue(PULLS_LIMIT)
+        self.refused: dict[str, float] = {}
         self.version = 0
         self.startup = Startup(time.monotonic())
 
@@ -106,10 +109,12 @@
             revision, name = self.wanted.get(timeout=IDLE_S)
         except Empty:
             return
-        if revision > self.node.holder.document.revision and not (
-            self.pull_now(name)
-        ):
-            time.sleep(POLL_S)
+        now_s = time.monotonic()
+        lacking = revision > self.node.holder.document.revision
+        if not lacking or now_s < self.refused.get(name, 0):
+            return
+        if not self.pull_now(name):
+            self.refused[name] = now_s + REFUSED_S
 
     def confirm(self) -> None:
         """Ask the store, else peers, until the revision can be trusted."""
