--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -1,8 +1,6 @@
 """The agent: the last word on one upstream host."""
 
 from http import HTTPStatus
-from pathlib import Path
-from tempfile import mkdtemp
 from threading import Thread
 from typing import final
 
@@ -16,19 +14,19 @@
 from bramleylug.agent.runner import Runner
 from bramleylug.agent.serving import Serving
 from bramleylug.agent.upstream import Upstream
-from bramleylug.agent.versions import VersionKeeper
+from bramleylug.agent.versions import VersionKeeper, fill_versions
 from bramleylug.claims.keeper import ClaimKeeper
 from bramleylug.configuration.document import Document, ServiceSpec
 from bramleylug.node.node import Node
 from bramleylug.node.pages import serve_page
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.settings.daemons import AgentSettings
+from bramleylug.agent.weight_links import WeightLinks
 from bramleylug.web.server import Exchange, WebServer
-from bramleylug.weights.staging import Staging
-from bramleylug.weights.transfer import ChunkServer, OriginClient
+from bramleylug.weights.manifest import VersionKey
+from bramleylug.weights.swarm import PeerAddress
 from bramleylug.wire.membership_pb2 import Member
 from bramleylug.wire.requests_pb2_grpc import add_ServingServicer_to_server
-from bramleylug.wire.weights_pb2_grpc import add_WeightsServicer_to_server
 
 
 @final
@@ -50,8 +48,6 @@
         self.limiter = Limiter()
         self.zone_is_in = True
         upstream = Upstream(settings.upstream)
-        folder = settings.staging_dir or mkdtemp(prefix='bramleylug-')
-        self.staging = Staging(Path(folder), settings.staging_bytes)
         incarnation = self.node.membership.own.incarnation
         self.claims = ClaimKeeper(
             self.node.store, f'{settings.name}/{incarnation}'
@@ -70,17 +66,17 @@
             runner, self.admission, lambda: self.node.holder.document
         )
         self.node.holder.on_change.append(self.follow_zone)
-        self.chunk_server = ChunkServer(self.staging)
         add_ServingServicer_to_server(self.serving, self.node.server)
-        add_WeightsServicer_to_server(self.chunk_server, self.node.server)
+        self.weights = WeightLinks(settings, self.node)
         self.keeper = VersionKeeper(
             self.node,
             self.gate,
             self.limiter,
             upstream,
-            self.staging,
-            OriginClient(settings.origin),
+            self.weights.build_stock(self.find_peers),
+            self.weights.shares,
         )
+        runner.on_first_byte = self.keeper.note_latency
         self.node.describe = self.describe
 
     def open(self) -> None:
@@ -88,6 +84,7 @@
         self.node.open(self.web.address)
         for name, work in (
             ('weights', self.keeper.run),
+            ('turns', self.keeper.run_turns),
             ('claims', self.claims.run),
         ):
             Thread(target=work, name=name, daemon=True).start()
@@ -143,14 +140,11 @@
             ready=self.gate.is_open,
             limit=self._limit(spec),
         )
-        model, version = self.keeper.wanted
-        del record.versions[:]
-        if model:
-            record.versions.add(
-                model=model,
-                version=version,
-                progress=int(self.keeper.progress * 1000),
-            )
+        fill_versions(record, self.keeper.stock, self.keeper.wanted)
+
+    def find_peers(self, key: VersionKey) -> dict[str, PeerAddress]:
+        """Return the agents that want or hold a version."""
+        return self.keeper.find_peers(key)
 
     def _limit(self, spec: ServiceSpec | None) -> int:
         return 0 if spec is None else self.limiter.limit(spec)
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -18,7 +18,7 @@
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown, run_name
 from bramleylug.routing.fleet import Candidate, Place
 from bramleylug.routing.picker import Picker, View, Wanted
-from bramleylug.routing.retries import RetryBudget, may_repeat
+from bramleylug.routing.retries import RetryBudget, combine, may_repeat
 from bramleylug.settings.daemons import EntrySettings
 from bramleylug.web.exchange import Exchange
 from bramleylug.wire.requests_pb2 import Request
@@ -94,21 +94,22 @@
         wanted = Wanted(request.service, affinity_key(request))
         tried: list[str] = []
         self.budget.first_try()
-        outcome: Outcome = NotRun(Reason.no_upstream)
+        outcome: Outcome | None = None
         while len(tried) < MAX_TRIES:
             left_s = deadline_s - self.clock()
             if left_s <= 0:
-                return outcome if tried else _too_late()
+                return outcome or _too_late()
             chosen = self.picker.choose(wanted, self.view(), tried)
             if isinstance(chosen, NotRun):
-                return outcome if tried else chosen
+                return outcome or chosen
             tried.append(chosen.candidate.name)
             request.deadline_ms = max(1, int(left_s * MILLISECONDS))
-            outcome = await self._try_agent(chosen.candidate, request, writer)
-            request.crashes += int(outcome.reason is Reason.upstream_crashed)
+            latest = await self._try_agent(chosen.candidate, request, writer)
+            outcome = combine(outcome, latest)
+            request.crashes += int(latest.reason is Reason.upstream_crashed)
             if not self._may_retry(outcome, request, writer):
                 return outcome
-        return outcome
+        return outcome or _too_late()
 
     def _may_retry(
         self, outcome: Outcome, request: Request, writer: AnswerWriter
@@ -208,24 +209,30 @@
     def __init__(self, build: Callable[[], Dispatcher]) -> None:
         self.loop = asyncio.new_event_loop()
         self.dispatcher = build()
+        self.tasks: set[asyncio.Task[None]] = set()
 
     def run(self) -> None:
         """Run until stopped."""
         asyncio.set_event_loop(self.loop)
-        self.tidying = self.loop.create_task(self.dispatcher.tidy())
+        self.tasks.add(self.loop.create_task(self.dispatcher.tidy()))
         self.loop.run_forever()
         self.loop.run_until_complete(self._cancel_rest())
 
     def submit(self, exchange: Exchange, reservation: Reservation) -> None:
         """Serve an exchange; may be called from any thread."""
-        asyncio.run_coroutine_threadsafe(
-            self.dispatcher.serve(exchange, reservation), self.loop
-        )
+        self.loop.call_soon_threadsafe(self._spawn, exchange, reservation)
 
     def stop(self) -> None:
         """Stop the loop."""
         self.loop.call_soon_threadsafe(self.loop.stop)
 
+    def _spawn(self, exchange: Exchange, reservation: Reservation) -> None:
+        task = self.loop.create_task(
+            self.dispatcher.serve(exchange, reservation)
+        )
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     async def _cancel_rest(self) -> None:
         rest = asyncio.all_tasks() - {asyncio.current_task()}
         for task in rest:
--- a/src/bramleylug/weights/planner.py
+++ b/src/bramleylug/weights/planner.py
@@ -1,76 +1,322 @@
 """Which chunk to fetch next, and from where."""
 
-from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from random import Random
 from typing import final
 
 from bramleylug.routing.rendezvous import rank
+from bramleylug.weights.actions import (
+    Abandon,
+    Action,
+    AskHoldings,
+    ReportBadOrigin,
+)
+from bramleylug.weights.chunk_sets import (
+    count_copies,
+    pick,
+    rarest,
+    whole,
+)
+from bramleylug.weights.flights import (
+    Fetch,
+    Flight,
+    Flights,
+    FromOrigin,
+    FromPeer,
+)
+from bramleylug.weights.homes import Homes
 from bramleylug.weights.manifest import Manifest
+from bramleylug.weights.origin_reads import ORIGIN_PAUSE_LIMIT_S, OriginReads
+from bramleylug.weights.peers import Fault, Holdings, Peer
 
 TAKE_OVER_S = 4.0
+REGION_TAKE_OVER_S = 10.0
+FIRST_ASK_S = 1.0
+NEIGHBOURS = 16
+FIRST_HEARD = 3
+ASKS_AT_ONCE = 2
+ASKS_INTERVAL_S = 0.1
+FETCHES_PER_PEER = 2
 
 
 @final
-@dataclass(frozen=True, slots=True)
-class FromOrigin:
-    """Fetch a chunk from the origin."""
+class Planner:
+    """Plans the transfer of one version to one host.
 
-    index: int
+    Homes bring each chunk into their region once, everyone else fetches
+    the rarest chunk from peers of the region (rarest first as in Cohen,
+    *Incentives Build Robustness in BitTorrent*, 2003).
 
+    :param name: name of this host's agent.
+    :param random: spreads choices among equals.
+    :ivar held: set of the verified chunks.
+    """
 
-@final
-@dataclass(frozen=True, slots=True)
-class FromPeer:
-    """Fetch a chunk from a peer."""
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        manifest: Manifest,
+        random: Random,
+        now_s: float,
+    ) -> None:
+        self.name = name
+        self.region = region
+        self.random = random
+        self.count = len(manifest.chunk_hashes)
+        self.homes = Homes(manifest.chunk_hashes, name, region)
+        self.homes.replace_hosts({})
+        self.origin = OriginReads()
+        self.peers: dict[str, Peer] = {}
+        self.neighbours: frozenset[str] = frozenset()
+        self.flights = Flights()
+        self.asks: set[str] = set()
+        self.held = 0
+        self.duty_bytes = 0
+        self.duty_staged_bytes = 0
+        self.started_s = now_s
+        self.next_asks_s = now_s
+        self.reports: list[ReportBadOrigin] = []
 
-    index: int
-    peer: str
+    @property
+    def done(self) -> bool:
+        """Whether every chunk is held."""
+        return self.held == whole(self.count)
 
+    def replace_peers(self, regions: Mapping[str, str], now_s: float) -> None:
+        """Replace the peers that want or hold the version.
 
-Fetch = FromOrigin | FromPeer
+        :param regions: region of each peer by its name.
+        """
+        if not self.homes.replace_hosts(regions):
+            return
+        for gone in self.peers.keys() - regions.keys():
+            self.peers.pop(gone)
+            self.asks.discard(gone)
+        for name, region in regions.items():
+            if name not in self.peers and name != self.name:
+                self.peers[name] = Peer(name, region, now_s)
+        near = [
+            peer.name
+            for peer in self.peers.values()
+            if peer.region == self.region
+        ]
+        self.neighbours = frozenset(rank(self.name, near)[:NEIGHBOURS])
 
+    def hear(self, name: str, holdings: Holdings | None, now_s: float) -> None:
+        """Take in a peer's holdings, ``None`` when it did not answer."""
+        self.asks.discard(name)
+        peer = self.peers.get(name)
+        if peer is None:
+            return
+        if holdings is None:
+            peer.fail(Fault.unreachable, 0, now_s)
+        else:
+            peer.hear(holdings, now_s)
 
-@final
-class Planner:
-    """Plans the transfer of one version to one host.
+    def progress(self, index: int, piece_bytes: int, now_s: float) -> None:
+        """Note that a piece of a chunk arrived."""
+        flight = self.flights.running.get(index)
+        if flight is not None:
+            flight.progress_s = now_s
+            if flight.duty:
+                self.duty_bytes += piece_bytes
 
-    Each chunk has a home by rendezvous hashing, which reads it from the
-    origin; the others read it from its home, and take over by rank when
-    it stays away.
+    def receive(self, index: int) -> None:
+        """Note that a verified chunk is held."""
+        self.held |= 1 << index
+        flight = self._end(index)
+        if flight is not None:
+            if flight.duty:
+                self.duty_staged_bytes = self.duty_bytes
+            match flight.fetch:
+                case FromOrigin():
+                    self.origin.succeed(index)
+                case FromPeer(peer=name) if name in self.peers:
+                    self.peers[name].succeed()
 
-    :param name: name of this host's agent.
-    """
+    def fail(self, index: int, fault: Fault, now_s: float) -> None:
+        """Note that a fetch ended without a sound chunk."""
+        flight = self._end(index)
+        if flight is None:
+            return
+        match flight.fetch:
+            case FromOrigin():
+                self._fail_origin(index, fault, now_s)
+            case FromPeer(peer=name) if name in self.peers:
+                self.peers[name].fail(fault, index, now_s)
 
-    def __init__(self, name: str, manifest: Manifest, now_s: float) -> None:
-        self.name = name
-        self.manifest = manifest
-        self.started_s = now_s
+    def plan(self, now_s: float) -> list[Action]:
+        """Return what to start and to cancel now."""
+        actions: list[Action] = list(self.reports)
+        self.reports.clear()
+        actions.extend(map(Abandon, self.flights.abandon_stalled(now_s)))
+        if self.done:
+            return actions
+        actions.extend(self._plan_duties(now_s))
+        actions.extend(self._plan_swarm(now_s))
+        actions.extend(self._plan_asks(now_s, starved=self.flights.has_room))
+        return actions
 
-    def plan(
-        self,
-        held: Collection[int],
-        in_flight: Collection[int],
-        peers: Mapping[str, str],
-        now_s: float,
-    ) -> list[Fetch]:
-        """Return the fetches that may start, homes' own chunks first.
+    def _end(self, index: int) -> Flight | None:
+        flight = self.flights.end(index)
+        if flight is None:
+            return None
+        match flight.fetch:
+            case FromOrigin():
+                self.origin.in_flight -= 1
+            case FromPeer(peer=name) if name in self.peers:
+                self.peers[name].in_flight -= 1
+        return flight
 
-        :param peers: names of the agents that want this version.
-        """
-        missing = [
-            index
-            for index in range(len(self.manifest.chunk_hashes))
-            if index not in held and index not in in_flight
+    def _fail_origin(self, index: int, fault: Fault, now_s: float) -> None:
+        if self.origin.fail(fault, index, now_s):
+            self.reports.append(ReportBadOrigin(index))
+        if fault is not Fault.corrupt:
+            # Homes are quiet because the origin is: they get time to retry.
+            excused_s = now_s + ORIGIN_PAUSE_LIMIT_S
+            for peer in self.peers.values():
+                peer.duty_s = max(peer.duty_s, excused_s)
+
+    def _start(self, fetch: Fetch, now_s: float, *, duty: bool) -> Fetch:
+        self.flights.start(fetch, now_s, duty=duty)
+        match fetch:
+            case FromOrigin():
+                self.origin.in_flight += 1
+            case FromPeer(peer=name):
+                self.peers[name].in_flight += 1
+        return fetch
+
+    def _missing(self) -> int:
+        return whole(self.count) & ~self.held & ~self.flights.chunks
+
+    def _plan_duties(self, now_s: float) -> Iterable[Fetch]:
+        missing = self._missing()
+        heard = sum(self.peers[name].heard for name in self.neighbours)
+        enough = heard >= min(FIRST_HEARD, len(self.neighbours))
+        if not enough and now_s - self.started_s < FIRST_ASK_S:
+            return
+        near = 0
+        for peer in self._near_peers(now_s):
+            near |= peer.chunks
+        duties = [index for index in self.homes.duties if missing >> index & 1]
+        self.random.shuffle(duties)
+        for index in duties:
+            if not self.flights.has_room:
+                return
+            if near >> index & 1 or not self._is_due(index, now_s):
+                continue
+            fetch = self._bring(index, now_s)
+            if fetch is not None:
+                yield self._start(fetch, now_s, duty=True)
+
+    def _is_due(self, index: int, now_s: float) -> bool:
+        place = self.homes.duties[index]
+        if not place:
+            return True
+        if self._blames_origin(now_s):
+            return False
+        homes = [
+            self.peers[home]
+            for home in self.homes.local_homes(index)[:place]
+            if home in self.peers
         ]
-        fetches = [self._fetch(index, peers, now_s) for index in missing]
-        return sorted(fetches, key=lambda fetch: isinstance(fetch, FromPeer))
-
-    def _fetch(
-        self, index: int, peers: Mapping[str, str], now_s: float
-    ) -> Fetch:
-        names = {self.name, *peers}
-        ranked = rank(self.manifest.chunk_hashes[index], names)
-        place = ranked.index(self.name)
-        if now_s - self.started_s >= place * TAKE_OVER_S:
-            return FromOrigin(index)
-        return FromPeer(index, ranked[0])
+        return _are_quiet(homes, place * TAKE_OVER_S, now_s)
+
+    def _blames_origin(self, now_s: float) -> bool:
+        """Tell whether the origin may be why homes are quiet."""
+        return not self.origin.answers(now_s) or (
+            self.flights.origin_is_quiet(now_s, TAKE_OVER_S / 2)
+        )
+
+    def _bring(self, index: int, now_s: float) -> Fetch | None:
+        """Return how to bring a chunk into this region, if it may start."""
+        if self.homes.lead(index) != self.region:
+            leads = [
+                self.peers[home]
+                for home in self.homes.lead_homes(index)
+                if home in self.peers
+            ]
+            for source in leads:
+                if source.chunks >> index & 1 and _is_free(source, now_s):
+                    return FromPeer(index, source.name)
+            limit_s = REGION_TAKE_OVER_S
+            limit_s += self.homes.duties[index] * TAKE_OVER_S
+            if not _are_quiet(leads, limit_s, now_s):
+                return None
+        return FromOrigin(index) if self.origin.may_read(index, now_s) else None
+
+    def _near_peers(self, now_s: float) -> list[Peer]:
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.chunks
+            and peer.region == self.region
+            and peer.avoid_until_s <= now_s
+        ]
+
+    def _plan_swarm(self, now_s: float) -> Iterable[FromPeer]:
+        near = self._near_peers(now_s)
+        planes = count_copies(peer.chunks for peer in near)
+        while self.flights.has_swarm_room:
+            sources = [peer for peer in near if _is_free(peer, now_s)]
+            offered = 0
+            for peer in sources:
+                offered |= peer.chunks
+            offered &= self._missing()
+            if not offered:
+                return
+            offset = self.random.randrange(self.count)
+            index = pick(rarest(offered, planes), offset)
+            source = _choose(sources, index, self.random)
+            fetch = FromPeer(index, source.name)
+            self._start(fetch, now_s, duty=False)
+            yield fetch
+
+    def _plan_asks(
+        self, now_s: float, *, starved: bool
+    ) -> Iterable[AskHoldings]:
+        if len(self.asks) >= ASKS_AT_ONCE or now_s < self.next_asks_s:
+            return
+        self.next_asks_s = now_s + ASKS_INTERVAL_S
+        useful = [
+            peer
+            for peer in self._watched()
+            if peer.name not in self.asks
+            and peer.may_be_asked(
+                now_s, starved=starved, duty_bytes=self.duty_staged_bytes
+            )
+        ]
+        useful.sort(key=lambda peer: peer.asked_s)
+        for peer in useful[: ASKS_AT_ONCE - len(self.asks)]:
+            peer.asked_s = now_s
+            peer.told_duty_bytes = self.duty_staged_bytes
+            self.asks.add(peer.name)
+            yield AskHoldings(peer.name)
+
+    def _watched(self) -> list[Peer]:
+        names = set(self.neighbours)
+        missing = self._missing()
+        for index, place in self.homes.duties.items():
+            if not missing >> index & 1:
+                continue
+            names.update(self.homes.local_homes(index)[:place])
+            if self.homes.lead(index) != self.region:
+                names.update(self.homes.lead_homes(index)[:2])
+        return [self.peers[name] for name in names if name in self.peers]
+
+
+def _are_quiet(homes: list[Peer], limit_s: float, now_s: float) -> bool:
+    return all(now_s - home.duty_s >= limit_s for home in homes)
+
+
+def _is_free(peer: Peer, now_s: float) -> bool:
+    return peer.avoid_until_s <= now_s and peer.in_flight < FETCHES_PER_PEER
+
+
+def _choose(sources: list[Peer], index: int, random: Random) -> Peer:
+    """Return a source of a chunk, one with free upload slots if any."""
+    return max(
+        (peer for peer in sources if peer.chunks >> index & 1),
+        key=lambda peer: (min(peer.free_upload_slots, 2), random.random()),
+    )
--- /dev/null
+++ b/testing/weights/virtual_burst.py
@@ -0,0 +1,155 @@
+"""Planners of several hosts in virtual time, with faults at their edges."""
+
+import operator
+from random import Random
+
+from bramleylug.weights.actions import AskHoldings, ReportBadOrigin
+from bramleylug.weights.flights import Fetch, FromOrigin, FromPeer
+from bramleylug.weights.peers import Fault, Holdings
+from bramleylug.weights.planner import Planner
+from testing.builders import build_manifest
+
+TICK_S = 0.1
+
+
+class VirtualBurst:
+    """One version on its way to every host; a fetch takes one tick.
+
+    :ivar dead: hosts that answer nothing.
+    :ivar liars: hosts whose chunks are corrupt.
+    :ivar origin_reads: reads the origin answered with a sound chunk.
+    :ivar knows: tells whether a host has another in its view.
+    :ivar cut: pairs of regions that cannot reach each other.
+    """
+
+    def __init__(self, *, hosts=8, chunks=24, regions=1) -> None:
+        self.manifest = build_manifest(chunks)
+        self.regions = {
+            f'host-{index}': f'region-{index % regions}'
+            for index in range(hosts)
+        }
+        self.now_s = 0.0
+        self.planners = {
+            name: Planner(name, region, self.manifest, Random(name), 0)
+            for name, region in self.regions.items()
+        }
+        self.dead = set()
+        self.liars = set()
+        self.cut = set()
+        self.bad_at_origin = set()
+        self.origin_up = True
+        self.origin_pace = 1000
+        self.origin_reads = []
+        self.origin_tries = 0
+        self.crossings = []
+        self.blamed = []
+        self.reports = []
+        self.pending = []
+        self.knows = operator.ne
+
+    def run(self, limit_s: float) -> bool:
+        """Run until every living host holds all, at most for a while."""
+        end_s = self.now_s + limit_s
+        while self.now_s < end_s and not self.done():
+            self.tick()
+        return self.done()
+
+    def done(self) -> bool:
+        """Tell whether every living host holds all chunks."""
+        return all(
+            planner.done
+            for name, planner in self.planners.items()
+            if name not in self.dead
+        )
+
+    def tick(self) -> None:
+        """Let one tick pass."""
+        self.now_s += TICK_S
+        ended = self.pending
+        self.pending = []
+        left = self.origin_pace
+        for name, fetch in ended:
+            if isinstance(fetch, FromOrigin):
+                left -= 1
+                if left < 0 and self.origin_up:
+                    self.pending.append((name, fetch))
+                    continue
+            self._end(name, fetch)
+        for name in self.planners.keys() - self.dead:
+            self._plan(name)
+
+    def kill(self, name: str) -> None:
+        """Let a host answer nothing from now on."""
+        self.dead.add(name)
+
+    def _plan(self, name: str) -> None:
+        planner = self.planners[name]
+        peers = {
+            at: region
+            for at, region in self.regions.items()
+            if self.knows(name, at)
+        }
+        planner.replace_peers(peers, self.now_s)
+        for action in planner.plan(self.now_s):
+            match action:
+                case FromOrigin() | FromPeer():
+                    self.pending.append((name, action))
+                case AskHoldings(peer):
+                    self._exchange(name, peer)
+                case ReportBadOrigin(index):
+                    self.reports.append((name, index))
+
+    def _exchange(self, name: str, peer: str) -> None:
+        if not self._reaches(name, peer):
+            self.planners[name].hear(peer, None, self.now_s)
+            return
+        self.planners[name].hear(peer, self._holdings(peer), self.now_s)
+        self.planners[peer].hear(name, self._holdings(name), self.now_s)
+
+    def _holdings(self, name: str) -> Holdings:
+        planner = self.planners[name]
+        return Holdings(planner.held, planner.duty_bytes)
+
+    def _reaches(self, name: str, peer: str) -> bool:
+        pair = frozenset((self.regions[name], self.regions[peer]))
+        return peer not in self.dead and pair not in self.cut
+
+    def _end(self, name: str, fetch: Fetch) -> None:
+        if name in self.dead:
+            return
+        planner, index = self.planners[name], fetch.index
+        fault = self._fault(name, fetch)
+        if fault is None:
+            planner.progress(index, 1, self.now_s)
+            planner.receive(index)
+            return
+        if fault is Fault.corrupt:
+            self.blamed.append((name, fetch))
+        planner.fail(index, fault, self.now_s)
+
+    def _fault(self, name: str, fetch: Fetch) -> Fault | None:
+        match fetch:
+            case FromOrigin(index):
+                return self._origin_fault(index)
+            case FromPeer(index, peer):
+                return self._peer_fault(name, peer, index)
+
+    def _origin_fault(self, index: int) -> Fault | None:
+        self.origin_tries += 1
+        if not self.origin_up:
+            return Fault.unreachable
+        if index in self.bad_at_origin:
+            return Fault.corrupt
+        self.origin_reads.append(index)
+        return None
+
+    def _peer_fault(self, name: str, peer: str, index: int) -> Fault | None:
+        if not self._reaches(name, peer):
+            return Fault.unreachable
+        if not self.planners[peer].held >> index & 1:
+            return Fault.not_held
+        if peer in self.liars:
+            return Fault.corrupt
+        if self.regions[peer] != self.regions[name]:
+            self.crossings.append((self.regions[name], index))
+        return None
