Connect to the store anew after a call without answer

Cause: gRPC keeps a connection whose other end has vanished until the kernel gives it up, minutes later; every watch and read on it ran into its deadline meanwhile, so a zone's watchers were blind after a failover of the store. A watch took up to 15 s to notice.

Change: a deadline without answer opens another channel with a connection of its own; a watch waits 3 s instead of 10 s.

Ruled out: keepalive pings, which servers refuse by default when sent more often than every five minutes.

--- a/src/bramleylug/cli/configuration.py
+++ b/src/bramleylug/cli/configuration.py
@@ -101,9 +101,8 @@
 
 def _open_store(address: str) -> Store:
     from bramleylug.platform.grpc_store import GrpcStore  # noqa: PLC0415
-    from bramleylug.wire.channels import open_channel  # noqa: PLC0415
 
-    return GrpcStore(open_channel(address))
+    return GrpcStore.from_address(address)
 
 
 def _read_document(store: Store) -> Document | Unavailable:
--- a/src/bramleylug/node/node.py
+++ b/src/bramleylug/node/node.py
@@ -29,7 +29,7 @@
 from bramleylug.platform.store import HostEntry, Store
 from bramleylug.settings.daemons import NodeSettings
 from bramleylug.settings.fields import SettingsError
-from bramleylug.wire.channels import bind_server, build_server, open_channel
+from bramleylug.wire.channels import bind_server, build_server
 from bramleylug.wire.configuration_pb2_grpc import (
     add_ConfigurationSyncServicer_to_server,
 )
@@ -76,7 +76,7 @@
     ) -> None:
         super().__init__()
         self.settings = settings
-        self.store = store or GrpcStore(open_channel(settings.store))
+        self.store = store or GrpcStore.from_address(settings.store)
         self.keyring = Keyring(settings.key_files)
         self.holder = ConfigurationHolder(time.time)
         self.server = build_server(workers)
--- a/src/bramleylug/node/synchronization.py
+++ b/src/bramleylug/node/synchronization.py
@@ -31,8 +31,8 @@
     from bramleylug.node.node import Node
 
 WATCHERS_PER_ZONE = 2
-WATCH_WAIT_S = 10.0
-READ_TIMEOUT_S = 1.0
+WATCH_WAIT_S = 3.0
+READ_TIMEOUT_S = 3.0
 WRITE_TIMEOUT_S = 2.0
 PULL_TIMEOUT_S = 2.0
 IDLE_S = 0.5
