--- a/testing/configuration/model_store.py
+++ b/testing/configuration/model_store.py
@@ -170,5 +170,6 @@
                 **self.options,
             )
         except Killed:
-            pass
-        self.stopped.release()
+            self.outcome = None
+        finally:
+            self.stopped.release()
