--- a/src/bramleylug/bench/serving.py
+++ b/src/bramleylug/bench/serving.py
@@ -30,6 +30,7 @@
 
     :ivar zones: one engine, its agent and one entry each.
     :ivar bears: requests a warm engine bears.
+    :ivar more_weights: further ``MODEL@VERSION=BYTES`` at the origin.
     """
 
     zones: tuple[str, ...]
@@ -40,6 +41,7 @@
     agent_flags: tuple[str, ...] = ()
     entry_flags: tuple[str, ...] = ()
     entry_zones: tuple[str, ...] = ()
+    more_weights: tuple[str, ...] = ()
     engine_words: dict[str, Any] = field(default_factory=dict)
 
 
@@ -107,12 +109,31 @@
             while self.state(zone)['answered'] < self.plan.warm_after:
                 call_http(self.entry_address(self._near(zone)), call)
 
+    def spec(self) -> dict[str, Any]:
+        """Return the service as it is published."""
+        plan = self.plan
+        return spec_to_json(
+            ServiceSpec(
+                name=SERVICE,
+                kind='model',
+                zones=plan.zones,
+                model=MODEL,
+                version=VERSION,
+                replicas=len(plan.zones),
+                concurrency=plan.bears,
+                cold_concurrency=plan.cold,
+                ramp_successes=plan.warm_after,
+            )
+        )
+
     def _near(self, zone: str) -> str:
         return zone if zone in self.entries else next(iter(self.entries))
 
     def _start(self) -> None:
         plan = self.plan
-        self.processes.start_platform(f'{MODEL}@{VERSION}={WEIGHTS_BYTES}')
+        self.processes.start_platform(
+            f'{MODEL}@{VERSION}={WEIGHTS_BYTES}', *plan.more_weights
+        )
         words = {
             'bears_cold': plan.cold,
             'bears_warm': plan.bears,
@@ -136,7 +157,7 @@
             self.entries[zone] = self.processes.start_entry(
                 f'entry-{zone}', zone, *plan.entry_flags
             )
-        self.publish(Change(services={SERVICE: self._spec()}, zones={}))
+        self.publish(Change(services={SERVICE: self.spec()}, zones={}))
         for agent in self.agents.values():
             wait_for(
                 _answers(
@@ -145,22 +166,6 @@
                 READY_LIMIT_S,
             )
 
-    def _spec(self) -> dict[str, Any]:
-        plan = self.plan
-        return spec_to_json(
-            ServiceSpec(
-                name=SERVICE,
-                kind='model',
-                zones=plan.zones,
-                model=MODEL,
-                version=VERSION,
-                replicas=len(plan.zones),
-                concurrency=plan.bears,
-                cold_concurrency=plan.cold,
-                ramp_successes=plan.warm_after,
-            )
-        )
-
 
 def generate(tokens: int) -> HttpCall:
     """Return a request for some tokens through an entry."""
--- a/src/bramleylug/bench/weights_hosts.py
+++ b/src/bramleylug/bench/weights_hosts.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from threading import Thread
-from typing import NamedTuple, final
+from typing import NamedTuple, Self, final
 
 from bramleylug.fakes.origin import FakeOrigin
 from bramleylug.weights.chunk_server import ChunkServer
@@ -130,6 +130,12 @@
         for host in self.hosts:
             host.begin(self.manifest, peers)
 
+    def start_alone(self) -> None:
+        """Start every host's transfer without peers."""
+        self.started_s = time.monotonic()
+        for host in self.hosts:
+            host.begin(self.manifest, {})
+
     def wait(self, limit_s: float) -> bool:
         """Wait until every host that lives holds the version."""
         while time.monotonic() - self.started_s < limit_s:
@@ -138,7 +144,11 @@
             time.sleep(POLL_S)
         return False
 
-    def stop(self) -> None:
+    def __enter__(self) -> Self:
+        """Return the burst, which is yet to start."""
+        return self
+
+    def __exit__(self, *_error: object) -> None:
         """Stop everything."""
         for host in self.hosts:
             host.die()
--- /dev/null
+++ b/src/bramleylug/bench/weights_planner.py
@@ -0,0 +1,122 @@
+"""Cost of the transfer planner alone at target size."""
+
+import hashlib
+import time
+import tracemalloc
+from random import Random
+from typing import NamedTuple
+
+from bramleylug.weights.actions import AskHoldings
+from bramleylug.weights.flights import FromOrigin, FromPeer
+from bramleylug.weights.manifest import Manifest
+from bramleylug.weights.peers import Holdings
+from bramleylug.weights.planner import Planner
+
+REGIONS = 4
+BURST_S = 120.0
+LIMIT_S = 600.0
+CHUNK_BYTES = 1024
+
+
+class PlannerFigures(NamedTuple):
+    """What one host's planner cost for one transfer.
+
+    :ivar setup_s: processor seconds to rank homes and neighbours.
+    :ivar run_s: processor seconds of all planning after that.
+    :ivar asks: holdings exchanged.
+    :ivar memory_bytes: held at the end.
+    """
+
+    hosts: int
+    chunks: int
+    setup_s: float
+    run_s: float
+    asks: int
+    plans: int
+    memory_bytes: int
+
+
+class PlannerRun:
+    """One planner among peers whose holdings grow over the burst."""
+
+    def __init__(self, hosts: int, chunks: int, seed: int) -> None:
+        self.random = Random(seed)
+        self.manifest = build_manifest(chunks)
+        self.peers = {
+            f'host-{index}': f'region-{index % REGIONS}'
+            for index in range(1, hosts)
+        }
+        self.held = dict.fromkeys(self.peers, 0)
+        self.asks = 0
+        self.plans = 0
+        self.now_s = 0.0
+        self.planner = Planner(
+            'host-0', 'region-0', self.manifest, Random(seed), 0
+        )
+
+    def play(self) -> tuple[float, float]:
+        """Return processor seconds of the set-up and of the planning."""
+        begun_s = time.process_time()
+        self.planner.replace_peers(self.peers, 0)
+        ready_s = time.process_time()
+        step_s = BURST_S / self.planner.count
+        while not self.planner.done and self.now_s < LIMIT_S:
+            self.now_s += step_s
+            self._step()
+        return ready_s - begun_s, time.process_time() - ready_s
+
+    def _step(self) -> None:
+        self.plans += 1
+        for action in self.planner.plan(self.now_s):
+            match action:
+                case AskHoldings(peer):
+                    self._answer(peer)
+                case FromOrigin(index) | FromPeer(index=index):
+                    self.planner.progress(index, CHUNK_BYTES, self.now_s)
+                    self.planner.receive(index)
+
+    def _answer(self, peer: str) -> None:
+        self.asks += 1
+        count = self.planner.count
+        out = min(count, 1 + int(self.now_s / BURST_S * count))
+        news = self.random.getrandbits(count) & ((1 << out) - 1)
+        self.held[peer] |= news
+        holdings = Holdings(self.held[peer], int(self.now_s * CHUNK_BYTES))
+        self.planner.hear(peer, holdings, self.now_s)
+
+
+def measure_planner(hosts: int, chunks: int, seed: int) -> PlannerFigures:
+    """Measure one transfer's planning."""
+    run = PlannerRun(hosts, chunks, seed)
+    setup_s, run_s = run.play()
+    return PlannerFigures(
+        hosts,
+        chunks,
+        setup_s,
+        run_s,
+        run.asks,
+        run.plans,
+        _memory_bytes(hosts, chunks, seed),
+    )
+
+
+def build_manifest(chunks: int) -> Manifest:
+    """Return a manifest of many chunks."""
+    hashes = tuple(
+        hashlib.sha256(str(index).encode()).hexdigest()
+        for index in range(chunks)
+    )
+    size_bytes = chunks * CHUNK_BYTES
+    return Manifest('model', '1', size_bytes, CHUNK_BYTES, hashes, hashes[0])
+
+
+def _memory_bytes(hosts: int, chunks: int, seed: int) -> int:
+    tracemalloc.start()
+    run = PlannerRun(hosts, chunks, seed)
+    run.planner.replace_peers(run.peers, 0)
+    for name in run.planner.neighbours:
+        run.held[name] = (1 << chunks) - 1
+        run.planner.hear(name, Holdings(run.held[name]), 0)
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held_bytes
--- a/src/bramleylug/cli/main.py
+++ b/src/bramleylug/cli/main.py
@@ -6,7 +6,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from bramleylug.cli import bench, configuration, demo, fakes, status
+from bramleylug.cli import (
+    bench,
+    configuration,
+    demo,
+    fakes,
+    status,
+    weights,
+)
 from bramleylug.cli.parser import ExitCode, OneLineParser
 from bramleylug.node.lifecycle import DaemonRunner
 from bramleylug.observability.events import LogEvent, emit
@@ -59,7 +66,7 @@
     agent = commands.add_parser('agent', help='run an agent')
     add_flags(agent, AgentSettings)
     agent.set_defaults(run=_run_agent)
-    for module in (fakes, configuration, status, bench, demo):
+    for module in (fakes, configuration, status, weights, bench, demo):
         module.add_commands(commands)
     return parser
 
--- a/src/bramleylug/weights/chunk_server.py
+++ b/src/bramleylug/weights/chunk_server.py
@@ -22,7 +22,7 @@
 )
 from bramleylug.wire.weights_pb2_grpc import WeightsServicer
 
-PIECE_BYTES = 65536
+PIECE_BYTES = 262144
 UPLOAD_SLOTS = 8
 
 
--- /dev/null
+++ b/testing/weights/test_staging.py
@@ -0,0 +1,103 @@
+"""Tests of staged chunks."""
+
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from bramleylug.weights.staging import Staging, StagingFullError
+from testing.builders import build_chunks, build_manifest
+
+SIZE_BYTES = 64
+
+
+class TestStaging(unittest.TestCase):
+    """Chunks are verified, versions committed whole, room is bounded."""
+
+    def setUp(self) -> None:
+        """Have room for two versions of four chunks."""
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.now_s = 1000.0
+        self.staging = self.open()
+
+    def open(self) -> Staging:
+        """Return the staging of a process that starts now."""
+        return Staging(self.folder, 2 * SIZE_BYTES, lambda: self.now_s)
+
+    def stage(self, version: str, *, but: int = -1) -> None:
+        """Stage all chunks of a version but one, and commit."""
+        manifest = build_manifest(version=version)
+        self.staging.begin(manifest)
+        for index, chunk in enumerate(build_chunks(version=version)):
+            if index != but:
+                self.staging.add(manifest, index, chunk)
+        self.staging.commit(manifest)
+
+    def test_corrupt_chunk_is_not_kept(self) -> None:
+        """Its hash differs from the manifest's."""
+        manifest = build_manifest()
+        self.staging.begin(manifest)
+
+        self.assertFalse(self.staging.add(manifest, 0, b'other'))
+        self.assertIsNone(self.staging.read(manifest.key, 0))
+
+    def test_partial_version_is_not_committed(self) -> None:
+        """One chunk is missing."""
+        self.stage('1', but=2)
+
+        self.assertIsNone(self.staging.committed_path(build_manifest().key))
+
+    def test_received_chunk_is_served_before_the_rest(self) -> None:
+        """Peers read it from the partial version."""
+        self.stage('1', but=2)
+
+        self.assertEqual(
+            self.staging.read(build_manifest().key, 3), build_chunks()[3]
+        )
+
+    def test_restart_resumes_with_sound_chunks_only(self) -> None:
+        """A chunk that changed meanwhile is dropped."""
+        self.stage('1', but=2)
+        partial = self.folder / 'seat-model@1.partial'
+        (partial / '000001').write_bytes(b'changed')
+        staging = self.open()
+        staging.recover()
+        staging.begin(build_manifest())
+
+        self.assertEqual(staging.held(build_manifest().key), 0b1001)
+
+    def test_restart_verifies_committed_versions_again(self) -> None:
+        """A whole one is taken over, a changed one is dropped."""
+        self.stage('1')
+        self.stage('2')
+        (self.folder / 'seat-model@2' / '000000').write_bytes(b'changed')
+        staging = self.open()
+
+        whole = staging.recover()
+
+        self.assertEqual([manifest.version for manifest in whole], ['1'])
+        self.assertIsNone(
+            staging.committed_path(build_manifest(version='2').key)
+        )
+
+    def test_version_served_of_late_is_evicted_last(self) -> None:
+        """Peers still read the second for their burst."""
+        self.stage('1')
+        self.stage('2')
+        self.staging.read(build_manifest(version='2').key, 0)
+        self.staging.begin(build_manifest(version='3'))
+
+        self.assertEqual(
+            {key.version for key in self.staging.rooms}, {'2', '3'}
+        )
+
+    def test_no_room_is_refused_clearly(self) -> None:
+        """Both versions are in use; nothing is evicted."""
+        self.stage('1')
+        self.stage('2')
+        self.staging.kept = frozenset(self.staging.rooms)
+
+        with self.assertRaisesRegex(StagingFullError, 'seat-model@3 needs 64'):
+            self.staging.begin(build_manifest(version='3'))
+        self.assertEqual(len(self.staging.rooms), 2)
--- /dev/null
+++ b/testing/weights/test_swarm.py
@@ -0,0 +1,119 @@
+"""Tests of whole transfers over sockets."""
+
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from bramleylug.bench.weights_hosts import BurstHost
+from bramleylug.fakes.origin import FakeOrigin
+from bramleylug.weights.chunk_server import UPLOAD_SLOTS
+from bramleylug.weights.peers import Fault
+from bramleylug.weights.swarm import Links, PeerAddress, Transfer
+from bramleylug.weights.transfer import Failed
+from bramleylug.wire.weights_pb2 import ChunkRequest
+
+RATE = 1_000_000_000
+SIZE_BYTES = 65536
+CHUNK_BYTES = 8192
+
+
+class TestTransfer(unittest.TestCase):
+    """Chunks pass from the origin and from host to host."""
+
+    def setUp(self) -> None:
+        """Serve an origin of eight chunks."""
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.origin = FakeOrigin(rate=RATE)
+        self.origin.start()
+        self.addCleanup(self.origin.stop)
+        self.manifest = self.origin.add_version(
+            'model', '1', SIZE_BYTES, CHUNK_BYTES
+        )
+
+    def build_host(self, name: str) -> BurstHost:
+        """Return a host that serves what it stages."""
+        host = BurstHost(
+            name, 'region-1', self.folder, RATE, self.origin.web.address
+        )
+        self.addCleanup(host.die)
+        return host
+
+    def transfer(self, host: BurstHost, *peers: BurstHost) -> Transfer:
+        """Return a transfer to a host that is yet to run."""
+        host.staging.begin(self.manifest)
+        links = Links(
+            name=host.name,
+            region=host.region,
+            staging=host.staging,
+            server=host.chunk_server,
+            origin=host.origin,
+            peers=host.peers,
+        )
+        known = {
+            peer.name: PeerAddress(peer.address, peer.region) for peer in peers
+        }
+        return Transfer(links, self.manifest, lambda: known)
+
+    def test_second_host_reads_nothing_from_the_origin(self) -> None:
+        """All of it comes from the first, and is committed whole."""
+        first = self.build_host('first')
+        second = self.build_host('second')
+        self.assertTrue(self.transfer(first).run())
+
+        self.assertTrue(self.transfer(second, first).run())
+
+        self.assertIsNotNone(second.staging.commit(self.manifest))
+        self.assertEqual(second.origin.bytes_read, 0)
+        self.assertEqual(self.origin.bytes_sent, SIZE_BYTES)
+
+    def test_corrupt_chunk_of_a_peer_is_fetched_elsewhere(self) -> None:
+        """The peer that served it is left alone."""
+        hosts = [self.build_host(name) for name in ('bad', 'good', 'new')]
+        for host in hosts[:2]:
+            self.assertTrue(self.transfer(host).run())
+        for path in self.folder.glob('bad/model@1.partial/0*'):
+            path.write_bytes(bytes(CHUNK_BYTES))
+        transfer = self.transfer(hosts[2], *hosts[:2])
+
+        self.assertTrue(transfer.run())
+
+        self.assertIsNotNone(hosts[2].staging.commit(self.manifest))
+        self.assertEqual(hosts[2].origin.bytes_read, 0)
+
+    def test_restart_resumes_from_what_is_staged(self) -> None:
+        """Only the chunk that was lost is read again."""
+        host = self.build_host('first')
+        self.transfer(host).run()
+        (self.folder / 'first' / 'model@1.partial' / '000003').unlink()
+        again = self.build_host('first')
+        again.staging.recover()
+
+        self.assertTrue(self.transfer(again).run())
+
+        self.assertEqual(again.origin.bytes_read, CHUNK_BYTES)
+
+    def test_uploads_beyond_the_slots_are_refused(self) -> None:
+        """The asker goes elsewhere instead of waiting on a thread."""
+        first = self.build_host('first')
+        second = self.build_host('second')
+        self.transfer(first).run()
+        for _ in range(UPLOAD_SLOTS):
+            first.chunk_server.slots.take()
+        request = ChunkRequest(model='model', version='1', index=0)
+
+        outcome = second.peers.chunk(first.address, request, print, print)
+
+        self.assertEqual(outcome, Failed(Fault.busy))
+
+    def test_dead_peer_is_unreachable(self) -> None:
+        """Its port refuses connections."""
+        first = self.build_host('first')
+        second = self.build_host('second')
+        first.die()
+        request = ChunkRequest(model='model', version='1', index=0)
+
+        outcome = second.peers.chunk(first.address, request, print, print)
+
+        self.assertEqual(outcome, Failed(Fault.unreachable))
