--- a/src/bramleylug/cli/status.py
+++ b/src/bramleylug/cli/status.py
@@ -144,7 +144,7 @@
 
 
 def _print_status(namespace: Namespace) -> int:
-    page = _get(namespace.entry, MEMBERS_PATH)
+    page = ask_entry(namespace.entry, MEMBERS_PATH)
     if page is None:
         return ExitCode.unavailable
     found = cast(MembersPage, page)
@@ -184,7 +184,7 @@
 
 
 def _where(namespace: Namespace) -> int:
-    answer = _get(
+    answer = ask_entry(
         namespace.entry, f'/v1/entries?service={quote(namespace.service)}'
     )
     if answer is None:
@@ -195,7 +195,8 @@
     return ExitCode.ok if answer['entries'] else ExitCode.failed
 
 
-def _get(address: str, path: str) -> dict[str, Any] | None:
+def ask_entry(address: str, path: str) -> dict[str, Any] | None:
+    """Return a JSON page, or ``None`` once the reason was printed."""
     connection = HTTPConnection(address, timeout=TIMEOUT_S)
     try:
         connection.request('GET', path)
--- a/src/bramleylug/cli/weights.py
+++ b/src/bramleylug/cli/weights.py
@@ -5,17 +5,14 @@
 import time
 from argparse import Namespace
 from collections.abc import Iterable
-from http.client import HTTPConnection, HTTPException
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, cast
 
-from google.protobuf.json_format import ParseDict, ParseError
 from tqdm import tqdm
 
 from bramleylug.cli.parser import ExitCode
-from bramleylug.wire.membership_pb2 import Member
+from bramleylug.cli.status import ask_entry
+from bramleylug.node.members import MEMBERS_PATH, MemberLine, MembersPage
 
-MEMBERS_PATH = '/v1/members'
-TIMEOUT_S = 5.0
 POLL_S = 0.5
 WHOLE_PERMILLE = 1000
 PERCENT = 100
@@ -24,9 +21,10 @@
 class VersionProgress(NamedTuple):
     """One version on all hosts.
 
-    :ivar share: of the version, averaged over the hosts that bring it.
-    :ivar serving: hosts whose engine serves a whole version and that hold
-        this one.
+    :ivar hosts: agents that hold it or bring it.
+    :ivar whole: of these, how many hold it whole and verified.
+    :ivar share: of the version, averaged over the hosts.
+    :ivar serving: whole hosts whose engine is open to requests.
     """
 
     model: str
@@ -51,49 +49,17 @@
         parser.add_argument('--entry', required=True, metavar='HOST:PORT')
 
 
-def summarize(members: Iterable[Member]) -> list[VersionProgress]:
+def summarize(members: Iterable[MemberLine]) -> list[VersionProgress]:
     """Return the progress of each version, by name."""
     found: dict[tuple[str, str], list[tuple[int, bool]]] = {}
     for member in members:
-        ready = any(state.ready for state in member.services)
-        for held in member.versions:
-            hosts = found.setdefault((held.model, held.version), [])
-            hosts.append((held.progress, ready))
+        ready = any(member['services'].values())
+        for held in member['versions']:
+            hosts = found.setdefault((held['model'], held['version']), [])
+            hosts.append((held['progress'], ready))
     return [_summarize_one(*key, hosts) for key, hosts in sorted(found.items())]
 
 
-def read_members(address: str) -> list[Member]:
-    """Return the member records that an entry knows.
-
-    :raises OSError: when the entry does not answer with records.
-    """
-    connection = HTTPConnection(address, timeout=TIMEOUT_S)
-    try:
-        connection.request('GET', MEMBERS_PATH)
-        response = connection.getresponse()
-        return parse_members(json.loads(response.read()))
-    except (HTTPException, ValueError, ParseError) as error:
-        raise OSError(
-            f'{address}{MEMBERS_PATH} gives no member records: {error}'
-        ) from error
-    finally:
-        connection.close()
-
-
-def parse_members(page: Any) -> list[Member]:
-    """Read the page of member records.
-
-    :raises ValueError: when it is not a list.
-    :raises ParseError: when a record is malformed.
-    """
-    if not isinstance(page, list):
-        raise ValueError('not a list')
-    return [
-        ParseDict(record, Member(), ignore_unknown_fields=True)
-        for record in page
-    ]
-
-
 def _summarize_one(
     model: str, version: str, hosts: list[tuple[int, bool]]
 ) -> VersionProgress:
@@ -109,10 +75,19 @@
     )
 
 
+def _read(address: str) -> list[VersionProgress] | None:
+    page = ask_entry(address, MEMBERS_PATH)
+    if page is None:
+        return None
+    return summarize(cast(MembersPage, page)['members'])
+
+
 def _status(namespace: Namespace) -> int:
-    versions = summarize(read_members(namespace.entry))
+    versions = _read(namespace.entry)
+    if versions is None:
+        return ExitCode.unavailable
     if namespace.json:
-        print(json.dumps([version._asdict() for version in versions]))
+        print(json.dumps([line._asdict() for line in versions]))
         return ExitCode.ok
     for line in versions:
         print(
@@ -129,12 +104,15 @@
         total=PERCENT, unit='%', file=sys.stderr, desc=namespace.version or None
     ) as bar:
         while True:
-            versions = [
+            versions = _read(namespace.entry)
+            if versions is None:
+                return ExitCode.unavailable
+            chosen = [
                 line
-                for line in summarize(read_members(namespace.entry))
+                for line in versions
                 if not model or (line.model, line.version) == (model, version)
             ]
-            if _show(bar, versions):
+            if _show(bar, chosen):
                 return ExitCode.ok
             time.sleep(POLL_S)
 
--- a/testing/cli/test_weights.py
+++ b/testing/cli/test_weights.py
@@ -7,9 +7,8 @@
 from contextlib import redirect_stdout
 from unittest.mock import patch
 
-from google.protobuf.json_format import MessageToDict
-
 from bramleylug.cli.weights import VersionProgress, _status, summarize
+from bramleylug.node.members import describe_member
 from bramleylug.wire.membership_pb2 import HeldVersion
 from testing.builders import build_member
 
@@ -17,11 +16,13 @@
 def build_members():
     """Return two agents, of which one holds the version whole."""
     return [
-        build_member(
-            name,
-            versions=[
-                HeldVersion(model='seat', version='2', progress=progress)
-            ],
+        describe_member(
+            build_member(
+                name,
+                versions=[
+                    HeldVersion(model='seat', version='2', progress=progress)
+                ],
+            )
         )
         for name, progress in (('a', 1000), ('b', 500))
     ]
@@ -38,15 +39,13 @@
         )
 
     def test_status_prints_json(self) -> None:
-        """The entry's page is a list of member records."""
-        page = json.dumps([MessageToDict(one) for one in build_members()])
+        """One object a version."""
         out = io.StringIO()
         with (
-            patch('bramleylug.cli.weights.HTTPConnection') as connection,
+            patch('bramleylug.cli.weights.ask_entry') as ask,
             redirect_stdout(out),
         ):
-            response = connection.return_value.getresponse.return_value
-            response.read.return_value = page.encode()
+            ask.return_value = {'members': build_members()}
             _status(Namespace(entry='127.0.0.1:1', json=True))
 
         self.assertEqual(json.loads(out.getvalue())[0]['share'], 0.75)
