Tell running requests in the metrics

bramleylug_running_requests was declared and never set: the page listed it without a value. Entry and agent now give the node their count, and the page reads it when it is scraped.

--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -78,6 +78,7 @@
         )
         runner.on_first_byte = self.keeper.note_latency
         self.node.describe = self.describe
+        self.node.count_running = lambda: self.limiter.running
 
     def open(self) -> None:
         """Start all work beside the circuits loop."""
--- a/src/bramleylug/entry/daemon.py
+++ b/src/bramleylug/entry/daemon.py
@@ -60,6 +60,7 @@
         self.random = Random(settings.name)
         self.leaving = False
         self.node.describe = self.describe
+        self.node.count_running = lambda: self.dispatch.dispatcher.running
 
     def open(self) -> None:
         """Start all work beside the circuits loop."""
--- a/src/bramleylug/node/node.py
+++ b/src/bramleylug/node/node.py
@@ -61,6 +61,7 @@
     :ivar suspects: fingerprints of requests that crashed an upstream, with
         their crashes; immutable, replaced as a whole.
     :ivar describe: fills the own record; called on the loop.
+    :ivar count_running: returns the requests that have not ended.
     """
 
     channel = GOSSIP_CHANNEL
@@ -95,6 +96,7 @@
         )
         self.members: tuple[Member, ...] = self.membership.alive()
         self.describe: Callable[[Member], None] = _describe_nothing
+        self.count_running: Callable[[], int] = int
         self.source = ConfigurationSource(self)
         self.keys_due_s = 0.0
         self.stopping = False
--- a/src/bramleylug/node/pages.py
+++ b/src/bramleylug/node/pages.py
@@ -14,6 +14,7 @@
     PROCESSOR_SECONDS,
     RESIDENT_BYTES,
     REVISION,
+    RUNNING,
 )
 from bramleylug.web.server import Exchange
 
@@ -52,6 +53,7 @@
 def _measure(node: 'Node') -> None:
     labels = {'instance': node.settings.name}
     MEMBERS.set(labels, len(node.members))
+    RUNNING.set(labels, node.count_running())
     REVISION.set(labels, node.holder.document.revision)
     times = os.times()
     PROCESSOR_SECONDS.set(labels, times.user + times.system)
--- a/testing/node/test_pages.py
+++ b/testing/node/test_pages.py
@@ -83,3 +83,11 @@
         self.assertIn(
             'bramleylug_configuration_revision{instance="e1"} 7', text
         )
+
+    def test_metrics_count_requests_that_have_not_ended(self) -> None:
+        """A planned stop waits for them."""
+        self.daemon.dispatch.dispatcher.running = 3
+
+        text = self.get('/metrics')[1]
+
+        self.assertIn('bramleylug_running_requests{instance="e1"} 3', text)
