--- /dev/null
+++ b/testing/observability/test_pages.py
@@ -0,0 +1,43 @@
+"""Tests that keep the pages for operators in step with the code."""
+
+import re
+import unittest
+from pathlib import Path
+
+from aioprometheus.collectors import Collector
+
+from bramleylug.observability import metrics
+
+DOCS = Path(__file__).parents[2] / 'docs'
+OPERATIONS = DOCS / 'operations'
+
+
+class TestMetricsTable(unittest.TestCase):
+    """Operators find every metric on the page."""
+
+    def test_page_lists_exactly_the_metrics(self) -> None:
+        """A metric without a meaning is of no use."""
+        text = (OPERATIONS / 'index.md').read_text()
+        listed = re.findall(
+            r'^\| `(bramleylug_\w+)` \| (?:counter|gauge) ', text, re.MULTILINE
+        )
+        known = [
+            metric.name
+            for metric in vars(metrics).values()
+            if isinstance(metric, Collector)
+        ]
+
+        self.assertEqual(sorted(listed), sorted(known))
+
+
+class TestLinks(unittest.TestCase):
+    """Links between pages lead somewhere."""
+
+    def test_linked_pages_exist(self) -> None:
+        """Every relative link names a file."""
+        for page in DOCS.rglob('*.md'):
+            for link in re.findall(
+                r'\]\(([^)#:]+)(?:#[^)]*)?\)', page.read_text()
+            ):
+                with self.subTest(page=page.name, link=link):
+                    self.assertTrue((page.parent / link).exists())
