--- a/src/bramleylug/bench/capacity_model.py
+++ b/src/bramleylug/bench/capacity_model.py
@@ -134,7 +134,7 @@
             _DECODING,
             ('changes_per_s', 'services', 'document_encode_s_per_service'),
         ),
-        'one read and one compare-and-swap a change',
+        'one read and one compare-and-swap of the document a change',
     ),
     Line(
         'publisher',
@@ -237,8 +237,8 @@
         'store',
         'writes for configuration',
         'calls/s',
-        (('changes_per_s',),),
-        'one compare-and-swap a change',
+        (('changes_per_s', 'writes_per_change'),),
+        'one compare-and-swap of the document a change, and its trail',
         STORE_WRITES,
     ),
     Line(
--- a/src/bramleylug/bench/quantities.py
+++ b/src/bramleylug/bench/quantities.py
@@ -71,6 +71,11 @@
         'size of bench membership; costs are taken to grow with it',
         grows=False,
     ),
+    'writes_per_change': Size(
+        3,
+        'document, change id and audit trail, counted in testing/bench',
+        grows=False,
+    ),
     'bookings_per_s': Size(310, 'assumed: one request in ten is a booking'),
     'records_agents': Size(110, 'assumed: one upstream in ten is of records'),
     'version_bytes': Size(
