--- a/src/bramleylug/routing/fleet.py
+++ b/src/bramleylug/routing/fleet.py
@@ -1,5 +1,6 @@
 """The upstreams one entry may choose from, kept until the view changes."""
 
+import math
 from collections import defaultdict
 from collections.abc import Collection, Mapping
 from typing import NamedTuple, final
@@ -11,7 +12,8 @@
 AGENT_ROLE = 'agent'
 ENTRY_ROLE = 'entry'
 SPILL_SIZE = 6
-ALL_ZONES = ''
+SMALL_FLEET = 100
+ARRANGE_INTERVAL_S = 1.0
 
 
 class Candidate(NamedTuple):
@@ -52,15 +54,24 @@
         self.document = Document()
         self.zones_out: frozenset[str] = frozenset()
         self.by_service: Mapping[str, Tiers] = {}
+        self.entries: frozenset[str] = frozenset()
+        self.near_entries: frozenset[str] = frozenset()
+        self.arranged_s = -math.inf
         self.cache = SubsetCache(place.name)
 
-    def observe(self, members: tuple[Member, ...], document: Document) -> bool:
+    def observe(
+        self, members: tuple[Member, ...], document: Document, now_s: float
+    ) -> bool:
         """Take in the view; cheap when it is the same as before.
 
+        In a large fleet members change all the time: what differs by them
+        alone is taken in at most every :data:`ARRANGE_INTERVAL_S`.
+
         :returns: whether it differs.
         """
-        if document is self.document and members == self.members:
+        if document is self.document and not self._is_due(members, now_s):
             return False
+        self.arranged_s = now_s
         self.members = members
         self.document = document
         self.zones_out = frozenset(
@@ -81,7 +92,17 @@
         """Return the address of every member."""
         return frozenset(member.grpc_address for member in self.members)
 
+    def _is_due(self, members: tuple[Member, ...], now_s: float) -> bool:
+        if members is self.members or (
+            len(members) > SMALL_FLEET
+            and now_s - self.arranged_s < ARRANGE_INTERVAL_S
+        ):
+            return False
+        return members != self.members
+
     def _arrange(self) -> dict[str, Tiers]:
+        self.entries = self._entries('')
+        self.near_entries = self._entries(self.place.zone)
         found: dict[str, dict[str, list[Candidate]]] = defaultdict(
             lambda: defaultdict(list)
         )
@@ -93,11 +114,7 @@
                     found[state.service][member.zone].append(
                         _candidate(member, state.limit)
                     )
-        entries = self._entries_by_zone()
-        return {
-            service: self._tiers(zones, entries)
-            for service, zones in found.items()
-        }
+        return {service: self._tiers(zones) for service, zones in found.items()}
 
     def _takes_work(self, member: Member) -> bool:
         return (
@@ -106,26 +123,19 @@
             and member.zone not in self.zones_out
         )
 
-    def _tiers(
-        self,
-        zones: Mapping[str, Collection[Candidate]],
-        entries: Mapping[str, frozenset[str]],
-    ) -> Tiers:
+    def _tiers(self, zones: Mapping[str, Collection[Candidate]]) -> Tiers:
         tiers: tuple[list[Candidate], ...] = ([], [], [])
         for zone in sorted(zones):
-            for candidate in self._subset(zone, zones[zone], entries):
+            for candidate in self._subset(zone, zones[zone]):
                 tiers[self._distance(candidate)].append(candidate)
         return tuple(tuple(tier) for tier in tiers)
 
     def _subset(
-        self,
-        zone: str,
-        candidates: Collection[Candidate],
-        entries: Mapping[str, frozenset[str]],
+        self, zone: str, candidates: Collection[Candidate]
     ) -> list[Candidate]:
         own_zone = zone == self.place.zone
         chosen = self.cache.find(
-            entries.get(zone if own_zone else ALL_ZONES, frozenset()),
+            self.near_entries if own_zone else self.entries,
             frozenset(candidate.name for candidate in candidates),
             SUBSET_SIZE if own_zone else SPILL_SIZE,
         )
@@ -133,13 +143,12 @@
             candidate for candidate in candidates if candidate.name in chosen
         ]
 
-    def _entries_by_zone(self) -> dict[str, frozenset[str]]:
-        found: dict[str, list[str]] = defaultdict(list)
-        for member in self.members:
-            if member.role == ENTRY_ROLE:
-                found[member.zone].append(member.name)
-                found[ALL_ZONES].append(member.name)
-        return {zone: frozenset(names) for zone, names in found.items()}
+    def _entries(self, zone: str) -> frozenset[str]:
+        return frozenset(
+            member.name
+            for member in self.members
+            if member.role == ENTRY_ROLE and zone in {'', member.zone}
+        )
 
     def _distance(self, candidate: Candidate) -> int:
         if candidate.zone == self.place.zone:
