--- a/src/bramleylug/bench/quantities.py
+++ b/src/bramleylug/bench/quantities.py
@@ -102,6 +102,7 @@
     'watch_wait_s': ('node.synchronization', 'WATCH_WAIT_S'),
     'watch_retry_s': ('node.synchronization', 'IDLE_S'),
     'hosts_interval_s': ('node.node', 'HOSTS_INTERVAL_S'),
+    'arrange_interval_s': ('routing.fleet', 'ARRANGE_INTERVAL_S'),
     'claim_shards': ('claims.keys', 'SHARDS'),
     'claim_commit_interval_s': ('claims.pace', 'COMMIT_INTERVAL_S'),
 }
--- a/src/bramleylug/bench/routing_costs.py
+++ b/src/bramleylug/bench/routing_costs.py
@@ -7,7 +7,7 @@
 
 from bramleylug.bench.configuration_costs import build_document
 from bramleylug.bench.meters import least_seconds
-from bramleylug.routing.fleet import Place
+from bramleylug.routing.fleet import ARRANGE_INTERVAL_S, Place
 from bramleylug.routing.picker import Picker, View, Wanted
 from bramleylug.wire.membership_pb2 import Member
 
@@ -44,8 +44,10 @@
     def arrange() -> None:
         changed = Member()
         changed.CopyFrom(fleet[-1])
-        changed.sequence += next(sequences)
-        picker.observe(view._replace(members=(*fleet[:-1], changed)))
+        number = next(sequences)
+        changed.sequence += number
+        members = (*fleet[:-1], changed)
+        picker.observe(View(members, document, number * ARRANGE_INTERVAL_S))
 
     arrange_s = least_seconds(arrange, batches=BATCHES)
     choose_s = least_seconds(
