Tickets: keys that one agent alone may run, without the store

Cause: while the store is down no key can be claimed, so that every booking was refused.

Change: POST /v1/tickets?service=S asks an agent for a ticket, which the caller sends as its Idempotency-Key. The ticket names its agent and is signed with a secret of the process; entries send it there and nowhere else. What ran is in that process's memory; when it is gone, nobody runs the ticket, and its resends are told unknown.

Ruled out: a ticket beside the key, as a resend without the ticket would run the key again by way of the store.

--- a/src/bramleylug/agent/recording.py
+++ b/src/bramleylug/agent/recording.py
@@ -4,6 +4,7 @@
 
 from bramleylug.agent.upstream import Answer, Part
 from bramleylug.claims.keeper import Claimed, ClaimKeeper
+from bramleylug.claims.tickets import Redeemed
 from bramleylug.outcomes import NotRun, Ran, Unknown
 from bramleylug.wire.claims_pb2 import (
     CLAIM_STATE_RAN,
@@ -23,7 +24,9 @@
     :ivar reported: whether the result was reported.
     """
 
-    def __init__(self, claims: ClaimKeeper, claimed: Claimed) -> None:
+    def __init__(
+        self, claims: ClaimKeeper, claimed: Claimed | Redeemed
+    ) -> None:
         self.claims = claims
         self.claimed = claimed
         self.head = Head()
--- a/src/bramleylug/agent/replies.py
+++ b/src/bramleylug/agent/replies.py
@@ -25,7 +25,7 @@
         case Answer(head):
             reply = Reply(head=head)
         case NotRun():
-            reply = Reply(refusal=_refusal(part))
+            reply = Reply(refusal=build_refusal(part))
         case Ran(whole=True):
             reply = Reply(end=End(body_bytes=body_bytes))
         case Ran(reason=reason, message=message):
@@ -36,7 +36,8 @@
     return reply
 
 
-def _refusal(refusal: NotRun) -> Refusal:
+def build_refusal(refusal: NotRun) -> Refusal:
+    """Return the message for a request that was not run."""
     return Refusal(
         reason=refusal.reason,
         message=refusal.message,
--- a/src/bramleylug/agent/runner.py
+++ b/src/bramleylug/agent/runner.py
@@ -14,6 +14,7 @@
 from bramleylug.agent.upstream import Answer, Part, Upstream, UpstreamCall
 from bramleylug.claims.actions import Replay, Verdict
 from bramleylug.claims.keeper import Claimed, ClaimKeeper
+from bramleylug.claims.tickets import Redeemed
 from bramleylug.configuration.document import Document, ServiceSpec
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.outcomes import NotRun, Ran, Reason, Unknown
@@ -81,12 +82,14 @@
             yield from self._send(job, call)
             return
         match self.claims.claim(job.request, job.deadline_s):
-            case Claimed() as claimed:
+            case Claimed() | Redeemed() as claimed:
                 yield from self._run_claimed(job, claimed)
             case verdict:
                 yield from parts_of(verdict)
 
-    def _run_claimed(self, job: Job, claimed: Claimed) -> Iterator[Part]:
+    def _run_claimed(
+        self, job: Job, claimed: Claimed | Redeemed
+    ) -> Iterator[Part]:
         """Run to the end, also when the caller has gone."""
         recorder = AnswerRecorder(self.claims, claimed)
         parts = self._send(job, self.upstream.call(job.deadline_s))
--- a/src/bramleylug/agent/serving.py
+++ b/src/bramleylug/agent/serving.py
@@ -8,13 +8,20 @@
 from bramleylug.admission.controller import AdmissionController, Pass
 from bramleylug.admission.queue import Arrival
 from bramleylug.admission.suspects import Standing
-from bramleylug.agent.replies import build_reply
+from bramleylug.agent.replies import build_refusal, build_reply
 from bramleylug.agent.runner import Job, Runner, needs_claim, parts_of
 from bramleylug.agent.upstream import Answer, Part
+from bramleylug.claims.actions import Verdict
 from bramleylug.claims.keys import request_fingerprint
+from bramleylug.claims.tickets import VALID_S
 from bramleylug.configuration.document import Document, ServiceSpec
 from bramleylug.outcomes import NotRun, Ran, Reason
-from bramleylug.wire.requests_pb2 import Reply, Request
+from bramleylug.wire.requests_pb2 import (
+    Reply,
+    Request,
+    Ticket,
+    TicketRequest,
+)
 from bramleylug.wire.requests_pb2_grpc import ServingServicer
 
 
@@ -46,21 +53,39 @@
             )
             yield build_reply(part, body_bytes, figures)
 
+    def IssueTicket(self, request: TicketRequest, context: Any) -> Ticket:
+        """Return a key that this process alone may run."""
+        wanted = Request(service=request.service)
+        match self.runner.gate.check(wanted, self.document()):
+            case NotRun() as refusal:
+                return Ticket(refusal=build_refusal(refusal))
+            case ServiceSpec(idempotent=True):
+                refusal = NotRun(Reason.bad_request, 'needs no ticket')
+                return Ticket(refusal=build_refusal(refusal))
+        ticket = self.runner.claims.tickets.issue(time.monotonic())
+        return Ticket(ticket=ticket, valid_ms=VALID_S * 1000)
+
     def _serve(self, request: Request, context: Any) -> Iterator[Part]:
+        known = self._recall(request)
+        if known is not None:
+            yield from parts_of(known)
+            return
         match self.runner.gate.check(request, self.document()):
             case NotRun() as refusal:
                 yield refusal
             case ServiceSpec() as spec:
                 yield from self._serve_open(request, spec, context)
 
+    def _recall(self, request: Request) -> Verdict | None:
+        """Return what a resend is told, also by a host that is leaving."""
+        spec = self.document().services.get(request.service)
+        if spec is None or not needs_claim(request, spec):
+            return None
+        return self.runner.claims.recall(request)
+
     def _serve_open(
         self, request: Request, spec: ServiceSpec, context: Any
     ) -> Iterator[Part]:
-        if needs_claim(request, spec):
-            known = self.runner.claims.recall(request)
-            if known is not None:
-                yield from parts_of(known)
-                return
         fingerprint = request_fingerprint(request)
         standing = self.runner.guard.standing(fingerprint, request.crashes)
         if standing is Standing.barred:
--- a/src/bramleylug/claims/keeper.py
+++ b/src/bramleylug/claims/keeper.py
@@ -27,6 +27,7 @@
     shard_number,
 )
 from bramleylug.claims.ledger import ShardLedger
+from bramleylug.claims.tickets import Redeemed, TicketBook, read_ticket
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.platform.store import Store
 from bramleylug.wire.requests_pb2 import Request
@@ -58,6 +59,9 @@
     key: bytes
 
 
+Decision = Claimed | Redeemed | Verdict
+
+
 @final
 @dataclass(slots=True)
 class KeeperCounts:
@@ -87,12 +91,15 @@
         self.wake = Event()
         self.stopping = False
         self.counts = KeeperCounts()
+        self.tickets = TicketBook(holder.rpartition('/')[0])
 
-    def claim(self, request: Request, deadline_s: float) -> Claimed | Verdict:
+    def claim(self, request: Request, deadline_s: float) -> Decision:
         """Claim a request's key; blocks for a bounded time.
 
         :param deadline_s: monotonic seconds when the caller gives up.
         """
+        if read_ticket(request.idempotency_key) is not None:
+            return self.tickets.redeem(request, time.monotonic())
         digest = key_digest(request)
         name = ShardName(request.service, shard_number(digest))
         now = _now()
@@ -116,6 +123,8 @@
 
     def recall(self, request: Request) -> Verdict | None:
         """Return what a resend is told, where that is known already."""
+        if read_ticket(request.idempotency_key) is not None:
+            return self.tickets.recall(request)
         digest = key_digest(request)
         name = ShardName(request.service, shard_number(digest))
         with self.lock:
@@ -123,16 +132,24 @@
                 digest, request_fingerprint(request)
             )
 
-    def finish(self, claimed: Claimed, state: int, answer: bytes) -> None:
+    def finish(
+        self, claimed: Claimed | Redeemed, state: int, answer: bytes
+    ) -> None:
         """Report the result of a run."""
+        if isinstance(claimed, Redeemed):
+            self.tickets.finish(claimed.nonce, state, answer)
+            return
         with self.lock:
             ledger = self._ledger(claimed.shard)
             actions = ledger.finish(claimed.key, state, answer, _now())
             self._act(claimed.shard, actions)
         self.wake.set()
 
-    def release(self, claimed: Claimed) -> None:
+    def release(self, claimed: Claimed | Redeemed) -> None:
         """Report that the request was not run and never will be."""
+        if isinstance(claimed, Redeemed):
+            self.tickets.release(claimed.nonce)
+            return
         with self.lock:
             ledger = self._ledger(claimed.shard)
             self._act(claimed.shard, ledger.release(claimed.key, _now()))
--- a/src/bramleylug/entry/answers.py
+++ b/src/bramleylug/entry/answers.py
@@ -26,6 +26,7 @@
     Reason.queue_full: HTTPStatus.TOO_MANY_REQUESTS,
     Reason.deadline: HTTPStatus.GATEWAY_TIMEOUT,
     Reason.already_ran: HTTPStatus.CONFLICT,
+    Reason.ticket_void: HTTPStatus.CONFLICT,
     Reason.key_conflict: HTTPStatus.UNPROCESSABLE_ENTITY,
     Reason.crash_suspect: HTTPStatus.UNPROCESSABLE_ENTITY,
 }
--- a/src/bramleylug/entry/attempts.py
+++ b/src/bramleylug/entry/attempts.py
@@ -87,7 +87,7 @@
                 fault = self.check.take_end(reply.end)
                 return self._cut(fault) if fault else Ran(self.check.status)
             case 'refusal' if self.check.head is None:
-                return _refused(reply.refusal)
+                return refused_by(reply.refusal)
             case 'broken':
                 return self._broken(reply.broken)
         return self._cut('agent sent an unknown part')
@@ -140,7 +140,8 @@
         return Reason.internal
 
 
-def _refused(refusal: Refusal) -> NotRun:
+def refused_by(refusal: Refusal) -> NotRun:
+    """Return an agent's refusal as an outcome."""
     return NotRun(
         reason_from(refusal.reason),
         refusal.message,
--- a/src/bramleylug/entry/daemon.py
+++ b/src/bramleylug/entry/daemon.py
@@ -13,6 +13,7 @@
 from bramleylug.entry.entries import Asker, EntriesAnswer, order_entries
 from bramleylug.entry.requests import SERVICE_PREFIX
 from bramleylug.entry.reservations import Reservation
+from bramleylug.entry.tickets import TICKETS_PATH
 from bramleylug.node.node import Node
 from bramleylug.node.pages import serve_page
 from bramleylug.observability.metrics import REFUSALS, count
@@ -117,6 +118,8 @@
             exchange.reply_json(HTTPStatus.OK, self.entry_addresses(exchange))
         elif exchange.path.startswith(SERVICE_PREFIX):
             self._serve_service(exchange)
+        elif exchange.path == TICKETS_PATH:
+            self._serve_ticket(exchange)
         else:
             refusal = NotRun(Reason.bad_request, 'no such path')
             _, document, headers = error_answer(refusal)
@@ -152,6 +155,15 @@
             count(REFUSALS, reason=str(refusal.reason))
             exchange.reply_json(*error_answer(refusal))
 
+    def _serve_ticket(self, exchange: Exchange) -> None:
+        refusal = self._refusal()
+        if exchange.method != 'POST':
+            refusal = NotRun(Reason.bad_request, 'tickets are asked by POST')
+        if refusal is None:
+            self.dispatch.submit_ticket(exchange)
+        else:
+            exchange.reply_json(*error_answer(refusal))
+
     def _submit(self, exchange: Exchange) -> NotRun | None:
         """Hand a request over if there is memory for all it may hold.
 
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -12,6 +12,7 @@
 from bramleylug.entry.channels import ChannelPool
 from bramleylug.entry.requests import build_request, service_of
 from bramleylug.entry.reservations import Reservation
+from bramleylug.entry.tickets import TicketDesk, find_issuer
 from bramleylug.node.node import Node
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import REFUSALS, REQUESTS, count
@@ -52,8 +53,17 @@
         self.channels = ChannelPool(
             node.keyring, settings.caller_bytes // WINDOW_SHARE
         )
+        self.tickets = TicketDesk(self.picker, self.channels, self.view)
         self.running = 0
 
+    async def serve_ticket(self, exchange: Exchange) -> None:
+        """Serve a caller that asks for a ticket."""
+        self.running += 1
+        try:
+            await self.tickets.serve(exchange)
+        finally:
+            self.running -= 1
+
     async def serve(self, exchange: Exchange, reservation: Reservation) -> None:
         """Serve one exchange to its end."""
         self.running += 1
@@ -85,7 +95,13 @@
         request = build_request(exchange)
         if isinstance(request, NotRun):
             return request
-        return await self._try_agents(request, writer)
+        issuer = find_issuer(request.idempotency_key, self.node.members)
+        if isinstance(issuer, Unknown):
+            return issuer
+        if issuer is None:
+            return await self._try_agents(request, writer)
+        request.deadline_ms = int(self._deadline_s(request) * MILLISECONDS)
+        return await self._try_agent(issuer, request, writer)
 
     async def _try_agents(
         self, request: Request, writer: AnswerWriter
@@ -221,6 +237,12 @@
             self.dispatcher.serve(exchange, reservation), self.loop
         )
 
+    def submit_ticket(self, exchange: Exchange) -> None:
+        """Serve a caller that asks for a ticket, from any thread."""
+        asyncio.run_coroutine_threadsafe(
+            self.dispatcher.serve_ticket(exchange), self.loop
+        )
+
     def stop(self) -> None:
         """Stop the loop."""
         self.loop.call_soon_threadsafe(self.loop.stop)
--- a/src/bramleylug/outcomes.py
+++ b/src/bramleylug/outcomes.py
@@ -33,6 +33,7 @@
     store_unavailable = 'store_unavailable'
     already_ran = 'already_ran'
     key_conflict = 'key_conflict'
+    ticket_void = 'ticket_void'
     crash_suspect = 'crash_suspect'
     internal = 'internal'
 
--- a/testing/agent/test_serving.py
+++ b/testing/agent/test_serving.py
@@ -13,6 +13,7 @@
 from bramleylug.agent.serving import Serving
 from bramleylug.agent.upstream import Upstream
 from bramleylug.claims.keeper import ClaimKeeper
+from bramleylug.wire.requests_pb2 import TicketRequest
 from testing.agent.canned import HEAD, CannedUpstream
 from testing.builders import build_document, build_request, build_spec
 from testing.claims.memory import MemoryStore
@@ -159,3 +160,28 @@
 
         self.assertEqual(replies[0].refusal.reason, 'crash_suspect')
         self.assertEqual(self.canned.connections, connections)
+
+
+class TestTicket(ServingTestCase):
+    """Bookings go on while the store is down."""
+
+    def test_ticket_runs_once_without_the_store(self) -> None:
+        """The resend gets the kept answer."""
+        self.store.down = True
+        wanted = TicketRequest(service='bookings')
+        ticket = self.agents[0].IssueTicket(wanted, Context()).ticket
+
+        replies = [self.ask(0, idempotency_key=ticket) for _ in range(2)]
+
+        self.assertEqual([reply[1].piece for reply in replies], [b'booked'] * 2)
+        self.assertEqual(self.canned.connections, 1)
+
+    def test_other_agent_runs_no_ticket(self) -> None:
+        """Only the one that issued it knows."""
+        wanted = TicketRequest(service='bookings')
+        ticket = self.agents[0].IssueTicket(wanted, Context()).ticket
+
+        replies = self.ask(1, idempotency_key=ticket)
+
+        self.assertEqual(replies[0].broken.reason, 'ticket_void')
+        self.assertEqual(self.canned.connections, 0)
