--- a/src/bramleylug/membership/datagrams.py
+++ b/src/bramleylug/membership/datagrams.py
@@ -13,6 +13,7 @@
 DATAGRAM_LIMIT_BYTES = 1400
 PAYLOAD_LIMIT_BYTES = 65536
 PAYLOAD_LEAST_BYTES = 600
+PAYLOAD_FIRST_BYTES = 4000
 PAYLOAD_MOST_BYTES = 8000
 SHRINK = 0.8
 GROWTH = 1.02
@@ -34,11 +35,15 @@
     """
 
     def __init__(self, keys: tuple[bytes, ...] = ()) -> None:
+        self.use_keys(keys)
+        self.dropped: Counter[str] = Counter()
+        self.payload_bytes = float(PAYLOAD_FIRST_BYTES)
+
+    def use_keys(self, keys: tuple[bytes, ...]) -> None:
+        """Sign with the first key and accept every key from now on."""
         self.keys = {_key_id(key): key for key in keys}
         self.signing_key = keys[0] if keys else b''
         self.signing_id = _key_id(self.signing_key)
-        self.dropped: Counter[str] = Counter()
-        self.payload_bytes = float(PAYLOAD_LEAST_BYTES)
 
     def encode(self, message: Gossip) -> bytes:
         """Return the datagram of a message, less the records too many."""
--- /dev/null
+++ b/src/bramleylug/weights/actions.py
@@ -0,0 +1,33 @@
+"""What a transfer's planner decides."""
+
+from dataclasses import dataclass
+from typing import final
+
+from bramleylug.weights.flights import Fetch
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class AskHoldings:
+    """Ask a peer what it holds."""
+
+    peer: str
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    """Cancel a fetch that makes no progress; its failure is still fed in."""
+
+    index: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ReportBadOrigin:
+    """Tell operators that the origin serves a corrupt chunk."""
+
+    index: int
+
+
+Action = Fetch | AskHoldings | Abandon | ReportBadOrigin
--- /dev/null
+++ b/src/bramleylug/weights/messages.py
@@ -0,0 +1,51 @@
+"""What the threads of a transfer tell the one that owns its state."""
+
+from dataclasses import dataclass
+from typing import final
+
+from bramleylug.weights.peers import Fault
+from bramleylug.wire.weights_pb2 import HeldChunks
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class PieceArrived:
+    """A piece of a chunk arrived."""
+
+    index: int
+    size_bytes: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ChunkStaged:
+    """A verified chunk is staged."""
+
+    index: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class FetchFailed:
+    """A fetch ended without a sound chunk."""
+
+    index: int
+    fault: Fault
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class HoldingsHeard:
+    """A peer told what it holds; ``None`` when it did not answer."""
+
+    peer: str
+    held: HeldChunks | None
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The version is no longer wanted."""
+
+
+Message = PieceArrived | ChunkStaged | FetchFailed | HoldingsHeard | Stop
--- a/testing/builders.py
+++ b/testing/builders.py
@@ -3,13 +3,16 @@
 from typing import Any
 
 from bramleylug.admission.queue import Arrival
+from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.claims.actions import Ask
 from bramleylug.claims.document import Claim
-from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.configuration.document import Change, Document, ServiceSpec
+from bramleylug.weights.manifest import Manifest
 from bramleylug.wire.membership_pb2 import Member, ServiceState
 from bramleylug.wire.requests_pb2 import Request
 
+CHUNK_BYTES = 16
+
 
 def build_spec(name: str = 'seat-fitting', **fields: Any) -> ServiceSpec:
     """Return a model service with small limits."""
@@ -84,6 +87,20 @@
     return Claim(key, **{**defaults, **fields})
 
 
+def build_manifest(
+    chunks: int = 4, *, model: str = 'seat-model', version: str = '1'
+) -> Manifest:
+    """Return a manifest of chunks of 16 bytes."""
+    return Manifest.from_pieces(
+        model, version, build_chunks(chunks, version=version), CHUNK_BYTES
+    )
+
+
+def build_chunks(chunks: int = 4, *, version: str = '1') -> list[bytes]:
+    """Return the chunks that :func:`build_manifest` describes."""
+    return [f'{version:>8}{index:08}'.encode() for index in range(chunks)]
+
+
 def build_arrival(token: int, **fields: Any) -> Arrival:
     """Return a small request of one workspace with a long deadline."""
     defaults = {
