--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -12,6 +12,7 @@
 from bramleylug.entry.channels import ChannelPool
 from bramleylug.entry.requests import build_request, service_of
 from bramleylug.entry.reservations import Reservation
+from bramleylug.entry.tickets import TicketDesk, find_issuer
 from bramleylug.node.node import Node
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import REFUSALS, REQUESTS, RUNNING, count
@@ -52,8 +53,17 @@
         self.channels = ChannelPool(
             node.keyring, settings.caller_bytes // WINDOW_SHARE
         )
+        self.tickets = TicketDesk(self.picker, self.channels, self.view)
         self.running = 0
 
+    async def serve_ticket(self, exchange: Exchange) -> None:
+        """Serve a caller that asks for a ticket."""
+        self.running += 1
+        try:
+            await self.tickets.serve(exchange)
+        finally:
+            self.running -= 1
+
     async def serve(self, exchange: Exchange, reservation: Reservation) -> None:
         """Serve one exchange to its end."""
         self._count_running(1)
@@ -85,13 +95,21 @@
         request = build_request(exchange)
         if isinstance(request, NotRun):
             return request
-        return await self._try_agents(request, writer)
+        issuer = find_issuer(request.idempotency_key, self.node.members)
+        if isinstance(issuer, Unknown):
+            return issuer
+        if issuer is None:
+            return await self._try_agents(request, writer)
+        request.deadline_ms = int(self._deadline_s(request) * MILLISECONDS)
+        return await self._try_agent(issuer, request, writer)
 
     async def _try_agents(
         self, request: Request, writer: AnswerWriter
     ) -> Outcome:
         deadline_s = self.clock() + self._deadline_s(request)
-        wanted = Wanted(request.service, affinity_key(request))
+        wanted = Wanted(
+            request.service, affinity_key(request), request.workspace
+        )
         tried: list[str] = []
         self.budget.first_try()
         outcome: Outcome | None = None
@@ -138,6 +156,7 @@
     def _learn(self, name: str, attempt: Attempt, outcome: Outcome) -> None:
         now_s = self.clock()
         loads = self.picker.loads
+        workspace = attempt.request.workspace
         if attempt.load is not None:
             loads.heard(
                 name,
@@ -149,11 +168,11 @@
             case NotRun(Reason.connection_failed):
                 loads.unreachable(name, now_s)
             case NotRun(retry_after_s=retry_after_s):
-                loads.refused(name, retry_after_s, now_s)
+                loads.refused(name, retry_after_s, now_s, workspace)
             case Unknown(Reason.connection_failed):
                 loads.unreachable(name, now_s)
             case Ran(whole=True):
-                loads.answered(name)
+                loads.answered(name, workspace)
 
     def _deadline_s(self, request: Request) -> float:
         if request.deadline_ms:
@@ -226,6 +245,12 @@
         """Serve an exchange; may be called from any thread."""
         self.loop.call_soon_threadsafe(self._spawn, exchange, reservation)
 
+    def submit_ticket(self, exchange: Exchange) -> None:
+        """Serve a caller that asks for a ticket, from any thread."""
+        asyncio.run_coroutine_threadsafe(
+            self.dispatcher.serve_ticket(exchange), self.loop
+        )
+
     def stop(self) -> None:
         """Stop the loop."""
         self.loop.call_soon_threadsafe(self.loop.stop)
