Crash suspects above their bound are no news

Cause: with four crash identities known and a fifth told, the union of five differed from the four kept each time, so members told one another of it at the urgent pace for an hour. Change: what is kept is compared with what was kept. The node's test follows the report's new signature.

--- a/src/bramleylug/membership/suspects.py
+++ b/src/bramleylug/membership/suspects.py
@@ -76,13 +76,14 @@
 
     def _unite(self, told: Suspect) -> bool:
         known = self.suspects.get(told.fingerprint, Suspect())
-        crash_ids = {*known.crash_ids, *told.crash_ids}
-        if len(crash_ids) == len(known.crash_ids):
+        united = sorted({*known.crash_ids, *told.crash_ids})
+        crash_ids = united[:CRASHES_LIMIT]
+        if crash_ids == list(known.crash_ids):
             return False
         self._put(
             Suspect(
                 fingerprint=told.fingerprint,
-                crash_ids=sorted(crash_ids)[:CRASHES_LIMIT],
+                crash_ids=crash_ids,
                 expires_s=max(known.expires_s, told.expires_s),
             )
         )
--- a/testing/node/test_node.py
+++ b/testing/node/test_node.py
@@ -96,7 +96,7 @@
         """A report from any thread replaces it."""
         before = self.node.suspects
 
-        self.node.report_suspect(b'fingerprint')
+        self.node.report_suspect(b'fingerprint', b'boot-1')
         self.node.flush()
 
         self.assertEqual(dict(before), {})
