Demo sends requests once the entries know of the engines

Cause: 40 of 42 refusals in the demo came in its first second, before gossip had told the entries that any engine was ready. Change: the traffic starts when every entry has heard of every engine.

--- a/src/bramleylug/demo/story.py
+++ b/src/bramleylug/demo/story.py
@@ -52,6 +52,7 @@
         )
         self._publish(collect([self.services]).to_change())
         self._roll_out('first version', manifest.digest)
+        self.cluster.wait_until(self._entries_know, READY_LIMIT_S)
         traffic = Traffic(self._entries, MODEL_SERVICE, CALLERS)
         traffic.start()
         self._second_version()
@@ -197,6 +198,18 @@
             if agent.settings.service == MODEL_SERVICE
         ]
 
+    def _entries_know(self) -> bool:
+        """Tell whether every entry has heard that the engines are ready."""
+        ready = [
+            sum(
+                state.ready and state.service == MODEL_SERVICE
+                for member in entry.node.members
+                for state in member.services
+            )
+            for entry in self.cluster.entries
+        ]
+        return all(count == len(self._model_agents()) for count in ready)
+
     def _entries(self) -> list[str]:
         for entry in self.cluster.entries:
             answer = entry.entry_addresses()
