--- a/src/bramleylug/configuration/difference.py
+++ b/src/bramleylug/configuration/difference.py
@@ -1,17 +1,34 @@
 """What a change would alter, in lines an operator can read."""
 
 from collections.abc import Iterator, Mapping
+from dataclasses import MISSING, fields
+from types import MappingProxyType
 from typing import Any
 
-from bramleylug.configuration.document import Change, Document, service_fields
+from bramleylug.configuration.document import (
+    Change,
+    Document,
+    ServiceSpec,
+    service_fields,
+)
+
+DEFAULTS = MappingProxyType(
+    {
+        spec.name: list(spec.default)
+        if isinstance(spec.default, tuple)
+        else spec.default
+        for spec in fields(ServiceSpec)
+        if spec.default is not MISSING
+    }
+)
 
 
 def describe_change(document: Document, change: Change) -> list[str]:
     """Return one line for each service, field or zone that would differ."""
     lines: list[str] = []
-    for name, fields in sorted(change['services'].items()):
+    for name, after in sorted(change['services'].items()):
         before = service_fields(document, name)
-        lines.extend(_describe_service(name, before, fields))
+        lines.extend(_describe_service(name, before, after))
     for zone, state in sorted(change['zones'].items()):
         known = document.zones.get(zone, 'in')
         if known != state:
@@ -19,6 +36,15 @@
     return lines
 
 
+def without_defaults(service: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the fields of a service that differ from their defaults."""
+    return {
+        field: found
+        for field, found in service.items()
+        if field not in DEFAULTS or found != DEFAULTS[field]
+    }
+
+
 def _describe_service(
     name: str,
     before: Mapping[str, Any] | None,
@@ -30,7 +56,7 @@
         yield f'- service {name}'
     elif before is None:
         yield f'+ service {name}'
-        for field, found in after.items():
+        for field, found in without_defaults(after).items():
             yield f'    {field} = {found!r}'
     else:
         yield f'~ service {name}'
