--- a/src/bramleylug/bench/capacity_model.py
+++ b/src/bramleylug/bench/capacity_model.py
@@ -69,13 +69,13 @@
     ),
     Line(
         'entry',
-        'processor time for choices, each in a view that has changed',
+        'processor time for choices while the view keeps changing',
         'cores',
         (
             ('requests_per_node_s', 'choose_s_per_request'),
-            ('requests_per_node_s', 'members', 'fleet_arrange_s_per_member'),
+            ('members', 'fleet_arrange_s_per_member', '/arrange_interval_s'),
         ),
-        'candidates kept until the view changes; a subset of each zone',
+        'candidates arranged once a second at most; a subset of each zone',
         ONE_CORE,
     ),
     Line(
@@ -134,7 +134,7 @@
             _DECODING,
             ('changes_per_s', 'services', 'document_encode_s_per_service'),
         ),
-        'one read and one compare-and-swap a change',
+        'one read and one compare-and-swap of the document a change',
     ),
     Line(
         'publisher',
@@ -237,8 +237,8 @@
         'store',
         'writes for configuration',
         'calls/s',
-        (('changes_per_s',),),
-        'one compare-and-swap a change',
+        (('changes_per_s', 'writes_per_change'),),
+        'one compare-and-swap of the document a change, and its trail',
         STORE_WRITES,
     ),
     Line(
--- a/src/bramleylug/bench/quantities.py
+++ b/src/bramleylug/bench/quantities.py
@@ -71,6 +71,11 @@
         'size of bench membership; costs are taken to grow with it',
         grows=False,
     ),
+    'writes_per_change': Size(
+        3,
+        'document, change id and audit trail, counted in testing/bench',
+        grows=False,
+    ),
     'bookings_per_s': Size(310, 'assumed: one request in ten is a booking'),
     'records_agents': Size(110, 'assumed: one upstream in ten is of records'),
     'version_bytes': Size(
@@ -97,6 +102,7 @@
     'watch_wait_s': ('node.synchronization', 'WATCH_WAIT_S'),
     'watch_retry_s': ('node.synchronization', 'IDLE_S'),
     'hosts_interval_s': ('node.node', 'HOSTS_INTERVAL_S'),
+    'arrange_interval_s': ('routing.fleet', 'ARRANGE_INTERVAL_S'),
     'claim_shards': ('claims.keys', 'SHARDS'),
     'claim_commit_interval_s': ('claims.pace', 'COMMIT_INTERVAL_S'),
 }
--- /dev/null
+++ b/testing/cli/test_weights.py
@@ -0,0 +1,51 @@
+"""Tests of the progress that operators see."""
+
+import io
+import json
+import unittest
+from argparse import Namespace
+from contextlib import redirect_stdout
+from unittest.mock import patch
+
+from bramleylug.cli.weights import VersionProgress, _status, summarize
+from bramleylug.node.members import describe_member
+from bramleylug.wire.membership_pb2 import HeldVersion
+from testing.builders import build_member
+
+
+def build_members():
+    """Return two agents, of which one holds the version whole."""
+    return [
+        describe_member(
+            build_member(
+                name,
+                versions=[
+                    HeldVersion(model='seat', version='2', progress=progress)
+                ],
+            )
+        )
+        for name, progress in (('a', 1000), ('b', 500))
+    ]
+
+
+class TestSummary(unittest.TestCase):
+    """Progress over all hosts."""
+
+    def test_share_is_over_the_hosts_that_bring_it(self) -> None:
+        """One whole and one half make three quarters."""
+        self.assertEqual(
+            summarize(build_members()),
+            [VersionProgress('seat', '2', 2, 1, 0.75, 1)],
+        )
+
+    def test_status_prints_json(self) -> None:
+        """One object a version."""
+        out = io.StringIO()
+        with (
+            patch('bramleylug.cli.weights.ask_entry') as ask,
+            redirect_stdout(out),
+        ):
+            ask.return_value = {'members': build_members()}
+            _status(Namespace(entry='127.0.0.1:1', json=True))
+
+        self.assertEqual(json.loads(out.getvalue())[0]['share'], 0.75)
