--- a/src/bramleylug/entry/attempts.py
+++ b/src/bramleylug/entry/attempts.py
@@ -20,6 +20,9 @@
 )
 
 MILLISECONDS = 1000
+# The agent refuses what waited until its deadline, as not run; leave that
+# word time to arrive.
+VERDICT_S = 0.2
 GONE = 'caller has gone'
 
 
@@ -50,7 +53,8 @@
         if self.writer.caller_gone:
             return NotRun(Reason.slow_reader, GONE)
         call = channel.stub.Dispatch(
-            self.request, timeout=self.request.deadline_ms / MILLISECONDS
+            self.request,
+            timeout=self.request.deadline_ms / MILLISECONDS + VERDICT_S,
         )
         self.writer.on_gone = call.cancel
         try:
--- a/testing/entry/models.py
+++ b/testing/entry/models.py
@@ -52,6 +52,7 @@
         self.runs = runs
         self.behaviour = 'serve'
         self.asked: list[Request] = []
+        self.timeouts: list[float] = []
         self.calls = 0
         self.stub = self
 
@@ -66,6 +67,7 @@
         copy = Request()
         copy.CopyFrom(request)
         self.asked.append(copy)
+        self.timeouts.append(timeout)
         refused = self.behaviour == 'refuse'
         if not refused and self.behaviour != 'lose before':
             self.runs[request.request_id] += 1
--- a/testing/entry/test_dispatch.py
+++ b/testing/entry/test_dispatch.py
@@ -70,6 +70,12 @@
 
         self.assertEqual((asked.request_id, asked.deadline_ms), ('r', 1500))
 
+    def test_agent_has_time_to_tell_that_a_request_did_not_run(self) -> None:
+        """The call ends a little after the agent's own deadline."""
+        self.entry.send(MODEL, 'r', {'X-Deadline-Ms': '1500'})
+
+        self.assertEqual(self.agent.timeouts, [1.7])
+
     def test_broken_answers_never_pass_as_whole(self) -> None:
         """Each is reset after what was sent of it."""
         for behaviour in ('cut', 'long', 'silent end'):
