--- a/src/bramleylug/web/connection.py
+++ b/src/bramleylug/web/connection.py
@@ -134,7 +134,7 @@
             sent = self.sock.send(piece)
         except BlockingIOError:
             sent = 0
-        if sent:
+        if sent and not self._is_ending():
             self.output_since_s = now_s
         self.out = [piece[sent:]] if sent < len(piece) else []
         self.out_bytes = len(piece) - sent
@@ -193,6 +193,12 @@
         self.dropped_bytes += count
         return self.dropped_bytes <= LINGER_BYTES
 
+    def _is_ending(self) -> bool:
+        """Tell whether nothing more is added to what waits to be sent."""
+        if self.exchange is None:
+            return self.closing
+        return self.exchange.finished
+
 
 REQUEST_TIMEOUT = BadRequest(
     HTTPStatus.REQUEST_TIMEOUT,
--- a/testing/web/test_port.py
+++ b/testing/web/test_port.py
@@ -128,6 +128,19 @@
         self.assertTrue(exchange.stalled and exchange.closed)
         self.assertEqual(bench.transport.ended, ['reset'])
 
+    def test_caller_that_reads_the_last_bytes_in_drips_is_cut(self) -> None:
+        """A finished answer has one stall time to leave, not one a byte."""
+        bench = PortBench(stall_timeout_s=5)
+        sock = bench.connect()
+        bench.receive(sock, REQUEST)
+        sock.room = 0
+        bench.served[0].reply(200, b'x' * 100)
+        for _ in range(3):
+            bench.pass_time(2)
+            bench.drain(sock, 1)
+
+        self.assertEqual(bench.transport.ended, ['reset'])
+
     def test_slow_head_and_body_are_answered_with_a_timeout(self) -> None:
         """Each part of a request has its own time."""
         bench = PortBench(head_timeout_s=5, body_timeout_s=9)
