Answer pipelined requests of a leaving host; serve nothing on a reset connection

Cause: a port that leaves dropped requests received behind the one that was answered, closed connections whose last answer did not say so, and went on serving what stood behind a request that failed. Change: what was received is answered first; a close that was not announced is told as a refusal; a connection that is gone takes no more requests.

--- a/src/bramleylug/web/port.py
+++ b/src/bramleylug/web/port.py
@@ -102,7 +102,7 @@
         """
         self.leaving = True
         for connection in self.connections.values():
-            if not connection.busy:
+            if not (connection.busy or connection.lingering):
                 self._refuse(connection, LEAVING)
 
     def accepted(self, sock: socket) -> None:
@@ -150,6 +150,7 @@
         connection = self.connections.pop(sock, None)
         if connection is None:
             return
+        connection.closing = True
         connection.hold(0, self.context.ledger)
         exchange = connection.exchange
         connection.exchange = None
@@ -241,10 +242,13 @@
     def _end(self, connection: Connection, exchange: Exchange) -> None:
         connection.exchange = None
         exchange.on_ended()
-        if exchange.close_after or self.leaving:
+        if exchange.close_after:
             connection.closing = True
             self._linger(connection)
             return
+        if self.leaving and connection.reader.between_messages:
+            self._refuse(connection, LEAVING)
+            return
         connection.input_since_s = self.context.clock()
         connection.resume(self.transport)
         self._advance(connection)
--- a/testing/web/test_port.py
+++ b/testing/web/test_port.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bramleylug.web.exchange import Exchange
 from testing.web.ports import REQUEST, PortBench
 
 
@@ -73,6 +74,47 @@
         self.assertTrue(late.sent.endswith(b'elsewhere'))
         self.assertFalse(bench.port.busy)
 
+    def test_pipelined_request_is_answered_though_the_port_leaves(
+        self,
+    ) -> None:
+        """It was received before the answer that runs has ended."""
+        bench = PortBench()
+        sock = bench.connect()
+        bench.receive(sock, REQUEST * 2)
+        bench.served[0].start(200, {}, 0)
+        bench.port.leave()
+        bench.served[0].finish()
+        bench.served[1].reply(503, b'elsewhere')
+
+        self.assertTrue(sock.sent.endswith(b'elsewhere'))
+        self.assertFalse(bench.port.busy)
+
+    def test_answer_begun_before_the_leave_ends_with_a_true_word(
+        self,
+    ) -> None:
+        """It did not say that the connection closes."""
+        bench = PortBench()
+        sock = bench.connect()
+        bench.receive(sock, REQUEST)
+        bench.served[0].start(200, {}, 0)
+        bench.port.leave()
+        bench.served[0].finish()
+
+        self.assertIn(b'"code": "leaving"', sock.sent)
+
+    def test_nothing_more_is_served_on_a_reset_connection(self) -> None:
+        """Requests behind the one that failed are dropped."""
+        served = []
+
+        def fail(exchange: Exchange) -> None:
+            served.append(exchange)
+            raise ValueError('odd request')
+
+        bench = PortBench(fail)
+        bench.receive(bench.connect(), REQUEST * 3)
+
+        self.assertEqual((len(served), bench.transport.ended), (1, ['reset']))
+
     def test_request_id_is_returned_when_plain(self) -> None:
         """A long or odd id is replaced."""
         bench = PortBench()
