Keep the kernel's part of a slow reader's memory to its share

Change: writes are cut to the size of the send buffer, since the kernel looks at the room only before it copies; the shares of caller_bytes are halved.

--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -25,8 +25,8 @@
 
 MAX_TRIES = 3
 TIDY_S = 2.0
-WINDOW_SHARE = 4
-WRITER_SHARE = 8
+WINDOW_SHARE = 8
+WRITER_SHARE = 16
 
 
 @final
--- a/src/bramleylug/web/connection.py
+++ b/src/bramleylug/web/connection.py
@@ -130,10 +130,7 @@
         if not self.out:
             return
         piece = b''.join(self.out)
-        try:
-            sent = self.sock.send(piece)
-        except BlockingIOError:
-            sent = 0
+        sent = _send_some(self.sock, piece, self.limits.send_buffer_bytes)
         if sent and not self._is_ending():
             self.output_since_s = now_s
         self.out = [piece[sent:]] if sent < len(piece) else []
@@ -200,6 +197,28 @@
         return self.exchange.finished
 
 
+def _send_some(sock: socket, piece: bytes, slice_bytes: int) -> int:
+    """Send what a socket takes and return how many bytes that was.
+
+    The kernel looks at the room in a send buffer only before it copies:
+    one large write may go far beyond. Small ones keep to the bound.
+
+    :param slice_bytes: most bytes a write; 0 for all at once.
+    """
+    sent = 0
+    view = memoryview(piece)
+    while sent < len(piece):
+        end = sent + (slice_bytes or len(piece))
+        try:
+            taken = sock.send(view[sent:end])
+        except BlockingIOError:
+            return sent
+        sent += taken
+        if not slice_bytes:
+            return sent
+    return sent
+
+
 REQUEST_TIMEOUT = BadRequest(
     HTTPStatus.REQUEST_TIMEOUT,
     'slow_sender',
