--- a/src/bramleylug/bench/membership.py
+++ b/src/bramleylug/bench/membership.py
@@ -62,6 +62,7 @@
         'burst_updates_per_s': CHANGING * UPDATES_PER_CHANGE / CHANGE_WINDOW_S,
         'burst_records_stale_share': _stale_share(fleet),
         'revision_spread_s': spread_s,
+        **_kill_one(fleet),
         **small,
     }
     return BenchResult(
@@ -76,7 +77,19 @@
             'membership_burst_bytes_per_s': burst.bytes_per_s,
             'membership_burst_messages_per_s': burst.messages_per_s,
             'membership_burst_cores': burst.cores,
+            'membership_bytes_per_update': (
+                burst.bytes_per_s - quiet.bytes_per_s
+            )
+            / figures['burst_updates_per_s'],
+            'membership_spread_s': spread_s,
+            'dead_known_everywhere_s': small['dead_known_everywhere_s'],
         },
+        sizes=(
+            f'{MEMBERS:,} members in virtual time; a burst of {CHANGING:,} '
+            f'hosts with {UPDATES_PER_CHANGE} updates each in '
+            f'{CHANGE_WINDOW_S:.0f} s; a death among {SMALL_FLEET} members '
+            'at 10% loss'
+        ),
     )
 
 
@@ -195,6 +208,8 @@
     fleet.paused.add(address)
     started_s = fleet.now_s
     times: dict[str, float] = {}
+    first = f'dead_known_first_s_{len(fleet.members)}'
+    last = f'dead_known_everywhere_s_{len(fleet.members)}'
     others = [
         member for other, member in fleet.members.items() if other != address
     ]
@@ -202,8 +217,8 @@
         fleet.step()
         gone = held_gone(others, name)
         if gone:
-            times.setdefault('dead_known_first_s', fleet.now_s - started_s)
+            times.setdefault(first, fleet.now_s - started_s)
         if gone == len(others):
-            times['dead_known_everywhere_s'] = fleet.now_s - started_s
+            times[last] = fleet.now_s - started_s
             break
     return times
--- a/src/bramleylug/cli/status.py
+++ b/src/bramleylug/cli/status.py
@@ -6,6 +6,7 @@
 from argparse import Namespace
 from collections import Counter
 from collections.abc import Iterator, Sequence
+from contextlib import suppress
 from http import HTTPStatus
 from http.client import HTTPConnection, HTTPException
 from typing import Any, NamedTuple, cast
@@ -136,15 +137,16 @@
 
 def _status(namespace: Namespace) -> int:
     code = _print_status(namespace)
-    while namespace.watch:
-        time.sleep(WATCH_INTERVAL_S)
-        print()
-        code = _print_status(namespace)
+    with suppress(KeyboardInterrupt):
+        while namespace.watch:
+            time.sleep(WATCH_INTERVAL_S)
+            print()
+            code = _print_status(namespace)
     return code
 
 
 def _print_status(namespace: Namespace) -> int:
-    page = _get(namespace.entry, MEMBERS_PATH)
+    page = ask_entry(namespace.entry, MEMBERS_PATH)
     if page is None:
         return ExitCode.unavailable
     found = cast(MembersPage, page)
@@ -184,7 +186,7 @@
 
 
 def _where(namespace: Namespace) -> int:
-    answer = _get(
+    answer = ask_entry(
         namespace.entry, f'/v1/entries?service={quote(namespace.service)}'
     )
     if answer is None:
@@ -195,7 +197,8 @@
     return ExitCode.ok if answer['entries'] else ExitCode.failed
 
 
-def _get(address: str, path: str) -> dict[str, Any] | None:
+def ask_entry(address: str, path: str) -> dict[str, Any] | None:
+    """Return a JSON page, or ``None`` once the reason was printed."""
     connection = HTTPConnection(address, timeout=TIMEOUT_S)
     try:
         connection.request('GET', path)
--- a/src/bramleylug/node/node.py
+++ b/src/bramleylug/node/node.py
@@ -7,7 +7,6 @@
 
 from circuits import BaseComponent, Event, Timer, handler
 from circuits.net.events import write
-from circuits.net.sockets import UDPServer
 from bramleylug.configuration.document import Document
 from bramleylug.configuration.holder import ConfigurationHolder
 from bramleylug.membership.actions import (
@@ -22,6 +21,7 @@
     ConfigurationServicer,
     ConfigurationSource,
 )
+from bramleylug.node.udp import DatagramServer
 from bramleylug.node.workers import start_worker
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import BAD_INPUT
@@ -29,7 +29,7 @@
 from bramleylug.platform.store import HostEntry, Store
 from bramleylug.settings.daemons import NodeSettings
 from bramleylug.settings.fields import SettingsError
-from bramleylug.wire.channels import bind_server, build_server, open_channel
+from bramleylug.wire.channels import bind_server, build_server
 from bramleylug.wire.configuration_pb2_grpc import (
     add_ConfigurationSyncServicer_to_server,
 )
@@ -41,6 +41,7 @@
 KEYS_INTERVAL_S = 5.0
 HOSTS_TIMEOUT_S = 2.0
 LONELY_INTERVAL_S = 1.0
+LONG_PAUSE_S = 10.0
 MILLISECONDS = 1000
 GOSSIP_CHANNEL = 'gossip'
 
@@ -61,6 +62,7 @@
     :ivar suspects: fingerprints of requests that crashed an upstream, with
         their crashes; immutable, replaced as a whole.
     :ivar describe: fills the own record; called on the loop.
+    :ivar count_running: returns the requests that have not ended.
     """
 
     channel = GOSSIP_CHANNEL
@@ -75,7 +77,7 @@
     ) -> None:
         super().__init__()
         self.settings = settings
-        self.store = store or GrpcStore(open_channel(settings.store))
+        self.store = store or GrpcStore.from_address(settings.store)
         self.keyring = Keyring(settings.key_files)
         self.holder = ConfigurationHolder(time.time)
         self.server = build_server(workers)
@@ -86,7 +88,7 @@
             self.server, settings.grpc_bind, self.keyring
         )
         host, _, port = settings.gossip_bind.rpartition(':')
-        self.udp = UDPServer((host, int(port)), channel=GOSSIP_CHANNEL)
+        self.udp = DatagramServer((host, int(port)), channel=GOSSIP_CHANNEL)
         self.udp.register(self)
         self.secrets = SecretFiles(settings.gossip_keys)
         self.codec = DatagramCodec(_first_keys(self.secrets))
@@ -95,6 +97,7 @@
         )
         self.members: tuple[Member, ...] = self.membership.alive()
         self.describe: Callable[[Member], None] = _describe_nothing
+        self.count_running: Callable[[], int] = int
         self.source = ConfigurationSource(self)
         self.keys_due_s = 0.0
         self.stopping = False
@@ -126,12 +129,14 @@
         """Tell the others that this instance takes no new work."""
         self.call(lambda: self._act(self.membership.leave(time.monotonic())))
 
-    def report_suspect(self, fingerprint: bytes) -> None:
+    def report_suspect(self, fingerprint: bytes, crash_id: bytes) -> None:
         """Tell all members of a request that crashed an upstream.
 
         May be called from any thread.
+
+        :param crash_id: names the crash; told twice it counts once.
         """
-        self.call(lambda: self.membership.add_suspect(fingerprint))
+        self.call(lambda: self.membership.add_suspect(fingerprint, crash_id))
 
     def call(self, action: Callable[[], None]) -> None:
         """Run a callable on the loop; may be called from any thread."""
@@ -159,6 +164,9 @@
     @handler('node_tick')
     def _on_tick(self) -> None:
         now_s = time.monotonic()
+        last_s = self.membership.ticked_s
+        if last_s is not None and now_s - last_s > LONG_PAUSE_S:
+            self.source.reopen()
         self._renew_keys(now_s)
         self.membership.update_own(self._refresh, now_s)
         self._act(self.membership.tick(now_s))
@@ -178,8 +186,11 @@
     @handler('read')
     def _on_read(self, address: tuple[str, int], raw: bytes) -> None:
         message = self.codec.decode(raw)
-        if message is not None:
-            self._act(self.membership.receive(message, time.monotonic()))
+        try:
+            if message is not None:
+                self._act(self.membership.receive(message, time.monotonic()))
+        except Exception as error:
+            emit(LogEvent.worker_failed, work='gossip', error=repr(error))
         self._count_dropped()
 
     def _on_document(self, document: Document) -> None:
@@ -193,7 +204,10 @@
     def _refresh(self, record: Member) -> None:
         record.revision = self.holder.document.revision
         record.revision_since_s = int(self.holder.since_s)
-        self.describe(record)
+        try:
+            self.describe(record)
+        except Exception as error:
+            emit(LogEvent.worker_failed, work='describe', error=repr(error))
 
     def _act(self, actions: list[GossipAction]) -> None:
         for action in actions:
