--- a/src/bramleylug/bench/capacity.py
+++ b/src/bramleylug/bench/capacity.py
@@ -24,6 +24,11 @@
 NOT_MEASURED = 'not measured'
 
 
+FIGURES = frozenset(
+    name for line in LINES for name in line.names()
+) - frozenset((*SIZES, *CONSTANTS))
+
+
 class Slope(TypedDict):
     """One measured cost with all that is needed to measure it anew."""
 
@@ -87,8 +92,18 @@
         )
         for result in outcomes
         if isinstance(result, BenchResult)
-        for name, amount in result.slopes.items()
+        for name, amount in _measured(result).items()
+    }
+
+
+def _measured(result: BenchResult) -> dict[str, float]:
+    """Return the slopes, and the figures that lines are made of."""
+    figures = {
+        name: float(figure)
+        for name, figure in result.figures.items()
+        if name in FIGURES
     }
+    return {**figures, **result.slopes}
 
 
 def merge_slopes(
--- a/src/bramleylug/bench/capacity_model.py
+++ b/src/bramleylug/bench/capacity_model.py
@@ -5,11 +5,13 @@
     CONTROL_BYTES,
     CONTROL_CORES,
     CONTROL_RATE,
+    FIRST_TOKEN,
     IN_FORCE,
     ONE_CORE,
     STORE_READS,
     STORE_VALUE,
     STORE_WRITES,
+    TOKEN_GAP,
 )
 from bramleylug.bench.capacity_faults import FAULT_LINES
 from bramleylug.bench.capacity_lines import Line
@@ -52,6 +54,7 @@
     )
 
 
+_CHUNKS = ('version_bytes', '/chunk_bytes')
 _WATCHERS = ('zones', 'watchers_per_zone')
 _DECODING = ('changes_per_s', 'services', 'document_decode_s_per_service')
 
@@ -78,6 +81,22 @@
         'candidates arranged once a second at most; a subset of each zone',
         ONE_CORE,
     ),
+    Line(
+        'entry',
+        'a request of one token through the system, 99 in 100',
+        'ms',
+        (('request_ms_p99',),),
+        'no step waits for another process but the agent and its upstream',
+        FIRST_TOKEN,
+    ),
+    Line(
+        'entry',
+        'time between tokens, 95 in 100',
+        'ms',
+        (('token_gap_ms_p95',),),
+        'each piece is passed on as it comes',
+        TOKEN_GAP,
+    ),
     Line(
         'entry',
         'answer bytes held',
@@ -219,6 +238,67 @@
     ),
 )
 
+PLANNER_LINES = (
+    Line(
+        'chunk home',
+        'memory for control while a version arrives',
+        'bytes',
+        (
+            ('agent_idle_resident_bytes',),
+            _VIEW_BYTES,
+            (*_CHUNKS, 'planner_memory_bytes_per_chunk'),
+            ('hosts', 'planner_memory_bytes_per_host'),
+        ),
+        'the plan of one transfer: state by chunk and by neighbour',
+        CONTROL_BYTES,
+    ),
+    Line(
+        'chunk home',
+        'processor time of the plan, over the whole transfer',
+        's',
+        (
+            (*_CHUNKS, 'planner_processor_seconds_per_chunk'),
+            (
+                *_CHUNKS,
+                'hosts',
+                'planner_setup_processor_seconds_per_chunk_and_host',
+            ),
+        ),
+        'each chunk ranks the hosts once; one step a chunk that arrives',
+    ),
+    Line(
+        'chunk home',
+        'processor time of the plan, a second of the transfer',
+        'cores',
+        (
+            (*_CHUNKS, 'planner_processor_seconds_per_chunk', '/burst_s'),
+            (
+                *_CHUNKS,
+                'hosts',
+                'planner_setup_processor_seconds_per_chunk_and_host',
+                '/burst_s',
+            ),
+        ),
+        'as above, spread over the transfer',
+        CONTROL_CORES,
+    ),
+    Line(
+        'chunk home',
+        'bytes of holdings told, a second of the transfer',
+        'bytes/s',
+        (
+            (
+                'holdings_exchanges_per_host_and_transfer',
+                *_CHUNKS,
+                'bitmap_bytes_per_chunk',
+                '/burst_s',
+            ),
+        ),
+        'a bitmap from a few neighbours at a time',
+        CONTROL_RATE,
+    ),
+)
+
 STORE_LINES = (
     Line(
         'store',
@@ -259,6 +339,7 @@
     *PUBLISHER_LINES,
     *CLAIM_LINES,
     *HOME_LINES,
+    *PLANNER_LINES,
     *STORE_LINES,
     *FAULT_LINES,
 )
--- a/src/bramleylug/bench/quantities.py
+++ b/src/bramleylug/bench/quantities.py
@@ -81,6 +81,10 @@
     'version_bytes': Size(
         16 * 1024**3, 'assumed: a version of 16 GiB', grows=False
     ),
+    'burst_s': Size(300, 'assumed: five minutes, letter: minutes', grows=False),
+    'bitmap_bytes_per_chunk': Size(
+        2 / 8, 'two bitmaps an exchange of holdings', grows=False
+    ),
     'other_regions': Size(3, 'regions - 1', grows=False),
     'rack_hosts': Size(20, 'assumed: 20 hosts a rack', grows=False),
     'zone_members': Size(1530 / 9, 'members / zones'),
@@ -103,6 +107,7 @@
     'watch_retry_s': ('node.synchronization', 'IDLE_S'),
     'hosts_interval_s': ('node.node', 'HOSTS_INTERVAL_S'),
     'arrange_interval_s': ('routing.fleet', 'ARRANGE_INTERVAL_S'),
+    'chunk_bytes': ('weights.manifest', 'CHUNK_BYTES'),
     'claim_shards': ('claims.keys', 'SHARDS'),
     'claim_commit_interval_s': ('claims.pace', 'COMMIT_INTERVAL_S'),
 }
