--- a/src/bramleylug/cli/bench.py
+++ b/src/bramleylug/cli/bench.py
@@ -14,6 +14,7 @@
 )
 from bramleylug.bench.results import BenchOutcome, outcome_from_json
 from bramleylug.bench.table import format_outcome, format_summary
+from bramleylug.observability.logs import set_up_logs
 
 DEFAULT_SEED = 1
 ALL = 'all'
@@ -48,6 +49,11 @@
         metavar='DIR',
         help='where CAPACITY.md and its slopes are',
     )
+    bench.add_argument(
+        '--verbose',
+        action='store_true',
+        help='show log lines and the traceback of a bench that fails',
+    )
     bench.set_defaults(run=_run)
 
 
@@ -72,6 +78,7 @@
             f'no such bench: {", ".join(unknown)}; '
             f'there are {", ".join(BENCHES)}'
         )
+    set_up_logs('bench', level='TRACE' if namespace.verbose else 'ERROR')
     outcomes: list[BenchOutcome] = []
     for outcome in run_benches(names, namespace.seed):
         outcomes.append(outcome)
