--- a/src/bramleylug/node/synchronization.py
+++ b/src/bramleylug/node/synchronization.py
@@ -2,7 +2,8 @@
 
 import json
 import time
-from queue import Empty, SimpleQueue
+from contextlib import suppress
+from queue import Empty, Full, Queue
 from typing import TYPE_CHECKING, Any, final
 
 from grpc import RpcError
@@ -30,11 +31,14 @@
     from bramleylug.node.node import Node
 
 WATCHERS_PER_ZONE = 2
-WATCH_WAIT_S = 10.0
-READ_TIMEOUT_S = 1.0
+WATCH_WAIT_S = 3.0
+READ_TIMEOUT_S = 3.0
 WRITE_TIMEOUT_S = 2.0
 PULL_TIMEOUT_S = 2.0
 IDLE_S = 0.5
+PULLS_LIMIT = 16
+REFUSED_S = 1.0
+AFTER_PAUSE = 'the process was paused and asks for the revision'
 POLL_S = 0.1
 
 
@@ -55,11 +59,13 @@
     """Watches the store where it is this process's duty, pulls elsewhere.
 
     :param node: the instance whose holder is fed.
+    :ivar refused: until when members that had nothing of use are not asked.
     """
 
     def __init__(self, node: 'Node') -> None:
         self.node = node
-        self.wanted: SimpleQueue[tuple[int, str]] = SimpleQueue()
+        self.wanted: Queue[tuple[int, str]] = Queue(PULLS_LIMIT)
+        self.refused: dict[str, float] = {}
         self.version = 0
         self.startup = Startup(time.monotonic())
 
@@ -74,9 +80,15 @@
         ):
             start_worker(name, step, self._is_stopped)
 
+    def reopen(self) -> None:
+        """Trust nothing after a long pause until it is confirmed again."""
+        self.startup = Startup(time.monotonic())
+        self.node.holder.doubt = AFTER_PAUSE
+
     def pull_from(self, member: str, revision: int) -> None:
         """Ask a member that has a later revision, on a thread of its own."""
-        self.wanted.put((revision, member))
+        with suppress(Full):
+            self.wanted.put_nowait((revision, member))
 
     def watch(self) -> None:
         """Wait for one change of the store where it is the duty."""
@@ -97,10 +109,12 @@
             revision, name = self.wanted.get(timeout=IDLE_S)
         except Empty:
             return
-        if revision > self.node.holder.document.revision and not (
-            self.pull_now(name)
-        ):
-            time.sleep(POLL_S)
+        now_s = time.monotonic()
+        lacking = revision > self.node.holder.document.revision
+        if not lacking or now_s < self.refused.get(name, 0):
+            return
+        if not self.pull_now(name):
+            self.refused[name] = now_s + REFUSED_S
 
     def confirm(self) -> None:
         """Ask the store, else peers, until the revision can be trusted."""
