Claims outlive an unreadable shard and a failing adapter

A shard that cannot be read is not overwritten, and nothing is claimed in it; an adapter that raises counts as a lost answer. A planned stop writes results that wait at once.

--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -97,6 +97,7 @@
         """Take no new work from now on."""
         self.gate.leaving = True
         self.admission.refuse_all(NotRun(Reason.leaving, 'host is leaving'))
+        self.claims.hurry()
         self.node.leave()
 
     def is_quiet(self) -> bool:
--- a/src/bramleylug/claims/document.py
+++ b/src/bramleylug/claims/document.py
@@ -5,6 +5,8 @@
 from functools import cached_property
 from typing import NamedTuple, final
 
+from google.protobuf.message import DecodeError
+
 from bramleylug.wire.claims_pb2 import (
     CLAIM_STATE_HELD,
     ClaimRecord,
@@ -65,8 +67,11 @@
 
     @classmethod
     def from_bytes(cls, raw: bytes) -> 'ShardDocument':
-        """Read a stored shard; no bytes are the empty shard."""
-        shard = Shard.FromString(raw)
+        """Read a stored shard; no bytes are the empty shard.
+
+        :raises ValueError: when the bytes are no shard.
+        """
+        shard = _parse(raw)
         claims = {
             record.key: Claim(
                 record.key,
@@ -124,6 +129,16 @@
         return self if len(kept) == len(self.claims) else self.with_claims(kept)
 
 
+def _parse(raw: bytes) -> Shard:
+    try:
+        shard = Shard.FromString(raw)
+    except DecodeError as error:
+        raise ValueError('no shard of claims') from error
+    if any(record.holder >= len(shard.holders) for record in shard.claims):
+        raise ValueError('claim without a holder')
+    return shard
+
+
 def _without_old_answers(claims: Mapping[bytes, Claim]) -> dict[bytes, Claim]:
     kept = dict(claims)
     excess = sum(len(claim.answer) for claim in kept.values())
--- a/src/bramleylug/claims/keeper.py
+++ b/src/bramleylug/claims/keeper.py
@@ -29,7 +29,13 @@
 from bramleylug.claims.ledger import ShardLedger
 from bramleylug.claims.tickets import Redeemed, TicketBook, read_ticket
 from bramleylug.observability.events import LogEvent, emit
-from bramleylug.platform.store import Store
+from bramleylug.platform.store import (
+    ReadOutcome,
+    Store,
+    SwapOutcome,
+    Unavailable,
+    Uncertain,
+)
 from bramleylug.wire.requests_pb2 import Request
 
 STORE_THREADS = 8
@@ -180,6 +186,14 @@
                 for ledger in self.ledgers.values()
             )
 
+    def hurry(self) -> None:
+        """Let results that wait be written now."""
+        with self.lock:
+            now_s = time.monotonic()
+            for ledger in self.ledgers.values():
+                ledger.pace.hurry(now_s)
+        self.wake.set()
+
     def stop(self) -> None:
         """Stop claiming."""
         self.stopping = True
@@ -223,21 +237,38 @@
     def _call_store(
         self, name: ShardName, action: WriteShard | ReadShard
     ) -> None:
-        key = shard_key(*name)
         match action:
-            case WriteShard(expected_version, content):
-                written = self.store.compare_and_swap(
-                    key, expected_version, content, timeout_s=STORE_TIMEOUT_S
-                )
+            case WriteShard():
+                written = self._write(shard_key(*name), action)
                 with self.lock:
                     actions = self._ledger(name).wrote(written, _now())
                     self._act(name, actions)
             case ReadShard():
-                found = self.store.read(key, timeout_s=STORE_TIMEOUT_S)
+                found = self._read(shard_key(*name))
                 with self.lock:
                     actions = self._ledger(name).read(found, _now())
                     self._act(name, actions)
 
+    def _write(self, key: str, action: WriteShard) -> SwapOutcome:
+        """Write a shard; a failure of any kind may have taken effect."""
+        try:
+            return self.store.compare_and_swap(
+                key,
+                action.expected_version,
+                action.content,
+                timeout_s=STORE_TIMEOUT_S,
+            )
+        except Exception as error:  # noqa: BLE001
+            emit(LogEvent.worker_failed, work='claims', error=error)
+            return Uncertain(repr(error))
+
+    def _read(self, key: str) -> ReadOutcome:
+        try:
+            return self.store.read(key, timeout_s=STORE_TIMEOUT_S)
+        except Exception as error:  # noqa: BLE001
+            emit(LogEvent.worker_failed, work='claims', error=error)
+            return Unavailable(repr(error))
+
 
 def _now() -> Instant:
     return Instant(time.monotonic(), time.time())
--- a/src/bramleylug/claims/ledger.py
+++ b/src/bramleylug/claims/ledger.py
@@ -159,8 +159,15 @@
         ]
 
     def _take_current(self, current: StoredValue, now: Instant) -> list[Action]:
-        """Adopt a value that another process wrote."""
-        document = ShardDocument.from_bytes(current.value)
+        """Adopt a value that another process wrote.
+
+        One that cannot be read is not overwritten; nothing is claimed in
+        its shard until it can be.
+        """
+        try:
+            document = ShardDocument.from_bytes(current.value)
+        except ValueError:
+            return self._fail(now)
         actions: list[Action] = []
         if document.sequence < self.book.document.sequence:
             self.book.restoring = True
--- a/testing/claims/test_ledger.py
+++ b/testing/claims/test_ledger.py
@@ -285,6 +285,15 @@
         self.assertIn(b'key-1', document.claims)
         self.assertEqual(document.closed_until_s, EPOCH_S + 50)
 
+    def test_unreadable_shard_is_not_overwritten(self) -> None:
+        """What it said of its keys is not known."""
+        self.ledger.ask(build_ask(1), at(0))
+        unreadable = Conflict(StoredValue(b'\xff', 7))
+        self.ledger.wrote(unreadable, at(0))
+        write = first(self.ledger.advance(at(0.1)))
+
+        self.assertEqual(write.expected_version, 0)
+
     def test_closed_shard_refuses(self) -> None:
         """Keys that others may have claimed before are not run."""
         self.test_store_that_went_back_is_refilled_and_closed()
