Take over homes that trickle, and break off reads that peers overtook

Cause: a home whose read of the origin went on slowly was never taken over, since it made progress; its own read was never broken off. Change: a host that has done its own duties judges the others by the time those took, so that an origin slow for all makes nobody take over; a read of the origin older than 10 s whose chunk peers hold is cancelled. Hosts that wait for a turn take rounds of 10 s, so that one that cannot drain holds up nobody.

--- a/src/bramleylug/agent/turns.py
+++ b/src/bramleylug/agent/turns.py
@@ -21,6 +21,7 @@
 TURN_S = 20.0
 KEEP_ALIVE_S = 5.0
 TRY_INTERVAL_S = 0.3
+EPOCH_S = 10.0
 MARGIN_S = 1.0
 STORE_TIMEOUT_S = 2.0
 
@@ -40,14 +41,15 @@
 
 
 def is_next(
-    name: str, waiting: Sequence[str], max_unavailable: int, version: str
+    name: str, waiting: Sequence[str], max_unavailable: int, round_key: str
 ) -> bool:
     """Tell whether a host tries for a turn now.
 
     Bounds the calls of the store: of all hosts that wait, only twice as
-    many as there are slots try.
+    many as there are slots try. Who they are changes with the round, so
+    that hosts that cannot finish their requests hold up nobody.
     """
-    ranked = rank(version, {*waiting, name})
+    ranked = rank(round_key, {*waiting, name})
     return ranked.index(name) < 2 * max_unavailable
 
 
@@ -89,7 +91,8 @@
             self.release()
             return
         slots = spec.max_unavailable
-        if is_next(self.name, waiting, slots, spec.version):
+        epoch = int(time.time() / EPOCH_S)
+        if is_next(self.name, waiting, slots, f'{spec.version}/{epoch}'):
             self.take(slots)
         confirm = self.confirm_wanted
         self.confirm_wanted = False
--- a/src/bramleylug/agent/versions.py
+++ b/src/bramleylug/agent/versions.py
@@ -235,11 +235,15 @@
                 emit(LogEvent.weights_loaded, order=order)
 
     def _waiting(self, spec: ServiceSpec) -> list[str]:
-        digest = self.stock.digests().get(self.wanted or NO_VERSION, '')
+        """Return the agents that hold the wanted version, not serving it."""
+        key = self.wanted or NO_VERSION
+        digest = self.stock.digests().get(key, '')
         return [
             member.name
             for member in self.node.members
-            if serves(member, spec.name) and not _serves_digest(member, digest)
+            if serves(member, spec.name)
+            and _holds(member, key, WHOLE_PERMILLE)
+            and not _serves_digest(member, digest)
         ]
 
     def _wanted_name(self) -> str:
@@ -283,9 +287,9 @@
         )
 
 
-def _holds(member: Member, key: VersionKey) -> bool:
+def _holds(member: Member, key: VersionKey, least_permille: int = 1) -> bool:
     return any(
-        (held.model, held.version) == key and held.progress
+        (held.model, held.version) == key and held.progress >= least_permille
         for held in member.versions
     )
 
--- a/src/bramleylug/weights/flights.py
+++ b/src/bramleylug/weights/flights.py
@@ -4,6 +4,7 @@
 from typing import final
 
 STALL_S = 5.0
+SLOW_READ_S = 10.0
 PARALLEL_FETCHES = 6
 FETCHES_BESIDE_DUTIES = 2
 
@@ -38,6 +39,7 @@
 
     fetch: Fetch
     duty: bool
+    started_s: float
     progress_s: float
     abandoned: bool = False
 
@@ -71,7 +73,7 @@
 
     def start(self, fetch: Fetch, now_s: float, *, duty: bool) -> None:
         """Note that a fetch starts."""
-        self.running[fetch.index] = Flight(fetch, duty, now_s)
+        self.running[fetch.index] = Flight(fetch, duty, now_s, now_s)
 
     def end(self, index: int) -> Flight | None:
         """Note that a fetch ended; return it unless it was not running."""
@@ -82,12 +84,15 @@
         for flight in self.running.values():
             flight.progress_s = now_s
 
-    def abandon_stalled(self, now_s: float) -> list[int]:
-        """Return the chunks whose fetch makes no progress, once each."""
+    def abandon_stalled(self, now_s: float, near: int) -> list[int]:
+        """Return the chunks whose fetch is to be cancelled, once each.
+
+        :param near: set of the chunks that peers hold by now: a slow read
+            of the origin is not worth waiting for.
+        """
         stalled = []
         for index, flight in self.running.items():
-            late = now_s - flight.progress_s >= STALL_S
-            if late and not flight.abandoned:
+            if not flight.abandoned and _is_stalled(flight, now_s, near):
                 flight.abandoned = True
                 stalled.append(index)
         return stalled
@@ -99,3 +104,14 @@
             and now_s - flight.progress_s >= limit_s
             for flight in self.running.values()
         )
+
+
+def _is_stalled(flight: Flight, now_s: float, near: int) -> bool:
+    if now_s - flight.progress_s >= STALL_S:
+        return True
+    slow = now_s - flight.started_s >= SLOW_READ_S
+    return (
+        slow
+        and isinstance(flight.fetch, FromOrigin)
+        and bool(near >> flight.fetch.index & 1)
+    )
--- a/src/bramleylug/weights/homes.py
+++ b/src/bramleylug/weights/homes.py
@@ -46,6 +46,7 @@
         self.leads: list[str] = []
         self.local: list[list[Ranked]] = [[] for _ in chunk_hashes]
         self.duties: dict[int, int] = {}
+        self.local_count = 1
         self.remote: dict[int, list[str]] = {}
 
     def replace_hosts(self, hosts: Mapping[str, str]) -> bool:
@@ -58,6 +59,7 @@
             return False
         before = {host for host, at in self.hosts.items() if at == self.region}
         after = {host for host, at in hosts.items() if at == self.region}
+        self.local_count = len(after)
         anew = len(after) > JOINS_LIMIT + len(before)
         self.hosts = hosts
         self.remote.clear()
--- a/src/bramleylug/weights/planner.py
+++ b/src/bramleylug/weights/planner.py
@@ -8,9 +8,9 @@
 from bramleylug.weights.actions import (
     Abandon,
     Action,
-    AskHoldings,
     ReportBadOrigin,
 )
+from bramleylug.weights.asks import Asks
 from bramleylug.weights.chunk_sets import (
     count_copies,
     pick,
@@ -28,14 +28,12 @@
 from bramleylug.weights.manifest import Manifest
 from bramleylug.weights.origin_reads import ORIGIN_PAUSE_LIMIT_S, OriginReads
 from bramleylug.weights.peers import Fault, Holdings, Peer
+from bramleylug.weights.take_over import TAKE_OVER_S, TakeOver, are_quiet
 
-TAKE_OVER_S = 4.0
 REGION_TAKE_OVER_S = 10.0
 FIRST_ASK_S = 1.0
 NEIGHBOURS = 16
 FIRST_HEARD = 3
-ASKS_AT_ONCE = 2
-ASKS_INTERVAL_S = 0.1
 FETCHES_PER_PEER = 2
 
 
@@ -70,12 +68,11 @@
         self.peers: dict[str, Peer] = {}
         self.neighbours: frozenset[str] = frozenset()
         self.flights = Flights()
-        self.asks: set[str] = set()
+        self.asks = Asks()
         self.held = 0
         self.duty_bytes = 0
         self.duty_staged_bytes = 0
-        self.started_s = now_s
-        self.next_asks_s = now_s
+        self.take_over = TakeOver(now_s)
         self.reports: list[ReportBadOrigin] = []
 
     @property
@@ -92,7 +89,7 @@
             return
         for gone in self.peers.keys() - regions.keys():
             self.peers.pop(gone)
-            self.asks.discard(gone)
+            self.asks.running.discard(gone)
         for name, region in regions.items():
             if name not in self.peers and name != self.name:
                 self.peers[name] = Peer(name, region, now_s)
@@ -105,7 +102,7 @@
 
     def hear(self, name: str, holdings: Holdings | None, now_s: float) -> None:
         """Take in a peer's holdings, ``None`` when it did not answer."""
-        self.asks.discard(name)
+        self.asks.running.discard(name)
         peer = self.peers.get(name)
         if peer is None:
             return
@@ -150,12 +147,21 @@
         """Return what to start and to cancel now."""
         actions: list[Action] = list(self.reports)
         self.reports.clear()
-        actions.extend(map(Abandon, self.flights.abandon_stalled(now_s)))
+        near = _union(self._near_peers(now_s))
+        stalled = self.flights.abandon_stalled(now_s, near)
+        actions.extend(map(Abandon, stalled))
         if self.done:
             return actions
         actions.extend(self._plan_duties(now_s))
         actions.extend(self._plan_swarm(now_s))
-        actions.extend(self._plan_asks(now_s, starved=self.flights.has_room))
+        actions.extend(
+            self.asks.choose(
+                self._watched(),
+                now_s,
+                starved=self.flights.has_room,
+                duty_bytes=self.duty_staged_bytes,
+            )
+        )
         return actions
 
     def _end(self, index: int) -> Flight | None:
@@ -194,17 +200,18 @@
         missing = self._missing()
         heard = sum(self.peers[name].heard for name in self.neighbours)
         enough = heard >= min(FIRST_HEARD, len(self.neighbours))
-        if not enough and now_s - self.started_s < FIRST_ASK_S:
+        if not enough and now_s - self.take_over.started_s < FIRST_ASK_S:
             return
-        near = 0
-        for peer in self._near_peers(now_s):
-            near |= peer.chunks
-        duties = [index for index in self.homes.duties if missing >> index & 1]
+        near = _union(self._near_peers(now_s))
+        left = whole(self.count) & ~self.held
+        duties = [index for index in self.homes.duties if left >> index & 1]
+        self.take_over.note_left(duties, self.homes, now_s)
         self.random.shuffle(duties)
         for index in duties:
             if not self.flights.has_room:
                 return
-            if near >> index & 1 or not self._is_due(index, now_s):
+            flying = not missing >> index & 1
+            if flying or near >> index & 1 or not self._is_due(index, now_s):
                 continue
             fetch = self._bring(index, now_s)
             if fetch is not None:
@@ -221,7 +228,7 @@
             for home in self.homes.local_homes(index)[:place]
             if home in self.peers
         ]
-        return _are_quiet(homes, place * TAKE_OVER_S, now_s)
+        return self.take_over.is_due(place, homes, self.homes, now_s)
 
     def _blames_origin(self, now_s: float) -> bool:
         """Tell whether the origin may be why homes are quiet."""
@@ -242,7 +249,7 @@
                     return FromPeer(index, source.name)
             limit_s = REGION_TAKE_OVER_S
             limit_s += self.homes.duties[index] * TAKE_OVER_S
-            if not _are_quiet(leads, limit_s, now_s):
+            if not are_quiet(leads, limit_s, now_s):
                 return None
         return FromOrigin(index) if self.origin.may_read(index, now_s) else None
 
@@ -260,10 +267,7 @@
         planes = count_copies(peer.chunks for peer in near)
         while self.flights.has_swarm_room:
             sources = [peer for peer in near if _is_free(peer, now_s)]
-            offered = 0
-            for peer in sources:
-                offered |= peer.chunks
-            offered &= self._missing()
+            offered = _union(sources) & self._missing()
             if not offered:
                 return
             offset = self.random.randrange(self.count)
@@ -273,27 +277,6 @@
             self._start(fetch, now_s, duty=False)
             yield fetch
 
-    def _plan_asks(
-        self, now_s: float, *, starved: bool
-    ) -> Iterable[AskHoldings]:
-        if len(self.asks) >= ASKS_AT_ONCE or now_s < self.next_asks_s:
-            return
-        self.next_asks_s = now_s + ASKS_INTERVAL_S
-        useful = [
-            peer
-            for peer in self._watched()
-            if peer.name not in self.asks
-            and peer.may_be_asked(
-                now_s, starved=starved, duty_bytes=self.duty_staged_bytes
-            )
-        ]
-        useful.sort(key=lambda peer: peer.asked_s)
-        for peer in useful[: ASKS_AT_ONCE - len(self.asks)]:
-            peer.asked_s = now_s
-            peer.told_duty_bytes = self.duty_staged_bytes
-            self.asks.add(peer.name)
-            yield AskHoldings(peer.name)
-
     def _watched(self) -> list[Peer]:
         names = set(self.neighbours)
         missing = self._missing()
@@ -306,10 +289,6 @@
         return [self.peers[name] for name in names if name in self.peers]
 
 
-def _are_quiet(homes: list[Peer], limit_s: float, now_s: float) -> bool:
-    return all(now_s - home.duty_s >= limit_s for home in homes)
-
-
 def _is_free(peer: Peer, now_s: float) -> bool:
     return peer.avoid_until_s <= now_s and peer.in_flight < FETCHES_PER_PEER
 
@@ -320,3 +299,10 @@
         (peer for peer in sources if peer.chunks >> index & 1),
         key=lambda peer: (min(peer.free_upload_slots, 2), random.random()),
     )
+
+
+def _union(peers: Iterable[Peer]) -> int:
+    chunks = 0
+    for peer in peers:
+        chunks |= peer.chunks
+    return chunks
--- a/src/bramleylug/weights/swarm.py
+++ b/src/bramleylug/weights/swarm.py
@@ -15,6 +15,7 @@
     AskHoldings,
     ReportBadOrigin,
 )
+from bramleylug.weights.asks import ASKS_AT_ONCE
 from bramleylug.weights.chunk_server import ChunkServer
 from bramleylug.weights.flights import (
     PARALLEL_FETCHES,
@@ -32,7 +33,7 @@
     Stop,
 )
 from bramleylug.weights.peers import Fault
-from bramleylug.weights.planner import ASKS_AT_ONCE, Planner
+from bramleylug.weights.planner import Planner
 from bramleylug.weights.staging import Staging
 from bramleylug.weights.transfer import (
     Failed,
@@ -190,6 +191,7 @@
                 self.pool.submit(self._ask, peer)
             case Abandon(index):
                 self.links.peers.cancel(index)
+                self.links.origin.cancel(self.manifest, index)
             case ReportBadOrigin(index):
                 emit(
                     LogEvent.origin_corrupt,
--- a/src/bramleylug/weights/transfer.py
+++ b/src/bramleylug/weights/transfer.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http.client import HTTPConnection, HTTPException
+from socket import SHUT_RDWR
 from threading import Lock
 from typing import Any, final
 
@@ -52,6 +53,7 @@
         self.address = address
         self.share = share
         self.bytes_read = 0
+        self.reads: dict[tuple[str, str], HTTPConnection] = {}
         self.lock = Lock()
 
     def manifest(self, key: VersionKey) -> Manifest | None:
@@ -72,9 +74,7 @@
 
         :param on_piece: called with the size of each piece that arrives.
         """
-        first, length = manifest.chunk_range(index)
-        path = f'/{manifest.model}/{manifest.version}/weights'
-        span = f'bytes={first}-{first + length - 1}'
+        path, span = _place(manifest, index)
 
         def count(size_bytes: int) -> None:
             with self.lock:
@@ -85,10 +85,22 @@
         chunk = self._get(path, {'Range': span}, count)
         return Failed(Fault.unreachable) if chunk is None else chunk
 
+    def cancel(self, manifest: Manifest, index: int) -> None:
+        """Break off the read of a chunk, so that it ends as failed."""
+        connection = self.reads.get(_place(manifest, index))
+        sock = None if connection is None else connection.sock
+        if sock is None:
+            return
+        try:
+            sock.shutdown(SHUT_RDWR)
+        except OSError:
+            return
+
     def _get(
         self, path: str, headers: dict[str, str], on_piece: PieceHandler
     ) -> bytes | None:
         connection = HTTPConnection(self.address, timeout=STALL_S)
+        self.reads[path, headers.get('Range', '')] = connection
         body = bytearray()
         try:
             connection.request('GET', path, headers=headers)
@@ -99,6 +111,7 @@
         except (OSError, HTTPException):
             return None
         finally:
+            self.reads.pop((path, headers.get('Range', '')), None)
             connection.close()
         return bytes(body) if response.status in RETRY_STATUSES else None
 
@@ -239,3 +252,10 @@
         grpc.StatusCode.CANCELLED: Fault.stalled,
     }
     return faults.get(error.code(), Fault.unreachable)
+
+
+def _place(manifest: Manifest, index: int) -> tuple[str, str]:
+    """Return path and range of a chunk at the origin."""
+    first, length = manifest.chunk_range(index)
+    path = f'/{manifest.model}/{manifest.version}/weights'
+    return path, f'bytes={first}-{first + length - 1}'
--- a/testing/weights/test_planner.py
+++ b/testing/weights/test_planner.py
@@ -34,11 +34,6 @@
         """A home that makes progress is not taken over, however late."""
         burst = VirtualBurst(hosts=8, chunks=60)
         burst.origin_pace = 1
-        for _ in range(20):
-            burst.tick()
-            for planner in burst.planners.values():
-                for index in planner.flights.running:
-                    planner.progress(index, 1, burst.now_s)
 
         self.assertTrue(burst.run(60))
         self.assertEqual(len(burst.origin_reads), 60)
@@ -68,6 +63,14 @@
         self.assertEqual(len(burst.origin_reads), 40)
         self.assertGreater(burst.now_s, 4)
 
+    def test_slow_home_is_taken_over(self) -> None:
+        """It makes progress, but takes far longer than the others did."""
+        burst = VirtualBurst(hosts=8, chunks=40)
+        burst.slow.add('host-3')
+
+        self.assertTrue(burst.run(30))
+        self.assertEqual(len(burst.origin_reads), 40)
+
     def test_home_dying_in_the_middle_costs_less_than_half_a_copy(self) -> None:
         """What it had passed on is not read again."""
         burst = VirtualBurst(hosts=8, chunks=40)
--- a/testing/weights/virtual_burst.py
+++ b/testing/weights/virtual_burst.py
@@ -3,7 +3,7 @@
 import operator
 from random import Random
 
-from bramleylug.weights.actions import AskHoldings, ReportBadOrigin
+from bramleylug.weights.actions import Abandon, AskHoldings, ReportBadOrigin
 from bramleylug.weights.flights import Fetch, FromOrigin, FromPeer
 from bramleylug.weights.peers import Fault, Holdings
 from bramleylug.weights.planner import Planner
@@ -16,6 +16,7 @@
     """One version on its way to every host; a fetch takes one tick.
 
     :ivar dead: hosts that answer nothing.
+    :ivar slow: hosts whose reads of the origin go on and on.
     :ivar liars: hosts whose chunks are corrupt.
     :ivar origin_reads: reads the origin answered with a sound chunk.
     :ivar knows: tells whether a host has another in its view.
@@ -35,6 +36,7 @@
         }
         self.dead = set()
         self.liars = set()
+        self.slow = set()
         self.cut = set()
         self.bad_at_origin = set()
         self.origin_up = True
@@ -67,14 +69,17 @@
         self.now_s += TICK_S
         ended = self.pending
         self.pending = []
-        left = self.origin_pace
+        reads = [
+            (name, fetch)
+            for name, fetch in ended
+            if isinstance(fetch, FromOrigin)
+        ]
+        waiting = reads[self.origin_pace :] if self.origin_up else []
         for name, fetch in ended:
-            if isinstance(fetch, FromOrigin):
-                left -= 1
-                if left < 0 and self.origin_up:
-                    self.pending.append((name, fetch))
-                    continue
-            self._end(name, fetch)
+            if (name, fetch) in waiting or self._is_slow(name, fetch):
+                self._trickle(name, fetch)
+            else:
+                self._end(name, fetch)
         for name in self.planners.keys() - self.dead:
             self._plan(name)
 
@@ -82,6 +87,13 @@
         """Let a host answer nothing from now on."""
         self.dead.add(name)
 
+    def _is_slow(self, name: str, fetch: Fetch) -> bool:
+        return name in self.slow and isinstance(fetch, FromOrigin)
+
+    def _trickle(self, name: str, fetch: Fetch) -> None:
+        self.pending.append((name, fetch))
+        self.planners[name].progress(fetch.index, 1, self.now_s)
+
     def _plan(self, name: str) -> None:
         planner = self.planners[name]
         peers = {
@@ -96,9 +108,19 @@
                     self.pending.append((name, action))
                 case AskHoldings(peer):
                     self._exchange(name, peer)
+                case Abandon(index):
+                    self._abandon(name, index)
                 case ReportBadOrigin(index):
                     self.reports.append((name, index))
 
+    def _abandon(self, name: str, index: int) -> None:
+        self.pending = [
+            (asker, fetch)
+            for asker, fetch in self.pending
+            if (asker, fetch.index) != (name, index)
+        ]
+        self.planners[name].fail(index, Fault.stalled, self.now_s)
+
     def _exchange(self, name: str, peer: str) -> None:
         if not self._reaches(name, peer):
             self.planners[name].hear(peer, None, self.now_s)
