--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -141,6 +141,9 @@
             limit=self._limit(spec),
         )
         fill_versions(record, self.keeper.stock, self.keeper.wanted)
+        self.weights.show_metrics(
+            self.keeper.progress, self.keeper.governor.share
+        )
 
     def find_peers(self, key: VersionKey) -> dict[str, PeerAddress]:
         """Return the agents that want or hold a version."""
--- a/src/bramleylug/agent/weight_links.py
+++ b/src/bramleylug/agent/weight_links.py
@@ -5,6 +5,11 @@
 from typing import final
 
 from bramleylug.node.node import Node
+from bramleylug.observability.metrics import (
+    WEIGHTS_BYTES,
+    WEIGHTS_PROGRESS,
+    WEIGHTS_SHARE,
+)
 from bramleylug.settings.daemons import AgentSettings
 from bramleylug.weights.chunk_server import ChunkServer
 from bramleylug.weights.pins import ManifestSource
@@ -40,6 +45,22 @@
         """Shares of the link that give way to live traffic."""
         return self.download, self.upload
 
+    def show_metrics(self, progress: float, share: float) -> None:
+        """Set the gauges.
+
+        :param progress: share of the wanted version that is held.
+        :param share: of the rate that weights may use now.
+        """
+        instance = {'instance': self.settings.name}
+        WEIGHTS_PROGRESS.set(instance, progress)
+        WEIGHTS_SHARE.set(instance, share)
+        for way, size_bytes in (
+            ('received', self.download.taken_bytes),
+            ('from_origin', self.origin.bytes_read),
+            ('sent', self.upload.taken_bytes),
+        ):
+            WEIGHTS_BYTES.set({**instance, 'way': way}, size_bytes)
+
     def build_stock(self, find_peers: PeerFinder) -> VersionStock:
         """Return the versions on this host."""
         source = ManifestSource(
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -21,6 +21,15 @@
 RESIDENT_BYTES = Gauge(
     'bramleylug_resident_bytes', 'Resident memory of the process'
 )
+WEIGHTS_PROGRESS = Gauge(
+    'bramleylug_weights_progress', 'Share of the wanted version that is held'
+)
+WEIGHTS_SHARE = Gauge(
+    'bramleylug_weights_link_share', 'Share of the rate that weights may use'
+)
+WEIGHTS_BYTES = Gauge(
+    'bramleylug_weights_bytes', 'Bytes of weights so far, by way'
+)
 MEMBERS = Gauge('bramleylug_members', 'Members that are alive in this view')
 
 
