--- /dev/null
+++ b/testing/agent/test_replicas.py
@@ -0,0 +1,70 @@
+"""Tests of which hosts hold the replicas."""
+
+import unittest
+
+from bramleylug.agent.replicas import choose_hosts, has_enough
+from testing.builders import build_document, build_member, build_spec
+
+SPEC = build_spec(replicas=3)
+
+
+def build_members(*, without=(), draining=()):
+    """Return six agents, half of them in each zone."""
+    return [
+        build_member(
+            f'host-{index}',
+            zone='zone-b' if index % 2 else 'zone-a',
+            draining=f'host-{index}' in draining,
+        )
+        for index in range(6)
+        if f'host-{index}' not in without
+    ]
+
+
+def choose(members, zones=None):
+    """Return the choice as an agent that is always chosen sees it."""
+    return choose_hosts(
+        SPEC, build_document(SPEC, zones=zones or {}), members, 'host-0'
+    )
+
+
+class TestChoice(unittest.TestCase):
+    """``replicas = N`` picks N agents by rendezvous rank."""
+
+    def test_host_that_leaves_is_replaced_by_the_next(self) -> None:
+        """The others stay."""
+        chosen = choose(build_members())
+        gone = next(name for name in chosen if name != 'host-0')
+
+        again = choose(build_members(draining=(gone,)))
+
+        self.assertEqual(len(again), 3)
+        self.assertEqual(set(chosen) - set(again), {gone})
+
+    def test_zone_taken_out_holds_none_but_the_own(self) -> None:
+        """A host in it keeps up with the version for its return."""
+        chosen = choose(build_members(), {'zone-a': 'out'})
+
+        self.assertLessEqual(
+            set(chosen), {'host-0', 'host-1', 'host-3', 'host-5'}
+        )
+
+    def test_no_number_means_every_agent(self) -> None:
+        """The default."""
+        spec = build_spec()
+
+        chosen = choose_hosts(
+            spec, build_document(spec), build_members(), 'host-0'
+        )
+
+        self.assertEqual(len(chosen), 6)
+
+    def test_surplus_host_serves_until_the_chosen_do(self) -> None:
+        """Two ready hosts of three are not enough."""
+        members = build_members()
+        names = [member.name for member in members[:3]]
+        self.assertTrue(has_enough(SPEC, names, members))
+
+        members[1].services[0].ready = False
+
+        self.assertFalse(has_enough(SPEC, names, members))
