Open duties a window at a time, in the order of the chunks

Cause: all homes read the origin at once, shared its link and ended at the same late moment; until then no peer had anything to pass on. Change: a chunk's homes read it once it is within a window (an eighth of the chunks, at least 8) of those known to be held, or after a second a window; two reads of the origin at once, one fetch beside them.

--- a/src/bramleylug/weights/flights.py
+++ b/src/bramleylug/weights/flights.py
@@ -6,7 +6,7 @@
 STALL_S = 5.0
 SLOW_READ_S = 10.0
 PARALLEL_FETCHES = 6
-FETCHES_BESIDE_DUTIES = 2
+FETCHES_BESIDE_DUTIES = 1
 
 
 @final
--- a/src/bramleylug/weights/origin_reads.py
+++ b/src/bramleylug/weights/origin_reads.py
@@ -4,7 +4,7 @@
 
 from bramleylug.weights.peers import Fault
 
-ORIGIN_PARALLEL = 3
+ORIGIN_PARALLEL = 2
 ORIGIN_PAUSE_S = 0.5
 ORIGIN_PAUSE_LIMIT_S = 10.0
 BAD_READS_LIMIT = 3
--- a/src/bramleylug/weights/planner.py
+++ b/src/bramleylug/weights/planner.py
@@ -197,26 +197,32 @@
         return whole(self.count) & ~self.held & ~self.flights.chunks
 
     def _plan_duties(self, now_s: float) -> Iterable[Fetch]:
-        missing = self._missing()
-        heard = sum(self.peers[name].heard for name in self.neighbours)
-        enough = heard >= min(FIRST_HEARD, len(self.neighbours))
-        if not enough and now_s - self.take_over.started_s < FIRST_ASK_S:
+        if not self._has_asked(now_s):
             return
-        near = _union(self._near_peers(now_s))
-        left = whole(self.count) & ~self.held
-        duties = [index for index in self.homes.duties if left >> index & 1]
-        self.take_over.note_left(duties, self.homes, now_s)
-        self.random.shuffle(duties)
-        for index in duties:
-            if not self.flights.has_room:
+        near = _union(self._near_peers(now_s)) | self.held
+        left = [index for index in self.homes.duties if not near >> index & 1]
+        self.take_over.note_left(left, self.homes, now_s)
+        for index in sorted(left):
+            if not self.flights.has_room or not self.take_over.is_open(
+                index, near.bit_count(), self.count, now_s
+            ):
                 return
-            flying = not missing >> index & 1
-            if flying or near >> index & 1 or not self._is_due(index, now_s):
+            if index in self.flights.running or not self._is_due(index, now_s):
                 continue
             fetch = self._bring(index, now_s)
             if fetch is not None:
                 yield self._start(fetch, now_s, duty=True)
 
+    def _has_asked(self, now_s: float) -> bool:
+        """Tell whether this host knows what a few neighbours hold.
+
+        A host that joins late would else read what they hold.
+        """
+        heard = sum(self.peers[name].heard for name in self.neighbours)
+        return heard >= min(FIRST_HEARD, len(self.neighbours)) or (
+            now_s - self.take_over.started_s >= FIRST_ASK_S
+        )
+
     def _is_due(self, index: int, now_s: float) -> bool:
         place = self.homes.duties[index]
         if not place:
@@ -228,7 +234,7 @@
             for home in self.homes.local_homes(index)[:place]
             if home in self.peers
         ]
-        return self.take_over.is_due(place, homes, self.homes, now_s)
+        return self.take_over.is_due(index, homes, self.homes, now_s)
 
     def _blames_origin(self, now_s: float) -> bool:
         """Tell whether the origin may be why homes are quiet."""
@@ -286,7 +292,9 @@
             names.update(self.homes.local_homes(index)[:place])
             if self.homes.lead(index) != self.region:
                 names.update(self.homes.lead_homes(index)[:2])
-        return [self.peers[name] for name in names if name in self.peers]
+        return [
+            self.peers[name] for name in sorted(names) if name in self.peers
+        ]
 
 
 def _is_free(peer: Peer, now_s: float) -> bool:
--- a/src/bramleylug/weights/take_over.py
+++ b/src/bramleylug/weights/take_over.py
@@ -8,14 +8,22 @@
 
 TAKE_OVER_S = 4.0
 LATE_FACTOR = 4
+LEAST_WINDOW = 8
+WINDOWS = 8
+WINDOW_LIMIT_S = 1.0
 
 
 @final
 class TakeOver:
     """Judges homes by their progress, and by the time this host took.
 
-    An origin that is slow for all makes nobody take over.
+    An origin that is slow for all makes nobody take over. Duties open in the
+    order of the chunks, a window at a time, as chunks before them become
+    known to be held: if all homes read at once, they would share the
+    origin's link and all end at the same late moment, and until then no
+    peer would have anything to pass on.
 
+    :ivar opened_s: when each duty opened.
     :ivar own_chunk_s: seconds each of this host's own duties took, once all
         are done.
     """
@@ -23,6 +31,22 @@
     def __init__(self, started_s: float) -> None:
         self.started_s = started_s
         self.own_chunk_s: float | None = None
+        self.opened_s: dict[int, float] = {}
+
+    def is_open(self, index: int, known: int, count: int, now_s: float) -> bool:
+        """Tell whether a chunk's homes may read it yet.
+
+        :param known: chunks that are known to be held by some host.
+        :param count: chunks of the version.
+        """
+        if index in self.opened_s:
+            return True
+        window = max(LEAST_WINDOW, count // WINDOWS)
+        windows = 1 + (now_s - self.started_s) / WINDOW_LIMIT_S
+        if index >= known + window * windows:
+            return False
+        self.opened_s[index] = now_s
+        return True
 
     def note_left(
         self, left: Iterable[int], homes: Homes, now_s: float
@@ -35,10 +59,17 @@
             self.own_chunk_s = (now_s - self.started_s) / own
 
     def is_due(
-        self, place: int, better: list[Peer], homes: Homes, now_s: float
+        self, index: int, better: list[Peer], homes: Homes, now_s: float
     ) -> bool:
-        """Tell whether the homes before a place are quiet or late."""
-        if are_quiet(better, place * TAKE_OVER_S, now_s):
+        """Tell whether the homes before this host are quiet or late.
+
+        :param index: an open chunk.
+        :param better: the homes before this host.
+        """
+        place = homes.duties[index]
+        quiet_s = place * TAKE_OVER_S
+        waited_s = now_s - self.opened_s[index]
+        if waited_s >= quiet_s and are_quiet(better, quiet_s, now_s):
             return True
         if self.own_chunk_s is None:
             return False
