--- a/src/bramleylug/weights/chunk_server.py
+++ b/src/bramleylug/weights/chunk_server.py
@@ -23,7 +23,7 @@
 from bramleylug.wire.weights_pb2_grpc import WeightsServicer
 
 PIECE_BYTES = 262144
-UPLOAD_SLOTS = 8
+UPLOAD_SLOTS = 4
 
 
 class HoldingsListener(Protocol):
--- a/src/bramleylug/weights/flights.py
+++ b/src/bramleylug/weights/flights.py
@@ -5,7 +5,7 @@
 
 STALL_S = 5.0
 SLOW_READ_S = 10.0
-PARALLEL_FETCHES = 6
+PARALLEL_FETCHES = 4
 FETCHES_BESIDE_DUTIES = 1
 
 
