--- a/src/bramleylug/weights/staging.py
+++ b/src/bramleylug/weights/staging.py
@@ -94,14 +94,14 @@
                 return
             self._make_room(manifest)
             self._claim(manifest)
-            if self.committed_path(manifest.key) is not None:
-                self._fill(manifest)
-                return
-            partial = self._partial(manifest.key)
-            partial.mkdir(parents=True, exist_ok=True)
-            (partial / MANIFEST_NAME).write_bytes(manifest.to_json())
-            sound = self._sound_chunks(manifest, partial)
-            self.chunks[manifest.key] = of_indices(sound)
+        if self.committed_path(manifest.key) is not None:
+            self._fill(manifest)
+            return
+        partial = self._partial(manifest.key)
+        partial.mkdir(parents=True, exist_ok=True)
+        (partial / MANIFEST_NAME).write_bytes(manifest.to_json())
+        sound = of_indices(self._sound_chunks(manifest, partial))
+        self.chunks[manifest.key] = sound
 
     def add(self, manifest: Manifest, index: int, chunk: bytes) -> bool:
         """Keep a chunk if its hash matches.
@@ -155,18 +155,17 @@
         :returns: the committed folder, or ``None`` when it is not whole; a
             chunk that differs is dropped then, to be fetched again.
         """
-        with self.lock:
-            done = self.committed_path(manifest.key)
-            if done is not None:
-                return done
-            partial = self._partial(manifest.key)
-            if not self._is_whole(manifest, partial):
-                sound = self._sound_chunks(manifest, partial)
-                self.chunks[manifest.key] = of_indices(sound)
-                return None
-            target = self._target(manifest.key)
-            os.rename(partial, target)
-            return target
+        done = self.committed_path(manifest.key)
+        if done is not None:
+            return done
+        partial = self._partial(manifest.key)
+        if not self._is_whole(manifest, partial):
+            sound = of_indices(self._sound_chunks(manifest, partial))
+            self.chunks[manifest.key] = sound
+            return None
+        target = self._target(manifest.key)
+        os.rename(partial, target)
+        return target
 
     def committed_path(self, key: VersionKey) -> Path | None:
         """Return the folder of a committed version, or ``None``."""
