A reader that takes nothing for 5 s loses its upload slot

Cause: hosts that lost their power held all four slots of a peer until their calls timed out after 600 s. Change: the next asker ends calls whose piece is not taken for 5 s; an upload its own host holds back keeps its slot.

--- a/src/bramleylug/weights/chunk_server.py
+++ b/src/bramleylug/weights/chunk_server.py
@@ -1,11 +1,13 @@
 """Serves staged chunks, holdings and manifests to other agents."""
 
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 from threading import Lock
 from typing import Any, Protocol, final
 
 import grpc
 
+from bramleylug.weights.flights import STALL_S
 from bramleylug.weights.manifest import VersionKey
 from bramleylug.weights.peers import Holdings
 from bramleylug.weights.rates import LinkShare
@@ -36,28 +38,66 @@
         """Return the bytes brought into the region as a home."""
 
 
+@final
+class Upload:
+    """One upload that has a slot.
+
+    :param cancel: ends the call.
+    :ivar sending_s: since when its reader has not taken a piece; ``None``
+        while no piece is on its way.
+    """
+
+    def __init__(self, cancel: Callable[[], None]) -> None:
+        self.cancel = cancel
+        self.sending_s: float | None = None
+
+
 @final
 class UploadSlots:
     """Bounds the uploads that run at once.
 
-    :ivar free: slots that are not taken.
+    A reader that takes nothing for a while, such as a host that lost its
+    power, loses its slot to the next that asks.
     """
 
-    def __init__(self, count: int) -> None:
-        self.free = count
+    def __init__(
+        self, count: int, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.count = count
+        self.clock = clock
+        self.uploads: set[Upload] = set()
         self.lock = Lock()
 
-    def take(self) -> bool:
-        """Take a slot unless all are taken."""
-        with self.lock:
-            taken = self.free > 0
-            self.free -= int(taken)
-        return taken
+    @property
+    def free(self) -> int:
+        """Slots that are not taken."""
+        return max(0, self.count - len(self.uploads))
 
-    def give_back(self) -> None:
+    def take(self, cancel: Callable[[], None]) -> Upload | None:
+        """Take a slot; ``None`` when every one is taken."""
+        upload = Upload(cancel)
+        with self.lock:
+            stalled = [] if self.free else self._stalled()
+            if not self.free and not stalled:
+                return None
+            self.uploads.difference_update(stalled)
+            self.uploads.add(upload)
+        for lost in stalled:
+            lost.cancel()
+        return upload
+
+    def give_back(self, upload: Upload) -> None:
         """Free a slot."""
         with self.lock:
-            self.free += 1
+            self.uploads.discard(upload)
+
+    def _stalled(self) -> list[Upload]:
+        limit_s = self.clock() - STALL_S
+        return [
+            upload
+            for upload in self.uploads
+            if upload.sending_s is not None and upload.sending_s <= limit_s
+        ]
 
 
 @final
@@ -91,14 +131,19 @@
         """Send one chunk in pieces."""
         key = VersionKey(request.model, request.version)
         self._tell(key, request.asker, request.held)
-        if not self.slots.take():
+        upload = self.slots.take(context.cancel)
+        if upload is None:
             context.abort(
                 grpc.StatusCode.RESOURCE_EXHAUSTED, 'no free upload slot'
             )
+            return
         try:
-            yield from self._send(key, request.index, context)
+            for piece in self._pieces(key, request.index, context):
+                upload.sending_s = self.slots.clock()
+                yield piece
+                upload.sending_s = None
         finally:
-            self.slots.give_back()
+            self.slots.give_back(upload)
 
     def Holdings(  # noqa: N802
         self, request: HoldingsRequest, context: Any
@@ -130,7 +175,7 @@
         if listener is not None and asker:
             listener.hear(asker, held)
 
-    def _send(
+    def _pieces(
         self, key: VersionKey, index: int, context: Any
     ) -> Iterator[ChunkPiece]:
         chunk = self.staging.read(key, index)
--- a/testing/weights/test_planner.py
+++ b/testing/weights/test_planner.py
@@ -38,6 +38,18 @@
         self.assertTrue(burst.run(60))
         self.assertEqual(len(burst.origin_reads), 60)
 
+    def test_homes_read_a_window_ahead(self) -> None:
+        """An eighth of the chunks, so that the first end early."""
+        burst = VirtualBurst(hosts=32, chunks=96)
+        burst.origin_pace = 0
+        for _ in range(5):
+            burst.tick()
+
+        reading = {fetch.index for _, fetch in burst.pending}
+
+        self.assertIn(0, reading)
+        self.assertLessEqual(reading, set(range(12 + 6)))
+
     def test_late_joiner_reads_nothing_from_the_origin(self) -> None:
         """What peers hold is fetched from them, also by a new home."""
         burst = VirtualBurst(hosts=6, chunks=12)
--- a/testing/weights/test_swarm.py
+++ b/testing/weights/test_swarm.py
@@ -3,10 +3,11 @@
 import unittest
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from unittest.mock import Mock
 
 from bramleylug.bench.weights_hosts import BurstHost
 from bramleylug.fakes.origin import FakeOrigin
-from bramleylug.weights.chunk_server import UPLOAD_SLOTS
+from bramleylug.weights.chunk_server import UPLOAD_SLOTS, UploadSlots
 from bramleylug.weights.peers import Fault
 from bramleylug.weights.swarm import Links, PeerAddress, Transfer
 from bramleylug.weights.transfer import Failed
@@ -100,7 +101,7 @@
         second = self.build_host('second')
         self.transfer(first).run()
         for _ in range(UPLOAD_SLOTS):
-            first.chunk_server.slots.take()
+            first.chunk_server.slots.take(print)
         request = ChunkRequest(model='model', version='1', index=0)
 
         outcome = second.peers.chunk(first.address, request, print, print)
@@ -117,3 +118,30 @@
         outcome = second.peers.chunk(first.address, request, print, print)
 
         self.assertEqual(outcome, Failed(Fault.unreachable))
+
+
+class TestUploadSlots(unittest.TestCase):
+    """A reader that takes nothing holds no slot for long."""
+
+    def test_stalled_reader_loses_its_slot(self) -> None:
+        """Its call is ended when the next host asks."""
+        now_s = 100.0
+        ended = Mock()
+        slots = UploadSlots(1, lambda: now_s)
+        slots.take(ended).sending_s = now_s
+        self.assertIsNone(slots.take(Mock()))
+
+        now_s += 5
+
+        self.assertIsNotNone(slots.take(Mock()))
+        ended.assert_called_once_with()
+
+    def test_upload_held_back_by_its_own_host_keeps_its_slot(self) -> None:
+        """No piece is on its way while the rate is used up."""
+        now_s = 100.0
+        slots = UploadSlots(1, lambda: now_s)
+        slots.take(Mock())
+
+        now_s += 60
+
+        self.assertIsNone(slots.take(Mock()))
