--- a/src/bramleylug/membership/gossip.py
+++ b/src/bramleylug/membership/gossip.py
@@ -82,6 +82,8 @@
         self.seed_s = 0.0
         self.rumor_s = 0.0
         self.rumor_rounds = 0
+        self.revision_s = 0.0
+        self.revision_rounds = 0
 
     @property
     def own(self) -> Member:
@@ -106,7 +108,9 @@
         if revision > self.composer.revision:
             self.composer.revision = revision
             self.highest_revision = max(self.highest_revision, revision)
-            self.announce()
+            # A hop must not wait for the interval that an earlier one began.
+            self.revision_s = 0
+            self.revision_rounds = RUMOR_ROUNDS
 
     def announce(self) -> None:
         """Tell some members at once, rather than with the next probes."""
@@ -130,6 +134,7 @@
         self.suspects.expire(self.wall())
         return [
             *self.detector.tick(now_s),
+            *self._tell_revision(now_s),
             *self._spread(now_s),
             *self._ask_seeds(now_s),
             *self.reconciler.tick(now_s),
@@ -211,6 +216,17 @@
                 return self.reconciler.take(message, now_s)
         return []
 
+    def _tell_revision(self, now_s: float) -> list[Send]:
+        """Tell the bare number; what it stands for is pulled."""
+        if now_s < self.revision_s or not self.revision_rounds:
+            return []
+        self.revision_s = now_s + RUMOR_INTERVAL_S
+        self.revision_rounds -= 1
+        return [
+            Send(member.gossip_address, self.composer.bare(GOSSIP_KIND_RUMOR))
+            for member in self.composer.sample(RUMOR_FANOUT)
+        ]
+
     def _spread(self, now_s: float) -> list[Send]:
         updates = self.view.updates
         urgent = bool(self.rumor_rounds or updates.urgent)
