An address that is none stops no other action of a tick

Change: such a message is dropped and counted as gossip_address. The new test fails without it (ValueError).

--- a/src/bramleylug/node/node.py
+++ b/src/bramleylug/node/node.py
@@ -21,7 +21,7 @@
     ConfigurationServicer,
     ConfigurationSource,
 )
-from bramleylug.node.udp import DatagramServer
+from bramleylug.node.udp import DatagramServer, parse_address
 from bramleylug.node.workers import start_worker
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import BAD_INPUT
@@ -212,10 +212,12 @@
     def _act(self, actions: list[GossipAction]) -> None:
         for action in actions:
             match action:
-                case Send(address, message):
-                    host, _, port = address.rpartition(':')
+                case Send(address, message) if parse_address(address):
                     raw = self.codec.encode(message)
-                    self.fire(write((host, int(port)), raw), GOSSIP_CHANNEL)
+                    target = parse_address(address)
+                    self.fire(write(target, raw), GOSSIP_CHANNEL)
+                case Send():
+                    self.membership.dropped['address'] += 1
                 case MembersChanged():
                     self.members = self.membership.alive()
                 case RevisionSeen(revision, member):
--- a/src/bramleylug/node/udp.py
+++ b/src/bramleylug/node/udp.py
@@ -7,6 +7,7 @@
 from circuits.net.sockets import UDPServer
 
 BUFFER_BYTES = 4096
+PORT_LIMIT = 65536
 
 
 @final
@@ -25,3 +26,11 @@
     def _write(self, address: tuple[str, int], datagram: bytes) -> None:
         with suppress(OSError):
             self._sock.sendto(datagram, address)
+
+
+def parse_address(text: str) -> tuple[str, int] | None:
+    """Return host and port of an address, or ``None`` where it is none."""
+    host, _, port = text.rpartition(':')
+    if host and port.isdecimal() and int(port) < PORT_LIMIT:
+        return host, int(port)
+    return None
--- a/testing/node/test_node.py
+++ b/testing/node/test_node.py
@@ -4,6 +4,7 @@
 
 from circuits.net.events import read
 
+from bramleylug.membership.actions import MembersChanged, Send
 from bramleylug.membership.datagrams import DatagramCodec
 from bramleylug.node.node import Node, node_tick
 from bramleylug.node.udp import DatagramServer
@@ -83,6 +84,17 @@
 
         self.assertIn('later', self.node.membership.members)
 
+    def test_address_that_is_none_stops_no_other_action(self) -> None:
+        """The platform's host list may name a host without one."""
+        self.node.members = ()
+
+        self.node._act(
+            [Send('', Gossip()), Send('host:99999', Gossip()), MembersChanged()]
+        )
+
+        self.assertEqual([member.name for member in self.node.members], ['own'])
+        self.assertEqual(self.node.membership.dropped['address'], 2)
+
     def test_description_that_fails_stops_no_tick(self) -> None:
         """Membership goes on with the record as it was."""
         self.node.describe = fail
