Tell the entry's load in steps that do not flap, and few services in its record

Cause: a load near a step changed the member record ten times a second, and a record that names every service without an upstream outgrows a datagram. Change: the told load falls half a step late; eight services are named.

--- a/src/bramleylug/entry/daemon.py
+++ b/src/bramleylug/entry/daemon.py
@@ -10,7 +10,12 @@
 
 from bramleylug.entry.answers import RETRY_SOON_S, error_answer
 from bramleylug.entry.dispatch import Dispatcher, DispatchLoop
-from bramleylug.entry.entries import Asker, EntriesAnswer, order_entries
+from bramleylug.entry.entries import (
+    Asker,
+    EntriesAnswer,
+    coarse_permille,
+    order_entries,
+)
 from bramleylug.entry.requests import SERVICE_PREFIX
 from bramleylug.entry.reservations import Reservation
 from bramleylug.node.node import Node
@@ -27,8 +32,8 @@
 
 GRPC_WORKERS = 8
 ENTRIES_PATH = '/v1/entries'
-LOAD_STEPS = 8
-FULL_PERMILLE = 1000
+# A record has to fit in a datagram with others.
+LISTED_SERVICES = 8
 BODY_COPIES = 2
 HOLDERS = 2
 SEND_BUFFER_SHARE = 16
@@ -93,15 +98,15 @@
         share = max(
             self.ledger.share, connections / self.settings.max_connections
         )
-        step = min(LOAD_STEPS, int(share * LOAD_STEPS))
-        record.load_permille = step * FULL_PERMILLE // LOAD_STEPS
+        record.load_permille = coarse_permille(share, record.load_permille)
         fleet = self.dispatch.dispatcher.picker.fleet
-        del record.unservable[:]
-        record.unservable.extend(
+        unservable = [
             name
             for name in sorted(self.node.holder.document.services)
             if not fleet.serves(name)
-        )
+        ]
+        del record.unservable[:]
+        record.unservable.extend(unservable[:LISTED_SERVICES])
 
     def not_ready(self) -> str:
         """Return why no request is taken; empty when some are."""
--- a/src/bramleylug/entry/entries.py
+++ b/src/bramleylug/entry/entries.py
@@ -9,6 +9,8 @@
 from bramleylug.wire.membership_pb2 import Member
 
 OVERLOADED_PERMILLE = 875
+FULL_PERMILLE = 1000
+STEP_PERMILLE = 125
 
 
 class EntryAddress(TypedDict):
@@ -72,6 +74,18 @@
     ]
 
 
+def coarse_permille(share: float, told: int) -> int:
+    """Return the load to tell others, in steps that do not flap.
+
+    :param share: share of memory or connections in use.
+    :param told: what was told last; it falls only half a step late.
+    """
+    permille = min(FULL_PERMILLE, int(share * FULL_PERMILLE))
+    if told - STEP_PERMILLE // 2 <= permille < told + STEP_PERMILLE:
+        return told
+    return permille // STEP_PERMILLE * STEP_PERMILLE
+
+
 def _distance(member: Member, asker: Asker) -> tuple[bool, bool, bool]:
     return (
         asker.service in member.unservable,
--- a/testing/entry/test_entries.py
+++ b/testing/entry/test_entries.py
@@ -5,7 +5,11 @@
 from random import Random
 from typing import Any
 
-from bramleylug.entry.entries import Asker, order_entries
+from bramleylug.entry.entries import (
+    Asker,
+    coarse_permille,
+    order_entries,
+)
 from bramleylug.wire.membership_pb2 import Member
 from testing.builders import build_document, build_member
 
@@ -28,6 +32,18 @@
     return [address['address'] for address in answer]
 
 
+class TestCoarseLoad(unittest.TestCase):
+    """Others are told of load in steps, so that records change seldom."""
+
+    def test_load_near_a_step_does_not_flap(self) -> None:
+        """It rises at the step and falls half a step below it."""
+        told = [0]
+        for share in (0.12, 0.13, 0.12, 0.07, 0.06, 0.95, 1.5):
+            told.append(coarse_permille(share, told[-1]))
+
+        self.assertEqual(told, [0, 0, 125, 125, 125, 0, 875, 1000])
+
+
 class TestOrder(unittest.TestCase):
     """Near first, unusable left out or last."""
 
