A refusal without another address names a time to come back

Cause: refusals of agents that leave or can't be reached ended as Retry-After 0 without an address; a caller that obeys would spin. Change: one second, unless the refusal names a time or an address.

--- a/src/bramleylug/entry/answers.py
+++ b/src/bramleylug/entry/answers.py
@@ -134,8 +134,10 @@
             status = STATUS_BY_REASON.get(
                 reason, HTTPStatus.SERVICE_UNAVAILABLE
             )
-            headers['Retry-After'] = str(math.ceil(retry_after_s))
-            document['retry_after_s'] = retry_after_s
+            # Without another address to go to, at once is too early.
+            wait_s = retry_after_s or (0 if elsewhere else RETRY_SOON_S)
+            headers['Retry-After'] = str(math.ceil(wait_s))
+            document['retry_after_s'] = wait_s
             document['elsewhere'] = list(elsewhere)
         case Unknown(reason) | Ran(reason=Reason() as reason):
             status = STATUS_BY_REASON.get(reason, HTTPStatus.BAD_GATEWAY)
--- a/testing/entry/test_dispatch.py
+++ b/testing/entry/test_dispatch.py
@@ -39,6 +39,14 @@
             (error['run'], error['code']), ('not_run', 'connection_failed')
         )
 
+    def test_refusal_without_another_address_names_a_time(self) -> None:
+        """A caller that came back at once would find the same."""
+        self.agent.behaviour = 'refuse'
+        answer = self.entry.send(BOOKINGS, 'r')
+
+        self.assertIn(b'Retry-After: 1\r\n', answer)
+        self.assertEqual(error_of(answer)['retry_after_s'], 1)
+
     def test_bad_headers_are_refused(self) -> None:
         """Nothing raises, nothing runs."""
         cases = (
