--- a/src/bramleylug/entry/answers.py
+++ b/src/bramleylug/entry/answers.py
@@ -135,7 +135,8 @@
                 reason, HTTPStatus.SERVICE_UNAVAILABLE
             )
             # Without another address to go to, at once is too early.
-            wait_s = retry_after_s or (0 if elsewhere else RETRY_SOON_S)
+            soon_s = 0 if elsewhere else RETRY_SOON_S
+            wait_s = retry_after_s or soon_s
             headers['Retry-After'] = str(math.ceil(wait_s))
             document['retry_after_s'] = wait_s
             document['elsewhere'] = list(elsewhere)
