Bound what waits unsent in the kernel by asking it

Trials on a socket showed why: small writes are appended to a segment that waits, up to 32 KiB, whatever the buffer's size. Change: what is unsent is asked for before each write (SIOCOUTQNSD), writability is told below the same bound (TCP_NOTSENT_LOWAT), and what remains of a piece is not copied again.

--- a/src/bramleylug/web/connection.py
+++ b/src/bramleylug/web/connection.py
@@ -1,8 +1,10 @@
 """State of one caller's connection."""
 
 from enum import Enum, unique
+from fcntl import ioctl
 from http import HTTPStatus
 from socket import socket
+from struct import Struct
 from typing import TYPE_CHECKING, Protocol, final
 
 from bramleylug.observability.metrics import BAD_INPUT, count
@@ -14,6 +16,9 @@
     from bramleylug.web.exchange import Exchange
     from bramleylug.web.memory import MemoryLedger
 
+# Linux: bytes of a socket that were not sent yet.
+SIOCOUTQNSD = 0x894B
+INT = Struct('i')
 LINGER_S = 2.0
 NEW_CONNECTION_S = 2.0
 LINGER_BYTES = 4 * 1024 * 1024
@@ -65,7 +70,7 @@
         self.sock = sock
         self.limits = limits
         self.reader = MessageReader(limits)
-        self.out: list[bytes] = []
+        self.out: list[bytes | memoryview] = []
         self.out_bytes = 0
         self.exchange: Exchange | None = None
         self.closing = False
@@ -129,11 +134,11 @@
         """
         if not self.out:
             return
-        piece = b''.join(self.out)
+        piece = self.out[0] if len(self.out) == 1 else b''.join(self.out)
         sent = _send_some(self.sock, piece, self.limits.send_buffer_bytes)
         if sent and not self._is_ending():
             self.output_since_s = now_s
-        self.out = [piece[sent:]] if sent < len(piece) else []
+        self.out = [memoryview(piece)[sent:]] if sent < len(piece) else []
         self.out_bytes = len(piece) - sent
 
     def expired(self, now_s: float) -> Expiry | None:
@@ -197,26 +202,30 @@
         return self.exchange.finished
 
 
-def _send_some(sock: socket, piece: bytes, slice_bytes: int) -> int:
+def _send_some(
+    sock: socket, piece: bytes | memoryview, unsent_limit: int
+) -> int:
     """Send what a socket takes and return how many bytes that was.
 
-    The kernel looks at the room in a send buffer only before it copies:
-    one large write may go far beyond. Small ones keep to the bound.
+    The kernel looks at the room in a send buffer only before it starts a
+    new segment, and appends to one that waits without looking. So what it
+    has not sent is asked for first.
 
-    :param slice_bytes: most bytes a write; 0 for all at once.
+    :param unsent_limit: bytes that may wait in the kernel; 0 for any.
     """
-    sent = 0
-    view = memoryview(piece)
-    while sent < len(piece):
-        end = sent + (slice_bytes or len(piece))
-        try:
-            taken = sock.send(view[sent:end])
-        except BlockingIOError:
-            return sent
-        sent += taken
-        if not slice_bytes:
-            return sent
-    return sent
+    if unsent_limit:
+        if _unsent_bytes(sock) >= unsent_limit:
+            return 0
+        piece = piece[:unsent_limit]
+    try:
+        return sock.send(piece)
+    except BlockingIOError:
+        return 0
+
+
+def _unsent_bytes(sock: socket) -> int:
+    answer = ioctl(sock, SIOCOUTQNSD, bytes(INT.size))
+    return int(INT.unpack(answer)[0])
 
 
 REQUEST_TIMEOUT = BadRequest(
--- a/src/bramleylug/web/limits.py
+++ b/src/bramleylug/web/limits.py
@@ -20,7 +20,8 @@
     :ivar body_timeout_s: time to finish a request body.
     :ivar idle_timeout_s: time a connection may stay without a request.
     :ivar stall_timeout_s: time a caller may go without reading.
-    :ivar send_buffer_bytes: kernel send buffer; 0 keeps the kernel's own.
+    :ivar send_buffer_bytes: unsent bytes in the kernel at which no more are
+        written; 0 leaves it to the kernel.
     """
 
     head_bytes: int = 32768
--- a/src/bramleylug/web/port.py
+++ b/src/bramleylug/web/port.py
@@ -11,6 +11,7 @@
     SO_SNDBUF,
     SOL_SOCKET,
     TCP_NODELAY,
+    TCP_NOTSENT_LOWAT,
     socket,
 )
 from typing import NamedTuple, final
@@ -110,9 +111,7 @@
         with contextlib.suppress(OSError):
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             if self.limits.send_buffer_bytes:
-                sock.setsockopt(
-                    SOL_SOCKET, SO_SNDBUF, self.limits.send_buffer_bytes
-                )
+                _bound_output(sock, self.limits.send_buffer_bytes)
         connection = Connection(sock, self.limits, self.context.clock())
         self.connections[sock] = connection
         if len(self.connections) > self.limits.connections:
@@ -269,6 +268,12 @@
         self.disconnected(connection.sock)
 
 
+def _bound_output(sock: socket, limit_bytes: int) -> None:
+    """Let the kernel tell of room only below a bound of unsent bytes."""
+    sock.setsockopt(IPPROTO_TCP, TCP_NOTSENT_LOWAT, limit_bytes)
+    sock.setsockopt(SOL_SOCKET, SO_SNDBUF, 2 * limit_bytes)
+
+
 def _error_answer(fault: BadRequest) -> bytes:
     code = 'bad_request'
     if fault.kind.endswith('_size'):
