--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -98,6 +98,7 @@
         """Take no new work from now on."""
         self.gate.leaving = True
         self.admission.refuse_all(NotRun(Reason.leaving, 'host is leaving'))
+        self.claims.hurry()
         self.node.leave()
 
     def is_quiet(self) -> bool:
@@ -141,6 +142,9 @@
             limit=self._limit(spec),
         )
         fill_versions(record, self.keeper.stock, self.keeper.wanted)
+        self.weights.show_metrics(
+            self.keeper.progress, self.keeper.governor.share
+        )
 
     def find_peers(self, key: VersionKey) -> dict[str, PeerAddress]:
         """Return the agents that want or hold a version."""
--- a/src/bramleylug/bench/bookings.py
+++ b/src/bramleylug/bench/bookings.py
@@ -13,12 +13,10 @@
 from bramleylug.bench.load import HttpCall, call_http
 from bramleylug.bench.meters import processor_seconds
 from bramleylug.bench.processes import Processes, wait_for
+from bramleylug.bench.publishing import publish_services
 from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.cli.faults import set_http_faults, set_store_faults
-from bramleylug.configuration.document import Change, ServiceSpec, spec_to_json
-from bramleylug.configuration.publisher import Accepted, publish
-from bramleylug.platform.grpc_store import GrpcStore
-from bramleylug.wire.channels import open_channel
+from bramleylug.configuration.document import ServiceSpec
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 SERVICE = 'bookings'
@@ -184,15 +182,7 @@
             idempotent=False,
             fencing=False,
         )
-        outcome = publish(
-            GrpcStore(open_channel(self.fleet.store)),
-            Change(services={SERVICE: spec_to_json(spec)}, zones={}),
-            change_id=uuid.uuid4().hex,
-            who='bench',
-            when_s=time.time(),
-        )
-        if not isinstance(outcome, Accepted):
-            raise RuntimeError(f'not published: {outcome}')
+        publish_services(self.fleet.store, spec)
 
     def _books(self) -> bool:
         headers = {'Idempotency-Key': uuid.uuid4().hex}
