--- a/src/bramleylug/bench/report.py
+++ b/src/bramleylug/bench/report.py
@@ -4,6 +4,7 @@
 import html
 from collections.abc import Iterable, Iterator
 from io import BytesIO
+from math import isfinite
 from pathlib import Path
 from typing import Any
 
@@ -106,6 +107,7 @@
         for line in LINES
         if line.budget is not None
         and not line.missing(known_quantities(slopes))
+        and isfinite(line.breaking_scale(slopes))
     ]
     if not lines:
         return
@@ -140,6 +142,9 @@
 def _draw_budget(axis: Any, line: Line) -> None:
     if line.budget is not None:
         axis.axhline(line.budget.amount, linestyle='--', color='#b00020')
+        axis.relim()
+        axis.autoscale()
+        axis.set_ylim(bottom=0)
     axis.axvline(1, linestyle=':', color='#555555')
 
 
