--- a/src/bramleylug/bench/capacity_model.py
+++ b/src/bramleylug/bench/capacity_model.py
@@ -99,9 +99,9 @@
     ),
     Line(
         'entry',
-        'answer bytes held',
+        'answer bytes held, were no caller reading',
         'bytes',
-        (('running_per_node', 'caller_bytes'),),
+        (('running_per_node', 'entry_bytes_per_paused_reader'),),
         'flow control: a full count stops the reading of the agent',
         ANSWER_BYTES,
     ),
--- a/src/bramleylug/bench/quantities.py
+++ b/src/bramleylug/bench/quantities.py
@@ -65,7 +65,6 @@
         'requests_per_engine_s × request_s',
         grows=False,
     ),
-    'caller_bytes': Size(65536, 'setting --caller-bytes', grows=False),
     'measured_members': Size(
         1530,
         'size of bench membership; costs are taken to grow with it',
