--- a/src/bramleylug/bench/overload.py
+++ b/src/bramleylug/bench/overload.py
@@ -2,7 +2,6 @@
 
 import json
 import time
-import uuid
 from collections import Counter
 from itertools import cycle
 from threading import Lock, Timer
@@ -19,12 +18,10 @@
 from bramleylug.bench.meters import processor_seconds
 from bramleylug.bench.processes import Processes, wait_for
 from bramleylug.bench.recorder import Recorder
+from bramleylug.bench.publishing import publish_services
 from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.cli.faults import set_http_faults
-from bramleylug.configuration.document import Change, ServiceSpec, spec_to_json
-from bramleylug.configuration.publisher import Accepted, publish
-from bramleylug.platform.grpc_store import GrpcStore
-from bramleylug.wire.channels import open_channel
+from bramleylug.configuration.document import ServiceSpec
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 SERVICE = 'seat-fitting'
@@ -106,15 +103,7 @@
             ramp_successes=RAMP_SUCCESSES,
             max_unavailable=len(ZONES),
         )
-        outcome = publish(
-            GrpcStore(open_channel(self.fleet.store)),
-            Change(services={SERVICE: spec_to_json(spec)}, zones={}),
-            change_id=uuid.uuid4().hex,
-            who='bench',
-            when_s=time.time(),
-        )
-        if not isinstance(outcome, Accepted):
-            raise RuntimeError(f'not published: {outcome}')
+        publish_services(self.fleet.store, spec)
 
     def load(
         self, rate_per_s: float, duration_s: float, *, tokens: int = TOKENS
