--- a/src/bramleylug/bench/capacity.py
+++ b/src/bramleylug/bench/capacity.py
@@ -22,6 +22,7 @@
 PAGE_NAME = 'CAPACITY.md'
 SLOPES_NAME = 'capacity-slopes.json'
 NOT_MEASURED = 'not measured'
+LEAST_SCALE = 0.001
 
 
 FIGURES = frozenset(
@@ -239,6 +240,8 @@
 def _breaking_size(scale: float) -> str:
     if isinf(scale):
         return 'does not grow with the fleet'
+    if scale < LEAST_SCALE:
+        return 'at any fleet'
     nodes = int(SIZES['nodes'].amount * scale)
     hosts = int(SIZES['hosts'].amount * scale)
     return f'{scale:.2g} × the letter: {nodes:,} nodes, {hosts:,} hosts'
