--- a/testing/observability/test_pages.py
+++ b/testing/observability/test_pages.py
@@ -30,6 +30,28 @@
         self.assertEqual(sorted(listed), sorted(known))
 
 
+class TestIndexes(unittest.TestCase):
+    """No page is left out of its index."""
+
+    def test_operations_index_links_every_page(self) -> None:
+        """A page that nobody finds does not help at night."""
+        text = (OPERATIONS / 'index.md').read_text()
+        pages = {page.name for page in OPERATIONS.glob('*.md')}
+
+        missing = {name for name in pages if f']({name})' not in text}
+
+        self.assertEqual(missing, {'index.md'})
+
+    def test_index_links_every_decision(self) -> None:
+        """Each decision can be reached from the first page."""
+        text = (DOCS / 'index.md').read_text()
+        pages = {page.name for page in (DOCS / 'design').glob('*.md')}
+
+        missing = {name for name in pages if f'](design/{name})' not in text}
+
+        self.assertEqual(missing, set())
+
+
 class TestLinks(unittest.TestCase):
     """Links between pages lead somewhere."""
 
