Look through the members once a second at most in large fleets

Cause: an agent looked through all members ten times a second and more. Change: the choice is kept for a second or until the revision changes; transfers look for peers once a second from 64 peers on; agents waiting for a turn are counted only when one is wanted.

--- a/src/bramleylug/agent/replicas.py
+++ b/src/bramleylug/agent/replicas.py
@@ -1,11 +1,14 @@
 """Which hosts hold the replicas of a service."""
 
 from collections.abc import Collection, Iterable
+from typing import final
 
 from bramleylug.configuration.document import Document, ServiceSpec
 from bramleylug.routing.rendezvous import rank
 from bramleylug.wire.membership_pb2 import Member
 
+CHOICE_INTERVAL_S = 1.0
+
 
 def serves(member: Member, service: str) -> bool:
     """Tell whether a member's upstream is one of a service."""
@@ -50,3 +53,35 @@
         )
     }
     return len(chosen) >= spec.replicas and ready.issuperset(chosen)
+
+
+@final
+class HostChoice:
+    """The chosen hosts, found anew once a second or for a new revision.
+
+    Looking through the members of a large fleet on every step would cost
+    more than all else an agent does.
+
+    :param own: name of this host.
+    """
+
+    def __init__(self, own: str) -> None:
+        self.own = own
+        self.revision = -1
+        self.found_s = float('-inf')
+        self.hosts: list[str] = []
+
+    def find(
+        self,
+        spec: ServiceSpec,
+        document: Document,
+        members: Iterable[Member],
+        now_s: float,
+    ) -> list[str]:
+        """Return the agents that hold a replica."""
+        old = now_s - self.found_s >= CHOICE_INTERVAL_S
+        if old or document.revision != self.revision:
+            self.hosts = choose_hosts(spec, document, members, self.own)
+            self.revision = document.revision
+            self.found_s = now_s
+        return self.hosts
--- a/src/bramleylug/agent/versions.py
+++ b/src/bramleylug/agent/versions.py
@@ -6,7 +6,7 @@
 from bramleylug.admission.limiter import Limiter
 from bramleylug.agent.gate import Gate
 from bramleylug.agent.orders import EngineOrders, adapter_key
-from bramleylug.agent.replicas import choose_hosts, has_enough, serves
+from bramleylug.agent.replicas import HostChoice, has_enough, serves
 from bramleylug.agent.turns import SwapTurns
 from bramleylug.agent.upstream import Upstream
 from bramleylug.agent.version_actions import (
@@ -65,6 +65,7 @@
         self.governor = LinkGovernor()
         self.policy = VersionPolicy()
         self.turns = SwapTurns(node.store, gate.service, node.settings.name)
+        self.choice = HostChoice(node.settings.name)
         self.waits_for = ''
         self.wanted: VersionKey | None = None
         self.orders = EngineOrders(upstream, stock.staging)
@@ -88,7 +89,8 @@
         while not self.node.stopping:
             spec = self._spec()
             if spec is not None:
-                self.turns.tend(spec, self._waiting(spec))
+                waiting = self._waiting(spec) if self.turns.wanted else []
+                self.turns.tend(spec, waiting)
             time.sleep(POLL_S)
         self.turns.release()
 
@@ -172,11 +174,11 @@
         )
 
     def _chosen(self, spec: ServiceSpec) -> list[str]:
-        return choose_hosts(
+        return self.choice.find(
             spec,
             self.node.holder.document,
             self.node.members,
-            self.node.settings.name,
+            time.monotonic(),
         )
 
     def _in_use(self, report: EngineReport | None) -> frozenset[VersionKey]:
--- a/src/bramleylug/weights/swarm.py
+++ b/src/bramleylug/weights/swarm.py
@@ -45,6 +45,8 @@
 
 WAIT_S = 0.05
 PEERS_INTERVAL_S = 0.2
+LARGE_FLEET = 64
+LARGE_FLEET_INTERVAL_S = 1.0
 
 
 class PeerAddress(NamedTuple):
@@ -142,7 +144,9 @@
 
     def _look_for_peers(self) -> None:
         now_s = time.monotonic()
-        if now_s - self.looked_s < PEERS_INTERVAL_S:
+        large = len(self.addresses) >= LARGE_FLEET
+        interval_s = LARGE_FLEET_INTERVAL_S if large else PEERS_INTERVAL_S
+        if now_s - self.looked_s < interval_s:
             return
         self.looked_s = now_s
         if self.links.peers.share.paused:
--- a/testing/agent/test_replicas.py
+++ b/testing/agent/test_replicas.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bramleylug.agent.replicas import choose_hosts, has_enough
+from bramleylug.agent.replicas import HostChoice, choose_hosts, has_enough
 from testing.builders import build_document, build_member, build_spec
 
 SPEC = build_spec(replicas=3)
@@ -59,6 +59,21 @@
 
         self.assertEqual(len(chosen), 6)
 
+    def test_new_revision_is_looked_at_at_once(self) -> None:
+        """Members alone are looked through once a second."""
+        choice = HostChoice('host-0')
+        three = build_document(SPEC)
+        choice.find(SPEC, three, build_members(), 10)
+        kept = choice.find(SPEC, three, (), 10.5)
+        spec = build_spec(replicas=1)
+
+        self.assertEqual(len(kept), 3)
+        self.assertEqual(
+            choice.find(spec, build_document(spec, revision=2), (), 10.5),
+            ['host-0'],
+        )
+        self.assertEqual(choice.find(SPEC, three, (), 12), ['host-0'])
+
     def test_surplus_host_serves_until_the_chosen_do(self) -> None:
         """Two ready hosts of three are not enough."""
         members = build_members()
