--- a/src/bramleylug/weights/planner.py
+++ b/src/bramleylug/weights/planner.py
@@ -28,13 +28,13 @@
 from bramleylug.weights.manifest import Manifest
 from bramleylug.weights.origin_reads import ORIGIN_PAUSE_LIMIT_S, OriginReads
 from bramleylug.weights.peers import Fault, Holdings, Peer
+from bramleylug.weights.sources import choose_source, is_free, unite
 from bramleylug.weights.take_over import TAKE_OVER_S, TakeOver, are_quiet
 
 REGION_TAKE_OVER_S = 10.0
 FIRST_ASK_S = 1.0
 NEIGHBOURS = 16
 FIRST_HEARD = 3
-FETCHES_PER_PEER = 2
 
 
 @final
@@ -147,7 +147,7 @@
         """Return what to start and to cancel now."""
         actions: list[Action] = list(self.reports)
         self.reports.clear()
-        near = _union(self._near_peers(now_s))
+        near = unite(self._near_peers(now_s))
         stalled = self.flights.abandon_stalled(now_s, near)
         actions.extend(map(Abandon, stalled))
         if self.done:
@@ -199,7 +199,7 @@
     def _plan_duties(self, now_s: float) -> Iterable[Fetch]:
         if not self._has_asked(now_s):
             return
-        near = _union(self._near_peers(now_s)) | self.held
+        near = unite(self._near_peers(now_s)) | self.held
         left = [index for index in self.homes.duties if not near >> index & 1]
         self.take_over.note_left(left, self.homes, now_s)
         for index in sorted(left):
@@ -251,7 +251,7 @@
                 if home in self.peers
             ]
             for source in leads:
-                if source.chunks >> index & 1 and _is_free(source, now_s):
+                if source.chunks >> index & 1 and is_free(source, now_s):
                     return FromPeer(index, source.name)
             limit_s = REGION_TAKE_OVER_S
             limit_s += self.homes.duties[index] * TAKE_OVER_S
@@ -272,13 +272,13 @@
         near = self._near_peers(now_s)
         planes = count_copies(peer.chunks for peer in near)
         while self.flights.has_swarm_room:
-            sources = [peer for peer in near if _is_free(peer, now_s)]
-            offered = _union(sources) & self._missing()
+            sources = [peer for peer in near if is_free(peer, now_s)]
+            offered = unite(sources) & self._missing()
             if not offered:
                 return
             offset = self.random.randrange(self.count)
             index = pick(rarest(offered, planes), offset)
-            source = _choose(sources, index, self.random)
+            source = choose_source(sources, index, self.random)
             fetch = FromPeer(index, source.name)
             self._start(fetch, now_s, duty=False)
             yield fetch
@@ -295,22 +295,3 @@
         return [
             self.peers[name] for name in sorted(names) if name in self.peers
         ]
-
-
-def _is_free(peer: Peer, now_s: float) -> bool:
-    return peer.avoid_until_s <= now_s and peer.in_flight < FETCHES_PER_PEER
-
-
-def _choose(sources: list[Peer], index: int, random: Random) -> Peer:
-    """Return a source of a chunk, one with free upload slots if any."""
-    return max(
-        (peer for peer in sources if peer.chunks >> index & 1),
-        key=lambda peer: (min(peer.free_upload_slots, 2), random.random()),
-    )
-
-
-def _union(peers: Iterable[Peer]) -> int:
-    chunks = 0
-    for peer in peers:
-        chunks |= peer.chunks
-    return chunks
