--- a/src/bramleylug/web/connection.py
+++ b/src/bramleylug/web/connection.py
@@ -130,11 +130,8 @@
         if not self.out:
             return
         piece = b''.join(self.out)
-        try:
-            sent = self.sock.send(piece)
-        except BlockingIOError:
-            sent = 0
-        if sent:
+        sent = _send_some(self.sock, piece, self.limits.send_buffer_bytes)
+        if sent and not self._is_ending():
             self.output_since_s = now_s
         self.out = [piece[sent:]] if sent < len(piece) else []
         self.out_bytes = len(piece) - sent
@@ -193,6 +190,34 @@
         self.dropped_bytes += count
         return self.dropped_bytes <= LINGER_BYTES
 
+    def _is_ending(self) -> bool:
+        """Tell whether nothing more is added to what waits to be sent."""
+        if self.exchange is None:
+            return self.closing
+        return self.exchange.finished
+
+
+def _send_some(sock: socket, piece: bytes, slice_bytes: int) -> int:
+    """Send what a socket takes and return how many bytes that was.
+
+    The kernel looks at the room in a send buffer only before it copies:
+    one large write may go far beyond. Small ones keep to the bound.
+
+    :param slice_bytes: most bytes a write; 0 for all at once.
+    """
+    sent = 0
+    view = memoryview(piece)
+    while sent < len(piece):
+        end = sent + (slice_bytes or len(piece))
+        try:
+            taken = sock.send(view[sent:end])
+        except BlockingIOError:
+            return sent
+        sent += taken
+        if not slice_bytes:
+            return sent
+    return sent
+
 
 REQUEST_TIMEOUT = BadRequest(
     HTTPStatus.REQUEST_TIMEOUT,
