One piece for caller threads and for resident memory; leases in the store stand-in end

Cause: start and stop of caller threads stood three times, resident memory twice; the stand-in let an ended lease write a key that then stayed for ever; a bench ended by SIGTERM left its processes. Change: demo.callers and observability.process serve all, a write under an ended lease is refused, SIGTERM unwinds a bench; slopes named alike.

--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -14,13 +14,13 @@
 from bramleylug.agent.serving import Serving
 from bramleylug.agent.upstream import Upstream
 from bramleylug.agent.versions import VersionKeeper, fill_versions
+from bramleylug.agent.weight_links import WeightLinks
 from bramleylug.claims.keeper import ClaimKeeper
 from bramleylug.configuration.document import Document, ServiceSpec
 from bramleylug.node.node import Node
 from bramleylug.node.pages import serve_page
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.settings.daemons import AgentSettings
-from bramleylug.agent.weight_links import WeightLinks
 from bramleylug.web.server import Exchange, WebServer
 from bramleylug.weights.manifest import VersionKey
 from bramleylug.weights.swarm import PeerAddress
--- a/src/bramleylug/agent/turns.py
+++ b/src/bramleylug/agent/turns.py
@@ -11,8 +11,8 @@
     Conflict,
     Store,
     StoredValue,
-    Swapped,
     SwapOutcome,
+    Swapped,
     Unavailable,
     Uncertain,
 )
--- a/src/bramleylug/bench/bookings.py
+++ b/src/bramleylug/bench/bookings.py
@@ -245,8 +245,8 @@
         _judge(course, busy),
         baseline=course.baseline(),
         slopes={
-            'store writes per booking': busy['store writes per booking'],
-            'agent processor seconds per booking': busy[
+            'store_writes_per_booking': busy['store writes per booking'],
+            'agent_processor_s_per_booking': busy[
                 'agent processor s per booking'
             ],
         },
--- a/src/bramleylug/bench/capacity_model.py
+++ b/src/bramleylug/bench/capacity_model.py
@@ -191,7 +191,7 @@
             (
                 'bookings_per_s',
                 '/records_agents',
-                'agent processor seconds per booking',
+                'agent_processor_s_per_booking',
             ),
         ),
         'one thread drives the ledgers of all shards',
@@ -324,7 +324,7 @@
         'store',
         'writes for claims',
         'calls/s',
-        (('bookings_per_s', 'store writes per booking'),),
+        (('bookings_per_s', 'store_writes_per_booking'),),
         'group commit by shard',
         STORE_WRITES,
     ),
--- a/src/bramleylug/bench/compare.py
+++ b/src/bramleylug/bench/compare.py
@@ -4,10 +4,10 @@
 from typing import Literal, NamedTuple
 
 from bramleylug.bench.results import (
-    Bound,
     BenchFailure,
     BenchOutcome,
     BenchResult,
+    Bound,
 )
 from bramleylug.bench.table import format_figure
 
--- a/src/bramleylug/bench/config.py
+++ b/src/bramleylug/bench/config.py
@@ -13,7 +13,7 @@
 
 from bramleylug.bench.configuration_costs import build_document
 from bramleylug.bench.meters import ProcessorMeter
-from bramleylug.bench.results import Bound, BenchResult
+from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.configuration.document import Change, Document
 from bramleylug.configuration.holder import ConfigurationHolder
 from bramleylug.configuration.publisher import Accepted, publish
--- a/src/bramleylug/bench/faults.py
+++ b/src/bramleylug/bench/faults.py
@@ -44,7 +44,7 @@
     calm()
     course.run()
     watch.stop()
-    callers.stop()
+    callers.join()
     figures = {
         **course.figures,
         'revisions seen': watch.highest,
--- a/src/bramleylug/bench/footprint.py
+++ b/src/bramleylug/bench/footprint.py
@@ -15,13 +15,13 @@
 from bramleylug.bench.meters import (
     processor_seconds,
     reference_seconds,
-    resident_bytes,
     resident_bytes_each,
 )
 from bramleylug.bench.processes import Child, ChildError, Processes
+from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.bench.routing_costs import measure_routing
+from bramleylug.observability.process import resident_bytes
 from bramleylug.wire.membership_pb2 import Member
-from bramleylug.bench.results import Bound, BenchResult
 
 MEBIBYTE = 1024 * 1024
 MILLISECONDS = 1000
--- a/src/bramleylug/bench/held_requests.py
+++ b/src/bramleylug/bench/held_requests.py
@@ -3,9 +3,9 @@
 import time
 from typing import Any
 
-from bramleylug.bench.meters import resident_bytes
 from bramleylug.bench.processes import Child
 from bramleylug.cli.faults import set_http_faults
+from bramleylug.observability.process import resident_bytes
 from bramleylug.wire.channels import open_channel
 from bramleylug.wire.requests_pb2 import Request
 from bramleylug.wire.requests_pb2_grpc import ServingStub
--- a/src/bramleylug/bench/load.py
+++ b/src/bramleylug/bench/load.py
@@ -4,13 +4,14 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from functools import partial
 from http.client import HTTPConnection, HTTPException
-from threading import Event, Thread
 from typing import Literal, NamedTuple, final
 
 import numpy
 
 from bramleylug.bench.recorder import Recorder
+from bramleylug.demo.callers import CallerThreads
 
 CALL_TIMEOUT_S = 30.0
 OPEN_LOOP_WORKERS = 256
@@ -122,7 +123,7 @@
 
 
 @final
-class ClosedLoop:
+class ClosedLoop(CallerThreads):
     """Callers that each wait for an answer before the next call.
 
     :param send: called with a number that no two calls share.
@@ -136,24 +137,19 @@
         self.callers = callers
         self.pause_s = pause_s
         self.recorder = Recorder()
-        self.stopping = Event()
+        super().__init__(
+            partial(self._keep_calling, caller) for caller in range(callers)
+        )
         self.started_s = time.monotonic()
-        self.threads = [
-            Thread(target=self._keep_calling, args=(caller,), daemon=True)
-            for caller in range(callers)
-        ]
 
     def start(self) -> None:
         """Start all callers."""
         self.started_s = time.monotonic()
-        for thread in self.threads:
-            thread.start()
+        super().start()
 
     def stop(self) -> Recorder:
         """Let running calls end and return what was recorded."""
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join()
+        self.join()
         return self.recorder
 
     def run_for(self, duration_s: float) -> Recorder:
--- a/src/bramleylug/bench/membership.py
+++ b/src/bramleylug/bench/membership.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from bramleylug.bench.fleet import MeteredNetwork, build_fleet, held_gone
-from bramleylug.bench.results import Bound, BenchResult
+from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.bench.virtual_network import TICK_S
 from bramleylug.wire.membership_pb2 import Member
 
--- a/src/bramleylug/bench/meters.py
+++ b/src/bramleylug/bench/meters.py
@@ -5,11 +5,10 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Self, final
 
-PROC = Path('/proc')
-BYTES_PER_KIB = 1024
+from bramleylug.observability.process import PROC, resident_bytes, status_bytes
+
 TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 # Fields 14 and 15 of proc(5) stat, counted after the command's bracket.
 UTIME_FIELD = 11
@@ -67,11 +66,6 @@
     return least_seconds(lambda: json.dumps(numbers), repeats=100, batches=10)
 
 
-def resident_bytes(pid: int | None = None) -> int:
-    """Return the resident memory of a process, by default of this one."""
-    return _status_bytes(pid, 'VmRSS:')
-
-
 def resident_bytes_each(build: Callable[[], object], count: int) -> float:
     """Return the resident memory that one of many equal objects takes.
 
@@ -84,7 +78,7 @@
 
 def peak_resident_bytes(pid: int | None = None) -> int:
     """Return the most memory a process has had resident."""
-    return _status_bytes(pid, 'VmHWM:')
+    return status_bytes(pid, 'VmHWM:')
 
 
 def processor_seconds(pid: int) -> float:
@@ -95,14 +89,6 @@
     return ticks / TICKS_PER_S
 
 
-def _status_bytes(pid: int | None, name: str) -> int:
-    status = (PROC / str(pid or 'self') / 'status').read_text()
-    for line in status.splitlines():
-        if line.startswith(name):
-            return int(line.split()[1]) * BYTES_PER_KIB
-    return 0
-
-
 def _mean_seconds(work: Callable[[], object], repeats: int) -> float:
     started_s = time.thread_time()
     for _ in range(repeats):
--- a/src/bramleylug/bench/overload.py
+++ b/src/bramleylug/bench/overload.py
@@ -17,8 +17,8 @@
 )
 from bramleylug.bench.meters import processor_seconds
 from bramleylug.bench.processes import Processes, wait_for
-from bramleylug.bench.recorder import Recorder
 from bramleylug.bench.publishing import publish_services
+from bramleylug.bench.recorder import Recorder
 from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.cli.faults import set_http_faults
 from bramleylug.configuration.document import ServiceSpec
--- a/src/bramleylug/bench/path.py
+++ b/src/bramleylug/bench/path.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from bramleylug.bench.load import HttpCall
-from bramleylug.bench.meters import processor_seconds, resident_bytes
+from bramleylug.bench.meters import processor_seconds
 from bramleylug.bench.processes import Child
 from bramleylug.bench.recorder import Recorder
 from bramleylug.bench.results import BenchResult, Bound
@@ -18,6 +18,7 @@
     generate,
     generate_directly,
 )
+from bramleylug.observability.process import resident_bytes
 
 ZONE = 'zone-a'
 CALLERS = 16
--- a/src/bramleylug/bench/promises.py
+++ b/src/bramleylug/bench/promises.py
@@ -5,7 +5,8 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from threading import Event, Lock, Thread
+from functools import partial
+from threading import Lock
 from typing import NamedTuple, final
 
 from bramleylug.bench.load import (
@@ -14,6 +15,7 @@
     HttpCall,
     call_http,
 )
+from bramleylug.demo.callers import CallerThreads
 
 PAUSE_S = 0.02
 TOKENS = 12
@@ -53,7 +55,7 @@
 
 
 @final
-class PromiseCallers:
+class PromiseCallers(CallerThreads):
     """Callers of a model service and of a booking service.
 
     :param entries: returns the addresses to use, best first.
@@ -65,28 +67,16 @@
         self, entries: Callable[[], list[str]], *, callers: int
     ) -> None:
         self.entries = entries
-        self.stopping = Event()
+        super().__init__(
+            partial(work, number)
+            for number in range(callers)
+            for work in (self._keep_generating, self._keep_booking)
+        )
         self.lock = Lock()
         self.results: Counter[str] = Counter()
         self.failures: Counter[str] = Counter()
         self.broken: list[str] = []
         self.bookings: list[Booking] = []
-        self.threads = [
-            Thread(target=work, args=(number,), daemon=True)
-            for number in range(callers)
-            for work in (self._keep_generating, self._keep_booking)
-        ]
-
-    def start(self) -> None:
-        """Start all callers."""
-        for thread in self.threads:
-            thread.start()
-
-    def stop(self) -> None:
-        """Let running calls end."""
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join()
 
     def _keep_generating(self, number: int) -> None:
         call = HttpCall(
--- a/src/bramleylug/bench/readers.py
+++ b/src/bramleylug/bench/readers.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from bramleylug.bench.load import Answer, ClosedLoop, call_http
-from bramleylug.bench.meters import resident_bytes
 from bramleylug.bench.recorder import Recorder
 from bramleylug.bench.results import BenchResult, Bound
 from bramleylug.bench.serving import (
@@ -15,6 +14,7 @@
     ServingFleet,
     generate,
 )
+from bramleylug.observability.process import resident_bytes
 
 ZONE = 'zone-a'
 READERS = 200
--- a/src/bramleylug/bench/table.py
+++ b/src/bramleylug/bench/table.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 from bramleylug.bench.results import (
-    Bound,
     BenchFailure,
     BenchOutcome,
     BenchResult,
+    Bound,
 )
 
 HOLDS = 'holds'
--- a/src/bramleylug/cli/bench.py
+++ b/src/bramleylug/cli/bench.py
@@ -1,9 +1,11 @@
 """The ``bench`` command."""
 
 import json
+import signal
 import sys
 from argparse import Namespace, RawDescriptionHelpFormatter
 from pathlib import Path
+from types import FrameType
 from typing import Any
 
 from bramleylug.bench.catalogue import BENCHES, run_benches
@@ -19,6 +21,7 @@
 DEFAULT_SEED = 1
 ALL = 'all'
 USAGE_ERROR = 2
+SIGNAL_EXIT = 128
 DESCRIPTION = f"""\
 Measure against regression bounds; exit 1 where a bound does not hold.
 
@@ -78,6 +81,7 @@
             f'no such bench: {", ".join(unknown)}; '
             f'there are {", ".join(BENCHES)}'
         )
+    signal.signal(signal.SIGTERM, _exit_on_signal)
     set_up_logs('bench', level='TRACE' if namespace.verbose else 'ERROR')
     outcomes: list[BenchOutcome] = []
     for outcome in run_benches(names, namespace.seed):
@@ -123,6 +127,11 @@
     return [outcome_from_json(document) for document in documents]
 
 
+def _exit_on_signal(signo: int, frame: FrameType | None) -> None:
+    """Unwind the stack, so that a bench ends the processes it started."""
+    sys.exit(SIGNAL_EXIT + signo)
+
+
 def _usage(message: str) -> int:
     print(f'bramleylug: {message}', file=sys.stderr)
     return USAGE_ERROR
--- a/src/bramleylug/cli/configuration.py
+++ b/src/bramleylug/cli/configuration.py
@@ -23,8 +23,8 @@
 )
 from bramleylug.configuration.files import Collected, collect
 from bramleylug.configuration.publisher import (
-    Accepted,
     AcceptanceUnknown,
+    Accepted,
     NotAccepted,
     PublishOutcome,
     publish,
--- a/src/bramleylug/demo/story.py
+++ b/src/bramleylug/demo/story.py
@@ -59,7 +59,7 @@
         self._zone_out_and_back()
         self._bookings()
         self._planned_stop()
-        traffic.stop()
+        traffic.join()
         self._conclude(traffic)
         return all(row.kept for row in self.rows)
 
--- a/src/bramleylug/demo/traffic.py
+++ b/src/bramleylug/demo/traffic.py
@@ -4,10 +4,12 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from http.client import HTTPConnection, HTTPException
-from threading import Event, Thread
 from typing import NamedTuple, final
 
+from bramleylug.demo.callers import CallerThreads
+
 CALL_TIMEOUT_S = 30
 PAUSE_S = 0.02
 HTTP_OK = 200
@@ -22,7 +24,7 @@
 
 
 @final
-class Traffic:
+class Traffic(CallerThreads):
     """Callers that keep asking one service.
 
     :param entries: returns the addresses to use; asked before each call.
@@ -33,23 +35,10 @@
     ) -> None:
         self.entries = entries
         self.service = service
-        self.stopping = Event()
+        super().__init__(
+            partial(self._keep_calling, number) for number in range(callers)
+        )
         self.calls: list[Call] = []
-        self.threads = [
-            Thread(target=self._keep_calling, args=(number,), daemon=True)
-            for number in range(callers)
-        ]
-
-    def start(self) -> None:
-        """Start all callers."""
-        for thread in self.threads:
-            thread.start()
-
-    def stop(self) -> None:
-        """Let running calls end."""
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join()
 
     def counts(self) -> Counter[str]:
         """Return how often each result came."""
--- a/src/bramleylug/fakes/store.py
+++ b/src/bramleylug/fakes/store.py
@@ -75,6 +75,10 @@
         if len(request.value) > VALUE_LIMIT_BYTES:
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, 'value above 1 MB')
         with self.locked():
+            if request.lease_id and request.lease_id not in self.lease_ends:
+                context.abort(
+                    grpc.StatusCode.FAILED_PRECONDITION, 'lease has ended'
+                )
             if self.faults.fail_before:
                 self.faults.fail_before -= 1
                 context.abort(
--- a/src/bramleylug/node/node.py
+++ b/src/bramleylug/node/node.py
@@ -7,6 +7,7 @@
 
 from circuits import BaseComponent, Event, Timer, handler
 from circuits.net.events import write
+
 from bramleylug.configuration.document import Document
 from bramleylug.configuration.holder import ConfigurationHolder
 from bramleylug.membership.actions import (
--- a/src/bramleylug/node/pages.py
+++ b/src/bramleylug/node/pages.py
@@ -2,7 +2,6 @@
 
 import os
 from http import HTTPStatus
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from aioprometheus.collectors import REGISTRY
@@ -16,13 +15,13 @@
     REVISION,
     RUNNING,
 )
+from bramleylug.observability.process import resident_bytes
 from bramleylug.web.server import Exchange
 
 if TYPE_CHECKING:
     from bramleylug.node.node import Node
 
 TEXT_FORMAT = ('text/plain',)
-STATM = Path('/proc/self/statm')
 
 
 def serve_page(exchange: Exchange, node: 'Node', *, not_ready: str) -> bool:
@@ -58,9 +57,3 @@
     times = os.times()
     PROCESSOR_SECONDS.set(labels, times.user + times.system)
     RESIDENT_BYTES.set(labels, resident_bytes())
-
-
-def resident_bytes() -> int:
-    """Return the resident memory of this process."""
-    pages = int(STATM.read_text().split()[1])
-    return pages * os.sysconf('SC_PAGE_SIZE')
--- a/src/bramleylug/web/exchange.py
+++ b/src/bramleylug/web/exchange.py
@@ -13,8 +13,8 @@
     from circuits.web.headers import Headers
 
     from bramleylug.web.connection import Connection
-    from bramleylug.web.reader import Message
     from bramleylug.web.port import Port
+    from bramleylug.web.reader import Message
 
 JSON_TYPE = 'application/json'
 REQUEST_ID = re.compile('[A-Za-z0-9._-]{1,64}')
--- a/src/bramleylug/weights/transfer.py
+++ b/src/bramleylug/weights/transfer.py
@@ -11,9 +11,9 @@
 import grpc
 
 from bramleylug.weights.chunk_sets import from_bytes, to_bytes
+from bramleylug.weights.flights import STALL_S
 from bramleylug.weights.manifest import Manifest, ManifestError, VersionKey
 from bramleylug.weights.peers import Fault, Holdings
-from bramleylug.weights.flights import STALL_S
 from bramleylug.weights.rates import LinkShare
 from bramleylug.wire.channels import ChannelCache
 from bramleylug.wire.weights_pb2 import (
--- a/testing/configuration/test_publication_steps.py
+++ b/testing/configuration/test_publication_steps.py
@@ -14,8 +14,8 @@
 
 from bramleylug.configuration.audit import read_trail
 from bramleylug.configuration.publisher import (
-    Accepted,
     AcceptanceUnknown,
+    Accepted,
     NotAccepted,
 )
 from testing.builders import build_change
--- a/testing/configuration/test_publisher.py
+++ b/testing/configuration/test_publisher.py
@@ -11,17 +11,17 @@
     spec_to_json,
 )
 from bramleylug.configuration.publisher import (
-    Accepted,
     AcceptanceUnknown,
+    Accepted,
     NotAccepted,
     PublishOutcome,
     publish,
 )
-from bramleylug.platform.grpc_store import GrpcStore
 from bramleylug.fakes.store import FakeStoreServer
+from bramleylug.platform.grpc_store import GrpcStore
+from bramleylug.platform.store import Conflict, StoredValue
 from bramleylug.wire.channels import open_channel
 from bramleylug.wire.platform_pb2 import StoreFaults
-from bramleylug.platform.store import Conflict, StoredValue
 from testing.builders import build_change, build_spec
 from testing.configuration.model_store import ModelStore, SteppedPublisher
 
