A host whose configuration is in doubt takes no request

Cause: an agent that was paused, or that had heard only of an old revision, was reported as not ready but still admitted requests by that revision; its zone might have been taken out in the meantime. Change: the gate asks for the doubt first and refuses not_run, which the entry repeats elsewhere. Ruled out: to close the gate itself, which the version policy opens again by the engine's report.

--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -44,6 +44,7 @@
         self.node.register(self)
         self.web = WebServer(settings.http_bind, self.serve).register(self)
         self.gate = Gate(settings.zone, settings.service)
+        self.gate.configuration_doubt = lambda: self.node.holder.doubt
         self.limiter = Limiter()
         self.zone_is_in = True
         upstream = Upstream(settings.upstream)
--- a/src/bramleylug/agent/gate.py
+++ b/src/bramleylug/agent/gate.py
@@ -1,5 +1,6 @@
 """Whether this host may take a request at all."""
 
+from collections.abc import Callable
 from threading import Lock
 from typing import final
 
@@ -19,6 +20,8 @@
     :ivar open_digest: digest of the weights requests may run on.
     :ivar boot_id: boot of the upstream that reported them.
     :ivar doubts: how often an answer contradicted the report.
+    :ivar configuration_doubt: returns why the configuration may be older
+        than what is accepted; empty when it is confirmed.
     """
 
     def __init__(self, zone: str, service: str) -> None:
@@ -30,6 +33,7 @@
         self.is_open = False
         self.leaving = False
         self.doubts = 0
+        self.configuration_doubt: Callable[[], str] = str
 
     def open(
         self, boot_id: str, digest: str, doubts: int | None = None
@@ -73,13 +77,12 @@
         self, request: Request, document: Document
     ) -> ServiceSpec | NotRun:
         """Return the service's settings or why the request may not run."""
+        refusal = self._host_refusal(document)
+        if refusal is not None:
+            return refusal
         spec = document.services.get(request.service)
         if spec is None or request.service != self.service:
             return NotRun(Reason.unknown_service, 'not served on this host')
-        if self.leaving:
-            return NotRun(Reason.leaving, 'host is leaving')
-        if not document.zone_is_in(self.zone):
-            return NotRun(Reason.zone_out, f'zone {self.zone} is taken out')
         with self.lock:
             if not self.is_open:
                 return NotRun(
@@ -90,3 +93,13 @@
             if request.pinned_digest not in {'', self.open_digest}:
                 return NotRun(Reason.wrong_version, 'another version is loaded')
         return spec
+
+    def _host_refusal(self, document: Document) -> NotRun | None:
+        doubt = self.configuration_doubt()
+        if doubt:
+            return NotRun(Reason.not_ready, doubt, RETRY_SOON_S)
+        if self.leaving:
+            return NotRun(Reason.leaving, 'host is leaving')
+        if not document.zone_is_in(self.zone):
+            return NotRun(Reason.zone_out, f'zone {self.zone} is taken out')
+        return None
--- a/testing/agent/test_gate.py
+++ b/testing/agent/test_gate.py
@@ -44,3 +44,33 @@
         """Not every upstream tells its digest."""
         self.assertTrue(self.gate.observe_answer('', ''))
         self.assertTrue(self.gate.is_open)
+
+
+class TestDoubt(unittest.TestCase):
+    """A host that may have missed a change takes no request."""
+
+    def setUp(self) -> None:
+        """Open the gate of a host whose configuration is in doubt."""
+        self.doubt = 'paused for longer than changes take to spread'
+        self.gate = Gate('zone-a', 'seat-fitting')
+        self.gate.open('boot', 'd2')
+        self.gate.configuration_doubt = lambda: self.doubt
+        self.request = Request(service='seat-fitting')
+        self.document = build_document(build_spec())
+
+    def test_paused_host_refuses_until_its_revision_is_confirmed(self) -> None:
+        """Its zone may have been taken out in the meantime."""
+        refused = self.gate.check(self.request, self.document)
+
+        self.assertIsInstance(refused, NotRun)
+        self.assertEqual(
+            (refused.reason, refused.message), (Reason.not_ready, self.doubt)
+        )
+
+    def test_confirmed_host_serves_again(self) -> None:
+        """The held revision was the accepted one."""
+        self.doubt = ''
+
+        self.assertEqual(
+            self.gate.check(self.request, self.document), build_spec()
+        )
