--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,8 @@
 	$(BIN)/python -m testing
 
 check: setup
-	$(BIN)/ruff format --check src testing
-	$(BIN)/flake8 src testing
+	$(BIN)/ruff format --check src testing examples
+	$(BIN)/flake8 src testing examples
 	$(BIN)/mypy
 	$(BIN)/python -m testing
 
@@ -29,7 +29,7 @@
 	$(BIN)/bramleylug bench all --report report
 
 format: setup
-	$(BIN)/ruff format src testing
+	$(BIN)/ruff format src testing examples
 
 generate: setup
 	$(BIN)/python -m grpc_tools.protoc -I src --python_out=src --pyi_out=src --grpc_python_out=src src/bramleylug/wire/*.proto
--- a/examples/caller.py
+++ b/examples/caller.py
@@ -7,6 +7,7 @@
 import json
 import sys
 import time
+from http import HTTPStatus
 from http.client import HTTPConnection, HTTPException
 
 TIMEOUT_S = 60
@@ -32,7 +33,7 @@
             status, run, text = post(
                 address, f'/v1/services/{self.service}{path}', body, headers
             )
-            if status == 200:
+            if status == HTTPStatus.OK:
                 return text
             if run != 'not_run' and 'Idempotency-Key' not in headers:
                 return f'{status} {run}: {text}'
@@ -87,7 +88,8 @@
 
 def main() -> None:
     """Send a request some times and print each answer."""
-    entry, service, path, body, *times = sys.argv[1:]
+    entry, service, *request = sys.argv[1:]
+    path, body, *times = request
     caller = Caller(entry, service)
     for _ in range(int(times[0]) if times else 1):
         print(caller.send(path, body, {}))
