bench config runs its members as processes of their own

Cause: bench config failed at 80 members with 'not reached within 30 s'. In one process 80 nodes, 646 threads, share one interpreter at 1.16 cores; with a little load they fall behind, hold one another for dead (46 of 80 members seen) and a change took 0.1 to more than 25 s from run to run. 10, 20 and 40 were at most 0.23 s. Change: one fleet of real entries grows from 10 to 80 processes; the time is that of each process's own event of the change.

--- a/src/bramleylug/bench/config.py
+++ b/src/bramleylug/bench/config.py
@@ -1,39 +1,30 @@
 """How soon an accepted change is in force, and what it asks of the store.
 
-Real nodes, each with its sockets and threads, run in this process over
-loopback against the store stand-in.
+Real entries, each a process of its own, run on loopback against the store
+stand-in. In one process 80 nodes share one interpreter and fall behind one
+another, which no fleet of hosts does.
 """
 
 import time
-from collections.abc import Callable, Iterator
-from contextlib import ExitStack, contextmanager
 from statistics import median
-from threading import Thread
-from typing import Any, NamedTuple, final
+from typing import Any, NamedTuple
 
+from bramleylug.bench.config_fleet import ConfigFleet
 from bramleylug.bench.configuration_costs import build_document
 from bramleylug.bench.meters import ProcessorMeter
+from bramleylug.bench.processes import Processes
 from bramleylug.bench.results import BenchResult, Bound
-from bramleylug.configuration.document import Change, Document
+from bramleylug.configuration.document import Change
 from bramleylug.configuration.holder import ConfigurationHolder
-from bramleylug.configuration.publisher import Accepted, publish
-from bramleylug.fakes.store import FakeStoreServer
-from bramleylug.node.node import Node
 from bramleylug.node.synchronization import answer_pull, build_pull
-from bramleylug.platform.grpc_store import GrpcStore
-from bramleylug.settings.daemons import NodeSettings
-from bramleylug.wire.channels import open_channel
 
 SIZES = (10, 20, 40, 80)
-ZONES = 3
 CHANGES = 8
 SERVICES = 100
-JOIN_LIMIT_S = 30.0
 FORCE_LIMIT_S = 3.0
 FLAT_RATIO = 1.5
 IDLE_S = 2.0
 PAUSE_S = 0.3
-POLL_S = 0.002
 LETTER = 'letter: changes in force everywhere within 3 s'
 ISSUE_FLAT = 'issue 4: store calls per change flat as members grow'
 
@@ -48,74 +39,9 @@
     idle_cores: float
 
 
-@final
-class NodeFleet:
-    """Nodes that found one another.
-
-    :ivar nodes: each on a thread of its own.
-    """
-
-    def __init__(self, members: int) -> None:
-        self.server = FakeStoreServer()
-        self.server.start()
-        self.channel = open_channel(self.server.address)
-        self.store = GrpcStore(self.channel)
-        self.nodes: list[Node] = []
-        for number in range(members):
-            self._add(number)
-
-    def stop(self) -> None:
-        """Stop all nodes and the store."""
-        for node in self.nodes:
-            node.close()
-            node.stop()
-        self.channel.close()
-        self.server.stop()
-
-    def calls(self) -> int:
-        """Return the calls the store has answered."""
-        return sum(self.server.store.counts.calls.values())
-
-    def publish(self, number: int) -> float:
-        """Publish a change; return the time until the last has it in force.
-
-        :raises RuntimeError: when it is not accepted.
-        """
-        times: list[float] = []
-        for node in self.nodes:
-            del node.holder.on_change[1:]
-            node.holder.on_change.append(_note_time(times))
-        outcome = publish(
-            self.store,
-            Change(services={}, zones={f'zone-{number}': 'out'}),
-            change_id=f'change-{number}',
-            who='bench',
-            when_s=time.time(),
-        )
-        accepted_s = time.monotonic()
-        if not isinstance(outcome, Accepted):
-            raise RuntimeError(f'not accepted: {outcome}')
-        wait_until(lambda: len(times) >= len(self.nodes), JOIN_LIMIT_S)
-        return max(0.0, max(times) - accepted_s)
-
-    def _add(self, number: int) -> None:
-        first = self.nodes[0].membership.own if self.nodes else None
-        settings = NodeSettings(
-            name=f'node-{number}',
-            zone=f'zone-{number % ZONES}',
-            region='region-1',
-            store=self.server.address,
-            seeds=(first.gossip_address,) if first else (),
-        )
-        node = Node(settings, 'agent', workers=2)
-        node.open('127.0.0.1:0')
-        Thread(target=node.run, daemon=True).start()
-        self.nodes.append(node)
-
-
 def run(seed: int) -> BenchResult:
     """Measure at growing numbers of members."""
-    sizes = [measure_size(members) for members in SIZES]
+    sizes = measure_sizes()
     figures: dict[str, Any] = {}
     for found in sizes:
         figures.update(_name_figures(found))
@@ -175,41 +101,38 @@
     }
 
 
-def measure_size(members: int) -> SizeResult:
-    """Measure a number of members."""
-    with ExitStack() as stack:
-        fleet = stack.enter_context(running_fleet(members))
-        before = fleet.calls()
-        meter = ProcessorMeter()
-        with meter:
-            time.sleep(IDLE_S)
-        idle_calls = fleet.calls() - before
-        before = fleet.calls()
-        times = []
-        for number in range(CHANGES):
-            times.append(fleet.publish(number))
-            time.sleep(PAUSE_S)
-        calls = fleet.calls() - before
+def measure_sizes() -> list[SizeResult]:
+    """Measure one fleet at each of the sizes, as it grows."""
+    processes = Processes()
+    try:
+        fleet = ConfigFleet(processes)
+        return [measure_size(fleet, members) for members in SIZES]
+    finally:
+        processes.close()
+
+
+def measure_size(fleet: ConfigFleet, members: int) -> SizeResult:
+    """Let a fleet grow to a number of members and measure it."""
+    fleet.grow(members)
+    time.sleep(IDLE_S)
+    calls, used_s = fleet.calls(), fleet.processor_s()
+    time.sleep(IDLE_S)
+    idle_calls = fleet.calls() - calls
+    idle_cores = (fleet.processor_s() - used_s) / IDLE_S
+    calls = fleet.calls()
+    times = []
+    for number in range(CHANGES):
+        times.append(fleet.publish(members + number))
+        time.sleep(PAUSE_S)
     return SizeResult(
         members,
         tuple(times),
-        calls / CHANGES,
+        (fleet.calls() - calls) / CHANGES,
         idle_calls / IDLE_S,
-        meter.cores / members,
+        idle_cores / members,
     )
 
 
-@contextmanager
-def running_fleet(members: int) -> Iterator[NodeFleet]:
-    """Run nodes until the block ends, from when all know one another."""
-    fleet = NodeFleet(members)
-    try:
-        wait_until(lambda: _is_joined(fleet), JOIN_LIMIT_S)
-        yield fleet
-    finally:
-        fleet.stop()
-
-
 def measure_pull() -> dict[str, float]:
     """Compare a change with the whole document, in bytes and seconds."""
     document = build_document(SERVICES)
@@ -230,27 +153,3 @@
         figures[f'{name}_bytes'] = len(text)
         figures[f'{name}_answer_s'] = meter.used_s
     return figures
-
-
-def wait_until(check: Callable[[], bool], limit_s: float) -> None:
-    """Wait for a condition.
-
-    :raises TimeoutError: when it does not hold in time.
-    """
-    deadline_s = time.monotonic() + limit_s
-    while not check():
-        if time.monotonic() > deadline_s:
-            raise TimeoutError(f'not reached within {limit_s} s')
-        time.sleep(POLL_S)
-
-
-def _is_joined(fleet: NodeFleet) -> bool:
-    members = len(fleet.nodes)
-    return all(len(node.members) == members for node in fleet.nodes)
-
-
-def _note_time(times: list[float]) -> Callable[[Document], None]:
-    def note(document: Document) -> None:
-        times.append(time.monotonic())
-
-    return note
