--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -26,7 +26,7 @@
 
 MAX_TRIES = 3
 TIDY_S = 2.0
-WINDOW_SHARE = 16
+WINDOW_SHARE = 32
 WRITER_SHARE = 32
 
 
