--- a/src/bramleylug/bench/overload.py
+++ b/src/bramleylug/bench/overload.py
@@ -288,10 +288,10 @@
     used_s = course.agent_seconds() - used_s
     long_s = used_s / max(1, long.counts['answered'])
     return {
-        'agent processor seconds per request': short_s,
-        'agent processor seconds per token': (long_s - short_s)
+        'overload_agent_processor_s_per_request': short_s,
+        'overload_agent_processor_s_per_token': (long_s - short_s)
         / (LONG_TOKENS - TOKENS),
-        'agent bytes per held request': bytes_per_held_request(
+        'agent_bytes_per_held_request': bytes_per_held_request(
             course.fleet.children[f'agent-{ZONES[0]}'],
             course.engines[ZONES[0]],
             SERVICE,
