Warn of a crash suspect with the next tick

A rumor of the crashed host's own record, milliseconds earlier, made the suspect wait 0.5 s, and its caller sent the request again within that time. In virtual time 0 of 15 others knew of it after 0.35 s. Change: a suspect is told with the next two ticks, whatever was told before, and passed on likewise. Ruled out: one such round, 14 of 15.

--- a/src/bramleylug/membership/gossip.py
+++ b/src/bramleylug/membership/gossip.py
@@ -40,6 +40,7 @@
 RUMOR_FANOUT = 4
 RUMOR_INTERVAL_S = 0.5
 RUMOR_ROUNDS = 2
+WARNING_ROUNDS = 2
 BACKLOG_NAMES = 8
 BACKLOG_FANOUT = 2
 SEED_INTERVAL_S = 5.0
@@ -112,14 +113,22 @@
             self.revision_s = 0
             self.revision_rounds = RUMOR_ROUNDS
 
-    def announce(self) -> None:
-        """Tell some members at once, rather than with the next probes."""
+    def announce(self, *, warning: bool = False) -> None:
+        """Tell some members soon, rather than with the next probes.
+
+        :param warning: whether to tell with the next ticks, however fresh
+            other news is; a request that crashes upstreams may be sent
+            again at any moment.
+        """
         self.rumor_rounds = RUMOR_ROUNDS
+        if warning:
+            self.rumor_s = 0.0
+            self.rumor_rounds += WARNING_ROUNDS
 
     def add_suspect(self, fingerprint: bytes, crash_id: bytes) -> None:
         """Tell all members of a request that crashed an upstream."""
         self.suspects.report(fingerprint, crash_id, self.wall())
-        self.announce()
+        self.announce(warning=True)
 
     def tick(self, now_s: float) -> list[GossipAction]:
         """Return what is due; call it several times a second."""
@@ -152,7 +161,7 @@
             for record in message.members:
                 self.view.merge(record, now_s)
         if self.suspects.merge(message.suspects, self.wall()):
-            self.announce()
+            self.announce(warning=True)
         self.view.heard_from(message.sender, now_s)
         self.highest_revision = max(self.highest_revision, message.revision)
         actions.extend(self._answer(message, now_s))
@@ -233,7 +242,8 @@
         backlog = len(updates.sent) > BACKLOG_NAMES
         if now_s < self.rumor_s or not (urgent or backlog):
             return []
-        self.rumor_s = now_s + RUMOR_INTERVAL_S
+        if self.rumor_rounds <= RUMOR_ROUNDS:
+            self.rumor_s = now_s + RUMOR_INTERVAL_S
         self.rumor_rounds = max(0, self.rumor_rounds - 1)
         count = RUMOR_FANOUT if urgent else BACKLOG_FANOUT
         return [
--- a/testing/membership/test_gossip.py
+++ b/testing/membership/test_gossip.py
@@ -252,6 +252,21 @@
         for member in self.network.members.values():
             self.assertEqual(dict(member.suspects.crashes), {b'f': 2})
 
+    def test_crash_is_told_at_once_after_other_news(self) -> None:
+        """A resend half a second later met a host that had not heard."""
+        teller = self.network.get('host-01')
+        teller.announce()
+        self.network.run(0.15)
+        teller.add_suspect(b'f', b'boot-1')
+
+        self.network.run(0.35)
+
+        known = [
+            len(member.suspects.crashes)
+            for member in self.network.members.values()
+        ]
+        self.assertEqual(known, [1] * 16)
+
     def test_crash_suspects_expire(self) -> None:
         """Nobody revives them."""
         self.network.get('host-01').add_suspect(b'f', b'boot-1')
