One reader of daemons' pages, one set of exit codes, no dead code

Cause: bench config read /v1/members by a copy of cli.status.ask_entry, cli/bench.py kept its own number for usage errors, two functions were called by nobody, and parallel starts iterated over a dict that others add to. Change: call ask_entry and ExitCode, drop iterate and peak_resident_bytes, iterate over a copy.

--- a/src/bramleylug/bench/config_fleet.py
+++ b/src/bramleylug/bench/config_fleet.py
@@ -4,12 +4,12 @@
 import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
-from http.client import HTTPConnection, HTTPException
 from typing import final
 
 from bramleylug.bench.meters import processor_seconds
 from bramleylug.bench.processes import Child, Processes, wait_for
 from bramleylug.cli.faults import set_store_faults
+from bramleylug.cli.status import ask_entry
 from bramleylug.configuration.document import Change
 from bramleylug.configuration.publisher import Accepted, publish
 from bramleylug.observability.events import LogEvent
@@ -20,7 +20,7 @@
 STARTED_AT_ONCE = 8
 JOIN_LIMIT_S = 60.0
 IN_FORCE_NUMBER = LogEvent.configuration_in_force.value.number
-ANSWER_LIMIT_S = 5.0
+MEMBERS_PATH = '/v1/members'
 
 
 @final
@@ -106,12 +106,5 @@
 
 def count_members(address: str) -> int:
     """Return how many members a daemon holds alive; 0 without an answer."""
-    connection = HTTPConnection(address, timeout=ANSWER_LIMIT_S)
-    try:
-        connection.request('GET', '/v1/members')
-        page = json.loads(connection.getresponse().read())
-    except (OSError, HTTPException, ValueError):
-        return 0
-    finally:
-        connection.close()
-    return len(page['members'] if isinstance(page, dict) else page)
+    page = ask_entry(address, MEMBERS_PATH)
+    return 0 if page is None else len(page['members'])
--- a/src/bramleylug/bench/meters.py
+++ b/src/bramleylug/bench/meters.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Self, final
 
-from bramleylug.observability.process import PROC, resident_bytes, status_bytes
+from bramleylug.observability.process import PROC, resident_bytes
 
 TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 # Fields 14 and 15 of proc(5) stat, counted after the command's bracket.
@@ -76,11 +76,6 @@
     return (resident_bytes() - before) / len(kept)
 
 
-def peak_resident_bytes(pid: int | None = None) -> int:
-    """Return the most memory a process has had resident."""
-    return status_bytes(pid, 'VmHWM:')
-
-
 def processor_seconds(pid: int) -> float:
     """Return the processor time that another process has used."""
     stat = (PROC / str(pid) / 'stat').read_text()
--- a/src/bramleylug/bench/processes.py
+++ b/src/bramleylug/bench/processes.py
@@ -162,7 +162,7 @@
     def _common(self, name: str, zone: str) -> list[str]:
         seeds = [
             child.addresses['gossip']
-            for child in self.children.values()
+            for child in tuple(self.children.values())
             if 'gossip' in child.addresses
         ]
         return [
--- a/src/bramleylug/cli/bench.py
+++ b/src/bramleylug/cli/bench.py
@@ -16,11 +16,11 @@
 )
 from bramleylug.bench.results import BenchOutcome, outcome_from_json
 from bramleylug.bench.table import format_outcome, format_summary
+from bramleylug.cli.parser import ExitCode
 from bramleylug.observability.logs import set_up_logs
 
 DEFAULT_SEED = 1
 ALL = 'all'
-USAGE_ERROR = 2
 SIGNAL_EXIT = 128
 DESCRIPTION = f"""\
 Measure against regression bounds; exit 1 where a bound does not hold.
@@ -71,7 +71,7 @@
         case [*names]:
             chosen = list(BENCHES) if ALL in names else names
             return _measure(namespace, chosen)
-    return USAGE_ERROR
+    return ExitCode.usage
 
 
 def _measure(namespace: Namespace, names: list[str]) -> int:
@@ -134,4 +134,4 @@
 
 def _usage(message: str) -> int:
     print(f'bramleylug: {message}', file=sys.stderr)
-    return USAGE_ERROR
+    return ExitCode.usage
--- a/src/bramleylug/observability/process.py
+++ b/src/bramleylug/observability/process.py
@@ -4,17 +4,16 @@
 
 PROC = Path('/proc')
 BYTES_PER_KIB = 1024
+RESIDENT = 'VmRSS:'
 
 
 def resident_bytes(pid: int | None = None) -> int:
-    """Return the resident memory of a process, by default of this one."""
-    return status_bytes(pid, 'VmRSS:')
+    """Return the resident memory of a process, by default of this one.
 
-
-def status_bytes(pid: int | None, name: str) -> int:
-    """Return one figure of proc(5) status; 0 where it is absent."""
+    Source: proc(5), status.
+    """
     status = (PROC / str(pid or 'self') / 'status').read_text()
     for line in status.splitlines():
-        if line.startswith(name):
+        if line.startswith(RESIDENT):
             return int(line.split()[1]) * BYTES_PER_KIB
     return 0
--- a/src/bramleylug/weights/chunk_sets.py
+++ b/src/bramleylug/weights/chunk_sets.py
@@ -4,7 +4,7 @@
 microsecond, and travel as one bit a chunk.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 BYTE_BITS = 8
 
@@ -32,14 +32,6 @@
     return int.from_bytes(bitmap, 'little') & whole(count)
 
 
-def iterate(chunks: int) -> Iterator[int]:
-    """Yield the indices in a set in rising order."""
-    while chunks:
-        lowest = chunks & -chunks
-        yield lowest.bit_length() - 1
-        chunks ^= lowest
-
-
 def pick(chunks: int, offset: int) -> int:
     """Return the first index at or after an offset, wrapping around.
 
