Callers without any upstream come back after 2 s, not 1

Cause: where no engine has weights (loss of power, versions close together) an outage lasts 4 s or more. A caller tries once more; after 1 s that try meets the same outage. Change: the longest time that callers wait (a third of six seconds). The pinned Retry-After of the test follows.

--- a/src/bramleylug/relay/hall.py
+++ b/src/bramleylug/relay/hall.py
@@ -24,9 +24,10 @@
 # Without a completion here, waiting requests look again after this time:
 # upstreams change by what others tell.
 RELOOK_S = 0.05
-# A service without any upstream is likely to have one again after the time
-# in which an engine restarts or takes weights.
-NOWHERE_RETRY_S = 1.0
+# Callers try once more, and wait a third of their time for it at most: two
+# seconds of the six for a stream. An engine that lost its weights needs four
+# or more, so that any earlier try is wasted.
+NOWHERE_RETRY_S = 2.0
 
 
 @final
