--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -84,8 +84,9 @@
         self.settings = settings
         self.clock = clock
         self.adapter = adapter
-        self.core = ProcessCore(settings, adapter, own_record(settings), clock)
-        self.core.make_beat = self.make_beat
+        self.core = ProcessCore(
+            settings, adapter, own_record(settings), self.make_beat, clock
+        )
         self.core.hear = self.hear
         self.stocks = Stocks()
         self.uploads = Uploads(Pacer(self.upload_rate, clock))
--- a/src/bramleylug/loader/sources.py
+++ b/src/bramleylug/loader/sources.py
@@ -7,7 +7,7 @@
 from typing import Protocol, final
 
 from bramleylug.relay.peers import PeerRecord
-from bramleylug.web.calls import CALL_FAULTS, Caller
+from bramleylug.web.calls import CALL_FAULTS, Callers
 from bramleylug.weights.manifest import Manifest, ManifestError
 from bramleylug.weights.peers import Fault
 
@@ -95,7 +95,7 @@
     """Asks other loaders."""
 
     def __init__(self) -> None:
-        self.callers: dict[str, Caller] = {}
+        self.callers = Callers(connect_timeout_s=CONNECT_TIMEOUT_S)
 
     async def manifest(
         self, peer: PeerRecord, model: str, version: int
@@ -121,12 +121,10 @@
     async def _get(
         self, peer: PeerRecord, target: str, timeout_s: float
     ) -> bytes:
-        caller = self.callers.get(peer.chunks)
-        if caller is None:
-            caller = Caller(peer.chunks, connect_timeout_s=CONNECT_TIMEOUT_S)
-            self.callers[peer.chunks] = caller
         try:
-            status, raw = await caller.call('GET', target, timeout_s=timeout_s)
+            status, raw = await self.callers.get(
+                peer.chunks, target, timeout_s=timeout_s
+            )
         except CALL_FAULTS as error:
             raise FetchFailed(Fault.unreachable, repr(error)) from error
         match status:
--- a/src/bramleylug/loader/transfer.py
+++ b/src/bramleylug/loader/transfer.py
@@ -214,7 +214,7 @@
         finally:
             self._end(ended)
 
-    def _end(self, ended: 'Ended') -> None:
+    def _end(self, ended: Ended) -> None:
         self.fetches.pop(ended.index, None)
         now_s = self.context.clock()
         if ended.fault is None:
--- a/src/bramleylug/platform/engines.py
+++ b/src/bramleylug/platform/engines.py
@@ -10,7 +10,7 @@
 from bramleylug.loader.stock import build_manifest
 from bramleylug.platform.decoding import DECODING_FAULTS, decode_weights
 from bramleylug.relay.upstreams import HeldWeights, UpstreamReport
-from bramleylug.web.calls import CALL_FAULTS, Caller
+from bramleylug.web.calls import CALL_FAULTS, Caller, Callers
 from bramleylug.weights.manifest import Manifest
 from bramleylug.weights.peers import Fault
 
@@ -90,7 +90,7 @@
     """The platform's origin of weights."""
 
     def __init__(self) -> None:
-        self.callers: dict[str, Caller] = {}
+        self.callers = Callers(connect_timeout_s=CONNECT_TIMEOUT_S)
 
     async def manifest(
         self, address: str, model: str, version: int
@@ -124,12 +124,10 @@
     async def _get(self, address: str, target: str, timeout_s: float) -> bytes:
         if not address:
             raise FetchFailed(Fault.unreachable, 'no origin is configured')
-        caller = self.callers.get(address)
-        if caller is None:
-            caller = Caller(address, connect_timeout_s=CONNECT_TIMEOUT_S)
-            self.callers[address] = caller
         try:
-            status, raw = await caller.call('GET', target, timeout_s=timeout_s)
+            status, raw = await self.callers.get(
+                address, target, timeout_s=timeout_s
+            )
         except CALL_FAULTS as error:
             raise FetchFailed(Fault.unreachable, repr(error)) from error
         if status != HTTPStatus.OK:
--- a/src/bramleylug/platform/settings.py
+++ b/src/bramleylug/platform/settings.py
@@ -121,6 +121,8 @@
         'metrics_bind': metrics_bind,
         'version_limit': bounds['version_ms'] / MILLISECONDS,
         'calm_window': bounds['stable_window_ms'] / MILLISECONDS,
+        'cold_overshoot': float(bounds['cold_overshoot']),
+        'cold_reserve': float(bounds['cold_slack']),
     }
 
 
@@ -145,8 +147,6 @@
         keys_fail_closed=bool(bounds['fail_closed']),
         retry_share=float(bounds['retry_budget_ratio']),
         retry_reserve=float(bounds['budget_slack']),
-        cold_overshoot=float(bounds['cold_overshoot']),
-        cold_reserve=float(bounds['cold_slack']),
     )
 
 
--- a/src/bramleylug/relay/belief.py
+++ b/src/bramleylug/relay/belief.py
@@ -218,9 +218,8 @@
             return
         if upstream.cold is None:
             relays = self.peers.relay_count()
-            overshoot = getattr(self.settings, 'cold_overshoot', 1)
-            spare = service.cold_per_s * (overshoot - 1)
-            spare += getattr(self.settings, 'cold_reserve', 0)
+            spare = service.cold_per_s * (self.settings.cold_overshoot - 1)
+            spare += self.settings.cold_reserve
             upstream.cold = ColdStart(
                 service.cold_per_s / relays,
                 max(1.0, COLD_BURST_SHARE * spare / relays),
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -93,8 +93,9 @@
             serving=settings.caller_bind,
             beats=settings.beat_bind,
         )
-        self.core = ProcessCore(settings, adapter, record, clock)
-        self.core.make_beat = self.make_beat
+        self.core = ProcessCore(
+            settings, adapter, record, self.make_beat, clock
+        )
         self.core.on_tidy = self.tidy
         self.relay = Relay(settings, self.core.belief, adapter.dialect, clock)
         self.ledger = MemoryLedger(settings.memory_bytes)
--- a/src/bramleylug/relay/peers.py
+++ b/src/bramleylug/relay/peers.py
@@ -132,10 +132,10 @@
     def takes_callers(self, record: PeerRecord, now_s: float) -> bool:
         """Tell whether a relay may be named to callers."""
         heard = self.heard.get(record.name)
-        told = heard is not None and heard.boot >= record.boot
-        if record.draining or (told and heard is not None and heard.draining):
-            return False
-        return self.lives(record, now_s)
+        if heard is not None and heard.boot >= record.boot:
+            if heard.draining:
+                return False
+        return not record.draining and self.lives(record, now_s)
 
     def relay_count(self) -> int:
         """Return the relays that may send to upstreams, this one included.
--- a/src/bramleylug/relay/process.py
+++ b/src/bramleylug/relay/process.py
@@ -42,8 +42,8 @@
 class ProcessCore:
     """Keeps a belief in step with the store and with other processes.
 
+    :param make_beat: returns what to tell the relays.
     :ivar record: this process as it announces itself.
-    :ivar make_beat: returns what to tell the relays.
     """
 
     def __init__(
@@ -51,6 +51,7 @@
         settings: ProcessSettings,
         adapter: Adapter,
         record: PeerRecord,
+        make_beat: Callable[[], Beat],
         clock: Callable[[], float],
     ) -> None:
         self.settings = settings
@@ -76,7 +77,7 @@
             adapter.peer_key(settings.name),
             lambda: adapter.encode_peer(self.record),
         )
-        self.make_beat: Callable[[], Beat] = self._plain_beat
+        self.make_beat = make_beat
         self.on_tidy: Callable[[], None] = _ignore
         self.hear: Callable[[Beat], None] = self.belief.hear
         self.loop = LoopThread('relay')
@@ -117,15 +118,9 @@
         self.tell()
 
     def _on_news(self, changes: Sequence[Change]) -> None:
+        # The reader needs the belief, and that a follower's mirror.
         self.read_news(changes)
 
-    def _plain_beat(self) -> Beat:
-        return Beat(
-            name=self.record.name,
-            boot=self.record.boot,
-            draining=self.record.draining,
-        )
-
     async def _beat(self) -> None:
         if self.beats is None:
             self.beats = await BeatSocket.open(
--- a/src/bramleylug/relay/settings.py
+++ b/src/bramleylug/relay/settings.py
@@ -18,7 +18,6 @@
     store: str = setting('address of the platform store, host:port')
     beat_bind: str = setting('UDP address for beats of other processes')
     metrics_bind: str = setting('address for metrics; empty for none', '')
-    log_level: str = setting('least level of log lines', 'INFO')
     confirm_interval: float = setting(
         'time in which the view of the store is confirmed', 1.0, unit='s'
     )
@@ -28,6 +27,12 @@
     calm_window: float = setting(
         'calm time after which all bounds hold again', 3.0, unit='s'
     )
+    cold_overshoot: float = setting(
+        'most requests of a cold upstream over what it bears', 1.5
+    )
+    cold_reserve: float = setting(
+        'requests of a cold upstream allowed beside that', 5.0
+    )
 
 
 @final
@@ -63,12 +68,6 @@
     retry_reserve: float = setting(
         'retries allowed beside the share, over all relays', 100.0
     )
-    cold_overshoot: float = setting(
-        'most requests of a cold upstream over what it bears', 1.5
-    )
-    cold_reserve: float = setting(
-        'requests of a cold upstream allowed beside that', 5.0
-    )
 
 
 @final
--- a/src/bramleylug/soak/acts.py
+++ b/src/bramleylug/soak/acts.py
@@ -42,7 +42,6 @@
         self.acts: dict[Kind, Callable[[Fault], Awaitable[None]]] = {
             Kind.store_paused: self._store_paused,
             Kind.store_forgets: self._store_forgets,
-            Kind.origin_paused: self._origin_paused,
             Kind.relay_to_store: self._relay_to_store,
             Kind.to_engine: self._to_engine,
             Kind.weights_named: self._weights_named,
@@ -90,9 +89,6 @@
         await self.deployment.control({'forget': True})
         self.record.unstable.append(Span('', began_s, time.time()))
 
-    async def _origin_paused(self, fault: Fault) -> None:
-        await self._signal(fault)
-
     async def _relay_to_store(self, fault: Fault) -> None:
         name = self._name('relay', fault.pick)
         began_s = time.time()
--- a/src/bramleylug/soak/deployment.py
+++ b/src/bramleylug/soak/deployment.py
@@ -16,9 +16,9 @@
 RELAYS = 3
 ENGINES = 3
 ZONES = ('zone-a', 'zone-b')
-STOP_S = 8
 START_S = 15.0
 RESTART_POLL_S = 0.1
+CONTROL_RETRY_S = 0.1
 KEYS = ('key-1', 'key-2')
 
 
@@ -131,20 +131,16 @@
             document = configuration(self.version, keys, self.origin_address)
             await self.control({'put': 'op/config', 'document': document})
 
-    async def control(self, order: dict[str, Any]) -> float:
-        """Have the operator change the store; return when it was done.
-
-        It is repeated until the store answers.
-        """
+    async def control(self, order: dict[str, Any]) -> None:
+        """Have the operator change the store, however long that takes."""
         body = json.dumps(order).encode()
-        loop = asyncio.get_running_loop()
         while True:
             try:
                 await post(self.store_address, '/control', body)
             except (OSError, TimeoutError):
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(CONTROL_RETRY_S)
             else:
-                return loop.time()
+                return
 
     def _stand_in(self, name: str, kind: str, text: str) -> None:
         arguments = ['-m', 'bramleylug.soak.stand_in', kind, text]
--- a/src/bramleylug/web/calls.py
+++ b/src/bramleylug/web/calls.py
@@ -77,3 +77,25 @@
         return await ClientConnection.open(
             self.address, timeout_s=self.connect_timeout_s
         )
+
+
+@final
+class Callers:
+    """One caller for each address that was called."""
+
+    def __init__(self, *, connect_timeout_s: float) -> None:
+        self.connect_timeout_s = connect_timeout_s
+        self.by_address: dict[str, Caller] = {}
+
+    async def get(
+        self, address: str, target: str, *, timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Return status and body of a page.
+
+        :raises OSError: as :meth:`Caller.call`.
+        """
+        caller = self.by_address.get(address)
+        if caller is None:
+            caller = Caller(address, connect_timeout_s=self.connect_timeout_s)
+            self.by_address[address] = caller
+        return await caller.call('GET', target, timeout_s=timeout_s)
--- a/testing/platform/whole_path.py
+++ b/testing/platform/whole_path.py
@@ -1,7 +1,6 @@
 """Stand-ins of the platform with relays and loaders, in one process."""
 
 import json
-import socket
 import time
 from copy import deepcopy
 from http.client import HTTPConnection
@@ -18,6 +17,7 @@
 from bramleylug.platform.adapter import PlatformAdapter
 from bramleylug.relay.daemon import RelayDaemon
 from bramleylug.relay.settings import LoaderSettings, RelaySettings
+from bramleylug.soak.deployment import free_address
 from testing.platform.builders import CONFIG
 
 POLL_S = 0.05
@@ -25,13 +25,6 @@
 REGIONS = {'zone-a': 'north', 'zone-b': 'south'}
 
 
-def free_address() -> str:
-    """Return an address of loopback that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
-
-
 class PlatformCluster:
     """Two relays and two engines with loaders, one in each zone."""
 
