Engines share out the time that a late transfer leaves for loading

Cause: a transfer takes 5.4 to 6 s of the 6.5 s after which the last engine begins to load. Turns that had passed by then were taken at once: six of ten engines were closed together. Test: turns of ten engines, ready after six seconds; failing before.

--- a/src/bramleylug/loader/policy.py
+++ b/src/bramleylug/loader/policy.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 from typing import final
 
+from bramleylug.relay.belief import VERSION_MARGIN_S
+from bramleylug.store.mirror import ANSWER_LAG_S
+
 # An order that was not carried out is given again after this time.
 RETRY_S = 0.5
 # Relays hear that the engine closes before it is told to load.
@@ -12,8 +15,8 @@
 # the others serve meanwhile.
 SPREAD_S = 2.0
 # The last one begins this long before older weights may serve no more: a
-# moment before the relays stop sending to it.
-LAST_BEFORE_S = 1.5
+# tenth of a second before the relays stop sending to it.
+LAST_BEFORE_S = VERSION_MARGIN_S + ANSWER_LAG_S + 0.1
 
 
 @final
@@ -91,9 +94,13 @@
     """Life of the weights on one engine, as a plain object.
 
     :ivar closing_s: since when the relays are told that the engine closes.
+    :ivar ready: newest version that is ready.
+    :ivar ready_s: since when.
     """
 
     def __init__(self) -> None:
+        self.ready = 0
+        self.ready_s = float('-inf')
         self.closing_s: float | None = None
         self.retry_s = float('-inf')
 
@@ -105,13 +112,16 @@
     def step(self, seen: Observation, now_s: float) -> Iterable[LoadAction]:
         """Return what to do now."""
         engine = seen.engine
+        if seen.ready != self.ready:
+            self.ready = seen.ready
+            self.ready_s = now_s
         if engine is None or not seen.ready or engine.serves(seen.ready):
             self.closing_s = None
             return ()
         if engine.busy or now_s < self.retry_s:
             return ()
         if engine.whole:
-            if now_s < turn_s(seen):
+            if now_s < turn_s(seen, self.ready_s):
                 return ()
             if self.closing_s is None:
                 self.closing_s = now_s
@@ -127,15 +137,20 @@
         self.retry_s = now_s + RETRY_S
 
 
-def turn_s(seen: Observation) -> float:
+def turn_s(seen: Observation, ready_s: float) -> float:
     """Return when a host that serves older weights may load.
 
     Hosts follow one another, the last one just before its weights are too
-    old; until then it serves, so nothing is gained by being earlier.
+    old; until then it serves, so nothing is gained by being earlier. They
+    all have the version ready at about the same time. Where that is late,
+    they share out what is left instead of loading at once together.
+
+    :param ready_s: since when the version is ready here.
     """
-    gap_s = SPREAD_S / max(seen.hosts, 1)
+    last_s = seen.named_s + seen.limit_s - LAST_BEFORE_S
+    spread_s = max(0.0, min(SPREAD_S, last_s - ready_s))
     after = seen.hosts - 1 - seen.rank
-    return seen.named_s + seen.limit_s - LAST_BEFORE_S - after * gap_s
+    return last_s - after * spread_s / max(seen.hosts, 1)
 
 
 def first_newer_s(
--- a/testing/loader/test_policy.py
+++ b/testing/loader/test_policy.py
@@ -64,7 +64,7 @@
         """The engine gets no new requests while it is told to load."""
         policy = LoadPolicy()
         seen = build_observation(may_cut=True)
-        turn = turn_s(seen)
+        turn = turn_s(seen, 0.0)
 
         self.assertEqual(list(policy.step(seen, turn - 0.1)), [])
         self.assertEqual(list(policy.step(seen, turn)), [Announce()])
@@ -112,10 +112,29 @@
     def test_turns_are_spread_and_end_in_time(self) -> None:
         """Ten engines follow one another before old weights are refused."""
         turns = [
-            turn_s(build_observation(rank=rank, hosts=10)) for rank in range(10)
+            turn_s(build_observation(rank=rank, hosts=10), 0.0)
+            for rank in range(10)
         ]
         gaps = [later - sooner for sooner, later in zip(turns, turns[1:])]
 
         self.assertEqual(turns, sorted(turns))
         self.assertAlmostEqual(min(gaps), max(gaps))
         self.assertLess(turns[-1], 8.0 - 0.6)
+
+    def test_turns_share_out_what_a_late_transfer_leaves(self) -> None:
+        """Ready six seconds after the naming, ten engines do not load at once.
+
+        Most would be closed together for the second that each needs.
+        """
+        begun_s = []
+        for rank in range(10):
+            policy = LoadPolicy()
+            seen = build_observation(rank=rank, hosts=10)
+            steps = [6.0 + step / 100 for step in range(200)]
+            begun_s.append(
+                next(now_s for now_s in steps if policy.step(seen, now_s))
+            )
+        gaps = [later - sooner for sooner, later in zip(begun_s, begun_s[1:])]
+
+        self.assertGreater(min(gaps), 0.05)
+        self.assertLess(begun_s[-1], 8.0 - 0.6)
