Loaders use the whole link while weights are outdated, and tell of new ones at once

Change: the rate of chunks follows what the engine may serve, as a function of its own; a changed version is told at once. Tests: the rate by state of the engine, and the keeper that tells; failing before.

--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -24,7 +24,7 @@
 )
 from bramleylug.loader.stock import Stock, Stocks
 from bramleylug.loader.transfer import TransferContext
-from bramleylug.loader.uploads import Pacer, Uploads
+from bramleylug.loader.uploads import Pacer, Uploads, chunk_rate
 from bramleylug.relay.pages import serve_metrics
 from bramleylug.relay.peers import PeerRecord, Role
 from bramleylug.relay.process import (
@@ -189,14 +189,10 @@
         )
 
     def upload_rate(self) -> float:
-        """Return the rate of chunks handed out, in bytes a second.
-
-        Where the engine of this host answers nobody, the link is theirs.
-        """
-        state = self.keeper.state
-        if state is not None and state.whole:
-            return self.settings.link_rate * self.settings.upload_share
-        return self.settings.link_rate
+        """Return the rate of chunks handed out, in bytes a second."""
+        least_by_model = self.core.belief.versions.least(self.clock())
+        least = least_by_model.get(self.model(), 0)
+        return chunk_rate(self.settings, self.keeper.state, least)
 
     def tell(self) -> None:
         """Tell the relays at once whether the engine closes."""
--- a/src/bramleylug/loader/keeper.py
+++ b/src/bramleylug/loader/keeper.py
@@ -74,8 +74,12 @@
             self.state = None
             self.report = None
             return
+        before = self.state
         self.state = said.state
         self.report = said.report
+        if before is None or said.state.version != before.version:
+            # The relays send to it at once.
+            self.surroundings.tell()
 
     async def _step(self) -> None:
         stock = self.stocks.newest_whole()
--- a/src/bramleylug/loader/uploads.py
+++ b/src/bramleylug/loader/uploads.py
@@ -5,6 +5,8 @@
 from http import HTTPStatus
 from typing import final
 
+from bramleylug.loader.policy import EngineState
+from bramleylug.relay.settings import LoaderSettings
 from bramleylug.web.exchange import Exchange
 
 # Pieces that are sent at once: each fills a link of some Mbit/s for a few
@@ -14,6 +16,20 @@
 MOST_UPLOADS = 3
 
 
+def chunk_rate(
+    settings: LoaderSettings, engine: EngineState | None, least_version: int
+) -> float:
+    """Return the rate at which a host hands out chunks, in bytes a second.
+
+    Where its engine may answer nobody, the link is theirs alone.
+
+    :param least_version: version below which nothing may begin.
+    """
+    if engine is not None and engine.serves(least_version):
+        return settings.link_rate * settings.upload_share
+    return settings.link_rate
+
+
 @final
 class Pacer:
     """Spreads bytes evenly over time, for all uploads together.
--- a/testing/loader/test_uploads.py
+++ b/testing/loader/test_uploads.py
@@ -2,7 +2,30 @@
 
 import unittest
 
-from bramleylug.loader.uploads import Pacer
+from bramleylug.loader.uploads import Pacer, chunk_rate
+from testing.relay.builders import build_engine_state, build_loader_settings
+
+
+class TestChunkRate(unittest.TestCase):
+    """Chunks leave room for live answers, where there are any."""
+
+    def rate(self, engine, least_version=0):
+        """Return the rate on a link of 1000 bytes a second."""
+        settings = build_loader_settings(link_rate=1000.0, upload_share=0.5)
+        return chunk_rate(settings, engine, least_version)
+
+    def test_serving_engine_keeps_its_share(self) -> None:
+        """Its answers take the same link."""
+        self.assertEqual(self.rate(build_engine_state(version=1)), 500.0)
+
+    def test_engine_that_serves_nothing_leaves_the_link(self) -> None:
+        """It is down, empty, or its weights are too old."""
+        empty = build_engine_state(version=0, whole=False)
+        outdated = build_engine_state(version=1)
+
+        self.assertEqual(self.rate(None), 1000.0)
+        self.assertEqual(self.rate(empty), 1000.0)
+        self.assertEqual(self.rate(outdated, least_version=2), 1000.0)
 
 
 class TestPacer(unittest.TestCase):
--- a/testing/relay/builders.py
+++ b/testing/relay/builders.py
@@ -6,7 +6,7 @@
 from bramleylug.relay.dialect import CallerRequest
 from bramleylug.relay.peers import PeerRecord, Role
 from bramleylug.relay.placement import Constraints, Demand
-from bramleylug.relay.settings import RelaySettings
+from bramleylug.relay.settings import LoaderSettings, RelaySettings
 from bramleylug.relay.table import (
     CallerLimits,
     Repeat,
@@ -123,6 +123,22 @@
     return RelaySettings(**{**defaults, **fields})
 
 
+def build_loader_settings(**fields: Any) -> LoaderSettings:
+    """Return settings of a loader in zone-a."""
+    defaults = {
+        'name': 'loader-1',
+        'zone': 'zone-a',
+        'region': 'north',
+        'regions': REGIONS,
+        'store': '127.0.0.1:1',
+        'beat_bind': '127.0.0.1:2',
+        'upstream': '127.0.0.1:3',
+        'service': 'advisor',
+        'chunk_bind': '127.0.0.1:4',
+    }
+    return LoaderSettings(**{**defaults, **fields})
+
+
 def build_caller_request(**fields: Any) -> CallerRequest:
     """Return a request with a good key."""
     defaults = {
