Beats and holdings are told in rounds, near peers first; loaders that join hear what is held

Besides, a loader that joins heard nothing of chunks that were held before, and read them from the origin.

--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -23,6 +23,7 @@
     PeerClient,
 )
 from bramleylug.loader.stock import Stock, Stocks
+from bramleylug.loader.telling import TELL_S, Telling
 from bramleylug.loader.transfer import TransferContext
 from bramleylug.loader.uploads import Pacer, Uploads, chunk_rate
 from bramleylug.relay.pages import serve_metrics
@@ -45,9 +46,6 @@
 from bramleylug.wire.beats_pb2 import Beat, TransferState
 from bramleylug.wire.weights_pb2 import HeldChunks
 
-# Loaders hear of each other's new chunks within this time while a transfer
-# runs.
-TELL_S = 0.08
 LEAVE_S = 0.3
 CONFIGURATION_S = 2.0
 CONFIGURATION_RETRY_S = 0.3
@@ -236,20 +234,19 @@
 
     async def _tell_loaders(self) -> None:
         """Tell the other loaders what is held, often while it changes."""
-        told: list[TransferState] = []
+        telling = Telling(self.settings.region)
         while True:
             await asyncio.sleep(TELL_S)
             states = [
                 self._state_of(stock)
                 for stock in self.stocks.by_version.values()
             ]
-            changed = self.bringer.transfer is not None or states != told
-            if self.core.beats is None or not changed:
+            due = telling.due(states, self.peers(), self.clock())
+            if self.core.beats is None or not due:
                 continue
-            told = states
             beat = Beat(name=self.settings.name, boot=self.core.record.boot)
             beat.transfers.extend(states)
-            self.core.beats.send(beat, [peer.beats for peer in self.peers()])
+            self.core.beats.send(beat, [peer.beats for peer in due])
 
     def _state_of(self, stock: Stock) -> TransferState:
         manifest = stock.manifest
--- a/src/bramleylug/relay/beats.py
+++ b/src/bramleylug/relay/beats.py
@@ -8,15 +8,20 @@
 
 from bramleylug.node.udp import parse_address
 from bramleylug.observability.events import LogEvent, emit
+from bramleylug.relay.rounds import Pace
 from bramleylug.relay.suspects import SharedSuspects
 from bramleylug.relay.upstreams import UpstreamBook
 from bramleylug.wire.beats_pb2 import Beat
 
 # A datagram is read no further than this.
 BEAT_BYTES = 8192
-# Peers hear of changed loads within a small part of a request's time; the
-# bytes between regions bound it from below.
+# Peers hear of changed loads within a small part of a request's time. All
+# beats of a host are bounded by the 17 kB a second that control may take on
+# it at the target size; a beat has about 200 bytes.
 BEAT_S = 0.2
+NEAR_BEATS_PER_S = 40.0
+FAR_BEATS_PER_S = 30.0
+BEAT_PACE = Pace(BEAT_S, NEAR_BEATS_PER_S, FAR_BEATS_PER_S)
 
 
 @final
--- a/src/bramleylug/relay/peers.py
+++ b/src/bramleylug/relay/peers.py
@@ -108,12 +108,14 @@
 
     def living(self, role: Role, now_s: float) -> Iterable[PeerRecord]:
         """Return the peers of a role that live, this process aside."""
+        own_name = self.own().name
+        is_fresh = self._is_store_fresh()
         return [
             record
             for record in self.remembered.values()
             if record.role is role
-            and record.name != self.own().name
-            and self.lives(record, now_s)
+            and record.name != own_name
+            and self._lives(record, now_s, is_fresh=is_fresh)
         ]
 
     def lives(self, record: PeerRecord, now_s: float) -> bool:
@@ -122,12 +124,7 @@
         The store's word is taken while it is fresh; without it, only a
         peer that is heard lives.
         """
-        heard = self.heard.get(record.name)
-        if heard is not None and heard.boot >= record.boot:
-            if now_s - heard.at_s < HEARD_S:
-                return True
-        stands = record.name in self.announced
-        return stands and self.store_age_s() < self.store_fresh_s
+        return self._lives(record, now_s, is_fresh=self._is_store_fresh())
 
     def takes_callers(self, record: PeerRecord, now_s: float) -> bool:
         """Tell whether a relay may be named to callers."""
@@ -178,3 +175,16 @@
             if name not in self.announced and not self.lives(record, now_s):
                 self.remembered.pop(name)
                 self.heard.pop(name, None)
+
+    def _is_store_fresh(self) -> bool:
+        return self.store_age_s() < self.store_fresh_s
+
+    def _lives(
+        self, record: PeerRecord, now_s: float, *, is_fresh: bool
+    ) -> bool:
+        if is_fresh and record.name in self.announced:
+            return True
+        heard = self.heard.get(record.name)
+        if heard is None or heard.boot < record.boot:
+            return False
+        return now_s - heard.at_s < HEARD_S
--- a/src/bramleylug/relay/process.py
+++ b/src/bramleylug/relay/process.py
@@ -7,9 +7,10 @@
 from typing import Protocol, final
 
 from bramleylug.node.loop_thread import LoopThread
-from bramleylug.relay.beats import BEAT_S, BeatSocket
+from bramleylug.relay.beats import BEAT_PACE, BEAT_S, BeatSocket
 from bramleylug.relay.belief import Belief
 from bramleylug.relay.peers import PeerRecord, Role
+from bramleylug.relay.rounds import Rounds
 from bramleylug.relay.settings import ProcessSettings
 from bramleylug.store.changes import Change, FollowedStore
 from bramleylug.store.follower import Follower
@@ -80,6 +81,7 @@
         self.make_beat = make_beat
         self.on_tidy: Callable[[], None] = _ignore
         self.hear: Callable[[Beat], None] = self.belief.hear
+        self.rounds = Rounds(settings.region, BEAT_PACE)
         self.loop = LoopThread('relay')
         self.beats: BeatSocket | None = None
 
@@ -113,6 +115,14 @@
         living = self.belief.peers.living(Role.relay, self.clock())
         self.beats.send(self.make_beat(), [peer.beats for peer in living])
 
+    def tell_due(self) -> None:
+        """Send a beat to the relays whose turn it is."""
+        now_s = self.clock()
+        living = self.belief.peers.living(Role.relay, now_s)
+        due = self.rounds.due(living, now_s)
+        if due and self.beats is not None:
+            self.beats.send(self.make_beat(), [peer.beats for peer in due])
+
     def _announce_leaving(self) -> None:
         self.presence.announce()
         self.tell()
@@ -127,7 +137,7 @@
                 self.settings.beat_bind, lambda beat: self.hear(beat)
             )
         while True:
-            self.tell()
+            self.tell_due()
             await asyncio.sleep(BEAT_S)
 
     async def _tidy(self) -> None:
