--- a/src/bramleylug/loader/bringer.py
+++ b/src/bramleylug/loader/bringer.py
@@ -55,7 +55,7 @@
         self.engine = engine
         self.goal = goal
         self.transfer: Transfer | None = None
-        self.offers: dict[int, dict[str, bytes]] = {}
+        self.offers: dict[int, dict[str, TransferState]] = {}
         self.origin_watch = OriginWatch(context.origin, context.clock)
         self.context = context._replace(origin=self.origin_watch)
         self.taken_up = 0
@@ -76,7 +76,7 @@
     def hear(self, peer: str, state: TransferState) -> None:
         """Take in what another loader tells."""
         offers = self.offers.setdefault(int(state.version), {})
-        offers[peer] = state.held.bitmap
+        offers[peer] = state
         if self.transfer is not None:
             self.transfer.hear(peer, state)
 
@@ -108,7 +108,9 @@
         offers = self.offers.get(version, {})
         held = stock.held
         for peer in self.context.peers():
-            held |= from_bytes(offers.get(peer.name, b''), count)
+            offer = offers.get(peer.name)
+            if offer is not None:
+                held |= from_bytes(offer.held.bitmap, count)
         return held == whole(count)
 
     def _newest_here(self) -> int:
@@ -133,6 +135,9 @@
         began_s = self.context.clock()
         await self._take_staged(stock)
         self.transfer = Transfer(self.context, stock, version)
+        # Hosts that held all of it before do not tell it again.
+        for peer, state in self.offers.get(version, {}).items():
+            self.transfer.hear(peer, state)
         task = asyncio.create_task(self.transfer.run())
         try:
             while not task.done() and not self._is_overtaken(self.transfer):
@@ -164,7 +169,8 @@
         """
         goal = self.goal()
         now_s = self.context.clock()
-        if goal is None:
+        if goal is None or goal.version < transfer.version:
+            # No version is named yet: the origin's newest is brought.
             return False
         if transfer.version == self.taken_up:
             return transfer.is_stuck(now_s)
--- a/src/bramleylug/loader/transfer.py
+++ b/src/bramleylug/loader/transfer.py
@@ -110,6 +110,7 @@
         self.progress_s = self.started_s
         for index in stock.chunks:
             self.planner.receive(index)
+        self._replace_peers(self.started_s)
 
     @property
     def weights(self) -> str:
@@ -168,11 +169,14 @@
 
     def _plan(self) -> None:
         now_s = self.context.clock()
-        regions = {peer.name: peer.region for peer in self.context.peers()}
-        self.planner.replace_peers(regions, now_s)
+        self._replace_peers(now_s)
         for action in self.planner.plan(now_s):
             self._act(action)
 
+    def _replace_peers(self, now_s: float) -> None:
+        regions = {peer.name: peer.region for peer in self.context.peers()}
+        self.planner.replace_peers(regions, now_s)
+
     def _act(self, action: Action) -> None:
         match action:
             case FromOrigin(index):
--- a/testing/loader/swarm.py
+++ b/testing/loader/swarm.py
@@ -81,10 +81,12 @@
 
     :ivar named: newest version that was named.
     :ivar peer_s: time of one fetch from a peer.
+    :ivar late: host that begins when it is told to.
     """
 
-    def __init__(self, hosts: int = 4) -> None:
+    def __init__(self, hosts: int = 4, late: str = '') -> None:
         self.named = 1
+        self.late = late
         self.peer_s = FETCH_S
         self.origin = SwarmOrigin()
         self.records = {
@@ -101,9 +103,11 @@
 
     async def __aenter__(self) -> 'Swarm':
         """Start all loaders."""
-        for bringer in self.bringers.values():
-            self.tasks.append(asyncio.create_task(bringer.run()))
-        self.tasks.append(asyncio.create_task(self._tell()))
+        for name in self.bringers:
+            if name != self.late:
+                self.begin(name)
+        self.telling = asyncio.create_task(self._tell())
+        self.tasks.append(self.telling)
         return self
 
     async def __aexit__(self, *error: Any) -> None:
@@ -112,10 +116,19 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    def begin(self, name: str) -> None:
+        """Start the loader of a host."""
+        task = asyncio.create_task(self.bringers[name].run())
+        self.tasks.append(task)
+
     async def until_whole(self, version: int, limit_s: float = 10) -> None:
-        """Wait until every host holds a version whole."""
+        """Wait until every host that began holds a version whole."""
         async with asyncio.timeout(limit_s):
-            while not all(self.holds(name, version) for name in self.records):
+            while not all(
+                self.holds(name, version)
+                for name in self.records
+                if name != self.late
+            ):
                 await asyncio.sleep(FETCH_S)
 
     async def until_begun(self, version: int, chunks: int) -> None:
--- a/testing/loader/test_bringer.py
+++ b/testing/loader/test_bringer.py
@@ -1,5 +1,6 @@
 """Tests of bringing versions to several hosts."""
 
+import asyncio
 import unittest
 
 from testing.loader.swarm import CHUNKS, Swarm
@@ -18,6 +19,30 @@
 
         self.assertLessEqual(reads, 1.5 * CHUNKS)
 
+    @in_virtual_time
+    async def test_host_that_joins_reads_nothing_from_the_origin(self) -> None:
+        """The others told what they hold before its transfer began."""
+        await self.join(named=1)
+
+    @in_virtual_time
+    async def test_host_that_joins_before_any_version_is_named(self) -> None:
+        """It brings the origin's newest, which no news overtakes."""
+        await self.join(named=0)
+
+    async def join(self, named: int) -> None:
+        """Start a host when the others hold all; it asks only them."""
+        async with Swarm(hosts=6, late='host-5') as swarm:
+            swarm.named = named
+            await swarm.until_whole(1)
+            await asyncio.sleep(1.0)
+            swarm.telling.cancel()
+            reads = len(swarm.origin.reads)
+            swarm.late = ''
+            swarm.begin('host-5')
+            await swarm.until_whole(1)
+
+            self.assertEqual(len(swarm.origin.reads), reads)
+
     @in_virtual_time
     async def test_spoilt_chunk_is_fetched_again(self) -> None:
         """Only verified bytes are kept and handed on."""
