Relay: upstreams that leave, want a pause, or never stop sending

Cause: an upstream that said in its answers that it leaves went on getting requests until its record changed; Retry-After of a 503 was ignored; bodies of refusals, interim responses and answers of the store were read without a limit; a stream that sent a byte now and then reset its idle timeout; a late answer without an id on a reused connection was taken for the next one's; an upstream that registered again during requests lost their places; the log line of a request raised OverflowError before the first read of the store; a process whose clock went back was ignored by its peers.

Change: what an incarnation says in the head of an answer is kept apart from its record and passed on in heartbeats; a request that finds all upstreams paused is refused at once with the time left; reads are bounded in bytes, and the idle timeout counts complete events; a registration keeps the object that requests count on; peers answer a heartbeat of a lower incarnation with the one they know, and its sender continues with a later one.

--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -159,7 +159,7 @@
 
     def receive_heartbeat(self, heartbeat: Beat) -> None:
         """Apply a heartbeat of another process."""
-        self.core.view.receive_heartbeat(heartbeat)
+        self.core.receive_heartbeat(heartbeat)
         for state in heartbeat.transfers:
             self.downloader.update_holdings(heartbeat.name, state)
 
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -84,6 +84,22 @@
         'reading all keys again',
         'Nothing to do.',
     )
+    store_restored = EventSpec(
+        'BL1019',
+        'WARNING',
+        'the store came back from an older copy (era {era}, before {held}) at '
+        'revision {revision}; newer knowledge is kept until its owners have '
+        'written it again',
+        'Find out why the store was restored; check that the newest '
+        'configuration is in force.',
+    )
+    incarnation_raised = EventSpec(
+        'BL1020',
+        'WARNING',
+        'peer {peer} knows a later incarnation {known} of this process than '
+        '{boot}; continuing as a later one',
+        'The clock of this host went back between two starts; check it.',
+    )
     value_unreadable = EventSpec(
         'BL1009',
         'WARNING',
@@ -180,6 +196,20 @@
         'upstream {upstream} gets no requests for {for_s} s: {cause}',
         'Check the upstream if the message repeats.',
     )
+    upstream_leaving = EventSpec(
+        'BL2006',
+        'INFO',
+        'upstream {upstream} said in an answer that it leaves; it gets no new '
+        'requests',
+        'Nothing to do.',
+    )
+    upstream_paused = EventSpec(
+        'BL2007',
+        'INFO',
+        'upstream {upstream} turned a request away and wants none for {for_s} '
+        's',
+        'It is overloaded if the message repeats; see its load.',
+    )
     # 3: weights
     staging_full = EventSpec(
         'BL3001',
--- a/src/bramleylug/platform/dialect.py
+++ b/src/bramleylug/platform/dialect.py
@@ -54,9 +54,12 @@
         'x-instance-id',
         'x-not-executed',
         'x-request-id',
+        'server-leaving',
     )
 )
+LEAVING_HEADER = 'server-leaving'
 UNSIGNED_INTEGER = re.compile('[0-9]{1,12}')
+DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 KEEP_ALIVE_TIMEOUT = re.compile(r'timeout\s*=\s*([0-9]{1,9})')
 
 
@@ -122,6 +125,8 @@
             else float(keep_alive.group(1)),
             closes_connection=headers.get('connection', '').lower() == 'close',
             cold_for_s=(cold_ms or 0) / MILLISECONDS,
+            leaving=headers.get(LEAVING_HEADER) == '1',
+            pause_s=_pause_s(head),
         )
 
     def write_answer(self, head: AnswerHead) -> list[HeaderPair]:
@@ -133,6 +138,14 @@
         ]
 
 
+def _pause_s(head: AnswerHead) -> float:
+    """Return the ``Retry-After`` of a request that was turned away."""
+    if head.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return 0.0
+    text = head.headers.get('retry-after', '').strip()
+    return float(text) if DECIMAL.fullmatch(text) else 0.0
+
+
 def _host_name(text: str) -> str:
     return text.partition(':')[0].lower()
 
--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -24,7 +24,7 @@
     ClientRequest,
     ConnectionBroken,
     MalformedAnswer,
-    read_body,
+    discard_body,
 )
 from bramleylug.wire.requests_pb2 import Head, Header
 
@@ -32,6 +32,8 @@
 # Answers up to this size are forwarded only when complete, so that one that
 # breaks off can still be replaced by the answer of another upstream.
 BUFFERED_ANSWER_BYTES = 131072
+# A refusal has a short body; more than this is no refusal of an upstream.
+MAX_REFUSAL_BYTES = 65536
 # Statuses that promise a caller that nothing ran.
 NOT_RUN_STATUSES = frozenset(
     (
@@ -85,7 +87,8 @@
 
     :ivar first_s: until the head of the answer, or the first event of a
         stream; ``None`` for no limit.
-    :ivar idle_s: between two pieces; ``None`` for no limit.
+    :ivar idle_s: between two complete events of a stream, however many
+        bytes arrive in between; ``None`` for no limit.
     :ivar start_by_s: time by which the answer must have started, because
         the upstream's weights will be too old after it.
     """
@@ -109,6 +112,8 @@
     :ivar sent: whether any byte of the request may have been sent.
     :ivar answer_started: whether the first event of a stream has arrived.
     :ivar on_answer_started: called when it arrives.
+    :ivar on_metadata: called with what the head of an answer states, before
+        its body is read.
     """
 
     def __init__(
@@ -127,6 +132,7 @@
         self.sent = False
         self.answer_started = False
         self.on_answer_started: Callable[[], None] = _ignore
+        self.on_metadata: Callable[[AnswerMetadata], None] = _ignore_metadata
         self.status = 0
 
     async def run(
@@ -184,10 +190,10 @@
         start_s = timeouts.until_start_s(self.clock())
         head = await _with_timeout(start_s, connection.read_head)
         answer = dialect.read_answer(head)
-        if answer.request_id not in {'', self.request.request_id}:
-            raise MalformedAnswer('answer belongs to another request')
+        self._check_request_id(answer, connection)
+        self.on_metadata(answer)
         if answer.not_run:
-            await read_body(connection)
+            await discard_body(connection, MAX_REFUSAL_BYTES)
             return _not_run(head), answer
         self.status = head.status
         ok = head.status < HTTPStatus.MULTIPLE_CHOICES
@@ -205,6 +211,20 @@
             await self._forward_body(connection, head, dialect)
         return Ran(head.status), answer
 
+    def _check_request_id(
+        self, answer: AnswerMetadata, connection: ClientConnection
+    ) -> None:
+        """Check that an answer belongs to this request.
+
+        :raises MalformedAnswer: when its id is another one, or when it has
+            none and may be a late answer to an earlier request on the same
+            connection.
+        """
+        if answer.request_id == self.request.request_id:
+            return
+        if answer.request_id or connection.answered_count:
+            raise MalformedAnswer('answer belongs to another request')
+
     async def _forward_body(
         self, connection: ClientConnection, head: AnswerHead, dialect: Dialect
     ) -> None:
@@ -244,14 +264,17 @@
         if self.progress.head is None:
             self.progress.head = head
             self._start(head, dialect, None)
-        timeout_s = timeouts.until_start_s(self.clock())
-        while piece := await _with_timeout(timeout_s, connection.read_piece):
+        due_s = _due_s(timeouts.until_start_s(self.clock()), self.clock())
+        while piece := await _with_timeout(
+            _left_s(due_s, self.clock()), connection.read_piece
+        ):
             events = splitter.feed(piece)
             if events:
-                timeout_s = timeouts.idle_s
                 self._record_answer_started()
                 self.progress.record_piece(self.clock())
                 await self.writer.write(events)
+                # Counts from here: a slow caller is no fault of the upstream.
+                due_s = _due_s(timeouts.idle_s, self.clock())
         if splitter.partial:
             raise ConnectionBroken('stream ended inside an event')
 
@@ -313,6 +336,14 @@
         ) from error
 
 
+def _due_s(timeout_s: float | None, now_s: float) -> float | None:
+    return None if timeout_s is None else now_s + timeout_s
+
+
+def _left_s(due_s: float | None, now_s: float) -> float | None:
+    return None if due_s is None else max(0.0, due_s - now_s)
+
+
 def _not_run(head: AnswerHead) -> NotRun:
     reason = Reason.overloaded
     if head.status == HTTPStatus.MISDIRECTED_REQUEST:
@@ -324,6 +355,10 @@
     """Do nothing."""
 
 
+def _ignore_metadata(metadata: AnswerMetadata) -> None:
+    """Do nothing."""
+
+
 def _content_length(head: AnswerHead) -> int | None:
     text = head.headers.get('content-length', '')
     return int(text) if text.isdecimal() else None
--- a/src/bramleylug/relay/cluster_view.py
+++ b/src/bramleylug/relay/cluster_view.py
@@ -26,8 +26,9 @@
 )
 from bramleylug.relay.versions import VersionRegistry
 from bramleylug.store.mirror import Mirror
-from bramleylug.wire.beats_pb2 import Beat
+from bramleylug.wire.beats_pb2 import Beat, Notice
 
+MILLISECONDS = 1000
 # Relays stop sending to outdated weights this long before the limit, so that
 # requests queued at an engine can still start in time.
 VERSION_MARGIN_S = 0.6
@@ -166,6 +167,24 @@
             return
         self.register_upstream(replace(upstream.record, cold_until_s=until_s))
 
+    def record_leaving(self, upstream_id: str, started_ms: int) -> None:
+        """Record that an upstream said that it leaves."""
+        if self.upstreams.record_leaving(upstream_id, started_ms, self.clock()):
+            emit(LogEvent.upstream_leaving, upstream=upstream_id)
+
+    def record_pause(
+        self, upstream_id: str, started_ms: int, pause_s: float
+    ) -> None:
+        """Record for how long an upstream wants nothing from this relay."""
+        self.upstreams.record_pause(
+            upstream_id, started_ms, self.clock(), pause_s
+        )
+        emit(
+            LogEvent.upstream_paused,
+            upstream=upstream_id,
+            for_s=round(pause_s, 2),
+        )
+
     def record_target_version(self, model: str, version: int) -> None:
         """Record a target version of weights that the operator has set.
 
@@ -202,15 +221,16 @@
         else:
             self.zones_out.discard(zone)
 
-    def receive_heartbeat(self, heartbeat: Beat) -> None:
+    def receive_heartbeat(self, heartbeat: Beat) -> bool:
         """Apply the heartbeat of another process.
 
-        Heartbeats of an earlier incarnation are ignored.
+        :returns: ``False`` if it was ignored because a later incarnation of
+            its sender has been heard.
         """
         now_s = self.clock()
         previous = self.peers.last_heartbeats.get(heartbeat.name)
         if previous is not None and heartbeat.boot < previous.boot:
-            return
+            return False
         self.peers.record_heartbeat(
             heartbeat.name,
             HeartbeatStatus(heartbeat.boot, now_s, heartbeat.draining),
@@ -222,9 +242,24 @@
                 heartbeat.reading.address,
                 report_from_message(heartbeat.reading, now_s),
             )
+        for notice in heartbeat.notices:
+            self._receive_notice(notice, now_s)
         for crash in heartbeat.crashes:
             for crash_id in crash.crash_ids:
                 self.suspects.record_crash(crash.fingerprint, crash_id)
+        return True
+
+    def _receive_notice(self, notice: Notice, now_s: float) -> None:
+        """Apply what an upstream said to another relay."""
+        if notice.leaving:
+            self.record_leaving(notice.upstream_id, int(notice.started_ms))
+        if notice.paused_ms:
+            self.upstreams.record_peer_pause(
+                notice.upstream_id,
+                int(notice.started_ms),
+                now_s,
+                notice.paused_ms / MILLISECONDS,
+            )
 
     def _limit_cold_start(self, upstream: Upstream) -> None:
         """Give this relay its share of a cold upstream's request rate."""
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -174,6 +174,7 @@
             self.core.record.boot,
             self.core.view.upstreams,
             self.core.view.suspects,
+            self.clock(),
             draining=bool(self.unready_reason()),
         )
 
@@ -181,6 +182,7 @@
         """Update what changes rarely, and close unused connections."""
         view = self.core.view
         view.update_preferred()
+        view.upstreams.remove_expired_notices(self.clock())
         self.relay.pool.remove_expired(
             {
                 upstream_id: upstream.record
--- a/src/bramleylug/relay/dialect.py
+++ b/src/bramleylug/relay/dialect.py
@@ -74,6 +74,9 @@
         given.
     :ivar closes_connection: whether the connection ends after the answer.
     :ivar cold_for_s: time for which the upstream stays cold; 0 if it is not.
+    :ivar leaving: whether the upstream states that it is about to leave.
+    :ivar pause_s: time for which an upstream that turned the request away
+        wants nothing from this process; 0 if not given.
     """
 
     request_id: str
@@ -83,6 +86,8 @@
     keep_alive_s: float | None
     closes_connection: bool
     cold_for_s: float
+    leaving: bool = False
+    pause_s: float = 0
 
 
 class Dialect(Protocol):
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -17,6 +17,7 @@
     Selected,
     Selection,
     UpstreamSelector,
+    closed_until_s,
 )
 from bramleylug.relay.upstreams import Upstream
 from bramleylug.relay.wait_queue import Refuse, Wait, WaitQueue
@@ -73,7 +74,10 @@
                 return _none_eligible(reason)
         now_s = self.clock()
         decision = queue.decide(
-            context.route.objective_s, context.until_s - now_s, now_s
+            context.route.objective_s,
+            context.until_s - now_s,
+            now_s,
+            selection.closed_until_s,
         )
         match decision:
             case Refuse(retry_after_s):
@@ -157,7 +161,7 @@
         free = sum(
             max(0, int(upstream.free_slots(now_s)))
             for upstream in self.view.upstreams.of_service(service)
-            if now_s >= upstream.avoid_until_s
+            if now_s >= closed_until_s(upstream)
         )
         for _ in range(min(free, queue.size)):
             woken = self.waiters.get(queue.queue.pop().token)
--- a/src/bramleylug/relay/heartbeats.py
+++ b/src/bramleylug/relay/heartbeats.py
@@ -13,6 +13,7 @@
 from bramleylug.relay.upstreams import UpstreamRegistry
 from bramleylug.wire.beats_pb2 import Beat
 
+MILLISECONDS = 1000
 # Bytes of a datagram that are parsed.
 MAX_HEARTBEAT_BYTES = 8192
 # Changes of load reach peers within a small part of the duration of a request.
@@ -77,16 +78,29 @@
     boot: int,
     registry: UpstreamRegistry,
     suspects: SharedSuspects,
+    now_s: float,
     *,
     draining: bool,
 ) -> Beat:
-    """Return a heartbeat with a relay's request counts and crash reports."""
+    """Return a heartbeat with a relay's request counts and crash reports.
+
+    It also carries what upstreams said about themselves.
+    """
     heartbeat = Beat(name=name, boot=boot, draining=draining)
     for upstream_id, upstream in registry.by_id.items():
         if upstream.running:
             heartbeat.counts.add(
                 upstream_id=upstream_id, running=upstream.running
             )
+    for upstream_id, started_ms, notice in registry.recent_notices(now_s):
+        paused_s = max(0.0, notice.paused_until_s - now_s)
+        if notice.leaving or paused_s:
+            heartbeat.notices.add(
+                upstream_id=upstream_id,
+                started_ms=started_ms,
+                leaving=notice.leaving,
+                paused_ms=round(paused_s * MILLISECONDS),
+            )
     for fingerprint, crash_ids in suspects.recent():
         heartbeat.crashes.add(fingerprint=fingerprint, crash_ids=crash_ids)
     return heartbeat
--- a/src/bramleylug/relay/outcome_recorder.py
+++ b/src/bramleylug/relay/outcome_recorder.py
@@ -6,6 +6,7 @@
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown
 from bramleylug.relay.cluster_view import ClusterView
 from bramleylug.relay.crash_suspects import crash_id_of
+from bramleylug.relay.dialect import AnswerMetadata
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.upstreams import Upstream
 
@@ -19,6 +20,20 @@
     def __init__(self, view: ClusterView) -> None:
         self.view = view
 
+    def record_metadata(
+        self, upstream: Upstream, started_ms: int, metadata: AnswerMetadata
+    ) -> None:
+        """Record what an incarnation states in the head of an answer.
+
+        The rest of the answer may never arrive.
+        """
+        if metadata.leaving:
+            self.view.record_leaving(upstream.record.upstream_id, started_ms)
+        if metadata.pause_s:
+            self.view.record_pause(
+                upstream.record.upstream_id, started_ms, metadata.pause_s
+            )
+
     def record(
         self, context: RequestContext, upstream: Upstream, outcome: Outcome
     ) -> None:
--- a/src/bramleylug/relay/process.py
+++ b/src/bramleylug/relay/process.py
@@ -7,6 +7,7 @@
 from typing import Protocol, final
 
 from bramleylug.node.loop_thread import LoopThread
+from bramleylug.observability.events import LogEvent, emit
 from bramleylug.relay.cluster_view import ClusterView
 from bramleylug.relay.heartbeat_schedule import HeartbeatSchedule
 from bramleylug.relay.heartbeats import (
@@ -88,7 +89,7 @@
         )
         self.make_heartbeat = make_heartbeat
         self.on_clean_up: Callable[[], None] = _ignore
-        self.on_heartbeat: Callable[[Beat], None] = self.view.receive_heartbeat
+        self.on_heartbeat: Callable[[Beat], None] = self.receive_heartbeat
         self.schedule = HeartbeatSchedule(settings.region, HEARTBEAT_RATES)
         self.loop = LoopThread('relay')
         self.socket: HeartbeatSocket | None = None
@@ -132,6 +133,39 @@
                 self.make_heartbeat(), [peer.beats for peer in due]
             )
 
+    def receive_heartbeat(self, heartbeat: Beat) -> None:
+        """Apply a heartbeat of another process.
+
+        A heartbeat of an incarnation lower than one already heard is
+        answered with that one. A process whose clock went back between two
+        starts learns from it that it must continue with a later incarnation
+        (Das et al., *SWIM*, 2002, section 4.2).
+        """
+        if heartbeat.known_boot:
+            self._raise_incarnation(heartbeat)
+            return
+        if self.view.receive_heartbeat(heartbeat) or self.socket is None:
+            return
+        peer = self.view.peers.known.get(heartbeat.name)
+        if peer is not None:
+            known = self.view.peers.last_heartbeats[heartbeat.name].boot
+            refutation = Beat(name=self.settings.name, known_boot=known)
+            self.socket.send(refutation, [peer.beats])
+
+    def _raise_incarnation(self, refutation: Beat) -> None:
+        boot = self.record.boot
+        if refutation.known_boot <= boot:
+            return
+        emit(
+            LogEvent.incarnation_raised,
+            peer=refutation.name,
+            known=refutation.known_boot,
+            boot=boot,
+        )
+        self.record = replace(self.record, boot=refutation.known_boot + 1)
+        self.presence.announce()
+        self.send_heartbeat()
+
     def _announce_draining(self) -> None:
         self.presence.announce()
         self.send_heartbeat()
@@ -167,8 +201,8 @@
     """Return a number that increases with every start of the process.
 
     It is the time of day in milliseconds. If that steps back between two
-    starts, peers ignore the heartbeats of the new incarnation for as long as
-    they remember one of the previous incarnation.
+    starts, peers answer the heartbeats of the new incarnation with the
+    number that they know, and it continues with a greater one.
     """
     return time.time_ns() // NANOSECONDS_PER_MS
 
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
+from math import isfinite
 from random import Random
 from typing import final
 
@@ -179,6 +181,11 @@
         upstream.running += 1
         upstream.unstarted += 1
         attempt.on_answer_started = upstream.record_started
+        attempt.on_metadata = partial(
+            self.outcome_recorder.record_metadata,
+            upstream,
+            upstream.record.started_ms,
+        )
         outcome: Outcome | None = None
         try:
             outcome = await attempt.run(
@@ -271,7 +278,7 @@
             service=service,
             took_ms=round(took_s * MILLISECONDS),
             configuration=0 if table is None else table.version,
-            store_age_ms=round(self.view.store_age_s() * MILLISECONDS),
+            store_age_ms=_milliseconds(self.view.store_age_s()),
             **_accepted_fields(context),
         )
 
@@ -288,6 +295,11 @@
             return AttemptTimeouts(None, None)
 
 
+def _milliseconds(seconds: float) -> int | None:
+    """Return whole milliseconds; ``None`` for an infinite time."""
+    return round(seconds * MILLISECONDS) if isfinite(seconds) else None
+
+
 def _accepted_fields(context: RequestContext | None) -> dict[str, object]:
     """Return the log fields of a request that was accepted."""
     if context is None:
--- a/src/bramleylug/relay/upstream_selection.py
+++ b/src/bramleylug/relay/upstream_selection.py
@@ -20,6 +20,9 @@
 # A prompt that has not been processed yet delays the next one, by more than
 # a stream that is already being generated.
 UNSTARTED_PENALTY = 2.0
+# Penalty, as a share of its slots, of an upstream that asked another relay
+# for a pause.
+PEER_PAUSED_SHARE = 0.35
 MIN_WEIGHT = 0.1
 NOT_REGISTERED = 'no upstream of the service is registered'
 
@@ -71,9 +74,12 @@
     """Eligible upstreams exist, but none can take a request now.
 
     :ivar slots: total slots of the eligible upstreams.
+    :ivar closed_until_s: earliest time at which one of them takes requests,
+        however few run there; in the past unless all are paused or avoided.
     """
 
     slots: int
+    closed_until_s: float = float('-inf')
 
 
 @final
@@ -130,7 +136,10 @@
             )
         available = [one for one in eligible if is_available(one, now_s)]
         if not available:
-            return AtCapacity(sum(one.record.slots for one in eligible))
+            return AtCapacity(
+                sum(one.record.slots for one in eligible),
+                min(closed_until_s(one) for one in eligible),
+            )
         return Selected(
             self._choose(available, requirements, constraints, now_s)
         )
@@ -170,6 +179,8 @@
         preferred = constraints.preferred
         if preferred and upstream.record.upstream_id not in preferred:
             penalty += NON_PREFERRED_SHARE * upstream.record.slots
+        if now_s < upstream.notice.peers_paused_until_s:
+            penalty += PEER_PAUSED_SHARE * upstream.record.slots
         penalty += UNSTARTED_PENALTY * upstream.unstarted
         return upstream.free_slots(now_s) - penalty
 
@@ -208,9 +219,14 @@
     return ''
 
 
+def closed_until_s(upstream: Upstream) -> float:
+    """Return until when an upstream gets no request, whatever its load."""
+    return max(upstream.avoid_until_s, upstream.notice.paused_until_s)
+
+
 def is_available(upstream: Upstream, now_s: float) -> bool:
     """Return whether an upstream can take one more request now."""
-    if now_s < upstream.avoid_until_s or upstream.is_closing(now_s):
+    if now_s < closed_until_s(upstream) or upstream.is_closing(now_s):
         return False
     if upstream.is_cold(now_s) and upstream.cold is not None:
         if not upstream.cold.can_consume(now_s):
--- a/src/bramleylug/relay/upstreams.py
+++ b/src/bramleylug/relay/upstreams.py
@@ -19,6 +19,10 @@
 RESULT_WEIGHT = 0.25
 EJECTION_S = 2.0
 MAX_DOUBLINGS = 3
+# How long what an upstream said about itself is kept after its record is gone.
+NOTICE_RETENTION_S = 120.0
+# How long it is included in heartbeats.
+NOTICE_ANNOUNCED_S = 10.0
 
 
 class HeldWeights(NamedTuple):
@@ -67,6 +71,27 @@
     received_s: float
 
 
+@final
+@dataclass(slots=True)
+class UpstreamNotice:
+    """What one incarnation of an upstream said about itself in its answers.
+
+    It is kept apart from the record: an incarnation that is removed and
+    registered again has not taken back what it said.
+
+    :ivar leaving: whether it said that it is about to leave.
+    :ivar paused_until_s: until when it wants nothing from this relay.
+    :ivar peers_paused_until_s: the latest such time that another relay
+        reported for itself; only a hint that the upstream is busy.
+    :ivar updated_s: when it was last changed.
+    """
+
+    leaving: bool = False
+    paused_until_s: float = float('-inf')
+    peers_paused_until_s: float = float('-inf')
+    updated_s: float = float('-inf')
+
+
 @final
 @dataclass(slots=True)
 class ColdStart:
@@ -122,6 +147,28 @@
     failed_share: float = 0
     result_count: int = 0
     cold: ColdStart | None = None
+    notice: UpstreamNotice = field(default_factory=UpstreamNotice)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it leaves, by its record or by one of its answers."""
+        return self.record.draining or self.notice.leaving
+
+    def restart(self, record: UpstreamRecord, notice: UpstreamNotice) -> None:
+        """Start over with a new incarnation.
+
+        Requests of this process that still run keep their places: they end
+        on this object.
+        """
+        self.record = record
+        self.notice = notice
+        self.reported_running = {}
+        self.report = None
+        self.avoid_until_s = float('-inf')
+        self.consecutive_failures = 0
+        self.failed_share = 0
+        self.result_count = 0
+        self.cold = None
 
     def load(self, now_s: float) -> float:
         """Return the number of running requests, as far as known.
@@ -192,10 +239,14 @@
 
 @final
 class UpstreamRegistry:
-    """All known upstreams, by id."""
+    """All known upstreams, by id.
+
+    :ivar notices: what upstreams said about themselves, by id and start time.
+    """
 
     def __init__(self) -> None:
         self.by_id: dict[str, Upstream] = {}
+        self.notices: dict[tuple[str, int], UpstreamNotice] = {}
 
     def register(self, record: UpstreamRecord) -> Upstream:
         """Add or update an upstream.
@@ -207,13 +258,65 @@
         if known is not None and _is_same(known.record, record):
             known.record = record
             return known
-        upstream = Upstream(record)
+        notice = self.notices.get(
+            (record.upstream_id, record.started_ms), UpstreamNotice()
+        )
         if known is not None:
-            upstream.running = known.running
-            upstream.unstarted = known.unstarted
+            known.restart(record, notice)
+            return known
+        upstream = Upstream(record, notice=notice)
         self.by_id[record.upstream_id] = upstream
         return upstream
 
+    def record_leaving(
+        self, upstream_id: str, started_ms: int, now_s: float
+    ) -> bool:
+        """Record that an incarnation said that it leaves.
+
+        :returns: whether that was not known before.
+        """
+        notice = self._notice(upstream_id, started_ms, now_s)
+        is_new = not notice.leaving
+        if is_new:
+            notice.leaving = True
+            notice.updated_s = now_s
+        return is_new
+
+    def record_pause(
+        self, upstream_id: str, started_ms: int, now_s: float, for_s: float
+    ) -> None:
+        """Record how long an incarnation wants nothing from this relay."""
+        notice = self._notice(upstream_id, started_ms, now_s)
+        notice.paused_until_s = max(notice.paused_until_s, now_s + for_s)
+        notice.updated_s = now_s
+
+    def record_peer_pause(
+        self, upstream_id: str, started_ms: int, now_s: float, for_s: float
+    ) -> None:
+        """Record how long it wants nothing from another relay."""
+        notice = self._notice(upstream_id, started_ms, now_s)
+        notice.peers_paused_until_s = max(
+            notice.peers_paused_until_s, now_s + for_s
+        )
+
+    def recent_notices(
+        self, now_s: float
+    ) -> Iterable[tuple[str, int, UpstreamNotice]]:
+        """Return id, start time and notice of what is told to other relays."""
+        return [
+            (upstream_id, started_ms, notice)
+            for (upstream_id, started_ms), notice in self.notices.items()
+            if now_s - notice.updated_s < NOTICE_ANNOUNCED_S
+        ]
+
+    def remove_expired_notices(self, now_s: float) -> None:
+        """Forget what upstreams said that have been gone for a while."""
+        for key, notice in tuple(self.notices.items()):
+            upstream = self.by_id.get(key[0])
+            is_used = upstream is not None and upstream.notice is notice
+            if not is_used and now_s - notice.updated_s > NOTICE_RETENTION_S:
+                self.notices.pop(key)
+
     def remove(self, upstream_id: str) -> Upstream | None:
         """Remove an upstream; return ``None`` if it was unknown."""
         return self.by_id.pop(upstream_id, None)
@@ -223,8 +326,7 @@
         return (
             upstream
             for upstream in self.by_id.values()
-            if upstream.record.service == service
-            and not upstream.record.draining
+            if upstream.record.service == service and not upstream.leaving
         )
 
     def record_counts(
@@ -245,6 +347,26 @@
             if upstream.record.address == address:
                 upstream.report = report
 
+    def _notice(
+        self, upstream_id: str, started_ms: int, now_s: float
+    ) -> UpstreamNotice:
+        key = upstream_id, started_ms
+        notice = self.notices.get(key)
+        if notice is None:
+            upstream = self.by_id.get(upstream_id)
+            is_current = (
+                upstream is not None
+                and upstream.record.started_ms == started_ms
+            )
+            notice = (
+                upstream.notice
+                if upstream is not None and is_current
+                else UpstreamNotice()
+            )
+            notice.updated_s = now_s
+            self.notices[key] = notice
+        return notice
+
 
 def _is_same(known: UpstreamRecord, record: UpstreamRecord) -> bool:
     return (
--- a/src/bramleylug/relay/wait_queue.py
+++ b/src/bramleylug/relay/wait_queue.py
@@ -86,14 +86,22 @@
         return (self.size + 1) / rate
 
     def decide(
-        self, objective_s: float, time_left_s: float, now_s: float
+        self,
+        objective_s: float,
+        time_left_s: float,
+        now_s: float,
+        closed_until_s: float = 0,
     ) -> Wait | Refuse:
         """Decide whether a request that finds no free slot waits.
 
         It waits only if a slot is likely to be freed within the part of its
         objective that it may spend in the queue.
+
+        :param closed_until_s: when the first upstream takes requests again.
         """
         max_wait_s = min(objective_s * WAIT_SHARE, time_left_s)
+        if closed_until_s - now_s > max_wait_s:
+            return Refuse(min(MAX_RETRY_S, closed_until_s - now_s))
         expected_s = self.expected_wait_s(now_s)
         if max_wait_s <= 0 or (
             expected_s is not None
--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -28,6 +28,8 @@
 # Reading from the socket pauses while more bytes than this wait to be parsed.
 MAX_READ_AHEAD_BYTES = 65536
 MAX_HEAD_BYTES = 65536
+# Interim responses (status 1xx) before an answer.
+MAX_INTERIM_RESPONSES = 8
 
 
 class ConnectionBroken(Exception):
@@ -69,6 +71,7 @@
     """A connection that carries one request at a time.
 
     :ivar active: whether a request was sent whose answer has not ended.
+    :ivar answered_count: answers that were read to their end.
     :ivar must_close: whether bytes were received that belong to no request, or
         the protocol does not allow another request.
     """
@@ -85,6 +88,7 @@
         self.active = False
         self.paused = False
         self.must_close = False
+        self.answered_count = 0
 
     @classmethod
     async def open(
@@ -165,14 +169,17 @@
         :raises ConnectionBroken: when the connection ended before it.
         :raises MalformedAnswer: when the bytes received are not valid HTTP.
         """
-        while True:
+        interim_count = 0
+        while interim_count <= MAX_INTERIM_RESPONSES:
             event = await self._next_event()
             match event:
                 case h11.InformationalResponse():
-                    continue
+                    interim_count += 1
                 case h11.Response():
                     return _answer_head(event)
-            raise ConnectionBroken('connection ended before an answer')
+                case _:
+                    raise ConnectionBroken('connection ended before an answer')
+        raise MalformedAnswer('too many interim responses')
 
     async def read_piece(self) -> bytes:
         """Return the next bytes of the body; empty at its end.
@@ -197,6 +204,7 @@
 
     def _finish(self) -> None:
         self.active = False
+        self.answered_count += 1
         trailing, _ = self.http.trailing_data
         if trailing or self.http.their_state is not h11.DONE:
             self.must_close = True
@@ -267,9 +275,27 @@
     return head, await read_body(connection)
 
 
-async def read_body(connection: ClientConnection) -> bytes:
-    """Return the rest of the body, up to its end."""
+async def read_body(
+    connection: ClientConnection, max_bytes: int | None = None
+) -> bytes:
+    """Return the rest of the body, up to its end.
+
+    :param max_bytes: largest body; ``None`` for no limit.
+    :raises MalformedAnswer: when the body is larger.
+    """
     pieces = []
+    received_bytes = 0
     while piece := await connection.read_piece():
         pieces.append(piece)
+        received_bytes += len(piece)
+        if max_bytes is not None and received_bytes > max_bytes:
+            raise MalformedAnswer(f'body has more than {max_bytes} bytes')
     return b''.join(pieces)
+
+
+async def discard_body(connection: ClientConnection, max_bytes: int) -> None:
+    """Read the rest of a body that nobody needs.
+
+    :raises MalformedAnswer: when it has more than ``max_bytes``.
+    """
+    await read_body(connection, max_bytes)
--- a/src/bramleylug/web/http_client.py
+++ b/src/bramleylug/web/http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Mapping
 from typing import NamedTuple, final
 
 from bramleylug.web.client_connection import (
@@ -13,6 +14,9 @@
     read_body,
 )
 
+# Largest answer that is read into memory; listings of the platform's store are
+# the largest, with about 1 MB of Base64 text a page.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 CALL_ERRORS = (OSError, ConnectionBroken, MalformedAnswer, TimeoutError)
 
 
@@ -22,11 +26,13 @@
 
     :ivar first_byte_after_s: seconds from sending the request to the head of
         the answer; a large body can take much longer to end.
+    :ivar headers: values by lower-case name.
     """
 
     status: int
     body: bytes
     first_byte_after_s: float
+    headers: Mapping[str, str]
 
 
 @final
@@ -122,5 +128,6 @@
     sent_s = time.monotonic()
     head = await connection.read_head()
     first_byte_after_s = time.monotonic() - sent_s
-    body = await read_body(connection)
-    return head, CallAnswer(head.status, body, first_byte_after_s)
+    body = await read_body(connection, MAX_ANSWER_BYTES)
+    answer = CallAnswer(head.status, body, first_byte_after_s, head.headers)
+    return head, answer
--- a/testing/relay/scripted_engines.py
+++ b/testing/relay/scripted_engines.py
@@ -147,6 +147,8 @@
             keep_alive_s=10.0,
             closes_connection=headers.get('connection') == 'close',
             cold_for_s=0.0,
+            leaving='x-leaving' in headers,
+            pause_s=float(headers.get('x-pause', 0)),
         )
 
     def write_answer(self, head: AnswerHead) -> list[tuple[str, str]]:
