Store: a store that comes back from an older copy undoes nothing

Cause: the era of the store was not read. After a restore, revisions are given out again, so that later changes were ignored as old ones; leases of the era before were renewed although their ids may belong to others; a listing of the older copy brought back removed keys and took away newer ones.

Change: era and revision are one ordered pair in the client, the mirror and the registration. Relays announce the version of their configuration, and one that stays behind it confirms no API keys. The stand-in of the store can be restored from a copy and states its era in every answer.

--- a/src/bramleylug/fakes/metadata_store.py
+++ b/src/bramleylug/fakes/metadata_store.py
@@ -5,7 +5,7 @@
 from base64 import b64encode
 from dataclasses import dataclass, field
 from itertools import count as numbers
-from typing import Any, final
+from typing import Any, NamedTuple, final
 from urllib.parse import parse_qs
 
 from circuits import BaseComponent, Timer, handler
@@ -46,12 +46,21 @@
     keys: set[str] = field(default_factory=set)
 
 
+class StoreCopy(NamedTuple):
+    """State that the store can come back from."""
+
+    items: dict[str, Any]
+    revision: int
+
+
 @final
 class FakeMetadataStore(BaseComponent):
     """Key-value store in memory with one revision number for all keys.
 
     :ivar compacted: revision up to which the history was dropped; a watch
         from an earlier revision gets status 410.
+    :ivar era: number of times that it came back from an older copy, plus 1;
+        in the header ``Store-Era`` of every answer.
     """
 
     channel = 'web'
@@ -63,6 +72,8 @@
         self.history: list[dict[str, Any]] = []
         self.revision = 1
         self.compacted = 0
+        self.era = 1
+        self.copy = StoreCopy({}, 1)
         self.leases: dict[int, LeaseState] = {}
         self.lease_ids = numbers(1)
         self.watches: list[Watch] = []
@@ -90,13 +101,21 @@
         """Drop the history of changes and abort all watches; thread-safe."""
         self.web.call(self._drop_history)
 
+    def save_copy(self) -> None:
+        """Remember the state for :meth:`restore_copy`; thread-safe."""
+        self.web.call(self._save_copy)
+
+    def restore_copy(self) -> None:
+        """Come back from the saved copy, without leases; thread-safe."""
+        self.web.call(self._restore_copy)
+
     def serve(self, exchange: Exchange) -> None:
         if exchange.path == '/control':
             self._control(exchange, json.loads(exchange.body()))
             return
         parts = exchange.path.strip('/').split('/')
         if len(parts) < 2 or parts[1] not in self.routes:
-            exchange.reply(404, b'')
+            self._refuse(exchange, 404)
             return
         query = {
             name: values[0] for name, values in parse_qs(exchange.query).items()
@@ -113,14 +132,42 @@
                 self._commit([], [key])
             case {'forget': True}:
                 self._drop_history()
-        exchange.reply_json(200, {'revision': self.revision})
+            case {'save': True}:
+                self._save_copy()
+            case {'restore': True}:
+                self._restore_copy()
+        self._reply(exchange, {'revision': self.revision})
+
+    def _reply(
+        self, exchange: Exchange, document: Any, status: int = 200
+    ) -> None:
+        headers = {'Store-Era': str(self.era)}
+        exchange.reply_json(status, document, headers)
+
+    def _refuse(self, exchange: Exchange, status: int) -> None:
+        exchange.reply(status, b'', {'Store-Era': str(self.era)})
+
+    def _save_copy(self) -> None:
+        self.copy = StoreCopy(dict(self.items), self.revision)
+
+    def _restore_copy(self) -> None:
+        self.era += 1
+        self.revision = self.copy.revision
+        self.items = {
+            key: item
+            for key, item in self.copy.items.items()
+            if not item['lease']
+        }
+        self.leases.clear()
+        self.lease_ids = numbers(1)
+        self._drop_history()
 
     def _get(self, exchange: Exchange, query: Any, path_parts: Any) -> None:
         item = self.items.get(query.get('key', ''))
         if item is None:
-            exchange.reply(404, b'')
+            self._refuse(exchange, 404)
         else:
-            exchange.reply_json(200, {**item, 'current_rev': self.revision})
+            self._reply(exchange, {**item, 'current_rev': self.revision})
 
     def _list_page(
         self, exchange: Exchange, query: Any, path_parts: Any
@@ -129,8 +176,8 @@
         keys = sorted(
             key for key in self.items if key.startswith(prefix) and key > after
         )
-        exchange.reply_json(
-            200,
+        self._reply(
+            exchange,
             {
                 'items': [self.items[key] for key in keys[:PAGE_ITEMS]],
                 'has_more': len(keys) > PAGE_ITEMS,
@@ -140,8 +187,8 @@
 
     def _watch(self, exchange: Exchange, query: Any, path_parts: Any) -> None:
         after = int(query['after'])
-        if after < self.compacted:
-            exchange.reply(410, b'')
+        if not self.compacted <= after <= self.revision:
+            self._refuse(exchange, 410)
             return
         deadline_s = time.monotonic() + int(query.get('wait_ms', 0)) / 1000
         prefix = query.get('path_prefix', '')
@@ -155,16 +202,16 @@
         for row in document.get('expected', []):
             stored = self.items.get(row['key'], {'revision': 0})
             if stored['revision'] != row['revision']:
-                exchange.reply_json(412, {'items': [stored]})
+                self._reply(exchange, {'items': [stored]}, 412)
                 return
         puts = document.get('puts', [])
         if any(
             put.get('lease') and put['lease'] not in self.leases for put in puts
         ):
-            exchange.reply(404, b'')
+            self._refuse(exchange, 404)
             return
         self._commit(puts, document.get('deletes', []))
-        exchange.reply_json(200, {'revision': self.revision})
+        self._reply(exchange, {'revision': self.revision})
 
     def _grant_lease(
         self, exchange: Exchange, query: Any, path_parts: Any
@@ -174,23 +221,23 @@
         ttl_s = ttl_ms / 1000
         expires_s = time.monotonic() + ttl_s
         self.leases[lease_id] = LeaseState(ttl_s, expires_s)
-        exchange.reply_json(200, {'lease': lease_id, 'ttl_ms': ttl_ms})
+        self._reply(exchange, {'lease': lease_id, 'ttl_ms': ttl_ms})
 
     def _renew_lease(
         self, exchange: Exchange, query: Any, path_parts: Any
     ) -> None:
         lease = self.leases.get(int(path_parts[0]))
         if lease is None:
-            exchange.reply(404, b'')
+            self._refuse(exchange, 404)
             return
         lease.expires_s = time.monotonic() + lease.ttl_s
-        exchange.reply_json(200, {'ttl_ms': int(lease.ttl_s * 1000)})
+        self._reply(exchange, {'ttl_ms': int(lease.ttl_s * 1000)})
 
     def _revoke_lease(
         self, exchange: Exchange, query: Any, path_parts: Any
     ) -> None:
         self._drop_lease(int(path_parts[0]))
-        exchange.reply_json(200, {})
+        self._reply(exchange, {})
 
     def _commit(self, puts: list[Any], deletes: list[str]) -> None:
         self.revision += 1
@@ -246,8 +293,9 @@
                 and change['key'].startswith(watch.prefix)
             ]
             if events or now_s >= watch.deadline_s:
-                watch.exchange.reply_json(
-                    200, {'events': events, 'current_rev': self.revision}
+                self._reply(
+                    watch.exchange,
+                    {'events': events, 'current_rev': self.revision},
                 )
             elif not watch.exchange.closed:
                 pending.append(watch)
--- a/src/bramleylug/platform/keyvalue.py
+++ b/src/bramleylug/platform/keyvalue.py
@@ -25,6 +25,8 @@
 # longer.
 READ_TIMEOUT_S = 1.0
 WRITE_TIMEOUT_S = 1.0
+# Rises by one each time the store comes back from an older copy of itself.
+ERA_HEADER = 'store-era'
 # How much later than the requested wait an answer may arrive.
 WAIT_MARGIN_S = 0.6
 
@@ -39,6 +41,7 @@
 
     def __init__(self, address: str) -> None:
         self.client = HttpClient(address, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self.era = 0
 
     async def list_page(self, prefix: str, after: str) -> Page:
         """Return the next items under a prefix, in the order of keys.
@@ -48,11 +51,13 @@
         target = f'/-/kv-range?path_prefix={quote(prefix)}'
         if after:
             target = f'{target}&after={quote(after)}'
-        document = await self._call('GET', target, READ_TIMEOUT_S)
+        answer = await self._send('GET', target, READ_TIMEOUT_S)
+        document = _decode_answer(answer)
         return Page(
             tuple(_item(entry) for entry in document['items']),
             int(document['current_rev']),
             bool(document['has_more']),
+            _era_of(answer),
         )
 
     async def wait_for_changes(
@@ -75,6 +80,7 @@
             tuple(_change(entry) for entry in document['events']),
             int(document['current_rev']),
             answer.first_byte_after_s,
+            _era_of(answer),
         )
 
     async def grant_lease(self, ttl_s: float) -> Lease:
@@ -127,11 +133,24 @@
     ) -> CallAnswer:
         body = b'' if document is None else json.dumps(document).encode()
         try:
-            return await self.client.call(
+            answer = await self.client.call(
                 method, target, body, timeout_s=timeout_s
             )
         except CALL_ERRORS as error:
             raise StoreUnavailable(repr(error), uncertain=True) from error
+        era = _era_of(answer)
+        if era < self.era:
+            raise StoreUnavailable(
+                f'answer of era {era}, but the store is in era {self.era}',
+                uncertain=True,
+            )
+        self.era = era
+        return answer
+
+
+def _era_of(answer: CallAnswer) -> int:
+    text = answer.headers.get(ERA_HEADER, '')
+    return int(text) if text.isdecimal() else 0
 
 
 def _decode_answer(answer: CallAnswer) -> Any:
--- a/src/bramleylug/relay/cluster_view.py
+++ b/src/bramleylug/relay/cluster_view.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from random import Random
-from typing import final
+from typing import NamedTuple, final
 
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.relay.crash_suspects import SharedSuspects
@@ -37,11 +37,24 @@
 INITIAL_VERSION_MARGIN_S = 1.2
 # A store that answers returns a change after at most two watch intervals.
 MAX_STORE_LAG_S = 2.5
+# Another relay's newer configuration arrives here within this time, unless
+# the store lost it or this relay is cut off.
+MAX_BEHIND_S = 1.5
 # Part of the allowed overshoot of a cold upstream that relays use for bursts;
 # the rest covers requests that were delayed on their way.
 COLD_BURST_SHARE = 0.5
 
 
+class AnnouncedConfiguration(NamedTuple):
+    """Newest configuration that a relay has announced.
+
+    :ivar since_s: when it was announced first.
+    """
+
+    version: int
+    since_s: float
+
+
 @final
 class ClusterView:
     """State from the store and from the heartbeats of other processes.
@@ -68,6 +81,7 @@
         self.mirror = mirror
         self.is_initial_load = True
         self.table: RouteTable | None = None
+        self.announced = AnnouncedConfiguration(0, float('inf'))
         self.zones_out: set[str] = set()
         self.upstreams = UpstreamRegistry()
         self.versions = VersionRegistry(
@@ -87,6 +101,19 @@
         """Return the age of this process's copy of the store."""
         return self.mirror.age_s(self.clock())
 
+    def is_behind(self) -> bool:
+        """Return whether a newer configuration is in force elsewhere.
+
+        The store may have come back from an older copy: what it says is then
+        confirmed and yet not the newest that was accepted.
+        """
+        current = 0 if self.table is None else self.table.version
+        announced = self.announced
+        return (
+            announced.version > current
+            and self.clock() - announced.since_s > MAX_BEHIND_S
+        )
+
     def constraints(self) -> Constraints:
         return Constraints(
             self.zones_out,
@@ -138,9 +165,10 @@
 
     def register_upstream(self, record: UpstreamRecord) -> None:
         known = self.upstreams.by_id.get(record.upstream_id)
+        previous = None if known is None else known.record
         upstream = self.upstreams.register(record)
         self._limit_cold_start(upstream)
-        if known is None or known.record != record:
+        if previous != record:
             emit(
                 LogEvent.upstream_updated,
                 upstream=record.upstream_id,
@@ -228,6 +256,10 @@
             its sender has been heard.
         """
         now_s = self.clock()
+        if heartbeat.configuration > self.announced.version:
+            self.announced = AnnouncedConfiguration(
+                int(heartbeat.configuration), now_s
+            )
         previous = self.peers.last_heartbeats.get(heartbeat.name)
         if previous is not None and heartbeat.boot < previous.boot:
             return False
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -169,14 +169,18 @@
     def make_heartbeat(self) -> Beat:
         # A relay that is not ready also reports that it is draining, so that
         # its peers direct no callers to it.
-        return relay_heartbeat(
+        view = self.core.view
+        heartbeat = relay_heartbeat(
             self.settings.name,
             self.core.record.boot,
-            self.core.view.upstreams,
-            self.core.view.suspects,
+            view.upstreams,
+            view.suspects,
             self.clock(),
             draining=bool(self.unready_reason()),
         )
+        if view.table is not None:
+            heartbeat.configuration = view.table.version
+        return heartbeat
 
     def clean_up(self) -> None:
         """Update what changes rarely, and close unused connections."""
--- a/src/bramleylug/relay/request_checks.py
+++ b/src/bramleylug/relay/request_checks.py
@@ -83,7 +83,8 @@
         if not self.settings.keys_fail_closed:
             return True
         age_s = self.view.store_age_s()
-        return age_s < self.settings.key_limit - KEY_MARGIN_S
+        is_confirmed = age_s < self.settings.key_limit - KEY_MARGIN_S
+        return is_confirmed and not self.view.is_behind()
 
     def refuse_stale_key(self) -> NotRun:
         """Return the refusal of a request whose key cannot be confirmed."""
--- a/src/bramleylug/relay/upstreams.py
+++ b/src/bramleylug/relay/upstreams.py
@@ -1,7 +1,7 @@
 """State of each upstream: load, weights, cold start and failures."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple, final
 
 # Share of an upstream's slots that is filled before requests wait at the
@@ -256,7 +256,10 @@
         """
         known = self.by_id.get(record.upstream_id)
         if known is not None and _is_same(known.record, record):
-            known.record = record
+            # An incarnation that leaves does not change its mind; an older
+            # copy of the store may say otherwise.
+            draining = known.record.draining or record.draining
+            known.record = replace(record, draining=draining)
             return known
         notice = self.notices.get(
             (record.upstream_id, record.started_ms), UpstreamNotice()
--- a/src/bramleylug/store/changes.py
+++ b/src/bramleylug/store/changes.py
@@ -34,11 +34,14 @@
 
     :ivar revision: store revision at which the page was read.
     :ivar more: whether further items follow the last one.
+    :ivar era: number that the store raises each time it comes back from an
+        older copy of itself; revisions of different eras are not comparable.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
     more: bool
+    era: int = 0
 
 
 @final
@@ -48,11 +51,13 @@
 
     :ivar first_byte_after_s: seconds from the call to the first bytes of its
         answer; 0 where unknown.
+    :ivar era: as :attr:`Page.era`.
     """
 
     changes: tuple[StoreChange, ...]
     revision: int
     first_byte_after_s: float = 0
+    era: int = 0
 
 
 @final
@@ -89,8 +94,14 @@
     """A store with watches and leases.
 
     Every call may raise :class:`StoreUnavailable`.
+
+    :ivar era: highest era of an answer so far. Answers of earlier ones are
+        discarded; leases of earlier ones no longer exist, and their ids may
+        have been granted again to others.
     """
 
+    era: int
+
     async def list_page(self, prefix: str, after: str) -> Page:
         """Return items under a prefix whose keys follow ``after``."""
 
--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -8,6 +8,9 @@
 # According to the platform, the owners of leased items that expired during an
 # outage of the store need about two seconds to write them again.
 RECOVERY_GRACE_S = 2.0
+# After the store came back from an older copy, all owners write again what
+# the copy lacks or has outdated; until then the newer knowledge is kept.
+RESTORE_GRACE_S = 3.0
 # The store answers within some milliseconds; the rest of this allowance covers
 # a busy event loop in this process.
 ANSWER_LAG_S = 0.25
@@ -21,6 +24,11 @@
     deferred for :data:`RECOVERY_GRACE_S`: their owners may be about to write
     them again.
 
+    When the store came back from an older copy of itself, its first listing
+    proves only what it contains: for :data:`RESTORE_GRACE_S` keys that it
+    lacks stay, and keys that had been removed stay removed, unless a change
+    made in the new era says otherwise.
+
     :param outage_s: time without an answer that counts as an outage.
     :ivar items: items by key.
     :ivar revisions: revision of the latest change of each key, also of keys
@@ -33,6 +41,9 @@
     :ivar answered_s: lower bound of the time at which the store produced its
         last answer.
     :ivar deferred_removals: keys with the time at which their removal is due.
+    :ivar withheld_items: items of an older copy whose keys had been removed.
+    :ivar era: era of the store that the revisions belong to.
+    :ivar restored_s: when the first listing of a later era was applied.
     """
 
     def __init__(self, outage_s: float) -> None:
@@ -45,6 +56,9 @@
         self.answered_s = float('-inf')
         self.recovered_s = float('-inf')
         self.deferred_removals: dict[str, float] = {}
+        self.withheld_items: dict[str, StoreItem] = {}
+        self.era = 0
+        self.restored_s = float('-inf')
 
     @property
     def loaded(self) -> bool:
@@ -90,10 +104,20 @@
         return applied
 
     def replace(
-        self, items: Iterable[StoreItem], revision: int, now_s: float
+        self,
+        items: Iterable[StoreItem],
+        revision: int,
+        now_s: float,
+        era: int = 0,
     ) -> list[StoreChange]:
-        """Apply a complete listing; keys that it lacks are removed."""
+        """Apply a complete listing; keys that it lacks are removed.
+
+        :param era: era of the store in which it was listed.
+        """
         listed = tuple(items)
+        if era != self.era and self.loaded:
+            return self._restore(listed, revision, now_s, era)
+        self.era = era
         present = {item.key for item in listed}
         missing = [
             Removal(key, max(revision, self.revisions.get(key, 0) + 1))
@@ -103,21 +127,58 @@
         return self.apply((*listed, *missing), revision, now_s)
 
     def apply_due_removals(self, now_s: float) -> list[StoreChange]:
-        """Apply the deferred removals that are due and return them."""
+        """Apply what was deferred and is due now, and return it."""
         due = [
             key
             for key, due_s in self.deferred_removals.items()
             if due_s <= now_s
         ]
-        removed: list[StoreChange] = []
+        settled: list[StoreChange] = []
         for key in due:
             self.deferred_removals.pop(key)
             item = self.items.pop(key, None)
             if item is not None:
-                removed.append(Removal(key, self.revisions[key]))
-        return removed
+                settled.append(Removal(key, self.revisions.get(key, 0)))
+        if now_s >= self.restored_s + RESTORE_GRACE_S:
+            settled.extend(self.withheld_items.values())
+            self.items.update(self.withheld_items)
+            self.withheld_items.clear()
+        return settled
+
+    def _restore(
+        self,
+        listed: tuple[StoreItem, ...],
+        revision: int,
+        now_s: float,
+        era: int,
+    ) -> list[StoreChange]:
+        """Apply the first listing of a later era."""
+        removed_keys = self.revisions.keys() - self.items.keys()
+        present = {item.key for item in listed}
+        self.era = era
+        self.restored_s = now_s
+        self.recovered_s = now_s
+        self.revisions = {}
+        self.revision = 0
+        self.deferred_removals = {
+            key: now_s + RESTORE_GRACE_S
+            for key in self.items
+            if key not in present
+        }
+        self.withheld_items = {
+            item.key: item for item in listed if item.key in removed_keys
+        }
+        self.revisions.update(
+            (key, item.revision) for key, item in self.withheld_items.items()
+        )
+        return self.apply(
+            (item for item in listed if item.key not in removed_keys),
+            revision,
+            now_s,
+        )
 
     def _apply(self, change: StoreChange, now_s: float) -> bool:
+        self.withheld_items.pop(change.key, None)
         match change:
             case StoreItem(key=key):
                 self.deferred_removals.pop(key, None)
--- a/src/bramleylug/store/presence.py
+++ b/src/bramleylug/store/presence.py
@@ -34,6 +34,7 @@
         self.key = key
         self.describe = describe
         self.lease: Lease | None = None
+        self.lease_era = 0
         self.written: bytes | None = None
         self.changed = asyncio.Event()
         self.withdrawn = False
@@ -62,7 +63,7 @@
     async def withdraw(self) -> None:
         """Revoke the lease, which removes the key, and end :meth:`run`."""
         self.withdrawn = True
-        if self.lease is None:
+        if self.lease is None or self.lease_era != self.store.era:
             return
         try:
             await self.store.end_lease(self.lease.lease_id)
@@ -74,11 +75,13 @@
             )
 
     async def _step(self) -> None:
-        if self.lease is None:
+        if self.lease is not None and self.lease_era == self.store.era:
+            await self.store.keep_lease(self.lease.lease_id)
+        if self.lease is None or self.lease_era != self.store.era:
+            # The renewal may be the first call that a new era answers.
             self.lease = await self.store.grant_lease(LEASE_S)
+            self.lease_era = self.store.era
             self.written = None
-        else:
-            await self.store.keep_lease(self.lease.lease_id)
         value = self.describe()
         if value != self.written:
             await self.store.put(self.key, value, self.lease.lease_id)
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -84,6 +84,9 @@
                     revision=self.mirror.revision,
                 )
                 self.must_reload = True
+            case StoreChanges(era=era) if era != self.mirror.era:
+                # Revisions of another era say nothing about this one.
+                self.must_reload = True
             case StoreChanges(changes=changes, revision=revision):
                 self._confirm(sent_s, answer.first_byte_after_s)
                 now_s = self.clock()
@@ -97,17 +100,26 @@
         page = await self.store.list_page(self.prefix, '')
         first_revision = page.revision
         items: list[StoreItem] = list(page.items)
+        era = page.era
         while page.more and page.items:
             page = await self.store.list_page(self.prefix, page.items[-1].key)
             items.extend(page.items)
+            if page.era != era:
+                raise StoreUnavailable('store was restored during a listing')
+        self._log_restore(era, first_revision)
         self._confirm(sent_s)
         # The pages are no snapshot: the watch resumes at the revision of the
         # first one, so that changes made between two pages are not missed.
-        changes = self.mirror.replace(items, first_revision, self.clock())
+        changes = self.mirror.replace(items, first_revision, self.clock(), era)
         self.mirror.revision = first_revision
         self.must_reload = False
         self._notify(changes)
 
+    def _log_restore(self, era: int, revision: int) -> None:
+        held = self.mirror.era
+        if self.mirror.loaded and era != held:
+            emit(LogEvent.store_restored, era=era, held=held, revision=revision)
+
     def _confirm(self, sent_s: float, first_byte_after_s: float = 0) -> None:
         now_s = self.clock()
         age_s = self.mirror.age_s(now_s)
--- a/testing/platform/test_end_to_end.py
+++ b/testing/platform/test_end_to_end.py
@@ -95,6 +95,29 @@
             )
         )
 
+    def test_store_that_comes_back_from_an_older_copy(self) -> None:
+        """Nothing that was taken away comes back; later changes arrive."""
+        store = self.cluster.store
+        relays = self.cluster.relays
+        store.save_copy()
+        tenants = [{'name': 'garage', 'api_keys': ['key-2'], 'priority': 1}]
+        revoked = self.cluster.publish(tenants=tenants)
+        self.cluster.wait_until(lambda: self._all_in_force(revoked))
+        store.restore_copy()
+        self.cluster.wait_until(
+            lambda: all(
+                relay.core.watchers[0].mirror.era == 2 for relay in relays
+            )
+        )
+
+        statuses = {self.cluster.request(relay=one)[0] for one in (0, 1)}
+        version = self.cluster.publish()
+
+        self.assertEqual(statuses, {401})
+        self.cluster.wait_until(lambda: self._all_in_force(version))
+        self.cluster.wait_until(self.cluster.is_ready)
+        self.assertEqual(self.cluster.request()[0], 200)
+
     def test_loaders_report_their_engines_to_the_relays(self) -> None:
         """Reports in heartbeats are fresher than the store's records."""
         upstreams = self.cluster.relays[0].core.view.upstreams
@@ -116,6 +139,12 @@
         """Return the engines that serve the model."""
         return self.cluster.engines[::2]
 
+    def _all_in_force(self, version):
+        return all(
+            relay.core.view.table.version == version
+            for relay in self.cluster.relays
+        )
+
 
 class TestPlannedStop(unittest.TestCase):
     """A draining relay cuts off no running request."""
--- /dev/null
+++ b/testing/relay/test_process.py
@@ -0,0 +1,86 @@
+"""Tests of the incarnations of processes."""
+
+import unittest
+
+from bramleylug.relay.process import ProcessCore
+from bramleylug.wire.beats_pb2 import Beat
+from testing.relay.builders import build_peer, build_settings
+from testing.store.scripted import ScriptedStore
+
+
+class FakeAdapter:
+    """Adapter without a platform."""
+
+    store = ScriptedStore()
+
+    def watched_prefixes(self, role):
+        return ('',)
+
+    def peer_key(self, name):
+        return name
+
+    def encode_peer(self, record):
+        return b''
+
+    def store_change_handler(self, view):
+        return list
+
+
+class RecordingSocket:
+    """Records the datagrams sent to each address."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, heartbeat, addresses):
+        self.sent += [(address, heartbeat) for address in addresses]
+
+
+def build_core(name, boot):
+    """Return a process that knows the other relay."""
+    core = ProcessCore(
+        build_settings(name=name),
+        FakeAdapter(),
+        build_peer(name, boot=boot),
+        lambda: Beat(name=name, boot=core.record.boot),
+        lambda: 100.0,
+    )
+    core.socket = RecordingSocket()
+    for peer in ('relay-1', 'relay-2'):
+        core.view.peers.add(build_peer(peer))
+    core.view.mirror.confirm(100.0, 100.0)
+    return core
+
+
+class TestIncarnations(unittest.TestCase):
+    """A process whose clock went back between two starts is heard."""
+
+    def test_lower_incarnation_is_told_the_known_one(self) -> None:
+        """Its heartbeats are ignored until it has raised its own."""
+        core = build_core('relay-1', 1)
+        core.receive_heartbeat(Beat(name='relay-2', boot=500))
+
+        core.receive_heartbeat(Beat(name='relay-2', boot=400))
+
+        address, refutation = core.socket.sent[-1]
+        self.assertEqual(address, 'relay-2:81')
+        self.assertEqual(refutation.known_boot, 500)
+
+    def test_process_continues_as_a_later_incarnation(self) -> None:
+        """It tells all peers at once."""
+        core = build_core('relay-2', 400)
+
+        core.receive_heartbeat(Beat(name='relay-1', known_boot=500))
+
+        self.assertEqual(core.record.boot, 501)
+        self.assertEqual(core.socket.sent[-1][1].boot, 501)
+
+    def test_late_heartbeat_of_the_previous_incarnation(
+        self,
+    ) -> None:
+        """Peers know the current incarnation already."""
+        core = build_core('relay-2', 400)
+
+        core.receive_heartbeat(Beat(name='relay-1', known_boot=400))
+
+        self.assertEqual((core.record.boot, core.socket.sent), (400, []))
--- a/testing/relay/test_request_checks.py
+++ b/testing/relay/test_request_checks.py
@@ -8,6 +8,7 @@
 from bramleylug.relay.crash_suspects import crash_id_of
 from bramleylug.relay.request_checks import Accepted, RequestChecks
 from bramleylug.store.mirror import Mirror
+from bramleylug.wire.beats_pb2 import Beat
 from testing.relay.builders import (
     build_caller_request,
     build_peer,
@@ -78,6 +79,20 @@
 
         self.assertEqual(self.reason(), Reason.store_unavailable)
 
+    def test_keys_wait_for_a_newer_configuration(self) -> None:
+        """The store came back without it; it may have revoked the key."""
+        self.view.receive_heartbeat(
+            Beat(name='relay-2', boot=1, configuration=9)
+        )
+        self.now_s = 101.0
+        self.assertIsInstance(self.check(), Accepted)
+        self.now_s = 101.6
+
+        self.assertEqual(self.reason(), Reason.store_unavailable)
+
+        self.view.apply_route_table(build_table(version=9))
+        self.assertIsInstance(self.check(), Accepted)
+
     def test_public_route_does_not_need_the_store(self) -> None:
         """It is served with the last known configuration."""
         self.view.apply_route_table(build_table(build_route(public=True)))
--- a/testing/store/scripted.py
+++ b/testing/store/scripted.py
@@ -27,6 +27,7 @@
         self.calls: list[tuple[Any, ...]] = []
         self.done = asyncio.Event()
         self.leases = 0
+        self.era = 0
         self.ended: set[int] = set()
 
     async def list_page(self, prefix: str, after: str) -> Page:
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -3,7 +3,11 @@
 import unittest
 
 from bramleylug.store.changes import Removal, StoreItem
-from bramleylug.store.mirror import RECOVERY_GRACE_S, Mirror
+from bramleylug.store.mirror import (
+    RECOVERY_GRACE_S,
+    RESTORE_GRACE_S,
+    Mirror,
+)
 
 OUTAGE_S = 3.0
 
@@ -97,6 +101,72 @@
         self.assertEqual(self.mirror.apply([removal], 6, 13), [removal])
 
 
+class TestRestoredStore(unittest.TestCase):
+    """An older copy of the store does not undo what was known since."""
+
+    def setUp(self) -> None:
+        """Know a zone that is out, and an engine that has left."""
+        self.mirror = Mirror(OUTAGE_S)
+        self.mirror.confirm(0, 0)
+        self.mirror.replace([item(5), item(7, 'zone out', 0)], 9, 0, era=1)
+        self.mirror.apply([Removal('engine', 10)], 10, 1)
+
+    def restore(self, *items: StoreItem) -> list[object]:
+        """Apply the listing of a store that went back to revision 6."""
+        return self.mirror.replace(items, 6, 20, era=2)
+
+    def test_revisions_are_given_out_again(self) -> None:
+        """A change in the new era has a lower revision than known ones."""
+        self.restore(item(4, 'zone out', 0))
+
+        changes = self.mirror.apply([item(7, 'config', 0)], 7, 21)
+
+        self.assertEqual(changes, [item(7, 'config', 0)])
+        self.assertEqual(self.mirror.revision, 7)
+
+    def test_missing_key_stays_for_a_while(self) -> None:
+        """Its owner writes it again."""
+        self.restore()
+        self.assertEqual(self.mirror.apply_due_removals(20.1), [])
+        self.mirror.apply([item(7, 'zone out', 0)], 7, 21)
+
+        self.assertEqual(self.mirror.apply_due_removals(30), [])
+        self.assertIn('zone out', self.mirror.items)
+
+    def test_key_that_nobody_writes_again_is_removed(self) -> None:
+        """Whatever was lost, the store decides in the end."""
+        self.restore()
+
+        changes = self.mirror.apply_due_removals(20 + RESTORE_GRACE_S)
+
+        self.assertEqual(changes, [Removal('zone out', 0)])
+
+    def test_removed_key_does_not_come_back_at_once(self) -> None:
+        """The engine left after the copy was made."""
+        self.assertEqual(
+            self.restore(item(5), item(4, 'zone out', 0)),
+            [item(4, 'zone out', 0)],
+        )
+        self.assertNotIn('engine', self.mirror.items)
+        self.mirror.apply([Removal('engine', 8)], 8, 21)
+
+        self.assertEqual(self.mirror.apply_due_removals(30), [])
+
+    def test_removed_key_comes_back_when_its_owner_writes_it(self) -> None:
+        """The engine was only cut off from the store."""
+        self.restore(item(5))
+
+        self.assertEqual(self.mirror.apply([item(8)], 8, 21), [item(8)])
+
+    def test_removed_key_that_stays_in_the_store_is_accepted(self) -> None:
+        self.restore(item(5))
+
+        changes = self.mirror.apply_due_removals(20 + RESTORE_GRACE_S)
+
+        self.assertIn(item(5), changes)
+        self.assertIn('engine', self.mirror.items)
+
+
 class TestAge(unittest.TestCase):
     """The mirror is as old as the read that confirmed it."""
 
--- a/testing/store/test_presence.py
+++ b/testing/store/test_presence.py
@@ -45,6 +45,21 @@
 
         self.assertIn(('put', 'key', b'serving', 2), store.calls)
 
+    @in_virtual_time
+    async def test_lease_of_an_earlier_era_is_replaced(self) -> None:
+        """Its id may belong to another process now."""
+        store = ScriptedStore()
+        presence = Presence(store, 'key', lambda: b'serving')
+        task = asyncio.create_task(presence.run())
+        await asyncio.sleep(0)
+        store.era = 1
+        presence.announce()
+        await asyncio.sleep(0.01)
+        task.cancel()
+
+        self.assertNotIn(('keep', 1), store.calls)
+        self.assertIn(('put', 'key', b'serving', 2), store.calls)
+
     @in_virtual_time
     async def test_withdrawn_key_does_not_come_back(self) -> None:
         """A process that stops requests no second lease."""
--- a/testing/store/test_watcher.py
+++ b/testing/store/test_watcher.py
@@ -76,6 +76,38 @@
         self.assertEqual(changes, [item('a', 6)])
         self.assertEqual(store.calls[1:3], [('wait', 5), ('wait', 5)])
 
+    @in_virtual_time
+    async def test_answer_of_a_later_era_leads_to_a_full_listing(self) -> None:
+        """Its revisions do not continue those of the era before."""
+        store = ScriptedStore(
+            StoreChanges((item('a', 6),), 6, era=2),
+            pages=[
+                Page((item('a', 5),), 5, more=False, era=1),
+                Page((item('b', 6),), 6, more=False, era=2),
+            ],
+        )
+
+        changes = await self.watch(store)
+
+        self.assertEqual(changes, [item('a', 5), item('b', 6)])
+        self.assertEqual(
+            store.calls,
+            [('list', ''), ('wait', 5), ('list', ''), ('wait', 6)],
+        )
+
+    @in_virtual_time
+    async def test_listing_across_two_eras_is_repeated(self) -> None:
+        """Half of it is from a state that is gone."""
+        store = ScriptedStore(
+            pages=[
+                Page((item('a', 5),), 5, more=True, era=1),
+                Page((item('b', 4),), 4, more=False, era=2),
+                Page((item('b', 4),), 4, more=False, era=2),
+            ],
+        )
+
+        self.assertEqual(await self.watch(store), [item('b', 4)])
+
     async def watch(self, store: ScriptedStore) -> list[object]:
         """Watch until the script is used up; return the reported changes."""
         changes: list[object] = []
