--- a/src/bramleylug/bench/config_fleet.py
+++ b/src/bramleylug/bench/config_fleet.py
@@ -4,6 +4,7 @@
 import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
+from datetime import datetime
 from typing import final
 
 from bramleylug.bench.processes import Child, Processes, wait_until
@@ -101,9 +102,9 @@
     for line in tuple(entry.lines):
         if IN_FORCE_EVENT not in line:
             continue
-        record = json.loads(line)['record']
-        if record['extra'].get('revision', 0) >= revision:
-            return float(record['time']['timestamp'])
+        fields = json.loads(line)
+        if fields.get('revision', 0) >= revision:
+            return datetime.fromisoformat(fields['time']).timestamp()
     return 0.0
 
 
--- a/src/bramleylug/bench/membership.py
+++ b/src/bramleylug/bench/membership.py
@@ -89,7 +89,10 @@
             )
             / figures['burst_updates_per_s'],
             'membership_spread_s': spread_s,
-            'dead_known_everywhere_s': figures[f'{DEAD_KNOWN}_{MEMBERS}'],
+            # Where it took longer than was waited, that time is a lower bound.
+            'dead_known_everywhere_s': figures.get(
+                f'{DEAD_KNOWN}_{MEMBERS}', DEAD_TIMEOUT_S
+            ),
         },
         sizes=(
             f'{MEMBERS:,} members in virtual time; a burst of '
--- a/src/bramleylug/bench/processes.py
+++ b/src/bramleylug/bench/processes.py
@@ -96,11 +96,11 @@
 
     def _parse_addresses(self, line: str) -> None:
         if line.startswith('{'):
-            extra = json.loads(line)['record']['extra']
-            if extra.get('event') != SERVING_EVENT:
+            fields = json.loads(line)
+            if fields.get('event') != SERVING_EVENT:
                 return
             for kind in ('http', 'grpc', 'gossip'):
-                self.addresses[kind] = extra[kind]
+                self.addresses[kind] = fields[kind]
         elif ' at ' in line:
             self.addresses['http'] = line.split()[-1]
         else:
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -78,8 +78,10 @@
             outcome = await self._run(exchange, writer)
         except Exception as error:  # noqa: BLE001
             outcome = Unknown(Reason.internal, repr(error))
-        self._count_running(-1)
-        reservation.release()
+        finally:
+            # Also when the task is cancelled.
+            self._count_running(-1)
+            reservation.release()
         self._record_outcome(outcome, exchange)
         writer.conclude(outcome)
 
--- a/src/bramleylug/routing/loads.py
+++ b/src/bramleylug/routing/loads.py
@@ -151,7 +151,16 @@
                 and now_s - report.received_s > REPORT_RETENTION_S
             ):
                 self.reports.pop(name)
-                self.avoidances.pop(name, None)
+        self.avoidances = {
+            name: avoidance
+            for name, avoidance in self.avoidances.items()
+            if name in names or now_s <= avoidance.until_s
+        }
+        self.refusing_until_s = {
+            key: until_s
+            for key, until_s in self.refusing_until_s.items()
+            if key[0] in names or now_s <= until_s
+        }
 
 
 @final
--- a/src/bramleylug/routing/picker.py
+++ b/src/bramleylug/routing/picker.py
@@ -100,6 +100,11 @@
             self.ramp.update(self.fleet.zones_out, snapshot.now_s)
             names = frozenset(member.name for member in snapshot.members)
             self.loads.remove_departed(names, snapshot.now_s)
+            self.last_probe_s = {
+                name: at_s
+                for name, at_s in self.last_probe_s.items()
+                if name in names
+            }
         return changed
 
     def _pick_from_tiers(
--- a/src/bramleylug/settings/daemons.py
+++ b/src/bramleylug/settings/daemons.py
@@ -63,21 +63,20 @@
             faults.append(f'--log-format: one of {", ".join(LOG_FORMATS)}')
         return faults
 
-    def addresses(self) -> dict[str, str]:
-        """Return the settings that are addresses, by flag."""
-        addresses = {
-            '--store': self.store,
-            '--http-bind': self.http_bind,
-            '--grpc-bind': self.grpc_bind,
-            '--gossip-bind': self.gossip_bind,
-        }
-        addresses.update({'--seeds': seed for seed in self.seeds})
-        return addresses
+    def addresses(self) -> list[tuple[str, str]]:
+        """Return the flags and values of the settings that are addresses."""
+        return [
+            ('--store', self.store),
+            ('--http-bind', self.http_bind),
+            ('--grpc-bind', self.grpc_bind),
+            ('--gossip-bind', self.gossip_bind),
+            *(('--seeds', seed) for seed in self.seeds),
+        ]
 
     def _address_faults(self) -> list[str]:
         return [
             f'{flag}: {address!r} is not host:port'
-            for flag, address in self.addresses().items()
+            for flag, address in self.addresses()
             if not is_address(address)
         ]
 
@@ -154,10 +153,10 @@
     )
     workers: int = setting('threads that serve requests and chunks', 128)
 
-    def addresses(self) -> dict[str, str]:
-        """Return the settings that are addresses, by flag."""
+    def addresses(self) -> list[tuple[str, str]]:
+        """Return the flags and values of the settings that are addresses."""
         addresses = NodeSettings.addresses(self)
-        addresses['--upstream'] = self.upstream
+        addresses.append(('--upstream', self.upstream))
         if self.origin:
-            addresses['--origin'] = self.origin
+            addresses.append(('--origin', self.origin))
         return addresses
--- a/src/bramleylug/soak/clients.py
+++ b/src/bramleylug/soak/clients.py
@@ -73,12 +73,11 @@
         request_id = f's{self.number}-{self.count}'
         key = self.random.choice(KEYS)
         sent_s = time.time()
-        outcome, error = Outcome.failed, ''
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 head, body = await self._send(relay, request_id, key, booking)
         except CALL_ERRORS:
-            self._close_idle(relay)
+            outcome, error = Outcome.failed, ''
         else:
             outcome, error = classify_answer(
                 head, body, request_id, booking=booking
@@ -122,11 +121,6 @@
             connection.close()
         return answer
 
-    def _close_idle(self, relay: RelayAddress) -> None:
-        connection = self.idle_connections.pop(relay.address, None)
-        if connection is not None:
-            connection.close()
-
 
 def classify_answer(
     head: AnswerHead, body: bytes, request_id: str, *, booking: bool
--- a/src/bramleylug/weights/chunk_clients.py
+++ b/src/bramleylug/weights/chunk_clients.py
@@ -3,13 +3,14 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPConnection, HTTPException, HTTPResponse
 from socket import SHUT_RDWR
 from threading import Lock
 from typing import Any, final
 
 import grpc
 
+from bramleylug.observability.events import LogEvent, emit
 from bramleylug.weights.chunk_sets import from_bytes, to_bytes
 from bramleylug.weights.limits import DEFAULT_LIMITS
 from bramleylug.weights.manifest import Manifest, ManifestError, VersionKey
@@ -104,19 +105,14 @@
             self.address, timeout=DEFAULT_LIMITS.stall_s
         )
         self.reads[path, headers.get('Range', '')] = connection
-        body = bytearray()
         try:
             connection.request('GET', path, headers=headers)
-            response = connection.getresponse()
-            while piece := response.read1(READ_BYTES):
-                body += piece
-                on_piece(len(piece))
+            return _read_answer(connection.getresponse(), on_piece)
         except (OSError, HTTPException):
             return None
         finally:
             self.reads.pop((path, headers.get('Range', '')), None)
             connection.close()
-        return bytes(body) if response.status in OK_STATUSES else None
 
 
 @final
@@ -199,7 +195,8 @@
             reply = self._stub(address).Holdings(
                 request, timeout=REQUEST_TIMEOUT_S
             )
-        except grpc.RpcError:
+        except grpc.RpcError as error:
+            emit(LogEvent.peer_silent, peer=address, error=str(error.code()))
             return None
         reply_held: HeldChunks = reply.held
         return reply_held
@@ -254,6 +251,20 @@
     )
 
 
+def _read_answer(
+    response: HTTPResponse, on_piece: PieceHandler
+) -> bytes | None:
+    """Return the body of a successful answer; ``None`` if it is cut off."""
+    if response.status not in OK_STATUSES:
+        return None
+    body = bytearray()
+    while piece := response.read1(READ_BYTES):
+        body += piece
+        on_piece(len(piece))
+    # ``read1`` reports a connection that ends early as the end of the body.
+    return None if response.length else bytes(body)
+
+
 def _failure_reason(error: grpc.RpcError) -> FailureReason:
     reasons = {
         grpc.StatusCode.RESOURCE_EXHAUSTED: FailureReason.busy,
--- a/src/bramleylug/wire/channels.py
+++ b/src/bramleylug/wire/channels.py
@@ -59,12 +59,15 @@
 
     :ivar channels: channel to each address, after the generation of the keys
         that it uses.
+    :ivar outdated: channel to each address with the previous keys. Calls may
+        still run on it; it is closed with the next change of the keys.
     """
 
     def __init__(self, keyring: Keyring = NO_KEYS) -> None:
         self.keyring = keyring
         self.lock = Lock()
         self.channels: dict[str, tuple[int, grpc.Channel]] = {}
+        self.outdated: dict[str, grpc.Channel] = {}
 
     def get(self, address: str) -> grpc.Channel:
         self.keyring.load()
@@ -75,14 +78,22 @@
                 return cached[1]
             channel = open_channel(address, self.keyring)
             self.channels[address] = (generation, channel)
-            return channel
+            outdated = self.outdated.pop(address, None)
+            if cached is not None:
+                self.outdated[address] = cached[1]
+        if outdated is not None:
+            outdated.close()
+        return channel
 
     def close(self, address: str) -> None:
         """Close and remove the channel to a peer, if there is one."""
         with self.lock:
             cached = self.channels.pop(address, None)
+            outdated = self.outdated.pop(address, None)
         if cached is not None:
             cached[1].close()
+        if outdated is not None:
+            outdated.close()
 
 
 def build_server(workers: int) -> grpc.Server:
--- a/src/bramleylug/wire/security.py
+++ b/src/bramleylug/wire/security.py
@@ -76,7 +76,7 @@
         if not self.files.is_configured:
             return None
         try:
-            stamps = tuple(Path(path).stat().st_mtime_ns for path in self.files)
+            stamps = self._stamps()
         except OSError:
             return self.material
         if stamps != self.stamps:
@@ -105,11 +105,18 @@
             certificate_chain=material.certificate,
         )
 
+    def _stamps(self) -> tuple[int, ...]:
+        return tuple(Path(path).stat().st_mtime_ns for path in self.files)
+
     def _read(self, stamps: tuple[int, ...]) -> None:
         try:
             contents = [Path(path).read_bytes() for path in self.files]
+            unchanged = stamps == self._stamps()
         except OSError:
             return
+        if not unchanged:
+            # The files are being replaced; a later load reads them all.
+            return
         self.material = KeyMaterial(*contents)
         self.stamps = stamps
         self.generation += 1
--- a/testing/__main__.py
+++ b/testing/__main__.py
@@ -6,6 +6,7 @@
 import sys
 import unittest
 from pathlib import Path
+from typing import NamedTuple
 
 from hypothesis import settings
 from loguru import logger
@@ -39,6 +40,26 @@
     return found
 
 
+class Counts(NamedTuple):
+    """How the tests of a run ended."""
+
+    passed: int
+    failed: int
+    skipped: int
+
+
+def count_results(result: unittest.TestResult) -> Counts:
+    """Count a failed set-up of a class as one failure; its tests never ran."""
+    failed = {test.id(): test for test, _ in (*result.failures, *result.errors)}
+    not_run = sum(
+        not isinstance(test, unittest.TestCase) for test in failed.values()
+    )
+    failed_count = len(failed) + len(result.unexpectedSuccesses)
+    skipped = len(result.skipped)
+    ran = result.testsRun + not_run
+    return Counts(ran - failed_count - skipped, failed_count, skipped)
+
+
 def main() -> int:
     """Run the tests and return the exit code.
 
@@ -56,12 +77,12 @@
     for name in sorted(red):
         print(f'known red, passed over: {name}')
     result = unittest.TextTestRunner().run(unittest.TestSuite(chosen))
-    failed = len({test.id() for test, _ in (*result.failures, *result.errors)})
-    failed += len(result.unexpectedSuccesses)
-    skipped = len(result.skipped)
-    passed = result.testsRun - failed - skipped
-    print(f'{passed} passed, {failed} failed, {skipped} skipped')
-    return int(bool(failed) or not result.testsRun)
+    counts = count_results(result)
+    print(
+        f'{counts.passed} passed, {counts.failed} failed, '
+        f'{counts.skipped} skipped'
+    )
+    return int(bool(counts.failed) or not result.testsRun)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/testing/test_runner.py
@@ -0,0 +1,42 @@
+"""Tests of how the results of tests are counted."""
+
+import io
+import unittest
+
+from testing.__main__ import Counts, count_results
+
+
+class BrokenSetUp(unittest.TestCase):
+    """Run by the test below only."""
+
+    __test__ = False
+
+    @classmethod
+    def setUpClass(cls):
+        """Fail.
+
+        :raises ValueError: always.
+        """
+        raise ValueError('no set-up')
+
+
+class TestCounts(unittest.TestCase):
+    """The closing line counts every test once."""
+
+    def test_failed_set_up_of_a_class_counts_once(self) -> None:
+        """None of its tests ran, and other tests still count as passed."""
+        class_tests = type(
+            'Broken',
+            (BrokenSetUp,),
+            {'test_one': len, 'test_two': len},
+        )
+        suite = unittest.TestSuite(
+            [
+                class_tests('test_one'),
+                class_tests('test_two'),
+                unittest.FunctionTestCase(lambda: None),
+            ]
+        )
+        result = unittest.TextTestRunner(io.StringIO()).run(suite)
+
+        self.assertEqual(count_results(result), Counts(1, 1, 0))
