Store: processes of a zone read it through a few relays

Change: a relay passes on what it reads; one reader for every 16 processes of a zone is chosen by rendezvous over the live relays, nobody is elected. An answer carries the age of the reader's confirmation relative to the arrival of the call, so that no clocks are compared; one that is too old or of an earlier era is replaced by a call of the store, and a reader that failed is left alone for 2 s. Leases and writes go to the store. Large answers are compressed.

--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -41,7 +41,11 @@
 from bramleylug.relay.settings import LoaderSettings
 from bramleylug.relay.status_pages import serve_metrics
 from bramleylug.routing.rendezvous import rank
-from bramleylug.store.changes import StoreChange, StoreUnavailable
+from bramleylug.store.changes import (
+    StoreChange,
+    StoreUnavailable,
+    WatchableStore,
+)
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.limits import WebLimits
 from bramleylug.web.server import WebServer
@@ -63,8 +67,10 @@
     def engine(self, address: str) -> LocalEngine:
         """Return a client for the engine of this host."""
 
-    async def read_configuration(self) -> Sequence[StoreChange]:
-        """Read the configuration from the store once."""
+    async def read_configuration(
+        self, store: WatchableStore
+    ) -> Sequence[StoreChange]:
+        """Read the configuration once."""
 
 
 @final
@@ -294,7 +300,9 @@
             monitor = self.downloader.origin_monitor
             if self._layout() is None or not monitor.is_available(self.clock()):
                 try:
-                    items = await self.adapter.read_configuration()
+                    items = await self.adapter.read_configuration(
+                        self.core.store
+                    )
                 except StoreUnavailable:
                     # The watchers of the same store log this.
                     await asyncio.sleep(CONFIGURATION_RETRY_S)
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -100,6 +100,19 @@
         '{boot}; continuing as a later one',
         'The clock of this host went back between two starts; check it.',
     )
+    reader_chosen = EventSpec(
+        'BL1021',
+        'INFO',
+        'reading the store through {reader}',
+        'Nothing to do.',
+    )
+    reader_avoided = EventSpec(
+        'BL1022',
+        'WARNING',
+        'relay {reader}, through which the store was read, is of no use for '
+        '{for_s} s: {cause}; calling the store itself',
+        'Check that relay and its connection to the store if it repeats.',
+    )
     value_unreadable = EventSpec(
         'BL1009',
         'WARNING',
--- a/src/bramleylug/platform/adapter.py
+++ b/src/bramleylug/platform/adapter.py
@@ -52,13 +52,15 @@
             case Role.loader:
                 return LOADER_PREFIXES
 
-    async def read_configuration(self) -> tuple[StoreItem, ...]:
-        """Read the configuration from the store once.
+    async def read_configuration(
+        self, store: WatchableStore
+    ) -> tuple[StoreItem, ...]:
+        """Read the configuration once.
 
         Loaders do not watch it: it is large, changes often, and they need
         little of it.
         """
-        page = await self.store.list_page(CONFIG_KEY, '')
+        page = await store.list_page(CONFIG_KEY, '')
         return page.items
 
     def peer_key(self, name: str) -> str:
--- a/src/bramleylug/platform/settings.py
+++ b/src/bramleylug/platform/settings.py
@@ -27,10 +27,11 @@
 # Callers resolve addresses again after this time, so that they leave a
 # draining relay soon.
 ADDRESS_TTL_S = 1.0
-# Internal ports: the first one is for heartbeats, and a loader serves chunks
-# on the next one.
+# Internal ports: the first one is for heartbeats. On the next one, a loader
+# serves chunks, and a relay what it reads from the store.
 HEARTBEAT_PORT_OFFSET = 0
 CHUNK_PORT_OFFSET = 1
+FEED_PORT_OFFSET = 1
 BYTES_PER_MEGABIT = 125_000
 # Loaders confirm their view of the store less often than relays do: none of
 # their actions needs a confirmed view.
@@ -108,6 +109,7 @@
         'directory_bind',
         'upstream',
         'chunk_bind',
+        'feed_bind',
     )
     addresses = [(name, getattr(settings, name, '')) for name in names]
     return [(name, address) for name, address in addresses if address]
@@ -140,12 +142,14 @@
     limits = document['limits']
     listen = document['listen']
     connections = int(limits['file_descriptors']) - RESERVED_DESCRIPTORS
+    feed_port = int(document['internal_ports'][0]) + FEED_PORT_OFFSET
     memory_bytes = limits['memory_mb'] * MEBIBYTE * CALLER_MEMORY_SHARE
     return RelaySettings(
         **_common_fields(document, metrics_bind),
         caller_bind=str(listen['front']),
         ready_bind=str(listen['ready']),
         directory_bind=str(listen.get('directory', '')),
+        feed_bind=f'{document["ip"]}:{feed_port}',
         memory_bytes=int(memory_bytes),
         max_connections=max(MIN_CONNECTIONS, connections),
         stop_time=float(bounds['grace_s']),
--- a/src/bramleylug/platform/store_changes.py
+++ b/src/bramleylug/platform/store_changes.py
@@ -104,9 +104,11 @@
 
 
 def decode_peer(value: bytes) -> PeerRecord:
-    fields = json.loads(value)
-    fields['role'] = Role(fields['role'])
-    return PeerRecord(**fields)
+    document = json.loads(value)
+    known = PeerRecord.__dataclass_fields__
+    # A later version of this project may register itself with more fields.
+    fields = {name: document[name] for name in document if name in known}
+    return PeerRecord(**{**fields, 'role': Role(document['role'])})
 
 
 def peer_key(name: str) -> str:
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -96,6 +96,7 @@
             region=settings.region,
             serving=settings.caller_bind,
             beats=settings.beat_bind,
+            feed=settings.feed_bind,
         )
         self.core = ProcessCore(
             settings, adapter, record, self.make_heartbeat, clock
@@ -118,6 +119,8 @@
             self._serve_on(
                 settings.directory_bind, self.serve_directory, 'directory'
             )
+        if settings.feed_bind:
+            self._serve_on(settings.feed_bind, self.serve_feed, 'feed')
         if settings.metrics_bind:
             self._serve_on(settings.metrics_bind, self.serve_metrics, 'metrics')
 
@@ -238,6 +241,10 @@
         """Serve the readiness page."""
         serve_readiness(exchange, self.unready_reason())
 
+    def serve_feed(self, exchange: Exchange) -> None:
+        """Pass on what this relay reads from the store."""
+        self.core.loop.spawn(lambda: self.core.serve_feed(exchange))
+
     def serve_metrics(self, exchange: Exchange) -> None:
         """Serve the metrics page."""
         serve_metrics(exchange, self.settings.name, self.core.view.store_age_s)
--- a/src/bramleylug/relay/peers.py
+++ b/src/bramleylug/relay/peers.py
@@ -36,6 +36,8 @@
     :ivar serving: address of a relay for callers; of a loader's engine.
     :ivar beats: UDP address for heartbeats.
     :ivar chunks: address at which a loader serves chunks.
+    :ivar feed: address at which a relay passes on what it reads from the
+        store; empty if it does not.
     """
 
     name: str
@@ -46,6 +48,7 @@
     serving: str
     beats: str
     chunks: str = ''
+    feed: str = ''
     draining: bool = False
 
 
@@ -134,11 +137,23 @@
 
     def accepts_callers(self, record: PeerRecord, now_s: float) -> bool:
         """Return whether callers may be directed to a relay."""
-        heartbeat = self.last_heartbeats.get(record.name)
-        if heartbeat is not None and heartbeat.boot >= record.boot:
-            if heartbeat.draining:
-                return False
-        return not record.draining and self.is_alive(record, now_s)
+        return not self._is_draining(record) and self.is_alive(record, now_s)
+
+    def zone_peers(self, now_s: float) -> list[PeerRecord]:
+        """Return the live other processes of the own zone.
+
+        Without those that are leaving, or cannot confirm what they know.
+        """
+        own = self.own()
+        is_fresh = self._is_store_fresh()
+        return [
+            record
+            for record in self.known.values()
+            if record.zone == own.zone
+            and record.name != own.name
+            and self._is_alive(record, now_s, is_fresh=is_fresh)
+            and not self._is_draining(record)
+        ]
 
     def relay_count(self) -> int:
         """Return the number of relays that may send to upstreams.
@@ -183,6 +198,13 @@
                 self.known.pop(name)
                 self.last_heartbeats.pop(name, None)
 
+    def _is_draining(self, record: PeerRecord) -> bool:
+        heartbeat = self.last_heartbeats.get(record.name)
+        if heartbeat is not None and heartbeat.boot >= record.boot:
+            if heartbeat.draining:
+                return True
+        return record.draining
+
     def _is_store_fresh(self) -> bool:
         return self.store_age_s() < self.max_store_age_s
 
--- a/src/bramleylug/relay/process.py
+++ b/src/bramleylug/relay/process.py
@@ -4,7 +4,9 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from http import HTTPStatus
 from typing import Protocol, final
+from urllib.parse import parse_qs
 
 from bramleylug.node.loop_thread import LoopThread
 from bramleylug.observability.events import LogEvent, emit
@@ -17,13 +19,23 @@
 )
 from bramleylug.relay.peers import PeerRecord, Role
 from bramleylug.relay.settings import ProcessSettings
+from bramleylug.relay.store_readers import find_reader
 from bramleylug.store.changes import StoreChange, WatchableStore
+from bramleylug.store.feed import Poll, encode
 from bramleylug.store.presence import Presence
 from bramleylug.store.watcher import StoreWatcher
+from bramleylug.store.zone_store import CHANGES_PATH, ITEMS_PATH, ZoneStore
+from bramleylug.web.exchange import Exchange
 from bramleylug.wire.beats_pb2 import Beat
+from bramleylug.wire.feed_pb2 import FeedAnswer
 
 NANOSECONDS_PER_MS = 1_000_000
 CLEAN_UP_INTERVAL_S = 1.0
+MILLISECONDS = 1000
+# Longest time for which a poll of another process is held open.
+MAX_POLL_S = 10.0
+# What the answer of a reader may be older than one of the store.
+READER_LAG_S = 0.3
 
 
 class Adapter(Protocol):
@@ -68,9 +80,16 @@
         self.adapter = adapter
         self.clock = clock
         self.record = record
+        self.store = ZoneStore(
+            adapter.store,
+            self.reader_address,
+            clock,
+            max_age_s=2 * settings.confirm_interval + READER_LAG_S,
+            confirms=record.role is Role.relay,
+        )
         self.watchers = [
             StoreWatcher(
-                adapter.store,
+                self.store,
                 prefix,
                 self._on_store_change,
                 clock,
@@ -83,7 +102,7 @@
         )
         self.apply_changes = adapter.store_change_handler(self.view)
         self.presence = Presence(
-            adapter.store,
+            self.store,
             adapter.peer_key(settings.name),
             lambda: adapter.encode_peer(self.record),
         )
@@ -94,6 +113,36 @@
         self.loop = LoopThread('relay')
         self.socket: HeartbeatSocket | None = None
 
+    def reader_address(self) -> str:
+        """Return where to read the store; empty for the store itself."""
+        if not self.view.mirror.loaded:
+            return ''
+        peers = self.view.peers.zone_peers(self.clock())
+        reader = find_reader(self.record, peers)
+        return '' if reader is None else reader.feed
+
+    async def serve_feed(self, exchange: Exchange) -> None:
+        """Answer another process that reads the store through this one."""
+        arrived_s = self.clock()
+        feed = self.watchers[0].feed
+        query = parse_qs(exchange.query)
+        prefix = query.get('prefix', [''])[0]
+        if exchange.path == ITEMS_PATH and feed.mirror.loaded:
+            _reply_feed(exchange, feed.listing(prefix, arrived_s))
+        elif exchange.path == CHANGES_PATH and feed.mirror.loaded:
+            poll = Poll(
+                prefix,
+                _int_parameter(query, 'after'),
+                min(
+                    MAX_POLL_S, _int_parameter(query, 'wait_ms') / MILLISECONDS
+                ),
+                bool(_int_parameter(query, 'confirms')),
+                arrived_s,
+            )
+            _reply_feed(exchange, await feed.wait(poll))
+        else:
+            exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE, b'')
+
     def open(self) -> None:
         """Start the background tasks, outside the circuits loop."""
         self.loop.start()
@@ -192,6 +241,18 @@
             self.on_clean_up()
 
 
+def _reply_feed(exchange: Exchange, answer: FeedAnswer) -> None:
+    raw, compressed = encode(answer)
+    headers = {'Content-Encoding': 'deflate'} if compressed else {}
+    exchange.reply(HTTPStatus.OK, raw, headers)
+
+
+def _int_parameter(query: dict[str, list[str]], name: str) -> int:
+    """Return an integer parameter of a query; 0 if absent or malformed."""
+    text = query.get(name, [''])[0]
+    return int(text) if text.isdecimal() else 0
+
+
 def uptime_s() -> float:
     """Return seconds that also count while the host is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/bramleylug/relay/settings.py
+++ b/src/bramleylug/relay/settings.py
@@ -43,6 +43,11 @@
     caller_bind: str = setting('address that callers connect to')
     ready_bind: str = setting('address of the readiness page')
     directory_bind: str = setting('address of the directory; empty for none')
+    feed_bind: str = setting(
+        'address at which other processes of the zone read the store through '
+        'this relay; empty if they cannot',
+        '',
+    )
     memory_bytes: int = setting(
         'memory for the requests and answers of all callers',
         67108864,
--- a/src/bramleylug/store/changes.py
+++ b/src/bramleylug/store/changes.py
@@ -27,6 +27,21 @@
 StoreChange = StoreItem | Removal
 
 
+class ReaderTimes(NamedTuple):
+    """Times at a process that passes on what it reads from the store.
+
+    They are relative to the arrival of the call there, and so valid from the
+    sending of the call on the caller's clock.
+
+    :ivar confirmed_after_s: when its latest answered read was sent; mostly
+        negative.
+    :ivar written_after_s: time after which the changes passed on were written.
+    """
+
+    confirmed_after_s: float
+    written_after_s: float
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Page:
@@ -36,12 +51,15 @@
     :ivar more: whether further items follow the last one.
     :ivar era: number that the store raises each time it comes back from an
         older copy of itself; revisions of different eras are not comparable.
+    :ivar reader_times: of a process that passed it on; ``None`` if it comes
+        from the store itself.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
     more: bool
     era: int = 0
+    reader_times: ReaderTimes | None = None
 
 
 @final
@@ -52,12 +70,14 @@
     :ivar first_byte_after_s: seconds from the call to the first bytes of its
         answer; 0 where unknown.
     :ivar era: as :attr:`Page.era`.
+    :ivar reader_times: as :attr:`Page.reader_times`.
     """
 
     changes: tuple[StoreChange, ...]
     revision: int
     first_byte_after_s: float = 0
     era: int = 0
+    reader_times: ReaderTimes | None = None
 
 
 @final
@@ -95,12 +115,13 @@
 
     Every call may raise :class:`StoreUnavailable`.
 
-    :ivar era: highest era of an answer so far. Answers of earlier ones are
-        discarded; leases of earlier ones no longer exist, and their ids may
-        have been granted again to others.
+    Answers of earlier eras than :attr:`era` are discarded. Leases of earlier
+    eras no longer exist, and their ids may have been granted again to others.
     """
 
-    era: int
+    @property
+    def era(self) -> int:
+        """Highest era of an answer so far."""
 
     async def list_page(self, prefix: str, after: str) -> Page:
         """Return items under a prefix whose keys follow ``after``."""
--- /dev/null
+++ b/src/bramleylug/store/feed.py
@@ -0,0 +1,195 @@
+"""Passes what a process reads from the store on to others of its zone.
+
+Every process would otherwise read the store by itself: each change would end
+as many calls as there are processes, and each confirmation would be a call of
+its own.
+"""
+
+import asyncio
+import zlib
+from collections import deque
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from typing import NamedTuple, final
+
+from bramleylug.store.changes import Removal, StoreChange, StoreItem
+from bramleylug.store.mirror import Mirror
+from bramleylug.wire.feed_pb2 import FeedAnswer, FeedChange
+
+MICROSECONDS = 1_000_000
+# Changes that a poll may be behind; one that is further behind is told to
+# list all items again.
+MAX_CHANGES = 4096
+# Answers from this size on are compressed: a large configuration goes to all
+# processes of a zone at the same time.
+COMPRESSED_FROM_BYTES = 2048
+COMPRESSION_LEVEL = 1
+
+
+class Poll(NamedTuple):
+    """A call that waits for changes.
+
+    :ivar after: revision after which changes are wanted.
+    :ivar wait_s: how long it may be held open.
+    :ivar confirms: whether an answered read of the store is news, too.
+    :ivar arrived_s: when it arrived.
+    """
+
+    prefix: str
+    after: int
+    wait_s: float
+    confirms: bool
+    arrived_s: float
+
+
+class FeedRecord(NamedTuple):
+    """A change, and a time after which it was written to the store."""
+
+    change: StoreChange
+    written_after_s: float
+
+
+@final
+class ChangeFeed:
+    """Changes that this process read, for processes that poll it.
+
+    :param mirror: copy of the store of this process, of all keys.
+    :param clock: seconds that also count while the host is suspended.
+    :ivar records: changes since ``start_revision``.
+    :ivar news: set, and replaced, after each answer of the store.
+    """
+
+    def __init__(self, mirror: Mirror, clock: Callable[[], float]) -> None:
+        self.mirror = mirror
+        self.clock = clock
+        self.records: deque[FeedRecord] = deque()
+        self.start_revision = 0
+        self.news = asyncio.Event()
+
+    def record(self, changes: Iterable[StoreChange]) -> None:
+        """Record an answer of the store; the mirror has applied it."""
+        written_after_s = self.mirror.changes_written_after_s
+        self.records.extend(
+            FeedRecord(change, written_after_s) for change in changes
+        )
+        while len(self.records) > MAX_CHANGES:
+            self.start_revision = self.records.popleft().change.revision
+        self._announce()
+
+    def restart(self) -> None:
+        """Record that the mirror has been replaced by a full listing."""
+        self.records.clear()
+        self.start_revision = self.mirror.revision
+        self._announce()
+
+    async def wait(self, poll: Poll) -> FeedAnswer:
+        """Return the news for a poll, or an answer without any in the end."""
+        known_s = self.mirror.confirmed_s
+        with suppress(TimeoutError):
+            async with asyncio.timeout(poll.wait_s):
+                while not self._has_news(poll, known_s):
+                    await self.news.wait()
+        return self.answer(poll)
+
+    def answer(self, poll: Poll) -> FeedAnswer:
+        """Return what is known now."""
+        answer = self._build_answer(poll.arrived_s)
+        if poll.after < self.start_revision:
+            answer.history_lost = True
+            return answer
+        found = self._find(poll)
+        answer.changes.extend(_to_message(record.change) for record in found)
+        if found:
+            written_after_s = min(record.written_after_s for record in found)
+            answer.written_after_us = _offset_us(
+                written_after_s, poll.arrived_s
+            )
+        return answer
+
+    def listing(self, prefix: str, arrived_s: float) -> FeedAnswer:
+        """Return all items that the store has under a prefix."""
+        answer = self._build_answer(arrived_s)
+        answer.changes.extend(
+            _to_message(item)
+            for item in self.mirror.stored_items()
+            if item.key.startswith(prefix)
+        )
+        return answer
+
+    def _build_answer(self, arrived_s: float) -> FeedAnswer:
+        confirmed_us = _offset_us(self.mirror.confirmed_s, arrived_s)
+        return FeedAnswer(
+            era=self.mirror.era,
+            revision=self.mirror.revision,
+            confirmed_after_us=confirmed_us,
+            written_after_us=confirmed_us,
+        )
+
+    def _has_news(self, poll: Poll, known_s: float) -> bool:
+        if poll.confirms and self.mirror.confirmed_s > known_s:
+            return True
+        return poll.after < self.start_revision or bool(self._find(poll))
+
+    def _find(self, poll: Poll) -> list[FeedRecord]:
+        return [
+            record
+            for record in self.records
+            if record.change.revision > poll.after
+            and record.change.key.startswith(poll.prefix)
+        ]
+
+    def _announce(self) -> None:
+        self.news.set()
+        self.news = asyncio.Event()
+
+
+def encode(answer: FeedAnswer) -> tuple[bytes, bool]:
+    """Return the bytes of an answer, and whether they are compressed."""
+    raw = answer.SerializeToString()
+    if len(raw) < COMPRESSED_FROM_BYTES:
+        return raw, False
+    return zlib.compress(raw, COMPRESSION_LEVEL), True
+
+
+def decode(raw: bytes, *, compressed: bool) -> FeedAnswer:
+    """Return an answer from its bytes.
+
+    :raises ValueError: when they cannot be decompressed.
+    :raises google.protobuf.message.DecodeError: when they are no answer.
+    """
+    try:
+        return FeedAnswer.FromString(
+            zlib.decompress(raw) if compressed else raw
+        )
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+
+
+def changes_of(answer: FeedAnswer) -> Iterable[StoreChange]:
+    """Return the changes in an answer."""
+    return tuple(_from_message(change) for change in answer.changes)
+
+
+def _offset_us(at_s: float, arrived_s: float) -> int:
+    return int((at_s - arrived_s) * MICROSECONDS)
+
+
+def _to_message(change: StoreChange) -> FeedChange:
+    match change:
+        case StoreItem(key, value, revision, lease_id):
+            return FeedChange(
+                key=key, revision=revision, value=value, lease_id=lease_id
+            )
+        case Removal(key, revision):
+            return FeedChange(key=key, revision=revision, removed=True)
+
+
+def _from_message(message: FeedChange) -> StoreChange:
+    if message.removed:
+        return Removal(message.key, int(message.revision))
+    return StoreItem(
+        message.key,
+        message.value,
+        int(message.revision),
+        int(message.lease_id),
+    )
--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -3,7 +3,12 @@
 from collections.abc import Iterable
 from typing import final
 
-from bramleylug.store.changes import Removal, StoreChange, StoreItem
+from bramleylug.store.changes import (
+    ReaderTimes,
+    Removal,
+    StoreChange,
+    StoreItem,
+)
 
 # According to the platform, the owners of leased items that expired during an
 # outage of the store need about two seconds to write them again.
@@ -89,6 +94,37 @@
         self.confirmed_s = max(self.confirmed_s, sent_s)
         return ends_outage
 
+    def confirm_relayed(
+        self, sent_s: float, now_s: float, times: ReaderTimes
+    ) -> bool:
+        """Record an answer that another process passed on.
+
+        :param sent_s: when that process was called.
+        :returns: whether this ends an outage.
+        """
+        ends_outage = self.loaded and now_s - self.confirmed_s > self.outage_s
+        confirmed_s = sent_s + times.confirmed_after_s
+        self.answered_s = max(self.answered_s, confirmed_s)
+        self.changes_written_after_s = sent_s + times.written_after_s
+        if confirmed_s > self.confirmed_s:
+            self.confirmed_s = confirmed_s
+            if ends_outage:
+                self.recovered_s = now_s
+                return True
+        return False
+
+    def stored_items(self) -> Iterable[StoreItem]:
+        """Return the items that the store has, as far as known.
+
+        Those whose removal is deferred are not among them.
+        """
+        held = [
+            item
+            for key, item in self.items.items()
+            if key not in self.deferred_removals
+        ]
+        return [*held, *self.withheld_items.values()]
+
     def apply(
         self, changes: Iterable[StoreChange], revision: int, now_s: float
     ) -> list[StoreChange]:
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -7,12 +7,14 @@
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.changes import (
     HistoryLost,
+    Page,
     StoreChange,
     StoreChanges,
     StoreItem,
     StoreUnavailable,
     WatchableStore,
 )
+from bramleylug.store.feed import ChangeFeed
 from bramleylug.store.mirror import Mirror
 
 RETRY_MIN_S = 0.1
@@ -53,6 +55,7 @@
         self.on_changes = on_changes
         self.clock = clock
         self.mirror = Mirror(outage_s=2 * wait_s + OUTAGE_MARGIN_S)
+        self.feed = ChangeFeed(self.mirror, clock)
         self.must_reload = True
         self.failures = 0
 
@@ -88,9 +91,11 @@
                 # Revisions of another era say nothing about this one.
                 self.must_reload = True
             case StoreChanges(changes=changes, revision=revision):
-                self._confirm(sent_s, answer.first_byte_after_s)
+                self._confirm(sent_s, answer)
                 now_s = self.clock()
-                self._notify(self.mirror.apply(changes, revision, now_s))
+                applied = self.mirror.apply(changes, revision, now_s)
+                self.feed.record(changes)
+                self._notify(applied)
                 if changes:
                     # Changes made meanwhile arrive with the next call.
                     await asyncio.sleep(self.batch_s)
@@ -98,7 +103,7 @@
     async def _reload(self) -> None:
         sent_s = self.clock()
         page = await self.store.list_page(self.prefix, '')
-        first_revision = page.revision
+        first_page, first_revision = page, page.revision
         items: list[StoreItem] = list(page.items)
         era = page.era
         while page.more and page.items:
@@ -107,12 +112,13 @@
             if page.era != era:
                 raise StoreUnavailable('store was restored during a listing')
         self._log_restore(era, first_revision)
-        self._confirm(sent_s)
+        self._confirm(sent_s, first_page)
         # The pages are no snapshot: the watch resumes at the revision of the
         # first one, so that changes made between two pages are not missed.
         changes = self.mirror.replace(items, first_revision, self.clock(), era)
         self.mirror.revision = first_revision
         self.must_reload = False
+        self.feed.restart()
         self._notify(changes)
 
     def _log_restore(self, era: int, revision: int) -> None:
@@ -120,10 +126,19 @@
         if self.mirror.loaded and era != held:
             emit(LogEvent.store_restored, era=era, held=held, revision=revision)
 
-    def _confirm(self, sent_s: float, first_byte_after_s: float = 0) -> None:
+    def _confirm(self, sent_s: float, answer: Page | StoreChanges) -> None:
         now_s = self.clock()
         age_s = self.mirror.age_s(now_s)
-        if self.mirror.confirm(sent_s, now_s, first_byte_after_s):
+        match answer:
+            case (
+                Page(reader_times=times) | StoreChanges(reader_times=times)
+            ) if times is not None:
+                recovered = self.mirror.confirm_relayed(sent_s, now_s, times)
+            case StoreChanges(first_byte_after_s=after_s):
+                recovered = self.mirror.confirm(sent_s, now_s, after_s)
+            case Page():
+                recovered = self.mirror.confirm(sent_s, now_s)
+        if recovered:
             emit(LogEvent.store_reachable, away_s=round(age_s, 2))
         self.failures = 0
 
--- a/testing/platform/cluster.py
+++ b/testing/platform/cluster.py
@@ -96,6 +96,7 @@
             caller_bind=free_address(),
             ready_bind=free_address(),
             directory_bind=free_address(),
+            feed_bind=free_address(),
             **{'stop_time': 3.0, 'keep_addresses': 0.2, **fields},
         )
         daemon = RelayDaemon(settings, PlatformAdapter(settings.store))
--- /dev/null
+++ b/testing/store/test_feed.py
@@ -0,0 +1,279 @@
+"""Tests of reading the store through another process of the zone."""
+
+import asyncio
+import unittest
+
+from bramleylug.store.changes import HistoryLost, Removal, StoreItem
+from bramleylug.store.feed import (
+    MAX_CHANGES,
+    ChangeFeed,
+    Poll,
+    changes_of,
+    decode,
+    encode,
+)
+from bramleylug.store.mirror import Mirror
+from bramleylug.store.zone_store import AVOID_S, ZoneStore, times_of
+from bramleylug.web.http_client import CallAnswer
+from bramleylug.wire.feed_pb2 import FeedAnswer
+from testing.store.scripted import ScriptedStore
+from testing.virtual_time import in_virtual_time
+
+
+def item(key: str, revision: int, value: bytes = b'') -> StoreItem:
+    """Return an item without a lease."""
+    return StoreItem(key, value, revision)
+
+
+class Reader:
+    """A process that reads the store and passes it on.
+
+    :ivar now_s: its clock.
+    """
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self.mirror = Mirror(3.0)
+        self.feed = ChangeFeed(self.mirror, lambda: self.now_s)
+        self.mirror.replace([item('a', 5)], 5, self.now_s, era=1)
+        self.mirror.confirm(self.now_s, self.now_s)
+        self.feed.restart()
+
+    def read(self, *changes, revision=6) -> None:
+        """Read changes from the store now."""
+        self.mirror.confirm(self.now_s, self.now_s)
+        self.mirror.apply(changes, revision, self.now_s)
+        self.feed.record(changes)
+
+    def poll(self, after=5, *, prefix='', wait_s=1.0, confirms=False):
+        """Return a poll that arrives now."""
+        return Poll(prefix, after, wait_s, confirms, self.now_s)
+
+
+class TestChangeFeed(unittest.TestCase):
+    """A poll gets what changed, and how old that knowledge is."""
+
+    def setUp(self) -> None:
+        self.reader = Reader()
+
+    def test_changes_after_the_revision_are_passed_on(self) -> None:
+        """Only those under the prefix."""
+        self.reader.read(item('a', 6), item('b', 7), Removal('a', 8))
+
+        answer = self.reader.feed.answer(self.reader.poll(6, prefix='a'))
+
+        self.assertEqual(list(changes_of(answer)), [Removal('a', 8)])
+
+    def test_confirmation_is_as_old_as_the_read_of_the_store(self) -> None:
+        """Relative to the arrival of the poll: clocks may differ."""
+        self.reader.now_s = 101.5
+
+        answer = self.reader.feed.answer(self.reader.poll())
+
+        self.assertEqual(answer.confirmed_after_us, -1_500_000)
+
+    def test_changes_count_from_the_read_before_the_first_of_them(self) -> None:
+        """Time limits for a change may have begun as early as that."""
+        self.reader.now_s = 101.0
+        self.reader.read(item('a', 6))
+        self.reader.now_s = 102.0
+        self.reader.read(item('b', 7), revision=7)
+
+        answer = self.reader.feed.answer(self.reader.poll())
+
+        self.assertEqual(answer.written_after_us, -2_000_000)
+
+    def test_poll_that_is_too_far_behind_must_list(self) -> None:
+        """The feed keeps a bounded number of changes."""
+        changes = [item('a', 6 + number) for number in range(MAX_CHANGES + 1)]
+        self.reader.read(*changes, revision=6 + MAX_CHANGES)
+
+        lost = self.reader.feed.answer(self.reader.poll(5)).history_lost
+        kept = self.reader.feed.answer(self.reader.poll(6)).history_lost
+
+        self.assertEqual((lost, kept), (True, False))
+
+    def test_listing_lacks_what_the_store_no_longer_has(self) -> None:
+        """The reader itself keeps it for a while after an outage."""
+        leased = StoreItem('engine', b'', 6, 7)
+        self.reader.read(leased)
+        self.reader.now_s = 110.0
+        self.reader.read(Removal('engine', 7), revision=7)
+
+        listing = self.reader.feed.listing('', self.reader.now_s)
+
+        self.assertIn('engine', self.reader.mirror.items)
+        self.assertEqual(list(changes_of(listing)), [item('a', 5)])
+
+    def test_large_answers_are_compressed(self) -> None:
+        """A configuration goes to all processes of a zone at once."""
+        self.reader.read(item('config', 6, b'route ' * 10_000))
+        answer = self.reader.feed.answer(self.reader.poll())
+
+        raw, compressed = encode(answer)
+
+        self.assertTrue(compressed)
+        self.assertLess(len(raw), 2000)
+        self.assertEqual(decode(raw, compressed=True), answer)
+
+    @in_virtual_time
+    async def test_poll_waits_for_news_under_its_prefix(self) -> None:
+        waiting = asyncio.create_task(
+            self.reader.feed.wait(self.reader.poll(prefix='b'))
+        )
+        await asyncio.sleep(0.1)
+        self.reader.read(item('a', 6))
+        await asyncio.sleep(0.1)
+        self.assertFalse(waiting.done())
+        self.reader.read(item('b', 7), revision=7)
+        answer = await waiting
+
+        self.assertEqual(list(changes_of(answer)), [item('b', 7)])
+
+    @in_virtual_time
+    async def test_confirmation_ends_the_poll_of_a_relay(self) -> None:
+        """Also when nothing has changed."""
+        waiting = asyncio.create_task(
+            self.reader.feed.wait(self.reader.poll(confirms=True))
+        )
+        await asyncio.sleep(0.1)
+        self.reader.now_s = 100.9
+        self.reader.read(revision=5)
+        answer = await waiting
+
+        self.assertEqual(answer.confirmed_after_us, 900_000)
+
+    @in_virtual_time
+    async def test_poll_without_news_is_answered_in_the_end(self) -> None:
+        answer = await self.reader.feed.wait(self.reader.poll(wait_s=1.0))
+
+        self.assertEqual(list(answer.changes), [])
+
+
+class ScriptedClients:
+    """Answers the calls of a reader with one message, or fails."""
+
+    def __init__(self) -> None:
+        self.answer: FeedAnswer | None = None
+        self.targets: list[str] = []
+
+    async def get(self, address, target, *, timeout_s):
+        self.targets.append(target)
+        if self.answer is None:
+            raise OSError('no reader')
+        raw, compressed = encode(self.answer)
+        headers = {'content-encoding': 'deflate'} if compressed else {}
+        return CallAnswer(200, raw, 0.0, headers)
+
+
+class TestZoneStore(unittest.IsolatedAsyncioTestCase):
+    """The store is called where the reader is of no use."""
+
+    def setUp(self) -> None:
+        self.now_s = 100.0
+        self.store = ScriptedStore(HistoryLost(), HistoryLost())
+        self.clients = ScriptedClients()
+        self.address = 'relay-1:82'
+        self.zone_store = ZoneStore(
+            self.store,
+            lambda: self.address,
+            lambda: self.now_s,
+            max_age_s=2.0,
+            confirms=True,
+        )
+        self.zone_store.clients = self.clients
+
+    def let_reader_answer(self, **fields) -> None:
+        self.clients.answer = FeedAnswer(
+            **{
+                'era': 1,
+                'revision': 6,
+                'confirmed_after_us': -500_000,
+                **fields,
+            }
+        )
+
+    async def wait(self):
+        return await self.zone_store.wait_for_changes('', 5, 1.0)
+
+    async def test_answer_of_the_reader_carries_its_age(self) -> None:
+        self.let_reader_answer()
+
+        answer = await self.wait()
+
+        self.assertEqual((answer.revision, self.store.calls), (6, []))
+        self.assertEqual(answer.reader_times.confirmed_after_s, -0.5)
+
+    async def test_old_answer_of_the_reader_is_not_used(self) -> None:
+        """The reader is cut off, was frozen, or is turned away alone."""
+        self.let_reader_answer(confirmed_after_us=-2_100_000)
+
+        await self.wait()
+
+        self.assertEqual(self.store.calls, [('wait', 5)])
+
+    async def test_reader_in_an_earlier_era_is_not_used(self) -> None:
+        self.store.era = 2
+        self.let_reader_answer(era=1)
+
+        await self.wait()
+
+        self.assertEqual(self.store.calls, [('wait', 5)])
+
+    async def test_failed_reader_is_avoided_for_a_while(self) -> None:
+        """The call itself goes on at the store, at once."""
+        await self.wait()
+        await self.wait()
+        self.assertEqual(len(self.clients.targets), 1)
+        self.assertEqual(len(self.store.calls), 2)
+        self.now_s += AVOID_S
+        self.let_reader_answer()
+
+        await self.wait()
+
+        self.assertEqual(len(self.clients.targets), 2)
+
+    async def test_process_without_a_reader_calls_the_store(self) -> None:
+        self.address = ''
+
+        await self.wait()
+
+        self.assertEqual((self.clients.targets, len(self.store.calls)), ([], 1))
+
+    async def test_leases_go_to_the_store(self) -> None:
+        """A reader does not act for others."""
+        self.let_reader_answer()
+
+        await self.zone_store.grant_lease(3.0)
+        await self.zone_store.put('key', b'', 1)
+
+        self.assertEqual(
+            [call[0] for call in self.store.calls], ['grant', 'put']
+        )
+
+
+class TestMirrorBehindAReader(unittest.TestCase):
+    """Confirmations that were passed on count from the call of the reader."""
+
+    def test_confirmation_counts_from_the_sending_of_the_call(self) -> None:
+        """The reader's offset holds from then on, however slow the answer."""
+        reader = Reader()
+        reader.now_s = 100.4
+        answer = reader.feed.answer(reader.poll())
+        mirror = Mirror(3.0)
+        self.confirm(mirror, 7.0, 9.0, answer)
+
+        self.assertAlmostEqual(mirror.age_s(9.0), 2.4)
+
+    def test_older_confirmation_changes_nothing(self) -> None:
+        """The process has called the store itself since."""
+        reader = Reader()
+        reader.now_s = 103.0
+        mirror = Mirror(3.0)
+        mirror.confirm(8.0, 8.0)
+        self.confirm(mirror, 8.5, 8.6, reader.feed.answer(reader.poll()))
+
+        self.assertEqual(mirror.age_s(9.0), 1.0)
+
+    def confirm(self, mirror, sent_s, now_s, answer) -> None:
+        mirror.confirm_relayed(sent_s, now_s, times_of(answer))
