Control traffic and idle work: remote peers take turns, idle timers rest

Cause: every process sent at least one heartbeat a second to every relay, so that 154 processes sent some 18,000 datagrams a second; timers of 0.05 to 0.1 s woke processes that had nothing to do.

Change: with more than 25 remote relays, ten of them a second get a heartbeat in turn; a change that all must know is still sent to all at once, and what is heard is passed on. The silence of a remote peer then says nothing, and the load of an engine counts at least what its loader reads. A report of weights holds until the engine's record has been written since. Queues, deferred removals, holdings and the engine's report are looked at rarely while nothing waits or changes.

--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -56,6 +56,8 @@
 # Time from the start of draining until the process may end.
 DRAIN_S = 0.3
 CONFIGURATION_CHECK_S = 2.0
+# How often changes of the held chunks are looked for between transfers.
+IDLE_INTERVAL_S = 0.3
 CONFIGURATION_RETRY_S = 0.3
 
 
@@ -261,7 +263,11 @@
         """Send other loaders heartbeats with the chunks held here."""
         schedule = HoldingsSchedule(self.settings.region)
         while True:
-            await asyncio.sleep(HOLDINGS_INTERVAL_S)
+            await asyncio.sleep(
+                HOLDINGS_INTERVAL_S
+                if schedule.is_active(self.clock())
+                else IDLE_INTERVAL_S
+            )
             states = [
                 self._transfer_state(chunk_store)
                 for chunk_store in self.chunk_stores.by_version.values()
--- a/src/bramleylug/loader/downloader.py
+++ b/src/bramleylug/loader/downloader.py
@@ -15,7 +15,7 @@
 from bramleylug.weights.peers import FailureReason
 from bramleylug.wire.beats_pb2 import TransferState
 
-INTERVAL_S = 0.1
+INTERVAL_S = 0.2
 MANIFEST_RETRY_S = 0.3
 # Within this time of its start, a transfer should have read one copy of every
 # chunk from the origin.
--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -9,6 +9,7 @@
     ChunkStores,
     matches_manifest,
 )
+from bramleylug.loader.downloader import TargetVersion
 from bramleylug.loader.engine import EngineUnavailable, LocalEngine
 from bramleylug.loader.policy import (
     AnnounceClosing,
@@ -21,6 +22,8 @@
 from bramleylug.relay.upstreams import UpstreamReport
 
 INTERVAL_S = 0.1
+# While the engine holds the newest weights, only its load changes.
+IDLE_INTERVAL_S = 0.3
 
 
 class EngineContext(Protocol):
@@ -29,6 +32,9 @@
     def model(self) -> str:
         """Return the model of the service; empty while it is unknown."""
 
+    def target_version(self) -> TargetVersion | None:
+        """Return the version to hold; ``None`` while it is unknown."""
+
     def observe(
         self, ready_version: int, engine: EngineState | None
     ) -> Observation:
@@ -65,13 +71,22 @@
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
-            await asyncio.sleep(INTERVAL_S)
+            await asyncio.sleep(
+                IDLE_INTERVAL_S if self._is_idle() else INTERVAL_S
+            )
             model = self.context.model()
             if model:
                 await self._read_report(model)
             if self.state is not None:
                 await self._step()
 
+    def _is_idle(self) -> bool:
+        target = self.context.target_version()
+        if target is None or self.state is None:
+            return False
+        is_loading = self.state.busy or self.policy.closing
+        return not is_loading and self.state.can_serve(target.version)
+
     async def _read_report(self, model: str) -> None:
         try:
             decoded = await self.engine.report(model, self.clock())
--- a/src/bramleylug/loader/holdings_schedule.py
+++ b/src/bramleylug/loader/holdings_schedule.py
@@ -21,6 +21,7 @@
     HOLDINGS_INTERVAL_S,
     SAME_REGION_MESSAGES_PER_S,
     REMOTE_REGION_MESSAGES_PER_S,
+    REMOTE_REGION_MESSAGES_PER_S,
 )
 # After a change, heartbeats go on for two of the longest intervals, because a
 # datagram may be lost.
@@ -44,6 +45,10 @@
         self.known_peers: frozenset[tuple[str, int]] = frozenset()
         self.changed_s = float('-inf')
 
+    def is_active(self, now_s: float) -> bool:
+        """Return whether heartbeats are being sent."""
+        return now_s - self.changed_s <= REPEAT_S
+
     def due(
         self,
         states: Sequence[TransferState],
@@ -57,6 +62,6 @@
             self.states = list(states)
             self.changed_s = now_s
         self.known_peers = known_peers
-        if now_s - self.changed_s > REPEAT_S:
+        if not self.is_active(now_s):
             return []
         return self.schedule.due(live_peers, now_s)
--- a/src/bramleylug/relay/cluster_view.py
+++ b/src/bramleylug/relay/cluster_view.py
@@ -168,6 +168,8 @@
         previous = None if known is None else known.record
         upstream = self.upstreams.register(record)
         self._limit_cold_start(upstream)
+        if previous is None or previous.weights != record.weights:
+            upstream.weights_written_s = self.clock()
         if previous != record:
             emit(
                 LogEvent.upstream_updated,
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -37,6 +37,7 @@
 
     :ivar queues: waiting requests by service.
     :ivar waiters: event that wakes a waiting request, by its token.
+    :ivar has_waiting: set while requests wait.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         self.queues: dict[str, WaitQueue] = {}
         self.waiters: dict[int, asyncio.Event] = {}
         self.tokens = numbers()
+        self.has_waiting = asyncio.Event()
         view.on_change = self.wake_waiting
 
     async def assign(
@@ -103,8 +105,11 @@
     async def run(self) -> None:
         """Wake waiting requests at a fixed interval, until cancelled."""
         while True:
+            await self.has_waiting.wait()
             await asyncio.sleep(RETRY_INTERVAL_S)
             self.wake_waiting()
+            if not self.waiters:
+                self.has_waiting.clear()
 
     async def _wait(
         self,
@@ -142,6 +147,7 @@
         """Wait until woken; return ``False`` if the time has run out."""
         woken = asyncio.Event()
         self.waiters[arrival.token] = woken
+        self.has_waiting.set()
         queue.push(arrival)
         try:
             async with asyncio.timeout(until_s - self.clock()):
--- a/src/bramleylug/relay/heartbeat_schedule.py
+++ b/src/bramleylug/relay/heartbeat_schedule.py
@@ -1,13 +1,15 @@
 """Schedule of heartbeats: peers in remote regions get them less often.
 
 Limits control traffic, which otherwise grows with the square of the number
-of processes.
+of processes. In a large fleet, remote peers get heartbeats in turn only: what
+has to reach all of them is passed on by those that hear it, and a change that
+they must know at once is sent to all outside of the schedule.
 """
 
 from collections.abc import Iterable
 from typing import NamedTuple, final
 
-from bramleylug.relay.peers import PeerRecord
+from bramleylug.relay.peers import MAX_DIRECT_PEERS, PeerRecord
 
 # Longest interval for any number of peers: reports expire after 1.5 times this.
 MAX_INTERVAL_S = 1.0
@@ -24,11 +26,14 @@
         region together, unless that makes the interval of a peer longer than
         :data:`MAX_INTERVAL_S`.
     :ivar remote_per_s: the same for all other peers.
+    :ivar turns_per_s: messages per second to more remote peers than
+        :data:`MAX_DIRECT_PEERS`, which take turns.
     """
 
     min_interval_s: float
     local_per_s: float
     remote_per_s: float
+    turns_per_s: float
 
 
 @final
@@ -43,6 +48,7 @@
         self.rates = rates
         self.local_due_s = float('-inf')
         self.remote_due_s = float('-inf')
+        self.next_turn = 0
 
     def due(
         self, peers: Iterable[PeerRecord], now_s: float
@@ -59,11 +65,23 @@
             )
             due.extend(local)
         if now_s >= self.remote_due_s - EARLY_S:
+            due.extend(self._due_remote(remote, now_s))
+        return due
+
+    def _due_remote(
+        self, remote: list[PeerRecord], now_s: float
+    ) -> Iterable[PeerRecord]:
+        if len(remote) <= MAX_DIRECT_PEERS:
             self.remote_due_s = now_s + self._interval_s(
                 len(remote), self.rates.remote_per_s
             )
-            due.extend(remote)
-        return due
+            return remote
+        interval_s = self.rates.min_interval_s
+        self.remote_due_s = now_s + interval_s
+        count = max(1, round(self.rates.turns_per_s * interval_s))
+        first = self.next_turn % len(remote)
+        self.next_turn = first + count
+        return [*remote, *remote][first : first + count]
 
     def _interval_s(self, count: int, per_s: float) -> float:
         longest_s = max(MAX_INTERVAL_S, self.rates.min_interval_s)
--- a/src/bramleylug/relay/heartbeats.py
+++ b/src/bramleylug/relay/heartbeats.py
@@ -20,12 +20,14 @@
 # A heartbeat has about 200 bytes; the rates keep all heartbeats of a host
 # below the 17 kB/s that control traffic may use at the target cluster size.
 HEARTBEAT_INTERVAL_S = 0.2
-SAME_REGION_HEARTBEATS_PER_S = 40.0
+SAME_REGION_HEARTBEATS_PER_S = 30.0
 REMOTE_REGION_HEARTBEATS_PER_S = 30.0
+TURNS_PER_S = 10.0
 HEARTBEAT_RATES = HeartbeatRates(
     HEARTBEAT_INTERVAL_S,
     SAME_REGION_HEARTBEATS_PER_S,
     REMOTE_REGION_HEARTBEATS_PER_S,
+    TURNS_PER_S,
 )
 
 
--- a/src/bramleylug/relay/peers.py
+++ b/src/bramleylug/relay/peers.py
@@ -16,6 +16,9 @@
 # With fewer relays than this in its region, a caller also gets remote ones.
 MIN_SAME_REGION = 1
 MAX_ADDRESSES = 64
+# Relays of other regions that a process sends every heartbeat to; more of them
+# take turns, so that the silence of one of them says nothing.
+MAX_DIRECT_PEERS = 25
 
 
 @final
@@ -214,6 +217,18 @@
         if is_fresh and record.name in self.in_store:
             return True
         heartbeat = self.last_heartbeats.get(record.name)
-        if heartbeat is None or heartbeat.boot < record.boot:
+        if heartbeat is not None and heartbeat.boot >= record.boot:
+            if now_s - heartbeat.received_s < HEARTBEAT_TTL_S:
+                return True
+        # Its silence means nothing where it sends to its remote peers in turn.
+        return record.name in self.in_store and self._takes_turns(record)
+
+    def _takes_turns(self, record: PeerRecord) -> bool:
+        """Return whether a peer is one of too many in other regions."""
+        if record.region == self.own().region:
             return False
-        return now_s - heartbeat.received_s < HEARTBEAT_TTL_S
+        relay_count = sum(
+            peer.role is Role.relay and peer.region != record.region
+            for peer in self.in_store.values()
+        )
+        return relay_count > MAX_DIRECT_PEERS
--- a/src/bramleylug/relay/upstreams.py
+++ b/src/bramleylug/relay/upstreams.py
@@ -61,6 +61,8 @@
     """State of an engine as its loader last read it.
 
     :ivar closing: whether the loader is about to load other weights.
+    :ivar own_running: requests of this process that ran there when the report
+        was received.
     """
 
     started_ms: int
@@ -69,6 +71,7 @@
     weights: Mapping[str, HeldWeights]
     closing: bool
     received_s: float
+    own_running: int = 0
 
 
 @final
@@ -135,6 +138,7 @@
     :ivar avoid_until_s: no request is sent there before.
     :ivar failed_share: exponential moving average of the share of failed
         requests.
+    :ivar weights_written_s: when the weights in its record were read first.
     """
 
     record: UpstreamRecord
@@ -148,6 +152,7 @@
     result_count: int = 0
     cold: ColdStart | None = None
     notice: UpstreamNotice = field(default_factory=UpstreamNotice)
+    weights_written_s: float = float('-inf')
 
     @property
     def leaving(self) -> bool:
@@ -174,25 +179,36 @@
         """Return the number of running requests, as far as known.
 
         The count of this process is exact. Counts of other relays are those
-        of their last heartbeat, unless that has expired.
+        of their last heartbeat, unless that has expired. Not all of them send
+        here in a large fleet: the engine's own count tells of the others.
         """
         reported = sum(
             count
             for count, received_s in self.reported_running.values()
             if now_s - received_s < REPORT_TTL_S
         )
-        return self.running + reported
+        report = self.report
+        if report is None or now_s - report.received_s >= REPORT_TTL_S:
+            return self.running + reported
+        others = report.running + report.waiting - report.own_running
+        return self.running + max(reported, others)
 
     def free_slots(self, now_s: float) -> float:
         """Return how many more requests it can run without queueing."""
         return self.record.slots * FILL_SHARE - self.load(now_s)
 
     def weights_of(self, model: str, now_s: float) -> HeldWeights | None:
-        """Return its weights of a model, from the most recent source."""
+        """Return its weights of a model, from the most recent source.
+
+        A report holds until it expires and its record has been written since:
+        an engine writes there some time after its weights have changed.
+        """
         report = self.report
-        if report is not None and now_s - report.received_s < REPORT_TTL_S:
-            if report.started_ms == self.record.started_ms:
-                return report.weights.get(model)
+        if report is None or report.started_ms != self.record.started_ms:
+            return self.record.weights.get(model)
+        is_recent = now_s - report.received_s < REPORT_TTL_S
+        if is_recent or self.weights_written_s < report.received_s:
+            return report.weights.get(model)
         return self.record.weights.get(model)
 
     def is_closing(self, now_s: float) -> bool:
@@ -348,7 +364,7 @@
         """Record a loader's report on the upstream at an address."""
         for upstream in self.by_id.values():
             if upstream.record.address == address:
-                upstream.report = report
+                upstream.report = report._replace(own_running=upstream.running)
 
     def _notice(
         self, upstream_id: str, started_ms: int, now_s: float
--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -70,6 +70,11 @@
         """Whether all items have been read at least once."""
         return self.revision > 0
 
+    @property
+    def has_deferred(self) -> bool:
+        """Whether changes wait until they are due."""
+        return bool(self.deferred_removals or self.withheld_items)
+
     def age_s(self, now_s: float) -> float:
         return now_s - self.confirmed_s
 
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -20,6 +20,7 @@
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
 REMOVAL_CHECK_S = 0.1
+IDLE_CHECK_S = 1.0
 # After some changes arrived, further ones are collected for this share of a
 # wait before the next call.
 BATCH_SHARE = 0.12
@@ -70,7 +71,9 @@
     async def run_deferred_removals(self) -> None:
         """Apply deferred removals when they are due, until cancelled."""
         while True:
-            await asyncio.sleep(REMOVAL_CHECK_S)
+            await asyncio.sleep(
+                REMOVAL_CHECK_S if self.mirror.has_deferred else IDLE_CHECK_S
+            )
             self._notify(self.mirror.apply_due_removals(self.clock()))
 
     async def _step(self) -> None:
--- a/testing/loader/test_engine_updater.py
+++ b/testing/loader/test_engine_updater.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bramleylug.loader.chunk_store import ChunkStores
+from bramleylug.loader.downloader import TargetVersion
 from bramleylug.loader.engine import DecodedReport
 from bramleylug.loader.engine_updater import EngineUpdater
 from bramleylug.relay.upstreams import UpstreamReport
@@ -35,6 +36,9 @@
     def model(self):
         return MODEL
 
+    def target_version(self):
+        return TargetVersion(MODEL, 2)
+
     def observe(self, ready_version, engine):
         return build_observation(ready_version=ready_version, engine=engine)
 
--- a/testing/relay/test_peers.py
+++ b/testing/relay/test_peers.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from bramleylug.relay.peers import (
+    MAX_DIRECT_PEERS,
     HeartbeatStatus,
     PeerRegistry,
     Requester,
@@ -88,6 +89,17 @@
 
         self.assertEqual(self.addresses(), ['own:80'])
 
+    def test_silence_of_peers_that_take_turns_says_nothing(self) -> None:
+        """In a large fleet remote peers are heard every few seconds only."""
+        self.store_age_s = 10.0
+        for number in range(MAX_DIRECT_PEERS):
+            self.registry.add(build_peer(f'near-{number}'))
+        self.assertIn('far:80', self.addresses(region='south'))
+
+        self.registry.remove('far')
+
+        self.assertNotIn('far:80', self.addresses(region='south'))
+
     def test_heartbeat_of_an_earlier_incarnation_is_ignored(self) -> None:
         """Another incarnation has registered itself since."""
         self.registry.add(build_peer('near', boot=2))
