Relay: the limit of a version found at the start counts from the start

Cause: a relay that restarts may serve older weights for the calm window, but counted it from its first answered read of the store.

Change: counted from the start of the process, less the time spent on imports. Leases last the calm window of the site, and readers collect changes for a quarter of a wait.

--- a/src/bramleylug/platform/__main__.py
+++ b/src/bramleylug/platform/__main__.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+import time
 from argparse import Namespace
 from types import FrameType
 from typing import Any
@@ -75,7 +76,10 @@
         name=settings.name,
         zone=settings.zone,
     )
-    DaemonRunner(_build(settings, namespace.program), settings.name).run()
+    daemon = _build(settings, namespace.program)
+    # The process has spent this time with imports, at least.
+    daemon.core.view.started_s -= time.process_time()
+    DaemonRunner(daemon, settings.name).run()
     return ExitCode.ok
 
 
--- a/src/bramleylug/relay/cluster_view.py
+++ b/src/bramleylug/relay/cluster_view.py
@@ -64,6 +64,7 @@
     :ivar table: configuration in force; ``None`` before the first.
     :ivar preferred: ids of the upstreams that this relay sends to first.
     :ivar zones_out: zones that get no new requests.
+    :ivar started_s: when this process started.
     :ivar is_initial_load: whether the data of the first read of the store are
         being applied, which may have been written at any time in the past.
     :ivar on_change: called after changes of the store have been applied.
@@ -80,6 +81,7 @@
         self.clock = clock
         self.mirror = mirror
         self.is_initial_load = True
+        self.started_s = clock()
         self.table: RouteTable | None = None
         self.announced = AnnouncedConfiguration(0, float('inf'))
         self.zones_out: set[str] = set()
@@ -220,7 +222,8 @@
 
         The time limit for older versions counts from when it was set. A
         version found when this process starts may have been set at any time;
-        its limit is the calm window, after which all limits must hold.
+        its limit is the calm window after the start, however late the store
+        was read, because all limits must hold from then on.
         """
         now_s = self.clock()
         # A change may arrive late, as transfers of weights use the same link.
@@ -230,7 +233,7 @@
         )
         limit_s = None
         if self.is_initial_load:
-            set_s = now_s
+            set_s = self.started_s
             limit_s = self.settings.calm_window - INITIAL_VERSION_MARGIN_S
         if version > self.versions.newest(model):
             emit(LogEvent.target_version_changed, model=model, version=version)
--- a/src/bramleylug/relay/process.py
+++ b/src/bramleylug/relay/process.py
@@ -105,6 +105,7 @@
             self.store,
             adapter.peer_key(settings.name),
             lambda: adapter.encode_peer(self.record),
+            settings.calm_window,
         )
         self.make_heartbeat = make_heartbeat
         self.on_clean_up: Callable[[], None] = _ignore
--- a/src/bramleylug/store/presence.py
+++ b/src/bramleylug/store/presence.py
@@ -12,10 +12,10 @@
     WatchableStore,
 )
 
-# The key of a process that died disappears within this time; it is the
-# shortest lease that tolerates two lost renewals.
+# The key of a process that died disappears within this time.
 LEASE_S = 3.0
-RENEW_S = 1.0
+# A lease outlasts two lost renewals.
+RENEWALS_PER_LEASE = 3
 RETRY_S = 0.4
 
 
@@ -25,11 +25,17 @@
 
     :param describe: returns the value of the key; it is written again when it
         differs from what was written last.
+    :param lease_s: duration of the lease.
     """
 
     def __init__(
-        self, store: WatchableStore, key: str, describe: Callable[[], bytes]
+        self,
+        store: WatchableStore,
+        key: str,
+        describe: Callable[[], bytes],
+        lease_s: float = LEASE_S,
     ) -> None:
+        self.lease_s = lease_s
         self.store = store
         self.key = key
         self.describe = describe
@@ -46,7 +52,7 @@
     async def run(self) -> None:
         """Keep the key until withdrawn or cancelled."""
         while not self.withdrawn:
-            pause_s = RENEW_S
+            pause_s = self.lease_s / RENEWALS_PER_LEASE
             try:
                 await self._step()
             except LeaseEnded:
@@ -79,7 +85,7 @@
             await self.store.keep_lease(self.lease.lease_id)
         if self.lease is None or self.lease_era != self.store.era:
             # The renewal may be the first call that a new era answers.
-            self.lease = await self.store.grant_lease(LEASE_S)
+            self.lease = await self.store.grant_lease(self.lease_s)
             self.lease_era = self.store.era
             self.written = None
         value = self.describe()
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -23,7 +23,7 @@
 IDLE_CHECK_S = 1.0
 # After some changes arrived, further ones are collected for this share of a
 # wait before the next call.
-BATCH_SHARE = 0.12
+BATCH_SHARE = 0.25
 # Two waits plus this margin without an answer count as an outage.
 OUTAGE_MARGIN_S = 1.0
 MAX_DOUBLINGS = 4
--- a/testing/relay/test_request_checks.py
+++ b/testing/relay/test_request_checks.py
@@ -142,6 +142,15 @@
         self.view.record_target_version('fitting', 2)
         return self.view.versions.expires_s('fitting', 1)
 
+    def test_limit_of_a_version_found_counts_from_the_start(self) -> None:
+        """The store may answer the first read long after the start."""
+        self.now_s = 102.5
+        self.view.record_target_version('fitting', 2)
+
+        self.assertAlmostEqual(
+            self.view.versions.expires_s('fitting', 1), 102.7
+        )
+
     def test_limit_counts_from_the_previous_read(self) -> None:
         """The target may have been set just after that was answered."""
         self.view.is_initial_load = False
