Loader: manifests from few readers, staging in parallel

Cause: when a version was named, every loader asked every other for its manifest and then read it twice from the origin, which grows with the square of the fleet; before each transfer all staged chunks were read one after the other, and before each load each chunk was read, written and read again in turn, 288 calls for 96 chunks.

Change: eight hosts read the manifest at once, eight more every 0.2 s, and a host asks three peers that announced chunks of the version; staged chunks are reused by the first transfer of a process only; chunks are staged and read back four at a time, once each.

Measured: a swarm of 40 hosts in virtual time reads the manifest at most 32 times; staging 12 chunks with 10 ms a call takes under 0.15 s.

--- a/src/bramleylug/loader/downloader.py
+++ b/src/bramleylug/loader/downloader.py
@@ -10,13 +10,19 @@
 from bramleylug.loader.transfer import Transfer, TransferContext
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import WEIGHTS_PROGRESS
+from bramleylug.relay.peers import PeerRecord
+from bramleylug.routing.rendezvous import rank
 from bramleylug.weights.chunk_sets import all_chunks, from_bytes
 from bramleylug.weights.manifest import Manifest
 from bramleylug.weights.peers import FailureReason
 from bramleylug.wire.beats_pb2 import TransferState
 
 INTERVAL_S = 0.2
-MANIFEST_RETRY_S = 0.3
+MANIFEST_RETRY_S = 0.2
+# Hosts that read the manifest of a new version from the origin at once, and
+# peers that one host asks for it.
+MANIFEST_READERS = 8
+MANIFEST_PEERS = 3
 # Within this time of its start, a transfer should have read one copy of every
 # chunk from the origin.
 SEEDING_S = 3.0
@@ -45,6 +51,10 @@
         and name.
     :ivar fallback_version: older version that is being finished because the
         target cannot be obtained; 0 for none.
+    :ivar wanted: version whose manifest is being fetched.
+    :ivar wanted_since_s: since when.
+    :ivar may_be_staged: whether an earlier process may have staged chunks
+        that this one has not read yet.
     """
 
     def __init__(
@@ -62,6 +72,9 @@
         self.origin_monitor = OriginMonitor(context.origin, context.clock)
         self.context = context._replace(origin=self.origin_monitor)
         self.fallback_version = 0
+        self.wanted: TargetVersion | None = None
+        self.wanted_since_s = float('-inf')
+        self.may_be_staged = True
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -202,14 +215,19 @@
     async def _reuse_staged_chunks(self, chunk_store: ChunkStore) -> None:
         """Add the valid chunks in the engine's staging area to the store.
 
-        If the first one is absent, none is staged.
+        If the first one is absent, none is staged. Later versions than the
+        first are staged by this process itself, from its memory.
         """
+        if not self.may_be_staged:
+            return
+        self.may_be_staged = False
         model = chunk_store.manifest.model
         for index, _ in enumerate(chunk_store.manifest.chunk_hashes):
             try:
                 staged_chunk = await self.engine.read_staged(model, index)
             except EngineUnavailable:
                 # The engine is down; the engine updater logs that.
+                self.may_be_staged = True
                 return
             if staged_chunk is None and not index:
                 return
@@ -217,10 +235,16 @@
                 chunk_store.add(index, staged_chunk)
 
     async def _fetch_manifest(self, target: TargetVersion) -> Manifest | None:
-        """Return the manifest from a peer, otherwise from the origin."""
+        """Return the manifest from a peer, otherwise from the origin.
+
+        In a large fleet a few hosts read it from the origin, and the others
+        get it from them.
+        """
         manifest = await self._fetch_manifest_from_peers(target)
         if manifest is not None:
             return manifest
+        if not self._may_read_manifest(target):
+            return None
         try:
             return await self._fetch_manifest_from_origin(target)
         except FetchFailed as error:
@@ -246,17 +270,45 @@
             raise FetchFailed(FailureReason.corrupt, 'two manifests differ')
         return manifest
 
+    def _may_read_manifest(self, target: TargetVersion) -> bool:
+        """Return whether it is this host's turn to read the origin.
+
+        Each :data:`MANIFEST_RETRY_S`, :data:`MANIFEST_READERS` more hosts may.
+        """
+        now_s = self.context.clock()
+        if target != self.wanted:
+            self.wanted = target
+            self.wanted_since_s = now_s
+        name = self.context.name
+        names = [name, *(peer.name for peer in self.context.peers())]
+        position = rank(f'{target.model}@{target.version}', names).index(name)
+        turn = position // MANIFEST_READERS
+        return now_s - self.wanted_since_s >= turn * MANIFEST_RETRY_S
+
+    def _manifest_peers(self, target: TargetVersion) -> list[PeerRecord]:
+        """Return peers to ask: those that announced chunks of the version.
+
+        If none did, some that may have it and stopped announcing it.
+        """
+        announced = self.peer_states.get(target.version, {})
+        peers = {peer.name: peer for peer in self.context.peers()}
+        names = [name for name in peers if name in announced] or list(peers)
+        return [
+            peers[name]
+            for name in rank(self.context.name, names)[:MANIFEST_PEERS]
+        ]
+
     async def _fetch_manifest_from_peers(
         self, target: TargetVersion
     ) -> Manifest | None:
-        """Ask all peers concurrently; return the first manifest received."""
+        """Ask some peers concurrently; return the first manifest received."""
         if not target.version:
             return None
         requests = [
             asyncio.create_task(
                 self.context.client.manifest(peer, target.model, target.version)
             )
-            for peer in self.context.peers()
+            for peer in self._manifest_peers(target)
         ]
         try:
             for request in asyncio.as_completed(requests):
--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -24,6 +24,8 @@
 INTERVAL_S = 0.1
 # While the engine holds the newest weights, only its load changes.
 IDLE_INTERVAL_S = 0.3
+# Concurrent calls to the engine while chunks are staged.
+PARALLEL_CALLS = 4
 
 
 class EngineContext(Protocol):
@@ -80,6 +82,25 @@
             if self.state is not None:
                 await self._step()
 
+    async def stage(self, chunk_store: ChunkStore) -> None:
+        """Stage missing and corrupt chunks; verify all by reading them back.
+
+        Chunks that were staged before may have become corrupt since.
+
+        :raises EngineUnavailable: also if a chunk is corrupt when read back.
+        """
+        limit = asyncio.Semaphore(PARALLEL_CALLS)
+        failures = await asyncio.gather(
+            *(
+                self._stage_chunk(chunk_store, index, limit)
+                for index in chunk_store.chunks
+            ),
+            return_exceptions=True,
+        )
+        for failure in failures:
+            if failure is not None:
+                raise failure
+
     def _is_idle(self) -> bool:
         target = self.context.target_version()
         if target is None or self.state is None:
@@ -121,7 +142,7 @@
     async def _load(self, chunk_store: ChunkStore, order: LoadWeights) -> None:
         weights = f'{chunk_store.manifest.model}@{chunk_store.manifest.version}'
         try:
-            await self._stage(chunk_store)
+            await self.stage(chunk_store)
             accepted = await self.engine.load(
                 chunk_store.manifest,
                 order.after_orders,
@@ -137,19 +158,15 @@
             emit(LogEvent.load_failed, weights=weights, error='refused')
             self.policy.record_failure(self.clock())
 
-    async def _stage(self, chunk_store: ChunkStore) -> None:
-        """Stage missing and corrupt chunks; verify all by reading them back.
-
-        Chunks that were staged before may have become corrupt since.
-
-        :raises EngineUnavailable: also if a chunk is corrupt when read back.
-        """
-        for index in chunk_store.chunks:
-            if not await self._is_staged(chunk_store, index):
-                await self.engine.stage(
-                    chunk_store.manifest.model, index, chunk_store.chunks[index]
-                )
-        for index in chunk_store.chunks:
+    async def _stage_chunk(
+        self, chunk_store: ChunkStore, index: int, limit: asyncio.Semaphore
+    ) -> None:
+        async with limit:
+            if await self._is_staged(chunk_store, index):
+                return
+            await self.engine.stage(
+                chunk_store.manifest.model, index, chunk_store.chunks[index]
+            )
             if not await self._is_staged(chunk_store, index):
                 raise EngineUnavailable(f'staged chunk {index} is corrupt')
 
--- a/testing/loader/swarm.py
+++ b/testing/loader/swarm.py
@@ -38,6 +38,7 @@
 
     def __init__(self) -> None:
         self.is_up = True
+        self.manifest_reads = 0
         self.fetch_s = FETCH_S
         self.corrupt: set[int] = set()
         self.reads: list[tuple[int, int]] = []
@@ -46,6 +47,7 @@
         self, address: str, model: str, version: int
     ) -> Manifest:
         self._fail_if_down()
+        self.manifest_reads += 1
         version = version or 1
         digests = [chunk_hash(chunk) for chunk in chunks_of(version)]
         return build_manifest(model, version, CHUNK_BYTES, digests)
@@ -84,6 +86,7 @@
 
     def __init__(self, hosts: int = 4, late_host: str = '') -> None:
         self.target = 1
+        self.manifest_calls = 0
         self.late_host = late_host
         self.peer_fetch_s = FETCH_S
         self.origin = SwarmOrigin()
@@ -158,6 +161,7 @@
         return chunk_store.chunks[index]
 
     async def manifest(self, peer: Any, model: str, version: int) -> Manifest:
+        self.manifest_calls += 1
         chunk_store = self.chunk_stores[peer.name].by_version.get(version)
         if chunk_store is None:
             raise FetchFailed(FailureReason.not_held, 'manifest')
--- a/testing/loader/test_downloader.py
+++ b/testing/loader/test_downloader.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from bramleylug.loader.downloader import MANIFEST_PEERS, MANIFEST_READERS
 from testing.loader.swarm import CHUNKS, Swarm
 from testing.virtual_time import in_virtual_time
 
@@ -19,6 +20,18 @@
 
         self.assertLessEqual(reads, 1.5 * CHUNKS)
 
+    @in_virtual_time
+    async def test_few_hosts_read_the_manifest_in_a_large_fleet(self) -> None:
+        """Each of the others asks a few peers for it."""
+        async with Swarm(hosts=40) as swarm:
+            await swarm.wait_until_complete(1)
+
+            # Each reader reads it twice, to find a corrupt digest.
+            self.assertLessEqual(
+                swarm.origin.manifest_reads, 2 * 2 * MANIFEST_READERS
+            )
+            self.assertLessEqual(swarm.manifest_calls, 40 * 2 * MANIFEST_PEERS)
+
     @in_virtual_time
     async def test_host_that_joins_reads_nothing_from_the_origin(self) -> None:
         """It uses holdings that were announced before its transfer started."""
--- a/testing/loader/test_engine_updater.py
+++ b/testing/loader/test_engine_updater.py
@@ -3,11 +3,17 @@
 import asyncio
 import unittest
 
-from bramleylug.loader.chunk_store import ChunkStores
+from bramleylug.loader.chunk_store import (
+    ChunkStore,
+    ChunkStores,
+    build_manifest,
+)
 from bramleylug.loader.downloader import TargetVersion
-from bramleylug.loader.engine import DecodedReport
-from bramleylug.loader.engine_updater import EngineUpdater
+from bramleylug.loader.engine import DecodedReport, EngineUnavailable
+from bramleylug.loader.engine_updater import PARALLEL_CALLS, EngineUpdater
 from bramleylug.relay.upstreams import UpstreamReport
+from bramleylug.weights.manifest import chunk_hash
+from testing.loader.swarm import CHUNK_BYTES, chunks_of
 from testing.relay.builders import (
     MODEL,
     build_engine_state,
@@ -64,3 +70,71 @@
         task.cancel()
 
         self.assertEqual((heartbeats, context.heartbeats), (1, 2))
+
+
+class StagingEngine:
+    """An engine whose staging area may be corrupt, for good or once.
+
+    :ivar calls: number of concurrent calls, and their maximum.
+    """
+
+    def __init__(self, broken=()):
+        self.staged = {}
+        self.broken = set(broken)
+        self.running = 0
+        self.most_running = 0
+
+    async def stage(self, model, index, chunk):
+        await self.call()
+        self.staged[index] = b'rotten' if index in self.broken else chunk
+
+    async def read_staged(self, model, index):
+        await self.call()
+        return self.staged.get(index)
+
+    async def call(self):
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        await asyncio.sleep(0.01)
+        self.running -= 1
+
+
+def build_chunk_store():
+    """Return a complete version of twelve chunks."""
+    chunks = chunks_of(1)
+    manifest = build_manifest(
+        MODEL, 1, CHUNK_BYTES, [chunk_hash(chunk) for chunk in chunks]
+    )
+    chunk_store = ChunkStore(manifest)
+    for index, chunk in enumerate(chunks):
+        chunk_store.add(index, chunk)
+    return chunk_store
+
+
+class TestStaging(unittest.TestCase):
+    """A load is ordered only on chunks that were read back as they are."""
+
+    async def stage(self, engine):
+        """Return the seconds that staging a version took."""
+        clock = asyncio.get_running_loop().time
+        updater = EngineUpdater(engine, ChunkStores(), CountingContext(), clock)
+        began_s = clock()
+        await updater.stage(build_chunk_store())
+        return clock() - began_s
+
+    @in_virtual_time
+    async def test_rotten_chunks_are_replaced(self) -> None:
+        """Those that are whole are left alone."""
+        engine = StagingEngine()
+        engine.staged = {0: b'rot', 1: chunks_of(1)[1]}
+
+        took_s = await self.stage(engine)
+
+        self.assertEqual(engine.staged, dict(enumerate(chunks_of(1))))
+        self.assertLess(took_s, 0.15)
+        self.assertEqual(engine.most_running, PARALLEL_CALLS)
+
+    @in_virtual_time
+    async def test_chunk_that_stays_rotten_prevents_the_load(self) -> None:
+        with self.assertRaises(EngineUnavailable):
+            await self.stage(StagingEngine(broken=[7]))
