Cluster: what relays and loaders share moves out of the relay

Peers, heartbeats and their schedule, the core of a process, the view of the cluster with upstreams, versions, crash suspects, subsets and routes, and the settings of every process are a package of their own. Each daemon has its settings beside it.

--- a/src/bramleylug/relay/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -5,26 +5,26 @@
 from random import Random
 from typing import NamedTuple, final
 
-from bramleylug.observability.events import LogEvent, emit
-from bramleylug.relay.crash_suspects import SharedSuspects
-from bramleylug.relay.peers import (
+from bramleylug.cluster.constraints import Constraints
+from bramleylug.cluster.crash_suspects import SharedSuspects
+from bramleylug.cluster.peers import (
     HeartbeatStatus,
     PeerRecord,
     PeerRegistry,
     Role,
 )
-from bramleylug.relay.report_messages import report_from_message
-from bramleylug.relay.route_table import RouteTable
-from bramleylug.relay.settings import ProcessSettings
-from bramleylug.relay.subsetting import preferred_subset
-from bramleylug.relay.upstream_selection import Constraints
-from bramleylug.relay.upstreams import (
+from bramleylug.cluster.report_messages import report_from_message
+from bramleylug.cluster.route_table import RouteTable
+from bramleylug.cluster.settings import ProcessSettings
+from bramleylug.cluster.subsetting import preferred_subset
+from bramleylug.cluster.upstreams import (
     ColdStart,
     Upstream,
     UpstreamRecord,
     UpstreamRegistry,
 )
-from bramleylug.relay.versions import VersionRegistry
+from bramleylug.cluster.versions import VersionRegistry
+from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.mirror import Mirror
 from bramleylug.wire.beats_pb2 import Beat, Notice
 
--- a/src/bramleylug/relay/heartbeat_schedule.py
+++ b/src/bramleylug/cluster/heartbeat_schedule.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple, final
 
-from bramleylug.relay.peers import MAX_DIRECT_PEERS, PeerRecord
+from bramleylug.cluster.peers import MAX_DIRECT_PEERS, PeerRecord
 
 # Longest interval for any number of peers: reports expire after 1.5 times this.
 MAX_INTERVAL_S = 1.0
--- a/src/bramleylug/relay/heartbeats.py
+++ b/src/bramleylug/cluster/heartbeats.py
@@ -6,11 +6,11 @@
 
 from google.protobuf.message import DecodeError
 
+from bramleylug.cluster.crash_suspects import SharedSuspects
+from bramleylug.cluster.heartbeat_schedule import HeartbeatRates
+from bramleylug.cluster.upstreams import UpstreamRegistry
 from bramleylug.node.udp import parse_address
 from bramleylug.observability.events import LogEvent, emit
-from bramleylug.relay.crash_suspects import SharedSuspects
-from bramleylug.relay.heartbeat_schedule import HeartbeatRates
-from bramleylug.relay.upstreams import UpstreamRegistry
 from bramleylug.wire.beats_pb2 import Beat
 
 MILLISECONDS = 1000
--- a/src/bramleylug/relay/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -8,18 +8,18 @@
 from typing import Protocol, final
 from urllib.parse import parse_qs
 
-from bramleylug.node.loop_thread import LoopThread
-from bramleylug.observability.events import LogEvent, emit
-from bramleylug.relay.cluster_view import ClusterView
-from bramleylug.relay.heartbeat_schedule import HeartbeatSchedule
-from bramleylug.relay.heartbeats import (
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.heartbeat_schedule import HeartbeatSchedule
+from bramleylug.cluster.heartbeats import (
     HEARTBEAT_INTERVAL_S,
     HEARTBEAT_RATES,
     HeartbeatSocket,
 )
-from bramleylug.relay.peers import PeerRecord, Role
-from bramleylug.relay.settings import ProcessSettings
-from bramleylug.relay.store_readers import find_reader
+from bramleylug.cluster.peers import PeerRecord, Role
+from bramleylug.cluster.settings import ProcessSettings
+from bramleylug.cluster.store_readers import find_reader
+from bramleylug.node.loop_thread import LoopThread
+from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.changes import StoreChange, WatchableStore
 from bramleylug.store.feed import Poll, encode
 from bramleylug.store.presence import Presence
--- a/src/bramleylug/relay/report_messages.py
+++ b/src/bramleylug/cluster/report_messages.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from bramleylug.relay.upstreams import HeldWeights, UpstreamReport
+from bramleylug.cluster.upstreams import HeldWeights, UpstreamReport
 from bramleylug.wire.beats_pb2 import ReadWeights, UpstreamReading
 
 
--- a/src/bramleylug/relay/store_readers.py
+++ b/src/bramleylug/cluster/store_readers.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable
 
-from bramleylug.relay.peers import PeerRecord, Role
+from bramleylug.cluster.peers import PeerRecord, Role
 from bramleylug.routing.rendezvous import owner, rank
 
 # Each answer of the store is passed on to this many processes at most.
--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -8,6 +8,16 @@
 
 from circuits import BaseComponent
 
+from bramleylug.cluster.peers import PeerRecord, Role
+from bramleylug.cluster.process import (
+    Adapter,
+    ProcessCore,
+    boot_id,
+    uptime_s,
+)
+from bramleylug.cluster.report_messages import report_to_message
+from bramleylug.cluster.route_table import WeightsLayout
+from bramleylug.cluster.status_pages import serve_metrics
 from bramleylug.loader.chunk_store import ChunkStore, ChunkStores
 from bramleylug.loader.downloader import TargetVersion, WeightsDownloader
 from bramleylug.loader.engine import LocalEngine
@@ -21,6 +31,7 @@
     Observation,
     outdated_since_s,
 )
+from bramleylug.loader.settings import LoaderSettings
 from bramleylug.loader.sources import (
     CHUNK_PATH,
     MANIFEST_PATH,
@@ -29,17 +40,6 @@
 )
 from bramleylug.loader.transfer import TransferContext
 from bramleylug.loader.uploads import Pacer, Uploads, upload_rate_limit
-from bramleylug.relay.peers import PeerRecord, Role
-from bramleylug.relay.process import (
-    Adapter,
-    ProcessCore,
-    boot_id,
-    uptime_s,
-)
-from bramleylug.relay.report_messages import report_to_message
-from bramleylug.relay.route_table import WeightsLayout
-from bramleylug.relay.settings import LoaderSettings
-from bramleylug.relay.status_pages import serve_metrics
 from bramleylug.routing.rendezvous import rank
 from bramleylug.store.changes import (
     StoreChange,
--- a/src/bramleylug/loader/downloader.py
+++ b/src/bramleylug/loader/downloader.py
@@ -4,13 +4,13 @@
 from collections.abc import Callable
 from typing import NamedTuple, final
 
+from bramleylug.cluster.peers import PeerRecord
 from bramleylug.loader.chunk_store import ChunkStore, ChunkStores
 from bramleylug.loader.engine import EngineUnavailable, LocalEngine
 from bramleylug.loader.sources import FetchFailed, OriginMonitor
 from bramleylug.loader.transfer import Transfer, TransferContext
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import WEIGHTS_PROGRESS
-from bramleylug.relay.peers import PeerRecord
 from bramleylug.routing.rendezvous import rank
 from bramleylug.weights.chunk_sets import all_chunks, from_bytes
 from bramleylug.weights.manifest import Manifest
--- a/src/bramleylug/loader/engine.py
+++ b/src/bramleylug/loader/engine.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple, Protocol
 
+from bramleylug.cluster.upstreams import UpstreamReport
 from bramleylug.loader.policy import EngineState
-from bramleylug.relay.upstreams import UpstreamReport
 from bramleylug.weights.manifest import Manifest
 
 
--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol, final
 
+from bramleylug.cluster.upstreams import UpstreamReport
 from bramleylug.loader.chunk_store import (
     ChunkStore,
     ChunkStores,
@@ -19,7 +20,6 @@
     Observation,
 )
 from bramleylug.observability.events import LogEvent, emit
-from bramleylug.relay.upstreams import UpstreamReport
 
 INTERVAL_S = 0.1
 # While the engine holds the newest weights, only its load changes.
--- a/src/bramleylug/loader/holdings_schedule.py
+++ b/src/bramleylug/loader/holdings_schedule.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterable, Sequence
 from typing import final
 
-from bramleylug.relay.heartbeat_schedule import (
+from bramleylug.cluster.heartbeat_schedule import (
     MAX_INTERVAL_S,
     HeartbeatRates,
     HeartbeatSchedule,
 )
-from bramleylug.relay.peers import PeerRecord
+from bramleylug.cluster.peers import PeerRecord
 from bramleylug.wire.beats_pb2 import TransferState
 
 # During a transfer, loaders of the same region learn of a new chunk within a
--- a/src/bramleylug/loader/policy.py
+++ b/src/bramleylug/loader/policy.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import final
 
-from bramleylug.relay.cluster_view import VERSION_MARGIN_S
+from bramleylug.cluster.cluster_view import VERSION_MARGIN_S
 from bramleylug.store.mirror import ANSWER_LAG_S
 
 # Pause before an order that failed or had no effect is repeated.
--- a/src/bramleylug/loader/sources.py
+++ b/src/bramleylug/loader/sources.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import Protocol, final
 
-from bramleylug.relay.peers import PeerRecord
+from bramleylug.cluster.peers import PeerRecord
 from bramleylug.web.http_client import CALL_ERRORS, HttpClients
 from bramleylug.weights.manifest import Manifest, ManifestError
 from bramleylug.weights.peers import FailureReason
--- a/src/bramleylug/loader/transfer.py
+++ b/src/bramleylug/loader/transfer.py
@@ -6,10 +6,10 @@
 from random import Random
 from typing import Any, NamedTuple, final
 
+from bramleylug.cluster.peers import PeerRecord
 from bramleylug.loader.chunk_store import ChunkStore
 from bramleylug.loader.sources import FetchFailed, Origin, PeerClient
 from bramleylug.observability.events import LogEvent, emit
-from bramleylug.relay.peers import PeerRecord
 from bramleylug.weights.actions import (
     Action,
     CancelFetch,
--- a/src/bramleylug/loader/uploads.py
+++ b/src/bramleylug/loader/uploads.py
@@ -6,7 +6,7 @@
 from typing import final
 
 from bramleylug.loader.policy import EngineState
-from bramleylug.relay.settings import LoaderSettings
+from bramleylug.loader.settings import LoaderSettings
 from bramleylug.web.exchange import Exchange
 
 # Size of one write. It occupies a link of a few Mbit/s for some milliseconds,
--- a/src/bramleylug/platform/__main__.py
+++ b/src/bramleylug/platform/__main__.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from bramleylug.cli.parser import ExitCode, OneLineParser
+from bramleylug.cluster.settings import ProcessSettings
 from bramleylug.node.lifecycle import DaemonRunner
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.logs import set_up_logs
@@ -19,7 +20,6 @@
     read_document,
     relay_settings,
 )
-from bramleylug.relay.settings import ProcessSettings
 from bramleylug.settings.fields import SettingsError
 
 
--- a/src/bramleylug/platform/adapter.py
+++ b/src/bramleylug/platform/adapter.py
@@ -6,6 +6,8 @@
 from typing import final
 from urllib.parse import parse_qs
 
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.peers import PeerRecord, Role
 from bramleylug.loader.engine import LocalEngine
 from bramleylug.loader.sources import Origin
 from bramleylug.platform.decoding import CONFIG_KEY
@@ -19,10 +21,8 @@
     encode_peer,
     peer_key,
 )
-from bramleylug.relay.cluster_view import ClusterView
 from bramleylug.relay.daemon import DirectoryQuery
 from bramleylug.relay.dialect import Dialect
-from bramleylug.relay.peers import PeerRecord, Role
 from bramleylug.store.changes import StoreChange, StoreItem, WatchableStore
 from bramleylug.web.exchange import Exchange
 
--- a/src/bramleylug/platform/decoding.py
+++ b/src/bramleylug/platform/decoding.py
@@ -4,8 +4,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from bramleylug.observability.events import LogEvent, emit
-from bramleylug.relay.route_table import (
+from bramleylug.cluster.route_table import (
     CallerLimits,
     RetryPolicy,
     Route,
@@ -15,7 +14,8 @@
     WeightsLayout,
     Workspace,
 )
-from bramleylug.relay.upstreams import HeldWeights, UpstreamRecord
+from bramleylug.cluster.upstreams import HeldWeights, UpstreamRecord
+from bramleylug.observability.events import LogEvent, emit
 
 MILLISECONDS = 1000
 CONFIG_KEY = 'op/config'
--- a/src/bramleylug/platform/engines.py
+++ b/src/bramleylug/platform/engines.py
@@ -4,12 +4,12 @@
 from http import HTTPStatus
 from typing import Any, final
 
+from bramleylug.cluster.upstreams import HeldWeights, UpstreamReport
 from bramleylug.loader.chunk_store import build_manifest
 from bramleylug.loader.engine import DecodedReport, EngineUnavailable
 from bramleylug.loader.policy import EngineState
 from bramleylug.loader.sources import FetchFailed
 from bramleylug.platform.decoding import DECODING_ERRORS, decode_weights
-from bramleylug.relay.upstreams import HeldWeights, UpstreamReport
 from bramleylug.web.http_client import CALL_ERRORS, HttpClient, HttpClients
 from bramleylug.weights.manifest import Manifest
 from bramleylug.weights.peers import FailureReason
--- a/src/bramleylug/platform/settings.py
+++ b/src/bramleylug/platform/settings.py
@@ -5,11 +5,9 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from bramleylug.relay.settings import (
-    LoaderSettings,
-    ProcessSettings,
-    RelaySettings,
-)
+from bramleylug.cluster.settings import ProcessSettings
+from bramleylug.loader.settings import LoaderSettings
+from bramleylug.relay.settings import RelaySettings
 from bramleylug.settings.addresses import is_address
 from bramleylug.settings.fields import SettingsError
 
--- a/src/bramleylug/platform/store_changes.py
+++ b/src/bramleylug/platform/store_changes.py
@@ -5,6 +5,8 @@
 from dataclasses import asdict
 from typing import final
 
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.peers import PeerRecord, Role
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.platform.decoding import (
     CONFIG_KEY,
@@ -16,8 +18,6 @@
     decode_engine,
     decode_version,
 )
-from bramleylug.relay.cluster_view import ClusterView
-from bramleylug.relay.peers import PeerRecord, Role
 from bramleylug.store.changes import Removal, StoreChange, StoreItem
 
 # Keys that bramleylug itself writes; the others belong to the platform.
--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -6,6 +6,8 @@
 from http import HTTPStatus
 from typing import TypeVar, final
 
+from bramleylug.cluster.route_table import RetryPolicy, Route
+from bramleylug.cluster.upstreams import Upstream
 from bramleylug.entry.answers import AnswerWriter
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown
 from bramleylug.relay.connection_pool import ConnectionPool
@@ -16,8 +18,6 @@
     RequestMetadata,
 )
 from bramleylug.relay.event_splitter import EventSplitter, EventStreamError
-from bramleylug.relay.route_table import RetryPolicy, Route
-from bramleylug.relay.upstreams import Upstream
 from bramleylug.web.client_connection import (
     AnswerHead,
     ClientConnection,
--- a/src/bramleylug/relay/connection_pool.py
+++ b/src/bramleylug/relay/connection_pool.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, final
 
-from bramleylug.relay.upstreams import UpstreamRecord
+from bramleylug.cluster.upstreams import UpstreamRecord
 from bramleylug.web.client_connection import ClientConnection
 
 # The round trip between hosts is a few milliseconds. After this time the host
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -6,23 +6,23 @@
 
 from circuits import BaseComponent
 
-from bramleylug.entry.reservations import Reservation
-from bramleylug.observability.metrics import REVISION
-from bramleylug.outcomes import NotRun, Reason
-from bramleylug.relay.dialect import Dialect
-from bramleylug.relay.error_responses import error_response
-from bramleylug.relay.heartbeats import relay_heartbeat
-from bramleylug.relay.peers import PeerRecord, Requester, Role
-from bramleylug.relay.process import (
+from bramleylug.cluster.heartbeats import relay_heartbeat
+from bramleylug.cluster.peers import PeerRecord, Requester, Role
+from bramleylug.cluster.process import (
     Adapter,
     ProcessCore,
     boot_id,
     uptime_s,
 )
+from bramleylug.cluster.route_table import CallerLimits
+from bramleylug.cluster.status_pages import serve_metrics, serve_readiness
+from bramleylug.entry.reservations import Reservation
+from bramleylug.observability.metrics import REVISION
+from bramleylug.outcomes import NotRun, Reason
+from bramleylug.relay.dialect import Dialect
+from bramleylug.relay.error_responses import error_response
 from bramleylug.relay.relay import Relay
-from bramleylug.relay.route_table import CallerLimits
 from bramleylug.relay.settings import RelaySettings
-from bramleylug.relay.status_pages import serve_metrics, serve_readiness
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.limits import WebLimits
 from bramleylug.web.memory import MemoryLedger
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -6,9 +6,10 @@
 from typing import final
 
 from bramleylug.admission.queue import Arrival
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.upstreams import Upstream
 from bramleylug.observability.metrics import WAIT_SECONDS, WAITING
 from bramleylug.outcomes import NotRun, Reason
-from bramleylug.relay.cluster_view import ClusterView
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.upstream_selection import (
     AtCapacity,
@@ -19,7 +20,6 @@
     UpstreamSelector,
     closed_until_s,
 )
-from bramleylug.relay.upstreams import Upstream
 from bramleylug.relay.wait_queue import Refuse, Wait, WaitQueue
 
 # Waiting requests are retried at this interval even if no request of this
--- a/src/bramleylug/relay/outcome_recorder.py
+++ b/src/bramleylug/relay/outcome_recorder.py
@@ -2,13 +2,13 @@
 
 from typing import final
 
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.crash_suspects import crash_id_of
+from bramleylug.cluster.upstreams import Upstream
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown
-from bramleylug.relay.cluster_view import ClusterView
-from bramleylug.relay.crash_suspects import crash_id_of
 from bramleylug.relay.dialect import AnswerMetadata
 from bramleylug.relay.request_context import RequestContext
-from bramleylug.relay.upstreams import Upstream
 
 FAILED_STATUS = 500
 
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -8,6 +8,9 @@
 from random import Random
 from typing import final
 
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.route_table import RetryPolicy, Route
+from bramleylug.cluster.upstreams import Upstream
 from bramleylug.entry.answers import AnswerWriter
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import (
@@ -19,7 +22,6 @@
 )
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown, run_name
 from bramleylug.relay.attempt import Attempt, AttemptTimeouts, may_retry
-from bramleylug.relay.cluster_view import ClusterView
 from bramleylug.relay.connection_pool import ConnectionPool
 from bramleylug.relay.dialect import CallerRequest, Dialect, RequestMetadata
 from bramleylug.relay.dispatch_queue import DispatchQueue
@@ -32,10 +34,8 @@
     merge_outcomes,
 )
 from bramleylug.relay.retry_budget import SharedRetryBudget
-from bramleylug.relay.route_table import RetryPolicy, Route
 from bramleylug.relay.settings import RelaySettings
 from bramleylug.relay.upstream_selection import UpstreamSelector
-from bramleylug.relay.upstreams import Upstream
 from bramleylug.web.exchange import Exchange
 
 # An idempotent request is retried on another upstream after a timeout of this
--- a/src/bramleylug/relay/request_checks.py
+++ b/src/bramleylug/relay/request_checks.py
@@ -4,16 +4,16 @@
 from random import Random
 from typing import NamedTuple, final
 
-from bramleylug.outcomes import NotRun, Reason
-from bramleylug.relay.cluster_view import ClusterView
-from bramleylug.relay.crash_suspects import fingerprint_of
-from bramleylug.relay.dialect import CallerRequest
-from bramleylug.relay.route_table import (
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.crash_suspects import fingerprint_of
+from bramleylug.cluster.route_table import (
     Route,
     RouteTable,
     Workspace,
     allowed_regions,
 )
+from bramleylug.outcomes import NotRun, Reason
+from bramleylug.relay.dialect import CallerRequest
 from bramleylug.relay.settings import RelaySettings
 
 # Part of the time limit for revoked keys that is reserved for the way to the
--- a/src/bramleylug/relay/request_context.py
+++ b/src/bramleylug/relay/request_context.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass, field
 from typing import final
 
+from bramleylug.cluster.route_table import Route
 from bramleylug.entry.answers import AnswerWriter
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown
 from bramleylug.relay.attempt import AnswerProgress
 from bramleylug.relay.dialect import CallerRequest
 from bramleylug.relay.event_splitter import EventSplitter
 from bramleylug.relay.request_checks import Accepted
-from bramleylug.relay.route_table import Route
 from bramleylug.relay.upstream_selection import Requirements
 
 MILLISECONDS = 1000
--- a/src/bramleylug/relay/upstream_selection.py
+++ b/src/bramleylug/relay/upstream_selection.py
@@ -1,11 +1,12 @@
 """Selection of the upstream for a request by eligibility and free slots."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 from dataclasses import dataclass
 from random import Random
-from typing import NamedTuple, final
+from typing import final
 
-from bramleylug.relay.upstreams import Upstream, UpstreamRegistry
+from bramleylug.cluster.constraints import Constraints
+from bramleylug.cluster.upstreams import Upstream, UpstreamRegistry
 
 # Penalties, in requests. An upstream in another zone or region must have
 # this many more free slots to justify the traffic between zones.
@@ -43,23 +44,6 @@
     tried: Collection[str] = ()
 
 
-class Constraints(NamedTuple):
-    """Constraints that currently apply to all requests.
-
-    :ivar zones_out: zones that get no new requests.
-    :ivar min_versions: by model, the lowest version that may serve.
-    :ivar newest_versions: by model, the newest target version.
-    :ivar regions: region of each zone.
-    :ivar preferred: ids of the upstreams that this relay sends to first.
-    """
-
-    zones_out: Collection[str]
-    min_versions: Mapping[str, int]
-    newest_versions: Mapping[str, int]
-    regions: Mapping[str, str]
-    preferred: Collection[str] = ()
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class Selected:
--- /dev/null
+++ b/testing/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bramleylug.relay."""
--- a/testing/relay/test_crash_suspects.py
+++ b/testing/cluster/test_crash_suspects.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bramleylug.relay.crash_suspects import (
+from bramleylug.cluster.crash_suspects import (
     SharedSuspects,
     crash_id_of,
     fingerprint_of,
--- a/testing/relay/test_heartbeat_schedule.py
+++ b/testing/cluster/test_heartbeat_schedule.py
@@ -3,12 +3,12 @@
 import unittest
 from collections import Counter
 
-from bramleylug.relay.heartbeat_schedule import (
+from bramleylug.cluster.heartbeat_schedule import (
     MAX_INTERVAL_S,
     HeartbeatSchedule,
 )
-from bramleylug.relay.heartbeats import HEARTBEAT_INTERVAL_S, HEARTBEAT_RATES
-from bramleylug.relay.peers import MAX_DIRECT_PEERS
+from bramleylug.cluster.heartbeats import HEARTBEAT_INTERVAL_S, HEARTBEAT_RATES
+from bramleylug.cluster.peers import MAX_DIRECT_PEERS
 from testing.relay.builders import build_peer
 
 LENGTH_S = 10.0
--- a/testing/relay/test_peers.py
+++ b/testing/cluster/test_peers.py
@@ -3,7 +3,7 @@
 import unittest
 from random import Random
 
-from bramleylug.relay.peers import (
+from bramleylug.cluster.peers import (
     MAX_DIRECT_PEERS,
     HeartbeatStatus,
     PeerRegistry,
--- a/testing/relay/test_process.py
+++ b/testing/cluster/test_process.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bramleylug.relay.process import ProcessCore
+from bramleylug.cluster.process import ProcessCore
 from bramleylug.wire.beats_pb2 import Beat
 from testing.relay.builders import build_peer, build_settings
 from testing.store.scripted import ScriptedStore
--- a/testing/relay/test_route_table.py
+++ b/testing/cluster/test_route_table.py
@@ -3,7 +3,7 @@
 import unittest
 from random import Random
 
-from bramleylug.relay.route_table import (
+from bramleylug.cluster.route_table import (
     RetryPolicy,
     ServiceShare,
     Workspace,
--- a/testing/relay/test_store_readers.py
+++ b/testing/cluster/test_store_readers.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from bramleylug.relay.peers import Role
-from bramleylug.relay.store_readers import PROCESSES_PER_READER, find_reader
+from bramleylug.cluster.peers import Role
+from bramleylug.cluster.store_readers import PROCESSES_PER_READER, find_reader
 from testing.relay.builders import build_peer
 
 
--- a/testing/relay/test_subsetting.py
+++ b/testing/cluster/test_subsetting.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bramleylug.relay.subsetting import preferred_subset
+from bramleylug.cluster.subsetting import preferred_subset
 
 
 class TestPreferredSubset(unittest.TestCase):
--- a/testing/relay/test_upstreams.py
+++ b/testing/cluster/test_upstreams.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bramleylug.relay.upstreams import (
+from bramleylug.cluster.upstreams import (
     NOTICE_RETENTION_S,
     UpstreamRegistry,
 )
--- a/testing/relay/test_versions.py
+++ b/testing/cluster/test_versions.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bramleylug.relay.versions import VersionRegistry
+from bramleylug.cluster.versions import VersionRegistry
 
 
 class TestVersionRegistry(unittest.TestCase):
--- a/testing/loader/swarm.py
+++ b/testing/loader/swarm.py
@@ -3,12 +3,12 @@
 import asyncio
 from typing import Any
 
+from bramleylug.cluster.peers import Role
 from bramleylug.loader.chunk_store import ChunkStores, build_manifest
 from bramleylug.loader.downloader import TargetVersion, WeightsDownloader
 from bramleylug.loader.engine import EngineUnavailable
 from bramleylug.loader.sources import FetchFailed
 from bramleylug.loader.transfer import TransferContext
-from bramleylug.relay.peers import Role
 from bramleylug.weights.chunk_sets import to_bytes
 from bramleylug.weights.manifest import Manifest, chunk_hash, synthetic_chunks
 from bramleylug.weights.peers import FailureReason
--- a/testing/loader/test_engine_updater.py
+++ b/testing/loader/test_engine_updater.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from bramleylug.cluster.upstreams import UpstreamReport
 from bramleylug.loader.chunk_store import (
     ChunkStore,
     ChunkStores,
@@ -11,7 +12,6 @@
 from bramleylug.loader.downloader import TargetVersion
 from bramleylug.loader.engine import DecodedReport, EngineUnavailable
 from bramleylug.loader.engine_updater import PARALLEL_CALLS, EngineUpdater
-from bramleylug.relay.upstreams import UpstreamReport
 from bramleylug.weights.manifest import chunk_hash
 from testing.loader.swarm import CHUNK_BYTES, chunks_of
 from testing.relay.builders import (
--- a/testing/loader/test_holdings_schedule.py
+++ b/testing/loader/test_holdings_schedule.py
@@ -2,11 +2,11 @@
 
 import unittest
 
+from bramleylug.cluster.peers import Role
 from bramleylug.loader.holdings_schedule import (
     HOLDINGS_INTERVAL_S,
     HoldingsSchedule,
 )
-from bramleylug.relay.peers import Role
 from bramleylug.wire.beats_pb2 import TransferState
 from testing.relay.builders import MODEL, build_peer
 
--- a/testing/platform/cluster.py
+++ b/testing/platform/cluster.py
@@ -13,10 +13,11 @@
     ModelEngineSettings,
 )
 from bramleylug.loader.daemon import LoaderDaemon
+from bramleylug.loader.settings import LoaderSettings
 from bramleylug.node.lifecycle import DaemonRunner
 from bramleylug.platform.adapter import PlatformAdapter
 from bramleylug.relay.daemon import RelayDaemon
-from bramleylug.relay.settings import LoaderSettings, RelaySettings
+from bramleylug.relay.settings import RelaySettings
 from bramleylug.soak.deployment import free_address
 from testing.platform.builders import CONFIG
 
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -2,14 +2,14 @@
 
 import unittest
 
+from bramleylug.cluster.route_table import RetryPolicy, ServiceShare
+from bramleylug.cluster.upstreams import HeldWeights
 from bramleylug.platform.decoding import (
     decode_configuration,
     decode_engine,
     decode_version,
 )
 from bramleylug.platform.engines import decode_report
-from bramleylug.relay.route_table import RetryPolicy, ServiceShare
-from bramleylug.relay.upstreams import HeldWeights
 from testing.platform.builders import REPORT, build_config, build_engine
 
 
--- a/testing/relay/builders.py
+++ b/testing/relay/builders.py
@@ -2,10 +2,9 @@
 
 from typing import Any
 
-from bramleylug.loader.policy import EngineState, Observation
-from bramleylug.relay.dialect import CallerRequest
-from bramleylug.relay.peers import PeerRecord, Role
-from bramleylug.relay.route_table import (
+from bramleylug.cluster.constraints import Constraints
+from bramleylug.cluster.peers import PeerRecord, Role
+from bramleylug.cluster.route_table import (
     CallerLimits,
     RetryPolicy,
     Route,
@@ -15,9 +14,12 @@
     WeightsLayout,
     Workspace,
 )
-from bramleylug.relay.settings import LoaderSettings, RelaySettings
-from bramleylug.relay.upstream_selection import Constraints, Requirements
-from bramleylug.relay.upstreams import HeldWeights, UpstreamRecord
+from bramleylug.cluster.upstreams import HeldWeights, UpstreamRecord
+from bramleylug.loader.policy import EngineState, Observation
+from bramleylug.loader.settings import LoaderSettings
+from bramleylug.relay.dialect import CallerRequest
+from bramleylug.relay.settings import RelaySettings
+from bramleylug.relay.upstream_selection import Requirements
 
 REGIONS = {'zone-a': 'north', 'zone-b': 'south'}
 MODEL = 'fitting'
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -4,10 +4,10 @@
 import time
 import unittest
 
-from bramleylug.relay.cluster_view import ClusterView
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.route_table import RetryPolicy
+from bramleylug.cluster.upstreams import HeldWeights
 from bramleylug.relay.relay import Relay
-from bramleylug.relay.route_table import RetryPolicy
-from bramleylug.relay.upstreams import HeldWeights
 from bramleylug.store.mirror import Mirror
 from testing.relay.builders import (
     MODEL,
--- a/testing/relay/test_request_checks.py
+++ b/testing/relay/test_request_checks.py
@@ -3,9 +3,9 @@
 import unittest
 from random import Random
 
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.crash_suspects import crash_id_of
 from bramleylug.outcomes import NotRun, Reason
-from bramleylug.relay.cluster_view import ClusterView
-from bramleylug.relay.crash_suspects import crash_id_of
 from bramleylug.relay.request_checks import Accepted, RequestChecks
 from bramleylug.store.mirror import Mirror
 from bramleylug.wire.beats_pb2 import Beat
--- a/testing/relay/test_upstream_selection.py
+++ b/testing/relay/test_upstream_selection.py
@@ -4,18 +4,18 @@
 from collections import Counter
 from random import Random
 
+from bramleylug.cluster.upstreams import (
+    ColdStart,
+    HeldWeights,
+    UpstreamRegistry,
+    UpstreamReport,
+)
 from bramleylug.relay.upstream_selection import (
     AtCapacity,
     NoneEligible,
     Selected,
     UpstreamSelector,
 )
-from bramleylug.relay.upstreams import (
-    ColdStart,
-    HeldWeights,
-    UpstreamRegistry,
-    UpstreamReport,
-)
 from testing.relay.builders import (
     MODEL,
     build_constraints,
