Store: a suspended reader is noticed within 1.35 s by loaders, too

Cause: a loader polled its reader for 3 s, so that all loaders of a zone would hear of a new version up to 3.35 s late when their reader froze or lost power.

Change: a poll of a reader waits 1 s at most.

--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -22,6 +22,7 @@
 
 CONNECT_TIMEOUT_S = 0.3
 LISTING_TIMEOUT_S = 1.0
+MAX_READER_WAIT_S = 1.0
 # How much later than the requested wait a reader may answer.
 WAIT_MARGIN_S = 0.35
 # A reader that failed, or whose own copy of the store is too old, is left
@@ -100,13 +101,18 @@
     async def wait_for_changes(
         self, prefix: str, after_revision: int, wait_s: float
     ) -> StoreChanges | HistoryLost:
-        """Wait for changes at a reader, or at the store."""
+        """Wait for changes at a reader, or at the store.
+
+        A reader may be waited for less long: its calls cost little, and one
+        that was suspended is noticed sooner.
+        """
+        reader_wait_s = min(wait_s, MAX_READER_WAIT_S)
         target = (
             f'{CHANGES_PATH}?prefix={quote(prefix)}&after={after_revision}'
-            f'&wait_ms={int(wait_s * MILLISECONDS)}'
+            f'&wait_ms={int(reader_wait_s * MILLISECONDS)}'
             f'&confirms={int(self.confirms)}'
         )
-        answer = await self._call(target, wait_s + WAIT_MARGIN_S)
+        answer = await self._call(target, reader_wait_s + WAIT_MARGIN_S)
         if answer is None:
             return await self.store.wait_for_changes(
                 prefix, after_revision, wait_s
--- a/testing/store/test_feed.py
+++ b/testing/store/test_feed.py
@@ -156,9 +156,11 @@
     def __init__(self) -> None:
         self.answer: FeedAnswer | None = None
         self.targets: list[str] = []
+        self.timeouts: list[float] = []
 
     async def get(self, address, target, *, timeout_s):
         self.targets.append(target)
+        self.timeouts.append(timeout_s)
         if self.answer is None:
             raise OSError('no reader')
         raw, compressed = encode(self.answer)
@@ -233,6 +235,13 @@
 
         self.assertEqual(len(self.clients.targets), 2)
 
+    async def test_suspended_reader_is_noticed_soon(self) -> None:
+        """Also by a process that would wait for longer at the store."""
+        await self.zone_store.wait_for_changes('', 5, 3.0)
+
+        self.assertIn('wait_ms=1000&', self.clients.targets[0])
+        self.assertLess(self.clients.timeouts[0], 1.5)
+
     async def test_process_without_a_reader_calls_the_store(self) -> None:
         self.address = ''
 
