--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -1,5 +1,6 @@
 """Registry of relays and loaders: which are alive and accept callers."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum, unique
@@ -83,6 +84,7 @@
     :param store_age_s: returns the age of this process's copy of the store.
     :param confirm_interval_s: interval at which that copy is confirmed.
     :ivar in_store: peers that are registered in the store.
+    :ivar relays_by_region: number of relays among them.
     :ivar known: these, and peers that were removed but may be alive.
     """
 
@@ -101,12 +103,14 @@
         self.random = random
         self.in_store: dict[str, PeerRecord] = {}
         self.known: dict[str, PeerRecord] = {}
+        self.relays_by_region: Counter[str] = Counter()
         self.last_heartbeats: dict[str, HeartbeatStatus] = {}
 
     def add(self, record: PeerRecord) -> None:
         """Record that a peer is registered in the store."""
         self.in_store[record.name] = record
         self.known[record.name] = record
+        self._count_relays()
 
     def remove(self, name: str) -> None:
         """Record that a peer is no longer registered in the store.
@@ -114,6 +118,7 @@
         It stays known until its heartbeats expire.
         """
         self.in_store.pop(name, None)
+        self._count_relays()
 
     def record_heartbeat(self, name: str, heartbeat: HeartbeatStatus) -> None:
         self.last_heartbeats[name] = heartbeat
@@ -227,8 +232,13 @@
         """Return whether a peer is one of too many in other regions."""
         if record.region == self.own().region:
             return False
-        relay_count = sum(
-            peer.role is Role.relay and peer.region != record.region
+        relay_count = self.relays_by_region.total()
+        relay_count -= self.relays_by_region[record.region]
+        return relay_count > MAX_DIRECT_PEERS
+
+    def _count_relays(self) -> None:
+        self.relays_by_region = Counter(
+            peer.region
             for peer in self.in_store.values()
+            if peer.role is Role.relay
         )
-        return relay_count > MAX_DIRECT_PEERS
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -26,6 +26,7 @@
 from bramleylug.store.watcher import StoreWatcher
 from bramleylug.store.zone_store import CHANGES_PATH, ITEMS_PATH, ZoneStore
 from bramleylug.web.exchange import Exchange
+from bramleylug.web.queries import integer_parameter
 from bramleylug.wire.beats_pb2 import Beat
 from bramleylug.wire.feed_pb2 import FeedAnswer
 
@@ -133,11 +134,12 @@
         elif exchange.path == CHANGES_PATH and feed.mirror.loaded:
             poll = Poll(
                 prefix,
-                _int_parameter(query, 'after'),
+                integer_parameter(query, 'after', 0),
                 min(
-                    MAX_POLL_S, _int_parameter(query, 'wait_ms') / MILLISECONDS
+                    MAX_POLL_S,
+                    integer_parameter(query, 'wait_ms', 0) / MILLISECONDS,
                 ),
-                bool(_int_parameter(query, 'confirms')),
+                bool(integer_parameter(query, 'confirms', 0)),
                 arrived_s,
             )
             _reply_feed(exchange, await feed.wait(poll))
@@ -248,12 +250,6 @@
     exchange.reply(HTTPStatus.OK, raw, headers)
 
 
-def _int_parameter(query: dict[str, list[str]], name: str) -> int:
-    """Return an integer parameter of a query; 0 if absent or malformed."""
-    text = query.get(name, [''])[0]
-    return int(text) if text.isdecimal() else 0
-
-
 def uptime_s() -> float:
     """Return seconds that also count while the host is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/bramleylug/cluster/store_readers.py
+++ b/src/bramleylug/cluster/store_readers.py
@@ -11,7 +11,8 @@
 from bramleylug.cluster.peers import PeerRecord, Role
 from bramleylug.routing.rendezvous import owner, rank
 
-# Each answer of the store is passed on to this many processes at most.
+# Mean number of processes that share a reader. Each picks its reader by hash,
+# so that some readers have more.
 PROCESSES_PER_READER = 16
 
 
--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -48,6 +48,7 @@
 )
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.limits import WebLimits
+from bramleylug.web.queries import integer_parameter
 from bramleylug.web.server import WebServer
 from bramleylug.weights.chunk_sets import to_bytes
 from bramleylug.wire.beats_pb2 import Beat, TransferState
@@ -245,14 +246,16 @@
     def _answer(self, exchange: Exchange) -> None:
         query = parse_qs(exchange.query)
         chunk_store = self.chunk_stores.by_version.get(
-            _int_parameter(query, 'version')
+            integer_parameter(query, 'version', -1)
         )
         if chunk_store is not None and exchange.path == MANIFEST_PATH:
             exchange.reply(HTTPStatus.OK, chunk_store.manifest.to_json())
             return
         chunk = None
         if chunk_store is not None and exchange.path == CHUNK_PATH:
-            chunk = chunk_store.chunks.get(_int_parameter(query, 'index'))
+            chunk = chunk_store.chunks.get(
+                integer_parameter(query, 'index', -1)
+            )
         if chunk is None:
             exchange.reply(HTTPStatus.NOT_FOUND, b'')
             return
@@ -343,9 +346,3 @@
         beats=settings.beat_bind,
         chunks=settings.chunk_bind,
     )
-
-
-def _int_parameter(query: dict[str, list[str]], name: str) -> int:
-    """Return an integer parameter of a query; -1 if absent or malformed."""
-    text = query.get(name, [''])[0]
-    return int(text) if text.isdecimal() else -1
--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -24,7 +24,7 @@
     ClientRequest,
     ConnectionBroken,
     MalformedAnswer,
-    discard_body,
+    read_body,
 )
 from bramleylug.wire.requests_pb2 import Head, Header
 
@@ -193,7 +193,7 @@
         self._check_request_id(answer, connection)
         self.on_metadata(answer)
         if answer.not_run:
-            await discard_body(connection, MAX_REFUSAL_BYTES)
+            await read_body(connection, MAX_REFUSAL_BYTES)
             return _not_run(head), answer
         self.status = head.status
         ok = head.status < HTTPStatus.MULTIPLE_CHOICES
--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -291,11 +291,3 @@
         if max_bytes is not None and received_bytes > max_bytes:
             raise MalformedAnswer(f'body has more than {max_bytes} bytes')
     return b''.join(pieces)
-
-
-async def discard_body(connection: ClientConnection, max_bytes: int) -> None:
-    """Read the rest of a body that nobody needs.
-
-    :raises MalformedAnswer: when it has more than ``max_bytes``.
-    """
-    await read_body(connection, max_bytes)
