Relay: a key that turns stale while its request waits is refused once

Callers saw: every request at that relay, running and new, ended without an answer; the relay answered nothing until it was restarted. Cause: the key is checked again before each attempt, and the refusal of that check was returned as the outcome of an attempt. A refusal that says "not run" may be retried, nothing had been tried, so that the loop began again, found the same free upstream and refused again, without ever waiting: the event loop was blocked for good. It takes a request that waits for a free slot while a newer configuration is announced (1.5 s) or the copy of the store gets too old. Change: the check is made before the attempt, and its refusal ends the request. Evidence: the new test failed before with 502 instead of 503, from its limit of 100 selections; without that limit it did not end (stack in the selection of an upstream after 4 s).

--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -134,6 +134,9 @@
             )
             if isinstance(upstream, NotRun):
                 return merge_outcomes(outcome, upstream)
+            refusal = self.checks.recheck(context.accepted)
+            if refusal is not None:
+                return merge_outcomes(outcome, refusal)
             latest = await self._attempt(context, upstream)
             outcome = merge_outcomes(outcome, latest)
             if not may_retry(
@@ -163,8 +166,6 @@
     async def _attempt(
         self, context: RequestContext, upstream: Upstream
     ) -> Outcome:
-        if context.accepted.workspace and not self.checks.keys_are_fresh():
-            return self.checks.refuse_stale_key()
         now_s = self.clock()
         if upstream.is_cold(now_s) and upstream.cold is not None:
             upstream.cold.consume(now_s)
--- a/src/bramleylug/relay/request_checks.py
+++ b/src/bramleylug/relay/request_checks.py
@@ -78,6 +78,15 @@
             workspace = found
         return self._accept(request, route, workspace, table)
 
+    def recheck(self, accepted: Accepted) -> NotRun | None:
+        """Return why an accepted request must not be sent any more.
+
+        It may have waited since it was accepted.
+        """
+        if accepted.workspace is not None and not self.keys_are_fresh():
+            return self._refuse_stale_key()
+        return None
+
     def keys_are_fresh(self) -> bool:
         """Return whether no key can have been revoked longer than allowed."""
         if not self.settings.keys_fail_closed:
@@ -86,14 +95,6 @@
         is_confirmed = age_s < self.settings.key_limit - KEY_MARGIN_S
         return is_confirmed and not self.view.is_behind()
 
-    def refuse_stale_key(self) -> NotRun:
-        """Return the refusal of a request whose key cannot be confirmed."""
-        return NotRun(
-            Reason.store_unavailable,
-            'the API key cannot be confirmed: store data is too old',
-            STALE_RETRY_S,
-        )
-
     def _accept(
         self,
         request: CallerRequest,
@@ -129,7 +130,15 @@
             return self._refuse_unknown(Reason.bad_key, 'unknown API key')
         if self.keys_are_fresh():
             return workspace
-        return self.refuse_stale_key()
+        return self._refuse_stale_key()
+
+    def _refuse_stale_key(self) -> NotRun:
+        """Return the refusal of a request whose key cannot be confirmed."""
+        return NotRun(
+            Reason.store_unavailable,
+            'the API key cannot be confirmed: store data is too old',
+            STALE_RETRY_S,
+        )
 
     def _refuse_unknown(self, reason: Reason, message: str) -> NotRun:
         if self.view.store_age_s() < MAX_CERTAIN_AGE_S:
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -4,7 +4,11 @@
 import time
 import unittest
 
-from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.cluster_view import (
+    MAX_BEHIND_S,
+    AnnouncedConfiguration,
+    ClusterView,
+)
 from bramleylug.cluster.route_table import RetryPolicy
 from bramleylug.cluster.upstreams import HeldWeights
 from bramleylug.relay.relay import Relay
@@ -32,6 +36,18 @@
 NOT_RUN = complete_answer(b'', 503, b'X-Not-Run: 1\r\n')
 
 
+def fail_after(limit, function):
+    """Return a function that raises after a number of calls."""
+    calls = iter(range(limit))
+
+    def call(*arguments):
+        if next(calls, None) is None:
+            raise RuntimeError(f'called more than {limit} times')
+        return function(*arguments)
+
+    return call
+
+
 class RelayCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests with engines that are selected in a fixed order."""
 
@@ -471,6 +487,26 @@
 
         self.assertEqual(second.sent, b'second')
 
+    async def test_stale_key_of_a_waiting_request_does_not_spin(self) -> None:
+        """Its key could not be confirmed any more when a slot was freed."""
+        engine = ScriptedEngine([0.1, complete_answer(b'first')])
+        first = asyncio.create_task(self.serve(engine, streamed=False))
+        await asyncio.sleep(0.03)
+        view = self.relay.view
+        upstream = view.upstreams.by_id['engine-0']
+        upstream.reported_running['relay-9'] = (99, time.monotonic())
+        exchange = RecordingExchange()
+        waiting = asyncio.create_task(self.relay.serve(exchange))
+        await asyncio.sleep(0.02)
+        behind_since_s = time.monotonic() - MAX_BEHIND_S - 1
+        view.announced = AnnouncedConfiguration(99, behind_since_s)
+        selector = self.relay.dispatch_queue.selector
+        selector.select = fail_after(100, selector.select)
+
+        await asyncio.gather(first, waiting)
+
+        self.assertEqual((exchange.status, self.arrivals()), (503, [1]))
+
     async def test_engine_with_expired_weights_gets_no_request(self) -> None:
         """The time limit after a newer target version has passed."""
         engine = ScriptedEngine(complete_answer(b'ok'))
