Web: failing tests of requests beside new limits and closing

Callers saw a whole request end without an answer or a refusal beside a change of the configuration. The tests show four ways at the port: the idle limit falls while a connection is idle, other limits fall in the middle of a request, a connection is closed as idle or drained while its request is in the socket, and a request that crosses the close is read and dropped.

--- a/testing/web/ports.py
+++ b/testing/web/ports.py
@@ -35,10 +35,14 @@
 
 
 class FakeTransport:
-    """Records what the port does with its sockets."""
+    """Records what the port does with its sockets.
+
+    :ivar unread: sockets with input that has not been delivered yet.
+    """
 
     def __init__(self) -> None:
         self.events: list[str] = []
+        self.unread: set[FakeSocket] = set()
 
     def write_when_ready(self, sock: socket) -> None:
         """Do nothing: tests report writable sockets themselves."""
