Web: limits of a request and a wait are fixed; closed unused, not dropped

Callers saw a whole request end without an answer or a refusal beside a new configuration, or while a relay drained.

Causes, all at the port: new limits applied at once to connections that were idle and to requests that had partly arrived, though callers went by those they knew. An idle connection was closed without looking whether a request was already in its socket, and a connection that was just accepted was closed before its first request. After the close, input was read and dropped.

Change: - A wait for a request has the limits in force when it began, a request those at its first byte. Higher ones apply at once. - Before a close without a response the socket is looked at. With input in it, the connection stays open and the request is served. While draining, a new connection has 2 s for its first request, and is closed then. - After such a close nothing can be sent, so nothing is read: a request that crosses it stays in the kernel, which resets the connection at the end of the lingering (2 s), when the last response can't be harmed any more.

What is promised: every request that the process reads on an open connection is answered. One that crosses the end of the connection is not read, so a client may repeat it elsewhere, also if it is not idempotent. Keeping the connection open for a refusal, instead, would only move the moment of the crossing and keep callers from seeing the close. Servers that send a final response before they close (entry, agent) answer as before; while draining they now also close connections that stay silent for 2 s.

--- a/src/bramleylug/web/connection.py
+++ b/src/bramleylug/web/connection.py
@@ -22,9 +22,10 @@
 # After its last response, a connection discards input for this long at most,
 # then it is closed.
 LINGER_S = 2.0
-# While the server drains, a connection younger than this counts as busy: its
-# first request may be on its way.
-NEW_CONNECTION_S = 2.0
+# While the server drains, a connection counts as busy for this long after a
+# request was known to be on its way: after it was accepted, or input was seen
+# in its socket.
+REQUEST_WAIT_S = 2.0
 # A lingering connection that sends more input than this is closed at once.
 MAX_LINGER_BYTES = 4 * 1024 * 1024
 
@@ -41,6 +42,9 @@
     def resume(self, sock: socket) -> None:
         """Start reading from a paused socket again."""
 
+    def has_input(self, sock: socket) -> bool:
+        """Return whether a socket holds bytes; leave them unread."""
+
     def drop(self, sock: socket) -> None:
         """Close a socket."""
 
@@ -54,6 +58,7 @@
     """Which time limit a connection has exceeded."""
 
     idle = 'idle'
+    drained = 'drained'
     request = 'request'
     stalled = 'stalled'
     linger = 'linger'
@@ -66,10 +71,13 @@
     :ivar output: pieces that the socket has not accepted yet.
     :ivar exchange: the request that is being answered.
     :ivar closing: whether the connection closes once all output was sent.
-    :ivar lingering: whether all output was sent and input is discarded.
+    :ivar lingering: whether all output was sent and the sending side closed.
+    :ivar reads_input: whether input is read, even if only to be discarded;
+        off after a close without a response.
     :ivar held_bytes: bytes of input reserved in the server's ledger.
     :ivar discarded_bytes: bytes of input discarded while lingering.
     :ivar paused: whether reading is paused because too much input waits.
+    :ivar request_until_s: until when a request is known to be on its way.
     :ivar input_since_s: when the present wait for input began.
     :ivar output_since_s: when output last made progress.
     :ivar was_in_body: whether the reader was past a head at the last update.
@@ -84,10 +92,11 @@
         self.exchange: Exchange | None = None
         self.closing = False
         self.lingering = False
+        self.reads_input = True
         self.paused = False
         self.held_bytes = 0
         self.discarded_bytes = 0
-        self.accepted_s = now_s
+        self.request_until_s = now_s + REQUEST_WAIT_S
         self.input_since_s = now_s
         self.output_since_s = now_s
         self.was_in_body = False
@@ -103,6 +112,11 @@
             or not self.reader.is_between_messages
         )
 
+    @property
+    def unused(self) -> bool:
+        """Whether it is open and no request is received or answered."""
+        return not (self.busy or self.closing)
+
     @property
     def input_bytes(self) -> int:
         """Bytes of input in memory, those of the answered request included."""
@@ -113,14 +127,45 @@
         return held_bytes
 
     def may_receive_request(self, now_s: float) -> bool:
-        """Return whether a first request may arrive on a new connection."""
-        is_new = now_s - self.accepted_s < NEW_CONNECTION_S
-        return is_new and not self.lingering
+        """Return whether a request is known to be on its way."""
+        return now_s < self.request_until_s and not self.lingering
 
-    def record_input(self, now_s: float) -> None:
-        """Start the time limit of a request head at its first byte."""
+    def close_unused(
+        self, transport: Transport, now_s: float, *, draining: bool
+    ) -> None:
+        """Close without a response, unless a request is on its way.
+
+        It could not be answered any more. One that crosses the close stays
+        unread, so that the client learns that it did not run.
+        """
+        if transport.has_input(self.sock):
+            self.request_until_s = now_s + REQUEST_WAIT_S
+        elif not (draining and self.may_receive_request(now_s)):
+            self.closing = True
+            self.reads_input = False
+
+    def apply_limits(self, limits: WebLimits) -> None:
+        """Apply new limits, lower ones not to what has already begun."""
+        self._use_limits(self.limits.raised_to(limits))
+
+    def record_input(self, now_s: float, limits: WebLimits) -> None:
+        """Start the time limit of a request head at its first byte.
+
+        :param limits: those in force, which apply to the request.
+        """
+        self.request_until_s = now_s
         if self.reader.is_between_messages:
             self.input_since_s = now_s
+            self._use_limits(limits)
+
+    def begin_wait(self, now_s: float, limits: WebLimits) -> None:
+        """Start the time limit of the wait for the next request.
+
+        :param limits: those in force, which apply to the wait.
+        """
+        self.input_since_s = now_s
+        if self.reader.is_between_messages:
+            self._use_limits(limits)
 
     def update_phase(self, now_s: float) -> None:
         """Start the time limit of a request body when its head has ended."""
@@ -152,8 +197,13 @@
         self.output = [memoryview(piece)[sent:]] if sent < len(piece) else []
         self.output_bytes = len(piece) - sent
 
-    def find_timeout(self, now_s: float) -> TimeoutKind | None:
-        """Return the time limit that is exceeded, if any."""
+    def find_timeout(
+        self, now_s: float, *, draining: bool
+    ) -> TimeoutKind | None:
+        """Return the time limit that is exceeded, if any.
+
+        :param draining: whether unused connections are to be closed.
+        """
         if self.lingering:
             late = now_s - self.output_since_s > LINGER_S
             return TimeoutKind.linger if late else None
@@ -162,6 +212,8 @@
             return TimeoutKind.stalled if late else None
         if self.exchange is not None:
             return None
+        if draining and self.unused and not self.may_receive_request(now_s):
+            return TimeoutKind.drained
         kind, limit_s = TimeoutKind.idle, self.limits.idle_timeout_s
         if not self.reader.is_between_messages:
             kind, limit_s = TimeoutKind.request, self.limits.head_timeout_s
@@ -204,6 +256,10 @@
         self.discarded_bytes += count
         return self.discarded_bytes <= MAX_LINGER_BYTES
 
+    def _use_limits(self, limits: WebLimits) -> None:
+        self.limits = limits
+        self.reader.limits = limits
+
     def _is_output_complete(self) -> bool:
         """Return whether no more output will be queued.
 
--- a/src/bramleylug/web/limits.py
+++ b/src/bramleylug/web/limits.py
@@ -1,6 +1,6 @@
 """Size, count and time limits of an HTTP server."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import final
 
 MEBIBYTE = 1024 * 1024
@@ -24,7 +24,8 @@
         each connection; 0 for the kernel's default.
     :ivar respond_before_close: whether an idle connection gets a final
         response, which says that nothing ran, before it is closed. Off for
-        clients that treat a response without a request as an error.
+        clients that treat a response without a request as an error; a request
+        that crosses the close stays unread and is reset.
     """
 
     head_bytes: int = 32768
@@ -37,5 +38,19 @@
     send_buffer_bytes: int = 0
     respond_before_close: bool = True
 
+    def raised_to(self, newer: 'WebLimits') -> 'WebLimits':
+        """Return newer limits, but no lower limit of a request or a wait.
+
+        A client may not know the newer ones yet.
+        """
+        return replace(
+            newer,
+            head_bytes=max(self.head_bytes, newer.head_bytes),
+            body_bytes=max(self.body_bytes, newer.body_bytes),
+            head_timeout_s=max(self.head_timeout_s, newer.head_timeout_s),
+            body_timeout_s=max(self.body_timeout_s, newer.body_timeout_s),
+            idle_timeout_s=max(self.idle_timeout_s, newer.idle_timeout_s),
+        )
+
 
 DEFAULT_LIMITS = WebLimits()
--- a/src/bramleylug/web/port.py
+++ b/src/bramleylug/web/port.py
@@ -99,21 +99,26 @@
             self.disconnected(connection.sock)
 
     def apply_limits(self, limits: WebLimits) -> None:
-        """Replace the limits, for open connections too."""
+        """Replace the limits.
+
+        A request that has begun to arrive, and a wait for one, keep the
+        limits that they began with where the new ones are lower.
+        """
         self.limits = limits
         for connection in self.connections.values():
-            connection.limits = limits
-            connection.reader.limits = limits
+            connection.apply_limits(limits)
 
     def start_draining(self) -> None:
         """Close idle connections now, others after their response.
 
         An idle connection gets a final response, which says that nothing ran,
-        so that a request already on its way has an answer.
+        so that a request already on its way has an answer. Where such
+        responses are switched off, the connection stays open while a request
+        is known to be on its way.
         """
         self.draining = True
         for connection in self.connections.values():
-            if not (connection.busy or connection.lingering):
+            if connection.unused:
                 self._refuse(connection, DRAINING)
 
     def accepted(self, sock: socket) -> None:
@@ -128,6 +133,23 @@
             self._refuse(connection, TOO_MANY_CONNECTIONS)
             self.flush()
 
+    def readable(self, sock: socket) -> bool:
+        """Return whether to read from a socket that has input or has ended.
+
+        Input of a connection that was closed without a response stays unread:
+        the kernel then resets the connection, which tells the client that its
+        request was not read. The reset waits for the end of the lingering, as
+        it would discard what the client has not received yet.
+        """
+        connection = self.connections.get(sock)
+        if connection is None or connection.reads_input:
+            return True
+        if self.transport.has_input(sock):
+            connection.pause(self.transport)
+        else:
+            self._drop(connection)
+        return False
+
     def received(self, sock: socket, raw: bytes) -> None:
         """Process received bytes; none mean the end of input."""
         connection = self.connections.get(sock)
@@ -138,7 +160,7 @@
                 self._drop(connection)
             return
         if raw:
-            connection.record_input(self.context.clock())
+            connection.record_input(self.context.clock(), self.limits)
             connection.reader.feed(raw)
             self._advance(connection)
         elif connection.exchange is None and connection.busy:
@@ -170,7 +192,7 @@
         """Close the connections that have exceeded a time limit."""
         now_s = self.context.clock()
         for connection in tuple(self.connections.values()):
-            match connection.find_timeout(now_s):
+            match connection.find_timeout(now_s, draining=self.draining):
                 case TimeoutKind.request:
                     self._refuse(connection, REQUEST_TIMEOUT)
                 case TimeoutKind.stalled:
@@ -178,6 +200,8 @@
                     self.reset(connection)
                 case TimeoutKind.idle:
                     self._refuse(connection, IDLE)
+                case TimeoutKind.drained:
+                    self._refuse(connection, DRAINING)
                 case TimeoutKind.linger:
                     self._drop(connection)
         self.flush()
@@ -231,10 +255,13 @@
         """Send an error response, unless switched off, and close."""
         if reason not in CLOSE_NOTICES:
             count(BAD_INPUT, kind=reason.kind)
-        if self.limits.respond_before_close or reason not in CLOSE_NOTICES:
-            self.write(connection, _render_error(reason))
-        else:
+        elif not self.limits.respond_before_close:
+            connection.close_unused(
+                self.transport, self.context.clock(), draining=self.draining
+            )
             self.schedule_flush(connection)
+            return
+        self.write(connection, _render_error(reason))
         connection.closing = True
 
     def _flush(self, connection: Connection) -> None:
@@ -260,18 +287,18 @@
             connection.closing = True
             self._linger(connection)
             return
+        connection.begin_wait(self.context.clock(), self.limits)
+        connection.resume(self.transport)
         if self.draining and connection.reader.is_between_messages:
             self._refuse(connection, DRAINING)
-            return
-        connection.input_since_s = self.context.clock()
-        connection.resume(self.transport)
         self._advance(connection)
 
     def _linger(self, connection: Connection) -> None:
         """Close the sending side and discard input for a while.
 
         If the socket were closed with unread input, the kernel would send a
-        reset, which could reach the client before the response does.
+        reset, which could reach the client before the response does. Input of
+        a connection that is closed without a response is not even read.
         """
         if connection.lingering:
             return
--- a/src/bramleylug/web/sockets.py
+++ b/src/bramleylug/web/sockets.py
@@ -2,7 +2,7 @@
 
 import struct
 from contextlib import suppress
-from socket import SO_LINGER, SOL_SOCKET, socket
+from socket import MSG_PEEK, SO_LINGER, SOL_SOCKET, socket
 from typing import Protocol, final
 
 from circuits import Event, handler
@@ -18,6 +18,9 @@
     def accepted(self, sock: socket) -> None:
         """Add a connection."""
 
+    def readable(self, sock: socket) -> bool:
+        """Return whether to read from a socket that has input or has ended."""
+
     def received(self, sock: socket, raw: bytes) -> None:
         """Process received bytes; none mean the end of input."""
 
@@ -50,6 +53,14 @@
     def resume(self, sock: socket) -> None:
         self._poller.addReader(self, sock)
 
+    def has_input(self, sock: socket) -> bool:
+        """Return whether a socket holds bytes; leave them unread."""
+        try:
+            return bool(sock.recv(1, MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
+
     def drop(self, sock: socket) -> None:
         self._close(sock)
 
@@ -75,6 +86,8 @@
         self.owner.accepted(sock)
 
     def _read(self, sock: socket) -> None:
+        if not self.owner.readable(sock):
+            return
         try:
             raw = sock.recv(READ_BYTES)
         except BlockingIOError:
--- a/testing/web/ports.py
+++ b/testing/web/ports.py
@@ -53,6 +53,9 @@
     def resume(self, sock: socket) -> None:
         self.events.append('resumed')
 
+    def has_input(self, sock: socket) -> bool:
+        return sock in self.unread
+
     def drop(self, sock: socket) -> None:
         self.events.append('closed')
 
@@ -97,8 +100,10 @@
         return sock
 
     def receive(self, sock: FakeSocket, raw: bytes) -> None:
-        """Deliver bytes from a client."""
-        self.port.received(cast(socket, sock), raw)
+        """Deliver bytes from a client, if the port reads them."""
+        if self.port.readable(cast(socket, sock)):
+            self.transport.unread.discard(sock)
+            self.port.received(cast(socket, sock), raw)
 
     def drain(self, sock: FakeSocket, capacity: int) -> None:
         """Let the socket accept some bytes."""
