Failing tests of work that raises before an answer

Callers waited for ever where serving a request raised before the part that turns an exception into an outcome. The request counted as running for ever, so that a planned stop waited its whole time, and nothing was logged.

--- a/testing/entry/test_dispatch.py
+++ b/testing/entry/test_dispatch.py
@@ -3,10 +3,18 @@
 import asyncio
 import json
 import unittest
+from threading import Event, Thread
 from typing import Any
 
+from loguru import logger
+
 from bramleylug.entry.answers import AnswerWriter
+from bramleylug.entry.dispatch import DispatchLoop
+from bramleylug.web.exchange import Exchange
 from testing.entry.models import BOOKINGS, MODEL, ModelEntry
+from testing.web.ports import REQUEST, PortHarness
+
+TIMEOUT_S = 5.0
 
 
 def error_of(answer: bytes) -> dict[str, Any]:
@@ -205,3 +213,57 @@
             return pending, waiting and writer.caller_disconnected
 
         self.assertEqual(asyncio.run(write_and_disconnect()), (20, True))
+
+
+class FailingDispatcher:
+    """A dispatcher of which every call fails."""
+
+    async def close_stale_channels(self) -> None:
+        """Do nothing."""
+
+    async def serve(self, exchange: Exchange, _reservation: object) -> None:
+        raise ValueError(exchange.path)
+
+    async def serve_ticket(self, exchange: Exchange) -> None:
+        raise ValueError(exchange.path)
+
+
+class TestFailures(unittest.TestCase):
+    """A failure leaves no caller without an answer."""
+
+    def setUp(self) -> None:
+        """Start a loop; collect the log."""
+        self.lines: list[str] = []
+        self.logged = Event()
+        sink = logger.add(self.collect, format='{message}')
+        self.addCleanup(logger.remove, sink)
+        build: Any = FailingDispatcher
+        self.loop: Any = DispatchLoop(build)
+        thread = Thread(target=self.loop.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, TIMEOUT_S)
+        self.addCleanup(self.loop.stop)
+        self.harness = PortHarness()
+        self.sock = self.harness.connect()
+        self.harness.receive(self.sock, REQUEST)
+
+    def collect(self, line: str) -> None:
+        """Record a line of the log."""
+        self.lines.append(line)
+        self.logged.set()
+
+    def test_failed_request_is_answered_and_logged(self) -> None:
+        """The caller waited for ever, and nothing was logged."""
+        self.loop.submit(self.harness.served[0], None)
+
+        self.assertTrue(self.logged.wait(TIMEOUT_S))
+        self.assertIn('BL5004', self.lines[0])
+        self.assertIn(b' 502 ', self.sock.sent)
+
+    def test_failed_request_for_a_ticket_is_answered_and_logged(self) -> None:
+        """The caller waited for ever, and nothing was logged."""
+        self.loop.submit_ticket(self.harness.served[0])
+
+        self.assertTrue(self.logged.wait(TIMEOUT_S))
+        self.assertIn('BL5004', self.lines[0])
+        self.assertIn(b' 502 ', self.sock.sent)
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -10,7 +10,14 @@
     decode_version,
 )
 from bramleylug.platform.engines import decode_report
-from testing.platform.builders import REPORT, build_config, build_engine
+from testing.platform.builders import (
+    CONFIG,
+    REPORT,
+    build_config,
+    build_engine,
+)
+
+ROUTE = CONFIG['routes'][1]
 
 
 class TestConfiguration(unittest.TestCase):
@@ -80,6 +87,31 @@
             ['127.0.0.1:9'],
         )
 
+    def test_split_without_a_positive_weight_refuses_no_other_route(
+        self,
+    ) -> None:
+        """Keys that the version revokes must not stay in force."""
+        split = [{'service': 'bookings', 'weight': 0}]
+        table = decode_configuration(
+            build_config(routes=[{**ROUTE, 'traffic_split': split}])
+        )
+
+        self.assertEqual(table.routes[0].shares, (('bookings', 0.0),))
+
+    def test_configuration_with_a_weight_that_is_no_share_is_none(
+        self,
+    ) -> None:
+        """A choice by such weights raises or is skewed."""
+        for weight in (-1, float('nan'), float('inf')):
+            with self.subTest(weight):
+                split = [
+                    {'service': 'bookings', 'weight': weight},
+                    {'service': 'advisor', 'weight': 10},
+                ]
+                routes = [{**ROUTE, 'traffic_split': split}]
+                config = build_config(routes=routes)
+                self.assertIsNone(decode_configuration(config))
+
     def test_malformed_configuration_is_none(self) -> None:
         """The configuration in force then stays."""
         for value in (b'', b'\xff', b'[]', b'{"version": "seven"}'):
--- a/testing/platform/test_end_to_end.py
+++ b/testing/platform/test_end_to_end.py
@@ -1,6 +1,7 @@
 """Requests, weights and configuration end to end, on fakes of the platform."""
 
 import unittest
+from unittest.mock import patch
 
 from testing.platform.cluster import PlatformCluster, call
 
@@ -35,6 +36,18 @@
 
         self.assertEqual(self.cluster.resolve(0, 'south'), [south])
 
+    def test_directory_answers_though_its_work_fails(self) -> None:
+        """The exchange stayed open for ever."""
+        relay = self.cluster.relays[0]
+        with patch.object(
+            type(relay.adapter), 'read_directory_query', side_effect=ValueError
+        ):
+            status, _, _ = call(
+                relay.settings.directory_bind, 'GET', '/-/resolve', {}
+            )
+
+        self.assertEqual(status, 502)
+
     def test_booking_on_a_public_route_runs_once(self) -> None:
         """A public route needs no key; no engine of the model runs it."""
         for number in range(5):
--- a/testing/relay/scripted_engines.py
+++ b/testing/relay/scripted_engines.py
@@ -163,6 +163,7 @@
     """
 
     def __init__(self) -> None:
+        self.request_id = 'request-1'
         self.closed = False
         self.pending_bytes = 0
         self.status = 0
