Relay, entry, loader: every exchange is answered, though its work raises

Callers waited for ever where reading a request, its checks or the choice of a service raised an exception: an exchange that is open has no time limit. The request counted as running for ever, so that a planned stop took all its time, and nothing was logged. One way in was a route whose weights are all 0.

Causes: only the attempts of a request stood inside the part of the relay that turns an exception into an outcome. A coroutine of another thread that raised was dropped with its exception, in the relay, its directory and feed, the loader's chunks and the entry's requests and tickets.

Change: - Relay.serve counts a request as running until it ends in any way. What raises before the first attempt is answered 503, not run, which is true: nothing has been sent. If it raises, the exchange gets a 502 that promises nothing, a reset if an answer has begun, and nothing if the answer is complete. - Exceptions of all coroutines that another thread submits are logged. - A route of which no service has a positive weight answers 503, not run. The rest of its configuration stays in force, as it may revoke keys. A weight that is negative, infinite or no number makes a configuration unreadable; the one in force then stays. The log line of a request has the id that the response states, also where the client's own is not valid.

--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -25,7 +25,10 @@
 
 
 class ServiceShare(NamedTuple):
-    """Share of a route's requests that goes to one service, by weight."""
+    """Share of a route's requests that goes to one service, by weight.
+
+    :ivar weight: finite and not negative.
+    """
 
     service: str
     weight: float
@@ -60,9 +63,11 @@
     regions: frozenset[str] = frozenset()
 
     def choose_service(self, random: Random) -> str:
-        """Return a random service, by weight."""
+        """Return a random service, by weight; empty if all weights are 0."""
         names = [share.service for share in self.shares]
         weights = [share.weight for share in self.shares]
+        if not any(weights):
+            return ''
         return random.choices(names, weights)[0]
 
 
--- a/src/bramleylug/entry/dispatch.py
+++ b/src/bramleylug/entry/dispatch.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from random import Random
-from typing import final
+from typing import Any, final
 
 from bramleylug.claims.keys import shard_affinity
 from bramleylug.entry.answers import AnswerWriter
@@ -26,6 +26,7 @@
 )
 from bramleylug.settings.daemons import EntrySettings
 from bramleylug.web.exchange import Exchange
+from bramleylug.web.serving import serve_to_end
 from bramleylug.wire.requests_pb2 import Request
 
 MAX_ATTEMPTS = 3
@@ -257,21 +258,29 @@
 
     def submit(self, exchange: Exchange, reservation: Reservation) -> None:
         """Serve a request; may be called from any thread."""
-        self.loop.call_soon_threadsafe(self._spawn, exchange, reservation)
+        self._serve(
+            exchange, lambda: self.dispatcher.serve(exchange, reservation)
+        )
 
     def submit_ticket(self, exchange: Exchange) -> None:
         """Serve a request for a ticket; may be called from any thread."""
-        asyncio.run_coroutine_threadsafe(
-            self.dispatcher.serve_ticket(exchange), self.loop
-        )
+        self._serve(exchange, lambda: self.dispatcher.serve_ticket(exchange))
 
     def stop(self) -> None:
         self.loop.call_soon_threadsafe(self.loop.stop)
 
-    def _spawn(self, exchange: Exchange, reservation: Reservation) -> None:
-        task = self.loop.create_task(
-            self.dispatcher.serve(exchange, reservation)
+    def _serve(
+        self,
+        exchange: Exchange,
+        work: Callable[[], Coroutine[Any, Any, None]],
+    ) -> None:
+        """Run a coroutine that answers an exchange; thread-safe."""
+        self.loop.call_soon_threadsafe(
+            lambda: self._spawn(serve_to_end(exchange, work))
         )
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -241,9 +241,9 @@
 
     def serve(self, exchange: Exchange) -> None:
         """Answer another loader's request for a manifest or a chunk."""
-        self.core.loop.call(lambda: self._answer(exchange))
+        self.core.loop.serve(exchange, lambda: self._answer(exchange))
 
-    def _answer(self, exchange: Exchange) -> None:
+    async def _answer(self, exchange: Exchange) -> None:
         query = parse_qs(exchange.query)
         chunk_store = self.chunk_stores.by_version.get(
             integer_parameter(query, 'version', -1)
@@ -259,8 +259,7 @@
         if chunk is None:
             exchange.reply(HTTPStatus.NOT_FOUND, b'')
             return
-        found = chunk
-        self.core.loop.spawn(lambda: self.uploads.send(exchange, found))
+        await self.uploads.send(exchange, chunk)
 
     async def _send_holdings(self) -> None:
         """Send other loaders heartbeats with the chunks held here."""
--- a/src/bramleylug/node/loop_thread.py
+++ b/src/bramleylug/node/loop_thread.py
@@ -6,6 +6,8 @@
 from typing import Any, final
 
 from bramleylug.observability.events import LogEvent, emit
+from bramleylug.web.exchange import Exchange
+from bramleylug.web.serving import serve_to_end
 
 STOP_TIMEOUT_S = 2.0
 RESTART_DELAY_S = 0.5
@@ -36,9 +38,20 @@
         self.loop.call_soon_threadsafe(action)
 
     def spawn(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Run a coroutine on the loop; thread-safe."""
+        """Run a coroutine on the loop and log its exception; thread-safe."""
         self.call(lambda: self._spawn(work()))
 
+    def serve(
+        self,
+        exchange: Exchange,
+        work: Callable[[], Coroutine[Any, Any, None]],
+    ) -> None:
+        """Run a coroutine that answers an exchange; thread-safe.
+
+        If it raises an exception, the exchange fails.
+        """
+        self.spawn(lambda: serve_to_end(exchange, work))
+
     def supervise(
         self, name: str, work: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
@@ -48,7 +61,14 @@
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = self.loop.create_task(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            work = getattr(task.get_coro(), '__qualname__', task.get_name())
+            emit(LogEvent.worker_failed, work=work, error=repr(error))
 
     def _run(self) -> None:
         asyncio.set_event_loop(self.loop)
--- a/src/bramleylug/platform/decoding.py
+++ b/src/bramleylug/platform/decoding.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Mapping
+from math import isfinite
 from typing import Any
 
 from bramleylug.cluster.route_table import (
@@ -121,7 +122,7 @@
     elif streamed and route.get('resumable'):
         retry_policy = RetryPolicy.resume
     shares = tuple(
-        ServiceShare(str(part['service']), float(part['weight']))
+        ServiceShare(str(part['service']), _weight(part['weight']))
         for part in route.get('traffic_split') or ()
     )
     return Route(
@@ -188,6 +189,13 @@
     )
 
 
+def _weight(value: Any) -> float:
+    weight = float(value)
+    if weight < 0 or not isfinite(weight):
+        raise ValueError(f'{value!r} is not a weight')
+    return weight
+
+
 def _integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f'{value!r} is not an integer')
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -235,7 +235,9 @@
             self.ledger, reserved_bytes, RESERVATION_HOLDERS
         )
         exchange.on_ended = reservation.release
-        self.core.loop.spawn(lambda: self._serve(exchange, reservation))
+        self.core.loop.serve(
+            exchange, lambda: self._serve(exchange, reservation)
+        )
 
     def serve_ready(self, exchange: Exchange) -> None:
         """Serve the readiness page."""
@@ -243,7 +245,7 @@
 
     def serve_feed(self, exchange: Exchange) -> None:
         """Pass on what this relay reads from the store."""
-        self.core.loop.spawn(lambda: self.core.serve_feed(exchange))
+        self.core.loop.serve(exchange, lambda: self.core.serve_feed(exchange))
 
     def serve_metrics(self, exchange: Exchange) -> None:
         """Serve the metrics page."""
@@ -251,7 +253,7 @@
 
     def serve_directory(self, exchange: Exchange) -> None:
         """Send a caller the addresses of relays."""
-        self.core.loop.call(lambda: self._answer_query(exchange))
+        self.core.loop.serve(exchange, lambda: self._answer_query(exchange))
 
     async def _serve(
         self, exchange: Exchange, reservation: Reservation
@@ -261,7 +263,7 @@
         finally:
             reservation.release()
 
-    def _answer_query(self, exchange: Exchange) -> None:
+    async def _answer_query(self, exchange: Exchange) -> None:
         query = self.adapter.read_directory_query(exchange)
         if query is None:
             exchange.reply(HTTPStatus.NOT_FOUND, b'no such path\n')
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -23,7 +23,7 @@
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown, run_name
 from bramleylug.relay.attempt import Attempt, AttemptTimeouts, may_retry
 from bramleylug.relay.connection_pool import ConnectionPool
-from bramleylug.relay.dialect import CallerRequest, Dialect, RequestMetadata
+from bramleylug.relay.dialect import Dialect, RequestMetadata
 from bramleylug.relay.dispatch_queue import DispatchQueue
 from bramleylug.relay.error_responses import error_response
 from bramleylug.relay.outcome_recorder import OutcomeRecorder
@@ -48,6 +48,8 @@
 # Requests sent on outdated weights may still start for this part of the margin
 # before the version limit; the rest is for closing the connection.
 LATE_START_S = 0.3
+# A request that one relay cannot handle may be handled by another one.
+INTERNAL_RETRY_S = 0.5
 
 
 @final
@@ -86,8 +88,18 @@
         self.running = 0
 
     async def serve(self, exchange: Exchange) -> None:
-        """Serve one exchange to its end."""
+        """Serve one exchange to its end.
+
+        An exception is answered: as not run before the first attempt, later
+        as unknown.
+        """
         self._count_running(1)
+        try:
+            await self._serve(exchange)
+        finally:
+            self._count_running(-1)
+
+    async def _serve(self, exchange: Exchange) -> None:
         arrived_s = self.clock()
         writer = AnswerWriter(
             exchange, self.settings.caller_bytes, error_response
@@ -95,21 +107,37 @@
         task = asyncio.current_task()
         if task is not None:
             writer.on_disconnect = task.cancel
-        request = self.dialect.read_request(exchange)
-        accepted = self.checks.check(request)
         context: RequestContext | None = None
         outcome: Outcome
-        if isinstance(accepted, NotRun):
-            outcome = accepted
-        else:
-            context = RequestContext.from_request(
-                request, accepted, writer, arrived_s
-            )
-            outcome = await self._serve_with_timeout(context)
-        self._count_running(-1)
+        match self._accept(exchange, writer, arrived_s):
+            case NotRun() as refusal:
+                outcome = refusal
+            case RequestContext() as context:
+                outcome = await self._serve_with_timeout(context)
         writer.on_disconnect = _ignore
         writer.conclude(outcome)
-        self._record(request, context, outcome, arrived_s)
+        self._record(exchange.request_id, context, outcome, arrived_s)
+
+    def _accept(
+        self, exchange: Exchange, writer: AnswerWriter, arrived_s: float
+    ) -> RequestContext | NotRun:
+        """Return the context of a request, or its refusal."""
+        try:
+            request = self.dialect.read_request(exchange)
+            accepted = self.checks.check(request)
+            if isinstance(accepted, NotRun):
+                return accepted
+            return RequestContext.from_request(
+                request, accepted, writer, arrived_s
+            )
+        except Exception as error:  # noqa: BLE001
+            emit(
+                LogEvent.worker_failed,
+                work='relay',
+                error=repr(error),
+                request_id=exchange.request_id,
+            )
+            return NotRun(Reason.internal, repr(error), INTERNAL_RETRY_S)
 
     async def _serve_with_timeout(self, context: RequestContext) -> Outcome:
         """Return an outcome in every case: answer, error or timeout."""
@@ -259,7 +287,7 @@
 
     def _record(
         self,
-        request: CallerRequest,
+        request_id: str,
         context: RequestContext | None,
         outcome: Outcome,
         arrived_s: float,
@@ -271,7 +299,7 @@
         REQUEST_SECONDS.observe({'service': service}, took_s)
         emit(
             LogEvent.request_decided,
-            request_id=request.request_id,
+            request_id=request_id,
             outcome=run_name(outcome),
             reason=str(outcome.reason or ''),
             status=outcome.status if isinstance(outcome, Ran) else 0,
--- a/src/bramleylug/relay/request_checks.py
+++ b/src/bramleylug/relay/request_checks.py
@@ -111,10 +111,17 @@
             return NotRun(
                 Reason.crash_suspect, 'the request crashed several upstreams'
             )
+        service = route.choose_service(self.random)
+        if not service:
+            return NotRun(
+                Reason.no_upstream,
+                'no service of the route has a positive weight',
+                UNKNOWN_RETRY_S,
+            )
         return Accepted(
             route,
             workspace,
-            route.choose_service(self.random),
+            service,
             allowed_regions(route, workspace),
             table.version,
             fingerprint,
--- a/src/bramleylug/web/exchange.py
+++ b/src/bramleylug/web/exchange.py
@@ -5,6 +5,7 @@
 import uuid
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, final
 
 from bramleylug.web.framing import Framing, HeaderPairs, clean_headers
@@ -151,6 +152,14 @@
         body = json.dumps(document).encode()
         self.reply(status, body, {'Content-Type': JSON_TYPE, **(headers or {})})
 
+    def fail(self) -> None:
+        """End an exchange that nothing will answer any more.
+
+        The client gets a 502 response that promises nothing, or a reset if a
+        response has begun. A complete response stays as it is.
+        """
+        self.port.context.call(self._fail)
+
     def disable_keep_alive(self) -> None:
         """Close the connection once the response has ended."""
         self.close_after_response = True
@@ -213,6 +222,19 @@
         self.finished = True
         self.port.schedule_flush(self.connection)
 
+    def _fail(self) -> None:
+        if self.closed or self.finished:
+            return
+        if self.framing is not None:
+            self.port.reset(self.connection)
+            return
+        document = {
+            'code': 'internal',
+            'message': 'internal error',
+            'run': 'unknown',
+        }
+        self.reply_json(HTTPStatus.BAD_GATEWAY, document, {'X-Run': 'unknown'})
+
 
 def choose_request_id(client_id: str) -> str:
     """Return the client's request id if it is valid, else a new one."""
