Relay: tests of started streams that are cut for a silence

Callers saw a stream reset in the middle: after 1.2 s without an event the attempt is ended before it is known whether another engine can go on. The tests keep that from happening with one attempt, a spent retry budget, no other engine and other engines that are full.

--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from unittest.mock import patch
 
 from bramleylug.cluster.cluster_view import (
     MAX_BEHIND_S,
@@ -52,23 +53,29 @@
     """Base of tests with engines that are selected in a fixed order."""
 
     async def serve(
-        self, *engines, disconnect_after_s=None, request=None, **fields
+        self,
+        *engines,
+        disconnect_after_s=None,
+        request=None,
+        loads=(),
+        **fields,
     ):
-        """Serve one request; the first engine is the least loaded one."""
+        """Serve one request; the first engine is the least loaded one.
+
+        :param loads: requests of other relays at each engine, which has 100
+            slots.
+        """
         self.relay = self.build_relay(build_route(**fields))
         self.engines = [await engine.open() for engine in engines]
         for number, engine in enumerate(self.engines):
             self.addAsyncCleanup(engine.close)
-            upstream = self.relay.view.upstreams.register(
+            self.relay.view.upstreams.register(
                 build_upstream_record(
                     f'engine-{number}', address=engine.address, slots=100
                 )
             )
             # The difference in free slots makes the order practically fixed.
-            upstream.reported_running['relay-9'] = (
-                99 * number,
-                time.monotonic(),
-            )
+            self.report_load(number, loads[number] if loads else 99 * number)
         if request is not None:
             self.relay.dialect.request = request
         exchange = RecordingExchange()
@@ -89,6 +96,11 @@
         view.apply_route_table(build_table(route))
         return Relay(settings, view, FakeDialect(), time.monotonic)
 
+    def report_load(self, number, running):
+        """Report how many requests another relay runs at an engine."""
+        upstream = self.relay.view.upstreams.by_id[f'engine-{number}']
+        upstream.reported_running['relay-9'] = (running, time.monotonic())
+
     def arrivals(self):
         """Return how many requests each engine received."""
         return [len(engine.heads) for engine in self.engines]
@@ -159,6 +171,19 @@
         self.assertEqual(exchange.ended, 'whole')
         self.assertEqual(exchange.sent.count(b'data:'), 5)
 
+    async def test_last_attempt_is_not_cut_for_silence(self) -> None:
+        """The engine is silent for two seconds."""
+        engine = ScriptedEngine(
+            [OK_HEAD, event(1), 2.0, event(2), event(3), LAST_CHUNK]
+        )
+        other = ScriptedEngine(NOT_RUN)
+
+        exchange = await self.serve(engine, other, max_attempts=1)
+
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertEqual(exchange.sent.count(b'data:'), 3)
+        self.assertEqual(self.arrivals(), [1, 0])
+
     async def test_broken_stream_without_resumption_is_cut_off(self) -> None:
         """An incomplete answer must not look complete."""
         first = ScriptedEngine([OK_HEAD, event(1), None])
@@ -191,6 +216,71 @@
         self.assertEqual(exchange.status, 502)
 
 
+class SilenceCase(RelayCase):
+    """Base of tests with short timeouts of silence."""
+
+    def setUp(self) -> None:
+        """Look for another engine after 0.2 s of silence in a stream."""
+        for name in ('STREAM_FIRST_EVENT_S', 'STREAM_IDLE_S'):
+            patched = patch(f'bramleylug.relay.relay.{name}', 0.2)
+            patched.start()
+            self.addCleanup(patched.stop)
+
+    def spend_retry_budget(self):
+        """Let the relays that are built have no retry budget."""
+        build_relay = self.build_relay
+
+        def build(route):
+            relay = build_relay(route)
+            relay.retry_budget.share = 0
+            relay.retry_budget.reserve = 0
+            return relay
+
+        self.build_relay = build
+
+
+class TestSilentStreams(SilenceCase):
+    """Silence alone does not end a stream that has started."""
+
+    def silent(self):
+        """Return an engine that is silent in the middle of its stream."""
+        return ScriptedEngine(
+            [OK_HEAD, event(1), 0.7, event(2), event(3), LAST_CHUNK]
+        )
+
+    def assert_whole(self, exchange, arrivals):
+        """Check that the caller got the whole stream."""
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertEqual(exchange.sent.count(b'data:'), 3)
+        self.assertEqual(self.arrivals(), arrivals)
+
+    async def test_stream_is_not_cut_when_the_retry_budget_is_spent(
+        self,
+    ) -> None:
+        """Another engine has free slots."""
+        self.spend_retry_budget()
+
+        exchange = await self.serve(self.silent(), ScriptedEngine(NOT_RUN))
+
+        self.assert_whole(exchange, [1, 0])
+
+    async def test_stream_is_not_cut_without_another_engine(self) -> None:
+        """Only its own engine is registered."""
+        exchange = await self.serve(self.silent())
+
+        self.assert_whole(exchange, [1])
+
+    async def test_stream_is_not_cut_while_other_engines_are_full(
+        self,
+    ) -> None:
+        """The other engine has no free slot."""
+        exchange = await self.serve(
+            self.silent(), ScriptedEngine(NOT_RUN), loads=(0, 100)
+        )
+
+        self.assert_whole(exchange, [1, 0])
+
+
 class TestNoRetry(RelayCase):
     """A request that may run only once is not sent again after it may have."""
 
