Relay: tests of requests that fail for a silence before the answer

Callers got a 502 1.5 s (stream) or three objectives (idempotent request) after the request was passed on, with time left and no other engine free. The tests fail: (502, 'own') != (200, 'whole'), (502, b'') != (200, b'late') and 502 != 504.

--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -281,6 +281,51 @@
         self.assert_whole(exchange, [1, 0])
 
 
+class TestSilenceBeforeTheAnswer(SilenceCase):
+    """Silence alone does not end a request that waits for its answer."""
+
+    async def test_stream_is_not_refused_before_its_first_event(self) -> None:
+        """The engine has sent nothing, or only the head of its answer."""
+        for parts in ([0.7, OK_HEAD], [OK_HEAD, 0.7]):
+            engine = ScriptedEngine([*parts, event(1), LAST_CHUNK])
+
+            exchange = await self.serve(
+                engine, ScriptedEngine(NOT_RUN), max_attempts=1
+            )
+
+            self.assertEqual((exchange.status, exchange.ended), (200, 'whole'))
+            self.assertEqual(exchange.sent.count(b'data:'), 1)
+            self.assertEqual(self.arrivals(), [1, 0])
+
+    async def test_idempotent_request_is_not_failed_for_silence(self) -> None:
+        """No other engine has a free slot."""
+        engine = ScriptedEngine([0.7, complete_answer(b'late')])
+
+        exchange = await self.serve(
+            engine,
+            ScriptedEngine(NOT_RUN),
+            retry_policy=RetryPolicy.always,
+            streamed=False,
+            objective_s=0.05,
+            loads=(0, 100),
+        )
+
+        self.assertEqual((exchange.status, exchange.sent), (200, b'late'))
+        self.assertEqual(self.arrivals(), [1, 0])
+
+    async def test_request_that_is_never_answered_ends_at_its_time_limit(
+        self,
+    ) -> None:
+        """It is not refused before, and nothing is known of its run."""
+        engine = ScriptedEngine([30.0])
+
+        exchange = await self.serve(engine, timeout_s=0.8)
+
+        self.assertEqual(exchange.status, 504)
+        self.assertEqual(exchange.headers_sent['X-Run'], 'unknown')
+        await asyncio.wait_for(self.engines[0].closed.wait(), 0.5)
+
+
 class TestNoRetry(RelayCase):
     """A request that may run only once is not sent again after it may have."""
 
