Relay: tests of cut streams that are given up while no engine is free

Callers saw a resumable stream reset 5 ms after its engine had cut it, where at that moment other engines were full, turned it away or were not registered yet, or the retry budget was spent, with seconds left.

--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -96,6 +96,18 @@
         view.apply_route_table(build_table(route))
         return Relay(settings, view, FakeDialect(), time.monotonic)
 
+    def spend_retry_budget(self):
+        """Let the relays that are built have no retry budget."""
+        build_relay = self.build_relay
+
+        def build(route):
+            relay = build_relay(route)
+            relay.retry_budget.share = 0
+            relay.retry_budget.reserve = 0
+            return relay
+
+        self.build_relay = build
+
     def report_load(self, number, running):
         """Report how many requests another relay runs at an engine."""
         upstream = self.relay.view.upstreams.by_id[f'engine-{number}']
@@ -226,18 +238,6 @@
             patched.start()
             self.addCleanup(patched.stop)
 
-    def spend_retry_budget(self):
-        """Let the relays that are built have no retry budget."""
-        build_relay = self.build_relay
-
-        def build(route):
-            relay = build_relay(route)
-            relay.retry_budget.share = 0
-            relay.retry_budget.reserve = 0
-            return relay
-
-        self.build_relay = build
-
 
 class TestSilentStreams(SilenceCase):
     """Silence alone does not end a stream that has started."""
@@ -326,6 +326,100 @@
         await asyncio.wait_for(self.engines[0].closed.wait(), 0.5)
 
 
+class TestStartedStreams(RelayCase):
+    """A started stream waits for an engine that can continue it."""
+
+    def setUp(self) -> None:
+        """Build an engine that cuts its stream and one that continues it."""
+        self.cut = ScriptedEngine([OK_HEAD, event(1), None])
+        self.other = ScriptedEngine([OK_HEAD, event(2), LAST_CHUNK])
+
+    async def serve_until(self, change, *engines, **fields):
+        """Serve a stream; make a change after 0.5 s."""
+        task = asyncio.create_task(self.serve(*engines, **fields))
+        await asyncio.sleep(0.5)
+        change()
+        return await task
+
+    def assert_continued(self, exchange, arrivals):
+        """Check that the caller got both events."""
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertEqual(exchange.sent.count(b'data:'), 2)
+        self.assertEqual(self.arrivals(), arrivals)
+
+    async def test_cut_stream_goes_on_when_a_slot_is_freed(self) -> None:
+        """The other engine is full when the stream is cut."""
+        exchange = await self.serve_until(
+            lambda: self.report_load(1, 99),
+            self.cut,
+            self.other,
+            loads=(0, 100),
+        )
+
+        self.assert_continued(exchange, [1, 1])
+
+    async def test_cut_stream_goes_on_when_an_engine_registers(self) -> None:
+        """Its own engine is the only one when the stream is cut."""
+        await self.other.open()
+        self.addAsyncCleanup(self.other.close)
+
+        exchange = await self.serve_until(
+            lambda: self.relay.view.upstreams.register(
+                build_upstream_record('engine-1', address=self.other.address)
+            ),
+            self.cut,
+        )
+
+        self.assert_continued(exchange, [1])
+        self.assertEqual(len(self.other.heads), 1)
+
+    async def test_stream_refused_after_a_cut_waits_for_a_third_engine(
+        self,
+    ) -> None:
+        """The second engine turns it away while the third one is full."""
+        exchange = await self.serve_until(
+            lambda: self.report_load(2, 99),
+            self.cut,
+            ScriptedEngine(NOT_RUN),
+            self.other,
+            loads=(0, 99, 100),
+            max_attempts=3,
+        )
+
+        self.assert_continued(exchange, [1, 1, 1])
+
+    async def test_cut_stream_waits_for_the_retry_budget(self) -> None:
+        """The budget grows with the requests of other callers."""
+        self.spend_retry_budget()
+
+        exchange = await self.serve_until(
+            lambda: setattr(self.relay.retry_budget, 'reserve', 100),
+            self.cut,
+            self.other,
+        )
+
+        self.assert_continued(exchange, [1, 1])
+
+    async def test_cut_stream_without_attempts_left_ends_at_once(self) -> None:
+        """No engine may continue it, however long it waits."""
+        began_s = time.monotonic()
+
+        exchange = await self.serve(self.cut, self.other, max_attempts=1)
+
+        self.assertEqual(exchange.ended, 'cut')
+        self.assertLess(time.monotonic() - began_s, 0.2)
+
+    async def test_cut_stream_ends_at_its_time_limit(self) -> None:
+        """No engine can continue it before."""
+        began_s = time.monotonic()
+
+        exchange = await self.serve(self.cut, timeout_s=0.8)
+
+        self.assertEqual(exchange.ended, 'cut')
+        self.assertGreater(time.monotonic() - began_s, 0.7)
+        self.assertEqual(self.relay.running, 0)
+
+
 class TestNoRetry(RelayCase):
     """A request that may run only once is not sent again after it may have."""
 
