Relay: silence looks for another upstream instead of ending the attempt

Callers saw a started stream reset in the middle after 1.2 s without an event, and a 502 1.5 s (stream) or three objectives (idempotent) after a request was passed on, though its engine would have gone on and time was left. A stream that its engine had cut was reset within milliseconds where at that moment no other engine had a free slot.

Cause: the attempt was ended by a timeout before it was known whether another upstream could take over, and the next one was asked for only once.

Change: a silent attempt asks Handover, every 0.2 s, whether the request may move: attempts left, key still valid, retry budget, another upstream with a free slot. The retry is consumed and the attempt ends only if all hold, and nothing is awaited before the request is counted at its new upstream. Otherwise the same connection is read on until the time limit. A started stream without an upstream asks again until then, or until its caller leaves or no attempts are left. The limit for answers on expiring weights ends an attempt as before, whether or not another upstream is free; a test covers that now, and fails after 4.97 s without the check. An upstream counts as tried from the moment at which the request is sent, so that a move does not choose it again.

--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -1,6 +1,7 @@
 """One attempt to send a request to an upstream and forward its answer."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -34,6 +35,9 @@
 BUFFERED_ANSWER_BYTES = 131072
 # A refusal has a short body; more than this is no refusal of an upstream.
 MAX_REFUSAL_BYTES = 65536
+# While an upstream is silent, or none can continue a stream, another one is
+# looked for at this interval.
+RECHECK_INTERVAL_S = 0.2
 # Statuses that promise a caller that nothing ran.
 NOT_RUN_STATUSES = frozenset(
     (
@@ -47,7 +51,7 @@
 
 @final
 class UpstreamSilent(Exception):
-    """The upstream sent nothing within the timeout."""
+    """The upstream sent nothing, and the request moves or must not wait."""
 
 
 @final
@@ -83,26 +87,63 @@
 @final
 @dataclass(frozen=True, slots=True)
 class AttemptTimeouts:
-    """How long an upstream may send nothing before the attempt fails.
+    """How long an upstream may send nothing before another is looked for.
 
     :ivar first_s: until the head of the answer, or the first event of a
         stream; ``None`` for no limit.
     :ivar idle_s: between two complete events of a stream, however many
         bytes arrive in between; ``None`` for no limit.
     :ivar start_by_s: time by which the answer must have started, because
-        the upstream's weights will be too old after it.
+        the upstream's weights will be too old after it. The attempt ends
+        then, whether or not the request can move.
     """
 
     first_s: float | None
     idle_s: float | None
     start_by_s: float | None = None
 
-    def until_start_s(self, now_s: float) -> float | None:
-        """Return the timeout for the start of the answer."""
-        if self.start_by_s is None:
-            return self.first_s
-        left_s = max(0.0, self.start_by_s - now_s)
-        return left_s if self.first_s is None else min(left_s, self.first_s)
+
+@final
+@dataclass(slots=True)
+class Silence:
+    """Time during which an upstream sends no head and no complete event.
+
+    :ivar since_s: when it began.
+    :ivar look_s: when another upstream is looked for; infinite for never.
+    :ivar end_s: when the attempt must end; infinite for never.
+    """
+
+    since_s: float
+    look_s: float
+    end_s: float
+
+    @classmethod
+    def begin(
+        cls, now_s: float, timeout_s: float | None, end_s: float | None = None
+    ) -> 'Silence':
+        """Return a silence that begins now."""
+        return cls(
+            now_s,
+            math.inf if timeout_s is None else now_s + timeout_s,
+            math.inf if end_s is None else end_s,
+        )
+
+    def left_s(self, now_s: float) -> float | None:
+        """Return the time until the next check; ``None`` for no limit."""
+        next_s = min(self.look_s, self.end_s)
+        return None if next_s == math.inf else max(0.0, next_s - now_s)
+
+    def check(self, now_s: float, may_move: Callable[[], bool]) -> None:
+        """Put off the next check unless the attempt must end.
+
+        :param may_move: whether the request moves to another upstream now.
+        :raises UpstreamSilent: when the attempt must end.
+        """
+        if now_s >= self.end_s or may_move():
+            raise UpstreamSilent(
+                f'upstream sent nothing for {now_s - self.since_s:.1f} s'
+            )
+        self.look_s = now_s + RECHECK_INTERVAL_S
 
 
 @final
@@ -111,7 +152,10 @@
 
     :ivar sent: whether any byte of the request may have been sent.
     :ivar answer_started: whether the first event of a stream has arrived.
-    :ivar on_answer_started: called when it arrives.
+    :ivar on_sent: called when the request is sent.
+    :ivar may_move: asked while the upstream is silent; if it returns
+        ``True``, the attempt ends and the request moves to another upstream.
+    :ivar on_answer_started: called when the first event arrives.
     :ivar on_metadata: called with what the head of an answer states, before
         its body is read.
     """
@@ -131,6 +175,8 @@
         self.progress = progress
         self.sent = False
         self.answer_started = False
+        self.on_sent: Callable[[], None] = _ignore
+        self.may_move: Callable[[], bool] = _stay
         self.on_answer_started: Callable[[], None] = _ignore
         self.on_metadata: Callable[[AnswerMetadata], None] = _ignore_metadata
         self.status = 0
@@ -163,6 +209,7 @@
         except ConnectionBroken as error:
             return NotRun(Reason.connection_failed, str(error))
         self.sent = True
+        self.on_sent()
         answer: AnswerMetadata | None = None
         try:
             outcome, answer = await self._answer(connection, dialect, timeouts)
@@ -187,8 +234,9 @@
         dialect: Dialect,
         timeouts: AttemptTimeouts,
     ) -> tuple[Outcome, AnswerMetadata]:
-        start_s = timeouts.until_start_s(self.clock())
-        head = await _with_timeout(start_s, connection.read_head)
+        head = await self._read(
+            connection.read_head, self._silence_before_start(timeouts)
+        )
         answer = dialect.read_answer(head)
         self._check_request_id(answer, connection)
         self.on_metadata(answer)
@@ -264,20 +312,38 @@
         if self.progress.head is None:
             self.progress.head = head
             self._start(head, dialect, None)
-        due_s = _due_s(timeouts.until_start_s(self.clock()), self.clock())
-        while piece := await _with_timeout(
-            _left_s(due_s, self.clock()), connection.read_piece
-        ):
+        silence = self._silence_before_start(timeouts)
+        while piece := await self._read(connection.read_piece, silence):
             events = splitter.feed(piece)
             if events:
                 self._record_answer_started()
                 self.progress.record_piece(self.clock())
                 await self.writer.write(events)
                 # Counts from here: a slow caller is no fault of the upstream.
-                due_s = _due_s(timeouts.idle_s, self.clock())
+                silence = Silence.begin(self.clock(), timeouts.idle_s)
         if splitter.partial:
             raise ConnectionBroken('stream ended inside an event')
 
+    async def _read(
+        self, read: Callable[[], Awaitable[ResultT]], silence: Silence
+    ) -> ResultT:
+        """Read from the upstream, however long it takes unless it must end.
+
+        :raises UpstreamSilent: when the request moves to another upstream, or
+            the answer has not started in time.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(silence.left_s(self.clock())):
+                    return await read()
+            except TimeoutError:
+                silence.check(self.clock(), self.may_move)
+
+    def _silence_before_start(self, timeouts: AttemptTimeouts) -> Silence:
+        return Silence.begin(
+            self.clock(), timeouts.first_s, timeouts.start_by_s
+        )
+
     def _record_answer_started(self) -> None:
         if not self.answer_started:
             self.answer_started = True
@@ -324,26 +390,6 @@
             return False
 
 
-async def _with_timeout(
-    timeout_s: float | None, read: Callable[[], Awaitable[ResultT]]
-) -> ResultT:
-    try:
-        async with asyncio.timeout(timeout_s):
-            return await read()
-    except TimeoutError as error:
-        raise UpstreamSilent(
-            f'upstream sent nothing for {timeout_s} s'
-        ) from error
-
-
-def _due_s(timeout_s: float | None, now_s: float) -> float | None:
-    return None if timeout_s is None else now_s + timeout_s
-
-
-def _left_s(due_s: float | None, now_s: float) -> float | None:
-    return None if due_s is None else max(0.0, due_s - now_s)
-
-
 def _not_run(head: AnswerHead) -> NotRun:
     reason = Reason.overloaded
     if head.status == HTTPStatus.MISDIRECTED_REQUEST:
@@ -355,6 +401,10 @@
     """Do nothing."""
 
 
+def _stay() -> bool:
+    return False
+
+
 def _ignore_metadata(metadata: AnswerMetadata) -> None:
     """Do nothing."""
 
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -87,6 +87,11 @@
             case Wait(until_s):
                 return await self._wait(context, requirements, queue, until_s)
 
+    def find_free(self, context: RequestContext) -> Upstream | None:
+        """Return an upstream that has a free slot now."""
+        selection = self._select(context.requirements())
+        return selection.upstream if isinstance(selection, Selected) else None
+
     def record_completion(self, service: str) -> None:
         """Record that a request left an upstream; wake waiting requests."""
         queue = self.queues.get(service)
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -16,7 +16,6 @@
 from bramleylug.observability.metrics import (
     REQUEST_SECONDS,
     REQUESTS,
-    RETRIES,
     RUNNING,
     count,
 )
@@ -26,6 +25,7 @@
 from bramleylug.relay.dialect import Dialect, RequestMetadata
 from bramleylug.relay.dispatch_queue import DispatchQueue
 from bramleylug.relay.error_responses import error_response
+from bramleylug.relay.handover import Handover
 from bramleylug.relay.outcome_recorder import OutcomeRecorder
 from bramleylug.relay.request_checks import RequestChecks
 from bramleylug.relay.request_context import (
@@ -38,8 +38,8 @@
 from bramleylug.relay.upstream_selection import UpstreamSelector
 from bramleylug.web.exchange import Exchange
 
-# An idempotent request is retried on another upstream after a timeout of this
-# many latency objectives, a stream after the given time without an event.
+# Another upstream is looked for after this many latency objectives for an
+# idempotent request, and after the given time without an event for a stream.
 # Callers abandon a stream after 2 s or more.
 TIMEOUT_OBJECTIVES = 3.0
 MIN_TIMEOUT_S = 0.4
@@ -84,6 +84,9 @@
             view.peers.relay_count,
             clock,
         )
+        self.handover = Handover(
+            self.dispatch_queue, self.checks, self.retry_budget
+        )
         self.pool = ConnectionPool(clock)
         self.running = 0
 
@@ -156,12 +159,8 @@
 
     async def _run_attempts(self, context: RequestContext) -> Outcome:
         outcome: Outcome | None = None
-        while True:
-            upstream = await self.dispatch_queue.assign(
-                context, first=outcome is None
-            )
-            if isinstance(upstream, NotRun):
-                return merge_outcomes(outcome, upstream)
+        upstream = await self.dispatch_queue.assign(context, first=True)
+        while isinstance(upstream, Upstream):
             refusal = self.checks.recheck(context.accepted)
             if refusal is not None:
                 return merge_outcomes(outcome, refusal)
@@ -176,20 +175,11 @@
                 and context.route.retry_policy is RetryPolicy.never
             ):
                 return outcome
-            if not self._acquire_retry(context):
+            following = await self.handover.next_upstream(context)
+            if following is None:
                 return outcome
-
-    def _acquire_retry(self, context: RequestContext) -> bool:
-        if not context.tried:
-            # No upstream received the request: another connection does not
-            # count as a retry.
-            return True
-        if len(context.tried) >= context.route.max_attempts:
-            return False
-        service = context.accepted.service
-        granted = self.retry_budget.consume(service)
-        count(RETRIES, service=service, granted=str(granted).lower())
-        return granted
+            upstream = following
+        return merge_outcomes(outcome, upstream)
 
     async def _attempt(
         self, context: RequestContext, upstream: Upstream
@@ -209,6 +199,10 @@
         )
         upstream.running += 1
         upstream.unstarted += 1
+        attempt.on_sent = partial(
+            context.tried.append, upstream.record.upstream_id
+        )
+        attempt.may_move = partial(self.handover.try_move, context)
         attempt.on_answer_started = upstream.record_started
         attempt.on_metadata = partial(
             self.outcome_recorder.record_metadata,
@@ -240,7 +234,6 @@
         if not attempt.answer_started:
             upstream.record_started()
         if attempt.sent:
-            context.tried.append(upstream.record.upstream_id)
             context.may_have_run |= not isinstance(outcome, NotRun)
         self.dispatch_queue.record_completion(context.accepted.service)
 
--- a/src/bramleylug/relay/request_context.py
+++ b/src/bramleylug/relay/request_context.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from bramleylug.cluster.route_table import Route
+from bramleylug.cluster.upstreams import Upstream
 from bramleylug.entry.answers import AnswerWriter
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown
 from bramleylug.relay.attempt import AnswerProgress
@@ -27,6 +28,7 @@
     :ivar tried: ids of the upstreams that received it.
     :ivar waited_s: time it waited in the queue for a free slot.
     :ivar load: requests running at its last upstream when it was sent.
+    :ivar moving_to: the upstream for which its silent one is given up.
     :ivar may_have_run: whether an upstream received it and did not answer
         that it was not run.
     """
@@ -40,6 +42,7 @@
     tried: list[str] = field(default_factory=list)
     waited_s: float = 0
     load: float = 0
+    moving_to: Upstream | None = None
     may_have_run: bool = False
 
     @classmethod
--- a/src/bramleylug/relay/retry_budget.py
+++ b/src/bramleylug/relay/retry_budget.py
@@ -59,13 +59,17 @@
 
     def consume(self, service: str) -> bool:
         """Consume one retry; return whether the budget allows it."""
+        if not self.allows(service):
+            return False
+        self._window(service).retries.append(self.clock())
+        return True
+
+    def allows(self, service: str) -> bool:
+        """Return whether the budget allows a retry now."""
         window = self._window(service)
         allowed = self.share * SHARE_FRACTION * len(window.first_attempts)
         allowed += self.reserve * RESERVE_FRACTION / self.relay_count()
-        if len(window.retries) + 1 > allowed:
-            return False
-        window.retries.append(self.clock())
-        return True
+        return len(window.retries) + 1 <= allowed
 
     def _window(self, service: str) -> RetryWindow:
         window = self.windows.setdefault(service, RetryWindow())
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -280,6 +280,28 @@
 
         self.assert_whole(exchange, [1, 0])
 
+    async def test_one_free_slot_takes_over_one_silent_stream(self) -> None:
+        """Another one that is silent at the same time stays where it is."""
+        parts = [OK_HEAD, event(1), 0.7, event(2), event(3), LAST_CHUNK]
+        resumed = [OK_HEAD, event(2), event(3), 0.7, LAST_CHUNK]
+        first = asyncio.create_task(
+            self.serve(
+                ScriptedEngine(parts, parts), ScriptedEngine(resumed, resumed)
+            )
+        )
+        await asyncio.sleep(0.02)
+        second = RecordingExchange()
+
+        await self.relay.serve(second)
+
+        self.assert_whole(await first, [2, 1])
+        self.assert_whole(second, [2, 1])
+        running = [
+            (upstream.running, upstream.unstarted)
+            for upstream in self.relay.view.upstreams.by_id.values()
+        ]
+        self.assertEqual(running, [(0, 0), (0, 0)])
+
 
 class TestSilenceBeforeTheAnswer(SilenceCase):
     """Silence alone does not end a request that waits for its answer."""
@@ -784,6 +806,27 @@
         self.assertTrue(self.engines[0].closed.is_set())
         self.assertEqual(self.arrivals(), [1, 1])
 
+    async def test_queued_request_does_not_outlast_expired_weights(
+        self,
+    ) -> None:
+        """No other engine can take it over; it ends all the same."""
+        queued = ScriptedEngine([5.0, OK_HEAD, event(1), LAST_CHUNK])
+        relay_build = self.build_relay
+
+        def build(route):
+            relay = relay_build(route)
+            relay.view.versions.add_target(MODEL, 2, time.monotonic(), 0.1)
+            return relay
+
+        self.build_relay = build
+        began_s = time.monotonic()
+
+        exchange = await self.serve(queued)
+
+        self.assertLess(time.monotonic() - began_s, 0.7)
+        self.assertEqual(exchange.status, 502)
+        await asyncio.wait_for(self.engines[0].closed.wait(), 0.5)
+
     async def test_request_with_bad_key_is_not_sent(self) -> None:
         """It is refused permanently."""
         engine = ScriptedEngine(complete_answer(b'ok'))
