Relay: tests that a waiting request ends when its caller leaves

A started stream that waits for an engine, in the queue or without any, and a silent engine while another one is looked for.

Measured: python -m testing, 766 tests; test_relay.py and test_handover.py six times, two at a time, 57 tests each, none failed.

--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -302,6 +302,17 @@
         ]
         self.assertEqual(running, [(0, 0), (0, 0)])
 
+    async def test_silent_engine_is_left_when_the_caller_disconnects(
+        self,
+    ) -> None:
+        """Another engine is being looked for at that time."""
+        engine = ScriptedEngine([OK_HEAD, event(1), 30.0])
+
+        await self.serve(engine, disconnect_after_s=0.5)
+
+        await asyncio.wait_for(self.engines[0].closed.wait(), 0.5)
+        self.assertEqual(self.relay.running, 0)
+
 
 class TestSilenceBeforeTheAnswer(SilenceCase):
     """Silence alone does not end a request that waits for its answer."""
@@ -431,6 +442,20 @@
         self.assertEqual(exchange.ended, 'cut')
         self.assertLess(time.monotonic() - began_s, 0.2)
 
+    async def test_waiting_stream_ends_when_its_caller_disconnects(
+        self,
+    ) -> None:
+        """It waits for another engine, alone or in the queue."""
+        for engines in ((self.cut,), (self.cut, self.other)):
+            self.cut.answers = [[OK_HEAD, event(1), None]]
+            began_s = time.monotonic()
+
+            await self.serve(*engines, disconnect_after_s=0.3, loads=(0, 100))
+
+            self.assertLess(time.monotonic() - began_s, 0.5)
+            self.assertEqual(self.relay.running, 0)
+            self.assertEqual(self.relay.dispatch_queue.waiters, {})
+
     async def test_cut_stream_ends_at_its_time_limit(self) -> None:
         """No engine can continue it before."""
         began_s = time.monotonic()
