Relay: tests of answers that end with their connection

Cause: an answer may have neither a length nor chunks, a reset one is not complete, and a stream that ends inside an event has been broken off; no test held the relay to that. Change: scripted engines can reset a connection and send answers without framing; tests of the relay, and of what a caller reads from its socket.

--- a/testing/relay/scripted_engines.py
+++ b/testing/relay/scripted_engines.py
@@ -1,7 +1,9 @@
 """Engines with scripted answers, a fake dialect and recording exchanges."""
 
 import asyncio
+import struct
 from collections.abc import Callable
+from socket import SO_LINGER, SOL_SOCKET
 from typing import Any
 
 from bramleylug.relay.dialect import (
@@ -16,6 +18,11 @@
     b'HTTP/1.1 200 OK\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
 LAST_CHUNK = b'0\r\n\r\n'
+# Head of an answer that ends with its connection.
+UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n'
+# Resets the connection in place of a part of an answer.
+RESET = object()
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 def chunk(raw: bytes) -> bytes:
@@ -25,7 +32,12 @@
 
 def event(number: int) -> bytes:
     """Return one server-sent event as a chunk."""
-    return chunk(b'id: %d\ndata: t%d\n\n' % (number, number))
+    return chunk(plain_event(number))
+
+
+def plain_event(number: int) -> bytes:
+    """Return one server-sent event without framing."""
+    return b'id: %d\ndata: t%d\n\n' % (number, number)
 
 
 def complete_answer(
@@ -46,8 +58,8 @@
 class ScriptedEngine:
     """Answers each request with the next of the given answers.
 
-    An answer is bytes or ``None``, which closes the connection, or a list
-    of these and of numbers, which are pauses in seconds.
+    An answer is bytes, ``None``, which closes the connection, or ``RESET``,
+    or a list of these and of numbers, which are pauses in seconds.
 
     :ivar heads: request heads in order of arrival.
     :ivar closed: set when a caller has closed its connection.
@@ -94,15 +106,23 @@
         self.heads.append(head)
         answer = self.answers.pop(0) if self.answers else None
         for part in answer if isinstance(answer, list) else [answer]:
-            if part is None:
-                return False
-            if isinstance(part, bytes):
-                writer.write(part)
-                await writer.drain()
-            elif await self._is_closed_within(reader, part):
+            if not await self._play(reader, writer, part):
                 return False
         return True
 
+    async def _play(self, reader: Any, writer: Any, part: Any) -> bool:
+        """Play a part of an answer; return whether the next one follows."""
+        if part is None:
+            return False
+        if part is RESET:
+            _reset(writer)
+            return False
+        if isinstance(part, bytes):
+            writer.write(part)
+            await writer.drain()
+            return True
+        return not await self._is_closed_within(reader, part)
+
     async def _is_closed_within(self, reader: Any, pause_s: float) -> bool:
         """Pause; return whether the caller closed the connection."""
         try:
@@ -197,5 +217,11 @@
         self.on_closed()
 
 
+def _reset(writer: Any) -> None:
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 def _ignore() -> None:
     """Do nothing."""
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 from unittest.mock import patch
+from typing import NamedTuple
 
 from bramleylug.cluster.cluster_view import (
     MAX_BEHIND_S,
@@ -14,6 +15,7 @@
 from bramleylug.cluster.upstreams import HeldWeights
 from bramleylug.relay.relay import Relay
 from bramleylug.store.mirror import Mirror
+from bramleylug.web.server import WebServer
 from testing.relay.builders import (
     MODEL,
     build_caller_request,
@@ -26,14 +28,19 @@
 from testing.relay.scripted_engines import (
     LAST_CHUNK,
     OK_HEAD,
+    RESET,
+    UNFRAMED_HEAD,
     RecordingExchange,
     FakeDialect,
     ScriptedEngine,
     chunk,
     complete_answer,
     event,
+    plain_event,
 )
 
+# More than the relay buffers before it forwards an answer.
+LARGE_BODY = b'0123456789abcdef' * 20000
 NOT_RUN = complete_answer(b'', 503, b'X-Not-Run: 1\r\n')
 
 
@@ -467,6 +474,197 @@
         self.assertEqual(self.relay.running, 0)
 
 
+class TestUnframedAnswers(RelayCase):
+    """An answer may have no length and end with its connection."""
+
+    async def test_unframed_answer_is_forwarded_whole(self) -> None:
+        """One that is buffered and one that is forwarded as it arrives."""
+        for body in (b'', b'ok', LARGE_BODY):
+            with self.subTest(len(body)):
+                exchange = await self.serve(
+                    ScriptedEngine([UNFRAMED_HEAD, body, 0.05, None]),
+                    streamed=False,
+                )
+
+                self.assertEqual(exchange.ended, 'whole')
+                self.assertEqual(exchange.sent, body)
+
+    async def test_large_answer_is_forwarded_before_its_end(self) -> None:
+        """The relay's memory does not grow with the answer."""
+        engine = ScriptedEngine([UNFRAMED_HEAD, LARGE_BODY, 5.0, None])
+
+        exchange = await self.serve(
+            engine, streamed=False, disconnect_after_s=0.5
+        )
+
+        self.assertEqual(exchange.sent, LARGE_BODY)
+
+    async def test_unframed_stream_is_forwarded_whole(self) -> None:
+        engine = ScriptedEngine(
+            [UNFRAMED_HEAD, plain_event(1), 0.05, plain_event(2), None]
+        )
+
+        exchange = await self.serve(engine)
+
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertEqual(exchange.sent, plain_event(1) + plain_event(2))
+
+    async def test_connection_of_an_unframed_answer_is_not_reused(self) -> None:
+        """The next request would be taken for sent and be lost."""
+        engine = ScriptedEngine(
+            [UNFRAMED_HEAD, b'ok', None], complete_answer(b'next')
+        )
+        await self.serve(engine, streamed=False)
+        exchange = RecordingExchange()
+
+        await self.relay.serve(exchange)
+
+        self.assertEqual(exchange.sent, b'next')
+
+    async def test_reset_unframed_answer_is_replaced(self) -> None:
+        """The answer of another engine takes its place."""
+        exchange = await self.serve(
+            ScriptedEngine([UNFRAMED_HEAD, b'part', 0.05, RESET]),
+            ScriptedEngine(complete_answer(b'whole')),
+            retry_policy=RetryPolicy.always,
+            streamed=False,
+        )
+
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertEqual(exchange.sent, b'whole')
+
+    async def test_reset_unframed_answer_is_never_passed_off_as_whole(
+        self,
+    ) -> None:
+        """Before its first byte the caller gets an error, later a cut."""
+        for body, ended in (
+            (b'', 'own'),
+            (b'part', 'own'),
+            (LARGE_BODY, 'cut'),
+        ):
+            with self.subTest(len(body)):
+                exchange = await self.serve(
+                    ScriptedEngine([UNFRAMED_HEAD, body, 0.05, RESET]),
+                    ScriptedEngine(complete_answer(b'whole')),
+                    retry_policy=RetryPolicy.never,
+                    streamed=False,
+                )
+
+                self.assertEqual(exchange.ended, ended)
+                self.assertEqual(self.arrivals(), [1, 0])
+
+    async def test_reset_unframed_stream_is_resumed(self) -> None:
+        """Also where it is reset between two events."""
+        first = ScriptedEngine([UNFRAMED_HEAD, plain_event(1), 0.05, RESET])
+        second = ScriptedEngine([UNFRAMED_HEAD, plain_event(2), None])
+
+        exchange = await self.serve(first, second)
+
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertEqual(exchange.sent, plain_event(1) + plain_event(2))
+
+    async def test_stream_that_ends_inside_an_event_is_resumed(self) -> None:
+        """Its end is no end of the answer, however it is framed."""
+        half = plain_event(2)[:-1]
+        length = len(plain_event(1) + half)
+        framed = complete_answer(plain_event(1) + half)
+        for case, answer in (
+            ('chunked', [OK_HEAD, event(1), chunk(half), LAST_CHUNK]),
+            ('unframed', [UNFRAMED_HEAD, plain_event(1), half, None]),
+            (f'length {length}', [framed]),
+        ):
+            with self.subTest(case):
+                exchange = await self.serve(
+                    ScriptedEngine(answer),
+                    ScriptedEngine([OK_HEAD, event(2), LAST_CHUNK]),
+                )
+
+                self.assertEqual(exchange.ended, 'whole')
+                self.assertEqual(exchange.sent, plain_event(1) + plain_event(2))
+
+    async def test_stream_that_ends_inside_an_event_is_cut_off(self) -> None:
+        """Without resumption the caller must see that it is incomplete."""
+        half = plain_event(2)[:-1]
+        for answer in (
+            [OK_HEAD, event(1), chunk(half), LAST_CHUNK],
+            [UNFRAMED_HEAD, plain_event(1), half, None],
+            [complete_answer(plain_event(1) + half)],
+        ):
+            with self.subTest(answer):
+                exchange = await self.serve(
+                    ScriptedEngine(answer), retry_policy=RetryPolicy.never
+                )
+
+                self.assertEqual(exchange.ended, 'cut')
+                self.assertEqual(exchange.sent, plain_event(1))
+
+
+class Received(NamedTuple):
+    """Bytes that a caller received, and whether a reset ended them."""
+
+    raw: bytes
+    reset: bool
+
+
+class TestAnswersOnTheWire(RelayCase):
+    """What a caller sees on its socket of answers that have no framing."""
+
+    async def receive(self, version: bytes, *answer) -> Received:
+        """Send a request through a port of the relay and read to the end."""
+        engine = await ScriptedEngine(list(answer)).open()
+        self.addAsyncCleanup(engine.close)
+        relay = self.build_relay(
+            build_route(streamed=False, retry_policy=RetryPolicy.never)
+        )
+        relay.view.upstreams.register(
+            build_upstream_record(address=engine.address)
+        )
+        loop = asyncio.get_running_loop()
+        web = WebServer(
+            '127.0.0.1:0',
+            lambda exchange: asyncio.run_coroutine_threadsafe(
+                relay.serve(exchange), loop
+            ),
+        )
+        web.start()
+        self.addCleanup(web.stop)
+        reader, writer = await asyncio.open_connection(web.host, web.port)
+        writer.write(
+            b'POST /ask/1 HTTP/%s\r\nHost: advisor.example\r\n'
+            b'Connection: close\r\nContent-Length: 0\r\n\r\n' % version
+        )
+        pieces = []
+        try:
+            while piece := await reader.read(65536):
+                pieces.append(piece)
+        except ConnectionResetError:
+            return Received(b''.join(pieces), reset=True)
+        finally:
+            writer.close()
+        return Received(b''.join(pieces), reset=False)
+
+    async def test_whole_answer_ends_visibly(self) -> None:
+        """With the last chunk, or for HTTP/1.0 with the connection."""
+        answer = [UNFRAMED_HEAD, LARGE_BODY, None]
+
+        chunked = await self.receive(b'1.1', *answer)
+        closed = await self.receive(b'1.0', *answer)
+
+        self.assertTrue(chunked.raw.endswith(LAST_CHUNK))
+        self.assertTrue(closed.raw.endswith(LARGE_BODY))
+        self.assertFalse(chunked.reset or closed.reset)
+
+    async def test_reset_answer_does_not_end_as_a_whole_one(self) -> None:
+        """A caller of HTTP/1.0 can tell it by the reset alone."""
+        answer = [UNFRAMED_HEAD, LARGE_BODY, 0.1, RESET]
+
+        chunked = await self.receive(b'1.1', *answer)
+        closed = await self.receive(b'1.0', *answer)
+
+        self.assertFalse(chunked.raw.endswith(LAST_CHUNK))
+        self.assertTrue(chunked.reset and closed.reset)
+
+
 class TestNoRetry(RelayCase):
     """A request that may run only once is not sent again after it may have."""
 
