Relay: forward an answer above 128 KiB as it arrives

Cause: the attempt forwarded pieces once the writer had started, but the writer starts only with its first piece, so that a large answer was held whole in memory, whatever its size, and sent after its end. Such an answer that breaks off is now cut, as was meant, instead of being fetched again. Change: what was buffered is written as soon as it exceeds the limit.

--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -285,12 +285,10 @@
         while piece := await connection.read_piece():
             buffer.append(piece)
             buffered_bytes += len(piece)
-            if (
-                buffered_bytes > BUFFERED_ANSWER_BYTES
-                and not self.writer.started
-            ):
-                self._start(head, dialect, _content_length(head))
-            if self.writer.started:
+            if buffered_bytes > BUFFERED_ANSWER_BYTES:
+                if not self.writer.started:
+                    self._start(head, dialect, _content_length(head))
+                self.progress.record_piece(self.clock())
                 await self.writer.write(b''.join(buffer))
                 buffer.clear()
         if not self.writer.started:
