Fakes: engines that crash by a part, fall silent, or end without framing

Cause: engines do what the stand-in did not show: a part of a prompt crashes each of them, answers end with their connection, streams end inside an event, and sound engines are silent for a second or two. Change: the stand-in engine plays all four; how an engine misbehaves is a module of its own. An answer without framing is reset if the process is killed, since its end would look like that of the answer.

--- a/src/bramleylug/fakes/model_engine.py
+++ b/src/bramleylug/fakes/model_engine.py
@@ -5,12 +5,19 @@
 import json
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, NamedTuple, final
 from urllib.parse import parse_qs
 
 from circuits import BaseComponent
 
+from bramleylug.fakes.engine_trouble import (
+    ENDLESS_LIMIT_S,
+    Rejection,
+    Trouble,
+    finish_answer,
+    send_without_end,
+)
 from bramleylug.node.loop_thread import LoopThread
 from bramleylug.platform.keyvalue import PlatformStore
 from bramleylug.store.presence import Presence
@@ -20,12 +27,6 @@
 
 NOT_EXECUTED_HEADER = {'X-Not-Executed': '1'}
 LEAVING_HEADER = {'Server-Leaving': '1'}
-# An answer without end is sent in pieces of this size at this interval.
-ENDLESS_PIECE = b'x' * 4096
-ENDLESS_INTERVAL_S = 0.01
-# A connection that is still open after an answer without end lasted this long
-# is a violation: the route's time limit has passed.
-ENDLESS_LIMIT_S = 8.0
 
 
 @final
@@ -40,6 +41,8 @@
     :ivar load_s: time that loading new weights takes.
     :ivar events: number of events in a stream.
     :ivar gap_s: time between two events of a stream, or of one booking.
+    :ivar harmful_part: part of a prompt that crashes it; empty for none. The
+        last part of a prompt is never the one.
     """
 
     engine_id: str
@@ -57,6 +60,7 @@
     load_s: float = 0.05
     events: int = 6
     gap_s: float = 0.02
+    harmful_part: str = ''
 
 
 class Run(NamedTuple):
@@ -73,41 +77,6 @@
     leaving: bool
 
 
-class Rejection(NamedTuple):
-    """A request that was turned away with a time to come back.
-
-    :ivar at_s: its arrival, Unix time.
-    :ivar retry_after_s: time for which the sender must send nothing.
-    """
-
-    request_id: str
-    at_s: float
-    retry_after_s: float
-
-
-@final
-@dataclass(slots=True)
-class Trouble:
-    """How an engine misbehaves.
-
-    :ivar leaving: whether its answers say that it leaves.
-    :ivar busy_until_s: until when it turns requests away, Unix time.
-    :ivar endless: number of the next answers that never end.
-    :ivar rejections: requests turned away with a time to come back.
-    """
-
-    leaving: bool = False
-    busy_until_s: float = 0
-    endless: int = 0
-    rejections: list[Rejection] = field(default_factory=list)
-
-    def update(self, document: dict[str, Any]) -> None:
-        """Apply what a test asks for."""
-        self.leaving = bool(document.get('leaving', self.leaving))
-        self.busy_until_s = time.time() + float(document.get('busy_s', 0))
-        self.endless = int(document.get('endless', 0))
-
-
 @final
 class FakeModelEngine(BaseComponent):
     """Serves streams or bookings, and loads weights that a loader staged.
@@ -142,7 +111,7 @@
         self.run_log: list[Run] = []
         self.violations: list[str] = []
         self.draining = False
-        self.trouble = Trouble()
+        self.trouble = Trouble(harmful_part=settings.harmful_part)
         self.loop = LoopThread('engine')
         self.presence = Presence(
             PlatformStore(settings.store),
@@ -256,33 +225,50 @@
 
     async def _run_request(self, exchange: Exchange) -> None:
         try:
-            if self.trouble.endless:
-                self.trouble.endless -= 1
+            if self.trouble.is_harmful(exchange):
+                await self._crash(exchange)
+            elif self.trouble.endless:
                 await self._send_without_end(exchange)
             elif self.settings.model:
                 await self._stream(exchange)
             else:
-                await asyncio.sleep(self.settings.gap_s)
-                body = json.dumps({'id': exchange.request_id}).encode()
-                exchange.reply(200, body, self._signature_header(body))
+                await self._book(exchange)
         finally:
             self.active -= 1
 
+    async def _crash(self, exchange: Exchange) -> None:
+        """End shortly after beginning to write, every other time unseen."""
+        trouble = self.trouble
+        trouble.harmful_runs += 1
+        trouble.on_harmful(exchange.request_id)
+        if trouble.harmful_runs % 2:
+            trouble.start_answer(exchange, self._signature_header(b''))
+        await asyncio.sleep(self.settings.gap_s)
+        self.web.call(self._reset_all)
+
+    def _reset_all(self) -> None:
+        port = self.web.connections
+        for connection in tuple(port.connections.values()):
+            port.reset(connection)
+        self.trouble.on_crash()
+
     async def _send_without_end(self, exchange: Exchange) -> None:
-        """Send bytes that are no answer until the caller closes."""
-        exchange.start(200, self._signature_header(b''))
-        started_s = time.monotonic()
-        while not exchange.closed:
-            if time.monotonic() - started_s > ENDLESS_LIMIT_S:
-                self.violations.append(
-                    f'{exchange.request_id}: an answer without end was read '
-                    f'for {ENDLESS_LIMIT_S} s'
-                )
-                exchange.abort()
-                return
-            if not exchange.pending_bytes:
-                exchange.send(ENDLESS_PIECE)
-            await asyncio.sleep(ENDLESS_INTERVAL_S)
+        self.trouble.endless -= 1
+        if not await send_without_end(exchange, self._signature_header(b'')):
+            self.violations.append(
+                f'{exchange.request_id}: an answer without end was read '
+                f'for {ENDLESS_LIMIT_S} s'
+            )
+
+    async def _book(self, exchange: Exchange) -> None:
+        await asyncio.sleep(self.settings.gap_s)
+        await self.trouble.wait_out_silence()
+        body = json.dumps({'id': exchange.request_id}).encode()
+        self.trouble.start_answer(
+            exchange, self._signature_header(body), len(body)
+        )
+        exchange.send(body)
+        finish_answer(exchange)
 
     async def _stream(self, exchange: Exchange) -> None:
         first = int(exchange.header('Last-Event-Id', '0') or 0) + 1
@@ -292,19 +278,29 @@
             'Content-Type': 'text/event-stream',
             'X-Weight-Versions': str(version),
         }
-        exchange.start(200, headers)
+        cut_at = 0
+        if self.trouble.take_cut():
+            cut_at = max(first, self.settings.events // 2)
+        await self.trouble.wait_out_silence()
+        self.trouble.start_answer(exchange, headers)
         for number in range(first, self.settings.events + 1):
             await asyncio.sleep(self.settings.gap_s)
+            await self.trouble.wait_out_silence()
             if self.version != version or not self.weights_complete:
                 exchange.abort()
                 return
             if exchange.closed:
                 return
-            exchange.send(
-                b'id: %d\ndata: %s v%d\n\n'
-                % (number, exchange.request_id.encode(), version)
+            event = b'id: %d\ndata: %s v%d\n\n' % (
+                number,
+                exchange.request_id.encode(),
+                version,
             )
-        exchange.finish()
+            if number == cut_at:
+                exchange.send(event[:-1])
+                break
+            exchange.send(event)
+        finish_answer(exchange)
 
     def _order(self, exchange: Exchange, order: dict[str, Any]) -> None:
         if order.get('expected', self.orders) != self.orders or self.busy:
