Soak: proxies pass a reset on

Cause: when a server reset its connection, the proxy kept the client's open until the client gave up, so that an engine that crashed looked silent. Change: a direction that fails resets its other side. Measured: the new test of a reset timed out after 2 s before, and passes.

--- a/src/bramleylug/soak/proxy.py
+++ b/src/bramleylug/soak/proxy.py
@@ -101,14 +101,22 @@
     async def _forward(
         self, reader: Any, writer: Any, *, from_server: bool
     ) -> None:
-        while piece := await reader.read(READ_BYTES):
-            while self._is_blocked(from_server=from_server):
-                await asyncio.sleep(self.delay_s)
-            if self.fault is LinkFault.delay:
-                await asyncio.sleep(self.delay_s)
-            writer.write(piece)
-            await writer.drain()
-        writer.close()
+        try:
+            while piece := await reader.read(READ_BYTES):
+                await self._hold_back(from_server=from_server)
+                writer.write(piece)
+                await writer.drain()
+        except OSError:
+            # The other side must not take a reset for a regular end.
+            _reset(writer)
+        else:
+            writer.close()
+
+    async def _hold_back(self, *, from_server: bool) -> None:
+        while self._is_blocked(from_server=from_server):
+            await asyncio.sleep(self.delay_s)
+        if self.fault is LinkFault.delay:
+            await asyncio.sleep(self.delay_s)
 
     def _is_blocked(self, *, from_server: bool) -> bool:
         if self.fault is LinkFault.silent:
