Soak: a zone that is out is not taken out again

Cause: two overlapping evacuations of one zone ended with the first of them, while the check went on with the second: runs in a zone that was in use again were reported. Change: an evacuation of a zone that is out already does nothing, as with keys.

--- a/src/bramleylug/soak/fault_injector.py
+++ b/src/bramleylug/soak/fault_injector.py
@@ -205,6 +205,8 @@
     async def _zone_out(self, fault: Fault) -> None:
         zone = ZONES[int(fault.pick * len(ZONES))]
         key = f'op/evacuate/{zone}'
+        if key in self.deployment.written:
+            return
         await self.deployment.control({'put': key, 'document': {}})
         started_s = time.time()
         await asyncio.sleep(fault.for_s + EXTRA_DURATION_S)
