Soak: silence, harmful parts, missing framing, cut events, idle limits

Cause: the soak knew no engine that is silent for a while, is crashed by a part of a prompt, answers without framing or ends a stream inside an event, and no configuration that lowers the idle limit below idle connections. Change: five kinds, appended so that known seeds replay; clients that hold connections idle for up to four fifths of the limit that they know; checks of requests that were read and not answered, that failed without a cause, and of harmful and sound requests after the fifth crash. What was observed and what engines commit are modules of their own.

--- a/src/bramleylug/soak/checks.py
+++ b/src/bramleylug/soak/checks.py
@@ -2,17 +2,19 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import Enum, unique
 from operator import attrgetter
-from typing import NamedTuple, final
+
+from bramleylug.soak.observations import (
+    Observations,
+    Outcome,
+    Rejection,
+)
+from bramleylug.soak.trouble_checks import find_trouble_violations
 
 # Time limits that the platform specifies.
 REVOCATION_LIMIT_S = 5.0
 VERSION_LIMIT_S = 8.0
 EVACUATION_LIMIT_S = 5.0
-# A relay disturbed within this time before a run is exempt from the limits.
-STABLE_RELAY_S = 3.0
 RECOVERED_SHARE = 0.9
 DRAIN_LIMIT_S = 2.0
 # Requests that a relay may still send to an engine that wanted a pause, and
@@ -21,100 +23,6 @@
 PAUSE_SLACK_S = 0.5
 
 
-@final
-@unique
-class Outcome(Enum):
-    """How a request ended for its client."""
-
-    complete = 'whole'
-    refused = 'refused'
-    failed = 'failed'
-    denied = 'denied'
-
-
-class RequestRecord(NamedTuple):
-    """A request as its client saw it.
-
-    :ivar booking: whether it was a booking, or else a stream.
-    :ivar sent_s: Unix time at which it was sent.
-    :ivar error: what was wrong with a complete answer; empty if valid.
-    :ivar key: API key that it carried.
-    :ivar relay: name of the relay that it was sent to.
-    :ivar ended_s: Unix time at which it ended.
-    """
-
-    request_id: str
-    booking: bool
-    sent_s: float
-    outcome: Outcome
-    error: str
-    key: str
-    relay: str
-    ended_s: float
-
-
-class Run(NamedTuple):
-    """The run of a request on an engine.
-
-    :ivar at_s: Unix time of its start.
-    :ivar version: version of the weights at its start; 0 for none.
-    :ivar leaving: whether the engine said in its answer that it leaves.
-    """
-
-    request_id: str
-    at_s: float
-    version: int
-    engine: str
-    zone: str
-    leaving: bool
-
-
-class Rejection(NamedTuple):
-    """A request that an engine turned away with a time to come back.
-
-    :ivar at_s: Unix time of its arrival.
-    :ivar retry_after_s: time for which its relay must send nothing.
-    """
-
-    request_id: str
-    at_s: float
-    retry_after_s: float
-    engine: str
-
-
-class Interval(NamedTuple):
-    """An interval of Unix time, with the name of what it applies to."""
-
-    name: str
-    from_s: float
-    until_s: float
-
-
-@final
-@dataclass(slots=True)
-class Observations:
-    """Everything observed during a soak; times are Unix times.
-
-    :ivar engine_violations: violations that engines reported themselves.
-    :ivar targets_set_s: when each version became the target version.
-    :ivar revocations: intervals in which a key was revoked.
-    :ivar evacuations: intervals in which a zone was evacuated.
-    :ivar disturbances: intervals in which faults affected a relay, by its
-        name, or the store, with an empty name.
-    :ivar faults_ended_s: when the effects of the last fault had to be over.
-    """
-
-    requests: list[RequestRecord] = field(default_factory=list)
-    runs: list[Run] = field(default_factory=list)
-    rejections: list[Rejection] = field(default_factory=list)
-    engine_violations: list[str] = field(default_factory=list)
-    targets_set_s: dict[int, float] = field(default_factory=dict)
-    revocations: list[Interval] = field(default_factory=list)
-    evacuations: list[Interval] = field(default_factory=list)
-    disturbances: list[Interval] = field(default_factory=list)
-    faults_ended_s: float = float('inf')
-
-
 def find_violations(observations: Observations) -> list[str]:
     """Return a description of every violated invariant."""
     return [
@@ -128,6 +36,7 @@
         *_runs_at_leaving_engines(observations),
         *_requests_during_pauses(observations),
         *_not_recovered(observations),
+        *find_trouble_violations(observations),
     ]
 
 
@@ -182,7 +91,9 @@
         for version, target_set_s in observations.targets_set_s.items():
             late_s = run.at_s - target_set_s - VERSION_LIMIT_S
             if 0 < run.version < version and late_s > 0:
-                if not _is_exempt(observations, run, target_set_s):
+                if not observations.is_exempt(
+                    run.request_id, run.at_s, target_set_s
+                ):
                     yield (
                         f'{run.request_id} ran on version {run.version} at '
                         f'{run.engine} {late_s:.2f} s after the time limit'
@@ -198,7 +109,9 @@
                 < interval.until_s
             )
             if run.zone == interval.name and late:
-                if not _is_exempt(observations, run, interval.from_s):
+                if not observations.is_exempt(
+                    run.request_id, run.at_s, interval.from_s
+                ):
                     yield (
                         f'{run.request_id} ran in {run.zone}, '
                         'which was evacuated'
@@ -218,7 +131,9 @@
             continue
         told = run.engine, request.relay
         if request.sent_s > known_s.get(told, float('inf')) + DRAIN_LIMIT_S:
-            if not _is_exempt(observations, run, known_s[told]):
+            if not observations.is_exempt(
+                run.request_id, run.at_s, known_s[told]
+            ):
                 yield (
                     f'{run.request_id} ran at {run.engine}, although '
                     f'{request.relay} knew that it leaves'
@@ -234,7 +149,7 @@
     counts = Counter(
         pause
         for relay, pause in _rejections_in_pauses(observations)
-        if not _was_disturbed(observations, relay, pause.at_s)
+        if not observations.was_disturbed(relay, pause.at_s)
     )
     for pause, count in counts.items():
         if count > MAX_DURING_PAUSE:
@@ -262,16 +177,6 @@
             yield relay, pause
 
 
-def _was_disturbed(
-    observations: Observations, relay: str, since_s: float
-) -> bool:
-    """Return whether a fault affected a relay after a time."""
-    return any(
-        interval.name == relay and interval.until_s > since_s
-        for interval in observations.disturbances
-    )
-
-
 def _not_recovered(observations: Observations) -> Iterable[str]:
     outcomes: defaultdict[bool, int] = defaultdict(int)
     for request in observations.requests:
@@ -285,24 +190,3 @@
         yield f'after the faults {outcomes[True]} of {total} were served'
     if not total:
         yield 'no request was sent after the faults'
-
-
-def _is_exempt(observations: Observations, run: Run, since_s: float) -> bool:
-    """Return whether a time limit does not apply to a run.
-
-    It does not apply if a fault affected the store after the limit began to
-    count, or the relay within :data:`STABLE_RELAY_S` before the run.
-    """
-    relays = {
-        request.relay
-        for request in observations.requests
-        if request.request_id == run.request_id
-    }
-    for interval in observations.disturbances:
-        stable_since_s = run.at_s - STABLE_RELAY_S if interval.name else since_s
-        overlaps = (
-            interval.from_s < run.at_s and stable_since_s < interval.until_s
-        )
-        if overlaps and interval.name in {'', *relays}:
-            return True
-    return False
--- a/src/bramleylug/soak/clients.py
+++ b/src/bramleylug/soak/clients.py
@@ -7,7 +7,9 @@
 from random import Random
 from typing import Any, NamedTuple, final
 
-from bramleylug.soak.checks import Observations, Outcome, RequestRecord
+from bramleylug.soak.deployment import HARMFUL_PART, KEYS
+from bramleylug.soak.observations import Observations, Outcome, RequestRecord
+from bramleylug.soak.traffic import Traffic
 from bramleylug.web.client_connection import (
     AnswerHead,
     ClientConnection,
@@ -26,9 +28,12 @@
 REFUSED_STATUSES = frozenset((408, 421, 429, 503))
 DENIED_STATUSES = frozenset((401, 403, 404))
 HOST = 'advisor.example'
-KEYS = ('key-1', 'key-2')
 MIN_ERROR_STATUS = 300
 BOOKING_SHARE = 0.3
+# Number of clients whose streams are harmful during a fault of that kind.
+HARMFUL_CLIENTS = 3
+# Number of second parts that the prompts of sound streams are chosen from.
+SECOND_PARTS = 8
 
 
 class RelayAddress(NamedTuple):
@@ -51,11 +56,13 @@
         number: int,
         directory: 'Directory',
         observations: Observations,
+        traffic: Traffic,
         seed: int,
     ) -> None:
         self.number = number
         self.directory = directory
         self.observations = observations
+        self.traffic = traffic
         self.random = Random(seed * 1000 + number)  # noqa: S311
         self.idle_connections: dict[str, ClientConnection] = {}
         self.count = 0
@@ -71,11 +78,18 @@
         self.count += 1
         booking = self.random.random() < BOOKING_SHARE
         request_id = f's{self.number}-{self.count}'
+        harmful = (
+            not booking
+            and self.number < HARMFUL_CLIENTS
+            and self.traffic.harmful_faults > 0
+        )
         key = self.random.choice(KEYS)
         sent_s = time.time()
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                head, body = await self._send(relay, request_id, key, booking)
+                head, body = await self._send(
+                    relay, self._build(request_id, key, booking, harmful)
+                )
         except CALL_ERRORS:
             outcome, error = Outcome.failed, ''
         else:
@@ -92,30 +106,42 @@
                 key,
                 relay.name,
                 time.time(),
+                harmful,
             )
         )
 
+    def _build(
+        self, request_id: str, key: str, booking: bool, harmful: bool
+    ) -> ClientRequest:
+        headers = [
+            ('Host', HOST),
+            ('X-Request-Id', request_id),
+            ('X-Request-Deadline', '5000'),
+            ('Authorization', f'Bearer {key}'),
+        ]
+        if booking:
+            return ClientRequest('POST', '/book/1', headers, b'{}')
+        part = f'sound-{self.count % SECOND_PARTS}'
+        if harmful:
+            part = HARMFUL_PART
+        headers.append(('X-Model', 'fitting'))
+        headers.append(
+            ('X-Prompt-Prefix', f'shared:800,{part}:400,{request_id}:60')
+        )
+        # Requests that share a harmful part differ in their bodies.
+        body = json.dumps({'id': request_id}).encode() if harmful else b'{}'
+        return ClientRequest('POST', '/ask/1', headers, body)
+
     async def _send(
-        self, relay: RelayAddress, request_id: str, key: str, booking: bool
+        self, relay: RelayAddress, request: ClientRequest
     ) -> tuple[AnswerHead, bytes]:
         connection = self.idle_connections.pop(relay.address, None)
         if connection is None or not connection.reusable:
             connection = await ClientConnection.open(
                 relay.address, timeout_s=CONNECT_TIMEOUT_S
             )
-        headers = [
-            ('Host', HOST),
-            ('X-Request-Id', request_id),
-            ('X-Request-Deadline', '5000'),
-            ('Authorization', f'Bearer {key}'),
-        ]
-        if not booking:
-            headers.append(('X-Model', 'fitting'))
-        target = '/book/1' if booking else '/ask/1'
         try:
-            answer = await call(
-                connection, ClientRequest('POST', target, headers, b'{}')
-            )
+            answer = await call(connection, request)
         except BaseException:
             connection.close()
             raise
@@ -148,7 +174,11 @@
 
 def booking_error(text: str, request_id: str) -> str:
     """Return what is wrong with the answer to a booking; empty if valid."""
-    if json.loads(text).get('id') == request_id:
+    try:
+        document = json.loads(text)
+    except ValueError:
+        return f'incomplete answer: {text!r}'
+    if document.get('id') == request_id:
         return ''
     return f'answer of another booking: {text!r}'
 
--- a/src/bramleylug/soak/deployment.py
+++ b/src/bramleylug/soak/deployment.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
@@ -19,6 +20,12 @@
 START_TIMEOUT_S = 15.0
 RESTART_POLL_S = 0.1
 CONTROL_RETRY_S = 0.1
+# Part of a prompt that crashes every engine of the model, the exit code of an
+# engine that it crashed, and the time until that engine starts again.
+HARMFUL_PART = 'harmful'
+CRASHED_EXIT = 70
+CRASH_RESTART_S = 2.0
+IDLE_LIMIT_S = 15.0
 KEYS = ('key-1', 'key-2')
 # Keys that the operator may have removed since a copy of the store was made.
 OPERATOR_KEYS = frozenset(f'op/evacuate/{zone}' for zone in ZONES)
@@ -61,7 +68,8 @@
             if self.process is None or self.process.returncode is not None:
                 await self.start()
             if self.process is not None:
-                await self.process.wait()
+                if await self.process.wait() == CRASHED_EXIT:
+                    await asyncio.sleep(CRASH_RESTART_S)
 
     async def wait_for_restart(
         self, previous: asyncio.subprocess.Process | None
@@ -90,6 +98,8 @@
     :ivar zones: zone of each engine by its name.
     :ivar proxies: proxy of each link by the name of the link.
     :ivar version: version of the latest configuration.
+    :ivar idle_limit_s: idle limit of callers in the next configuration.
+    :ivar published_s: Unix time of each publication.
     :ivar written: what the operator wrote and did not remove, by key.
     """
 
@@ -104,6 +114,8 @@
         self.store_address = free_address()
         self.origin_address = free_address()
         self.version = 0
+        self.idle_limit_s = IDLE_LIMIT_S
+        self.published_s: list[float] = []
         self.publish_lock = asyncio.Lock()
         self.written: dict[str, Any] = {}
 
@@ -141,8 +153,9 @@
         async with self.publish_lock:
             self.version += 3
             document = build_configuration(
-                self.version, keys, self.origin_address
+                self.version, keys, self.origin_address, self.idle_limit_s
             )
+            self.published_s.append(time.time())
             await self.control({'put': 'op/config', 'document': document})
 
     async def control(self, command: dict[str, Any]) -> None:
@@ -200,6 +213,7 @@
             'advertised': proxy.address,
             'model': 'fitting' if model else '',
             'version': 1 if model else 0,
+            'harmful_part': HARMFUL_PART if model else '',
         }
         self._add_fake(name, 'engine', json.dumps(settings))
 
@@ -250,7 +264,7 @@
 
 
 def build_configuration(
-    version: int, keys: Iterable[str], origin: str
+    version: int, keys: Iterable[str], origin: str, idle_limit_s: float
 ) -> dict[str, Any]:
     """Return a configuration with a route for streams and one for bookings."""
     route = {
@@ -300,7 +314,7 @@
             'max_header_bytes': 16384,
             'max_body_bytes': 1048576,
             'header_timeout_ms': 3000,
-            'idle_timeout_ms': 15000,
+            'idle_timeout_ms': int(idle_limit_s * 1000),
         },
         'tenants': [{'name': 'garage', 'api_keys': list(keys)}],
     }
--- a/src/bramleylug/soak/fault_injector.py
+++ b/src/bramleylug/soak/fault_injector.py
@@ -1,16 +1,22 @@
 """Injects faults into the processes and links of a deployment."""
 
 import asyncio
-import json
 import signal
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any, final
+from typing import final
 
-from bramleylug.soak.checks import Interval, Observations
-from bramleylug.soak.deployment import KEYS, ZONES, Deployment, post
+from bramleylug.soak.deployment import (
+    IDLE_LIMIT_S,
+    KEYS,
+    ZONES,
+    Deployment,
+)
+from bramleylug.soak.engine_faults import EngineFaults
 from bramleylug.soak.fault_schedule import Fault, Kind
+from bramleylug.soak.observations import Interval, Observations
 from bramleylug.soak.proxy import LinkFault
+from bramleylug.soak.traffic import Traffic
 
 LINK_FAULTS = (
     LinkFault.reset,
@@ -36,9 +42,9 @@
 # Added to the duration of a revocation or evacuation, so that all of them
 # outlast the time limit within which they have to take effect.
 EXTRA_DURATION_S = 6.0
-# Time for which an engine that leaves goes on serving, after which it ends.
-LEAVING_S = 3.0
-ENDLESS_ANSWERS = 3
+# Harmful requests go on after the time limits that their crashes start.
+HARMFUL_EXTRA_S = 14.0
+LOW_IDLE_LIMITS_S = (1.5, 3.0, 5.0)
 
 
 @final
@@ -47,13 +53,20 @@
 
     :ivar version: latest target version of the weights.
     :ivar revoked: keys that are revoked now.
+    :ivar low_limits_s: idle limits of the faults that lower it now.
     """
 
     def __init__(
-        self, deployment: Deployment, observations: Observations
+        self,
+        deployment: Deployment,
+        observations: Observations,
+        traffic: Traffic,
     ) -> None:
         self.deployment = deployment
         self.observations = observations
+        self.traffic = traffic
+        self.low_limits_s: list[float] = []
+        self.engine_faults = EngineFaults(deployment)
         self.version = 1
         self.revoked: set[str] = set()
         self.handlers: dict[Kind, Callable[[Fault], Awaitable[None]]] = {
@@ -65,16 +78,25 @@
             Kind.config_changed: self._config_changed,
             Kind.key_revoked: self._key_revoked,
             Kind.zone_out: self._zone_out,
-            Kind.engine_leaving: self._engine_leaving,
-            Kind.engine_busy: self._engine_busy,
-            Kind.engine_endless: self._engine_endless,
+            Kind.engine_leaving: self.engine_faults.leaving,
+            Kind.engine_busy: self.engine_faults.busy,
+            Kind.engine_endless: self.engine_faults.endless,
             Kind.store_restored: self._store_restored,
+            Kind.silence: self.engine_faults.silence,
+            Kind.harmful_part: self._harmful_part,
+            Kind.unframed: self.engine_faults.unframed,
+            Kind.cut_event: self.engine_faults.cut_event,
+            Kind.idle_limit: self._idle_limit,
         }
 
     async def inject(self, fault: Fault) -> None:
         """Start a fault, wait for its duration, and end it."""
         handler = self.handlers.get(fault.kind, self._signal)
+        started_s = time.time()
         await handler(fault)
+        self.observations.faults.append(
+            Interval(fault.kind.name, started_s, time.time())
+        )
 
     def _select_process(self, role: str, pick: float) -> str:
         names = [
@@ -125,33 +147,24 @@
             Interval('', started_s, time.time())
         )
 
-    async def _engine_leaving(self, fault: Fault) -> None:
-        name = self._select_engine(fault)
-        previous = self.deployment.processes[name].process
-        await self._trouble(name, {'leaving': True})
-        await asyncio.sleep(fault.for_s + LEAVING_S)
-        if self.deployment.processes[name].process is previous:
-            self.deployment.processes[name].send(signal.SIGKILL)
-
-    async def _engine_busy(self, fault: Fault) -> None:
-        name = self._select_engine(fault)
-        await self._trouble(name, {'busy_s': fault.for_s})
-
-    async def _engine_endless(self, fault: Fault) -> None:
-        name = self._select_engine(fault)
-        await self._trouble(name, {'endless': ENDLESS_ANSWERS})
-
-    def _select_engine(self, fault: Fault) -> str:
-        names = list(self.deployment.engines)
-        return names[int(fault.pick * len(names))]
-
-    async def _trouble(self, name: str, trouble: dict[str, Any]) -> None:
-        """Tell an engine to misbehave; one that is down has no trouble."""
-        address = self.deployment.engines[name]
-        try:
-            await post(address, '/-/trouble', json.dumps(trouble).encode())
-        except (OSError, TimeoutError):
-            return
+    async def _harmful_part(self, fault: Fault) -> None:
+        self.traffic.harmful_faults += 1
+        await asyncio.sleep(fault.for_s + HARMFUL_EXTRA_S)
+        self.traffic.harmful_faults -= 1
+
+    async def _idle_limit(self, fault: Fault) -> None:
+        limit_s = LOW_IDLE_LIMITS_S[int(fault.pick * len(LOW_IDLE_LIMITS_S))]
+        self.low_limits_s.append(limit_s)
+        await self._publish_idle_limit()
+        await asyncio.sleep(fault.for_s + EXTRA_DURATION_S)
+        self.low_limits_s.remove(limit_s)
+        await self._publish_idle_limit()
+
+    async def _publish_idle_limit(self) -> None:
+        limit_s = min((*self.low_limits_s, IDLE_LIMIT_S))
+        self.deployment.idle_limit_s = limit_s
+        self.traffic.publish_limit(limit_s)
+        await self._publish()
 
     async def _relay_to_store(self, fault: Fault) -> None:
         name = self._select_process('relay', fault.pick)
@@ -160,7 +173,9 @@
         self._record_disturbance(name, started_s)
 
     async def _to_engine(self, fault: Fault) -> None:
-        await self._disturb_link(f'to {self._select_engine(fault)}', fault)
+        await self._disturb_link(
+            f'to {self.engine_faults.select(fault)}', fault
+        )
 
     async def _disturb_link(self, link: str, fault: Fault) -> None:
         proxy = self.deployment.proxies[link]
--- a/src/bramleylug/soak/fault_schedule.py
+++ b/src/bramleylug/soak/fault_schedule.py
@@ -37,6 +37,11 @@
     engine_busy = 'engine turns requests away for a while'
     engine_endless = 'engine sends answers without end'
     store_restored = 'store comes back from an older copy'
+    silence = 'engines write nothing for a second or two'
+    harmful_part = 'requests with a part that crashes engines'
+    unframed = 'engines answer without length or chunks'
+    cut_event = 'streams end inside an event'
+    idle_limit = 'configuration lowers the idle limit for a while'
 
 
 # Relative frequency of the kinds; 1 for those that are absent.
@@ -52,6 +57,8 @@
 ALL_KINDS = tuple(Kind)
 # The kinds that there were when the first regression seeds failed.
 FIRST_KINDS = ALL_KINDS[: ALL_KINDS.index(Kind.engine_leaving)]
+# Those before engines were silent, crashed by a part or ended answers early.
+SECOND_KINDS = ALL_KINDS[: ALL_KINDS.index(Kind.silence)]
 
 
 class Fault(NamedTuple):
--- a/src/bramleylug/soak/soak.py
+++ b/src/bramleylug/soak/soak.py
@@ -8,16 +8,14 @@
 from pathlib import Path
 from typing import Any, TypedDict, final
 
-from bramleylug.soak.checks import (
-    Observations,
-    Outcome,
-    Rejection,
-    RequestRecord,
-    Run,
-    find_violations,
-)
+from bramleylug.soak.checks import find_violations
 from bramleylug.soak.clients import Client, Directory
-from bramleylug.soak.deployment import KEYS, Deployment, post
+from bramleylug.soak.deployment import (
+    IDLE_LIMIT_S,
+    KEYS,
+    Deployment,
+    post,
+)
 from bramleylug.soak.fault_injector import FaultInjector
 from bramleylug.soak.fault_schedule import (
     ALL_KINDS,
@@ -25,8 +23,19 @@
     Kind,
     generate_faults,
 )
+from bramleylug.soak.idle_clients import IdleClient
+from bramleylug.soak.observations import (
+    HarmfulRun,
+    Observations,
+    Outcome,
+    Rejection,
+    RequestRecord,
+    Run,
+)
+from bramleylug.soak.traffic import Traffic
 
 CLIENT_COUNT = 12
+IDLE_CLIENT_COUNT = 24
 READY_TIMEOUT_S = 20.0
 # Processes may still be starting and weights loading after the last fault.
 SETTLE_S = 12.0
@@ -70,7 +79,11 @@
         self.runs: dict[str, Run] = {}
         self.rejections: dict[str, Rejection] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        self.injector = FaultInjector(self.deployment, self.observations)
+        self.traffic = Traffic()
+        self.traffic.publish_limit(IDLE_LIMIT_S)
+        self.injector = FaultInjector(
+            self.deployment, self.observations, self.traffic
+        )
 
     async def run(self) -> Summary:
         """Run the soak and check its observations."""
@@ -82,6 +95,8 @@
             await self._stop()
         self.observations.runs = list(self.runs.values())
         self.observations.rejections = list(self.rejections.values())
+        self.observations.configurations_s = self.deployment.published_s
+        self._read_crashes()
         outcomes = Counter(
             str(request.outcome.value) for request in self.observations.requests
         )
@@ -104,8 +119,23 @@
         self._spawn(directory.run())
         self._spawn(self._poll_runs())
         for number in range(CLIENT_COUNT):
-            client = Client(number, directory, self.observations, self.seed)
+            client = Client(
+                number,
+                directory,
+                self.observations,
+                self.traffic,
+                self.seed,
+            )
             self._spawn(client.run())
+        for number in range(IDLE_CLIENT_COUNT):
+            idle_client = IdleClient(
+                number,
+                directory,
+                self.observations,
+                self.traffic,
+                self.seed,
+            )
+            self._spawn(idle_client.run())
         async with asyncio.timeout(READY_TIMEOUT_S):
             while not any(
                 self._is_served_stream(request)
@@ -162,3 +192,18 @@
             text = f'{name}: {violation}'
             if text not in self.observations.engine_violations:
                 self.observations.engine_violations.append(text)
+
+    def _read_crashes(self) -> None:
+        """Read what the engines printed of the requests that crash them."""
+        for name in self.deployment.engines:
+            log = (self.folder / f'{name}.log').read_text(errors='replace')
+            for line in log.splitlines():
+                self._read_crash(name, line.split())
+
+    def _read_crash(self, name: str, words: list[str]) -> None:
+        match words:
+            case ['harmful', request_id, at_s]:
+                run = HarmfulRun(request_id, float(at_s), name)
+                self.observations.harmful_runs.append(run)
+            case ['crashed', at_s]:
+                self.observations.crashes_s.append(float(at_s))
--- a/src/bramleylug/soak/stand_in.py
+++ b/src/bramleylug/soak/stand_in.py
@@ -1,7 +1,9 @@
 """Runs a fake store, weights origin or engine in its own process."""
 
 import json
+import os
 import sys
+import time
 from typing import Any
 
 from bramleylug.fakes.metadata_store import FakeMetadataStore
@@ -10,6 +12,7 @@
     FakeWeightsOrigin,
     ModelEngineSettings,
 )
+from bramleylug.soak.deployment import CRASHED_EXIT
 
 
 def main() -> None:
@@ -30,9 +33,21 @@
             fake = FakeWeightsOrigin(layout, argument)
         case _:
             fake = FakeModelEngine(ModelEngineSettings(**json.loads(argument)))
+            fake.trouble.on_harmful = _print_harmful
+            fake.trouble.on_crash = _crash
             fake.open()
     fake.run()
 
 
+def _print_harmful(request_id: str) -> None:
+    """Print a run at once: a crashed engine can no longer report it."""
+    print(f'harmful {request_id} {time.time():.3f}', flush=True)
+
+
+def _crash() -> None:
+    print(f'crashed {time.time():.3f}', flush=True)
+    os._exit(CRASHED_EXIT)
+
+
 if __name__ == '__main__':
     main()
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -2,17 +2,19 @@
 
 import unittest
 
-from bramleylug.soak.checks import (
+from bramleylug.soak.checks import find_violations
+from bramleylug.soak.clients import booking_error, stream_error
+from bramleylug.soak.fault_schedule import Kind, generate_faults
+from bramleylug.soak.observations import (
+    HarmfulRun,
     Interval,
     Observations,
     Outcome,
     Rejection,
     RequestRecord,
     Run,
-    find_violations,
+    Unanswered,
 )
-from bramleylug.soak.clients import stream_error
-from bramleylug.soak.fault_schedule import Kind, generate_faults
 
 
 def build_request_record(
@@ -167,6 +169,110 @@
         self.assertEqual(found, ['after the faults 0 of 5 were served'])
 
 
+class TestTroubleViolations(unittest.TestCase):
+    """What engines and limits in trouble must not do to requests."""
+
+    def find_harm(self, *late_s: float, **fields: object) -> list[str]:
+        """Check harmful runs at times after the fifth crash, at 100 s."""
+        runs = [
+            HarmfulRun(f'h{place}', 100.0 + after_s, 'engine-0')
+            for place, after_s in enumerate(late_s)
+        ]
+        requests = [
+            build_request_record(run.request_id, harmful=True) for run in runs
+        ]
+        return find_violations(
+            build_observations(
+                *requests,
+                harmful_runs=runs,
+                **{
+                    'crashes_s': [96.0, 97.0, 98.0, 99.0, 100.0, 110.0],
+                    **fields,
+                },
+            )
+        )
+
+    def test_harmful_requests_after_the_fifth_crash(self) -> None:
+        """Three may arrive later than 3 s after it."""
+        late = self.find_harm(2.9, 3.1, 3.2, 3.3, 3.4)
+
+        self.assertEqual(len(late), 1)
+        self.assertEqual(self.find_harm(2.8, 2.9, 3.1, 3.2, 3.3), [])
+        self.assertEqual(
+            self.find_harm(3.1, 3.2, 3.3, 3.4, crashes_s=[97.0] * 4), []
+        )
+
+    def test_harmful_requests_of_a_disturbed_relay_are_exempt(self) -> None:
+        """It was disturbed in the 3 s before them."""
+        found = self.find_harm(
+            3.1,
+            3.2,
+            3.3,
+            3.4,
+            disturbances=[Interval('relay-0', 99.0, 100.5)],
+        )
+
+        self.assertEqual(found, [])
+
+    def test_sound_requests_that_are_not_served_after_the_crashes(
+        self,
+    ) -> None:
+        """They must be from 6 s after the fifth crash on."""
+        for sent_s, expected in ((105.9, 0), (106.1, 1)):
+            requests = [
+                build_request_record(
+                    str(place), sent_s=sent_s, outcome=Outcome.refused
+                )
+                for place in range(10)
+            ]
+            # Requests that count for the whole service, sent before.
+            served = [build_request_record(f's{place}') for place in range(200)]
+            observations = build_observations(
+                *requests, *served, crashes_s=[100.0] * 5
+            )
+
+            with self.subTest(sent_s):
+                self.assertEqual(len(find_violations(observations)), expected)
+
+    def test_request_that_failed_without_a_cause(self) -> None:
+        """Silence is none; a kill is one, and for some time after it."""
+        served = [build_request_record(f's{place}') for place in range(20)]
+        failed = build_request_record(outcome=Outcome.failed)
+        silence = Interval('silence', 99.0, 100.5)
+        for fault, expected in (
+            (Interval('unframed', 99.0, 100.5), 1),
+            (Interval('engine_killed', 99.0, 100.5), 0),
+            (Interval('engine_killed', 90.0, 95.0), 0),
+            (Interval('engine_killed', 80.0, 90.0), 1),
+        ):
+            found = find_violations(
+                build_observations(failed, *served, faults=[silence, fault])
+            )
+
+            with self.subTest(fault):
+                self.assertEqual(len(found), expected)
+
+    def test_request_that_was_read_and_not_answered(self) -> None:
+        """It counts beside a configuration, at an undisturbed relay."""
+        stopped = Interval('relay-0', 97.0, 99.0)
+        for published_s, disturbances, expected in (
+            ([95.0], [], 1),
+            ([93.0], [], 0),
+            ([95.0], [stopped], 0),
+        ):
+            found = find_violations(
+                build_observations(
+                    build_request_record(),
+                    unanswered=[Unanswered('i', 100.0, 'relay-0')],
+                    configurations_s=published_s,
+                    disturbances=disturbances,
+                )
+            )
+
+            with self.subTest(published_s):
+                self.assertEqual(len(found), expected)
+
+
 class TestStreamErrors(unittest.TestCase):
     """Complete streams are checked event by event."""
 
@@ -189,6 +295,15 @@
                 self.assertTrue(stream_error(text, 'a'))
 
 
+class TestBookingErrors(unittest.TestCase):
+    """A booking that is not whole is an error of a complete answer."""
+
+    def test_half_of_an_answer_is_an_error(self) -> None:
+        self.assertEqual(booking_error('{"id": "a"}', 'a'), '')
+        self.assertTrue(booking_error('{"id": ', 'a'))
+        self.assertTrue(booking_error('{"id": "b"}', 'a'))
+
+
 class TestFaultSchedule(unittest.TestCase):
     """The fault schedule depends on the seed alone."""
 
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -3,28 +3,56 @@
 import asyncio
 import tempfile
 import unittest
+from collections.abc import Sequence
 from pathlib import Path
 
-from bramleylug.soak.fault_schedule import ALL_KINDS, FIRST_KINDS
-from bramleylug.soak.soak import Soak
+from bramleylug.soak.fault_schedule import FIRST_KINDS, SECOND_KINDS, Kind
+from bramleylug.soak.soak import Soak, Summary
 
 # Seeds, with the seconds during which faults are started, and their kinds.
 # Seed 202 guards against this failure: three engines were killed while many
 # clients sent the same request, which was then classified as the cause of the
 # crashes and refused everywhere for two minutes.
-SEEDS = {1: (6.0, ALL_KINDS), 202: (15.0, FIRST_KINDS)}
+SEEDS = {
+    1: (6.0, SECOND_KINDS),
+    202: (15.0, FIRST_KINDS),
+    27: (6.0, (Kind.unframed, Kind.cut_event, Kind.config_changed)),
+}
+
+
+def run_soak(seed: int, length_s: float, kinds: Sequence[Kind]) -> Summary:
+    """Run a soak whose logs are discarded."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, length_s, Path(folder), kinds)
+        return asyncio.run(soak.run())
 
 
 class TestSoak(unittest.TestCase):
     """No invariant is violated under the faults of a seed."""
 
     def test_short_soak_violates_no_invariant(self) -> None:
-        """Thirteen processes, twelve clients, overlapping faults."""
+        """Thirteen processes, 36 clients, overlapping faults."""
         for seed, (length_s, kinds) in SEEDS.items():
-            with self.subTest(seed), tempfile.TemporaryDirectory() as folder:
-                soak = Soak(seed, length_s, Path(folder), kinds)
-
-                summary = asyncio.run(soak.run())
+            with self.subTest(seed):
+                summary = run_soak(seed, length_s, kinds)
 
                 self.assertEqual(summary['violations'], [])
                 self.assertGreater(summary['endings']['whole'], 100)
+
+    def test_lowered_idle_limit_loses_no_request(self) -> None:
+        """Relays closed connections that were idle for longer than that."""
+        summary = run_soak(900, 3.0, (Kind.idle_limit,))
+
+        self.assertEqual(summary['violations'], [])
+
+    def test_harmful_part_is_kept_from_engines(self) -> None:
+        """Requests that differ in all else crashed one engine after another."""
+        summary = run_soak(901, 3.0, (Kind.harmful_part,))
+
+        self.assertEqual(summary['violations'], [])
+
+    def test_silence_ends_no_stream(self) -> None:
+        """With one zone taken out, a single engine served the streams."""
+        summary = run_soak(921, 10.0, (Kind.silence, Kind.zone_out))
+
+        self.assertEqual(summary['violations'], [])
