Test: relays that lose their memory of a harmful part

Cause: crashes are announced for 10 s and remembered for 120 s, by relays that may restart in between. Change: three more tests; the judge allows a part that has crashed no engine.

--- a/testing/relay/crash_simulation.py
+++ b/testing/relay/crash_simulation.py
@@ -699,9 +699,12 @@
 
 
 def settled_s(simulation: CrashSimulation, part: str = HARMFUL_PART) -> float:
-    """Return the time of the fifth crash by a part, or of the last."""
+    """Return the time of the fifth crash by a part, or of the last.
+
+    It is 0 if the part has crashed no engine.
+    """
     times = [one.at_s for one in simulation.crashes if one.part == part]
-    return times[:COUNTED_CRASHES][-1]
+    return max(times[:COUNTED_CRASHES], default=0.0)
 
 
 def late_deliveries(
--- a/testing/relay/test_crash_simulation.py
+++ b/testing/relay/test_crash_simulation.py
@@ -219,6 +219,47 @@
 
         self.assert_kept_off(simulation)
 
+    def test_herd_restart_keeps_rare_part_off_engines(self) -> None:
+        """Relays are back for seconds before it crashes engines again."""
+        for seed in range(55, 58):
+            with self.subTest(seed=seed):
+                simulation = CrashSimulation(seed)
+                simulation.sources += [build_sound(20.0), build_harmful(0.5)]
+                for at_s in (40.0, 55.0):
+                    simulation.after(
+                        at_s,
+                        partial(
+                            simulation.restart_relays, simulation.relay_count
+                        ),
+                    )
+                self.play(simulation, 75.0)
+                self.assert_kept_off(simulation)
+
+    def test_relays_restarted_in_turn_keep_part_off_engines(self) -> None:
+        """Each learns from the others what it has forgotten."""
+        for seed in range(58, 60):
+            with self.subTest(seed=seed):
+                simulation = CrashSimulation(seed)
+                simulation.sources += [build_sound(10.0), build_harmful(1.0)]
+                for at_s in range(30, 100, 3):
+                    simulation.after(
+                        at_s, partial(simulation.restart_relays, 1)
+                    )
+                self.play(simulation, 110.0)
+                self.assert_kept_off(simulation)
+
+    def test_part_that_returns_is_kept_off_engines(self) -> None:
+        """No request had it for minutes."""
+        simulation = CrashSimulation(60, relay_count=3, engine_count=6)
+        simulation.sources += [
+            build_sound(3.0),
+            build_harmful(until_s=20.0),
+            build_harmful(from_s=200.0),
+        ]
+        self.play(simulation, 220.0)
+
+        self.assert_kept_off(simulation)
+
     def test_part_stays_off_engines_for_minutes(self) -> None:
         """It still crashes engines after crashes have been forgotten."""
         simulation = CrashSimulation(53, relay_count=3, engine_count=6)
