Relay: crashes of upstreams are counted by the parts of prompts

Cause: crashes were counted by a fingerprint of path, workspace and whole body. Change: a crash counts against every part of the prompts that it cut, except the last one and those of answers that had been written for 1 s. A run that survives clears its parts of the crashes before it began, at all relays. A part is barred after three crashes; one that has survived lately, or may have before the process began to watch, after five that are 4 s apart while others survive, as a zone without power cuts many requests at once. A workspace that had a request in every crash is barred alone. Bars hold 240 s, double when the part crashes an upstream again, and are told for as long as they hold; reports carry ages, so that repeating them prolongs nothing. A crash is told to all relays at once. Requests are checked again before each attempt. Of too many suspects the least harmful go first.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -17,6 +17,7 @@
 from bramleylug.cluster.route_table import RouteTable
 from bramleylug.cluster.settings import ProcessSettings
 from bramleylug.cluster.subsetting import preferred_subset
+from bramleylug.cluster.suspect_messages import suspect_from_message
 from bramleylug.cluster.upstreams import (
     ColdStart,
     Upstream,
@@ -89,7 +90,7 @@
         self.versions = VersionRegistry(
             max(0.0, settings.version_limit - VERSION_MARGIN_S)
         )
-        self.suspects = SharedSuspects(clock)
+        self.suspects = SharedSuspects(clock, self.started_s)
         self.peers = PeerRegistry(
             own,
             self.store_age_s,
@@ -282,8 +283,7 @@
         for notice in heartbeat.notices:
             self._receive_notice(notice, now_s)
         for crash in heartbeat.crashes:
-            for crash_id in crash.crash_ids:
-                self.suspects.record_crash(crash.fingerprint, crash_id)
+            self.suspects.merge(suspect_from_message(crash))
         return True
 
     def _receive_notice(self, notice: Notice, now_s: float) -> None:
--- a/src/bramleylug/cluster/crash_suspects.py
+++ b/src/bramleylug/cluster/crash_suspects.py
@@ -1,80 +1,492 @@
-"""Requests suspected of crashing upstreams, shared between all relays."""
+"""Requests and prompt parts suspected of crashing upstreams, in all relays.
 
-from collections.abc import Callable, Iterable
-from typing import final
+An upstream that ends cuts all of its requests, so that harmless ones are
+suspected with the one that crashed it. What they share with others is cleared
+when another request with it survives, which a harmful part never does (group
+testing; Dorfman, *The Detection of Defective Members of Large Populations*,
+1943).
+"""
+
+from collections import deque
+from collections.abc import Callable, Collection, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple, final
 
 from xxhash import xxh64_digest
 
-# Distinct upstreams that must crash under a request before it is refused: one
-# or two crashes may be coincidence.
+from bramleylug.observability.events import LogEvent, emit
+
+# Distinct upstreams that must crash under a fingerprint before it is barred:
+# one or two crashes may be coincidence.
 BARRED_CRASHES = 3
-# How long crashes and successes are remembered, and how long a crash is
-# included in heartbeats.
+# What has survived a short time ago, or may have before this process began to
+# watch, is barred after more crashes, and only if they are spread over time:
+# a group of upstreams that lose power together cuts all requests at once. Other
+# requests must survive meanwhile: where none do, it is no sign against it.
+SOUND_BARRED_CRASHES = 5
+SOUND_SPREAD_S = 4.0
+OTHER_SURVIVALS = 5
+LEARNING_S = 5.0
+# How long crashes and survivals count, and how long a crash is announced.
 RETENTION_S = 120.0
 ANNOUNCED_S = 10.0
-MAX_SUSPECTS = 512
-MAX_SUCCESSES = 4096
-MAX_ANNOUNCED = 32
+# Duration of a bar; it doubles each time the fingerprint crashes an upstream
+# after its bar has ended. The shorter one holds for what survived before.
+BAR_S = 240.0
+SOUND_BAR_S = 5.0
+MAX_BAR_S = 3600.0
+# A fingerprint that was barred is barred again by its next crash for so long.
+PROBATION_S = 3600.0
+MAX_SUSPECTS = 1024
+MAX_SURVIVALS = 4096
+MAX_CRASHES = 8
+MAX_SOURCES = 4
+# Reports in one heartbeat: of these, some are kept for bars in force.
+MAX_REPORTS = 32
+MAX_BAR_REPORTS = 8
+NEVER_S = float('-inf')
+
+
+class RequestTraits(NamedTuple):
+    """Fingerprints by which the crashes of different requests add up.
+
+    :ivar request: the same whenever the request is sent again.
+    :ivar parts: of the parts of its prompt that other requests may share.
+    :ivar source: stands for its workspace.
+    """
+
+    request: bytes
+    parts: tuple[bytes, ...] = ()
+    source: bytes = b''
+
+
+class CrashReport(NamedTuple):
+    """A crash that a relay tells others about.
+
+    :ivar age_s: how long ago it was recorded.
+    :ivar sources: workspaces whose requests were cut by it.
+    """
+
+    crash_id: bytes
+    age_s: float
+    sources: frozenset[bytes]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class SuspectReport:
+    """What a relay tells others about a fingerprint. All times are ages.
+
+    :ivar is_part: whether it stands for a part of prompts, not a request.
+    :ivar survived_age_s: how long ago the last run that survived began to
+        answer; ``None`` if none is known.
+    :ivar bar_s: duration of its bar from the last crash on; 0 if it has none.
+    :ivar strikes: how often it has been barred.
+    """
+
+    fingerprint: bytes
+    is_part: bool
+    crashes: Sequence[CrashReport]
+    survived_age_s: float | None
+    bar_s: float
+    strikes: int
+
+
+@final
+@dataclass(slots=True)
+class Crash:
+    """The crash of an upstream under requests with one fingerprint.
+
+    :ivar at_s: when it was first recorded.
+    :ivar sources: workspaces whose requests were cut by it.
+    """
+
+    at_s: float
+    sources: set[bytes]
+
+
+@final
+@dataclass(slots=True)
+class Suspect:
+    """Crashes under one fingerprint.
+
+    :ivar crashes: by crash id; only those after the last survival.
+    :ivar bar_s: duration of its bar from the last crash on; 0 if it has none.
+    :ivar strikes: how often it has been barred.
+    :ivar stored_strikes: those of the bar that the store holds.
+    :ivar reported_s: when it was last reported to other relays.
+    :ivar cleared_s: when a survival cleared it.
+    """
+
+    is_part: bool
+    crashes: dict[bytes, Crash] = field(default_factory=dict)
+    bar_s: float = 0
+    strikes: int = 0
+    stored_strikes: int = 0
+    reported_s: float = NEVER_S
+    cleared_s: float = NEVER_S
+
+    @property
+    def last_crash_s(self) -> float:
+        return max(
+            (crash.at_s for crash in self.crashes.values()), default=NEVER_S
+        )
+
+    @property
+    def barred_until_s(self) -> float:
+        return self.last_crash_s + self.bar_s if self.bar_s else NEVER_S
+
+    def recent_crashes(self, now_s: float) -> list[float]:
+        """Return when the crashes happened that still count."""
+        return [
+            crash.at_s
+            for crash in self.crashes.values()
+            if crash.at_s > now_s - RETENTION_S
+        ]
+
+    def common_sources(self) -> frozenset[bytes]:
+        """Return the workspaces that had requests in every crash."""
+        crashes = self.crashes.values()
+        if not crashes:
+            return frozenset()
+        return frozenset.intersection(
+            *(frozenset(crash.sources) for crash in crashes)
+        )
+
+    def applies_to(self, source: bytes) -> bool:
+        """Return whether a bar holds for the requests of a workspace.
+
+        A workspace that had requests in every crash may crash upstreams by
+        other means, so that only that one is barred.
+        """
+        if not self.is_part:
+            return True
+        common = self.common_sources()
+        return not common or source in common
+
+    def add_crash(
+        self, crash_id: bytes, at_s: float, sources: Collection[bytes]
+    ) -> None:
+        crash = self.crashes.get(crash_id)
+        if crash is None:
+            self.crashes[crash_id] = Crash(at_s, set(sources))
+        else:
+            crash.at_s = min(crash.at_s, at_s)
+            if len(crash.sources) < MAX_SOURCES:
+                crash.sources.update(sources)
+        if len(self.crashes) > MAX_CRASHES:
+            self.crashes.pop(min(self.crashes, key=self._at_s))
+
+    def clear(self, began_s: float, now_s: float) -> None:
+        """Forget the crashes before a run that survived."""
+        if len(self.crashes) > 1:
+            # Other relays may be about to bar it.
+            self.cleared_s = now_s
+        self.crashes = {
+            crash_id: crash
+            for crash_id, crash in self.crashes.items()
+            if crash.at_s > began_s
+        }
+        if not self.crashes:
+            self.bar_s = 0
+            self.strikes = 0
+
+    def _at_s(self, crash_id: bytes) -> float:
+        return self.crashes[crash_id].at_s
 
 
 @final
 class SharedSuspects:
-    """Crashes by fingerprint of the request.
+    """Crashes by fingerprint of requests and of prompt parts.
 
     :param clock: monotonic seconds.
-    :ivar crashes: by fingerprint, when each crash was first recorded.
-    :ivar successes: by fingerprint, when a request last succeeded. A request
-        that crashes upstreams never succeeds, whoever sends it.
+    :param watching_since_s: when this process began to see requests.
+    :ivar suspects: by fingerprint.
+    :ivar survivals: by fingerprint, when the last run that survived began to
+        answer.
+    :ivar survived_s: when the last requests with parts that survived here
+        began to answer.
+    :ivar on_change: called when this process has recorded a crash, which
+        other relays should know at once.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], watching_since_s: float = NEVER_S
+    ) -> None:
         self.clock = clock
-        self.crashes: dict[bytes, dict[bytes, float]] = {}
-        self.successes: dict[bytes, float] = {}
+        self.watching_since_s = watching_since_s
+        self.suspects: dict[bytes, Suspect] = {}
+        self.survivals: dict[bytes, float] = {}
+        self.survived_s: deque[float] = deque(maxlen=OTHER_SURVIVALS)
+        self.on_change: Callable[[], None] = _ignore
 
     def record_success(self, fingerprint: bytes) -> None:
         """Record that a request succeeded, which clears its crashes."""
-        self.crashes.pop(fingerprint, None)
-        self.successes.pop(fingerprint, None)
-        self.successes[fingerprint] = self.clock()
-        if len(self.successes) > MAX_SUCCESSES:
-            self.successes.pop(next(iter(self.successes)))
+        self._survive((fingerprint,), self.clock())
+
+    def record_survivals(
+        self, parts: Collection[bytes], began_s: float
+    ) -> None:
+        """Record that a request did not crash its upstream.
+
+        :param began_s: when its answer began; only crashes before that are
+            cleared, as the upstream may end later for another reason.
+        """
+        if parts:
+            self.survived_s.append(began_s)
+            self._survive(parts, began_s)
+
+    def record_crashes(
+        self, traits: RequestTraits, crash_id: bytes, *, parts: bool
+    ) -> None:
+        """Record that an upstream crashed while it ran a request.
+
+        :param parts: whether the parts of its prompt are suspected, too.
+        """
+        now_s = self.clock()
+        self.record_crash(traits.request, crash_id)
+        crash = CrashReport(crash_id, 0, frozenset((traits.source,)))
+        for part in traits.parts if parts else ():
+            self._record(part, crash, now_s, is_part=True)
+        self.on_change()
+
+    def record_crash(self, fingerprint: bytes, crash_id: bytes) -> None:
+        """Record a crash under one request; the same crash counts once."""
+        crash = CrashReport(crash_id, 0, frozenset())
+        self._record(fingerprint, crash, self.clock(), is_part=False)
+
+    def is_barred(self, fingerprint: bytes, source: bytes = b'') -> bool:
+        """Return whether what bears it must not be sent to any upstream."""
+        return self.barred_for_s(fingerprint, source) > 0
 
-    def record_crash(self, fingerprint: bytes, crash_id: bytes) -> int:
-        """Record the crash of an upstream; the same crash counts once.
+    def barred_for_s(self, fingerprint: bytes, source: bytes = b'') -> float:
+        """Return for how much longer it is barred; 0 if it is not."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None or not suspect.applies_to(source):
+            return 0.0
+        return max(0.0, suspect.barred_until_s - self.clock())
 
-        It is ignored if the request succeeded less than :data:`RETENTION_S`
-        ago.
+    def reports(self) -> Sequence[SuspectReport]:
+        """Return what the next heartbeat tells about suspects.
 
-        :returns: number of known crashes under the request.
+        Bars in force are told as long as they hold, for relays that start
+        later. Of the other suspects, those with the most crashes come first,
+        then those that were reported least recently.
         """
-        succeeded_s = self.successes.get(fingerprint, float('-inf'))
-        if self.clock() - succeeded_s < RETENTION_S:
-            return 0
-        known = self.crashes.setdefault(fingerprint, {})
-        known.setdefault(crash_id, self.clock())
-        if len(self.crashes) > MAX_SUSPECTS:
-            self.crashes.pop(next(iter(self.crashes)))
-        return len(known)
-
-    def is_barred(self, fingerprint: bytes) -> bool:
-        """Return whether a request must not be sent to any upstream."""
-        known = self.crashes.get(fingerprint)
-        if known is None:
-            return False
-        since_s = self.clock() - RETENTION_S
-        recent = sum(at_s > since_s for at_s in known.values())
-        return recent >= BARRED_CRASHES
-
-    def recent(self) -> Iterable[tuple[bytes, list[bytes]]]:
-        """Return the fingerprints and crash ids for the next heartbeat."""
-        since_s = self.clock() - ANNOUNCED_S
-        announced = [
-            (fingerprint, list(known))
-            for fingerprint, known in self.crashes.items()
-            if max(known.values()) > since_s
+        now_s = self.clock()
+        barred = []
+        recent = []
+        for fingerprint, suspect in self.suspects.items():
+            if suspect.barred_until_s > now_s:
+                barred.append(fingerprint)
+            elif _is_recent(suspect, now_s):
+                recent.append(fingerprint)
+        barred.sort(key=lambda one: self.suspects[one].reported_s)
+        recent.sort(key=self._report_order)
+        chosen = barred[:MAX_BAR_REPORTS]
+        chosen += recent[: MAX_REPORTS - len(chosen)]
+        for reported in chosen:
+            self.suspects[reported].reported_s = now_s
+        return [self._report(one, now_s) for one in chosen]
+
+    def unstored_bars(self) -> list[SuspectReport]:
+        """Return the bars in force that the store does not hold."""
+        now_s = self.clock()
+        return [
+            self._report(fingerprint, now_s)
+            for fingerprint, suspect in self.suspects.items()
+            if suspect.barred_until_s > now_s
+            and suspect.stored_strikes < suspect.strikes
         ]
-        return announced[-MAX_ANNOUNCED:]
+
+    def mark_stored(self, fingerprint: bytes, strikes: int) -> None:
+        """Record that the store holds a bar."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.stored_strikes = max(suspect.stored_strikes, strikes)
+
+    def merge(self, report: SuspectReport) -> None:
+        """Apply the report of another relay."""
+        now_s = self.clock()
+        fingerprint = report.fingerprint
+        if report.survived_age_s is not None:
+            began_s = now_s - report.survived_age_s
+            self._survive((fingerprint,), began_s)
+        for crash in report.crashes:
+            self._record(
+                fingerprint,
+                crash,
+                now_s - crash.age_s,
+                is_part=report.is_part,
+            )
+        suspect = self.suspects.get(fingerprint)
+        if suspect is not None and suspect.crashes:
+            if report.bar_s:
+                # The sender may have watched for longer.
+                suspect.strikes = max(suspect.strikes, report.strikes)
+                self._bar(fingerprint, suspect, report.bar_s)
+        elif report.bar_s and fingerprint in self.survivals:
+            self._contradict(fingerprint, report, now_s)
+
+    def remove_expired(self) -> None:
+        """Forget suspects whose crashes and bars count no longer."""
+        now_s = self.clock()
+        for fingerprint, suspect in tuple(self.suspects.items()):
+            kept_s = PROBATION_S if suspect.strikes else RETENTION_S
+            latest_s = max(
+                suspect.last_crash_s, suspect.barred_until_s, suspect.cleared_s
+            )
+            if now_s - latest_s > kept_s:
+                self.suspects.pop(fingerprint)
+
+    def _survive(self, fingerprints: Iterable[bytes], began_s: float) -> None:
+        for fingerprint in fingerprints:
+            known_s = self.survivals.pop(fingerprint, NEVER_S)
+            self.survivals[fingerprint] = max(known_s, began_s)
+            if len(self.survivals) > MAX_SURVIVALS:
+                self.survivals.pop(next(iter(self.survivals)))
+            suspect = self.suspects.get(fingerprint)
+            if suspect is not None and suspect.crashes:
+                self._clear(fingerprint, suspect, began_s)
+
+    def _record(
+        self,
+        fingerprint: bytes,
+        crash: CrashReport,
+        at_s: float,
+        *,
+        is_part: bool,
+    ) -> None:
+        now_s = self.clock()
+        survived_s = self.survivals.get(fingerprint, NEVER_S)
+        if at_s <= survived_s:
+            return
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None:
+            suspect = Suspect(is_part)
+            self.suspects[fingerprint] = suspect
+        was_barred = suspect.barred_until_s > now_s
+        is_new = crash.crash_id not in suspect.crashes
+        suspect.add_crash(crash.crash_id, at_s, crash.sources)
+        if is_new:
+            self._judge(fingerprint, suspect, survived_s, was_barred=was_barred)
+        if len(self.suspects) > MAX_SUSPECTS:
+            self._evict(now_s)
+
+    def _judge(
+        self,
+        fingerprint: bytes,
+        suspect: Suspect,
+        survived_s: float,
+        *,
+        was_barred: bool,
+    ) -> None:
+        """Bar a fingerprint if enough upstreams crashed under it."""
+        now_s = self.clock()
+        recent = suspect.recent_crashes(now_s)
+        survived = survived_s > now_s - RETENTION_S
+        is_learning = now_s - self.watching_since_s < LEARNING_S
+        presumed_sound = survived or (suspect.is_part and is_learning)
+        if presumed_sound:
+            is_harmful = (
+                len(recent) >= SOUND_BARRED_CRASHES
+                and max(recent) - min(recent) >= SOUND_SPREAD_S
+                and self._others_survive(min(recent))
+            )
+        else:
+            is_harmful = len(recent) >= BARRED_CRASHES
+        # Once barred, it is on probation: its next crash bars it again.
+        if was_barred or not (is_harmful or suspect.strikes):
+            return
+        suspect.strikes += 1
+        bar_s = SOUND_BAR_S if presumed_sound else BAR_S
+        bar_s = min(MAX_BAR_S, bar_s * 2 ** (suspect.strikes - 1))
+        suspect.bar_s = 0
+        self._bar(fingerprint, suspect, bar_s)
+
+    def _others_survive(self, since_s: float) -> bool:
+        """Return whether other requests began after a time and survived.
+
+        Those with the fingerprint in question would have cleared it.
+        """
+        survived = sum(began_s > since_s for began_s in self.survived_s)
+        return survived >= OTHER_SURVIVALS
+
+    def _bar(self, fingerprint: bytes, suspect: Suspect, bar_s: float) -> None:
+        now_s = self.clock()
+        was_barred = suspect.barred_until_s > now_s
+        suspect.bar_s = max(suspect.bar_s, bar_s)
+        if suspect.barred_until_s > now_s and not was_barred:
+            emit(
+                LogEvent.suspect_barred,
+                fingerprint=fingerprint.hex(),
+                part=suspect.is_part,
+                crashes=len(suspect.crashes),
+                workspaces=len(suspect.common_sources()),
+                for_s=round(suspect.barred_until_s - now_s, 2),
+            )
+
+    def _clear(
+        self, fingerprint: bytes, suspect: Suspect, began_s: float
+    ) -> None:
+        was_barred = suspect.barred_until_s > self.clock()
+        suspect.clear(began_s, self.clock())
+        if was_barred and not suspect.crashes:
+            emit(LogEvent.suspect_cleared, fingerprint=fingerprint.hex())
+
+    def _contradict(
+        self, fingerprint: bytes, report: SuspectReport, now_s: float
+    ) -> None:
+        """Report a survival that the sender of a report does not know."""
+        suspect = self.suspects.setdefault(fingerprint, Suspect(report.is_part))
+        suspect.cleared_s = now_s
+
+    def _evict(self, now_s: float) -> None:
+        """Forget the least harmful quarter of the suspects.
+
+        Those of the workspace with the most of them go first, so that one
+        caller cannot displace what others have met.
+        """
+        counts: dict[frozenset[bytes], int] = {}
+        for suspect in self.suspects.values():
+            key = suspect.common_sources()
+            counts[key] = counts.get(key, 0) + 1
+
+        def harm(fingerprint: bytes) -> tuple[bool, int, int, float]:
+            suspect = self.suspects[fingerprint]
+            return (
+                suspect.barred_until_s > now_s,
+                len(suspect.crashes),
+                -counts[suspect.common_sources()],
+                suspect.last_crash_s,
+            )
+
+        by_harm = sorted(self.suspects, key=harm)
+        for least_harmful in by_harm[: MAX_SUSPECTS // 4]:
+            self.suspects.pop(least_harmful)
+
+    def _report_order(self, fingerprint: bytes) -> tuple[int, float]:
+        suspect = self.suspects[fingerprint]
+        return -len(suspect.crashes), suspect.reported_s
+
+    def _report(self, fingerprint: bytes, now_s: float) -> SuspectReport:
+        suspect = self.suspects[fingerprint]
+        survived_s = self.survivals.get(fingerprint)
+        return SuspectReport(
+            fingerprint,
+            suspect.is_part,
+            tuple(
+                CrashReport(
+                    crash_id,
+                    max(0.0, now_s - crash.at_s),
+                    frozenset(crash.sources),
+                )
+                for crash_id, crash in suspect.crashes.items()
+            ),
+            None if survived_s is None else max(0.0, now_s - survived_s),
+            suspect.bar_s,
+            suspect.strikes,
+        )
 
 
 def fingerprint_of(*parts: bytes) -> bytes:
@@ -85,3 +497,13 @@
 def crash_id_of(upstream_id: str, started_ms: int) -> bytes:
     """Return an id for the crash of one upstream incarnation."""
     return xxh64_digest(f'{upstream_id}/{started_ms}'.encode())
+
+
+def _is_recent(suspect: Suspect, now_s: float) -> bool:
+    """Return whether other relays should hear of a suspect."""
+    latest_s = max(suspect.last_crash_s, suspect.cleared_s)
+    return now_s - latest_s < ANNOUNCED_S
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/src/bramleylug/cluster/heartbeats.py
+++ b/src/bramleylug/cluster/heartbeats.py
@@ -8,6 +8,7 @@
 
 from bramleylug.cluster.crash_suspects import SharedSuspects
 from bramleylug.cluster.heartbeat_schedule import HeartbeatRates
+from bramleylug.cluster.suspect_messages import suspect_to_message
 from bramleylug.cluster.upstreams import UpstreamRegistry
 from bramleylug.node.udp import parse_address
 from bramleylug.observability.events import LogEvent, emit
@@ -103,6 +104,5 @@
                 leaving=notice.leaving,
                 paused_ms=round(paused_s * MILLISECONDS),
             )
-    for fingerprint, crash_ids in suspects.recent():
-        heartbeat.crashes.add(fingerprint=fingerprint, crash_ids=crash_ids)
+    heartbeat.crashes.extend(map(suspect_to_message, suspects.reports()))
     return heartbeat
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -32,6 +32,8 @@
 
 NANOSECONDS_PER_MS = 1_000_000
 CLEAN_UP_INTERVAL_S = 1.0
+# An upstream that ends cuts many requests at once; one heartbeat tells of all.
+ANNOUNCE_DELAY_S = 0.02
 MILLISECONDS = 1000
 # Longest time for which a poll of another process is held open.
 MAX_POLL_S = 10.0
@@ -114,6 +116,7 @@
         self.schedule = HeartbeatSchedule(settings.region, HEARTBEAT_RATES)
         self.loop = LoopThread('relay')
         self.socket: HeartbeatSocket | None = None
+        self.announcement: asyncio.TimerHandle | None = None
 
     def reader_address(self) -> str:
         """Return where to read the store; empty for the store itself."""
@@ -175,6 +178,16 @@
         alive = self.view.peers.alive(Role.relay, self.clock())
         self.socket.send(self.make_heartbeat(), [peer.beats for peer in alive])
 
+    def announce_soon(self) -> None:
+        """Send one heartbeat to every relay for what happens at this moment.
+
+        Runs on the event loop.
+        """
+        if self.announcement is None:
+            self.announcement = asyncio.get_running_loop().call_later(
+                ANNOUNCE_DELAY_S, self._announce
+            )
+
     def send_due_heartbeats(self) -> None:
         """Send a heartbeat to the relays that are due for one."""
         now_s = self.clock()
@@ -218,6 +231,10 @@
         self.presence.announce()
         self.send_heartbeat()
 
+    def _announce(self) -> None:
+        self.announcement = None
+        self.send_heartbeat()
+
     def _announce_draining(self) -> None:
         self.presence.announce()
         self.send_heartbeat()
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -223,6 +223,27 @@
         's',
         'It is overloaded if the message repeats; see its load.',
     )
+    suspect_barred = EventSpec(
+        'BL2008',
+        'WARNING',
+        'requests with fingerprint {fingerprint} are refused for {for_s} s: '
+        '{crashes} upstreams crashed under them',
+        'Find the requests that BL2004 reports as crash_suspect; the field '
+        '"part" tells whether the requests share a part of their prompts.',
+    )
+    suspect_cleared = EventSpec(
+        'BL2009',
+        'INFO',
+        'requests with fingerprint {fingerprint} are served again: one of '
+        'them did not crash its upstream',
+        'Nothing to do.',
+    )
+    bar_not_stored = EventSpec(
+        'BL2010',
+        'WARNING',
+        'a bar could not be written to the store: {error}',
+        'It is tried again each second; it holds all the same.',
+    )
     # 3: weights
     staging_full = EventSpec(
         'BL3001',
--- a/src/bramleylug/platform/dialect.py
+++ b/src/bramleylug/platform/dialect.py
@@ -80,6 +80,7 @@
             api_key=_bearer_token(exchange.header('Authorization')),
             model=exchange.header('X-Model'),
             token_count=_token_count(exchange.header('X-Token-Usage')),
+            prompt_parts=_prompt_parts(exchange.header('X-Prompt-Prefix')),
             resume_after=exchange.header('Last-Event-Id'),
             forwarded_headers=tuple(
                 (name, text)
@@ -161,6 +162,12 @@
     return sum(number or 0 for number in numbers)
 
 
+def _prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of comma-separated ``ID:TOKENS`` entries."""
+    ids = (entry.partition(':')[0].strip().lower() for entry in text.split(','))
+    return tuple(part_id for part_id in ids if part_id)
+
+
 def _seconds(milliseconds: int | None) -> float | None:
     return None if milliseconds is None else milliseconds / MILLISECONDS
 
--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -38,6 +38,9 @@
 # While an upstream is silent, or none can continue a stream, another one is
 # looked for at this interval.
 RECHECK_INTERVAL_S = 0.2
+# An upstream that has written an answer for this long is not about to crash
+# under the parts of its prompt.
+PROVEN_S = 1.0
 # Statuses that promise a caller that nothing ran.
 NOT_RUN_STATUSES = frozenset(
     (
@@ -65,6 +68,8 @@
     :ivar first_s: when the first piece was forwarded.
     :ivar last_s: when the last piece was forwarded.
     :ivar longest_gap_s: longest time between two pieces.
+    :ivar answer_started_s: when the first event of the last attempt, or its
+        whole answer, arrived; ``None`` before.
     """
 
     splitter: EventSplitter | None = None
@@ -73,6 +78,7 @@
     first_s: float | None = None
     last_s: float = 0
     longest_gap_s: float = 0
+    answer_started_s: float | None = None
 
     def record_piece(self, now_s: float) -> None:
         """Record the time at which a piece is forwarded."""
@@ -156,6 +162,7 @@
     :ivar may_move: asked while the upstream is silent; if it returns
         ``True``, the attempt ends and the request moves to another upstream.
     :ivar on_answer_started: called when the first event arrives.
+    :ivar on_proven: called when events have arrived for :data:`PROVEN_S`.
     :ivar on_metadata: called with what the head of an answer states, before
         its body is read.
     """
@@ -177,7 +184,10 @@
         self.answer_started = False
         self.on_sent: Callable[[], None] = _ignore
         self.may_move: Callable[[], bool] = _stay
+        self.proven = False
+        progress.answer_started_s = None
         self.on_answer_started: Callable[[], None] = _ignore
+        self.on_proven: Callable[[], None] = _ignore
         self.on_metadata: Callable[[AnswerMetadata], None] = _ignore_metadata
         self.status = 0
 
@@ -295,6 +305,7 @@
             length = None if self.request.method == 'HEAD' else buffered_bytes
             self._start(head, dialect, length)
             self.progress.record_piece(self.clock())
+            self.progress.answer_started_s = self.clock()
             if buffer:
                 await self.writer.write(b''.join(buffer))
 
@@ -314,8 +325,9 @@
         while piece := await self._read(connection.read_piece, silence):
             events = splitter.feed(piece)
             if events:
-                self._record_answer_started()
-                self.progress.record_piece(self.clock())
+                now_s = self.clock()
+                self._record_events(now_s)
+                self.progress.record_piece(now_s)
                 await self.writer.write(events)
                 # Counts from here: a slow caller is no fault of the upstream.
                 silence = Silence.begin(self.clock(), timeouts.idle_s)
@@ -342,10 +354,15 @@
             self.clock(), timeouts.first_s, timeouts.start_by_s
         )
 
-    def _record_answer_started(self) -> None:
-        if not self.answer_started:
+    def _record_events(self, now_s: float) -> None:
+        started_s = self.progress.answer_started_s
+        if started_s is None:
+            self.progress.answer_started_s = now_s
             self.answer_started = True
             self.on_answer_started()
+        elif not self.proven and now_s - started_s >= PROVEN_S:
+            self.proven = True
+            self.on_proven()
 
     def _start(
         self, head: AnswerHead, dialect: Dialect, length: int | None
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -102,6 +102,7 @@
             settings, adapter, record, self.make_heartbeat, clock
         )
         self.core.on_clean_up = self.clean_up
+        self.core.view.suspects.on_change = self.core.announce_soon
         self.relay = Relay(settings, self.core.view, adapter.dialect, clock)
         self.ledger = MemoryLedger(settings.memory_bytes)
         self.limits_in_force: CallerLimits | None = None
@@ -190,6 +191,7 @@
         view = self.core.view
         view.update_preferred()
         view.upstreams.remove_expired_notices(self.clock())
+        view.suspects.remove_expired()
         self.relay.pool.remove_expired(
             {
                 upstream_id: upstream.record
--- a/src/bramleylug/relay/dialect.py
+++ b/src/bramleylug/relay/dialect.py
@@ -19,6 +19,8 @@
     :ivar api_key: credentials; empty if not given.
     :ivar model: requested model; empty if not given.
     :ivar token_count: tokens that it may use at an engine; 0 if unknown.
+    :ivar prompt_parts: ids of the parts of its prompt in their order; all but
+        the last may be parts of other requests, too.
     :ivar resume_after: id of the last event that the caller received; empty
         for none.
     :ivar forwarded_headers: headers that are sent to the upstream unchanged.
@@ -36,6 +38,7 @@
     token_count: int
     resume_after: str
     forwarded_headers: tuple[HeaderPair, ...]
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def target(self) -> str:
--- a/src/bramleylug/relay/handover.py
+++ b/src/bramleylug/relay/handover.py
@@ -64,6 +64,8 @@
 
     async def _wait(self, context: RequestContext) -> Upstream | None:
         while self._has_attempts(context):
+            if self.checks.is_suspect(context.accepted):
+                return None
             if self._is_allowed(context):
                 found = await self.dispatch_queue.assign(context, first=False)
                 # The budget or the key may have run out in the queue.
--- a/src/bramleylug/relay/outcome_recorder.py
+++ b/src/bramleylug/relay/outcome_recorder.py
@@ -7,10 +7,12 @@
 from bramleylug.cluster.upstreams import Upstream
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown
+from bramleylug.relay.attempt import PROVEN_S
 from bramleylug.relay.dialect import AnswerMetadata
 from bramleylug.relay.request_context import RequestContext
 
 FAILED_STATUS = 500
+REFUSED_STATUS = 400
 
 
 @final
@@ -34,6 +36,14 @@
                 upstream.record.upstream_id, started_ms, metadata.pause_s
             )
 
+    def record_proven(self, context: RequestContext) -> None:
+        """Record that an upstream did not crash under a request's parts."""
+        started_s = context.progress.answer_started_s
+        self.view.suspects.record_survivals(
+            context.accepted.traits.parts,
+            self.view.clock() if started_s is None else started_s,
+        )
+
     def record(
         self, context: RequestContext, upstream: Upstream, outcome: Outcome
     ) -> None:
@@ -43,6 +53,8 @@
             self.view.record_cold(upstream, context.progress.cold_for_s)
         if isinstance(outcome, Ran) and outcome.complete:
             self.view.suspects.record_success(context.accepted.fingerprint)
+            if outcome.status < REFUSED_STATUS:
+                self.record_proven(context)
         if isinstance(outcome, NotRun):
             if outcome.reason is Reason.connection_failed:
                 upstream.record_unreachable(now_s)
@@ -61,8 +73,13 @@
         self, context: RequestContext, upstream: Upstream
     ) -> None:
         record = upstream.record
-        crash_id = crash_id_of(record.upstream_id, record.started_ms)
-        self.view.suspects.record_crash(context.accepted.fingerprint, crash_id)
+        started_s = context.progress.answer_started_s
+        written_s = 0.0 if started_s is None else self.view.clock() - started_s
+        self.view.suspects.record_crashes(
+            context.accepted.traits,
+            crash_id_of(record.upstream_id, record.started_ms),
+            parts=written_s < PROVEN_S,
+        )
 
     def _log_avoided(self, upstream: Upstream, cause: str) -> None:
         for_s = upstream.avoid_until_s - self.view.clock()
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -204,6 +204,9 @@
         )
         attempt.may_move = partial(self.handover.try_move, context)
         attempt.on_answer_started = upstream.record_started
+        attempt.on_proven = partial(
+            self.outcome_recorder.record_proven, context
+        )
         attempt.on_metadata = partial(
             self.outcome_recorder.record_metadata,
             upstream,
--- a/src/bramleylug/relay/request_checks.py
+++ b/src/bramleylug/relay/request_checks.py
@@ -1,11 +1,12 @@
 """Checks of a request that do not depend on load: route, API key, crashes."""
 
 from dataclasses import dataclass
+from itertools import islice
 from random import Random
 from typing import NamedTuple, final
 
 from bramleylug.cluster.cluster_view import ClusterView
-from bramleylug.cluster.crash_suspects import fingerprint_of
+from bramleylug.cluster.crash_suspects import RequestTraits, fingerprint_of
 from bramleylug.cluster.route_table import (
     Route,
     RouteTable,
@@ -22,6 +23,8 @@
 # Another relay may be able to confirm the key, so the caller retries soon.
 STALE_RETRY_S = 0.3
 UNKNOWN_RETRY_S = 0.5
+# Parts of a prompt that are checked; the others are not suspected.
+MAX_PARTS = 32
 # Above this age of the store data, a route or key that is unknown here may
 # have been added in the meantime.
 MAX_CERTAIN_AGE_S = 2.4
@@ -41,7 +44,12 @@
     service: str
     regions: frozenset[str] | None
     version: int
-    fingerprint: bytes
+    traits: RequestTraits
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Fingerprint of the request as a whole."""
+        return self.traits.request
 
     @property
     def urgency(self) -> int:
@@ -85,7 +93,11 @@
         """
         if accepted.workspace is not None and not self.keys_are_fresh():
             return self._refuse_stale_key()
-        return None
+        return self._refuse_suspect(accepted.traits)
+
+    def is_suspect(self, accepted: Accepted) -> bool:
+        """Return whether upstreams have crashed under such requests."""
+        return self._refuse_suspect(accepted.traits) is not None
 
     def keys_are_fresh(self) -> bool:
         """Return whether no key can have been revoked longer than allowed."""
@@ -102,15 +114,10 @@
         workspace: Workspace | None,
         table: RouteTable,
     ) -> Accepted | NotRun:
-        fingerprint = fingerprint_of(
-            request.path.encode(),
-            (workspace.name if workspace else '').encode(),
-            request.body,
-        )
-        if self.view.suspects.is_barred(fingerprint):
-            return NotRun(
-                Reason.crash_suspect, 'the request crashed several upstreams'
-            )
+        traits = traits_of(request, workspace)
+        refusal = self._refuse_suspect(traits)
+        if refusal is not None:
+            return refusal
         service = route.choose_service(self.random)
         if not service:
             return NotRun(
@@ -124,7 +131,7 @@
             service,
             allowed_regions(route, workspace),
             table.version,
-            fingerprint,
+            traits,
         )
 
     def _find_workspace(
@@ -139,6 +146,27 @@
             return workspace
         return self._refuse_stale_key()
 
+    def _refuse_suspect(self, traits: RequestTraits) -> NotRun | None:
+        """Return the refusal of a request that would crash its upstream."""
+        suspects = self.view.suspects
+        barred_s = suspects.barred_for_s(traits.request, traits.source)
+        if barred_s:
+            return NotRun(
+                Reason.crash_suspect,
+                'the request crashed several upstreams',
+                barred_s,
+            )
+        for part in traits.parts:
+            barred_s = suspects.barred_for_s(part, traits.source)
+            if barred_s:
+                return NotRun(
+                    Reason.crash_suspect,
+                    'upstreams crashed under a part of the prompt '
+                    f'({part.hex()})',
+                    barred_s,
+                )
+        return None
+
     def _refuse_stale_key(self) -> NotRun:
         """Return the refusal of a request whose key cannot be confirmed."""
         return NotRun(
@@ -155,3 +183,24 @@
             f'{message}, but the store data may be out of date',
             UNKNOWN_RETRY_S,
         )
+
+
+def traits_of(
+    request: CallerRequest, workspace: Workspace | None
+) -> RequestTraits:
+    """Return the fingerprints under which crashes are counted.
+
+    The last part of a prompt belongs to the request alone. A part may be
+    harmful to one model and harmless to another.
+    """
+    name = (workspace.name if workspace else '').encode()
+    model = request.model.encode()
+    shared_parts = request.prompt_parts[:-1]
+    return RequestTraits(
+        fingerprint_of(request.path.encode(), name, request.body),
+        tuple(
+            fingerprint_of(b'part', model, part.encode())
+            for part in islice(shared_parts, MAX_PARTS)
+        ),
+        fingerprint_of(b'workspace', name),
+    )
--- a/testing/platform/test_dialect.py
+++ b/testing/platform/test_dialect.py
@@ -44,6 +44,17 @@
         self.dialect = PlatformDialect()
         self.request = self.dialect.read_request(build_exchange())
 
+    def test_parts_of_the_prompt_are_read_in_order(self) -> None:
+        """Their sizes and malformed entries are left out."""
+        exchange = build_exchange(
+            {'X-Prompt-Prefix': '5C1E07a2:800, 91bd3f06:410,,:7,e4402b7d:250'}
+        )
+
+        self.assertEqual(
+            self.dialect.read_request(exchange).prompt_parts,
+            ('5c1e07a2', '91bd3f06', 'e4402b7d'),
+        )
+
     def written(self, **fields):
         """Return the headers that an engine gets."""
         defaults = {
--- a/testing/relay/test_request_checks.py
+++ b/testing/relay/test_request_checks.py
@@ -4,7 +4,11 @@
 from random import Random
 
 from bramleylug.cluster.cluster_view import ClusterView
-from bramleylug.cluster.crash_suspects import crash_id_of
+from bramleylug.cluster.crash_suspects import (
+    BAR_S,
+    LEARNING_S,
+    crash_id_of,
+)
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.request_checks import Accepted, RequestChecks
 from bramleylug.store.mirror import Mirror
@@ -117,6 +121,56 @@
             self.reason(request_id='request-2'), Reason.crash_suspect
         )
 
+    def crash_under_part(self, part) -> None:
+        """Crash three engines under requests of which no two are alike."""
+        for engine in ('a', 'b', 'c'):
+            accepted = self.check(
+                body=engine.encode(), prompt_parts=('base', part, engine)
+            )
+            self.view.suspects.record_survivals(
+                accepted.traits.parts[:1], self.now_s
+            )
+            self.now_s += 0.1
+            self.view.suspects.record_crashes(
+                accepted.traits, crash_id_of(engine, 1), parts=True
+            )
+
+    def test_requests_with_a_part_that_crashed_engines_are_refused(
+        self,
+    ) -> None:
+        """A request that shares only the other part is served."""
+        self.now_s += LEARNING_S
+        self.mirror.confirm(self.now_s, self.now_s)
+        self.crash_under_part('bad')
+
+        refused = self.check(prompt_parts=('base', 'bad', 'own'))
+        self.assertEqual(refused.reason, Reason.crash_suspect)
+        self.assertAlmostEqual(refused.retry_after_s, BAR_S)
+        self.assertIsInstance(
+            self.check(prompt_parts=('base', 'good', 'own')), Accepted
+        )
+
+    def test_last_part_of_a_prompt_is_never_suspected(self) -> None:
+        """It belongs to one request or session."""
+        self.now_s += LEARNING_S
+        self.mirror.confirm(self.now_s, self.now_s)
+        self.crash_under_part('bad')
+
+        self.assertIsInstance(
+            self.check(prompt_parts=('base', 'bad')), Accepted
+        )
+
+    def test_part_that_is_barred_while_a_request_waits(self) -> None:
+        """The request is refused before it is sent."""
+        self.now_s += LEARNING_S
+        self.mirror.confirm(self.now_s, self.now_s)
+        waiting = self.check(prompt_parts=('base', 'bad', 'own'))
+        self.crash_under_part('bad')
+
+        refusal = self.checks.recheck(waiting)
+
+        self.assertEqual(refusal.reason, Reason.crash_suspect)
+
     def test_older_configuration_is_ignored(self) -> None:
         """An older revision may be read late."""
         self.view.apply_route_table(build_table(version=2))
