Relay: bars outlast a restart of all relays

Callers saw: nothing yet; found by the simulation. Cause: crashes were kept in the memory of the relays alone. When all of them restart, the part crashes engines until it has been found again.

--- a/src/bramleylug/platform/adapter.py
+++ b/src/bramleylug/platform/adapter.py
@@ -18,6 +18,7 @@
     LOADER_PREFIXES,
     RELAY_PREFIX,
     StoreChangeHandler,
+    bar_key,
     encode_peer,
     peer_key,
 )
@@ -67,6 +68,10 @@
         """Return the store key under which a process registers itself."""
         return peer_key(name)
 
+    def bar_key(self, fingerprint: bytes) -> str:
+        """Return the store key of a bar."""
+        return bar_key(fingerprint)
+
     def encode_peer(self, record: PeerRecord) -> bytes:
         return encode_peer(record)
 
--- a/src/bramleylug/platform/store_changes.py
+++ b/src/bramleylug/platform/store_changes.py
@@ -1,12 +1,16 @@
 """Applies changes of the metadata store to a process's cluster view."""
 
 import json
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import asdict
 from typing import final
 
+from google.protobuf.message import DecodeError
+
 from bramleylug.cluster.cluster_view import ClusterView
 from bramleylug.cluster.peers import PeerRecord, Role
+from bramleylug.cluster.suspect_messages import decode_bar
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.platform.decoding import (
     CONFIG_KEY,
@@ -22,6 +26,7 @@
 
 # Keys that bramleylug itself writes; the others belong to the platform.
 PEER_PREFIX = 'bramleylug/peers/'
+BAR_PREFIX = 'bramleylug/bars/'
 # Relays watch every key, so that one watch call covers the platform's keys
 # and bramleylug's own.
 RELAY_PREFIX = ''
@@ -43,6 +48,7 @@
             EVACUATION_PREFIX: self._apply_evacuation,
             VERSION_PREFIX: self._apply_target_version,
             PEER_PREFIX: self._apply_peer,
+            BAR_PREFIX: self._apply_bar,
         }
 
     def apply(self, changes: Sequence[StoreChange]) -> None:
@@ -89,6 +95,15 @@
             return
         self.view.peers.add(record)
 
+    def _apply_bar(self, item: StoreItem) -> None:
+        try:
+            report = decode_bar(item.value, time.time())
+        except DecodeError as error:
+            emit(LogEvent.value_unreadable, key=item.key, error=repr(error))
+            return
+        self.view.suspects.merge(report)
+        self.view.suspects.mark_stored(report.fingerprint, report.strikes)
+
     def _apply_removal(self, key: str) -> None:
         if key.startswith(ENGINE_PREFIX):
             self.view.remove_upstream(key.removeprefix(ENGINE_PREFIX))
@@ -115,6 +130,10 @@
     return f'{PEER_PREFIX}{name}'
 
 
+def bar_key(fingerprint: bytes) -> str:
+    return f'{BAR_PREFIX}{fingerprint.hex()}'
+
+
 def _apply_order(change: StoreChange) -> tuple[bool, int]:
     """Return a sort key: the configuration first, then by revision."""
     return change.key != CONFIG_KEY, change.revision
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -1,11 +1,14 @@
 """The relay daemon: ports for callers, readiness, directory and metrics."""
 
+import time
 from collections.abc import Callable
 from http import HTTPStatus
+from random import Random
 from typing import NamedTuple, Protocol, final
 
 from circuits import BaseComponent
 
+from bramleylug.cluster.bar_archive import BarArchive
 from bramleylug.cluster.heartbeats import relay_heartbeat
 from bramleylug.cluster.peers import PeerRecord, Requester, Role
 from bramleylug.cluster.process import (
@@ -59,6 +62,9 @@
 
     dialect: Dialect
 
+    def bar_key(self, fingerprint: bytes) -> str:
+        """Return the store key of a bar."""
+
     def read_directory_query(self, exchange: Exchange) -> DirectoryQuery | None:
         """Return the query of an exchange; ``None`` for another path."""
 
@@ -104,6 +110,13 @@
         self.core.on_clean_up = self.clean_up
         self.core.view.suspects.on_change = self.core.announce_soon
         self.relay = Relay(settings, self.core.view, adapter.dialect, clock)
+        self.bar_archive = BarArchive(
+            self.core.store,
+            self.core.view.suspects,
+            adapter.bar_key,
+            time.time,
+            Random(settings.name),  # noqa: S311
+        )
         self.ledger = MemoryLedger(settings.memory_bytes)
         self.limits_in_force: CallerLimits | None = None
         self.draining_since_s: float | None = None
@@ -192,6 +205,8 @@
         view.update_preferred()
         view.upstreams.remove_expired_notices(self.clock())
         view.suspects.remove_expired()
+        if self.bar_archive.has_pending():
+            self.core.loop.spawn(self.bar_archive.write)
         self.relay.pool.remove_expired(
             {
                 upstream_id: upstream.record
--- a/testing/relay/crash_simulation.py
+++ b/testing/relay/crash_simulation.py
@@ -14,6 +14,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from bramleylug.cluster.bar_archive import BarArchive
 from bramleylug.cluster.cluster_view import ClusterView
 from bramleylug.cluster.heartbeat_schedule import HeartbeatSchedule
 from bramleylug.cluster.heartbeats import (
@@ -29,9 +30,11 @@
     UpstreamRecord,
     UpstreamReport,
 )
+from bramleylug.cluster.suspect_messages import decode_bar
 from bramleylug.outcomes import Reason
 from bramleylug.platform.dialect import PlatformDialect
 from bramleylug.relay.relay import Relay
+from bramleylug.store.changes import Lease
 from bramleylug.store.mirror import Mirror
 from bramleylug.web.client_connection import (
     AnswerHead,
@@ -415,6 +418,26 @@
             )
 
 
+class SimulatedStore:
+    """Keeps the bars that relays write and passes them on with a lag."""
+
+    def __init__(self, simulation: 'CrashSimulation') -> None:
+        self.simulation = simulation
+        self.bars: dict[str, bytes] = {}
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        return Lease(1, ttl_s)
+
+    async def put(self, key: str, value: bytes, lease_id: int) -> None:
+        self.bars[key] = value
+        simulation = self.simulation
+        for name in simulation.nodes:
+            simulation.after(
+                simulation.between(STORE_LAG_S),
+                partial(simulation.deliver_bar, name, value),
+            )
+
+
 class RelayNode:
     """One run of a relay process, from its start to its end.
 
@@ -441,6 +464,13 @@
         )
         self.relay = Relay(settings, self.view, PlatformDialect(), self.clock)
         self.relay.pool = EnginePool(self)
+        self.archive = BarArchive(
+            simulation.store,
+            self.view.suspects,
+            bytes.hex,
+            simulation.now_s,
+            simulation.random,
+        )
         self.socket = HeartbeatSocket(self.view.receive_heartbeat)
         self.socket.transport = LossyLink(simulation)
         self.schedule = HeartbeatSchedule(record.region, HEARTBEAT_RATES)
@@ -458,8 +488,9 @@
                 view.peers.add(record)
         for engine in self.simulation.engines.values():
             view.register_upstream(engine.record(self))
-        if hasattr(view.suspects, 'on_change'):
-            view.suspects.on_change = self.send_to_all
+        for raw in self.simulation.store.bars.values():
+            self.read_bar(raw)
+        view.suspects.on_change = self.send_to_all
         self.spawn(self._send_heartbeats())
         self.spawn(self._maintain())
         self.spawn(self.relay.dispatch_queue.run())
@@ -474,6 +505,11 @@
         for task in tuple(self.tasks):
             task.cancel()
 
+    def read_bar(self, raw: bytes) -> None:
+        report = decode_bar(raw, self.simulation.now_s())
+        self.view.suspects.merge(report)
+        self.view.suspects.mark_stored(report.fingerprint, report.strikes)
+
     def send_to_all(self) -> None:
         """Send a heartbeat to all relays outside of the schedule."""
         alive = self.view.peers.alive(Role.relay, self.clock())
@@ -508,6 +544,9 @@
             self.mirror.confirm(self.clock(), self.clock())
             self.view.update_preferred()
             self.view.upstreams.remove_expired_notices(self.clock())
+            self.view.suspects.remove_expired()
+            if self.archive.has_pending():
+                self.spawn(self.archive.write())
             await asyncio.sleep(MAINTENANCE_S)
 
 
@@ -536,6 +575,7 @@
     def __post_init__(self) -> None:
         """Create the relays' records; nothing runs yet."""
         self.random = Random(self.seed)
+        self.store = SimulatedStore(self)
         self.numbers = count(1)
         self.loop = VirtualLoop()
         self.table = build_table(
@@ -623,6 +663,11 @@
         if node is not None:
             node.view.remove_upstream(engine_id)
 
+    def deliver_bar(self, name: str, raw: bytes) -> None:
+        node = self.nodes[name]
+        if node is not None:
+            node.read_bar(raw)
+
     def deliver_datagram(self, name: str, raw: bytes) -> None:
         node = self.nodes[name]
         if node is not None:
