Client: headers beyond ASCII are sent as they came

Callers saw: 502, which promises nothing, for a request that no engine had received, if one of its headers held a byte above 127, as HTTP allows. Cause: such headers are kept as latin-1 text, and h11 encodes text as ASCII; the UnicodeEncodeError left the engine's connection open and in no pool. Change: headers are encoded as they were decoded; a connection is closed when anything fails before the request is written. Evidence: the new test failed with 502 != 200.

--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -218,6 +218,9 @@
             )
         except ConnectionBroken as error:
             return NotRun(Reason.connection_failed, str(error))
+        except Exception:
+            connection.close()
+            raise
         self.sent = True
         self.on_sent()
         answer: AnswerMetadata | None = None
--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -150,9 +150,10 @@
                 'connection had ended before the request was sent'
             )
         headers = [
-            *request.headers,
-            ('Content-Length', str(len(request.body))),
+            (name.encode('latin-1'), text.encode('latin-1'))
+            for name, text in request.headers
         ]
+        headers.append((b'Content-Length', b'%d' % len(request.body)))
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -836,6 +836,20 @@
         self.assertEqual(self.relay.running, 0)
         self.assertEqual(exchange.sent.count(b'data:'), 1)
 
+    async def test_header_beyond_ascii_is_forwarded(self) -> None:
+        """Its bytes are those that the caller sent."""
+        engine = ScriptedEngine(complete_answer(b'ok'))
+        headers = (('Host', 'advisor.example'), ('X-Name', 'Zo\xeb'))
+
+        exchange = await self.serve(
+            engine,
+            streamed=False,
+            request=build_caller_request(forwarded_headers=headers),
+        )
+
+        self.assertEqual(exchange.status, 200)
+        self.assertIn('X-Name: Zo\xeb', engine.heads[0])
+
     async def test_forwarded_deadline_is_the_time_left(self) -> None:
         """It is shorter than the deadline of the caller."""
         engine = ScriptedEngine(complete_answer(b'ok'))
