--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -208,19 +208,9 @@
             pool.release(upstream.record, connection, None)
             return NotRun(Reason.slow_reader, 'caller disconnected')
         try:
-            connection.send(
-                ClientRequest(
-                    self.request.method,
-                    self.request.target,
-                    dialect.write_request(self.request, metadata),
-                    self.request.body,
-                )
-            )
+            self._send(connection, dialect, metadata)
         except ConnectionBroken as error:
             return NotRun(Reason.connection_failed, str(error))
-        except Exception:
-            connection.close()
-            raise
         self.sent = True
         self.on_sent()
         answer: AnswerMetadata | None = None
@@ -241,6 +231,24 @@
                 pool.release(upstream.record, connection, answer.keep_alive_s)
         return outcome
 
+    def _send(
+        self,
+        connection: ClientConnection,
+        dialect: Dialect,
+        metadata: RequestMetadata,
+    ) -> None:
+        request = ClientRequest(
+            self.request.method,
+            self.request.target,
+            dialect.write_request(self.request, metadata),
+            self.request.body,
+        )
+        try:
+            connection.send(request)
+        except Exception:
+            connection.close()
+            raise
+
     async def _answer(
         self,
         connection: ClientConnection,
