Relay: a cut stream without an engine ends before its caller gives up

Callers saw: a stream that its engine had cut, and that no other engine could continue, was held to the end of its time limit. They give up after 2 s without an event, so that the time in which they could have resumed it by themselves was lost. Change: the wait ends 2 s after the last event. Evidence: found by a reading, which measured 3.97 s at a limit of 4 s; the new test fails without the bound. Measured: test_relay.py and test_handover.py pass.

--- a/src/bramleylug/relay/handover.py
+++ b/src/bramleylug/relay/handover.py
@@ -12,6 +12,10 @@
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.retry_budget import SharedRetryBudget
 
+# A caller abandons a stream after 2 s or more without an event. One that is
+# cut off before may still resume it by itself.
+CALLER_PATIENCE_S = 2.0
+
 
 @final
 class Handover:
@@ -47,7 +51,7 @@
     ) -> Upstream | NotRun | None:
         """Return the upstream of the next attempt.
 
-        A stream that has started waits for one without a time limit.
+        A stream that has started waits for one, as long as its caller stays.
 
         :returns: ``None`` if the request may not be sent again, or why no
             upstream takes it.
@@ -63,9 +67,12 @@
         return None
 
     async def _wait(self, context: RequestContext) -> Upstream | None:
+        until_s = context.progress.last_s + CALLER_PATIENCE_S
         while self._has_attempts(context):
             if self.checks.is_suspect(context.accepted):
                 return None
+            if self.dispatch_queue.clock() > until_s:
+                return None
             if self._is_allowed(context):
                 found = await self.dispatch_queue.assign(context, first=False)
                 # The budget or the key may have run out in the queue.
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -463,6 +463,16 @@
             self.assertEqual(self.relay.running, 0)
             self.assertEqual(self.relay.dispatch_queue.waiters, {})
 
+    async def test_cut_stream_ends_before_its_caller_gives_up(self) -> None:
+        """The caller may resume it by itself in the time that is left."""
+        began_s = time.monotonic()
+
+        with patch('bramleylug.relay.handover.CALLER_PATIENCE_S', 0.5):
+            exchange = await self.serve(self.cut, timeout_s=6.0)
+
+        self.assertEqual(exchange.ended, 'cut')
+        self.assertLess(time.monotonic() - began_s, 2.0)
+
     async def test_cut_stream_ends_at_its_time_limit(self) -> None:
         """No engine can continue it before."""
         began_s = time.monotonic()
