--- a/src/bramleylug/cluster/suspect_messages.py
+++ b/src/bramleylug/cluster/suspect_messages.py
@@ -2,7 +2,10 @@
 
 from dataclasses import replace
 
-from bramleylug.cluster.crash_suspects import CrashReport, SuspectReport
+from bramleylug.cluster.suspect import (
+    CrashReport,
+    SuspectReport,
+)
 from bramleylug.wire.beats_pb2 import ArchivedBar, CrashRecord, UpstreamCrash
 
 MILLISECONDS = 1000
--- a/testing/cluster/test_bar_archive.py
+++ b/testing/cluster/test_bar_archive.py
@@ -7,11 +7,13 @@
 from bramleylug.cluster.bar_archive import BarArchive
 from bramleylug.cluster.crash_suspects import (
     BAR_S,
-    RequestTraits,
     SharedSuspects,
     crash_id_of,
     fingerprint_of,
 )
+from bramleylug.cluster.suspect import (
+    RequestTraits,
+)
 from bramleylug.cluster.suspect_messages import decode_bar
 from bramleylug.store.changes import StoreUnavailable
 from testing.store.scripted import ScriptedStore
--- a/testing/cluster/test_crash_suspects.py
+++ b/testing/cluster/test_crash_suspects.py
@@ -7,11 +7,13 @@
     MAX_SUSPECTS,
     OTHER_SURVIVALS,
     SOUND_SPREAD_S,
-    RequestTraits,
     SharedSuspects,
     crash_id_of,
     fingerprint_of,
 )
+from bramleylug.cluster.suspect import (
+    RequestTraits,
+)
 from bramleylug.cluster.suspect_messages import (
     suspect_from_message,
     suspect_to_message,
--- a/testing/relay/crash_simulation.py
+++ b/testing/relay/crash_simulation.py
@@ -25,12 +25,12 @@
 )
 from bramleylug.cluster.peers import PeerRecord, Role
 from bramleylug.cluster.route_table import Workspace
+from bramleylug.cluster.suspect_messages import decode_bar
 from bramleylug.cluster.upstreams import (
     HeldWeights,
     UpstreamRecord,
     UpstreamReport,
 )
-from bramleylug.cluster.suspect_messages import decode_bar
 from bramleylug.outcomes import Reason
 from bramleylug.platform.dialect import PlatformDialect
 from bramleylug.relay.relay import Relay
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -3,8 +3,8 @@
 import asyncio
 import time
 import unittest
-from unittest.mock import patch
 from typing import NamedTuple
+from unittest.mock import patch
 
 from bramleylug.cluster.cluster_view import (
     MAX_BEHIND_S,
@@ -30,8 +30,8 @@
     OK_HEAD,
     RESET,
     UNFRAMED_HEAD,
-    RecordingExchange,
     FakeDialect,
+    RecordingExchange,
     ScriptedEngine,
     chunk,
     complete_answer,
