Web: cancelled work leaves no exchange open

Callers saw: nothing yet; found by a reading. A call on a channel that is closed while it runs raises CancelledError, as a stop does. Nothing answered the exchange then, and a connection with an exchange has no time limit. Change: an exchange whose work is cancelled fails as with any other exception. Measured: test_serving.py, test_relay.py and test_end_to_end.py pass.

--- a/src/bramleylug/web/serving.py
+++ b/src/bramleylug/web/serving.py
@@ -1,5 +1,6 @@
 """Answers exchanges whose serving fails."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from bramleylug.observability.events import LogEvent, emit
@@ -12,10 +13,14 @@
     """Await the work that answers an exchange.
 
     An exception is logged, and the exchange fails: a connection with an
-    exchange has no time limit, so its client would wait for ever.
+    exchange has no time limit, so its client would wait for ever. The same
+    holds for work that is cancelled.
     """
     try:
         await work()
+    except asyncio.CancelledError:
+        exchange.fail()
+        raise
     except Exception as error:  # noqa: BLE001
         exchange.fail()
         emit(
