Relay: a bar that was lifted and set again is stored again

Cause: what the store holds was remembered by the number of bars, which starts over when a survivor lifts one. The next bar then counted as stored, so that a restart of all relays would have forgotten it. Change: lifting a bar forgets what the store holds, too. Evidence: the new test failed with False is not true (nothing pending). Measured: test_bar_archive.py passes.

--- a/src/bramleylug/cluster/suspect.py
+++ b/src/bramleylug/cluster/suspect.py
@@ -155,6 +155,7 @@
         if not self.crashes:
             self.bar_s = 0
             self.strikes = 0
+            self.stored_strikes = 0
 
     def _at_s(self, crash_id: bytes) -> float:
         return self.crashes[crash_id].at_s
--- a/testing/cluster/test_bar_archive.py
+++ b/testing/cluster/test_bar_archive.py
@@ -11,9 +11,7 @@
     crash_id_of,
     fingerprint_of,
 )
-from bramleylug.cluster.suspect import (
-    RequestTraits,
-)
+from bramleylug.cluster.suspect import RETENTION_S, RequestTraits
 from bramleylug.cluster.suspect_messages import decode_bar
 from bramleylug.store.changes import StoreUnavailable
 from testing.store.scripted import ScriptedStore
@@ -103,6 +101,21 @@
 
         self.assertFalse(self.archive.has_pending())
 
+    async def test_bar_that_was_lifted_and_set_again_is_written(self) -> None:
+        """The store holds the one before, which may expire first."""
+        await self.archive.write()
+        self.suspects.record_survivals((PART,), self.now_s)
+        self.now_s += RETENTION_S + 1
+        for engine in ('d', 'e', 'f'):
+            name = engine.encode()
+            self.suspects.record_crashes(
+                RequestTraits(name, (PART,), name),
+                crash_id_of(engine, 1),
+                parts=True,
+            )
+
+        self.assertTrue(self.archive.has_pending())
+
     async def test_clock_that_was_put_back_prolongs_no_bar(self) -> None:
         """A bar from the future counts as new."""
         await self.archive.write()
