Relay: an upstream to move to is kept only once its retry is counted

It was stored on the request before the budget was asked, and would have stayed there after a refusal. The budget is asked at the same moment just before, so that no request has met this. No behaviour changes; found by a reading.

--- a/src/bramleylug/relay/handover.py
+++ b/src/bramleylug/relay/handover.py
@@ -40,11 +40,13 @@
 
         :returns: whether there is one.
         """
-        if self._has_attempts(context) and self._is_allowed(context):
-            context.moving_to = self.dispatch_queue.find_free(context)
-        if context.moving_to is None:
+        if not (self._has_attempts(context) and self._is_allowed(context)):
             return False
-        return self._consume(context)
+        found = self.dispatch_queue.find_free(context)
+        if found is None or not self._consume(context):
+            return False
+        context.moving_to = found
+        return True
 
     async def next_upstream(
         self, context: RequestContext
