--- a/src/bramleylug/relay/request_checks.py
+++ b/src/bramleylug/relay/request_checks.py
@@ -6,18 +6,14 @@
 from typing import NamedTuple, final
 
 from bramleylug.cluster.cluster_view import ClusterView
-from bramleylug.cluster.crash_suspects import (
-    fingerprint_of,
-)
+from bramleylug.cluster.crash_suspects import fingerprint_of
 from bramleylug.cluster.route_table import (
     Route,
     RouteTable,
     Workspace,
     allowed_regions,
 )
-from bramleylug.cluster.suspect import (
-    RequestTraits,
-)
+from bramleylug.cluster.suspect import RequestTraits
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.dialect import CallerRequest
 from bramleylug.relay.settings import RelaySettings
--- a/testing/cluster/test_crash_suspects.py
+++ b/testing/cluster/test_crash_suspects.py
@@ -11,9 +11,7 @@
     crash_id_of,
     fingerprint_of,
 )
-from bramleylug.cluster.suspect import (
-    RequestTraits,
-)
+from bramleylug.cluster.suspect import RequestTraits
 from bramleylug.cluster.suspect_messages import (
     suspect_from_message,
     suspect_to_message,
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -93,6 +93,17 @@
         await task
         return exchange
 
+    def let_weights_expire(self, after_s):
+        """Name a newer version of the weights when the relay is built."""
+        build_relay = self.build_relay
+
+        def build(route):
+            relay = build_relay(route)
+            relay.view.versions.add_target(MODEL, 2, time.monotonic(), after_s)
+            return relay
+
+        self.build_relay = build
+
     def build_relay(self, route):
         """Return a relay whose copy of the store is current."""
         mirror = Mirror(3.0)
@@ -1008,14 +1019,7 @@
     async def test_engine_with_expired_weights_gets_no_request(self) -> None:
         """The time limit after a newer target version has passed."""
         engine = ScriptedEngine(complete_answer(b'ok'))
-        relay_build = self.build_relay
-
-        def build(route):
-            relay = relay_build(route)
-            relay.view.versions.add_target(MODEL, 2, time.monotonic(), 0.0)
-            return relay
-
-        self.build_relay = build
+        self.let_weights_expire(after_s=0.0)
 
         exchange = await self.serve(engine)
 
@@ -1027,14 +1031,7 @@
         """Its answer has not started by then; another engine serves it."""
         queued = ScriptedEngine([5.0, OK_HEAD, event(1), LAST_CHUNK])
         other = ScriptedEngine([OK_HEAD, event(1), LAST_CHUNK])
-        relay_build = self.build_relay
-
-        def build(route):
-            relay = relay_build(route)
-            relay.view.versions.add_target(MODEL, 2, time.monotonic(), 0.1)
-            return relay
-
-        self.build_relay = build
+        self.let_weights_expire(after_s=0.1)
         began_s = time.monotonic()
         first = asyncio.create_task(self.serve(queued, other))
         await asyncio.sleep(0.05)
@@ -1058,14 +1055,7 @@
     ) -> None:
         """No other engine can take it over; it ends all the same."""
         queued = ScriptedEngine([5.0, OK_HEAD, event(1), LAST_CHUNK])
-        relay_build = self.build_relay
-
-        def build(route):
-            relay = relay_build(route)
-            relay.view.versions.add_target(MODEL, 2, time.monotonic(), 0.1)
-            return relay
-
-        self.build_relay = build
+        self.let_weights_expire(after_s=0.1)
         began_s = time.monotonic()
 
         exchange = await self.serve(queued)
