Relay: limits that upstreams name are read and logged

Change: the header is decoded into names_limit and limit_per_s; what is known of a limit is kept by incarnation, with the order of sending and arrival; BL2011 and BL2012 log a limit that is named, changed or ended. An unreadable limit, and an answer of another upstream at the same address, say nothing. The header is no longer passed on to callers. Requests are sent as before.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -13,6 +13,7 @@
     PeerRegistry,
     Role,
 )
+from bramleylug.cluster.rate_limit import Incarnation
 from bramleylug.cluster.report_messages import report_from_message
 from bramleylug.cluster.route_table import RouteTable
 from bramleylug.cluster.settings import ProcessSettings
@@ -218,6 +219,32 @@
             for_s=round(pause_s, 2),
         )
 
+    def record_limit(self, incarnation: Incarnation, per_s: float) -> None:
+        """Record the rate limit that an answer of an upstream names."""
+        now_s = self.clock()
+        limit = self.upstreams.limits.of(incarnation)
+        if limit.record_named(per_s, now_s, now_s):
+            emit(
+                LogEvent.limit_named,
+                upstream=incarnation.upstream_id,
+                per_s=per_s,
+                source='answer',
+                age_ms=0,
+            )
+
+    def record_unlimited(self, incarnation: Incarnation, sent_s: float) -> None:
+        """Record that an answer of an upstream names no limit.
+
+        :param sent_s: when the request of the answer was sent.
+        """
+        limit = self.upstreams.limits.of(incarnation)
+        if limit.record_unlimited(sent_s, self.clock()):
+            emit(
+                LogEvent.limit_ended,
+                upstream=incarnation.upstream_id,
+                source='answer',
+            )
+
     def record_target_version(self, model: str, version: int) -> None:
         """Record a target version of weights that the operator has set.
 
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple, final
 
+from bramleylug.cluster.rate_limit import Incarnation, RateLimit, RateLimits
+
 # Share of an upstream's slots that is filled before requests wait at the
 # relay. Requests that two relays send at the same moment may exceed the
 # slots; the upstream's own queue takes those.
@@ -139,6 +141,7 @@
     :ivar failed_share: exponential moving average of the share of failed
         requests.
     :ivar weights_written_s: when the weights in its record were read first.
+    :ivar limit: what is known of the limit that it names.
     """
 
     record: UpstreamRecord
@@ -153,6 +156,7 @@
     cold: ColdStart | None = None
     notice: UpstreamNotice = field(default_factory=UpstreamNotice)
     weights_written_s: float = float('-inf')
+    limit: RateLimit = field(default_factory=RateLimit)
 
     @property
     def leaving(self) -> bool:
@@ -262,6 +266,7 @@
 
     def __init__(self) -> None:
         self.by_id: dict[str, Upstream] = {}
+        self.limits = RateLimits()
         self.notices: dict[tuple[str, int], UpstreamNotice] = {}
 
     def register(self, record: UpstreamRecord) -> Upstream:
@@ -280,10 +285,12 @@
         notice = self.notices.get(
             (record.upstream_id, record.started_ms), UpstreamNotice()
         )
+        limit = self.limits.of(incarnation_of(record))
         if known is not None:
             known.restart(record, notice)
+            known.limit = limit
             return known
-        upstream = Upstream(record, notice=notice)
+        upstream = Upstream(record, notice=notice, limit=limit)
         self.by_id[record.upstream_id] = upstream
         return upstream
 
@@ -335,6 +342,9 @@
             is_used = upstream is not None and upstream.notice is notice
             if not is_used and now_s - notice.updated_s > NOTICE_RETENTION_S:
                 self.notices.pop(key)
+        self.limits.remove_expired(
+            now_s, {incarnation_of(one.record) for one in self.by_id.values()}
+        )
 
     def remove(self, upstream_id: str) -> Upstream | None:
         """Remove an upstream; return ``None`` if it was unknown."""
@@ -387,6 +397,10 @@
         return notice
 
 
+def incarnation_of(record: UpstreamRecord) -> Incarnation:
+    return Incarnation(record.upstream_id, record.started_ms)
+
+
 def _is_same(known: UpstreamRecord, record: UpstreamRecord) -> bool:
     return (
         known.started_ms == record.started_ms
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -244,6 +244,20 @@
         'a bar could not be written to the store: {error}',
         'It is tried again each second; it holds all the same.',
     )
+    limit_named = EventSpec(
+        'BL2011',
+        'INFO',
+        'upstream {upstream} takes {per_s} requests a second from all relays '
+        'together, as {source} said {age_ms} ms ago',
+        'Find out why it is in need; docs/operations/rate-limits.md tells '
+        'what callers get meanwhile.',
+    )
+    limit_ended = EventSpec(
+        'BL2012',
+        'INFO',
+        'upstream {upstream} names no limit any more, as {source} said',
+        'Nothing to do.',
+    )
     # 3: weights
     staging_full = EventSpec(
         'BL3001',
--- a/src/bramleylug/platform/dialect.py
+++ b/src/bramleylug/platform/dialect.py
@@ -55,9 +55,11 @@
         'x-not-executed',
         'x-request-id',
         'server-leaving',
+        'server-limit',
     )
 )
 LEAVING_HEADER = 'server-leaving'
+LIMIT_HEADER = 'server-limit'
 UNSIGNED_INTEGER = re.compile('[0-9]{1,12}')
 DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 KEEP_ALIVE_TIMEOUT = re.compile(r'timeout\s*=\s*([0-9]{1,9})')
@@ -113,12 +115,14 @@
         headers = head.headers
         keep_alive = KEEP_ALIVE_TIMEOUT.search(headers.get('keep-alive', ''))
         cold_ms = _parse_unsigned(headers.get('x-cold-remaining', ''))
+        misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
+        # Another engine may answer at an address that is used again.
+        limit = None if misdirected else headers.get(LIMIT_HEADER)
         return AnswerMetadata(
             request_id=headers.get('x-request-id', ''),
             # Status 421 means that the request did not run, even without
             # the header.
-            not_run='x-not-executed' in headers
-            or head.status == HTTPStatus.MISDIRECTED_REQUEST,
+            not_run='x-not-executed' in headers or misdirected,
             signed='x-response-signature' in headers,
             encoded='content-encoding' in headers,
             keep_alive_s=None
@@ -128,6 +132,8 @@
             cold_for_s=(cold_ms or 0) / MILLISECONDS,
             leaving=headers.get(LEAVING_HEADER) == '1',
             pause_s=_pause_s(head),
+            names_limit=limit is not None,
+            limit_per_s=_parse_decimal(limit or ''),
         )
 
     def write_answer(self, head: AnswerHead) -> list[HeaderPair]:
@@ -143,8 +149,7 @@
     """Return the ``Retry-After`` of a request that was turned away."""
     if head.status != HTTPStatus.SERVICE_UNAVAILABLE:
         return 0.0
-    text = head.headers.get('retry-after', '').strip()
-    return float(text) if DECIMAL.fullmatch(text) else 0.0
+    return _parse_decimal(head.headers.get('retry-after', '')) or 0.0
 
 
 def _host_name(text: str) -> str:
@@ -172,6 +177,11 @@
     return None if milliseconds is None else milliseconds / MILLISECONDS
 
 
+def _parse_decimal(text: str) -> float | None:
+    text = text.strip()
+    return float(text) if DECIMAL.fullmatch(text) else None
+
+
 def _parse_unsigned(text: str) -> int | None:
     if UNSIGNED_INTEGER.fullmatch(text):
         return int(text)
--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -163,6 +163,7 @@
         ``True``, the attempt ends and the request moves to another upstream.
     :ivar on_answer_started: called when the first event arrives.
     :ivar on_proven: called when events have arrived for :data:`PROVEN_S`.
+    :ivar sent_s: when the request was sent.
     :ivar on_metadata: called with what the head of an answer states, before
         its body is read.
     """
@@ -181,6 +182,7 @@
         self.writer = writer
         self.progress = progress
         self.sent = False
+        self.sent_s = math.inf
         self.answer_started = False
         self.on_sent: Callable[[], None] = _ignore
         self.may_move: Callable[[], bool] = _stay
@@ -212,6 +214,7 @@
         except ConnectionBroken as error:
             return NotRun(Reason.connection_failed, str(error))
         self.sent = True
+        self.sent_s = self.clock()
         self.on_sent()
         answer: AnswerMetadata | None = None
         try:
--- a/src/bramleylug/relay/dialect.py
+++ b/src/bramleylug/relay/dialect.py
@@ -80,6 +80,9 @@
     :ivar leaving: whether the upstream states that it is about to leave.
     :ivar pause_s: time for which an upstream that turned the request away
         wants nothing from this process; 0 if not given.
+    :ivar names_limit: whether it names a rate limit.
+    :ivar limit_per_s: requests a second that the upstream takes from all
+        processes together; ``None`` if none is named or it is unreadable.
     """
 
     request_id: str
@@ -91,6 +94,8 @@
     cold_for_s: float
     leaving: bool = False
     pause_s: float = 0
+    names_limit: bool = False
+    limit_per_s: float | None = None
 
 
 class Dialect(Protocol):
--- a/src/bramleylug/relay/outcome_recorder.py
+++ b/src/bramleylug/relay/outcome_recorder.py
@@ -4,10 +4,11 @@
 
 from bramleylug.cluster.cluster_view import ClusterView
 from bramleylug.cluster.crash_suspects import crash_id_of
+from bramleylug.cluster.rate_limit import Incarnation
 from bramleylug.cluster.upstreams import Upstream
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown
-from bramleylug.relay.attempt import PROVEN_S
+from bramleylug.relay.attempt import PROVEN_S, Attempt
 from bramleylug.relay.dialect import AnswerMetadata
 from bramleylug.relay.request_context import RequestContext
 
@@ -23,18 +24,29 @@
         self.view = view
 
     def record_metadata(
-        self, upstream: Upstream, started_ms: int, metadata: AnswerMetadata
+        self,
+        attempt: Attempt,
+        incarnation: Incarnation,
+        metadata: AnswerMetadata,
     ) -> None:
         """Record what an incarnation states in the head of an answer.
 
         The rest of the answer may never arrive.
         """
         if metadata.leaving:
-            self.view.record_leaving(upstream.record.upstream_id, started_ms)
+            self.view.record_leaving(
+                incarnation.upstream_id, incarnation.started_ms
+            )
         if metadata.pause_s:
             self.view.record_pause(
-                upstream.record.upstream_id, started_ms, metadata.pause_s
+                incarnation.upstream_id,
+                incarnation.started_ms,
+                metadata.pause_s,
             )
+        if metadata.limit_per_s is not None:
+            self.view.record_limit(incarnation, metadata.limit_per_s)
+        elif metadata.signed and not metadata.names_limit:
+            self.view.record_unlimited(incarnation, attempt.sent_s)
 
     def record_proven(self, context: RequestContext) -> None:
         """Record that an upstream did not crash under a request's parts."""
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -10,7 +10,7 @@
 
 from bramleylug.cluster.cluster_view import ClusterView
 from bramleylug.cluster.route_table import RetryPolicy, Route
-from bramleylug.cluster.upstreams import Upstream
+from bramleylug.cluster.upstreams import Upstream, incarnation_of
 from bramleylug.entry.answers import AnswerWriter
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import (
@@ -209,8 +209,8 @@
         )
         attempt.on_metadata = partial(
             self.outcome_recorder.record_metadata,
-            upstream,
-            upstream.record.started_ms,
+            attempt,
+            incarnation_of(upstream.record),
         )
         outcome: Outcome | None = None
         try:
--- a/testing/platform/test_dialect.py
+++ b/testing/platform/test_dialect.py
@@ -156,3 +156,32 @@
             PlatformDialect().write_answer(head),
             [('X-Response-Signature', 's')],
         )
+
+    def test_limit_is_a_decimal_number_of_requests_a_second(self) -> None:
+        for text, per_s in (('1.9', 1.9), (' 3 ', 3.0), ('0', 0.0)):
+            answer = self.read(200, server_limit=text)
+            self.assertEqual(
+                (answer.names_limit, answer.limit_per_s), (True, per_s)
+            )
+
+    def test_unreadable_limit_is_neither_a_number_nor_none(self) -> None:
+        for text in ('', '-1', 'nan', 'inf', '1e9', 'many', '1.2.3'):
+            answer = self.read(200, server_limit=text)
+            self.assertEqual(
+                (answer.names_limit, answer.limit_per_s), (True, None)
+            )
+
+    def test_misdirected_request_tells_no_limit(self) -> None:
+        """It was answered by another engine."""
+        answer = self.read(421, server_limit='1.9')
+
+        self.assertEqual(
+            (answer.names_limit, answer.limit_per_s), (False, None)
+        )
+
+    def test_limit_is_not_passed_on_to_callers(self) -> None:
+        pairs = (('Server-Limit', '1.9'),)
+
+        self.assertEqual(
+            PlatformDialect().write_answer(AnswerHead(200, {}, pairs)), []
+        )
