Test: engines that name a limit, with 6, 9 and 40 relays in virtual time

Real relays on virtual time; engines name a limit from second 8 on and count what came from relays that had received such an answer.

--- a/testing/relay/crash_simulation.py
+++ b/testing/relay/crash_simulation.py
@@ -143,6 +143,23 @@
     at_s: float
     relay: str
     relay_up_s: float
+    engine: str
+
+    @property
+    def relay_started_s(self) -> float:
+        return round(self.at_s - self.relay_up_s, 6)
+
+
+class LimitPeriod(NamedTuple):
+    """A time in which an engine names a limit, or none.
+
+    :ivar per_s: requests a second; ``None`` if it names none.
+    """
+
+    engine: str
+    from_s: float
+    until_s: float
+    per_s: float | None
 
 
 class Crash(NamedTuple):
@@ -265,6 +282,17 @@
         self.alive = True
         self.running: list[EngineConnection] = []
         self.waiting: deque[EngineConnection] = deque()
+        self.limit_per_s: float | None = None
+
+    def name_limit(self, per_s: float | None) -> None:
+        """Name a limit in all answers from now on, or none."""
+        now_s = self.simulation.now_s()
+        limits = self.simulation.limits
+        for place, one in enumerate(limits):
+            if one.engine == self.engine_id and one.until_s > now_s:
+                limits[place] = one._replace(until_s=now_s)
+        limits.append(LimitPeriod(self.engine_id, now_s, END_S, per_s))
+        self.limit_per_s = per_s
 
     def record(self, node: 'RelayNode') -> UpstreamRecord:
         """Return its record as a relay reads it."""
@@ -294,6 +322,7 @@
                 simulation.now_s(),
                 node.name,
                 simulation.now_s() - node.started_s,
+                self.engine_id,
             )
         )
 
@@ -373,7 +402,7 @@
         if connection not in self.running:
             return
         if not connection.head_sent:
-            connection.received.put_nowait(_head(connection.call))
+            connection.received.put_nowait(self._head(connection))
             connection.head_sent = True
         if written >= EVENTS:
             connection.received.put_nowait(b'')
@@ -385,6 +414,19 @@
             interval_s, partial(self._write, connection, event, interval_s)
         )
 
+    def _head(self, connection: EngineConnection) -> AnswerHead:
+        headers = {
+            'x-request-id': connection.call.request_id,
+            'x-response-signature': 's',
+            'connection': 'close',
+        }
+        if self.limit_per_s is not None:
+            headers['server-limit'] = f'{self.limit_per_s:g}'
+            node, now_s = connection.node, self.simulation.now_s()
+            told = self.engine_id, node.name, round(node.started_s, 6)
+            self.simulation.told_s.setdefault(told, now_s)
+        return AnswerHead(200, headers, tuple(headers.items()))
+
     def _report(self, *, closing: bool) -> None:
         """Tell the relays whether it is about to load weights."""
         if not self.alive:
@@ -406,11 +448,14 @@
 class LossyLink:
     """Delivers datagrams between relays late, or not at all."""
 
-    def __init__(self, simulation: 'CrashSimulation') -> None:
+    def __init__(self, simulation: 'CrashSimulation', sender: str) -> None:
         self.simulation = simulation
+        self.sender = sender
 
     def sendto(self, raw: bytes, address: tuple[str, int]) -> None:
         simulation = self.simulation
+        if simulation.is_cut(self.sender, address[0]):
+            return
         if simulation.random.random() >= LOST_DATAGRAMS:
             simulation.after(
                 simulation.between(LINK_S),
@@ -472,7 +517,7 @@
             simulation.random,
         )
         self.socket = HeartbeatSocket(self.view.receive_heartbeat)
-        self.socket.transport = LossyLink(simulation)
+        self.socket.transport = LossyLink(simulation, record.name)
         self.schedule = HeartbeatSchedule(record.region, HEARTBEAT_RATES)
         self.tasks: dict[asyncio.Task[None], None] = {}
 
@@ -558,6 +603,10 @@
     :ivar calls: by request id, in order of arrival.
     :ivar deliveries: all requests that reached an engine.
     :ivar nodes: by name of the relay; ``None`` while it is down.
+    :ivar limits: what engines name, in the order of time.
+    :ivar told_s: when a relay, by name and start, first had an answer of an
+        engine with a limit.
+    :ivar halves: groups of relays that do not hear each other.
     """
 
     seed: int
@@ -571,6 +620,9 @@
     nodes: dict[str, RelayNode | None] = field(default_factory=dict)
     peers: dict[str, PeerRecord] = field(default_factory=dict)
     sources: list[Source] = field(default_factory=list)
+    limits: list[LimitPeriod] = field(default_factory=list)
+    told_s: dict[tuple[str, str, float], float] = field(default_factory=dict)
+    halves: list[set[str]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Create the relays' records; nothing runs yet."""
@@ -639,6 +691,16 @@
                     self.between(RELAY_DOWN_S), partial(self._start_relay, name)
                 )
 
+    def cut_between(self, half: set[str]) -> None:
+        """Let some relays and all others hear nothing of each other."""
+        self.halves = [half, set(self.peers) - half]
+
+    def is_cut(self, sender: str, receiver: str) -> bool:
+        """Return whether datagrams do not arrive."""
+        return any(
+            (sender in half) != (receiver in half) for half in self.halves
+        )
+
     def mend(self) -> None:
         """Let no part crash engines any more."""
         self.harmful.clear()
@@ -799,15 +861,6 @@
     return max(longest_s.values(), default=0.0)
 
 
-def _head(call: Call) -> AnswerHead:
-    headers = {
-        'x-request-id': call.request_id,
-        'x-response-signature': 's',
-        'connection': 'close',
-    }
-    return AnswerHead(200, headers, tuple(headers.items()))
-
-
 async def _serve(node: RelayNode, call: Call) -> None:
     with suppress(asyncio.CancelledError):
         await node.relay.serve(CallerExchange(call))
