Relay: what an upstream names is kept over all relays by permits

What callers and operators saw: an engine that named 1 request a second got 18 in four seconds; nothing was refused, and the engine stayed in need.

Cause: no relay acted on a limit, and nothing that relays share would have kept it: shares and counts told by heartbeats do not add up when a limit feeds fewer requests a second than there are relays. Class: a bound on the whole, kept by parts that do not add up.

Change: one relay of the upstream's region, the first by rendezvous among those it hears, issues permits from a token bucket that begins empty; others ask it when a request could use one, and give back what they do not use in 0.25 s. Choosing an upstream and using its permit is one step, for first attempts, retries, streams that move and requests that waited. A relay that has just started, hears less than half of its region, or drains while others do not, issues nothing. Changes are told to all relays at once, by the issuer for as long as they hold. A limit below 0.5 a second still feeds one request in 2 s, as its end shows in answers only. An upstream in need is left to its rate while others take the rest; if all are, requests wait for what an issuer can give in time, and are refused at once if that is known to be too late.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -13,7 +13,12 @@
     PeerRegistry,
     Role,
 )
-from bramleylug.cluster.rate_limit import Incarnation
+from bramleylug.cluster.permit_exchange import PermitExchange
+from bramleylug.cluster.permit_messages import (
+    limit_from_message,
+    permit_from_message,
+)
+from bramleylug.cluster.rate_limit import Incarnation, RateLimitReport
 from bramleylug.cluster.report_messages import report_from_message
 from bramleylug.cluster.route_table import RouteTable
 from bramleylug.cluster.settings import ProcessSettings
@@ -28,7 +33,7 @@
 from bramleylug.cluster.versions import VersionRegistry
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.mirror import Mirror
-from bramleylug.wire.beats_pb2 import Beat, Notice
+from bramleylug.wire.beats_pb2 import Beat, Notice, PermitMessage
 
 MILLISECONDS = 1000
 # Relays stop sending to outdated weights this long before the limit, so that
@@ -70,6 +75,7 @@
     :ivar is_initial_load: whether the data of the first read of the store are
         being applied, which may have been written at any time in the past.
     :ivar on_change: called after changes of the store have been applied.
+    :ivar on_limit_changed: called when an answer names another limit.
     """
 
     def __init__(
@@ -98,8 +104,16 @@
             Random(settings.name),  # noqa: S311
             settings.confirm_interval,
         )
+        self.permits = PermitExchange(
+            self.upstreams,
+            self.peers,
+            settings.regions,
+            Random(settings.name),  # noqa: S311
+            clock,
+        )
         self.preferred: frozenset[str] = frozenset()
         self.on_change: Callable[[], None] = _ignore
+        self.on_limit_changed: Callable[[], None] = _ignore
 
     def store_age_s(self) -> float:
         """Return the age of this process's copy of the store."""
@@ -231,6 +245,7 @@
                 source='answer',
                 age_ms=0,
             )
+            self.on_limit_changed()
 
     def record_unlimited(self, incarnation: Incarnation, sent_s: float) -> None:
         """Record that an answer of an upstream names no limit.
@@ -244,6 +259,31 @@
                 upstream=incarnation.upstream_id,
                 source='answer',
             )
+            self.on_limit_changed()
+            self.on_change()
+
+    def merge_limit(
+        self, incarnation: Incarnation, report: RateLimitReport, source: str
+    ) -> None:
+        """Apply what another relay knows of a limit."""
+        limit = self.upstreams.limits.of(incarnation)
+        if not limit.merge(report, self.clock()):
+            return
+        if report.per_s is None:
+            emit(
+                LogEvent.limit_ended,
+                upstream=incarnation.upstream_id,
+                source=source,
+            )
+            self.on_change()
+            return
+        emit(
+            LogEvent.limit_named,
+            upstream=incarnation.upstream_id,
+            per_s=report.per_s,
+            source=source,
+            age_ms=round(report.age_s * MILLISECONDS),
+        )
 
     def record_target_version(self, model: str, version: int) -> None:
         """Record a target version of weights that the operator has set.
@@ -289,6 +329,12 @@
             its sender has been heard.
         """
         now_s = self.clock()
+        for message in heartbeat.limits:
+            self.merge_limit(*limit_from_message(message), heartbeat.name)
+        if heartbeat.permits:
+            for permit in heartbeat.permits:
+                self._receive_permit(permit, heartbeat.name)
+            return True
         if heartbeat.configuration > self.announced.version:
             self.announced = AnnouncedConfiguration(
                 int(heartbeat.configuration), now_s
@@ -313,6 +359,11 @@
             self.suspects.merge(suspect_from_message(crash))
         return True
 
+    def _receive_permit(self, message: PermitMessage, sender: str) -> None:
+        incarnation, report = limit_from_message(message.limit)
+        self.merge_limit(incarnation, report, sender)
+        self.permits.receive(sender, incarnation, permit_from_message(message))
+
     def _receive_notice(self, notice: Notice, now_s: float) -> None:
         """Apply what an upstream said to another relay."""
         if notice.leaving:
--- a/src/bramleylug/cluster/heartbeats.py
+++ b/src/bramleylug/cluster/heartbeats.py
@@ -1,7 +1,7 @@
 """Heartbeat datagrams between relays and loaders."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import Any, final
 
 from google.protobuf.message import DecodeError
@@ -9,6 +9,8 @@
 from bramleylug.cluster.crash_suspects import SharedSuspects
 from bramleylug.cluster.heartbeat_schedule import HeartbeatRates
 from bramleylug.cluster.suspect_messages import suspect_to_message
+from bramleylug.cluster.permit_messages import limit_to_message
+from bramleylug.cluster.rate_limit import Incarnation
 from bramleylug.cluster.upstreams import UpstreamRegistry
 from bramleylug.node.udp import parse_address
 from bramleylug.observability.events import LogEvent, emit
@@ -84,10 +86,13 @@
     now_s: float,
     *,
     draining: bool,
+    issued: Container[Incarnation] = (),
 ) -> Beat:
     """Return a heartbeat with a relay's request counts and crash reports.
 
     It also carries what upstreams said about themselves.
+
+    :param issued: incarnations whose permits this relay issues.
     """
     heartbeat = Beat(name=name, boot=boot, draining=draining)
     for upstream_id, upstream in registry.by_id.items():
@@ -104,5 +109,9 @@
                 leaving=notice.leaving,
                 paused_ms=round(paused_s * MILLISECONDS),
             )
+    heartbeat.limits.extend(
+        limit_to_message(incarnation, report)
+        for incarnation, report in registry.limits.told(issued, now_s)
+    )
     heartbeat.crashes.extend(map(suspect_to_message, suspects.reports()))
     return heartbeat
--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -7,10 +7,13 @@
 from random import Random
 from typing import NamedTuple, final
 
+from bramleylug.cluster.permit_issuers import IssuerCandidate
+
 # A peer that is not registered in the store, or whose registration cannot be
 # confirmed, counts as dead if its last heartbeat is older than this. The
 # platform allows 6 s for the detection.
 HEARTBEAT_TTL_S = 2.5
+NEVER_S = float('-inf')
 # Delay of the store's answers, beyond the usual, within which its data still
 # count as current.
 STORE_DELAY_S = 0.6
@@ -86,6 +89,7 @@
     :ivar in_store: peers that are registered in the store.
     :ivar relays_by_region: number of relays among them.
     :ivar known: these, and peers that were removed but may be alive.
+    :ivar registered_s: incarnation of each, and when it was read first.
     """
 
     def __init__(
@@ -105,9 +109,16 @@
         self.known: dict[str, PeerRecord] = {}
         self.relays_by_region: Counter[str] = Counter()
         self.last_heartbeats: dict[str, HeartbeatStatus] = {}
+        self.registered_s: dict[str, tuple[int, float]] = {}
+
+    def add(self, record: PeerRecord, now_s: float = NEVER_S) -> None:
+        """Record that a peer is registered in the store.
 
-    def add(self, record: PeerRecord) -> None:
-        """Record that a peer is registered in the store."""
+        :param now_s: when that was read; the default is long ago.
+        """
+        boot, _ = self.registered_s.get(record.name, (0, 0))
+        if boot != record.boot:
+            self.registered_s[record.name] = record.boot, now_s
         self.in_store[record.name] = record
         self.known[record.name] = record
         self._count_relays()
@@ -176,6 +187,42 @@
         }
         return max(1, len(names | {self.own().name}))
 
+    def issuer_candidates(
+        self, now_s: float, settling_s: float
+    ) -> list[IssuerCandidate]:
+        """Return the other live relays, as candidates to issue permits.
+
+        Those of the own region count as alive by their heartbeats: they end
+        unseen by the store for some seconds.
+
+        :param settling_s: how long a relay must have been registered.
+        """
+        own = self.own()
+        is_fresh = self._is_store_fresh()
+        return [
+            IssuerCandidate(
+                record.name,
+                record.region,
+                self._is_draining(record),
+                now_s - self.registered_s[record.name][1] >= settling_s,
+            )
+            for record in self.known.values()
+            if record.role is Role.relay
+            and record.name != own.name
+            and self._is_alive(record, now_s, is_fresh=is_fresh)
+            and (record.region != own.region or self._is_heard(record, now_s))
+        ]
+
+    def registered_relays(self, region: str) -> int:
+        """Return the number of relays of a region, this one included."""
+        own = self.own()
+        names = {
+            record.name
+            for record in self.in_store.values()
+            if record.role is Role.relay and record.region == region
+        }
+        return len(names | {own.name} if own.region == region else names)
+
     def addresses_for(self, requester: Requester, now_s: float) -> list[str]:
         """Return addresses of relays for a caller, preferably in its region."""
         own = self.own()
@@ -205,6 +252,7 @@
             if name not in self.in_store and not self.is_alive(record, now_s):
                 self.known.pop(name)
                 self.last_heartbeats.pop(name, None)
+                self.registered_s.pop(name, None)
 
     def _is_draining(self, record: PeerRecord) -> bool:
         heartbeat = self.last_heartbeats.get(record.name)
@@ -221,13 +269,19 @@
     ) -> bool:
         if is_fresh and record.name in self.in_store:
             return True
-        heartbeat = self.last_heartbeats.get(record.name)
-        if heartbeat is not None and heartbeat.boot >= record.boot:
-            if now_s - heartbeat.received_s < HEARTBEAT_TTL_S:
-                return True
+        if self._is_heard(record, now_s):
+            return True
         # Its silence means nothing where it sends to its remote peers in turn.
         return record.name in self.in_store and self._takes_turns(record)
 
+    def _is_heard(self, record: PeerRecord, now_s: float) -> bool:
+        heartbeat = self.last_heartbeats.get(record.name)
+        return (
+            heartbeat is not None
+            and heartbeat.boot >= record.boot
+            and now_s - heartbeat.received_s < HEARTBEAT_TTL_S
+        )
+
     def _takes_turns(self, record: PeerRecord) -> bool:
         """Return whether a peer is one of too many in other regions."""
         if record.region == self.own().region:
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -27,7 +27,7 @@
 from bramleylug.store.zone_store import CHANGES_PATH, ITEMS_PATH, ZoneStore
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.queries import integer_parameter
-from bramleylug.wire.beats_pb2 import Beat
+from bramleylug.wire.beats_pb2 import Beat, PermitMessage
 from bramleylug.wire.feed_pb2 import FeedAnswer
 
 NANOSECONDS_PER_MS = 1_000_000
@@ -103,6 +103,7 @@
         self.view = ClusterView(
             settings, lambda: self.record, self.watchers[0].mirror, clock
         )
+        self.view.permits.send = self.send_permits
         self.apply_changes = adapter.store_change_handler(self.view)
         self.presence = Presence(
             self.store,
@@ -178,6 +179,13 @@
         alive = self.view.peers.alive(Role.relay, self.clock())
         self.socket.send(self.make_heartbeat(), [peer.beats for peer in alive])
 
+    def send_permits(self, relay: str, messages: list[PermitMessage]) -> None:
+        """Send messages about permits to a relay."""
+        peer = self.view.peers.known.get(relay)
+        if peer is not None and self.socket is not None:
+            heartbeat = Beat(name=self.settings.name, permits=messages)
+            self.socket.send(heartbeat, [peer.beats])
+
     def announce_soon(self) -> None:
         """Send one heartbeat to every relay for what happens at this moment.
 
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple, final
 
+from bramleylug.cluster.permits import HeldPermits
 from bramleylug.cluster.rate_limit import Incarnation, RateLimit, RateLimits
 
 # Share of an upstream's slots that is filled before requests wait at the
@@ -142,6 +143,7 @@
         requests.
     :ivar weights_written_s: when the weights in its record were read first.
     :ivar limit: what is known of the limit that it names.
+    :ivar permits: those of this process while it names one.
     """
 
     record: UpstreamRecord
@@ -157,6 +159,12 @@
     notice: UpstreamNotice = field(default_factory=UpstreamNotice)
     weights_written_s: float = float('-inf')
     limit: RateLimit = field(default_factory=RateLimit)
+    permits: HeldPermits = field(default_factory=HeldPermits)
+
+    @property
+    def limited(self) -> bool:
+        """Whether a request to it needs a permit."""
+        return self.limit.per_s is not None
 
     @property
     def leaving(self) -> bool:
@@ -178,6 +186,7 @@
         self.failed_share = 0
         self.result_count = 0
         self.cold = None
+        self.permits = HeldPermits()
 
     def load(self, now_s: float) -> float:
         """Return the number of running requests, as far as known.
@@ -197,6 +206,27 @@
         others = report.running + report.waiting - report.own_running
         return self.running + max(reported, others)
 
+    def may_send(self, now_s: float) -> bool:
+        """Return whether the rates that it takes allow a request now."""
+        if self.is_cold(now_s) and self.cold is not None:
+            if not self.cold.can_consume(now_s):
+                return False
+        return not self.limited or bool(self.permits.count(now_s))
+
+    def consume(self, now_s: float) -> None:
+        """Count a request that is sent now against these rates."""
+        if self.is_cold(now_s) and self.cold is not None:
+            self.cold.consume(now_s)
+        if self.limited:
+            self.permits.use(now_s)
+
+    def sendable(self, now_s: float) -> int:
+        """Return how many requests it may get now without queueing."""
+        free = max(0, int(self.free_slots(now_s)))
+        if self.limited:
+            return min(free, self.permits.count(now_s))
+        return free
+
     def free_slots(self, now_s: float) -> float:
         """Return how many more requests it can run without queueing."""
         return self.record.slots * FILL_SHARE - self.load(now_s)
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -63,6 +63,13 @@
 WAITING = Gauge(
     'bramleylug_waiting_requests', 'Requests that wait for capacity'
 )
+PERMITS = Counter(
+    'bramleylug_permits_total',
+    'Permits for upstreams that name a limit: asked, issued, used or unused',
+)
+LIMITED_UPSTREAMS = Gauge(
+    'bramleylug_limited_upstreams', 'Upstreams that name a limit'
+)
 STORE_AGE = Gauge(
     'bramleylug_store_age_seconds',
     'Age of the data read from the store',
--- a/src/bramleylug/platform/store_changes.py
+++ b/src/bramleylug/platform/store_changes.py
@@ -93,7 +93,7 @@
         except DECODING_ERRORS as error:
             emit(LogEvent.value_unreadable, key=item.key, error=repr(error))
             return
-        self.view.peers.add(record)
+        self.view.peers.add(record, self.view.clock())
 
     def _apply_bar(self, item: StoreItem) -> None:
         try:
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -20,7 +20,7 @@
 from bramleylug.cluster.route_table import CallerLimits
 from bramleylug.cluster.status_pages import serve_metrics, serve_readiness
 from bramleylug.entry.reservations import Reservation
-from bramleylug.observability.metrics import REVISION
+from bramleylug.observability.metrics import LIMITED_UPSTREAMS, REVISION
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.dialect import Dialect
 from bramleylug.relay.error_responses import error_response
@@ -109,6 +109,7 @@
         )
         self.core.on_clean_up = self.clean_up
         self.core.view.suspects.on_change = self.core.announce_soon
+        self.core.view.on_limit_changed = self.core.announce_soon
         self.relay = Relay(settings, self.core.view, adapter.dialect, clock)
         self.bar_archive = BarArchive(
             self.core.store,
@@ -142,6 +143,7 @@
         """Start the background tasks, outside the circuits loop."""
         self.core.open()
         self.core.loop.supervise('look', self.relay.dispatch_queue.run)
+        self.core.loop.supervise('permits', self.core.view.permits.run)
 
     def close(self) -> None:
         self.core.close()
@@ -187,13 +189,15 @@
         # A relay that is not ready also reports that it is draining, so that
         # its peers direct no callers to it.
         view = self.core.view
+        view.permits.draining = bool(self.unready_reason())
         heartbeat = relay_heartbeat(
             self.settings.name,
             self.core.record.boot,
             view.upstreams,
             view.suspects,
             self.clock(),
-            draining=bool(self.unready_reason()),
+            draining=view.permits.draining,
+            issued=view.permits.buckets,
         )
         if view.table is not None:
             heartbeat.configuration = view.table.version
@@ -205,6 +209,11 @@
         view.update_preferred()
         view.upstreams.remove_expired_notices(self.clock())
         view.suspects.remove_expired()
+        view.permits.clean_up()
+        LIMITED_UPSTREAMS.set(
+            {'instance': self.settings.name},
+            sum(one.limited for one in view.upstreams.by_id.values()),
+        )
         if self.bar_archive.has_pending():
             self.core.loop.spawn(self.bar_archive.write)
         self.relay.pool.remove_expired(
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -2,13 +2,19 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from itertools import count as numbers
 from typing import final
 
 from bramleylug.admission.queue import Arrival
 from bramleylug.cluster.cluster_view import ClusterView
 from bramleylug.cluster.upstreams import Upstream
-from bramleylug.observability.metrics import WAIT_SECONDS, WAITING
+from bramleylug.observability.metrics import (
+    PERMITS,
+    WAIT_SECONDS,
+    WAITING,
+    count,
+)
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.upstream_selection import (
@@ -29,6 +35,22 @@
 # 6 s for a stream. An engine that lost its weights needs 4 s or more, so an
 # earlier retry would fail.
 NONE_ELIGIBLE_RETRY_S = 2.0
+# Permits that one request asks for while it waits.
+MAX_ASKS = 6
+
+
+@final
+@dataclass(slots=True)
+class Waiter:
+    """A request that waits for an upstream.
+
+    :ivar woken: set when it may be sent.
+    :ivar asks: permits that it has asked for.
+    """
+
+    requirements: Requirements
+    woken: asyncio.Event = field(default_factory=asyncio.Event)
+    asks: int = 0
 
 
 @final
@@ -36,7 +58,7 @@
     """Assigns requests to upstreams; queues them while none has a free slot.
 
     :ivar queues: waiting requests by service.
-    :ivar waiters: event that wakes a waiting request, by its token.
+    :ivar waiters: waiting requests, by token.
     :ivar has_waiting: set while requests wait.
     """
 
@@ -50,10 +72,12 @@
         self.selector = selector
         self.clock = clock
         self.queues: dict[str, WaitQueue] = {}
-        self.waiters: dict[int, asyncio.Event] = {}
+        self.waiters: dict[int, Waiter] = {}
         self.tokens = numbers()
         self.has_waiting = asyncio.Event()
         view.on_change = self.wake_waiting
+        view.permits.on_granted = self.wake_waiting
+        view.permits.on_deferred = self.ask_further
 
     async def assign(
         self, context: RequestContext, *, first: bool
@@ -71,7 +95,7 @@
             selection = AtCapacity(0)
         match selection:
             case Selected(upstream):
-                return upstream
+                return self._claim(upstream)
             case NoneEligible(reason):
                 return _none_eligible(reason)
         now_s = self.clock()
@@ -80,6 +104,7 @@
             context.until_s - now_s,
             now_s,
             selection.closed_until_s,
+            awaits_permit=bool(selection.without_permit),
         )
         match decision:
             case Refuse(retry_after_s):
@@ -90,7 +115,9 @@
     def find_free(self, context: RequestContext) -> Upstream | None:
         """Return an upstream that has a free slot now."""
         selection = self._select(context.requirements())
-        return selection.upstream if isinstance(selection, Selected) else None
+        if isinstance(selection, Selected):
+            return self._claim(selection.upstream)
+        return None
 
     def record_completion(self, service: str) -> None:
         """Record that a request left an upstream; wake waiting requests."""
@@ -107,6 +134,21 @@
             if queue.size:
                 self._wake(service, queue)
 
+    def ask_further(self, upstream: Upstream) -> None:
+        """Ask for permits of others, as one will come later."""
+        service = upstream.record.service
+        for waiter in self.waiters.values():
+            if waiter.requirements.service != service:
+                continue
+            if waiter.asks >= MAX_ASKS or waiter.woken.is_set():
+                continue
+            selection = self._look(waiter.requirements)
+            if isinstance(selection, AtCapacity):
+                waiter.asks += self.view.permits.ask_some(
+                    selection.without_permit
+                )
+            return
+
     async def run(self) -> None:
         """Wake waiting requests at a fixed interval, until cancelled."""
         while True:
@@ -133,7 +175,7 @@
         )
         selection: Selection = AtCapacity(0)
         while isinstance(selection, AtCapacity):
-            if not await self._wait_in_queue(arrival, queue, until_s):
+            if not await self._wait_in_queue(arrival, queue, requirements):
                 break
             selection = self._select(requirements)
         waited_s = self.clock() - began_s
@@ -141,21 +183,22 @@
         WAIT_SECONDS.observe({'service': requirements.service}, waited_s)
         match selection:
             case Selected(upstream):
-                return upstream
+                return self._claim(upstream)
             case NoneEligible(reason):
                 return _none_eligible(reason)
         return _overloaded(queue.retry_after_s(self.clock()))
 
     async def _wait_in_queue(
-        self, arrival: Arrival, queue: WaitQueue, until_s: float
+        self, arrival: Arrival, queue: WaitQueue, requirements: Requirements
     ) -> bool:
         """Wait until woken; return ``False`` if the time has run out."""
-        woken = asyncio.Event()
-        self.waiters[arrival.token] = woken
+        waiter = Waiter(requirements)
+        woken = waiter.woken
+        self.waiters[arrival.token] = waiter
         self.has_waiting.set()
         queue.push(arrival)
         try:
-            async with asyncio.timeout(until_s - self.clock()):
+            async with asyncio.timeout(arrival.deadline_s - self.clock()):
                 await woken.wait()
         except TimeoutError:
             return woken.is_set()
@@ -170,20 +213,36 @@
         now_s = self.clock()
         WAITING.set({'service': service}, queue.size)
         free = sum(
-            max(0, int(upstream.free_slots(now_s)))
+            upstream.sendable(now_s)
             for upstream in self.view.upstreams.of_service(service)
-            if now_s >= closed_until_s(upstream)
+            if now_s >= closed_until_s(upstream, now_s)
         )
         for _ in range(min(free, queue.size)):
-            woken = self.waiters.get(queue.queue.pop().token)
-            if woken is not None:
-                woken.set()
+            waiter = self.waiters.get(queue.queue.pop().token)
+            if waiter is not None:
+                waiter.woken.set()
 
     def _select(self, requirements: Requirements) -> Selection:
+        selection = self._look(requirements)
+        if not isinstance(selection, NoneEligible):
+            self.view.permits.ask_some(selection.without_permit)
+        return selection
+
+    def _look(self, requirements: Requirements) -> Selection:
         return self.selector.select(
             requirements, self.view.constraints(), self.clock()
         )
 
+    def _claim(self, upstream: Upstream) -> Upstream:
+        """Count a request against the rates that its upstream takes.
+
+        It is sent without suspending in between.
+        """
+        if upstream.limited:
+            count(PERMITS, event='used')
+        upstream.consume(self.clock())
+        return upstream
+
 
 def _none_eligible(reason: str) -> NotRun:
     return NotRun(Reason.no_upstream, reason, NONE_ELIGIBLE_RETRY_S)
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -185,8 +185,6 @@
         self, context: RequestContext, upstream: Upstream
     ) -> Outcome:
         now_s = self.clock()
-        if upstream.is_cold(now_s) and upstream.cold is not None:
-            upstream.cold.consume(now_s)
         context.load = upstream.load(now_s)
         if not context.tried:
             self.retry_budget.record_first_attempt(context.accepted.service)
--- a/src/bramleylug/relay/upstream_selection.py
+++ b/src/bramleylug/relay/upstream_selection.py
@@ -1,6 +1,6 @@
 """Selection of the upstream for a request by eligibility and free slots."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import final
@@ -47,9 +47,14 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Selected:
-    """The request can be sent to this upstream."""
+    """The request can be sent to this upstream.
+
+    :ivar without_permit: near upstreams that it could as well be sent to if
+        this relay had a permit.
+    """
 
     upstream: Upstream
+    without_permit: Sequence[Upstream] = ()
 
 
 @final
@@ -59,11 +64,14 @@
 
     :ivar slots: total slots of the eligible upstreams.
     :ivar closed_until_s: earliest time at which one of them takes requests,
-        however few run there; in the past unless all are paused or avoided.
+        however few run there; in the past unless all are paused, avoided or
+        without a permit until then.
+    :ivar without_permit: those that lack only a permit.
     """
 
     slots: int
     closed_until_s: float = float('-inf')
+    without_permit: Sequence[Upstream] = ()
 
 
 @final
@@ -119,15 +127,33 @@
                 candidates[-1][1] if candidates else NOT_REGISTERED
             )
         available = [one for one in eligible if is_available(one, now_s)]
+        without_permit = tuple(
+            one for one in eligible if lacks_only_permit(one, now_s)
+        )
         if not available:
             return AtCapacity(
                 sum(one.record.slots for one in eligible),
-                min(closed_until_s(one) for one in eligible),
+                min(closed_until_s(one, now_s) for one in eligible),
+                without_permit,
             )
+        # Permits expire soon: they are used before free slots elsewhere.
+        permitted = [
+            one
+            for one in available
+            if one.limited and self._is_near(one, constraints)
+        ]
         return Selected(
-            self._choose(available, requirements, constraints, now_s)
+            self._choose(
+                permitted or available, requirements, constraints, now_s
+            ),
+            tuple(
+                one for one in without_permit if self._is_near(one, constraints)
+            ),
         )
 
+    def _is_near(self, upstream: Upstream, constraints: Constraints) -> bool:
+        return constraints.regions.get(upstream.record.zone) == self.region
+
     def _choose(
         self,
         available: list[Upstream],
@@ -154,7 +180,7 @@
         penalty = 0.0
         if zone != self.zone:
             penalty += OTHER_ZONE_PENALTY
-        if constraints.regions.get(zone) != self.region:
+        if not self._is_near(upstream, constraints):
             penalty += OTHER_REGION_PENALTY
         newest = constraints.newest_versions.get(requirements.model, 0)
         held = upstream.weights_of(requirements.model, now_s)
@@ -203,16 +229,27 @@
     return ''
 
 
-def closed_until_s(upstream: Upstream) -> float:
+def closed_until_s(upstream: Upstream, now_s: float) -> float:
     """Return until when an upstream gets no request, whatever its load."""
-    return max(upstream.avoid_until_s, upstream.notice.paused_until_s)
+    until_s = max(upstream.avoid_until_s, upstream.notice.paused_until_s)
+    if upstream.limited and not upstream.permits.count(now_s):
+        return max(until_s, upstream.permits.expected_s)
+    return until_s
 
 
 def is_available(upstream: Upstream, now_s: float) -> bool:
     """Return whether an upstream can take one more request now."""
-    if now_s < closed_until_s(upstream) or upstream.is_closing(now_s):
+    return _has_room(upstream, now_s) and upstream.may_send(now_s)
+
+
+def lacks_only_permit(upstream: Upstream, now_s: float) -> bool:
+    """Return whether it could take a request if this relay had a permit."""
+    if not upstream.limited or upstream.permits.count(now_s):
+        return False
+    return _has_room(upstream, now_s)
+
+
+def _has_room(upstream: Upstream, now_s: float) -> bool:
+    if now_s < max(upstream.avoid_until_s, upstream.notice.paused_until_s):
         return False
-    if upstream.is_cold(now_s) and upstream.cold is not None:
-        if not upstream.cold.can_consume(now_s):
-            return False
-    return upstream.free_slots(now_s) >= 1
+    return not upstream.is_closing(now_s) and upstream.free_slots(now_s) >= 1
--- a/src/bramleylug/relay/wait_queue.py
+++ b/src/bramleylug/relay/wait_queue.py
@@ -91,6 +91,8 @@
         time_left_s: float,
         now_s: float,
         closed_until_s: float = 0,
+        *,
+        awaits_permit: bool = False,
     ) -> Wait | Refuse:
         """Decide whether a request that finds no free slot waits.
 
@@ -98,11 +100,16 @@
         objective that it may spend in the queue.
 
         :param closed_until_s: when the first upstream takes requests again.
+        :param awaits_permit: whether it only needs a permit, which comes at
+            another rate than slots are freed; the first one that waits learns
+            when.
         """
         max_wait_s = min(objective_s * WAIT_SHARE, time_left_s)
         if closed_until_s - now_s > max_wait_s:
             return Refuse(min(MAX_RETRY_S, closed_until_s - now_s))
         expected_s = self.expected_wait_s(now_s)
+        if awaits_permit and not self.size:
+            expected_s = None
         if max_wait_s <= 0 or (
             expected_s is not None
             and expected_s > max_wait_s * EXPECTED_WAIT_SHARE
--- a/testing/relay/crash_simulation.py
+++ b/testing/relay/crash_simulation.py
@@ -41,6 +41,7 @@
     ClientRequest,
     ConnectionBroken,
 )
+from bramleylug.wire.beats_pb2 import Beat, PermitMessage
 from testing.relay.builders import (
     MODEL,
     build_peer,
@@ -530,15 +531,18 @@
         view.apply_route_table(self.simulation.table)
         for record in self.simulation.peers.values():
             if record.name != self.name:
-                view.peers.add(record)
+                view.peers.add(record, self.clock())
         for engine in self.simulation.engines.values():
             view.register_upstream(engine.record(self))
         for raw in self.simulation.store.bars.values():
             self.read_bar(raw)
         view.suspects.on_change = self.send_to_all
+        view.on_limit_changed = self.send_to_all
+        view.permits.send = self.send_permits
         self.spawn(self._send_heartbeats())
         self.spawn(self._maintain())
         self.spawn(self.relay.dispatch_queue.run())
+        self.spawn(view.permits.run())
 
     def spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -555,6 +559,13 @@
         self.view.suspects.merge(report)
         self.view.suspects.mark_stored(report.fingerprint, report.strikes)
 
+    def send_permits(self, relay: str, messages: list[PermitMessage]) -> None:
+        """Send messages about permits to a relay."""
+        peer = self.view.peers.known.get(relay)
+        if peer is not None:
+            heartbeat = Beat(name=self.name, permits=messages)
+            self.socket.send(heartbeat, [peer.beats])
+
     def send_to_all(self) -> None:
         """Send a heartbeat to all relays outside of the schedule."""
         alive = self.view.peers.alive(Role.relay, self.clock())
@@ -567,7 +578,8 @@
             self.view.upstreams,
             self.view.suspects,
             self.clock(),
-            draining=False,
+            draining=self.view.permits.draining,
+            issued=self.view.permits.buckets,
         )
         heartbeat.configuration = self.view.table.version
         return heartbeat
@@ -590,6 +602,7 @@
             self.view.update_preferred()
             self.view.upstreams.remove_expired_notices(self.clock())
             self.view.suspects.remove_expired()
+            self.view.permits.clean_up()
             if self.archive.has_pending():
                 self.spawn(self.archive.write())
             await asyncio.sleep(MAINTENANCE_S)
