--- a/testing/relay/crash_simulation.py
+++ b/testing/relay/crash_simulation.py
@@ -531,7 +531,7 @@
         view.apply_route_table(self.simulation.table)
         for record in self.simulation.peers.values():
             if record.name != self.name:
-                view.peers.add(record, self.clock())
+                self.read_peer(record)
         for engine in self.simulation.engines.values():
             view.register_upstream(engine.record(self))
         for raw in self.simulation.store.bars.values():
@@ -559,6 +559,10 @@
         self.view.suspects.merge(report)
         self.view.suspects.mark_stored(report.fingerprint, report.strikes)
 
+    def read_peer(self, record: PeerRecord) -> None:
+        """Read from the store that a relay is registered."""
+        self.view.peers.add(record, self.clock())
+
     def send_permits(self, relay: str, messages: list[PermitMessage]) -> None:
         """Send messages about permits to a relay."""
         peer = self.view.peers.known.get(relay)
--- a/testing/relay/limit_simulation.py
+++ b/testing/relay/limit_simulation.py
@@ -5,11 +5,15 @@
 """
 
 from bisect import bisect_left, bisect_right
+from collections.abc import Collection
 from functools import partial
 from typing import NamedTuple
 
+from testing.relay.builders import build_peer
 from testing.relay.crash_simulation import (
+    REGIONS,
     STABLE_WINDOW_S,
+    STORE_LAG_S,
     Call,
     CrashSimulation,
     Delivery,
@@ -23,6 +27,8 @@
 TELLING_S = 0.5
 USE_WINDOW_S = 10.0
 STEP_S = 0.05
+STOPPING_S = 3.0
+DOWN_S = 0.5
 
 
 class Excess(NamedTuple):
@@ -53,6 +59,16 @@
         """
         self.after(at_s, partial(self._name_limit, per_s, engine_count))
 
+    def stop_relay(self, at_s: float, name: str) -> None:
+        """Stop a relay as planned; it starts again later."""
+        self.after(at_s, partial(self._set_draining, name))
+        self.after(at_s + STOPPING_S, partial(self._end_relay, name))
+        self.after(at_s + STOPPING_S + DOWN_S, partial(self._start_relay, name))
+
+    def add_relay(self, at_s: float, name: str, zone: str) -> None:
+        """Start a relay on a host that is added."""
+        self.after(at_s, partial(self._add_relay, name, zone))
+
     def first_named_s(self, engine_id: str) -> float | None:
         """Return when an engine first named a limit."""
         times = [
@@ -114,15 +130,24 @@
         )
 
     def least_use(
-        self, engine_id: str, per_s: float, from_s: float, until_s: float
+        self,
+        engine_ids: Collection[str],
+        per_s: float,
+        from_s: float,
+        until_s: float,
     ) -> float:
-        """Return the share of a limit that was used in the worst 10 s."""
-        times = [one.at_s for one in self.deliveries_to(engine_id)]
+        """Return the share of limits that was used in the worst 10 s.
+
+        :param per_s: limit of each of the engines.
+        """
+        times = [
+            one.at_s for one in self.deliveries if one.engine in engine_ids
+        ]
         begin_s, shares = from_s, []
         while begin_s + USE_WINDOW_S <= until_s:
             got = bisect_left(times, begin_s + USE_WINDOW_S)
             got -= bisect_left(times, begin_s)
-            shares.append(got / (per_s * USE_WINDOW_S))
+            shares.append(got / (len(engine_ids) * per_s * USE_WINDOW_S))
             begin_s += 0.5
         return min(shares)
 
@@ -138,6 +163,31 @@
         )
         return count / (until_s - from_s)
 
+    def _set_draining(self, name: str) -> None:
+        node = self.nodes[name]
+        if node is not None:
+            node.view.permits.draining = True
+            node.send_to_all()
+
+    def _end_relay(self, name: str) -> None:
+        node = self.nodes[name]
+        if node is not None:
+            node.end()
+            self.nodes[name] = None
+
+    def _add_relay(self, name: str, zone: str) -> None:
+        self.peers[name] = build_peer(name, zone=zone, region=REGIONS[zone])
+        self._start_relay(name)
+
+    def _start_relay(self, name: str) -> None:
+        super()._start_relay(name)
+        for other in self.nodes_up():
+            if other.name != name:
+                self.after(
+                    self.between(STORE_LAG_S),
+                    partial(other.read_peer, self.peers[name]),
+                )
+
     def _name_limit(
         self, per_s: float | None, engine_count: int | None
     ) -> None:
