Relay: a change of issuer costs no permits, and a started relay is told limits

A restarted relay learned of limits in other regions only from engines: with 60 relays, ten of them restarted three times, an engine with a limit of 1 a second got 13 requests in four seconds, all relays counted (allowed 11 from those that the rule counts).

Change: a new issuer is asked at once; a new bucket holds half a permit, what its predecessor under demand had left on average; an issuer tells a relay that it hears for the first time since its start. The view of who issues is a class of its own.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -7,6 +7,7 @@
 
 from bramleylug.cluster.constraints import Constraints
 from bramleylug.cluster.crash_suspects import SharedSuspects
+from bramleylug.cluster.issuer_directory import IssuerDirectory
 from bramleylug.cluster.peers import (
     HeartbeatStatus,
     PeerRecord,
@@ -75,7 +76,8 @@
     :ivar is_initial_load: whether the data of the first read of the store are
         being applied, which may have been written at any time in the past.
     :ivar on_change: called after changes of the store have been applied.
-    :ivar on_limit_changed: called when an answer names another limit.
+    :ivar on_peer_started: called with the name of a peer that is heard for
+        the first time since it started.
     """
 
     def __init__(
@@ -106,14 +108,14 @@
         )
         self.permits = PermitExchange(
             self.upstreams,
-            self.peers,
+            IssuerDirectory(self.peers, clock),
             settings.regions,
             Random(settings.name),  # noqa: S311
             clock,
         )
         self.preferred: frozenset[str] = frozenset()
         self.on_change: Callable[[], None] = _ignore
-        self.on_limit_changed: Callable[[], None] = _ignore
+        self.on_peer_started: Callable[[str], None] = _ignore_name
 
     def store_age_s(self) -> float:
         """Return the age of this process's copy of the store."""
@@ -245,7 +247,7 @@
                 source='answer',
                 age_ms=0,
             )
-            self.on_limit_changed()
+            self.permits.on_limit_changed()
 
     def record_unlimited(self, incarnation: Incarnation, sent_s: float) -> None:
         """Record that an answer of an upstream names no limit.
@@ -259,7 +261,7 @@
                 upstream=incarnation.upstream_id,
                 source='answer',
             )
-            self.on_limit_changed()
+            self.permits.on_limit_changed()
             self.on_change()
 
     def merge_limit(
@@ -346,6 +348,8 @@
             heartbeat.name,
             HeartbeatStatus(heartbeat.boot, now_s, heartbeat.draining),
         )
+        if previous is None or heartbeat.boot > previous.boot:
+            self.on_peer_started(heartbeat.name)
         counts = {item.upstream_id: item.running for item in heartbeat.counts}
         self.upstreams.record_counts(heartbeat.name, counts, now_s)
         if heartbeat.HasField('reading'):
@@ -399,5 +403,9 @@
     return ','.join(f'{model}={held}' for model, held in weights.items())
 
 
+def _ignore_name(name: str) -> None:
+    """Do nothing."""
+
+
 def _ignore() -> None:
     """Do nothing."""
--- a/src/bramleylug/cluster/permit_exchange.py
+++ b/src/bramleylug/cluster/permit_exchange.py
@@ -5,12 +5,7 @@
 from random import Random
 from typing import final
 
-from bramleylug.cluster.peers import PeerRegistry
-from bramleylug.cluster.permit_issuers import (
-    IssuerCandidate,
-    find_issuer,
-    is_majority,
-)
+from bramleylug.cluster.issuer_directory import IssuerDirectory
 from bramleylug.cluster.permit_messages import (
     Ask,
     Defer,
@@ -30,10 +25,6 @@
 from bramleylug.observability.metrics import PERMITS, count
 from bramleylug.wire.beats_pb2 import PermitMessage
 
-# Relays hear within this time of one that has started.
-SETTLING_S = 3.0
-# Issuers change when relays start or end, which is known later than this.
-CANDIDATES_TTL_S = 0.2
 TICK_S = 0.02
 # Upstreams that one request asks for at once. A second permit is for the next
 # request, or goes back.
@@ -45,11 +36,10 @@
     """Permits of one relay, and those that it issues to others.
 
     :param regions: region of each availability zone.
-    :ivar draining: whether this relay tells others that it is draining.
     :ivar buckets: of the upstreams whose permits this relay issues.
     :ivar holding: upstreams of which this relay has permits, by id.
-    :ivar issuers: names of issuers, as long as the candidates are the same.
     :ivar send: sends messages to a relay by its name.
+    :ivar on_limit_changed: called when an answer names another limit.
     :ivar on_granted: called after a permit has arrived.
     :ivar on_deferred: called when one of an upstream will come later.
     """
@@ -57,25 +47,21 @@
     def __init__(
         self,
         upstreams: UpstreamRegistry,
-        peers: PeerRegistry,
+        issuers: IssuerDirectory,
         regions: Mapping[str, str],
         random: Random,
         clock: Callable[[], float],
     ) -> None:
         self.upstreams = upstreams
-        self.peers = peers
+        self.issuers = issuers
         self.regions = regions
         self.random = random
         self.clock = clock
-        self.started_s = clock()
-        self.draining = False
         self.buckets: dict[Incarnation, PermitBucket] = {}
         self.holding: dict[str, Upstream] = {}
-        self.candidates: tuple[IssuerCandidate, ...] = ()
-        self.candidates_until_s = float('-inf')
-        self.issuers: dict[str, str | None] = {}
         self.active = asyncio.Event()
         self.send: Callable[[str, list[PermitMessage]], None] = _ignore_messages
+        self.on_limit_changed: Callable[[], None] = _ignore
         self.on_granted: Callable[[], None] = _ignore
         self.on_deferred: Callable[[Upstream], None] = _ignore_upstream
 
@@ -87,7 +73,7 @@
         :returns: how many were asked for.
         """
         now_s = self.clock()
-        askable = [one for one in upstreams if one.permits.may_ask(now_s)]
+        askable = [one for one in upstreams if self._may_ask(one)]
         self.random.shuffle(askable)
         askable.sort(key=lambda one: max(now_s, one.permits.expected_s))
         chosen = askable[:ASKS_AT_ONCE]
@@ -102,8 +88,8 @@
         if issuer is None:
             return
         count(PERMITS, event='asked')
-        upstream.permits.record_ask(self.clock())
-        if issuer == self.peers.own().name:
+        upstream.permits.record_ask(issuer, self.clock())
+        if issuer == self.issuers.own_name:
             self._queue(incarnation, issuer)
         else:
             self._tell(issuer, incarnation, Ask())
@@ -122,15 +108,8 @@
 
     def issues(self, incarnation: Incarnation) -> bool:
         """Return whether this relay issues the permits of an upstream."""
-        own = self.peers.own()
-        if self._issuer(incarnation) != own.name:
-            return False
-        candidates = self._candidates()
-        if len(candidates) > 1 and not candidates[0].settled:
-            # It may not know the others yet.
-            return False
-        alive = sum(one.region == own.region for one in candidates)
-        return is_majority(alive, self.peers.registered_relays(own.region))
+        is_issuer = self._issuer(incarnation) == self.issuers.own_name
+        return is_issuer and self.issuers.may_issue()
 
     def tick(self) -> None:
         """Issue permits that have become due; return those not used."""
@@ -160,6 +139,10 @@
         for incarnation in tuple(self.buckets):
             self._drop_unless_issued(incarnation)
 
+    def _may_ask(self, upstream: Upstream) -> bool:
+        issuer = self._issuer(incarnation_of(upstream.record))
+        return upstream.permits.may_ask(issuer, self.clock())
+
     def _queue(self, incarnation: Incarnation, relay: str) -> None:
         """Queue a relay that asks, and answer it."""
         limit_per_s = self.upstreams.limits.of(incarnation).per_s
@@ -203,7 +186,7 @@
         count(PERMITS, event='unused')
         incarnation = incarnation_of(upstream.record)
         issuer = self._issuer(incarnation)
-        if issuer == self.peers.own().name:
+        if issuer == self.issuers.own_name:
             self._take_back(incarnation, unused)
         elif issuer is not None:
             self._tell(issuer, incarnation, Return(unused))
@@ -217,7 +200,7 @@
         self, relay: str, incarnation: Incarnation, news: Grant | Defer
     ) -> None:
         """Answer a relay, which may be this one."""
-        if relay == self.peers.own().name:
+        if relay == self.issuers.own_name:
             self._apply(incarnation, news)
         else:
             self._tell(relay, incarnation, news)
@@ -246,33 +229,11 @@
         self.send(relay, [permit_to_message(message, news)])
 
     def _issuer(self, incarnation: Incarnation) -> str | None:
-        upstream_id = incarnation.upstream_id
-        candidates = self._candidates()
-        upstream = self.upstreams.by_id.get(upstream_id)
+        upstream = self.upstreams.by_id.get(incarnation.upstream_id)
         if upstream is None:
             return None
-        if upstream_id not in self.issuers:
-            region = self.regions.get(upstream.record.zone, '')
-            self.issuers[upstream_id] = find_issuer(
-                upstream_id, region, candidates
-            )
-        return self.issuers[upstream_id]
-
-    def _candidates(self) -> tuple[IssuerCandidate, ...]:
-        """Return the live relays; this one is the first."""
-        now_s = self.clock()
-        if now_s >= self.candidates_until_s:
-            own = self.peers.own()
-            is_settled = now_s - self.started_s >= SETTLING_S
-            self.candidates = (
-                IssuerCandidate(
-                    own.name, own.region, self.draining, is_settled
-                ),
-                *self.peers.issuer_candidates(now_s, SETTLING_S),
-            )
-            self.candidates_until_s = now_s + CANDIDATES_TTL_S
-            self.issuers.clear()
-        return self.candidates
+        region = self.regions.get(upstream.record.zone, '')
+        return self.issuers.issuer(incarnation.upstream_id, region)
 
 
 def _ignore_messages(relay: str, messages: list[PermitMessage]) -> None:
--- a/src/bramleylug/cluster/permits.py
+++ b/src/bramleylug/cluster/permits.py
@@ -32,7 +32,8 @@
 class PermitBucket:
     """Token bucket of the relay that issues the permits of an upstream.
 
-    It begins empty: another issuer may just have emptied its own.
+    It begins with what a predecessor under demand has left on average, since
+    that may just have emptied its own.
 
     :ivar per_s: permits a second.
     :ivar waiting: relays that ask, in their order, and when an ask expires.
@@ -40,7 +41,7 @@
 
     per_s: float
     filled_s: float
-    tokens: float = 0
+    tokens: float = 0.5
     waiting: dict[str, float] = field(default_factory=dict)
 
     @classmethod
@@ -98,12 +99,14 @@
     :ivar ask_again_s: when the relay may ask again.
     :ivar expected_s: before this time none will come, as the issuer says;
         in the past if that is not known.
-    :ivar is_answered: whether the issuer has answered the last ask.
+    :ivar issuer: who was asked last.
+    :ivar is_answered: whether it has answered.
     """
 
     expiries: deque[float] = field(default_factory=deque)
     ask_again_s: float = NEVER_S
     expected_s: float = NEVER_S
+    issuer: str = ''
     is_answered: bool = True
 
     def count(self, now_s: float) -> int:
@@ -118,12 +121,18 @@
                 return True
         return False
 
-    def may_ask(self, now_s: float) -> bool:
-        return now_s >= self.ask_again_s and not self.count(now_s)
+    def may_ask(self, issuer: str | None, now_s: float) -> bool:
+        """Return whether the current issuer may be asked."""
+        if self.count(now_s):
+            return False
+        return now_s >= self.ask_again_s or issuer != self.issuer
 
-    def record_ask(self, now_s: float) -> None:
+    def record_ask(self, issuer: str, now_s: float) -> None:
         """Record that the issuer is asked now."""
-        if not self.is_answered:
+        if issuer != self.issuer:
+            self.issuer = issuer
+            self.expected_s = NEVER_S
+        elif not self.is_answered:
             # It may be down; others notice that within some seconds.
             self.expected_s = now_s + MAX_ASK_INTERVAL_S
         self.is_answered = False
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -186,6 +186,13 @@
             heartbeat = Beat(name=self.settings.name, permits=messages)
             self.socket.send(heartbeat, [peer.beats])
 
+    def send_heartbeat_to(self, name: str) -> None:
+        """Send a heartbeat to one relay outside of the schedule."""
+        peer = self.view.peers.known.get(name)
+        is_relay = peer is not None and peer.role is Role.relay
+        if peer is not None and is_relay and self.socket is not None:
+            self.socket.send(self.make_heartbeat(), [peer.beats])
+
     def announce_soon(self) -> None:
         """Send one heartbeat to every relay for what happens at this moment.
 
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -109,7 +109,8 @@
         )
         self.core.on_clean_up = self.clean_up
         self.core.view.suspects.on_change = self.core.announce_soon
-        self.core.view.on_limit_changed = self.core.announce_soon
+        self.core.view.permits.on_limit_changed = self.core.announce_soon
+        self.core.view.on_peer_started = self.tell_limits
         self.relay = Relay(settings, self.core.view, adapter.dialect, clock)
         self.bar_archive = BarArchive(
             self.core.store,
@@ -189,20 +190,25 @@
         # A relay that is not ready also reports that it is draining, so that
         # its peers direct no callers to it.
         view = self.core.view
-        view.permits.draining = bool(self.unready_reason())
+        view.permits.issuers.draining = bool(self.unready_reason())
         heartbeat = relay_heartbeat(
             self.settings.name,
             self.core.record.boot,
             view.upstreams,
             view.suspects,
             self.clock(),
-            draining=view.permits.draining,
+            draining=view.permits.issuers.draining,
             issued=view.permits.buckets,
         )
         if view.table is not None:
             heartbeat.configuration = view.table.version
         return heartbeat
 
+    def tell_limits(self, name: str) -> None:
+        """Tell a relay that has started which limits hold."""
+        if self.core.view.permits.buckets:
+            self.core.send_heartbeat_to(name)
+
     def clean_up(self) -> None:
         """Update what changes rarely, and close unused connections."""
         view = self.core.view
--- /dev/null
+++ b/testing/cluster/test_cluster_view.py
@@ -0,0 +1,148 @@
+"""Tests of what a process takes from the heartbeats of others."""
+
+import unittest
+
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.permit_messages import (
+    Ask,
+    Grant,
+    limit_to_message,
+    permit_to_message,
+)
+from bramleylug.cluster.rate_limit import Incarnation, RateLimitReport
+from bramleylug.store.mirror import Mirror
+from bramleylug.wire.beats_pb2 import Beat
+from testing.relay.builders import (
+    build_peer,
+    build_settings,
+    build_upstream_record,
+)
+
+ENGINE = Incarnation('engine-1', 1000)
+LIMIT = limit_to_message(ENGINE, RateLimitReport(2.0, 0.5))
+
+
+class ViewCase(unittest.TestCase):
+    """Base of tests with one process and a clock that stands."""
+
+    def setUp(self) -> None:
+        """Register an engine and two relays of the own region."""
+        self.now_s = 100.0
+        self.view = ClusterView(
+            build_settings(), build_peer, Mirror(3.0), lambda: self.now_s
+        )
+        self.view.register_upstream(build_upstream_record())
+        self.upstream = self.view.upstreams.by_id['engine-1']
+        self.sent: list[str] = []
+        self.view.permits.send = lambda name, _: self.sent.append(name)
+
+
+class TestLimits(ViewCase):
+    """What an upstream names holds at relays that have not asked it."""
+
+    def test_limit_that_another_relay_heard_holds_here(self) -> None:
+        self.view.receive_heartbeat(Beat(name='relay-2', limits=[LIMIT]))
+
+        self.assertEqual(self.upstream.limit.per_s, 2.0)
+        self.assertFalse(self.upstream.may_send(self.now_s))
+
+    def test_limit_of_an_earlier_incarnation_says_nothing(self) -> None:
+        earlier = limit_to_message(
+            Incarnation('engine-1', 500), RateLimitReport(2.0, 0.5)
+        )
+        self.view.receive_heartbeat(Beat(name='relay-2', limits=[earlier]))
+
+        self.assertTrue(self.upstream.may_send(self.now_s))
+
+    def test_end_that_another_relay_heard_ends_it_here(self) -> None:
+        self.view.receive_heartbeat(Beat(name='relay-2', limits=[LIMIT]))
+        ended = limit_to_message(ENGINE, RateLimitReport(None, 0.1))
+        self.view.receive_heartbeat(Beat(name='relay-2', limits=[ended]))
+
+        self.assertTrue(self.upstream.may_send(self.now_s))
+
+    def test_end_from_before_the_last_naming_is_ignored(self) -> None:
+        """What a peer tells may be older than what this process heard."""
+        self.view.record_limit(ENGINE, 2.0)
+        ended = limit_to_message(ENGINE, RateLimitReport(None, 0.1))
+        self.view.receive_heartbeat(Beat(name='relay-2', limits=[ended]))
+
+        self.assertEqual(self.upstream.limit.per_s, 2.0)
+
+    def test_limit_is_not_renewed_by_being_passed_on(self) -> None:
+        self.view.record_limit(ENGINE, 2.0)
+        named_s = self.upstream.limit.named_s
+        delayed = limit_to_message(ENGINE, RateLimitReport(2.0, 0.0))
+        self.now_s += 0.1
+        self.view.receive_heartbeat(Beat(name='relay-2', limits=[delayed]))
+
+        self.assertEqual(self.upstream.limit.named_s, named_s)
+
+
+class TestPermits(ViewCase):
+    """A request to an upstream with a limit needs a permit."""
+
+    def setUp(self) -> None:
+        """Name a limit."""
+        super().setUp()
+        self.view.record_limit(ENGINE, 2.0)
+
+    def receive(self, news) -> None:
+        self.view.receive_heartbeat(
+            Beat(name='relay-2', permits=[permit_to_message(LIMIT, news)])
+        )
+
+    def test_granted_permit_allows_one_request(self) -> None:
+        self.receive(Grant())
+
+        self.assertTrue(self.upstream.may_send(self.now_s))
+        self.upstream.consume(self.now_s)
+        self.assertFalse(self.upstream.may_send(self.now_s))
+
+    def test_new_incarnation_needs_none(self) -> None:
+        self.view.register_upstream(build_upstream_record(started_ms=2000))
+
+        self.assertTrue(self.upstream.may_send(self.now_s))
+
+    def test_permit_of_an_earlier_incarnation_is_not_used(self) -> None:
+        self.view.register_upstream(build_upstream_record(started_ms=2000))
+        self.receive(Grant())
+
+        self.assertEqual(self.upstream.permits.count(self.now_s), 0)
+
+    def test_only_relay_issues_its_own_permits(self) -> None:
+        self.view.permits.ask(self.upstream)
+        self.now_s += 0.5
+        self.view.permits.tick()
+
+        self.assertEqual(self.upstream.permits.count(self.now_s), 1)
+        self.assertEqual(self.sent, [])
+
+    def test_relay_that_has_just_started_answers_no_asks(self) -> None:
+        """The issuer before it may still be issuing."""
+        self.view.peers.add(build_peer('relay-2'))
+        self.view.receive_heartbeat(Beat(name='relay-2', boot=1))
+        self.receive(Ask())
+
+        self.assertEqual(self.sent, [])
+
+    def test_permits_carry_no_load(self) -> None:
+        """A datagram without counts must not empty those of its sender."""
+        heartbeat = Beat(name='relay-2', boot=1)
+        heartbeat.counts.add(upstream_id='engine-1', running=3)
+        self.view.receive_heartbeat(heartbeat)
+        self.receive(Ask())
+
+        self.assertEqual(self.upstream.load(self.now_s), 3)
+
+
+class TestStarts(ViewCase):
+    """A peer that has started is noticed by its first heartbeat."""
+
+    def test_each_start_of_a_peer_is_noticed_once(self) -> None:
+        started: list[str] = []
+        self.view.on_peer_started = started.append
+        for boot in (1, 1, 2, 2, 1):
+            self.view.receive_heartbeat(Beat(name='relay-2', boot=boot))
+
+        self.assertEqual(started, ['relay-2', 'relay-2'])
--- a/testing/relay/crash_simulation.py
+++ b/testing/relay/crash_simulation.py
@@ -537,7 +537,8 @@
         for raw in self.simulation.store.bars.values():
             self.read_bar(raw)
         view.suspects.on_change = self.send_to_all
-        view.on_limit_changed = self.send_to_all
+        view.permits.on_limit_changed = self.send_to_all
+        view.on_peer_started = self.tell_limits
         view.permits.send = self.send_permits
         self.spawn(self._send_heartbeats())
         self.spawn(self._maintain())
@@ -563,6 +564,12 @@
         """Read from the store that a relay is registered."""
         self.view.peers.add(record, self.clock())
 
+    def tell_limits(self, name: str) -> None:
+        """Tell a relay that has started which limits hold."""
+        peer = self.view.peers.known.get(name)
+        if peer is not None and self.view.permits.buckets:
+            self.socket.send(self._heartbeat(), [peer.beats])
+
     def send_permits(self, relay: str, messages: list[PermitMessage]) -> None:
         """Send messages about permits to a relay."""
         peer = self.view.peers.known.get(relay)
@@ -582,7 +589,7 @@
             self.view.upstreams,
             self.view.suspects,
             self.clock(),
-            draining=self.view.permits.draining,
+            draining=self.view.permits.issuers.draining,
             issued=self.view.permits.buckets,
         )
         heartbeat.configuration = self.view.table.version
--- a/testing/relay/limit_simulation.py
+++ b/testing/relay/limit_simulation.py
@@ -166,7 +166,7 @@
     def _set_draining(self, name: str) -> None:
         node = self.nodes[name]
         if node is not None:
-            node.view.permits.draining = True
+            node.view.permits.issuers.draining = True
             node.send_to_all()
 
     def _end_relay(self, name: str) -> None:
