Cluster: cold upstreams keep their rate with any number of relays

The same class as the limit that upstreams name: a bound on the whole, kept by parts that do not add up.

Change: only as many relays hold a share as the burst has whole requests, those of the upstream's region first, by rendezvous; the others leave it out while it is cold. What is left of the overshoot covers relays that know other peers. Up to that number of relays nothing changes.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -5,6 +5,12 @@
 from random import Random
 from typing import NamedTuple, final
 
+from bramleylug.cluster.cold_start import (
+    NO_SHARE,
+    ColdLimit,
+    ColdStart,
+    select_holders,
+)
 from bramleylug.cluster.constraints import Constraints
 from bramleylug.cluster.crash_suspects import SharedSuspects
 from bramleylug.cluster.issuer_directory import IssuerDirectory
@@ -26,7 +32,6 @@
 from bramleylug.cluster.subsetting import preferred_subset
 from bramleylug.cluster.suspect_messages import suspect_from_message
 from bramleylug.cluster.upstreams import (
-    ColdStart,
     Upstream,
     UpstreamRecord,
     UpstreamRegistry,
@@ -48,9 +53,6 @@
 # Another relay's newer configuration arrives here within this time, unless
 # the store lost it or this relay is cut off.
 MAX_BEHIND_S = 1.5
-# Part of the allowed overshoot of a cold upstream that relays use for bursts;
-# the rest covers requests that were delayed on their way.
-COLD_BURST_SHARE = 0.5
 
 
 class AnnouncedConfiguration(NamedTuple):
@@ -388,16 +390,24 @@
         if service is None or not service.cold_per_s:
             return
         if upstream.cold is None:
-            relays = self.peers.relay_count()
             spare = service.cold_per_s * (self.settings.cold_overshoot - 1)
-            spare += self.settings.cold_reserve
-            upstream.cold = ColdStart(
-                service.cold_per_s / relays,
-                max(1.0, COLD_BURST_SHARE * spare / relays),
-                tokens=1.0,
-                filled_s=self.clock(),
+            upstream.cold = self._cold_share(
+                upstream.record,
+                ColdLimit(
+                    service.cold_per_s, spare + self.settings.cold_reserve
+                ),
             )
 
+    def _cold_share(
+        self, record: UpstreamRecord, limit: ColdLimit
+    ) -> ColdStart:
+        region = self.settings.regions.get(record.zone, '')
+        near, far = self.peers.relay_names(region)
+        holders = select_holders(record.upstream_id, near, far, limit)
+        if self.peers.own().name not in holders:
+            return replace(NO_SHARE)
+        return ColdStart.from_limit(limit, len(holders), self.clock())
+
 
 def _describe(weights: Mapping[str, object]) -> str:
     return ','.join(f'{model}={held}' for model, held in weights.items())
--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -180,12 +180,18 @@
         Includes this one, and those that were removed from the store a
         moment ago and may still send.
         """
-        names = {
-            record.name
-            for record in self.known.values()
-            if record.role is Role.relay
-        }
-        return max(1, len(names | {self.own().name}))
+        near, far = self.relay_names(self.own().region)
+        return len(near | far)
+
+    def relay_names(self, region: str) -> tuple[set[str], set[str]]:
+        """Return the names of such relays: those of a region, and others."""
+        own = self.own()
+        near: set[str] = set()
+        far: set[str] = set()
+        for record in (own, *self.known.values()):
+            if record.role is Role.relay or record is own:
+                (near if record.region == region else far).add(record.name)
+        return near, far
 
     def issuer_candidates(
         self, now_s: float, settling_s: float
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple, final
 
+from bramleylug.cluster.cold_start import ColdStart
 from bramleylug.cluster.permits import HeldPermits
 from bramleylug.cluster.rate_limit import Incarnation, RateLimit, RateLimits
 
@@ -98,37 +99,6 @@
     updated_s: float = float('-inf')
 
 
-@final
-@dataclass(slots=True)
-class ColdStart:
-    """Token bucket for the requests that this process sends a cold upstream.
-
-    :ivar per_s: this process's share of the rate that the upstream can
-        take.
-    :ivar burst: requests that may be sent at one moment.
-    """
-
-    per_s: float
-    burst: float
-    tokens: float = 0
-    filled_s: float = float('-inf')
-
-    def consume(self, now_s: float) -> bool:
-        """Consume a token for one request; return whether there was one."""
-        passed_s = now_s - self.filled_s
-        self.filled_s = now_s
-        self.tokens = min(self.burst, self.tokens + passed_s * self.per_s)
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
-    def can_consume(self, now_s: float) -> bool:
-        """Return whether a token is available for one request."""
-        grown = self.tokens + (now_s - self.filled_s) * self.per_s
-        return min(self.burst, grown) >= 1
-
-
 @final
 @dataclass(slots=True)
 class Upstream:
--- a/testing/relay/test_upstream_selection.py
+++ b/testing/relay/test_upstream_selection.py
@@ -4,8 +4,8 @@
 from collections import Counter
 from random import Random
 
+from bramleylug.cluster.cold_start import ColdStart
 from bramleylug.cluster.upstreams import (
-    ColdStart,
     HeldWeights,
     UpstreamRegistry,
     UpstreamReport,
