Platform: decimals with more than nine digits are read

Change: 64 digits are read; Retry-After shares the pattern. The test of the dialect has such a number and failed before.

--- a/src/bramleylug/platform/dialect.py
+++ b/src/bramleylug/platform/dialect.py
@@ -61,7 +61,7 @@
 LEAVING_HEADER = 'server-leaving'
 LIMIT_HEADER = 'server-limit'
 UNSIGNED_INTEGER = re.compile('[0-9]{1,12}')
-DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
+DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,64})?')
 KEEP_ALIVE_TIMEOUT = re.compile(r'timeout\s*=\s*([0-9]{1,9})')
 
 
--- a/testing/platform/test_dialect.py
+++ b/testing/platform/test_dialect.py
@@ -158,7 +158,12 @@
         )
 
     def test_limit_is_a_decimal_number_of_requests_a_second(self) -> None:
-        for text, per_s in (('1.9', 1.9), (' 3 ', 3.0), ('0', 0.0)):
+        for text, per_s in (
+            ('1.9', 1.9),
+            (' 3 ', 3.0),
+            ('0', 0.0),
+            ('0.1000000000000000055511', 0.1),
+        ):
             answer = self.read(200, server_limit=text)
             self.assertEqual(
                 (answer.names_limit, answer.limit_per_s), (True, per_s)
