Soak: engines and records services that name a rate limit

The stand-in engine names, changes and takes back a limit; the soak checks the platform's rule from the engines' logs, for relays that had been told and were not disturbed since.

--- a/src/bramleylug/fakes/engine_trouble.py
+++ b/src/bramleylug/fakes/engine_trouble.py
@@ -42,6 +42,7 @@
     """How an engine misbehaves.
 
     :ivar leaving: whether its answers say that it leaves.
+    :ivar limit_per_s: limit that its answers name; ``None`` for none.
     :ivar busy_until_s: until when it turns requests away, Unix time.
     :ivar endless: number of the next answers that never end.
     :ivar silent_until_s: until when it writes nothing, Unix time.
@@ -57,6 +58,7 @@
     """
 
     leaving: bool = False
+    limit_per_s: float | None = None
     busy_until_s: float = 0
     endless: int = 0
     silent_until_s: float = 0
@@ -72,6 +74,7 @@
         """Apply what a test asks for."""
         now_s = time.time()
         self.leaving = bool(document.get('leaving', self.leaving))
+        self.limit_per_s = document.get('limit_per_s', self.limit_per_s)
         self.busy_until_s = now_s + float(document.get('busy_s', 0))
         self.endless = int(document.get('endless', 0))
         self.cut_streams = int(document.get('cut_streams', self.cut_streams))
--- a/src/bramleylug/fakes/model_engine.py
+++ b/src/bramleylug/fakes/model_engine.py
@@ -27,6 +27,7 @@
 
 NOT_EXECUTED_HEADER = {'X-Not-Executed': '1'}
 LEAVING_HEADER = {'Server-Leaving': '1'}
+LIMIT_HEADER = 'Server-Limit'
 
 
 @final
@@ -68,6 +69,7 @@
 
     :ivar at_s: its start, Unix time.
     :ivar leaving: whether the engine said that it leaves.
+    :ivar limit_per_s: limit that it named; ``None`` for none.
     """
 
     request_id: str
@@ -75,6 +77,7 @@
     version: int
     workspace: str
     leaving: bool
+    limit_per_s: float | None
 
 
 @final
@@ -186,6 +189,7 @@
                 self.version,
                 exchange.header('X-Tenant'),
                 self.trouble.leaving,
+                self.trouble.limit_per_s,
             )
         )
         self.active += 1
@@ -375,9 +379,12 @@
     def _signature_header(self, body: bytes) -> dict[str, str]:
         digest = hashlib.sha256(body).hexdigest()
         leaving = LEAVING_HEADER if self.trouble.leaving else {}
+        limit_per_s = self.trouble.limit_per_s
+        limit = {} if limit_per_s is None else {LIMIT_HEADER: f'{limit_per_s}'}
         return {
             'X-Response-Signature': f'{self.settings.engine_id}.{digest}',
             **leaving,
+            **limit,
         }
 
 
--- a/src/bramleylug/soak/checks.py
+++ b/src/bramleylug/soak/checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from operator import attrgetter
 
+from bramleylug.soak.limit_checks import find_limit_violations
 from bramleylug.soak.observations import (
     Observations,
     Outcome,
@@ -37,6 +38,7 @@
         *_requests_during_pauses(observations),
         *_not_recovered(observations),
         *find_trouble_violations(observations),
+        *find_limit_violations(observations),
     ]
 
 
--- a/src/bramleylug/soak/engine_faults.py
+++ b/src/bramleylug/soak/engine_faults.py
@@ -12,6 +12,10 @@
 # Time for which an engine that leaves goes on serving, after which it ends.
 LEAVING_S = 3.0
 ENDLESS_ANSWERS = 3
+# Limits that an engine names, and how long it names each at least.
+MAX_LIMIT_PER_S = 8.0
+MIN_LIMIT_PER_S = 0.5
+IN_NEED_S = 4.0
 CUT_STREAMS = 3
 MIN_SILENCE_S = 1.0
 MAX_SILENCE_S = 2.0
@@ -65,6 +69,14 @@
     async def cut_event(self, fault: Fault) -> None:
         await self._trouble_some(fault, {'cut_streams': CUT_STREAMS})
 
+    async def in_need(self, fault: Fault) -> None:
+        """Name a limit, another one later, and take it back."""
+        name = self.select(fault)
+        for limit_per_s in (MAX_LIMIT_PER_S * fault.pick, MIN_LIMIT_PER_S):
+            await self._trouble(name, {'limit_per_s': limit_per_s})
+            await asyncio.sleep(IN_NEED_S + fault.for_s)
+        await self._trouble(name, {'limit_per_s': None})
+
     def select(self, fault: Fault) -> str:
         names = list(self.deployment.engines)
         return names[int(fault.pick * len(names))]
--- a/src/bramleylug/soak/fault_injector.py
+++ b/src/bramleylug/soak/fault_injector.py
@@ -87,6 +87,7 @@
             Kind.unframed: self.engine_faults.unframed,
             Kind.cut_event: self.engine_faults.cut_event,
             Kind.idle_limit: self._idle_limit,
+            Kind.engine_in_need: self.engine_faults.in_need,
         }
 
     async def inject(self, fault: Fault) -> None:
--- a/src/bramleylug/soak/fault_schedule.py
+++ b/src/bramleylug/soak/fault_schedule.py
@@ -42,6 +42,7 @@
     unframed = 'engines answer without length or chunks'
     cut_event = 'streams end inside an event'
     idle_limit = 'configuration lowers the idle limit for a while'
+    engine_in_need = 'engine names a rate limit for a while'
 
 
 # Relative frequency of the kinds; 1 for those that are absent.
--- a/src/bramleylug/soak/observations.py
+++ b/src/bramleylug/soak/observations.py
@@ -48,6 +48,7 @@
     :ivar at_s: Unix time of its start.
     :ivar version: version of the weights at its start; 0 for none.
     :ivar leaving: whether the engine said in its answer that it leaves.
+    :ivar limit_per_s: limit that it named in its answer; ``None`` for none.
     """
 
     request_id: str
@@ -56,6 +57,7 @@
     engine: str
     zone: str
     leaving: bool
+    limit_per_s: float | None = None
 
 
 class Rejection(NamedTuple):
--- a/src/bramleylug/soak/soak.py
+++ b/src/bramleylug/soak/soak.py
@@ -178,9 +178,14 @@
 
     def _record_runs(self, name: str, reply: dict[str, list[Any]]) -> None:
         zone = self.deployment.zones[name]
-        for request_id, at_s, version, _, leaving in reply['runs']:
+        for request_id, at_s, version, _, *named in reply['runs']:
             run = Run(
-                request_id, float(at_s), int(version), name, zone, leaving
+                request_id,
+                float(at_s),
+                int(version),
+                name,
+                zone,
+                *named,
             )
             self.runs[f'{name} {request_id} {at_s}'] = run
         for request_id, at_s, retry_after_s in reply['rejections']:
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -54,6 +54,35 @@
     )
 
 
+class TestLimits(unittest.TestCase):
+    """An engine in need gets no more than it names."""
+
+    def violations(self, interval_s, count=60, **fields):
+        """Return the violations of a series of runs from one relay."""
+        runs = [
+            build_run(
+                f'r{place}', at_s=100 + place * interval_s, limit_per_s=1.0
+            )
+            for place in range(count)
+        ]
+        requests = [build_request_record(run.request_id) for run in runs]
+        return find_violations(
+            build_observations(*requests, runs=runs, **fields)
+        )
+
+    def test_engine_that_gets_more_than_it_names_is_found(self) -> None:
+        """Twenty requests in four seconds, allowed eleven."""
+        self.assertIn('named a limit of 1', self.violations(0.2)[0])
+
+    def test_engine_that_gets_what_the_rule_allows_is_not(self) -> None:
+        self.assertEqual(self.violations(0.4), [])
+
+    def test_requests_of_a_disturbed_relay_do_not_count(self) -> None:
+        disturbed = [Interval('relay-0', 99.0, 105.0)]
+
+        self.assertEqual(self.violations(0.2, disturbances=disturbed), [])
+
+
 class TestViolations(unittest.TestCase):
     """Each invariant is checked."""
 
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -51,6 +51,12 @@
 
         self.assertEqual(summary['violations'], [])
 
+    def test_engine_in_need_gets_no_more_than_it_names(self) -> None:
+        """Three engines and a records service name limits at once."""
+        summary = run_soak(933, 4.0, (Kind.engine_in_need,))
+
+        self.assertEqual(summary['violations'], [])
+
     def test_silence_ends_no_stream(self) -> None:
         """With one zone taken out, a single engine served the streams."""
         summary = run_soak(921, 10.0, (Kind.silence, Kind.zone_out))
