--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -175,16 +175,18 @@
         ]
 
     def relay_count(self) -> int:
-        """Return the number of relays that may send to upstreams.
-
-        Includes this one, and those that were removed from the store a
-        moment ago and may still send.
-        """
+        """Return the number of relays that may send to upstreams."""
         near, far = self.relay_names(self.own().region)
         return len(near | far)
 
     def relay_names(self, region: str) -> tuple[set[str], set[str]]:
-        """Return the names of such relays: those of a region, and others."""
+        """Return the names of relays that may send to upstreams.
+
+        These are this one and those that are registered, or were removed
+        from the store a moment ago and may still send.
+
+        :returns: those of a region, and all others.
+        """
         own = self.own()
         near: set[str] = set()
         far: set[str] = set()
