--- a/src/bramleylug/agent/upstream.py
+++ b/src/bramleylug/agent/upstream.py
@@ -20,6 +20,8 @@
 READ_BYTES = 4096
 CONNECT_TIMEOUT_S = 2.0
 STATE_TIMEOUT_S = 2.0
+# A deeply nested answer ends the JSON parser with a RecursionError.
+CALL_ERRORS = (OSError, HTTPException, ValueError, RecursionError)
 ORDER_TIMEOUT_S = 120.0
 # A time-out of 0 would make the socket non-blocking.
 MIN_TIMEOUT_S = 0.001
@@ -202,7 +204,7 @@
             connection.request(method, path, body)
             response = connection.getresponse()
             answer = json.loads(response.read())
-        except (OSError, HTTPException, ValueError):
+        except CALL_ERRORS:
             return None
         finally:
             connection.close()
--- a/src/bramleylug/cluster/heartbeats.py
+++ b/src/bramleylug/cluster/heartbeats.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable, Container, Iterable
+from contextlib import suppress
+from math import isfinite
 from typing import Any, final
 
 from google.protobuf.message import DecodeError
@@ -14,11 +16,16 @@
 from bramleylug.cluster.upstreams import UpstreamRegistry
 from bramleylug.node.udp import parse_address
 from bramleylug.observability.events import LogEvent, emit
+from bramleylug.observability.metrics import BAD_INPUT, count
 from bramleylug.wire.beats_pb2 import Beat
 
 MILLISECONDS = 1000
 # Bytes of a datagram that are parsed.
 MAX_HEARTBEAT_BYTES = 8192
+# Largest incarnation that is believed: a process must be able to continue
+# with the next one, which messages hold in 64 bits.
+BOOT_BITS = 63
+MAX_BOOT = (1 << BOOT_BITS) - 1
 # Changes of load reach peers within a small part of the duration of a request.
 # A heartbeat has about 200 bytes; the rates keep all heartbeats of a host
 # below the 17 kB/s that control traffic may use at the target cluster size.
@@ -58,8 +65,9 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         try:
-            heartbeat = Beat.FromString(data[:MAX_HEARTBEAT_BYTES])
-        except DecodeError as error:
+            heartbeat = decode_heartbeat(data)
+        except (DecodeError, ValueError) as error:
+            count(BAD_INPUT, kind='heartbeat')
             emit(LogEvent.heartbeat_unreadable, sender=addr, error=repr(error))
             return
         self.on_heartbeat(heartbeat)
@@ -68,9 +76,15 @@
         """Ignore errors: the next heartbeat replaces a lost one."""
 
     def send(self, heartbeat: Beat, addresses: Iterable[str]) -> None:
+        """Send a heartbeat; addresses that no datagram can reach are skipped.
+
+        The transport would close itself on such an address.
+        """
         raw = heartbeat.SerializeToString()
         for address in addresses:
-            self.transport.sendto(raw, parse_address(address))
+            target = parse_address(address)
+            if target is not None and _is_host(target[0]):
+                self.transport.sendto(raw, target)
 
     def close(self) -> None:
         """Stop receiving."""
@@ -78,6 +92,29 @@
             self.transport.close()
 
 
+def _is_host(name: str) -> bool:
+    """Return whether a name can be looked up, or is an address itself."""
+    with suppress(UnicodeError):
+        return bool(name.encode('idna'))
+    return False
+
+
+def decode_heartbeat(data: bytes) -> Beat:
+    """Return the heartbeat in a datagram.
+
+    :raises DecodeError: when it is none.
+    :raises ValueError: when it has numbers that no process of this cluster
+        sends.
+    """
+    heartbeat = Beat.FromString(data[:MAX_HEARTBEAT_BYTES])
+    if max(heartbeat.boot, heartbeat.known_boot) >= MAX_BOOT:
+        raise ValueError(f'no incarnation is {MAX_BOOT} or later')
+    named = (*heartbeat.limits, *(one.limit for one in heartbeat.permits))
+    if not all(isfinite(limit.per_s) and limit.per_s >= 0 for limit in named):
+        raise ValueError('a limit is not a rate')
+    return heartbeat
+
+
 def relay_heartbeat(
     name: str,
     boot: int,
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -116,7 +116,8 @@
     value_unreadable = EventSpec(
         'BL1009',
         'WARNING',
-        'the value of {key} cannot be decoded and is ignored: {error}',
+        'the value of {key} cannot be decoded and is ignored: {error} '
+        '({repeated} times more since the last line about it)',
         'Find out what wrote the value.',
     )
     table_in_force = EventSpec(
--- a/src/bramleylug/platform/decoding.py
+++ b/src/bramleylug/platform/decoding.py
@@ -1,8 +1,6 @@
 """Decodes values that the operator and the engines write to the store."""
 
-import json
 from collections.abc import Mapping
-from math import isfinite
 from typing import Any
 
 from bramleylug.cluster.route_table import (
@@ -16,55 +14,63 @@
     Workspace,
 )
 from bramleylug.cluster.upstreams import HeldWeights, UpstreamRecord
-from bramleylug.observability.events import LogEvent, emit
+from bramleylug.platform.fields import (
+    MAX_COUNT,
+    MAX_NUMBER,
+    UnreadableValue,
+    address,
+    decode_json,
+    header_text,
+    integer,
+    mapping,
+    number,
+    optional_address,
+    rows,
+    seconds,
+    text,
+    texts,
+)
 
-MILLISECONDS = 1000
+MAX_SLOTS = 65_536
 CONFIG_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
 VERSION_PREFIX = 'op/version/'
 ENGINE_PREFIX = 'servers/'
 STATES = frozenset(('ready', 'draining'))
-DECODING_ERRORS = (ValueError, TypeError, KeyError, AttributeError)
 
 
-def decode_configuration(value: bytes) -> RouteTable | None:
+def decode_configuration(value: bytes) -> RouteTable:
     """Return the configuration.
 
-    :returns: ``None``, after a log line, if the value is malformed.
+    :raises UnreadableValue: if the value is malformed.
     """
-    try:
-        return _route_table(json.loads(value))
-    except DECODING_ERRORS as error:
-        emit(LogEvent.value_unreadable, key=CONFIG_KEY, error=repr(error))
-        return None
+    return decode_json(value, _route_table)
 
 
-def decode_engine(
-    key: str, value: bytes, now_s: float
-) -> UpstreamRecord | None:
+def decode_engine(key: str, value: bytes, now_s: float) -> UpstreamRecord:
     """Return an engine's record.
 
     :param now_s: current time, to which the remaining cold time is added.
-    :returns: ``None``, after a log line, if the value is malformed.
+    :raises UnreadableValue: if key or value are malformed.
     """
-    try:
-        return _upstream_record(key.removeprefix(ENGINE_PREFIX), value, now_s)
-    except DECODING_ERRORS as error:
-        emit(LogEvent.value_unreadable, key=key, error=repr(error))
-        return None
+    engine_id = header_text(key.removeprefix(ENGINE_PREFIX), 'id')
+    return decode_json(
+        value, lambda document: _upstream_record(engine_id, document, now_s)
+    )
 
 
-def decode_version(key: str, value: bytes) -> tuple[str, int] | None:
+def decode_version(value: bytes) -> tuple[str, int]:
     """Return a model and its target version.
 
-    :returns: ``None``, after a log line, if the value is malformed.
+    :raises UnreadableValue: if the value is malformed.
     """
-    try:
-        document = json.loads(value)
-        return str(document['model']), _integer(document['version'])
-    except DECODING_ERRORS as error:
-        emit(LogEvent.value_unreadable, key=key, error=repr(error))
-        return None
+    return decode_json(
+        value,
+        lambda document: (
+            text(document['model'], 'model'),
+            integer(document['version'], 'version', MAX_NUMBER),
+        ),
+    )
 
 
 def decode_weights(document: Mapping[str, Any]) -> dict[str, HeldWeights]:
@@ -72,45 +78,56 @@
 
     ``layers`` is stated once for the engine, not for each model: an engine
     serves a single model.
+
+    :raises UnreadableValue: if they are malformed.
     """
-    layers = document.get('layers') or {}
-    first = layers.get('from', 0)
-    last = layers.get('to', 0)
+    layers = mapping(document.get('layers'), 'layers')
+    first = integer(layers.get('from', 0), 'from', MAX_COUNT)
+    last = integer(layers.get('to', 0), 'to', MAX_COUNT)
     return {
-        str(model['name']): HeldWeights(
-            _integer(layers.get('version', model['version'])),
+        _name(model): HeldWeights(
+            integer(
+                layers.get('version', model['version']), 'version', MAX_NUMBER
+            ),
             whole=not first and last > 0,
         )
-        for model in document.get('models') or ()
+        for model in rows(document.get('models'), 'models')
     }
 
 
 def _route_table(document: Any) -> RouteTable:
-    workspaces = {
-        str(key): Workspace(
-            str(tenant['name']),
-            tenant.get('priority'),
-            frozenset(tenant.get('allowed_regions') or ()),
-        )
-        for tenant in document.get('tenants') or ()
-        for key in tenant['api_keys']
-    }
+    tenants = rows(document.get('tenants'), 'tenants')
     limits = document['limits']
     return RouteTable(
-        version=_integer(document['version']),
+        version=integer(document['version'], 'version', MAX_NUMBER),
         routes=tuple(_route(route) for route in document['routes']),
         services={
-            str(service['name']): _service(service)
+            _name(service): _service(service)
             for service in document['services']
         },
-        workspaces=workspaces,
+        workspaces={
+            key: _workspace(tenant)
+            for tenant in tenants
+            for key in texts(tenant['api_keys'], 'api_keys')
+        },
         limits=CallerLimits(
-            int(limits['max_header_bytes']),
-            int(limits['max_body_bytes']),
-            limits['header_timeout_ms'] / MILLISECONDS,
-            limits['idle_timeout_ms'] / MILLISECONDS,
+            integer(limits['max_header_bytes'], 'max_header_bytes', MAX_COUNT),
+            integer(limits['max_body_bytes'], 'max_body_bytes', MAX_NUMBER),
+            seconds(limits['header_timeout_ms'], 'header_timeout_ms'),
+            seconds(limits['idle_timeout_ms'], 'idle_timeout_ms'),
         ),
-        needs_keys=bool(document.get('tenants')),
+        needs_keys=bool(tenants),
+    )
+
+
+def _workspace(tenant: Any) -> Workspace:
+    priority = tenant.get('priority')
+    if priority is not None:
+        priority = integer(priority, 'priority', MAX_COUNT)
+    return Workspace(
+        header_text(tenant['name'], 'name'),
+        priority,
+        texts(tenant.get('allowed_regions'), 'allowed_regions'),
     )
 
 
@@ -122,87 +139,76 @@
     elif streamed and route.get('resumable'):
         retry_policy = RetryPolicy.resume
     shares = tuple(
-        ServiceShare(str(part['service']), _weight(part['weight']))
-        for part in route.get('traffic_split') or ()
+        ServiceShare(
+            text(part['service'], 'service'), number(part['weight'], 'weight')
+        )
+        for part in rows(route.get('traffic_split'), 'traffic_split')
     )
     return Route(
-        name=str(route['name']),
-        host=str(route['host']).lower(),
-        path_prefix=str(route['path_prefix']),
-        shares=shares or (ServiceShare(str(route['service']), 1.0),),
+        name=_name(route),
+        host=text(route['host'], 'host').lower(),
+        path_prefix=text(route['path_prefix'], 'path_prefix'),
+        shares=shares
+        or (ServiceShare(text(route['service'], 'service'), 1.0),),
         retry_policy=retry_policy,
         streamed=streamed,
-        timeout_s=route['timeout_ms'] / MILLISECONDS,
-        objective_s=route['target_latency_ms'] / MILLISECONDS,
-        urgency=int(route.get('priority') or 0),
-        max_attempts=int(route.get('max_attempts') or 1),
+        timeout_s=seconds(route['timeout_ms'], 'timeout_ms'),
+        objective_s=seconds(route['target_latency_ms'], 'target_latency_ms'),
+        urgency=integer(route.get('priority') or 0, 'priority', MAX_COUNT),
+        max_attempts=integer(
+            route.get('max_attempts') or 1, 'max_attempts', MAX_COUNT
+        ),
         public=bool(route.get('public')),
-        regions=frozenset(route.get('allowed_regions') or ()),
+        regions=texts(route.get('allowed_regions'), 'allowed_regions'),
     )
 
 
 def _service(service: Any) -> Service:
-    engine = service.get('engine') or {}
+    engine = mapping(service.get('engine'), 'engine')
     layout = None
     if engine.get('chunks') and engine.get('models'):
-        # An engine serves a single model, the first one in its list.
-        model = engine['models'][0]
-        layout = WeightsLayout(
-            model=str(model['name']),
-            chunks=int(engine['chunks']),
-            chunk_bytes=int(engine['chunk_bytes']),
-            layers=int(engine['layers']),
-            load_s=float(model.get('warm_s') or 0),
-        )
+        layout = _weights_layout(engine)
     return Service(
-        name=str(service['name']),
-        max_connections=int(service.get('max_connections') or 0),
-        cold_per_s=float(service.get('cold_per_s') or 0),
+        name=_name(service),
+        max_connections=integer(
+            service.get('max_connections') or 0, 'max_connections', MAX_COUNT
+        ),
+        cold_per_s=number(service.get('cold_per_s') or 0, 'cold_per_s'),
         weights=layout,
-        origin=str(service.get('origin') or ''),
+        origin=optional_address(service.get('origin'), 'origin'),
+    )
+
+
+def _weights_layout(engine: Mapping[str, Any]) -> WeightsLayout:
+    # An engine serves a single model, the first one in its list.
+    model = engine['models'][0]
+    return WeightsLayout(
+        model=_name(model),
+        chunks=integer(engine['chunks'], 'chunks', MAX_COUNT),
+        chunk_bytes=integer(engine['chunk_bytes'], 'chunk_bytes', MAX_COUNT),
+        layers=integer(engine['layers'], 'layers', MAX_COUNT),
+        load_s=number(model.get('warm_s') or 0, 'warm_s'),
     )
 
 
 def _upstream_record(
-    engine_id: str, value: bytes, now_s: float
+    engine_id: str, document: Any, now_s: float
 ) -> UpstreamRecord:
-    document = json.loads(value)
     if document['state'] not in STATES:
-        raise ValueError(f'unknown state {document["state"]!r}')
-    host, _, port = _text(document['address']).rpartition(':')
-    if not host or not port.isdecimal():
-        raise ValueError(f'not host:port: {document["address"]!r}')
-    cold_ms = _integer(document.get('cold_remaining_ms', 0))
-    cold_until_s = float('-inf')
-    if cold_ms:
-        cold_until_s = now_s + cold_ms / MILLISECONDS
+        raise UnreadableValue('state is not a known one')
+    cold_s = seconds(document.get('cold_remaining_ms', 0), 'cold_remaining_ms')
     return UpstreamRecord(
         upstream_id=engine_id,
-        started_ms=_integer(document.get('born', 0)),
-        service=_text(document['service']),
-        address=f'{host}:{port}',
-        zone=_text(document['zone']),
-        slots=_integer(document['slots']),
+        started_ms=integer(document.get('born', 0), 'born', MAX_NUMBER),
+        service=text(document['service'], 'service'),
+        address=address(document['address'], 'address'),
+        zone=text(document['zone'], 'zone'),
+        slots=integer(document['slots'], 'slots', MAX_SLOTS),
         draining=document['state'] == 'draining',
-        cold_until_s=cold_until_s,
+        cold_until_s=now_s + cold_s if cold_s else float('-inf'),
         weights=decode_weights(document),
     )
 
 
-def _weight(value: Any) -> float:
-    weight = float(value)
-    if weight < 0 or not isfinite(weight):
-        raise ValueError(f'{value!r} is not a weight')
-    return weight
-
-
-def _integer(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f'{value!r} is not an integer')
-    return value
-
-
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f'{value!r} is not a string')
-    return value
+def _name(named: Any) -> str:
+    return text(named['name'], 'name')
--- a/src/bramleylug/platform/engines.py
+++ b/src/bramleylug/platform/engines.py
@@ -3,13 +3,23 @@
 import json
 from http import HTTPStatus
 from typing import Any, final
+from urllib.parse import quote
 
 from bramleylug.cluster.upstreams import HeldWeights, UpstreamReport
 from bramleylug.loader.chunk_store import build_manifest
 from bramleylug.loader.engine import DecodedReport, EngineUnavailable
 from bramleylug.loader.policy import EngineState
 from bramleylug.loader.sources import FetchFailed
-from bramleylug.platform.decoding import DECODING_ERRORS, decode_weights
+from bramleylug.platform.decoding import decode_weights
+from bramleylug.platform.fields import (
+    MAX_COUNT,
+    MAX_NUMBER,
+    UnreadableValue,
+    decode_json,
+    integer,
+    rows,
+    text,
+)
 from bramleylug.web.http_client import CALL_ERRORS, HttpClient, HttpClients
 from bramleylug.weights.manifest import Manifest
 from bramleylug.weights.peers import FailureReason
@@ -33,21 +43,22 @@
     async def report(self, model: str, now_s: float) -> DecodedReport:
         raw = await self._get('/-/report')
         try:
-            document = json.loads(raw)
-            return decode_report(document, model, now_s)
-        except DECODING_ERRORS as error:
-            raise EngineUnavailable(repr(error)) from error
+            return decode_json(
+                raw, lambda document: decode_report(document, model, now_s)
+            )
+        except UnreadableValue as error:
+            raise EngineUnavailable(str(error)) from error
 
     async def stage(self, model: str, index: int, chunk: bytes) -> None:
         """Write a chunk to the engine's staging area."""
-        target = f'/-/stage-put/{model}?number={index}'
+        target = f'/-/stage-put/{quote(model)}?number={index}'
         status, _ = await self._call('PUT', target, chunk)
         if status >= HTTPStatus.BAD_REQUEST:
             raise EngineUnavailable(f'{target}: HTTP {status}')
 
     async def read_staged(self, model: str, index: int) -> bytes | None:
         """Return a staged chunk, not verified; ``None`` if absent."""
-        target = f'/-/stage-get/{model}?number={index}'
+        target = f'/-/stage-get/{quote(model)}?number={index}'
         status, raw = await self._call('GET', target)
         return raw if status == HTTPStatus.OK else None
 
@@ -96,29 +107,22 @@
         self, address: str, model: str, version: int
     ) -> Manifest:
         """Return the manifest of a version; version 0 means the newest."""
-        target = f'/-/manifest/{model}'
+        target = f'/-/manifest/{quote(model)}'
         if version:
             target = f'{target}?version={version}'
         raw = await self._get(address, target, CALL_TIMEOUT_S)
         try:
-            document = json.loads(raw)
-            actual = int(document['version'])
-            if version and actual != version:
-                raise ValueError(f'origin sent the manifest of {actual}')
-            return build_manifest(
-                model,
-                actual,
-                int(document['chunk_bytes']),
-                document['digests'],
+            return decode_json(
+                raw, lambda document: decode_manifest(document, model, version)
             )
-        except DECODING_ERRORS as error:
-            raise FetchFailed(FailureReason.corrupt, repr(error)) from error
+        except UnreadableValue as error:
+            raise FetchFailed(FailureReason.corrupt, str(error)) from error
 
     async def chunk(
         self, address: str, model: str, version: int, index: int
     ) -> bytes:
         """Return the bytes of one chunk, not verified."""
-        target = f'/-/piece/{model}?number={index}&version={version}'
+        target = f'/-/piece/{quote(model)}?number={index}&version={version}'
         return await self._get(address, target, CHUNK_TIMEOUT_S)
 
     async def _get(self, address: str, target: str, timeout_s: float) -> bytes:
@@ -138,22 +142,44 @@
         return answer.body
 
 
+def decode_manifest(document: Any, model: str, version: int) -> Manifest:
+    """Decode the manifest of a version; version 0 means any.
+
+    :raises ValueError: if it is malformed or that of another version.
+    """
+    actual = integer(document['version'], 'version', MAX_NUMBER)
+    if version and actual != version:
+        raise UnreadableValue(f'origin sent the manifest of {actual}')
+    return build_manifest(
+        model,
+        actual,
+        integer(document['chunk_bytes'], 'chunk_bytes', MAX_COUNT),
+        [
+            text(digest, 'digest')
+            for digest in rows(document['digests'], 'digests')
+        ],
+    )
+
+
 def decode_report(document: Any, model: str, now_s: float) -> DecodedReport:
-    """Decode an engine's report for the loader and for the relays."""
+    """Decode an engine's report for the loader and for the relays.
+
+    :raises UnreadableValue: if it is malformed.
+    """
     weights = decode_weights(document)
     held = weights.get(model, HeldWeights(0, whole=False))
-    started_ms = int(document.get('born', 0))
+    started_ms = integer(document.get('born', 0), 'born', MAX_NUMBER)
     state = EngineState(
         started_ms,
         held.version if held.whole else 0,
         held.whole,
         bool(document['busy']),
-        int(document['sequence']),
+        integer(document['sequence'], 'sequence', MAX_NUMBER),
     )
     report = UpstreamReport(
         started_ms,
-        int(document['active_requests']),
-        int(document['queue_depth']),
+        integer(document['active_requests'], 'active_requests', MAX_COUNT),
+        integer(document['queue_depth'], 'queue_depth', MAX_COUNT),
         weights,
         closing=False,
         received_s=now_s,
--- a/src/bramleylug/platform/keyvalue.py
+++ b/src/bramleylug/platform/keyvalue.py
@@ -1,11 +1,14 @@
 """HTTP client for the platform's metadata store."""
 
 import json
+import re
 from base64 import b64decode, b64encode
+from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any, final
+from typing import Any, TypeVar, final
 from urllib.parse import quote
 
+from bramleylug.platform.fields import UnreadableValue, decode_json
 from bramleylug.store.changes import (
     HistoryLost,
     Lease,
@@ -29,6 +32,9 @@
 ERA_HEADER = 'store-era'
 # How much later than the requested wait an answer may arrive.
 WAIT_MARGIN_S = 0.6
+ERA = re.compile('[0-9]{1,18}')
+
+AnswerT = TypeVar('AnswerT')
 
 
 @final
@@ -52,12 +58,14 @@
         if after:
             target = f'{target}&after={quote(after)}'
         answer = await self._send('GET', target, READ_TIMEOUT_S)
-        document = _decode_answer(answer)
-        return Page(
-            tuple(_item(entry) for entry in document['items']),
-            int(document['current_rev']),
-            bool(document['has_more']),
-            _era_of(answer),
+        return _decode_answer(
+            answer,
+            lambda document: Page(
+                tuple(_item(entry) for entry in document['items']),
+                int(document['current_rev']),
+                bool(document['has_more']),
+                _era_of(answer),
+            ),
         )
 
     async def wait_for_changes(
@@ -75,23 +83,28 @@
         answer = await self._send('GET', target, timeout_s)
         if answer.status == HTTPStatus.GONE:
             return HistoryLost()
-        document = _decode_answer(answer)
-        return StoreChanges(
-            tuple(_change(entry) for entry in document['events']),
-            int(document['current_rev']),
-            answer.first_byte_after_s,
-            _era_of(answer),
+        return _decode_answer(
+            answer,
+            lambda document: StoreChanges(
+                tuple(_change(entry) for entry in document['events']),
+                int(document['current_rev']),
+                answer.first_byte_after_s,
+                _era_of(answer),
+            ),
         )
 
     async def grant_lease(self, ttl_s: float) -> Lease:
-        document = await self._call(
+        answer = await self._send(
             'POST',
             '/-/kv-lease',
             WRITE_TIMEOUT_S,
             {'ttl_ms': int(ttl_s * MILLISECONDS)},
         )
-        return Lease(
-            int(document['lease']), int(document['ttl_ms']) / MILLISECONDS
+        return _decode_answer(
+            answer,
+            lambda document: Lease(
+                int(document['lease']), int(document['ttl_ms']) / MILLISECONDS
+            ),
         )
 
     async def keep_lease(self, lease_id: int) -> None:
@@ -119,10 +132,9 @@
         target: str,
         timeout_s: float,
         document: Any = None,
-    ) -> Any:
-        return _decode_answer(
-            await self._send(method, target, timeout_s, document)
-        )
+    ) -> None:
+        answer = await self._send(method, target, timeout_s, document)
+        _check_status(answer)
 
     async def _send(
         self,
@@ -150,28 +162,39 @@
 
 def _era_of(answer: CallAnswer) -> int:
     text = answer.headers.get(ERA_HEADER, '')
-    return int(text) if text.isdecimal() else 0
+    return int(text) if ERA.fullmatch(text) else 0
 
 
-def _decode_answer(answer: CallAnswer) -> Any:
-    """Return the JSON body of an answer; raise on an error status.
+def _check_status(answer: CallAnswer) -> None:
+    """Raise on an error status.
 
     :raises LeaseEnded: on 404, the store's answer for an expired lease.
-    :raises StoreUnavailable: on other error statuses and malformed bodies.
+    :raises StoreUnavailable: on other error statuses.
     """
     if answer.status == HTTPStatus.NOT_FOUND:
         raise LeaseEnded(f'store answered HTTP {answer.status}')
     if answer.status >= HTTPStatus.BAD_REQUEST:
         raise StoreUnavailable(f'store answered HTTP {answer.status}')
+
+
+def _decode_answer(
+    answer: CallAnswer, build: Callable[[Any], AnswerT]
+) -> AnswerT:
+    """Return what a function builds from the JSON body of an answer.
+
+    :raises StoreUnavailable: on a malformed body, and as
+        :func:`_check_status`.
+    """
+    _check_status(answer)
     try:
-        return json.loads(answer.body) if answer.body else {}
-    except ValueError as error:
-        raise StoreUnavailable(repr(error), uncertain=True) from error
+        return decode_json(answer.body or b'{}', build)
+    except UnreadableValue as error:
+        raise StoreUnavailable(str(error), uncertain=True) from error
 
 
 def _change(entry: Any) -> StoreChange:
     if 'tombstone' in entry:
-        return Removal(str(entry['key']), int(entry['revision']))
+        return Removal(_key(entry), int(entry['revision']))
     return _item(entry)
 
 
@@ -183,8 +206,13 @@
         # for its key rejects and logs.
         value = b''
     return StoreItem(
-        str(entry['key']),
+        _key(entry),
         value,
         int(entry['revision']),
         int(entry.get('lease', 0)),
     )
+
+
+def _key(entry: Any) -> str:
+    """Return the key of an entry, in a form that can be passed on."""
+    return str(entry['key']).encode(errors='replace').decode()
--- a/src/bramleylug/platform/store_changes.py
+++ b/src/bramleylug/platform/store_changes.py
@@ -4,17 +4,14 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import asdict
-from typing import final
-
-from google.protobuf.message import DecodeError
+from typing import Any, final
 
 from bramleylug.cluster.cluster_view import ClusterView
 from bramleylug.cluster.peers import PeerRecord, Role
 from bramleylug.cluster.suspect_messages import decode_bar
-from bramleylug.observability.events import LogEvent, emit
+from bramleylug.observability.rejections import RejectionLog
 from bramleylug.platform.decoding import (
     CONFIG_KEY,
-    DECODING_ERRORS,
     ENGINE_PREFIX,
     EVACUATION_PREFIX,
     VERSION_PREFIX,
@@ -22,6 +19,16 @@
     decode_engine,
     decode_version,
 )
+from bramleylug.platform.fields import (
+    MAX_NUMBER,
+    UnreadableValue,
+    address,
+    decode_json,
+    describe,
+    optional_address,
+    text,
+    integer,
+)
 from bramleylug.store.changes import Removal, StoreChange, StoreItem
 
 # Keys that bramleylug itself writes; the others belong to the platform.
@@ -37,13 +44,18 @@
 class StoreChangeHandler:
     """Applies batches of store changes, the configuration first in each.
 
+    Each change is applied by itself: one that cannot be applied is counted
+    and left out, whatever error it raises, and the others hold. A record of
+    an engine that is left out also ends the one before it.
+
     :ivar handlers: method that applies a written item, by key prefix.
+    :ivar rejections: limits the log lines about what is left out.
     """
 
     def __init__(self, view: ClusterView) -> None:
         self.view = view
+        self.rejections = RejectionLog(view.clock)
         self.handlers: dict[str, Callable[[StoreItem], None]] = {
-            CONFIG_KEY: self._apply_configuration,
             ENGINE_PREFIX: self._apply_engine,
             EVACUATION_PREFIX: self._apply_evacuation,
             VERSION_PREFIX: self._apply_target_version,
@@ -53,54 +65,49 @@
 
     def apply(self, changes: Sequence[StoreChange]) -> None:
         for change in sorted(changes, key=_apply_order):
-            match change:
-                case StoreItem():
-                    self._apply_item(change)
-                case Removal(key=key):
-                    self._apply_removal(key)
+            try:
+                self._apply_change(change)
+            except Exception as error:
+                self._leave_out(change.key, error)
         self.view.is_initial_load = False
         self.view.on_change()
 
+    def _apply_change(self, change: StoreChange) -> None:
+        match change:
+            case StoreItem(key=key) if key == CONFIG_KEY:
+                self.view.apply_route_table(decode_configuration(change.value))
+            case StoreItem():
+                self._apply_item(change)
+            case Removal(key=key):
+                self._apply_removal(key)
+
+    def _leave_out(self, key: str, error: Exception) -> None:
+        self.rejections.record(key, describe(error))
+        if key.startswith(ENGINE_PREFIX):
+            self.view.remove_upstream(key.removeprefix(ENGINE_PREFIX))
+
     def _apply_item(self, item: StoreItem) -> None:
         for prefix, handler in self.handlers.items():
             if item.key.startswith(prefix):
                 handler(item)
 
-    def _apply_configuration(self, item: StoreItem) -> None:
-        table = decode_configuration(item.value)
-        if table is not None:
-            self.view.apply_route_table(table)
-
     def _apply_evacuation(self, item: StoreItem) -> None:
         zone = item.key.removeprefix(EVACUATION_PREFIX)
         self.view.set_zone_out(zone, out=True)
 
     def _apply_target_version(self, item: StoreItem) -> None:
-        model_version = decode_version(item.key, item.value)
-        if model_version is not None:
-            self.view.record_target_version(*model_version)
+        self.view.record_target_version(*decode_version(item.value))
 
     def _apply_engine(self, item: StoreItem) -> None:
         record = decode_engine(item.key, item.value, self.view.clock())
-        if record is None:
-            self.view.remove_upstream(item.key.removeprefix(ENGINE_PREFIX))
-        else:
-            self.view.register_upstream(record)
+        self.view.register_upstream(record)
 
     def _apply_peer(self, item: StoreItem) -> None:
-        try:
-            record = decode_peer(item.value)
-        except DECODING_ERRORS as error:
-            emit(LogEvent.value_unreadable, key=item.key, error=repr(error))
-            return
-        self.view.peers.add(record, self.view.clock())
+        name = item.key.removeprefix(PEER_PREFIX)
+        self.view.peers.add(decode_peer(name, item.value), self.view.clock())
 
     def _apply_bar(self, item: StoreItem) -> None:
-        try:
-            report = decode_bar(item.value, time.time())
-        except DecodeError as error:
-            emit(LogEvent.value_unreadable, key=item.key, error=repr(error))
-            return
+        report = decode_bar(item.value, time.time())
         self.view.suspects.merge(report)
         self.view.suspects.mark_stored(report.fingerprint, report.strikes)
 
@@ -118,12 +125,32 @@
     return json.dumps(asdict(record)).encode()
 
 
-def decode_peer(value: bytes) -> PeerRecord:
-    document = json.loads(value)
-    known = PeerRecord.__dataclass_fields__
-    # A later version of this project may register itself with more fields.
-    fields = {name: document[name] for name in document if name in known}
-    return PeerRecord(**{**fields, 'role': Role(document['role'])})
+def decode_peer(name: str, value: bytes) -> PeerRecord:
+    """Return the record of a process.
+
+    Fields that a later version of this project adds are ignored.
+
+    :param name: name of the process in the key of the record.
+    :raises UnreadableValue: if the value is malformed.
+    """
+    return decode_json(value, lambda document: _peer_record(name, document))
+
+
+def _peer_record(name: str, document: Any) -> PeerRecord:
+    if document['name'] != name:
+        raise UnreadableValue('name is not that of the key')
+    return PeerRecord(
+        name=text(name, 'name'),
+        role=Role(document['role']),
+        boot=integer(document['boot'], 'boot', MAX_NUMBER),
+        zone=text(document['zone'], 'zone'),
+        region=text(document['region'], 'region'),
+        serving=address(document['serving'], 'serving'),
+        beats=address(document['beats'], 'beats'),
+        chunks=optional_address(document.get('chunks'), 'chunks'),
+        feed=optional_address(document.get('feed'), 'feed'),
+        draining=document.get('draining') is True,
+    )
 
 
 def peer_key(name: str) -> str:
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -33,11 +33,14 @@
 class StoreWatcher:
     """Lists the items under a prefix and watches them for changes.
 
-    :param on_changes: called with each batch of changes.
+    :param on_changes: called with each batch of changes. If it raises, it is
+        called with them again, together with the next ones.
     :param clock: seconds that also count while the host is suspended.
     :param wait_s: time that the store may hold a call until something
         changes. Only an answer confirms the mirror, and each wait costs one
         call.
+    :ivar unreported: changes that the mirror holds and ``on_changes`` has not
+        taken yet.
     """
 
     def __init__(
@@ -59,9 +62,11 @@
         self.feed = ChangeFeed(self.mirror, clock)
         self.must_reload = True
         self.failures = 0
+        self.unreported: list[StoreChange] = []
 
     async def run(self) -> None:
         """Watch until cancelled, with back-off while the store is down."""
+        self._notify(())
         while True:
             try:
                 await self._step()
@@ -146,8 +151,10 @@
         self.failures = 0
 
     def _notify(self, changes: Sequence[StoreChange]) -> None:
-        if changes:
-            self.on_changes(changes)
+        self.unreported.extend(changes)
+        if self.unreported:
+            self.on_changes(tuple(self.unreported))
+            self.unreported.clear()
 
     async def _back_off(self, error: StoreUnavailable) -> None:
         if not self.failures:
--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -96,13 +96,17 @@
     ) -> 'ClientConnection':
         """Connect to ``host:port``.
 
-        :raises OSError: when the connection is not made in time.
+        :raises OSError: when the connection is not made in time, or nothing
+            can be reached at such an address.
         """
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
-        _, protocol = await asyncio.wait_for(
-            loop.create_connection(cls, host, int(port)), timeout_s
-        )
+        try:
+            _, protocol = await asyncio.wait_for(
+                loop.create_connection(cls, host, int(port)), timeout_s
+            )
+        except (ValueError, OverflowError) as error:
+            raise OSError(f'{address} is no address: {error}') from error
         return protocol
 
     @property
--- a/src/bramleylug/weights/manifest.py
+++ b/src/bramleylug/weights/manifest.py
@@ -78,7 +78,8 @@
             fields['chunk_hashes'] = tuple(fields['chunk_hashes'])
             manifest = cls(**fields)
             manifest.validate()
-        except (ValueError, TypeError, KeyError) as error:
+        except Exception as error:
+            # Deep nesting, for one, ends the parser with a RecursionError.
             raise ManifestError(f'invalid manifest: {error}') from error
         return manifest
 
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -10,6 +10,7 @@
     decode_version,
 )
 from bramleylug.platform.engines import decode_report
+from bramleylug.platform.fields import UnreadableValue
 from testing.platform.builders import (
     CONFIG,
     REPORT,
@@ -98,7 +99,7 @@
 
         self.assertEqual(table.routes[0].shares, (('bookings', 0.0),))
 
-    def test_configuration_with_a_weight_that_is_no_share_is_none(
+    def test_configuration_with_a_weight_that_is_no_share_is_refused(
         self,
     ) -> None:
         """A choice by such weights raises or is skewed."""
@@ -110,13 +111,15 @@
                 ]
                 routes = [{**ROUTE, 'traffic_split': split}]
                 config = build_config(routes=routes)
-                self.assertIsNone(decode_configuration(config))
+                with self.assertRaises(UnreadableValue):
+                    decode_configuration(config)
 
-    def test_malformed_configuration_is_none(self) -> None:
+    def test_malformed_configuration_is_refused(self) -> None:
         """The configuration in force then stays."""
         for value in (b'', b'\xff', b'[]', b'{"version": "seven"}'):
             with self.subTest(value):
-                self.assertIsNone(decode_configuration(value))
+                with self.assertRaises(UnreadableValue):
+                    decode_configuration(value)
 
 
 class TestEngines(unittest.TestCase):
@@ -151,7 +154,7 @@
 
         self.assertFalse(record.weights['fitting'].whole)
 
-    def test_malformed_records_are_none(self) -> None:
+    def test_malformed_records_are_refused(self) -> None:
         """No value that another writer stored raises an exception."""
         malformed = (
             {'state': 'asleep'},
@@ -167,18 +170,21 @@
         )
         for fields in malformed:
             with self.subTest(fields):
-                self.assertIsNone(self.decode(**fields))
+                with self.assertRaises(UnreadableValue):
+                    self.decode(**fields)
         for value in (b'', b'\xff\x00', b'7', b'null', b'{}'):
             with self.subTest(value):
-                self.assertIsNone(decode_engine('servers/e-1', value, 0))
+                with self.assertRaises(UnreadableValue):
+                    decode_engine('servers/e-1', value, 0)
 
-    def test_target_version_is_decoded_and_a_malformed_one_is_none(
+    def test_target_version_is_decoded_unless_malformed(
         self,
     ) -> None:
-        target = decode_version('k', b'{"model": "fitting", "version": 2}')
+        target = decode_version(b'{"model": "fitting", "version": 2}')
 
         self.assertEqual(target, ('fitting', 2))
-        self.assertIsNone(decode_version('k', b'{"model": "fitting"}'))
+        with self.assertRaises(UnreadableValue):
+            decode_version(b'{"model": "fitting"}')
 
     def test_report_is_decoded_for_the_loader_and_for_the_relays(self) -> None:
         decoded = decode_report(REPORT, 'fitting', 5.0)
