Store: a silent reader delays no change beyond its limit (DRAIN, CONFIG)

Cause: waits that add up to more than the bound that they serve. The age of a reader's confirmation was accepted up to 2.3 s and looked at when an answer arrived, up to 1.35 s later; a change may lie in the pause of 0.25 s before.

Change: read_schedule states the sum once, with the deployment's own bounds as its limit, and the single waits follow from it. Readers tell when they heard of the store last; after 1.35 to 1.45 s of silence the call of the reader is given up at that moment, the store is asked at once, and another reader is looked for. The same limit holds for the age that a change may have (versions), and for loaders, which accepted 6.3 s of 8 s.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -49,7 +49,7 @@
 # queues of the engines then hold requests of other relays.
 INITIAL_VERSION_MARGIN_S = 1.2
 # A store that answers returns a change after at most two watch intervals.
-MAX_STORE_LAG_S = 2.5
+MIN_STORE_LAG_S = 2.5
 # Another relay's newer configuration arrives here within this time, unless
 # the store lost it or this relay is cut off.
 MAX_BEHIND_S = 1.5
@@ -301,7 +301,8 @@
         # A change may arrive late, as transfers of weights use the same link.
         # The earliest time at which it can have been written counts.
         set_s = max(
-            self.mirror.changes_written_after_s, now_s - MAX_STORE_LAG_S
+            self.mirror.changes_written_after_s,
+            now_s - max(MIN_STORE_LAG_S, self.settings.change_limit),
         )
         limit_s = None
         if self.is_initial_load:
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from dataclasses import replace
 from http import HTTPStatus
+from random import Random
 from typing import Protocol, final
 from urllib.parse import parse_qs
 
@@ -23,6 +24,7 @@
 from bramleylug.store.changes import StoreChange, WatchableStore
 from bramleylug.store.feed import Poll, encode
 from bramleylug.store.presence import Presence
+from bramleylug.store.read_schedule import ReadSchedule
 from bramleylug.store.watcher import StoreWatcher
 from bramleylug.store.zone_store import CHANGES_PATH, ITEMS_PATH, ZoneStore
 from bramleylug.web.exchange import Exchange
@@ -37,8 +39,6 @@
 MILLISECONDS = 1000
 # Longest time for which a poll of another process is held open.
 MAX_POLL_S = 10.0
-# What the answer of a reader may be older than one of the store.
-READER_LAG_S = 0.3
 
 
 class Adapter(Protocol):
@@ -83,11 +83,16 @@
         self.adapter = adapter
         self.clock = clock
         self.record = record
+        schedule = ReadSchedule(
+            settings.change_limit,
+            settings.confirm_interval,
+            Random(settings.name).random(),  # noqa: S311
+        )
         self.store = ZoneStore(
             adapter.store,
             self.reader_address,
             clock,
-            max_age_s=2 * settings.confirm_interval + READER_LAG_S,
+            schedule,
             confirms=record.role is Role.relay,
         )
         self.watchers = [
@@ -96,7 +101,7 @@
                 prefix,
                 self._on_store_change,
                 clock,
-                wait_s=settings.confirm_interval,
+                schedule,
             )
             for prefix in adapter.watched_prefixes(record.role)
         ]
@@ -119,12 +124,15 @@
         self.socket: HeartbeatSocket | None = None
         self.announcement: asyncio.TimerHandle | None = None
 
-    def reader_address(self) -> str:
-        """Return where to read the store; empty for the store itself."""
+    def reader_address(self, avoided: Container[str]) -> str:
+        """Return where to read the store; empty for the store itself.
+
+        :param avoided: addresses that were of no use a moment ago.
+        """
         if not self.view.mirror.loaded:
             return ''
         peers = self.view.peers.zone_peers(self.clock())
-        reader = find_reader(self.record, peers)
+        reader = find_reader(self.record, peers, avoided)
         return '' if reader is None else reader.feed
 
     async def serve_feed(self, exchange: Exchange) -> None:
--- a/src/bramleylug/cluster/settings.py
+++ b/src/bramleylug/cluster/settings.py
@@ -5,6 +5,8 @@
 
 from bramleylug.settings.fields import setting
 
+CHANGE_LIMIT_S = 2.0
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProcessSettings:
@@ -20,6 +22,12 @@
     confirm_interval: float = setting(
         'interval at which the copy of the store is confirmed', 1.0, unit='s'
     )
+    change_limit: float = setting(
+        'time after which nothing goes against a change in the store, also '
+        'while the relay through which it is read is silent',
+        CHANGE_LIMIT_S,
+        unit='s',
+    )
     version_limit: float = setting(
         'time after which older weights serve no request', 8.0, unit='s'
     )
--- a/src/bramleylug/platform/settings.py
+++ b/src/bramleylug/platform/settings.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from bramleylug.cluster.settings import ProcessSettings
+from bramleylug.cluster.settings import CHANGE_LIMIT_S, ProcessSettings
 from bramleylug.loader.settings import LoaderSettings
 from bramleylug.relay.settings import RelaySettings
 from bramleylug.settings.addresses import is_address
@@ -34,6 +34,10 @@
 # Loaders confirm their view of the store less often than relays do: none of
 # their actions needs a confirmed view.
 LOADER_CONFIRM_S = 3.0
+# Share of the time for new weights in which a loader must hear of them.
+LOADER_CHANGE_SHARE = 0.5
+# Bounds on how soon relays obey the changes that they read from the store.
+CHANGE_BOUNDS = ('drain_ms', 'config_apply_ms', 'evacuation_ms')
 
 SettingsT = TypeVar('SettingsT')
 
@@ -151,6 +155,7 @@
         memory_bytes=int(memory_bytes),
         max_connections=max(MIN_CONNECTIONS, connections),
         stop_time=float(bounds['grace_s']),
+        change_limit=_change_limit_s(bounds),
         keep_addresses=min(ADDRESS_TTL_S, float(bounds['ttl_max_s'])),
         key_limit=bounds['revoke_ms'] / MILLISECONDS,
         keys_fail_closed=bool(bounds['fail_closed']),
@@ -171,9 +176,20 @@
         chunk_bind=f'{document["ip"]}:{first_port + CHUNK_PORT_OFFSET}',
         link_rate=link_bytes,
         confirm_interval=LOADER_CONFIRM_S,
+        change_limit=LOADER_CHANGE_SHARE
+        * document['bounds']['version_ms']
+        / MILLISECONDS,
     )
 
 
+def _change_limit_s(bounds: Mapping[str, Any]) -> float:
+    """Return the shortest bound on a change of the store."""
+    named = [bounds[name] for name in CHANGE_BOUNDS if name in bounds]
+    if not named:
+        return CHANGE_LIMIT_S
+    return float(min(named)) / MILLISECONDS
+
+
 def changed_fields(
     before: ProcessSettings, after: ProcessSettings
 ) -> list[str]:
--- a/src/bramleylug/store/changes.py
+++ b/src/bramleylug/store/changes.py
@@ -36,10 +36,12 @@
     :ivar confirmed_after_s: when its latest answered read was sent; mostly
         negative.
     :ivar written_after_s: time after which the changes passed on were written.
+    :ivar heard_after_s: when the last answer of the store arrived.
     """
 
     confirmed_after_s: float
     written_after_s: float
+    heard_after_s: float
 
 
 @final
--- a/src/bramleylug/store/feed.py
+++ b/src/bramleylug/store/feed.py
@@ -123,6 +123,7 @@
             revision=self.mirror.revision,
             confirmed_after_us=confirmed_us,
             written_after_us=confirmed_us,
+            heard_after_us=_offset_us(self.mirror.heard_s, arrived_s),
         )
 
     def _has_news(self, poll: Poll, known_s: float) -> bool:
--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -45,6 +45,8 @@
         were written after this time, if the store answers at once.
     :ivar answered_s: lower bound of the time at which the store produced its
         last answer.
+    :ivar heard_s: when the last answer of the store arrived, at this process
+        or at the one that passed it on.
     :ivar deferred_removals: keys with the time at which their removal is due.
     :ivar withheld_items: items of an older copy whose keys had been removed.
     :ivar era: era of the store that the revisions belong to.
@@ -59,6 +61,7 @@
         self.confirmed_s = float('-inf')
         self.changes_written_after_s = float('-inf')
         self.answered_s = float('-inf')
+        self.heard_s = float('-inf')
         self.recovered_s = float('-inf')
         self.deferred_removals: dict[str, float] = {}
         self.withheld_items: dict[str, StoreItem] = {}
@@ -88,6 +91,7 @@
         :returns: whether this ends an outage.
         """
         ends_outage = self.loaded and now_s - self.confirmed_s > self.outage_s
+        self.heard_s = now_s
         waited_s = first_byte_after_s - ANSWER_LAG_S
         before_s = max(self.confirmed_s, self.answered_s)
         self.answered_s = max(before_s, sent_s + max(0.0, waited_s))
@@ -108,6 +112,7 @@
         :returns: whether this ends an outage.
         """
         ends_outage = self.loaded and now_s - self.confirmed_s > self.outage_s
+        self.heard_s = max(self.heard_s, sent_s + times.heard_after_s)
         confirmed_s = sent_s + times.confirmed_after_s
         self.answered_s = max(self.answered_s, confirmed_s)
         self.changes_written_after_s = sent_s + times.written_after_s
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -16,14 +16,12 @@
 )
 from bramleylug.store.feed import ChangeFeed
 from bramleylug.store.mirror import Mirror
+from bramleylug.store.read_schedule import ReadSchedule
 
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
 REMOVAL_CHECK_S = 0.1
 IDLE_CHECK_S = 1.0
-# After some changes arrived, further ones are collected for this share of a
-# wait before the next call.
-BATCH_SHARE = 0.25
 # Two waits plus this margin without an answer count as an outage.
 OUTAGE_MARGIN_S = 1.0
 MAX_DOUBLINGS = 4
@@ -36,7 +34,7 @@
     :param on_changes: called with each batch of changes. If it raises, it is
         called with them again, together with the next ones.
     :param clock: seconds that also count while the host is suspended.
-    :param wait_s: time that the store may hold a call until something
+    :param schedule: how long the store may hold a call until something
         changes. Only an answer confirms the mirror, and each wait costs one
         call.
     :ivar unreported: changes that the mirror holds and ``on_changes`` has not
@@ -49,16 +47,15 @@
         prefix: str,
         on_changes: Callable[[Sequence[StoreChange]], None],
         clock: Callable[[], float],
-        *,
-        wait_s: float,
+        schedule: ReadSchedule,
     ) -> None:
-        self.wait_s = wait_s
-        self.batch_s = wait_s * BATCH_SHARE
+        self.wait_s = schedule.wait_s
+        self.pause_s = schedule.pause_s
         self.store = store
         self.prefix = prefix
         self.on_changes = on_changes
         self.clock = clock
-        self.mirror = Mirror(outage_s=2 * wait_s + OUTAGE_MARGIN_S)
+        self.mirror = Mirror(outage_s=2 * self.wait_s + OUTAGE_MARGIN_S)
         self.feed = ChangeFeed(self.mirror, clock)
         self.must_reload = True
         self.failures = 0
@@ -106,7 +103,7 @@
                 self._notify(applied)
                 if changes:
                     # Changes made meanwhile arrive with the next call.
-                    await asyncio.sleep(self.batch_s)
+                    await asyncio.sleep(self.pause_s)
 
     async def _reload(self) -> None:
         sent_s = self.clock()
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -1,6 +1,6 @@
 """Reads the store through another process of the zone where possible."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import final
 from urllib.parse import quote
 
@@ -17,6 +17,7 @@
     WatchableStore,
 )
 from bramleylug.store.feed import MICROSECONDS, changes_of, decode
+from bramleylug.store.read_schedule import POLL_LAG_S, ReadSchedule
 from bramleylug.web.http_client import CALL_ERRORS, CallAnswer, HttpClients
 from bramleylug.wire.feed_pb2 import FeedAnswer
 
@@ -25,9 +26,12 @@
 MAX_READER_WAIT_S = 1.0
 # How much later than the requested wait a reader may answer.
 WAIT_MARGIN_S = 0.35
+# Wait of a call that asks the store what it has now.
+CHECK_WAIT_S = 0.001
 # A reader that failed, or whose own copy of the store is too old, is left
 # alone for this long.
 AVOID_S = 2.0
+FORGET_S = 60.0
 MILLISECONDS = 1000
 CHANGES_PATH = '/changes'
 ITEMS_PATH = '/items'
@@ -39,36 +43,40 @@
 class ZoneStore:
     """The store, read through a reader of the zone if one is of use.
 
-    Only reads go through the reader; leases and writes go to the store. An
-    answer of the reader is worth what its own confirmation is: it carries the
-    age of that, and one that is too old, or of an earlier era, is replaced by
-    a call of the store itself.
+    Only reads go through the reader; leases and writes go to the store. The
+    answers of the reader carry the time at which it heard of the store. When
+    that is too long ago, or the reader does not answer by then, the store
+    itself is called at once, and another reader is looked for. The same holds
+    for an answer of an earlier era.
 
     :param store: the store itself.
-    :param choose_reader: returns the address of the reader to use; empty to
-        call the store.
-    :param max_age_s: age of the reader's confirmation that is accepted.
+    :param choose_reader: returns the address of the reader to use, given those
+        that are avoided; empty to call the store.
+    :param schedule: how long ago the reader may have heard of the store.
     :param confirms: whether each confirmation is wanted, also without changes.
     :param clock: seconds that also count while the host is suspended.
-    :ivar avoid_until_s: until when the store is called, by reader.
+    :ivar avoid_until_s: until when each reader is avoided; those that have
+        been of use since are not among them.
+    :ivar heard_s: when the store was heard of last, by prefix.
     """
 
     def __init__(
         self,
         store: WatchableStore,
-        choose_reader: Callable[[], str],
+        choose_reader: Callable[[Container[str]], str],
         clock: Callable[[], float],
+        schedule: ReadSchedule,
         *,
-        max_age_s: float,
         confirms: bool,
     ) -> None:
         self.store = store
         self.choose_reader = choose_reader
         self.clock = clock
-        self.max_age_s = max_age_s
+        self.schedule = schedule
         self.confirms = confirms
         self.clients = HttpClients(connect_timeout_s=CONNECT_TIMEOUT_S)
         self.avoid_until_s: dict[str, float] = {}
+        self.heard_s: dict[str, float] = {}
         self.reader = ''
         self.feed_era = 0
 
@@ -81,7 +89,9 @@
         """Return all items from a reader, or a page of the store."""
         if not after:
             answer = await self._call(
-                f'{ITEMS_PATH}?prefix={quote(prefix)}', LISTING_TIMEOUT_S
+                prefix,
+                f'{ITEMS_PATH}?prefix={quote(prefix)}',
+                LISTING_TIMEOUT_S,
             )
             if answer is not None:
                 items = tuple(
@@ -96,7 +106,9 @@
                     era=int(answer.era),
                     reader_times=times_of(answer),
                 )
-        return await self.store.list_page(prefix, after)
+        page = await self.store.list_page(prefix, after)
+        self.heard_s[prefix] = self.clock()
+        return page
 
     async def wait_for_changes(
         self, prefix: str, after_revision: int, wait_s: float
@@ -104,19 +116,50 @@
         """Wait for changes at a reader, or at the store.
 
         A reader may be waited for less long: its calls cost little, and one
-        that was suspended is noticed sooner.
+        that was suspended is noticed sooner. When the store has been silent
+        for too long, it is asked at once for what it has.
         """
-        reader_wait_s = min(wait_s, MAX_READER_WAIT_S)
+        while self._find_reader():
+            answer = await self._poll(prefix, after_revision, wait_s)
+            if answer is not None:
+                return answer
+            if not self._left_s(prefix):
+                return await self._wait_at_store(
+                    prefix, after_revision, CHECK_WAIT_S
+                )
+        self._log_reader('')
+        return await self._wait_at_store(prefix, after_revision, wait_s)
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        return await self.store.grant_lease(ttl_s)
+
+    async def keep_lease(self, lease_id: int) -> None:
+        await self.store.keep_lease(lease_id)
+
+    async def end_lease(self, lease_id: int) -> None:
+        await self.store.end_lease(lease_id)
+
+    async def put(self, key: str, value: bytes, lease_id: int) -> None:
+        await self.store.put(key, value, lease_id)
+
+    async def _poll(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> StoreChanges | HistoryLost | None:
+        """Wait for changes at a reader; ``None`` if it is of no use.
+
+        One that was of no use before is first asked for what it has now.
+        """
+        reader_wait_s = 0.0
+        if self._find_reader() not in self.avoid_until_s:
+            reader_wait_s = min(wait_s, MAX_READER_WAIT_S, self._left_s(prefix))
         target = (
             f'{CHANGES_PATH}?prefix={quote(prefix)}&after={after_revision}'
             f'&wait_ms={int(reader_wait_s * MILLISECONDS)}'
             f'&confirms={int(self.confirms)}'
         )
-        answer = await self._call(target, reader_wait_s + WAIT_MARGIN_S)
+        answer = await self._call(prefix, target, reader_wait_s + WAIT_MARGIN_S)
         if answer is None:
-            return await self.store.wait_for_changes(
-                prefix, after_revision, wait_s
-            )
+            return None
         if answer.history_lost:
             return HistoryLost()
         return StoreChanges(
@@ -126,25 +169,28 @@
             reader_times=times_of(answer),
         )
 
-    async def grant_lease(self, ttl_s: float) -> Lease:
-        return await self.store.grant_lease(ttl_s)
-
-    async def keep_lease(self, lease_id: int) -> None:
-        await self.store.keep_lease(lease_id)
-
-    async def end_lease(self, lease_id: int) -> None:
-        await self.store.end_lease(lease_id)
+    async def _wait_at_store(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> StoreChanges | HistoryLost:
+        answer = await self.store.wait_for_changes(
+            prefix, after_revision, wait_s
+        )
+        self.heard_s[prefix] = self.clock()
+        return answer
 
-    async def put(self, key: str, value: bytes, lease_id: int) -> None:
-        await self.store.put(key, value, lease_id)
+    async def _call(
+        self, prefix: str, target: str, timeout_s: float
+    ) -> FeedAnswer | None:
+        """Return the answer of the reader; ``None`` if it is of no use.
 
-    async def _call(self, target: str, timeout_s: float) -> FeedAnswer | None:
-        """Return the answer of the reader; ``None`` if there is no use."""
-        reader = self.choose_reader()
+        It is waited for no longer than until the store counts as silent.
+        """
+        reader = self._find_reader()
         self._log_reader(reader)
-        if not reader or self.clock() < self.avoid_until_s.get(reader, 0):
+        if not reader:
             return None
         sent_s = self.clock()
+        timeout_s = min(timeout_s, self._left_s(prefix) + POLL_LAG_S)
         try:
             answer = _decode(
                 await self.clients.get(reader, target, timeout_s=timeout_s)
@@ -152,27 +198,45 @@
         except FEED_ERRORS as error:
             self._avoid(reader, repr(error))
             return None
-        cause = self._rejection_cause(answer, sent_s)
+        heard_s = sent_s + times_of(answer).heard_after_s
+        cause = self._rejection_cause(answer, heard_s)
         if cause:
             self._avoid(reader, cause)
             return None
+        self.avoid_until_s.pop(reader, None)
         self.feed_era = int(answer.era)
+        self.heard_s[prefix] = max(heard_s, self.heard_s.get(prefix, heard_s))
         return answer
 
-    def _rejection_cause(self, answer: FeedAnswer, sent_s: float) -> str:
+    def _find_reader(self) -> str:
+        now_s = self.clock()
+        avoided = {
+            reader
+            for reader, until_s in self.avoid_until_s.items()
+            if now_s < until_s
+        }
+        return self.choose_reader(avoided)
+
+    def _left_s(self, prefix: str) -> float:
+        """Return the time until the store has been silent for too long."""
+        heard_s = self.heard_s.get(prefix, float('-inf'))
+        silent_s = heard_s + self.schedule.silence_s
+        return max(0.0, silent_s - self.clock())
+
+    def _rejection_cause(self, answer: FeedAnswer, heard_s: float) -> str:
         """Return why an answer is of no use; empty if it is."""
         if answer.era < self.era:
             return f'it is in era {answer.era}'
-        age_s = self.clock() - sent_s - times_of(answer).confirmed_after_s
-        if age_s > self.max_age_s:
-            return f'its data are {age_s:.1f} s old'
+        age_s = self.clock() - heard_s
+        if age_s > self.schedule.silence_s:
+            return f'it heard of the store {age_s:.1f} s ago'
         return ''
 
     def _avoid(self, reader: str, cause: str) -> None:
         self.avoid_until_s = {
             other: until_s
             for other, until_s in self.avoid_until_s.items()
-            if until_s > self.clock()
+            if until_s + FORGET_S > self.clock()
         }
         self.avoid_until_s[reader] = self.clock() + AVOID_S
         emit(LogEvent.reader_avoided, reader=reader, cause=cause, for_s=AVOID_S)
@@ -193,8 +257,15 @@
 
 
 def times_of(answer: FeedAnswer) -> ReaderTimes:
-    """Return the times in an answer of a reader, in seconds."""
+    """Return the times in an answer of a reader, in seconds.
+
+    A reader of an earlier version does not say when it heard of the store.
+    """
+    heard_after_us = answer.confirmed_after_us
+    if answer.HasField('heard_after_us'):
+        heard_after_us = answer.heard_after_us
     return ReaderTimes(
         answer.confirmed_after_us / MICROSECONDS,
         answer.written_after_us / MICROSECONDS,
+        heard_after_us / MICROSECONDS,
     )
--- a/testing/platform/builders.py
+++ b/testing/platform/builders.py
@@ -1,6 +1,8 @@
 """Sample configuration, engine record, report and settings file."""
 
 import json
+import tomllib
+from collections.abc import Mapping
 from typing import Any
 
 CONFIG = {
@@ -137,3 +139,9 @@
 def build_engine(**fields: Any) -> bytes:
     """Return the sample engine record as stored, with fields replaced."""
     return json.dumps({**ENGINE, **fields}).encode()
+
+
+def build_settings_document(bounds: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the sample settings file, with bounds added or replaced."""
+    document = tomllib.loads(SETTINGS)
+    return {**document, 'bounds': {**document['bounds'], **bounds}}
--- a/testing/platform/test_odd_values.py
+++ b/testing/platform/test_odd_values.py
@@ -39,6 +39,7 @@
 from bramleylug.store.changes import Page, StoreItem, StoreUnavailable
 from bramleylug.store.feed import ChangeFeed, decode, encode
 from bramleylug.store.mirror import Mirror
+from bramleylug.store.read_schedule import ReadSchedule
 from bramleylug.store.watcher import StoreWatcher
 from bramleylug.web.client_connection import ClientConnection, ClientRequest
 from bramleylug.web.http_client import CallAnswer
@@ -318,7 +319,7 @@
         item = StoreItem('op/evacuate/zone-b', b'', 3)
         store = ScriptedStore(pages=[Page((item,), 3, more=False)])
         clock = asyncio.get_running_loop().time
-        watcher = StoreWatcher(store, '', take, clock, wait_s=1.0)
+        watcher = StoreWatcher(store, '', take, clock, ReadSchedule(2.0, 1.0))
         with self.assertRaises(RuntimeError):
             await watcher.run()
         task = asyncio.create_task(watcher.run())
--- a/testing/store/test_feed.py
+++ b/testing/store/test_feed.py
@@ -13,6 +13,7 @@
     encode,
 )
 from bramleylug.store.mirror import Mirror
+from bramleylug.store.read_schedule import ReadSchedule
 from bramleylug.store.zone_store import AVOID_S, ZoneStore, times_of
 from bramleylug.web.http_client import CallAnswer
 from bramleylug.wire.feed_pb2 import FeedAnswer
@@ -178,11 +179,12 @@
         self.address = 'relay-1:82'
         self.zone_store = ZoneStore(
             self.store,
-            lambda: self.address,
+            lambda avoided: '' if self.address in avoided else self.address,
             lambda: self.now_s,
-            max_age_s=2.0,
+            ReadSchedule(2.0, 1.0),
             confirms=True,
         )
+        self.zone_store.heard_s[''] = self.now_s
         self.zone_store.clients = self.clients
 
     def let_reader_answer(self, **fields) -> None:
@@ -191,6 +193,7 @@
                 'era': 1,
                 'revision': 6,
                 'confirmed_after_us': -500_000,
+                'heard_after_us': -200_000,
                 **fields,
             }
         )
@@ -208,7 +211,7 @@
 
     async def test_old_answer_of_the_reader_is_not_used(self) -> None:
         """The reader is cut off, was frozen, or is turned away alone."""
-        self.let_reader_answer(confirmed_after_us=-2_100_000)
+        self.let_reader_answer(heard_after_us=-1_500_000)
 
         await self.wait()
 
--- a/testing/store/test_watcher.py
+++ b/testing/store/test_watcher.py
@@ -10,6 +10,7 @@
     StoreChanges,
     StoreItem,
 )
+from bramleylug.store.read_schedule import ReadSchedule
 from bramleylug.store.watcher import StoreWatcher
 from testing.store.scripted import ScriptedStore, unanswered
 from testing.virtual_time import in_virtual_time
@@ -112,7 +113,9 @@
         """Watch until the script is used up; return the reported changes."""
         changes: list[object] = []
         clock = asyncio.get_running_loop().time
-        watcher = StoreWatcher(store, '', changes.extend, clock, wait_s=0.01)
+        watcher = StoreWatcher(
+            store, '', changes.extend, clock, ReadSchedule(2.0, 0.01)
+        )
         task = asyncio.create_task(watcher.run())
         await store.done.wait()
         task.cancel()
