Relay: a head of which nothing was sent is not kept for another engine's events

Callers would have seen: signature, X-Weight-Versions and every other header of an engine none of whose events are in the body, where a stream's first engine sent its head and broke off before its first event.

Cause: the head was bound to the first answer that began, although it is sent with the first event.

Change: the head is that of the first engine from which an event is forwarded. Evidence: test_head_of_an_answer_without_an_event_is_not_sent failed before in its three ways of breaking off.

--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -63,7 +63,8 @@
     """Which part of the answer has been forwarded, over all attempts.
 
     :ivar splitter: splits a stream into events; ``None`` for other answers.
-    :ivar head: head of the first answer, which the caller has received.
+    :ivar head: head of the answer whose events the caller has received, or
+        receives first.
     :ivar cold_for_s: how long the last upstream reported to stay cold.
     :ivar first_s: when the first piece was forwarded.
     :ivar last_s: when the last piece was forwarded.
@@ -332,7 +333,8 @@
         timeouts: AttemptTimeouts,
     ) -> None:
         splitter.restart()
-        if self.progress.head is None:
+        if not self.writer.started:
+            # A head of which nothing was sent says nothing about this answer.
             self.progress.head = head
             self._start(head, dialect, None)
         silence = self._silence_before_start(timeouts)
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -246,6 +246,42 @@
         self.assertEqual(exchange.status, 502)
 
 
+class TestContinuedStreams(RelayCase):
+    """Only events of the same stream follow those that the caller has."""
+
+    def setUp(self) -> None:
+        """Break off in different ways after the second event."""
+        cut_event = chunk(plain_event(3)[:-9]) + LAST_CHUNK
+        self.ends = (None, RESET, cut_event)
+
+    async def test_head_of_an_answer_without_an_event_is_not_sent(self) -> None:
+        """Guards against the head of one engine with another one's events."""
+        first_head = OK_HEAD.replace(b'X-Signature: s', b'X-Signature: first')
+        for end in (None, RESET, event(1)[:-9]):
+            first = ScriptedEngine([first_head, end, None])
+            second = ScriptedEngine([OK_HEAD, event(1), event(2), LAST_CHUNK])
+
+            exchange = await self.serve(first, second)
+
+            with self.subTest(end=end):
+                self.assertEqual(exchange.headers_sent, {'X-Signature': 's'})
+                self.assertEqual(
+                    (exchange.ended, exchange.sent),
+                    ('whole', plain_event(1) + plain_event(2)),
+                )
+
+    async def test_head_stays_that_of_the_first_event(self) -> None:
+        """The caller has received it."""
+        first_head = OK_HEAD.replace(b'X-Signature: s', b'X-Signature: first')
+        first = ScriptedEngine([first_head, event(1), None])
+        second = ScriptedEngine([OK_HEAD, event(2), LAST_CHUNK])
+
+        exchange = await self.serve(first, second)
+
+        self.assertEqual(exchange.headers_sent, {'X-Signature': 'first'})
+        self.assertEqual(exchange.ended, 'whole')
+
+
 class SilenceCase(RelayCase):
     """Base of tests with short timeouts of silence."""
 
