Relay: only events of the same stream follow those that a caller has (ORDER)

Callers would have seen: the text or head of another signed answer in the middle of their stream, or a stream that ended as if it were complete, after it broke off and the next engine answered with a success that does not go on with it.

Cause: what may follow was decided by the class of the status alone, and whether any event came was not looked at.

Change: an answer continues a stream only with the same status and media type, its first event must have an id, and one without an event is an attempt that failed.

--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -332,11 +332,14 @@
         splitter: EventSplitter,
         timeouts: AttemptTimeouts,
     ) -> None:
-        splitter.restart()
-        if not self.writer.started:
+        continues = self.writer.started
+        if continues:
+            self._check_continuation(head)
+        else:
             # A head of which nothing was sent says nothing about this answer.
             self.progress.head = head
             self._start(head, dialect, None)
+        splitter.restart(continues=continues)
         silence = self._silence_before_start(timeouts)
         while piece := await self._read(connection.read_piece, silence):
             events = splitter.feed(piece)
@@ -349,6 +352,18 @@
                 silence = Silence.begin(self.clock(), timeouts.idle_s)
         if splitter.partial:
             raise ConnectionBroken('stream ended inside an event')
+        if continues and not self.answer_started:
+            # Whether events are missing is not known; the caller may ask.
+            raise ConnectionBroken('no event follows the last one')
+
+    def _check_continuation(self, head: AnswerHead) -> None:
+        """Check that an answer can go on with a stream that has started.
+
+        :raises MalformedAnswer: when it is another kind of answer.
+        """
+        first = self.progress.head
+        if first is None or _kind_of(head) != _kind_of(first):
+            raise MalformedAnswer('answer does not continue the stream')
 
     async def _read(
         self, read: Callable[[], Awaitable[ResultT]], silence: Silence
@@ -440,6 +455,12 @@
     """Do nothing."""
 
 
+def _kind_of(head: AnswerHead) -> tuple[int, str]:
+    """Return the status and the media type of an answer."""
+    media_type, _, _ = head.headers.get('content-type', '').partition(';')
+    return head.status, media_type.strip().lower()
+
+
 def _content_length(head: AnswerHead) -> int | None:
     text = head.headers.get('content-length', '')
     return int(text) if text.isdecimal() else None
--- a/src/bramleylug/relay/event_splitter.py
+++ b/src/bramleylug/relay/event_splitter.py
@@ -7,6 +7,7 @@
 EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 EVENT_ID = re.compile(rb'(?:^|[\r\n])id: ?([^\r\n]*)')
 INTEGER = re.compile(rb'[0-9]{1,15}')
+COMMENT = b':'
 MAX_EVENT_BYTES = 262144
 
 
@@ -20,17 +21,20 @@
 
     :ivar last_id: id of the last complete event; empty before the first.
     :ivar partial: bytes of an event that is not complete yet.
+    :ivar needs_id: whether the next event must have an id, as it follows one
+        of another upstream.
     """
 
     def __init__(self, last_id: str = '') -> None:
         self.last_id = last_id
         self.partial = b''
+        self.needs_id = False
 
     def feed(self, raw: bytes) -> bytes:
         """Add received bytes; return the events that are now complete.
 
-        :raises EventStreamError: when an event id does not increase, or an
-            event is too large.
+        :raises EventStreamError: when an event id does not increase, or is
+            missing where a stream goes on, or an event is too large.
         """
         self.partial += raw
         complete = []
@@ -45,14 +49,21 @@
             raise EventStreamError('event is too large')
         return b''.join(complete)
 
-    def restart(self) -> None:
-        """Drop an incomplete event; the next upstream sends it again."""
+    def restart(self, *, continues: bool) -> None:
+        """Drop an incomplete event; the next upstream sends it again.
+
+        :param continues: whether events of another upstream were forwarded.
+        """
         self.partial = b''
+        self.needs_id = continues and bool(self.last_id)
 
     def _check(self, event: bytes) -> None:
         found = EVENT_ID.search(event)
         if found is None:
+            if self.needs_id and not event.startswith(COMMENT):
+                raise EventStreamError('no id where the stream goes on')
             return
+        self.needs_id = False
         event_id = found.group(1).strip()
         previous = self.last_id.encode()
         if INTEGER.fullmatch(event_id) and INTEGER.fullmatch(previous):
--- a/testing/relay/test_event_splitter.py
+++ b/testing/relay/test_event_splitter.py
@@ -34,7 +34,7 @@
         """An engine died inside the third event; another sends it again."""
         splitter = EventSplitter()
         splitter.feed(b''.join(EVENTS[:2]) + EVENTS[2][:9])
-        splitter.restart()
+        splitter.restart(continues=True)
 
         received = splitter.feed(b''.join(EVENTS[2:4]))
 
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -281,6 +281,77 @@
         self.assertEqual(exchange.headers_sent, {'X-Signature': 'first'})
         self.assertEqual(exchange.ended, 'whole')
 
+    async def test_other_answer_never_ends_a_stream_as_whole(self) -> None:
+        """Guards against errors in the middle of a stream, or as its end."""
+        others = {
+            'empty': [OK_HEAD, LAST_CHUNK],
+            'no content': b'HTTP/1.1 204 X\r\nX-Signature: s\r\n\r\n',
+            'without an id': [OK_HEAD, chunk(b'data: no\n\n'), LAST_CHUNK],
+            'text': [OK_HEAD, chunk(b'error\n\n'), LAST_CHUNK],
+            'page': complete_answer(
+                b'event\n\n', 200, b'Content-Type: text/html\r\n'
+            ),
+            'unframed text': [UNFRAMED_HEAD, b'error\n\n', None],
+            'slow text': [OK_HEAD, chunk(b'err'), 0.2, chunk(b'or\n\n')],
+            'head in the body': [OK_HEAD, chunk(OK_HEAD), LAST_CHUNK],
+            **{
+                f'status {status}': complete_answer(b'error\n\n', status)
+                for status in (201, 206, 404, 408, 421, 429, 500, 503, 504)
+            },
+            'unsigned': [OK_HEAD.replace(b'X-Signature', b'X-Other')],
+            'unreadable': b'error\n\n',
+        }
+        for name, answer in others.items():
+            for end in self.ends:
+                exchange = await self.serve(
+                    ScriptedEngine([OK_HEAD, event(1), event(2), end, None]),
+                    ScriptedEngine(answer, None),
+                )
+                with self.subTest(name=name, end=end):
+                    self.assertEqual(
+                        (exchange.ended, exchange.sent),
+                        ('cut', plain_event(1) + plain_event(2)),
+                    )
+
+    async def test_whole_stream_of_a_third_engine_follows(self) -> None:
+        """An answer without an event is one attempt that failed."""
+        exchange = await self.serve(
+            ScriptedEngine([OK_HEAD, event(1), None]),
+            ScriptedEngine([OK_HEAD, LAST_CHUNK]),
+            ScriptedEngine([OK_HEAD, event(2), LAST_CHUNK]),
+            max_attempts=3,
+        )
+
+        self.assertEqual(
+            (exchange.ended, exchange.sent),
+            ('whole', plain_event(1) + plain_event(2)),
+        )
+
+    async def test_comment_may_come_before_the_next_event(self) -> None:
+        """It keeps the connection alive and has no id."""
+        exchange = await self.serve(
+            ScriptedEngine([OK_HEAD, event(1), None]),
+            ScriptedEngine(
+                [OK_HEAD, chunk(b': wait\n\n'), event(2), LAST_CHUNK]
+            ),
+        )
+
+        self.assertEqual(exchange.ended, 'whole')
+
+    async def test_caller_that_resumes_by_itself_gets_the_whole_answer(
+        self,
+    ) -> None:
+        """Also when no event is left: it is that engine's own answer."""
+        for parts in ([event(2)], []):
+            exchange = await self.serve(
+                ScriptedEngine([OK_HEAD, *parts, LAST_CHUNK]),
+                request=build_caller_request(resume_after='1'),
+            )
+            with self.subTest(parts=parts):
+                self.assertEqual(
+                    (exchange.status, exchange.ended), (200, 'whole')
+                )
+
 
 class SilenceCase(RelayCase):
     """Base of tests with short timeouts of silence."""
