Tests: a refusal that is written once more refuses no other request

Reported by other operators (REFUSED, TWICE). 24 orders of a repeated refusal, for requests that may run once and for idempotent ones: none is told "not run" and none reaches a second engine where it may run once; idempotent requests are answered by another engine.

--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from itertools import product
 from typing import NamedTuple
 from unittest.mock import patch
 
@@ -353,6 +354,81 @@
                 )
 
 
+class TestRepeatedRefusals(RelayCase):
+    """A refusal that is written once more refuses no other request."""
+
+    def setUp(self) -> None:
+        self.repeated = tuple(
+            product(
+                (503, 429, 421),
+                (b'', b'X-Id: request-1\r\n'),
+                ('at once', 'late', 'before the answer', 'in pieces'),
+            )
+        )
+
+    def engine(self, status, request_id, when):
+        """Return an engine that repeats its first refusal."""
+        refusal = complete_answer(b'', status, b'X-Not-Run: 1\r\n' + request_id)
+        answer = complete_answer(b'ran', 200, b'X-Id: request-2\r\n')
+        match when:
+            case 'at once':
+                return ScriptedEngine([refusal + refusal], answer)
+            case 'late':
+                return ScriptedEngine([refusal, 0.02, refusal], answer)
+            case 'before the answer':
+                return ScriptedEngine(refusal, [refusal, answer])
+        return ScriptedEngine(refusal, [refusal[:20], 0.02, refusal[20:]])
+
+    def other_engine(self):
+        """Return an engine that runs both requests."""
+        return ScriptedEngine(
+            *(
+                complete_answer(b'other', 200, b'X-Id: request-%d\r\n' % number)
+                for number in (1, 2)
+            )
+        )
+
+    async def serve_two(self, engine, other, **fields):
+        """Serve a request that is refused, and one on its connection."""
+        await self.serve(
+            engine, other, streamed=False, max_attempts=2, **fields
+        )
+        await asyncio.sleep(0.03)
+        self.relay.dialect.request = build_caller_request(
+            request_id='request-2'
+        )
+        exchange = RecordingExchange()
+        await self.relay.serve(exchange)
+        return exchange
+
+    async def test_request_that_may_run_once_is_not_refused(self) -> None:
+        """Guards against "not run" for a request that runs (REFUSED, TWICE)."""
+        for repeated in self.repeated:
+            exchange = await self.serve_two(
+                self.engine(*repeated),
+                self.other_engine(),
+                retry_policy=RetryPolicy.never,
+            )
+            ran = len(self.engines[0].heads) + len(self.engines[1].heads)
+            with self.subTest(repeated=repeated):
+                # One arrival each, and one for the retry of the refused one.
+                self.assertEqual(ran, 3)
+                self.assertIn(exchange.status, (200, 502))
+                self.assertNotIn('Retry-After', exchange.headers_sent)
+
+    async def test_idempotent_request_is_answered_by_another_engine(
+        self,
+    ) -> None:
+        for repeated in self.repeated:
+            exchange = await self.serve_two(
+                self.engine(*repeated),
+                self.other_engine(),
+                retry_policy=RetryPolicy.always,
+            )
+            with self.subTest(repeated=repeated):
+                self.assertEqual(exchange.status, 200)
+
+
 class SilenceCase(RelayCase):
     """Base of tests with short timeouts of silence."""
 
