Store: the reader is chosen once a call; changes not taken follow an answer

The reader was chosen three times a call, which ranks all processes of a zone each time. A watcher whose changes were not taken tried them before it read on, so that an error that lasts would have stopped it; it now does so after each answer of the store.

--- a/src/bramleylug/platform/fields.py
+++ b/src/bramleylug/platform/fields.py
@@ -73,6 +73,9 @@
 
 def integer(value: Any, field: str, high: int, low: int = 0) -> int:
     """Return a whole number between two bounds, both included."""
+    if isinstance(value, float) and value.is_integer():
+        # JSON has one kind of number: 16.0 and 16 are the same.
+        value = int(value)
     if isinstance(value, bool) or not isinstance(value, int):
         raise UnreadableValue(f'{field} is not a whole number')
     if not low <= value <= high:
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -32,7 +32,7 @@
     """Lists the items under a prefix and watches them for changes.
 
     :param on_changes: called with each batch of changes. If it raises, it is
-        called with them again, together with the next ones.
+        called with them again after the next answer of the store.
     :param clock: seconds that also count while the host is suspended.
     :param schedule: how long the store may hold a call until something
         changes. Only an answer confirms the mirror, and each wait costs one
@@ -63,7 +63,6 @@
 
     async def run(self) -> None:
         """Watch until cancelled, with back-off while the store is down."""
-        self._notify(())
         while True:
             try:
                 await self._step()
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -87,8 +87,10 @@
 
     async def list_page(self, prefix: str, after: str) -> Page:
         """Return all items from a reader, or a page of the store."""
-        if not after:
+        reader = '' if after else self._find_reader()
+        if reader:
             answer = await self._call(
+                reader,
                 prefix,
                 f'{ITEMS_PATH}?prefix={quote(prefix)}',
                 LISTING_TIMEOUT_S,
@@ -119,15 +121,14 @@
         that was suspended is noticed sooner. When the store has been silent
         for too long, it is asked at once for what it has.
         """
-        while self._find_reader():
-            answer = await self._poll(prefix, after_revision, wait_s)
+        while reader := self._find_reader():
+            answer = await self._poll(reader, prefix, after_revision, wait_s)
             if answer is not None:
                 return answer
             if not self._left_s(prefix):
                 return await self._wait_at_store(
                     prefix, after_revision, CHECK_WAIT_S
                 )
-        self._log_reader('')
         return await self._wait_at_store(prefix, after_revision, wait_s)
 
     async def grant_lease(self, ttl_s: float) -> Lease:
@@ -143,21 +144,23 @@
         await self.store.put(key, value, lease_id)
 
     async def _poll(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, reader: str, prefix: str, after_revision: int, wait_s: float
     ) -> StoreChanges | HistoryLost | None:
         """Wait for changes at a reader; ``None`` if it is of no use.
 
         One that was of no use before is first asked for what it has now.
         """
         reader_wait_s = 0.0
-        if self._find_reader() not in self.avoid_until_s:
+        if reader not in self.avoid_until_s:
             reader_wait_s = min(wait_s, MAX_READER_WAIT_S, self._left_s(prefix))
         target = (
             f'{CHANGES_PATH}?prefix={quote(prefix)}&after={after_revision}'
             f'&wait_ms={int(reader_wait_s * MILLISECONDS)}'
             f'&confirms={int(self.confirms)}'
         )
-        answer = await self._call(prefix, target, reader_wait_s + WAIT_MARGIN_S)
+        answer = await self._call(
+            reader, prefix, target, reader_wait_s + WAIT_MARGIN_S
+        )
         if answer is None:
             return None
         if answer.history_lost:
@@ -179,16 +182,12 @@
         return answer
 
     async def _call(
-        self, prefix: str, target: str, timeout_s: float
+        self, reader: str, prefix: str, target: str, timeout_s: float
     ) -> FeedAnswer | None:
         """Return the answer of the reader; ``None`` if it is of no use.
 
         It is waited for no longer than until the store counts as silent.
         """
-        reader = self._find_reader()
-        self._log_reader(reader)
-        if not reader:
-            return None
         sent_s = self.clock()
         timeout_s = min(timeout_s, self._left_s(prefix) + POLL_LAG_S)
         try:
@@ -215,7 +214,9 @@
             for reader, until_s in self.avoid_until_s.items()
             if now_s < until_s
         }
-        return self.choose_reader(avoided)
+        reader = self.choose_reader(avoided)
+        self._log_reader(reader)
+        return reader
 
     def _left_s(self, prefix: str) -> float:
         """Return the time until the store has been silent for too long."""
