Soak: another writer leaves entries that cannot be used

A new kind of fault for the class of review/1: deeply nested, a number too large, ports and hosts that cannot be connected to, and the like, for some seconds each.

--- a/src/bramleylug/fakes/metadata_store.py
+++ b/src/bramleylug/fakes/metadata_store.py
@@ -128,6 +128,9 @@
             case {'put': key, 'document': document}:
                 value = b64encode(json.dumps(document).encode()).decode()
                 self._commit([_put(key, value, 0)], [])
+            case {'put': key, 'raw': text}:
+                value = b64encode(text.encode()).decode()
+                self._commit([_put(key, value, 0)], [])
             case {'remove': key}:
                 self._commit([], [key])
             case {'forget': True}:
--- a/src/bramleylug/soak/fault_injector.py
+++ b/src/bramleylug/soak/fault_injector.py
@@ -15,6 +15,7 @@
 from bramleylug.soak.engine_faults import EngineFaults
 from bramleylug.soak.fault_schedule import Fault, Kind
 from bramleylug.soak.observations import Interval, Observations
+from bramleylug.soak.odd_entries import build_odd_entry
 from bramleylug.soak.proxy import LinkFault
 from bramleylug.soak.traffic import Traffic
 
@@ -88,6 +89,7 @@
             Kind.cut_event: self.engine_faults.cut_event,
             Kind.idle_limit: self._idle_limit,
             Kind.engine_in_need: self.engine_faults.in_need,
+            Kind.odd_entry: self._odd_entry,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -218,6 +220,12 @@
         valid = [key for key in KEYS if key not in self.revoked]
         await self.deployment.publish(valid)
 
+    async def _odd_entry(self, fault: Fault) -> None:
+        key, text = build_odd_entry(fault)
+        await self.deployment.control({'put': key, 'raw': text})
+        await asyncio.sleep(fault.for_s + EXTRA_DURATION_S)
+        await self.deployment.control({'remove': key})
+
     async def _zone_out(self, fault: Fault) -> None:
         zone = ZONES[int(fault.pick * len(ZONES))]
         key = f'op/evacuate/{zone}'
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -57,6 +57,13 @@
 
         self.assertEqual(summary['violations'], [])
 
+    def test_odd_entry_hides_no_change(self) -> None:
+        """A relay that started beside one sent into an evacuated zone."""
+        kinds = (Kind.odd_entry, Kind.zone_out, Kind.relay_killed)
+        summary = run_soak(950, 12.0, kinds)
+
+        self.assertEqual(summary['violations'], [])
+
     def test_silence_ends_no_stream(self) -> None:
         """With one zone taken out, a single engine served the streams."""
         summary = run_soak(921, 10.0, (Kind.silence, Kind.zone_out))
