--- a/src/bramleylug/soak/deployment.py
+++ b/src/bramleylug/soak/deployment.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import time
 from collections.abc import Iterable
@@ -12,6 +11,11 @@
 from pathlib import Path
 from typing import Any, final
 
+from bramleylug.soak.addresses import (
+    OWN_HOST,
+    free_address,
+    free_port_pair,
+)
 from bramleylug.soak.proxy import Proxy
 
 RELAY_COUNT = 3
@@ -248,6 +252,7 @@
         path.write_text(
             SETTINGS_TEMPLATE.format(
                 name=name,
+                host=OWN_HOST,
                 zone=ZONES[index % len(ZONES)],
                 first_port=free_port_pair(),
                 store=proxy.address,
@@ -351,31 +356,9 @@
     return True
 
 
-def free_address() -> str:
-    """Return a loopback address with a free port."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
-
-
-def free_port_pair() -> int:
-    """Return the first of two consecutive free ports.
-
-    Daemons use the first for heartbeats; loaders serve chunks on the second.
-    """
-    while True:
-        port = int(free_address().rpartition(':')[2])
-        with socket.socket() as sock:
-            try:
-                sock.bind(('127.0.0.1', port + 1))
-            except OSError:
-                continue
-        return port
-
-
 SETTINGS_TEMPLATE = """
 node_name = "{name}"
-ip = "127.0.0.1"
+ip = "{host}"
 zone = "{zone}"
 region = "north"
 internal_ports = [{first_port}, {first_port}]
--- a/src/bramleylug/soak/proxy.py
+++ b/src/bramleylug/soak/proxy.py
@@ -7,6 +7,8 @@
 from socket import SO_LINGER, SOL_SOCKET
 from typing import Any, final
 
+from bramleylug.soak.addresses import OWN_HOST
+
 READ_BYTES = 65536
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -57,7 +59,7 @@
 
     async def open(self) -> None:
         """Listen on a free port of loopback."""
-        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.server = await asyncio.start_server(self._serve, OWN_HOST, 0)
         host, port = self.server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
 
--- a/testing/platform/cluster.py
+++ b/testing/platform/cluster.py
@@ -18,7 +18,7 @@
 from bramleylug.platform.adapter import PlatformAdapter
 from bramleylug.relay.daemon import RelayDaemon
 from bramleylug.relay.settings import RelaySettings
-from bramleylug.soak.deployment import free_address
+from bramleylug.soak.addresses import free_address
 from testing.platform.builders import CONFIG
 
 POLL_S = 0.05
