--- a/src/bramleylug/platform/store_changes.py
+++ b/src/bramleylug/platform/store_changes.py
@@ -25,9 +25,9 @@
     address,
     decode_json,
     describe,
+    integer,
     optional_address,
     text,
-    integer,
 )
 from bramleylug.store.changes import Removal, StoreChange, StoreItem
 
--- a/src/bramleylug/relay/event_splitter.py
+++ b/src/bramleylug/relay/event_splitter.py
@@ -7,6 +7,7 @@
 EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 EVENT_ID = re.compile(rb'(?:^|[\r\n])id: ?([^\r\n]*)')
 INTEGER = re.compile(rb'[0-9]{1,15}')
+# Begins a line that is no field.
 COMMENT = b':'
 MAX_EVENT_BYTES = 262144
 
