Relay: nothing is sent to an upstream that left while it was connected to (DRAIN)

Callers would have seen: requests at an engine later than the limit on draining, by the time that connecting took, up to 0.4 s.

Cause: the way to the engine is one of the waits that add up to the limit, and ended with the choice of the engine, not with the sending.

Change: right before the sending the attempt looks at whether the upstream leaves or was removed; the request has not been sent then and goes elsewhere. Evidence: TestLeavingWhileConnecting failed in its three parts before.

--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -114,6 +114,7 @@
     :ivar weights_written_s: when the weights in its record were read first.
     :ivar limit: what is known of the limit that it names.
     :ivar permits: those of this process while it names one.
+    :ivar removed: whether its record has been removed.
     """
 
     record: UpstreamRecord
@@ -130,6 +131,7 @@
     weights_written_s: float = float('-inf')
     limit: RateLimit = field(default_factory=RateLimit)
     permits: HeldPermits = field(default_factory=HeldPermits)
+    removed: bool = False
 
     @property
     def limited(self) -> bool:
@@ -348,7 +350,10 @@
 
     def remove(self, upstream_id: str) -> Upstream | None:
         """Remove an upstream; return ``None`` if it was unknown."""
-        return self.by_id.pop(upstream_id, None)
+        upstream = self.by_id.pop(upstream_id, None)
+        if upstream is not None:
+            upstream.removed = True
+        return upstream
 
     def of_service(self, service: str) -> Iterable[Upstream]:
         """Return the upstreams of a service that are not draining."""
--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -203,13 +203,9 @@
         timeouts: AttemptTimeouts,
     ) -> Outcome:
         """Run the attempt to its end; cancelling it closes the connection."""
-        try:
-            connection = await pool.acquire(upstream.record)
-        except (OSError, TimeoutError) as error:
-            return NotRun(Reason.connection_failed, repr(error))
-        if self.writer.caller_disconnected:
-            pool.release(upstream.record, connection, None)
-            return NotRun(Reason.slow_reader, 'caller disconnected')
+        connection = await self._connect(upstream, pool)
+        if isinstance(connection, NotRun):
+            return connection
         try:
             self._send(connection, dialect, metadata)
         except ConnectionBroken as error:
@@ -235,6 +231,23 @@
                 pool.release(upstream.record, connection, answer.keep_alive_s)
         return outcome
 
+    async def _connect(
+        self, upstream: Upstream, pool: ConnectionPool
+    ) -> ClientConnection | NotRun:
+        """Return a connection, or why nothing is sent on one."""
+        try:
+            connection = await pool.acquire(upstream.record)
+        except (OSError, TimeoutError) as error:
+            return NotRun(Reason.connection_failed, repr(error))
+        if self.writer.caller_disconnected:
+            pool.release(upstream.record, connection, None)
+            return NotRun(Reason.slow_reader, 'caller disconnected')
+        if upstream.leaving or upstream.removed:
+            # It may have left since it was chosen: connecting takes time.
+            connection.close()
+            return NotRun(Reason.connection_failed, 'upstream is leaving')
+        return connection
+
     def _send(
         self,
         connection: ClientConnection,
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from dataclasses import replace
 from itertools import product
 from typing import NamedTuple
 from unittest.mock import patch
@@ -354,6 +355,52 @@
                 )
 
 
+class TestLeavingWhileConnecting(RelayCase):
+    """An engine that leaves between its choice and the sending gets nothing."""
+
+    async def serve_while(self, change):
+        """Make a change while the relay connects to the first engine."""
+        build_relay = self.build_relay
+
+        def build(route):
+            relay = build_relay(route)
+            acquire = relay.pool.acquire
+
+            async def acquire_slowly(record):
+                connection = await acquire(record)
+                if record.upstream_id == 'engine-0':
+                    change(relay.view, record)
+                return connection
+
+            relay.pool.acquire = acquire_slowly
+            return relay
+
+        self.build_relay = build
+        return await self.serve(
+            ScriptedEngine(complete_answer(b'first')),
+            ScriptedEngine(complete_answer(b'second')),
+            retry_policy=RetryPolicy.never,
+            streamed=False,
+        )
+
+    async def test_request_goes_to_another_engine(self) -> None:
+        """Guards against arrivals later than a limit on draining (DRAIN)."""
+        changes = (
+            lambda view, record: view.register_upstream(
+                replace(record, draining=True)
+            ),
+            lambda view, record: view.record_leaving(
+                record.upstream_id, record.started_ms
+            ),
+            lambda view, record: view.remove_upstream(record.upstream_id),
+        )
+        for number, change in enumerate(changes):
+            exchange = await self.serve_while(change)
+            with self.subTest(number):
+                self.assertEqual(self.arrivals(), [0, 1])
+                self.assertEqual(exchange.sent, b'second')
+
+
 class TestRepeatedRefusals(RelayCase):
     """A refusal that is written once more refuses no other request."""
 
