Tests: plays of silent readers close the loops of their processes

Cause: each of the 5,400 plays before them left the event loops of two processes, six descriptors, to the garbage collector.

--- a/testing/store/test_reader_silence.py
+++ b/testing/store/test_reader_silence.py
@@ -214,9 +214,7 @@
         try:
             yield self
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await self._stop(tasks)
 
     def cut_reader(self) -> None:
         self.adapters[self.reader].store.is_cut = True
@@ -233,6 +231,14 @@
             for written_s, item in self.store.written[1:]
         }
 
+    async def _stop(self, tasks: list[asyncio.Task[None]]) -> None:
+        """End the tasks; close loops, which hold descriptors till then."""
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for core in self.cores:
+            core.loop.loop.close()
+
 
 class Play(NamedTuple):
     """Two changes and a silence of the reader, by their times.
