Sockets: descriptors from 1,024 on are served (CONFIG)

Callers saw: with 1,100 kept connections a relay accepted further ones and never read them; readiness and directory were silent, too, while the process was idle.

Cause: no program chose a poller, so that the first server of a loop added the default one of circuits, select(2). It takes no descriptor from 1,024 on; circuits then drops such sockets from its lists and leaves them open. The settings allow 3,500 connections of callers. Entry, agent, loader, gossip, the stand-ins and the soak have the same loop.

Change: one poller for every loop (web/poller.py), on the selectors module, which every server attaches to by the same function. Accepted sockets are a set, and sockets close without further events.

--- a/src/bramleylug/node/udp.py
+++ b/src/bramleylug/node/udp.py
@@ -1,11 +1,14 @@
 """UDP server that survives errors of single datagrams."""
 
 from contextlib import suppress
-from typing import final
+from typing import Any, final
 
+from circuits import handler
 from circuits.net.events import read
 from circuits.net.sockets import UDPServer
 
+from bramleylug.web.poller import attach_poller
+
 BUFFER_BYTES = 4096
 PORT_LIMIT = 65536
 
@@ -19,6 +22,13 @@
     good.
     """
 
+    @handler('registered', 'started', channel='*')
+    def _on_registered_or_started(
+        self, component: Any, manager: Any = None
+    ) -> None:
+        if component is self and self._poller is None:
+            attach_poller(self)
+
     def _read(self) -> None:
         with suppress(OSError):
             datagram, address = self._sock.recvfrom(BUFFER_BYTES)
--- a/src/bramleylug/web/sockets.py
+++ b/src/bramleylug/web/sockets.py
@@ -2,12 +2,15 @@
 
 import struct
 from contextlib import suppress
-from socket import MSG_PEEK, SO_LINGER, SOL_SOCKET, socket
-from typing import Protocol, final
+from socket import MSG_PEEK, SHUT_RDWR, SO_LINGER, SOL_SOCKET, socket
+from typing import Any, Protocol, final
 
 from circuits import Event, handler
+from circuits.net.events import closed
 from circuits.net.sockets import TCPServer
 
+from bramleylug.web.poller import attach_poller
+
 READ_BYTES = 16384
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -36,22 +39,27 @@
     """Calls its owner for socket events instead of firing circuits events.
 
     :ivar owner: set before the first connection.
+    :ivar accepted: sockets of open connections.
     """
 
     def __init__(self, bind: tuple[str, int], channel: str) -> None:
         super().__init__(bind, channel=channel)
         self.owner: SocketOwner
+        self.accepted: set[socket] = set()
 
     def write_when_ready(self, sock: socket) -> None:
         """Report once when a socket accepts bytes again."""
-        if not self._poller.isWriting(sock):
+        if sock in self.accepted:
             self._poller.addWriter(self, sock)
 
     def pause(self, sock: socket) -> None:
+        """Stop reading from a socket until it is resumed."""
         self._poller.removeReader(sock)
 
     def resume(self, sock: socket) -> None:
-        self._poller.addReader(self, sock)
+        """Start reading from a paused socket again."""
+        if sock in self.accepted:
+            self._poller.addReader(self, sock)
 
     def has_input(self, sock: socket) -> bool:
         """Return whether a socket holds bytes; leave them unread."""
@@ -62,7 +70,11 @@
             return False
 
     def drop(self, sock: socket) -> None:
-        self._close(sock)
+        """Close a socket."""
+        self._forget(sock)
+        with suppress(OSError):
+            sock.shutdown(SHUT_RDWR)
+        sock.close()
 
     def reset(self, sock: socket) -> None:
         """Close a socket with a TCP reset, which its peer sees as an error.
@@ -71,18 +83,47 @@
         """
         with suppress(OSError):
             sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
-        self._poller.discard(sock)
-        self._buffers.pop(sock, None)
-        if sock in self._clients:
-            self._clients.remove(sock)
+        self._forget(sock)
         sock.close()
 
-    def _on_accept_done(
-        self, sock: socket, fire_connect_event: bool = True
+    @handler('close')
+    def close(self) -> None:
+        """Close all sockets; the loop stops."""
+        for sock in tuple(self.accepted):
+            self.drop(sock)
+            self.owner.disconnected(sock)
+        if self._poller is not None:
+            self._poller.discard(self._sock)
+        self._sock.close()
+        self.fire(closed())
+
+    def _forget(self, sock: socket) -> None:
+        self._poller.discard(sock)
+        self.accepted.discard(sock)
+
+    @handler('registered', 'started', channel='*')
+    def _on_registered_or_started(
+        self, component: Any, manager: Any = None
     ) -> None:
+        if component is self and self._poller is None:
+            attach_poller(self)
+
+    @handler('_read', priority=1)
+    def _on_read(self, sock: socket) -> None:
+        if sock is self._sock:
+            self._accept()
+        elif sock in self.accepted:
+            self._read(sock)
+
+    def _accept(self) -> None:
+        try:
+            sock, _ = self._sock.accept()
+        except OSError:
+            # The client has left, or no descriptor is free.
+            return
         sock.setblocking(False)
+        self.accepted.add(sock)
         self._poller.addReader(self, sock)
-        self._clients.append(sock)
         self.owner.accepted(sock)
 
     def _read(self, sock: socket) -> None:
@@ -93,7 +134,8 @@
         except BlockingIOError:
             return
         except OSError:
-            self._close(sock)
+            self.drop(sock)
+            self.owner.disconnected(sock)
             return
         self.owner.received(sock, raw)
 
@@ -102,8 +144,4 @@
         event.stop()
         if self._poller.isWriting(sock):
             self._poller.removeWriter(sock)
-        self.owner.writable(sock)
-
-    @handler('disconnect')
-    def _on_disconnected(self, sock: socket) -> None:
-        self.owner.disconnected(sock)
+            self.owner.writable(sock)
--- /dev/null
+++ b/testing/web/descriptors.py
@@ -0,0 +1,34 @@
+"""Processes whose next file descriptors have high numbers."""
+
+import os
+from collections.abc import Iterator
+from contextlib import contextmanager
+from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit, setrlimit
+
+# Descriptors that tests need in all, those held for others included.
+NEEDED_DESCRIPTORS = 2048
+# Number of descriptors that select(2) can watch.
+SELECT_DESCRIPTORS = 1024
+
+
+@contextmanager
+def high_descriptors() -> Iterator[None]:
+    """Hold all descriptors below 1,024, so that new ones are above.
+
+    :raises OSError: when the system allows too few descriptors.
+    """
+    limits = getrlimit(RLIMIT_NOFILE)
+    soft, hard = limits
+    if hard != RLIM_INFINITY and hard < NEEDED_DESCRIPTORS:
+        raise OSError(f'only {hard} descriptors are allowed')
+    if soft != RLIM_INFINITY and soft < NEEDED_DESCRIPTORS:
+        setrlimit(RLIMIT_NOFILE, (NEEDED_DESCRIPTORS, hard))
+    held = [os.open(os.devnull, os.O_RDONLY)]
+    while held[-1] < SELECT_DESCRIPTORS:
+        held.append(os.dup(held[0]))
+    try:
+        yield
+    finally:
+        for descriptor in held:
+            os.close(descriptor)
+        setrlimit(RLIMIT_NOFILE, limits)
