Sockets: a connection for which no descriptor is free is reset at once

Callers saw: with all descriptors of a process in use, new connections stayed open in silence, those to readiness and directory included; the event loop used a whole core and no log line said why.

Cause: accept() fails with EMFILE, which circuits ignores. The waiting connection keeps the listening socket readable, so that the loop tries again at once, without end.

Change: each listening socket keeps a spare descriptor, with which the connection is accepted and reset. BL5009 and bramleylug_exhausted_total tell of it, the log once in 10 s at most.

--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -428,6 +428,14 @@
         'background task {work} failed and continues: {error}',
         'Report it with the log lines around it.',
     )
+    descriptors_exhausted = EventSpec(
+        'BL5009',
+        'ERROR',
+        'no file descriptor is free for {what}: {error} ({repeated} times '
+        'more since the last line about it)',
+        'Compare the open descriptors of the process with its limit; raise '
+        'the limit or add hosts.',
+    )
 
 
 def emit(event: LogEvent, **fields: object) -> None:
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -25,6 +25,10 @@
 )
 REFUSALS = Counter('bramleylug_refusals_total', 'Refusals by reason')
 BAD_INPUT = Counter('bramleylug_bad_input_total', 'Rejected input, by kind')
+EXHAUSTED = Counter(
+    'bramleylug_exhausted_total',
+    'Calls that failed as no file descriptor was free, by what they were for',
+)
 RUNNING = Gauge('bramleylug_running_requests', 'Requests in progress')
 REVISION = Gauge(
     'bramleylug_configuration_revision', 'Configuration revision in force'
--- a/src/bramleylug/web/server.py
+++ b/src/bramleylug/web/server.py
@@ -113,4 +113,5 @@
 
     @handler('sweep')
     def _on_sweep(self) -> None:
+        self.tcp.continue_accepting()
         self.connections.sweep()
--- a/src/bramleylug/web/sockets.py
+++ b/src/bramleylug/web/sockets.py
@@ -9,6 +9,11 @@
 from circuits.net.events import closed
 from circuits.net.sockets import TCPServer
 
+from bramleylug.web.exhaustion import (
+    EXHAUSTION_ERRORS,
+    ExhaustionLog,
+    SpareDescriptor,
+)
 from bramleylug.web.poller import attach_poller
 
 READ_BYTES = 16384
@@ -40,12 +45,16 @@
 
     :ivar owner: set before the first connection.
     :ivar accepted: sockets of open connections.
+    :ivar accepting: whether connections are accepted at present.
     """
 
     def __init__(self, bind: tuple[str, int], channel: str) -> None:
         super().__init__(bind, channel=channel)
         self.owner: SocketOwner
         self.accepted: set[socket] = set()
+        self.accepting = True
+        self.spare = SpareDescriptor()
+        self.exhaustion_log = ExhaustionLog(f'connections on {channel}')
 
     def write_when_ready(self, sock: socket) -> None:
         """Report once when a socket accepts bytes again."""
@@ -69,6 +78,13 @@
             # Nothing has arrived, or the connection is broken.
             return False
 
+    def continue_accepting(self) -> None:
+        """Accept connections again after a pause for want of descriptors."""
+        self.spare.reopen()
+        if not self.accepting:
+            self.accepting = True
+            self._poller.addReader(self, self._sock)
+
     def drop(self, sock: socket) -> None:
         """Close a socket."""
         self._forget(sock)
@@ -95,6 +111,7 @@
         if self._poller is not None:
             self._poller.discard(self._sock)
         self._sock.close()
+        self.spare.release()
         self.fire(closed())
 
     def _forget(self, sock: socket) -> None:
@@ -118,14 +135,33 @@
     def _accept(self) -> None:
         try:
             sock, _ = self._sock.accept()
-        except OSError:
-            # The client has left, or no descriptor is free.
+        except OSError as error:
+            if error.errno in EXHAUSTION_ERRORS:
+                self.exhaustion_log.record(str(error))
+                self._reject()
             return
         sock.setblocking(False)
         self.accepted.add(sock)
         self._poller.addReader(self, sock)
         self.owner.accepted(sock)
 
+    def _reject(self) -> None:
+        """Reset the next connection, for which no descriptor is free.
+
+        If it can't be accepted even so, the listening socket is left alone for
+        a while: it would be reported as readable without end.
+        """
+        self.spare.release()
+        try:
+            sock, _ = self._sock.accept()
+        except OSError:
+            self.accepting = False
+            self._poller.removeReader(self._sock)
+        else:
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+            sock.close()
+        self.spare.reopen()
+
     def _read(self, sock: socket) -> None:
         if not self.owner.readable(sock):
             return
--- a/testing/web/descriptors.py
+++ b/testing/web/descriptors.py
@@ -2,13 +2,15 @@
 
 import os
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit, setrlimit
 
 # Descriptors that tests need in all, those held for others included.
 NEEDED_DESCRIPTORS = 2048
 # Number of descriptors that select(2) can watch.
 SELECT_DESCRIPTORS = 1024
+# Descriptors that are held above the lowest free one.
+FREE_DESCRIPTORS = 64
 
 
 @contextmanager
@@ -32,3 +34,24 @@
         for descriptor in held:
             os.close(descriptor)
         setrlimit(RLIMIT_NOFILE, limits)
+
+
+@contextmanager
+def no_free_descriptor() -> Iterator[None]:
+    """Hold all descriptors that this process may open."""
+    limits = getrlimit(RLIMIT_NOFILE)
+    held = [os.open(os.devnull, os.O_RDONLY)]
+    setrlimit(RLIMIT_NOFILE, (held[0] + FREE_DESCRIPTORS, limits[1]))
+    try:
+        _fill(held)
+        yield
+    finally:
+        for descriptor in held:
+            os.close(descriptor)
+        setrlimit(RLIMIT_NOFILE, limits)
+
+
+def _fill(held: list[int]) -> None:
+    with suppress(OSError):
+        while True:
+            held.append(os.dup(held[0]))
