Relay: want of descriptors is no failure of an upstream

Callers saw: when the relay had no descriptor left, each request was tried at one engine after the other, and refused with 429. Each sound engine that could not be connected to was avoided by the relay afterwards.

Cause: connect() fails with EMFILE before anything is sent, which was handled as an unreachable engine. Idle connections are limited for each engine (32), not for all of them; with 1,100 engines they alone exceed any limit.

Change: connections are counted against a budget of descriptors (web/descriptors.py), idle ones to engines and those of callers alike. An idle connection is closed when its descriptor is needed. When none is left the request is refused at once, as not run, with Retry-After, and the engine's record stays as it was. Connections of callers beyond the budget are refused; they are closed earlier when further ones have to be refused.

--- a/src/bramleylug/outcomes.py
+++ b/src/bramleylug/outcomes.py
@@ -36,6 +36,7 @@
     key_conflict = 'key_conflict'
     ticket_void = 'ticket_void'
     crash_suspect = 'crash_suspect'
+    out_of_connections = 'out_of_connections'
     internal = 'internal'
 
 
--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -11,7 +11,7 @@
 from bramleylug.cluster.upstreams import Upstream
 from bramleylug.entry.answers import AnswerWriter
 from bramleylug.outcomes import NotRun, Outcome, Ran, Reason, Unknown
-from bramleylug.relay.connection_pool import ConnectionPool
+from bramleylug.relay.connection_pool import ConnectionPool, NoDescriptorFree
 from bramleylug.relay.dialect import (
     AnswerMetadata,
     CallerRequest,
@@ -41,6 +41,8 @@
 # An upstream that has written an answer for this long is not about to crash
 # under the parts of its prompt.
 PROVEN_S = 1.0
+# Connections of this relay end all the time; another relay may have some now.
+EXHAUSTED_RETRY_S = 0.5
 # Statuses that promise a caller that nothing ran.
 NOT_RUN_STATUSES = frozenset(
     (
@@ -237,6 +239,10 @@
         """Return a connection, or why nothing is sent on one."""
         try:
             connection = await pool.acquire(upstream.record)
+        except NoDescriptorFree as error:
+            return NotRun(
+                Reason.out_of_connections, str(error), EXHAUSTED_RETRY_S
+            )
         except (OSError, TimeoutError) as error:
             return NotRun(Reason.connection_failed, repr(error))
         if self.writer.caller_disconnected:
@@ -434,7 +440,7 @@
     :param started: whether the caller has received part of the answer.
     """
     match outcome:
-        case NotRun(Reason.slow_reader):
+        case NotRun(Reason.slow_reader | Reason.out_of_connections):
             return False
         case NotRun():
             return not started or route.retry_policy is RetryPolicy.resume
--- a/src/bramleylug/relay/outcome_recorder.py
+++ b/src/bramleylug/relay/outcome_recorder.py
@@ -60,6 +60,9 @@
         self, context: RequestContext, upstream: Upstream, outcome: Outcome
     ) -> None:
         """Record the outcome of one attempt."""
+        if outcome.reason is Reason.out_of_connections:
+            # This process is at fault, not the upstream.
+            return
         now_s = self.view.clock()
         if context.progress.cold_for_s:
             self.view.record_cold(upstream, context.progress.cold_for_s)
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -36,6 +36,7 @@
 from bramleylug.relay.retry_budget import SharedRetryBudget
 from bramleylug.relay.settings import RelaySettings
 from bramleylug.relay.upstream_selection import UpstreamSelector
+from bramleylug.web.descriptors import DescriptorBudget
 from bramleylug.web.exchange import Exchange
 
 # Another upstream is looked for after this many latency objectives for an
@@ -57,6 +58,8 @@
     """Serves requests on the event loop of the upstream connections.
 
     :param clock: seconds that also count while the host is suspended.
+    :param descriptors: limits the connections to upstreams; by default there
+        is no limit.
     :ivar running: requests that have not ended.
     """
 
@@ -66,6 +69,7 @@
         view: ClusterView,
         dialect: Dialect,
         clock: Callable[[], float],
+        descriptors: DescriptorBudget | None = None,
     ) -> None:
         random = Random(settings.name)  # noqa: S311
         self.settings = settings
@@ -87,7 +91,7 @@
         self.handover = Handover(
             self.dispatch_queue, self.checks, self.retry_budget
         )
-        self.pool = ConnectionPool(clock)
+        self.pool = ConnectionPool(clock, descriptors or DescriptorBudget())
         self.running = 0
 
     async def serve(self, exchange: Exchange) -> None:
--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -18,6 +18,8 @@
 
 import h11
 
+from bramleylug.web.descriptors import DescriptorLease
+
 # Linux closes the connection if sent bytes stay unacknowledged for this long.
 USER_TIMEOUT_MS = 3000
 # Keep-alive probes detect an unreachable peer of an idle connection within
@@ -74,12 +76,14 @@
     :ivar answered_count: answers that were read to their end.
     :ivar must_close: whether bytes were received that belong to no request, or
         the protocol does not allow another request.
+    :ivar lease: counts its descriptor, and is released when it has closed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, lease: DescriptorLease | None = None) -> None:
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self.lease = lease
         self.transport: Any = None
         self.input_changed = asyncio.Event()
         self.unread_data: list[bytes] = []
@@ -92,10 +96,16 @@
 
     @classmethod
     async def open(
-        cls, address: str, *, timeout_s: float
+        cls,
+        address: str,
+        *,
+        timeout_s: float,
+        lease: DescriptorLease | None = None,
     ) -> 'ClientConnection':
         """Connect to ``host:port``.
 
+        :param lease: taken over by the connection; if none is made, it stays
+            with the caller.
         :raises OSError: when the connection is not made in time, or nothing
             can be reached at such an address.
         """
@@ -103,7 +113,8 @@
         loop = asyncio.get_running_loop()
         try:
             _, protocol = await asyncio.wait_for(
-                loop.create_connection(cls, host, int(port)), timeout_s
+                loop.create_connection(lambda: cls(lease), host, int(port)),
+                timeout_s,
             )
         except (ValueError, OverflowError) as error:
             raise OSError(f'{address} is no address: {error}') from error
@@ -141,6 +152,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.ended = True
         self.failure = exc
+        self._release_descriptor()
         self.input_changed.set()
 
     def send(self, request: ClientRequest) -> None:
@@ -204,9 +216,14 @@
     def close(self) -> None:
         """Abort the connection; unsent bytes are discarded."""
         self.ended = True
+        self._release_descriptor()
         if self.transport is not None:
             self.transport.abort()
 
+    def _release_descriptor(self) -> None:
+        if self.lease is not None:
+            self.lease.release()
+
     def _finish(self) -> None:
         self.active = False
         self.answered_count += 1
--- a/src/bramleylug/web/port.py
+++ b/src/bramleylug/web/port.py
@@ -18,6 +18,7 @@
 
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import BAD_INPUT, count
+from bramleylug.web.admission import ConnectionAdmission
 from bramleylug.web.connection import (
     DRAINING,
     IDLE,
@@ -29,6 +30,7 @@
     TimeoutKind,
     Transport,
 )
+from bramleylug.web.descriptors import DescriptorShare
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.heads import BadRequest
 from bramleylug.web.limits import WebLimits
@@ -48,6 +50,7 @@
     :ivar serve: called on the loop with each exchange.
     :ivar call: runs a callable on the loop; thread-safe.
     :ivar clock: returns monotonic time in seconds.
+    :ivar descriptors: limits the connections of all ports together.
     """
 
     limits: WebLimits
@@ -55,6 +58,7 @@
     serve: Callable[[Exchange], None]
     call: Callable[[Callable[[], None]], None]
     clock: Callable[[], float]
+    descriptors: DescriptorShare
 
 
 @final
@@ -72,6 +76,7 @@
         self.connections: dict[socket, Connection] = {}
         self.to_flush: dict[Connection, None] = {}
         self.draining = False
+        self.admission = ConnectionAdmission(context.descriptors)
 
     @property
     def busy(self) -> bool:
@@ -129,9 +134,13 @@
                 _limit_send_buffer(sock, self.limits.send_buffer_bytes)
         connection = Connection(sock, self.limits, self.context.clock())
         self.connections[sock] = connection
-        if len(self.connections) > self.limits.connections:
+        if self.admission.admit(connection, self.limits.connections):
+            return
+        if self.admission.hold_rejected(connection, self._drop):
             self._refuse(connection, TOO_MANY_CONNECTIONS)
             self.flush()
+        else:
+            self.reset(connection)
 
     def readable(self, sock: socket) -> bool:
         """Return whether to read from a socket that has input or has ended.
@@ -183,6 +192,7 @@
             return
         connection.closing = True
         connection.reserve_input(0, self.context.ledger)
+        self.admission.release(connection)
         exchange = connection.exchange
         connection.exchange = None
         if exchange is not None:
--- a/src/bramleylug/web/server.py
+++ b/src/bramleylug/web/server.py
@@ -12,6 +12,7 @@
 
 from circuits import BaseComponent, Event, Timer, handler
 
+from bramleylug.web.descriptors import DescriptorShare, unlimited_share
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.limits import DEFAULT_LIMITS, WebLimits
 from bramleylug.web.memory import UNBOUNDED_BYTES, MemoryLedger
@@ -39,6 +40,8 @@
     :param ledger: limits the memory of all requests together; by default
         there is no limit.
     :param clock: returns monotonic time in seconds.
+    :param descriptors: limits the connections of all servers together; by
+        default there is no limit.
     """
 
     channel = 'web'
@@ -52,6 +55,7 @@
         ledger: MemoryLedger | None = None,
         clock: Callable[[], float] = time.monotonic,
         channel: str = 'web',
+        descriptors: DescriptorShare | None = None,
     ) -> None:
         super().__init__(channel=channel)
         self.ledger = ledger or MemoryLedger(UNBOUNDED_BYTES)
@@ -60,7 +64,14 @@
         host, _, port = bind.rpartition(':')
         self.tcp = SocketServer((host, int(port)), channel)
         self.connections = Port(
-            PortContext(limits, self.ledger, serve, self.call, clock),
+            PortContext(
+                limits,
+                self.ledger,
+                serve,
+                self.call,
+                clock,
+                descriptors or unlimited_share(),
+            ),
             self.tcp,
         )
         self.tcp.owner = self.connections
--- a/testing/web/ports.py
+++ b/testing/web/ports.py
@@ -4,6 +4,7 @@
 from socket import socket
 from typing import Any, cast
 
+from bramleylug.web.descriptors import DescriptorShare, unlimited_share
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.limits import WebLimits
 from bramleylug.web.memory import MemoryLedger
@@ -71,6 +72,7 @@
         serve: Callable[[Exchange], None] | None = None,
         *,
         memory_bytes: int = 1_000_000,
+        descriptors: DescriptorShare | None = None,
         **limits: Any,
     ) -> None:
         self.now_s = 0.0
@@ -84,6 +86,7 @@
                 serve or self.served.append,
                 self.call,
                 lambda: self.now_s,
+                descriptors or unlimited_share(),
             ),
             self.transport,
         )
