Settings: the descriptors of a process are divided once, and sum up

Callers saw: with 600 descriptors allowed by the system and 4,200 in the settings, a relay accepted connections until none was left; readiness and directory were silent, too.

Cause: the limit of each port was set by itself. 3,500 callers, 4,096 connections on each other port, 32 idle ones to each engine and one to each loader exceed what a process may open; the limit of the system was not looked at. Loaders had no limit at all: chunks and fetches of 1,100 others are 2,200 connections of 1,848.

The soft limit is raised as far as the hard one permits; if that is less, BL5010 says so and the smaller number is divided. An HTTP client for many addresses keeps idle connections to 32 of them. Entry and agent raise their limit, too; an entry accepts fewer callers if it can't.

--- a/src/bramleylug/cli/main.py
+++ b/src/bramleylug/cli/main.py
@@ -4,6 +4,7 @@
 import sys
 from argparse import Namespace
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from bramleylug.cli import (
@@ -16,6 +17,11 @@
     weights,
 )
 from bramleylug.cli.parser import ExitCode, OneLineParser
+from bramleylug.cluster.descriptors import (
+    NODE_DESCRIPTORS,
+    allow_descriptors,
+    entry_connections,
+)
 from bramleylug.node.lifecycle import DaemonRunner
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.logs import set_up_logs
@@ -76,6 +82,9 @@
 def _run_entry(namespace: Namespace) -> int:
     settings = load_settings(EntrySettings, namespace, os.environ)
     _start_logging(settings)
+    allowed = allow_descriptors(settings.max_connections + NODE_DESCRIPTORS)
+    connections = entry_connections(settings.max_connections, allowed)
+    settings = replace(settings, max_connections=connections)
     from bramleylug.entry.daemon import EntryDaemon  # noqa: PLC0415
 
     return _run_daemon(EntryDaemon(settings))
@@ -84,6 +93,7 @@
 def _run_agent(namespace: Namespace) -> int:
     settings = load_settings(AgentSettings, namespace, os.environ)
     _start_logging(settings)
+    allow_descriptors(NODE_DESCRIPTORS)
     from bramleylug.agent.daemon import AgentDaemon  # noqa: PLC0415
 
     return _run_daemon(AgentDaemon(settings))
--- a/src/bramleylug/cluster/settings.py
+++ b/src/bramleylug/cluster/settings.py
@@ -19,6 +19,9 @@
     store: str = setting('address of the platform store, host:port')
     beat_bind: str = setting('UDP address for heartbeats of other processes')
     metrics_bind: str = setting('address for metrics; empty for none', '')
+    file_descriptors: int = setting(
+        'file descriptors that this process may open', 4096
+    )
     confirm_interval: float = setting(
         'interval at which the copy of the store is confirmed', 1.0, unit='s'
     )
--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -8,6 +8,7 @@
 
 from circuits import BaseComponent
 
+from bramleylug.cluster.descriptors import loader_budget
 from bramleylug.cluster.peers import PeerRecord, Role
 from bramleylug.cluster.process import (
     Adapter,
@@ -46,6 +47,7 @@
     StoreUnavailable,
     WatchableStore,
 )
+from bramleylug.web.descriptors import DescriptorShare, DescriptorUse
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.limits import WebLimits
 from bramleylug.web.queries import integer_parameter
@@ -121,9 +123,12 @@
         self.announced_s: dict[int, float] = {}
         self.is_first_target = True
         self.draining_since_s: float | None = None
-        self._listen(settings.chunk_bind, self.serve, 'chunks')
+        self.descriptors = loader_budget(settings.file_descriptors)
+        self._listen(settings.chunk_bind, self.serve, DescriptorUse.chunks)
         if settings.metrics_bind:
-            self._listen(settings.metrics_bind, self.serve_metrics, 'metrics')
+            self._listen(
+                settings.metrics_bind, self.serve_metrics, DescriptorUse.pages
+            )
 
     def open(self) -> None:
         """Start the background tasks, outside the circuits loop."""
@@ -326,10 +331,18 @@
         return None if service is None else service.weights
 
     def _listen(
-        self, bind: str, serve: Callable[[Exchange], None], channel: str
+        self,
+        bind: str,
+        serve: Callable[[Exchange], None],
+        use: DescriptorUse,
     ) -> None:
-        limits = WebLimits(respond_before_close=False)
-        server = WebServer(bind, serve, limits=limits, channel=channel)
+        server = WebServer(
+            bind,
+            serve,
+            limits=WebLimits(respond_before_close=False),
+            channel=f'{use.value} {bind}',
+            descriptors=DescriptorShare(self.descriptors, use),
+        )
         server.register(self)
 
 
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -436,6 +436,14 @@
         'Compare the open descriptors of the process with its limit; raise '
         'the limit or add hosts.',
     )
+    descriptors_limited = EventSpec(
+        'BL5010',
+        'WARNING',
+        'the system allows {allowed} file descriptors of {wanted} that the '
+        'settings name; fewer connections are served',
+        'Raise the limit of open files (RLIMIT_NOFILE) of the process, or '
+        'lower the setting.',
+    )
 
 
 def emit(event: LogEvent, **fields: object) -> None:
--- a/src/bramleylug/platform/__main__.py
+++ b/src/bramleylug/platform/__main__.py
@@ -5,10 +5,12 @@
 import sys
 import time
 from argparse import Namespace
+from dataclasses import replace
 from types import FrameType
 from typing import Any
 
 from bramleylug.cli.parser import ExitCode, OneLineParser
+from bramleylug.cluster.descriptors import MIN_DESCRIPTORS, allow_descriptors
 from bramleylug.cluster.settings import ProcessSettings
 from bramleylug.node.lifecycle import DaemonRunner
 from bramleylug.observability.events import LogEvent, emit
@@ -76,13 +78,29 @@
         name=settings.name,
         zone=settings.zone,
     )
-    daemon = _build(settings, namespace.program)
+    daemon = _build(_limit_descriptors(settings), namespace.program)
     # The process has spent this time with imports, at least.
     daemon.core.view.started_s -= time.process_time()
     DaemonRunner(daemon, settings.name).run()
     return ExitCode.ok
 
 
+def _limit_descriptors(settings: ProcessSettings) -> ProcessSettings:
+    """Return settings with no more descriptors than the system allows.
+
+    :raises SettingsError: when it allows too few.
+    """
+    allowed = allow_descriptors(settings.file_descriptors)
+    if allowed < MIN_DESCRIPTORS:
+        raise SettingsError(
+            [
+                f'the system allows {allowed} file descriptors; '
+                f'{MIN_DESCRIPTORS} or more are needed'
+            ]
+        )
+    return replace(settings, file_descriptors=allowed)
+
+
 def _build(settings: Any, program: str) -> Any:
     from bramleylug.platform.adapter import PlatformAdapter  # noqa: PLC0415
 
--- a/src/bramleylug/platform/settings.py
+++ b/src/bramleylug/platform/settings.py
@@ -5,11 +5,13 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+from bramleylug.cluster.descriptors import loader_budget, relay_budget
 from bramleylug.cluster.settings import CHANGE_LIMIT_S, ProcessSettings
 from bramleylug.loader.settings import LoaderSettings
 from bramleylug.relay.settings import RelaySettings
 from bramleylug.settings.addresses import is_address
 from bramleylug.settings.fields import SettingsError
+from bramleylug.web.descriptors import DescriptorUse
 
 SETTINGS_VARIABLE = 'BRAMLEYLUG_CONFIG'
 MILLISECONDS = 1000
@@ -18,10 +20,6 @@
 # Share of a process's memory for buffered requests and answers; the rest is
 # needed by the interpreter and its libraries.
 CALLER_MEMORY_SHARE = 0.3
-# File descriptors reserved for connections to upstreams, listening sockets
-# and files.
-RESERVED_DESCRIPTORS = 700
-MIN_CONNECTIONS = 64
 # Callers resolve addresses again after this time, so that they leave a
 # draining relay soon.
 ADDRESS_TTL_S = 1.0
@@ -130,6 +128,7 @@
         'store': str(document['platform']['address']),
         'beat_bind': f'{document["ip"]}:{first_port + HEARTBEAT_PORT_OFFSET}',
         'metrics_bind': metrics_bind,
+        'file_descriptors': int(document['limits']['file_descriptors']),
         'version_limit': bounds['version_ms'] / MILLISECONDS,
         'calm_window': bounds['stable_window_ms'] / MILLISECONDS,
         'cold_overshoot': float(bounds['cold_overshoot']),
@@ -143,7 +142,7 @@
     bounds = document['bounds']
     limits = document['limits']
     listen = document['listen']
-    connections = int(limits['file_descriptors']) - RESERVED_DESCRIPTORS
+    descriptors = relay_budget(int(limits['file_descriptors']))
     feed_port = int(document['internal_ports'][0]) + FEED_PORT_OFFSET
     memory_bytes = limits['memory_mb'] * MEBIBYTE * CALLER_MEMORY_SHARE
     return RelaySettings(
@@ -153,7 +152,7 @@
         directory_bind=str(listen.get('directory', '')),
         feed_bind=f'{document["ip"]}:{feed_port}',
         memory_bytes=int(memory_bytes),
-        max_connections=max(MIN_CONNECTIONS, connections),
+        max_connections=descriptors.limit_of(DescriptorUse.callers),
         stop_time=float(bounds['grace_s']),
         change_limit=_change_limit_s(bounds),
         keep_addresses=min(ADDRESS_TTL_S, float(bounds['ttl_max_s'])),
@@ -169,6 +168,8 @@
 ) -> LoaderSettings:
     first_port = int(document['internal_ports'][0])
     link_bytes = document['limits']['link_mbps'] * BYTES_PER_MEGABIT
+    # Too few are reported with the other problems of the settings.
+    loader_budget(int(document['limits']['file_descriptors']))
     return LoaderSettings(
         **_common_fields(document, metrics_bind),
         upstream=str(document['app']),
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -9,6 +9,7 @@
 from circuits import BaseComponent
 
 from bramleylug.cluster.bar_archive import BarArchive
+from bramleylug.cluster.descriptors import relay_budget
 from bramleylug.cluster.heartbeats import relay_heartbeat
 from bramleylug.cluster.peers import PeerRecord, Requester, Role
 from bramleylug.cluster.process import (
@@ -26,6 +27,7 @@
 from bramleylug.relay.error_responses import error_response
 from bramleylug.relay.relay import Relay
 from bramleylug.relay.settings import RelaySettings
+from bramleylug.web.descriptors import DescriptorShare, DescriptorUse
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.limits import WebLimits
 from bramleylug.web.memory import MemoryLedger
@@ -111,7 +113,14 @@
         self.core.view.suspects.on_change = self.core.announce_soon
         self.core.view.permits.on_limit_changed = self.core.announce_soon
         self.core.view.on_peer_started = self.tell_limits
-        self.relay = Relay(settings, self.core.view, adapter.dialect, clock)
+        self.descriptors = relay_budget(settings.file_descriptors)
+        self.relay = Relay(
+            settings,
+            self.core.view,
+            adapter.dialect,
+            clock,
+            self.descriptors,
+        )
         self.bar_archive = BarArchive(
             self.core.store,
             self.core.view.suspects,
@@ -125,20 +134,28 @@
         self.web = self._serve_on(
             settings.caller_bind,
             self.serve,
-            'callers',
+            DescriptorUse.callers,
             WebLimits(
                 connections=settings.max_connections, respond_before_close=False
             ),
         )
-        self._serve_on(settings.ready_bind, self.serve_ready, 'ready')
+        self._serve_on(
+            settings.ready_bind, self.serve_ready, DescriptorUse.pages
+        )
         if settings.directory_bind:
             self._serve_on(
-                settings.directory_bind, self.serve_directory, 'directory'
+                settings.directory_bind,
+                self.serve_directory,
+                DescriptorUse.directory,
             )
         if settings.feed_bind:
-            self._serve_on(settings.feed_bind, self.serve_feed, 'feed')
+            self._serve_on(
+                settings.feed_bind, self.serve_feed, DescriptorUse.feed
+            )
         if settings.metrics_bind:
-            self._serve_on(settings.metrics_bind, self.serve_metrics, 'metrics')
+            self._serve_on(
+                settings.metrics_bind, self.serve_metrics, DescriptorUse.pages
+            )
 
     def open(self) -> None:
         """Start the background tasks, outside the circuits loop."""
@@ -314,7 +331,7 @@
         self,
         bind: str,
         serve: Callable[[Exchange], None],
-        channel: str,
+        use: DescriptorUse,
         limits: WebLimits | None = None,
     ) -> WebServer:
         server = WebServer(
@@ -323,7 +340,8 @@
             limits=limits or WebLimits(respond_before_close=False),
             ledger=self.ledger,
             clock=self.clock,
-            channel=channel,
+            channel=f'{use.value} {bind}',
+            descriptors=DescriptorShare(self.descriptors, use),
         )
         server.register(self)
         return server
--- a/src/bramleylug/web/http_client.py
+++ b/src/bramleylug/web/http_client.py
@@ -17,6 +17,9 @@
 # Largest answer that is read into memory; listings of the platform's store are
 # the largest, with about 1 MB of Base64 text a page.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Addresses to which idle connections are kept; those of the longest unused
+# ones are closed.
+MAX_IDLE_ADDRESSES = 32
 CALL_ERRORS = (OSError, ConnectionBroken, MalformedAnswer, TimeoutError)
 
 
@@ -41,12 +44,15 @@
 
     A connection on which a call failed is never reused: a late answer on it
     would be read as the answer to the next call.
+
+    :ivar running: calls that have not ended.
     """
 
     def __init__(self, address: str, *, connect_timeout_s: float) -> None:
         self.address = address
         self.connect_timeout_s = connect_timeout_s
         self.idle: list[ClientConnection] = []
+        self.running = 0
 
     async def call(
         self,
@@ -61,9 +67,13 @@
         :raises OSError: when the request could not be sent or its answer was
             lost; :data:`CALL_ERRORS` lists everything that is raised.
         """
-        return await asyncio.wait_for(
-            self._call(method, target, body), timeout_s
-        )
+        self.running += 1
+        try:
+            return await asyncio.wait_for(
+                self._call(method, target, body), timeout_s
+            )
+        finally:
+            self.running -= 1
 
     def close(self) -> None:
         while self.idle:
@@ -99,7 +109,10 @@
 
 @final
 class HttpClients:
-    """One :class:`HttpClient` per address, created on first use."""
+    """One :class:`HttpClient` per address, created on first use.
+
+    :ivar by_address: the longest unused one first.
+    """
 
     def __init__(self, *, connect_timeout_s: float) -> None:
         self.connect_timeout_s = connect_timeout_s
@@ -112,14 +125,20 @@
 
         :raises OSError: as :meth:`HttpClient.call`.
         """
-        client = self.by_address.get(address)
-        if client is None:
-            client = HttpClient(
-                address, connect_timeout_s=self.connect_timeout_s
-            )
-            self.by_address[address] = client
+        client = self.by_address.pop(address, None) or HttpClient(
+            address, connect_timeout_s=self.connect_timeout_s
+        )
+        self.by_address[address] = client
+        self._close_unused()
         return await client.call('GET', target, timeout_s=timeout_s)
 
+    def _close_unused(self) -> None:
+        excess = len(self.by_address) - MAX_IDLE_ADDRESSES
+        for address, client in tuple(self.by_address.items())[: max(0, excess)]:
+            if not client.running:
+                client.close()
+                self.by_address.pop(address)
+
 
 async def _exchange(
     connection: ClientConnection, request: ClientRequest
--- /dev/null
+++ b/testing/web/test_http_client.py
@@ -0,0 +1,43 @@
+"""Tests of the HTTP client for many addresses."""
+
+import unittest
+
+from bramleylug.web.http_client import MAX_IDLE_ADDRESSES, HttpClients
+from testing.relay.scripted_engines import ScriptedEngine, complete_answer
+
+ANSWER = complete_answer(b'whole')
+
+
+class TestHttpClients(unittest.IsolatedAsyncioTestCase):
+    """Idle connections do not add up over all peers of a large fleet."""
+
+    async def asyncSetUp(self) -> None:
+        self.clients = HttpClients(connect_timeout_s=1)
+        self.peers = [
+            await ScriptedEngine(ANSWER, ANSWER).open()
+            for _ in range(MAX_IDLE_ADDRESSES + 8)
+        ]
+        for peer in self.peers:
+            self.addAsyncCleanup(peer.close)
+
+    def open_connections(self) -> int:
+        return sum(
+            len(client.idle) for client in self.clients.by_address.values()
+        )
+
+    async def test_connections_of_the_longest_unused_addresses_close(
+        self,
+    ) -> None:
+        """With 1,100 peers, each of them kept a descriptor on both sides."""
+        for peer in self.peers:
+            await self.clients.get(peer.address, '/', timeout_s=1)
+
+        self.assertEqual(self.open_connections(), MAX_IDLE_ADDRESSES)
+        self.assertNotIn(self.peers[0].address, self.clients.by_address)
+
+    async def test_used_address_keeps_its_connection(self) -> None:
+        for peer in (*self.peers[:-1], self.peers[0], self.peers[-1]):
+            await self.clients.get(peer.address, '/', timeout_s=1)
+
+        self.assertIn(self.peers[-1].address, self.clients.by_address)
+        self.assertEqual(len(self.peers[0].heads), 2)
