Relay: readiness and directory have memory of their own

Callers saw: while callers had used all memory for requests, a relay refused each request to readiness and directory whose head arrived in two pieces, with 503: it could count as not ready, and named no other relay.

Cause: all ports of a relay shared one ledger.

Change: the ports that are not for callers share a ledger of 1 MiB.

Evidence: test_readiness_and_directory_do_not_need_memory_of_callers failed before (503 in place of 200) and passes now.

--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -37,6 +37,9 @@
 # The memory of a request is released when both the exchange and the task that
 # serves it have ended.
 RESERVATION_HOLDERS = 2
+# Memory for requests to readiness, directory, feed and metrics, which work
+# when callers have used all of theirs.
+PAGE_BYTES = 1048576
 OVERLOAD_RETRY_S = 0.5
 # Another relay can serve the request immediately; the caller only has to ask
 # the directory for its address.
@@ -81,6 +84,7 @@
     """Daemon that serves callers.
 
     :param settings: validated settings.
+    :ivar ledger: memory for the requests of callers.
     :ivar draining_since_s: when the planned stop began; ``None`` before.
     """
 
@@ -129,6 +133,7 @@
             Random(settings.name),  # noqa: S311
         )
         self.ledger = MemoryLedger(settings.memory_bytes)
+        self.page_ledger = MemoryLedger(PAGE_BYTES)
         self.limits_in_force: CallerLimits | None = None
         self.draining_since_s: float | None = None
         self.web = self._serve_on(
@@ -338,7 +343,11 @@
             bind,
             serve,
             limits=limits or WebLimits(respond_before_close=False),
-            ledger=self.ledger,
+            ledger=(
+                self.ledger
+                if use is DescriptorUse.callers
+                else self.page_ledger
+            ),
             clock=self.clock,
             channel=f'{use.value} {bind}',
             descriptors=DescriptorShare(self.descriptors, use),
--- a/testing/platform/cluster.py
+++ b/testing/platform/cluster.py
@@ -4,6 +4,7 @@
 import time
 from copy import deepcopy
 from http.client import HTTPConnection
+from socket import create_connection
 from typing import Any
 
 from bramleylug.fakes.metadata_store import FakeMetadataStore
@@ -23,6 +24,8 @@
 
 POLL_S = 0.05
 TIMEOUT_S = 20.0
+# Between the pieces of a request head.
+PIECE_PAUSE_S = 0.1
 REGIONS = {'zone-a': 'north', 'zone-b': 'south'}
 
 
@@ -187,3 +190,13 @@
         return answer.status, dict(answer.getheaders()), answer.read()
     finally:
         connection.close()
+
+
+def send_in_pieces(address: str, request_line: bytes) -> bytes:
+    """Send a request line, then the rest; return the start of the answer."""
+    host, _, port = address.rpartition(':')
+    with create_connection((host, int(port)), 10) as sock:
+        sock.sendall(request_line)
+        time.sleep(PIECE_PAUSE_S)
+        sock.sendall(b'Host: x\r\n\r\n')
+        return sock.recv(4096)
--- a/testing/platform/test_end_to_end.py
+++ b/testing/platform/test_end_to_end.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest.mock import patch
 
-from testing.platform.cluster import PlatformCluster, call
+from testing.platform.cluster import PlatformCluster, call, send_in_pieces
 
 
 class TestEndToEnd(unittest.TestCase):
@@ -48,6 +48,22 @@
 
         self.assertEqual(status, 502)
 
+    def test_readiness_and_directory_do_not_need_memory_of_callers(
+        self,
+    ) -> None:
+        """A head that arrived in two pieces was refused."""
+        relay = self.cluster.relays[0]
+        held_bytes = relay.ledger.limit_bytes - relay.ledger.held_bytes
+        self.assertTrue(relay.ledger.reserve(held_bytes))
+        self.addCleanup(relay.ledger.release, held_bytes)
+        settings = relay.settings
+        for bind, path in (
+            (settings.ready_bind, b'/-/readiness'),
+            (settings.directory_bind, b'/-/resolve?name=advisor.example'),
+        ):
+            answer = send_in_pieces(bind, b'GET %s HTTP/1.1\r\n' % path)
+            self.assertIn(b'200 OK', answer)
+
     def test_booking_on_a_public_route_runs_once(self) -> None:
         """A public route needs no key; no engine of the model runs it."""
         for number in range(5):
