Relay: a planned stop takes only what can end before the process (LOST)

Callers saw: a request that may not be repeated, sent 2.9 s after SIGTERM (8 s of grace) and in need of 4.9 s, was taken and passed on; it ran, and got 502 at 7.73 s when the process ended. A request that waited for an engine could be passed on later still. What the end of the process cancelled left no line in the log.

Cause: whether a request is taken depended on the time since SIGTERM alone, not on how long the request may last.

Change: once a stop begins, a request is taken only if its deadline and the time limit of its route end before the process does. Of those taken before, one that waits for an engine and may outlast the process is refused at once, as not run; one that runs is answered 0.8 s before the end of the grace: by 502 or a reset, with its line in the log, in place of being cancelled.

--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -26,6 +26,7 @@
 from bramleylug.relay.dialect import Dialect
 from bramleylug.relay.error_responses import error_response
 from bramleylug.relay.relay import Relay
+from bramleylug.relay.request_context import leaving_refusal
 from bramleylug.relay.settings import RelaySettings
 from bramleylug.web.descriptors import DescriptorShare, DescriptorUse
 from bramleylug.web.exchange import Exchange
@@ -41,14 +42,13 @@
 # when callers have used all of theirs.
 PAGE_BYTES = 1048576
 OVERLOAD_RETRY_S = 0.5
-# Another relay can serve the request immediately; the caller only has to ask
-# the directory for its address.
-OTHER_RELAY_RETRY_S = 0.05
 # Callers may use an answer of the directory for three times its TTL.
 TTL_FACTOR = 3
 # Part of the stop time that is reserved for ending running requests.
 FINISH_SHARE = 0.625
 STOP_MARGIN_S = 0.5
+# Time before that for the answers of requests that the stop ends.
+LAST_ANSWERS_S = 0.3
 
 
 class DirectoryQuery(NamedTuple):
@@ -175,6 +175,13 @@
         """Direct callers to other relays; serve those that still connect."""
         self.draining_since_s = self.clock()
         self.core.start_draining()
+        ends_s = (
+            self.draining_since_s
+            + self.settings.stop_time
+            - STOP_MARGIN_S
+            - LAST_ANSWERS_S
+        )
+        self.core.loop.call(lambda: self.relay.planned_stop.begin(ends_s))
 
     def is_idle(self) -> bool:
         """Return whether the process may end.
@@ -199,8 +206,8 @@
         """Return whether a request that arrives now has time to end.
 
         After the planned stop has begun, callers may use the address until
-        the directory's answer expires. Requests that arrive later could be
-        cut off when the process ends.
+        the directory's answer expires. Of what arrives until then, the relay
+        takes what has time to end.
         """
         if self.draining_since_s is None:
             return True
@@ -272,10 +279,7 @@
         if self.core.record.draining:
             exchange.disable_keep_alive()
         if not self.accepts_requests():
-            refusal = NotRun(
-                Reason.leaving, 'use another relay', OTHER_RELAY_RETRY_S
-            )
-            exchange.reply_json(*error_response(refusal))
+            exchange.reply_json(*error_response(leaving_refusal()))
             return
         if not self.ledger.reserve(reserved_bytes):
             refusal = NotRun(
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -27,10 +27,12 @@
 from bramleylug.relay.error_responses import error_response
 from bramleylug.relay.handover import Handover
 from bramleylug.relay.outcome_recorder import OutcomeRecorder
+from bramleylug.relay.planned_stop import PlannedStop
 from bramleylug.relay.request_checks import RequestChecks
 from bramleylug.relay.request_context import (
     MILLISECONDS,
     RequestContext,
+    leaving_refusal,
     merge_outcomes,
 )
 from bramleylug.relay.retry_budget import SharedRetryBudget
@@ -92,6 +94,7 @@
             self.dispatch_queue, self.checks, self.retry_budget
         )
         self.pool = ConnectionPool(clock, descriptors or DescriptorBudget())
+        self.planned_stop = PlannedStop(clock)
         self.running = 0
 
     async def serve(self, exchange: Exchange) -> None:
@@ -148,9 +151,12 @@
 
     async def _serve_with_timeout(self, context: RequestContext) -> Outcome:
         """Return an outcome in every case: answer, error or timeout."""
+        if not self.planned_stop.leaves_time_for(context):
+            return leaving_refusal()
         try:
-            async with asyncio.timeout(context.until_s - self.clock()):
-                return await self._run_attempts(context)
+            async with asyncio.timeout(context.until_s - self.clock()) as limit:
+                with self.planned_stop.watch(context, limit):
+                    return await self._run_attempts(context)
         except TimeoutError:
             return context.timeout_outcome()
         except asyncio.CancelledError:
--- a/src/bramleylug/relay/request_context.py
+++ b/src/bramleylug/relay/request_context.py
@@ -17,6 +17,9 @@
 # The relay's own timeout answer is sent this long before the time limit of
 # the route, so that it arrives in time.
 TIMEOUT_MARGIN_S = 0.03
+# Another relay can serve the request immediately; the caller only has to ask
+# the directory for its address.
+OTHER_RELAY_RETRY_S = 0.05
 
 
 @final
@@ -31,6 +34,8 @@
     :ivar moving_to: the upstream for which its silent one is given up.
     :ivar may_have_run: whether an upstream received it and did not answer
         that it was not run.
+    :ivar stopped: whether a planned stop of this relay shortens its time
+        limit.
     """
 
     request: CallerRequest
@@ -44,6 +49,7 @@
     load: float = 0
     moving_to: Upstream | None = None
     may_have_run: bool = False
+    stopped: bool = False
 
     @classmethod
     def from_request(
@@ -100,10 +106,18 @@
     def timeout_outcome(self) -> Outcome:
         """Return the outcome when the time limit has been reached."""
         if self.may_have_run or self.writer.started:
-            return Unknown(Reason.deadline, 'no answer in time')
+            reason = Reason.leaving if self.stopped else Reason.deadline
+            return Unknown(reason, 'no answer in time')
+        if self.stopped:
+            return leaving_refusal()
         return NotRun(Reason.deadline, 'no free slot in time')
 
 
+def leaving_refusal() -> NotRun:
+    """Return the refusal of a relay that stops as planned."""
+    return NotRun(Reason.leaving, 'use another relay', OTHER_RELAY_RETRY_S)
+
+
 def merge_outcomes(previous: Outcome | None, latest: Outcome) -> Outcome:
     """Return the outcome of a request after one more attempt.
 
