--- a/src/bramleylug/agent/bounded_connection.py
+++ b/src/bramleylug/agent/bounded_connection.py
@@ -4,6 +4,8 @@
 from http.client import HTTPConnection
 from typing import final
 
+from bramleylug.web.response import CheckedResponse
+
 RECEIVE_BUFFER_BYTES = 32768
 
 
@@ -17,6 +19,8 @@
     announced then.
     """
 
+    response_class = CheckedResponse
+
     def connect(self) -> None:
         """Connect with a bounded receive buffer.
 
--- a/src/bramleylug/agent/upstream.py
+++ b/src/bramleylug/agent/upstream.py
@@ -6,15 +6,12 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
-from http.client import (
-    HTTPConnection,
-    HTTPException,
-    HTTPResponse,
-)
-from typing import Any, final
+from http.client import HTTPConnection, HTTPException
+from typing import Any, cast, final
 
 from bramleylug.agent.bounded_connection import BoundedConnection
 from bramleylug.outcomes import NotRun, Ran, Reason, Unknown
+from bramleylug.web.response import CheckedResponse
 from bramleylug.wire.requests_pb2 import Head, Header, Request
 
 READ_BYTES = 4096
@@ -116,7 +113,7 @@
                 request.body,
                 _build_headers(request),
             )
-            response = self.connection.getresponse()
+            response = cast(CheckedResponse, self.connection.getresponse())
         except TimeoutError as error:
             yield Unknown(Reason.deadline, repr(error))
             return
@@ -134,10 +131,10 @@
         yield from self._read_body(response, sock)
 
     def _read_body(
-        self, response: HTTPResponse, sock: Any
+        self, response: CheckedResponse, sock: Any
     ) -> Iterator[AnswerPart]:
         status = response.status
-        is_framed = response.chunked or response.length is not None
+        unframed = response.length is None and not response.chunked
         try:
             while piece := response.read1(READ_BYTES):
                 yield piece
@@ -148,21 +145,21 @@
         except (OSError, HTTPException) as error:
             yield Ran(status, False, Reason.answer_cut, repr(error))
             return
-        if response.length:
+        if unframed:
             yield Ran(
                 status,
                 False,
                 Reason.answer_cut,
-                'body is shorter than its Content-Length',
+                'body has neither a length nor chunked encoding',
             )
-        elif is_framed:
+        elif response.ended_whole():
             yield Ran(status)
         else:
             yield Ran(
                 status,
                 False,
                 Reason.answer_cut,
-                'body has neither a length nor chunked encoding',
+                'body is shorter than its framing says',
             )
 
     def _remaining_s(self) -> float:
@@ -199,6 +196,7 @@
         timeout_s: float,
     ) -> dict[str, Any] | None:
         connection = HTTPConnection(self.address, timeout=timeout_s)
+        connection.response_class = CheckedResponse
         body = None if document is None else json.dumps(document)
         try:
             connection.request(method, path, body)
@@ -222,7 +220,7 @@
     return headers
 
 
-def _build_head(response: HTTPResponse) -> Head:
+def _build_head(response: CheckedResponse) -> Head:
     head = Head(
         status=response.status,
         headers=[
--- a/src/bramleylug/weights/chunk_clients.py
+++ b/src/bramleylug/weights/chunk_clients.py
@@ -3,14 +3,15 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from http.client import HTTPConnection, HTTPException, HTTPResponse
+from http.client import HTTPConnection, HTTPException
 from socket import SHUT_RDWR
 from threading import Lock
-from typing import Any, final
+from typing import Any, cast, final
 
 import grpc
 
 from bramleylug.observability.events import LogEvent, emit
+from bramleylug.web.response import CheckedResponse
 from bramleylug.weights.chunk_sets import from_bytes, to_bytes
 from bramleylug.weights.limits import DEFAULT_LIMITS
 from bramleylug.weights.manifest import Manifest, ManifestError, VersionKey
@@ -104,10 +105,12 @@
         connection = HTTPConnection(
             self.address, timeout=DEFAULT_LIMITS.stall_s
         )
+        connection.response_class = CheckedResponse
         self.reads[path, headers.get('Range', '')] = connection
         try:
             connection.request('GET', path, headers=headers)
-            return _read_answer(connection.getresponse(), on_piece)
+            response = cast(CheckedResponse, connection.getresponse())
+            return _read_answer(response, on_piece)
         except (OSError, HTTPException):
             return None
         finally:
@@ -252,7 +255,7 @@
 
 
 def _read_answer(
-    response: HTTPResponse, on_piece: PieceHandler
+    response: CheckedResponse, on_piece: PieceHandler
 ) -> bytes | None:
     """Return the body of a successful answer; ``None`` if it is cut off."""
     if response.status not in OK_STATUSES:
@@ -262,7 +265,7 @@
         body += piece
         on_piece(len(piece))
     # ``read1`` reports a connection that ends early as the end of the body.
-    return None if response.length else bytes(body)
+    return bytes(body) if response.ended_whole() else None
 
 
 def _failure_reason(error: grpc.RpcError) -> FailureReason:
--- a/testing/agent/canned_upstream.py
+++ b/testing/agent/canned_upstream.py
@@ -1,10 +1,12 @@
 """Fake upstream that answers every connection with the same bytes."""
 
+import re
 import socket
 from threading import Thread
 from typing import final
 
 HEAD = b'HTTP/1.1 200 OK\r\n'
+LENGTH = re.compile(rb'Content-Length: (\d+)', re.IGNORECASE)
 
 
 @final
@@ -33,10 +35,28 @@
                 return
             self.connections += 1
             with connection:
-                self.received = connection.recv(65536)
+                self.received = receive_request(connection)
                 connection.sendall(self.answer)
 
     def close(self) -> None:
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         self.thread.join()
+
+
+def receive_request(connection: socket.socket) -> bytes:
+    """Return a whole request: a close before its end would be a reset."""
+    raw = b''
+    while not _is_whole(raw):
+        piece = connection.recv(65536)
+        if not piece:
+            break
+        raw += piece
+    return raw
+
+
+def _is_whole(raw: bytes) -> bool:
+    head, end, body = raw.partition(b'\r\n\r\n')
+    length = LENGTH.search(head)
+    length_bytes = 0 if length is None else int(length[1])
+    return bool(end) and len(body) >= length_bytes
