--- a/testing/web/test_http_client.py
+++ b/testing/web/test_http_client.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from bramleylug.web.http_client import MAX_IDLE_ADDRESSES, HttpClients
+from bramleylug.web.http_client import (
+    CALL_ERRORS,
+    MAX_IDLE_ADDRESSES,
+    CallAnswer,
+    HttpClient,
+    HttpClients,
+)
 from testing.relay.scripted_engines import ScriptedEngine, complete_answer
 
 ANSWER = complete_answer(b'whole')
@@ -41,3 +47,29 @@
 
         self.assertIn(self.peers[-1].address, self.clients.by_address)
         self.assertEqual(len(self.peers[0].heads), 2)
+
+
+class TestCutAnswers(unittest.IsolatedAsyncioTestCase):
+    """Answers of the store, of the origin and of feeds are whole, or fail."""
+
+    async def call(self, answer: bytes) -> CallAnswer:
+        peer = await ScriptedEngine([answer, None]).open()
+        client = HttpClient(peer.address, connect_timeout_s=1)
+        try:
+            return await client.call('GET', '/', timeout_s=1)
+        finally:
+            client.close()
+            await peer.close()
+
+    async def test_answer_cut_after_any_byte_fails(self) -> None:
+        for head in (b'204 X\r\n', b'200 X\r\nContent-Length: 0\r\n'):
+            raw = b'HTTP/1.1 %sX-More: 1\r\n\r\n' % head
+            for cut in map(raw.__getitem__, map(slice, range(len(raw)))):
+                with self.subTest(cut=cut), self.assertRaises(CALL_ERRORS):
+                    await self.call(cut)
+            self.assertEqual((await self.call(raw)).body, b'')
+
+    async def test_cut_body_with_a_length_fails(self) -> None:
+        for cut in map(ANSWER.__getitem__, map(slice, range(len(ANSWER)))):
+            with self.subTest(cut=cut), self.assertRaises(CALL_ERRORS):
+                await self.call(cut)
