Soak: very many connections at a relay

1,200 connections, a third each idle, with half a head, and reset, are held at one relay; requests beside them must be served, and its readiness and directory must answer.

--- a/src/bramleylug/soak/fault_injector.py
+++ b/src/bramleylug/soak/fault_injector.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import final
 
+from bramleylug.soak.crowd import crowd_relay
 from bramleylug.soak.deployment import (
     IDLE_LIMIT_S,
     KEYS,
@@ -14,7 +15,7 @@
 )
 from bramleylug.soak.engine_faults import EngineFaults
 from bramleylug.soak.fault_schedule import Fault, Kind
-from bramleylug.soak.observations import Interval, Observations
+from bramleylug.soak.observations import Interval, Observations, SilentPage
 from bramleylug.soak.odd_entries import build_odd_entry
 from bramleylug.soak.proxy import LinkFault
 from bramleylug.soak.traffic import Traffic
@@ -90,6 +91,7 @@
             Kind.idle_limit: self._idle_limit,
             Kind.engine_in_need: self.engine_faults.in_need,
             Kind.odd_entry: self._odd_entry,
+            Kind.crowd: self._crowd,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -226,6 +228,14 @@
         await asyncio.sleep(fault.for_s + EXTRA_DURATION_S)
         await self.deployment.control({'remove': key})
 
+    async def _crowd(self, fault: Fault) -> None:
+        name = self._select_process('relay', fault.pick)
+        started_s = time.time()
+        silent = await crowd_relay(self.deployment, name, fault.for_s)
+        self.observations.silent_pages.extend(
+            SilentPage(name, page, started_s, time.time()) for page in silent
+        )
+
     async def _zone_out(self, fault: Fault) -> None:
         zone = ZONES[int(fault.pick * len(ZONES))]
         key = f'op/evacuate/{zone}'
--- a/src/bramleylug/soak/fault_schedule.py
+++ b/src/bramleylug/soak/fault_schedule.py
@@ -44,6 +44,7 @@
     idle_limit = 'configuration lowers the idle limit for a while'
     engine_in_need = 'engine names a rate limit for a while'
     odd_entry = 'another writer leaves an entry that cannot be used'
+    crowd = 'very many connections at a relay'
 
 
 # Relative frequency of the kinds; 1 for those that are absent.
--- a/src/bramleylug/soak/observations.py
+++ b/src/bramleylug/soak/observations.py
@@ -95,6 +95,19 @@
     relay: str
 
 
+class SilentPage(NamedTuple):
+    """A page of a relay that did not answer beside many connections.
+
+    :ivar from_s: Unix time at which the connections began.
+    :ivar until_s: Unix time at which the page was given up.
+    """
+
+    relay: str
+    page: str
+    from_s: float
+    until_s: float
+
+
 class Interval(NamedTuple):
     """An interval of Unix time, with the name of what it applies to."""
 
@@ -119,6 +132,7 @@
     :ivar harmful_runs: requests that crashed engines.
     :ivar crashes_s: when engines crashed under such requests.
     :ivar unanswered: requests that were read and not answered.
+    :ivar silent_pages: pages of relays that did not answer.
     :ivar faults_ended_s: when the effects of the last fault had to be over.
     """
 
@@ -135,6 +149,7 @@
     harmful_runs: list[HarmfulRun] = field(default_factory=list)
     crashes_s: list[float] = field(default_factory=list)
     unanswered: list[Unanswered] = field(default_factory=list)
+    silent_pages: list[SilentPage] = field(default_factory=list)
     faults_ended_s: float = float('inf')
 
     def was_disturbed(self, relay: str, since_s: float) -> bool:
@@ -144,6 +159,17 @@
             for interval in self.disturbances
         )
 
+    def was_disturbed_within(
+        self, relay: str, from_s: float, until_s: float
+    ) -> bool:
+        """Return whether a fault affected a relay in a span of Unix time."""
+        return any(
+            interval.name == relay
+            and interval.from_s < until_s
+            and from_s < interval.until_s + STABLE_RELAY_S
+            for interval in self.disturbances
+        )
+
     def is_exempt(self, request_id: str, at_s: float, since_s: float) -> bool:
         """Return whether a time limit does not apply to a run.
 
--- a/src/bramleylug/soak/trouble_checks.py
+++ b/src/bramleylug/soak/trouble_checks.py
@@ -34,6 +34,7 @@
         Kind.silence,
         Kind.unframed,
         Kind.idle_limit,
+        Kind.crowd,
     )
 )
 
@@ -45,6 +46,7 @@
         *_sound_not_served(observations),
         *_failed_without_cause(observations),
         *_unanswered(observations),
+        *_silent_pages(observations),
     ]
 
 
@@ -120,6 +122,18 @@
             )
 
 
+def _silent_pages(observations: Observations) -> Iterable[str]:
+    """Readiness and directory answer, however many connections there are."""
+    for silent in observations.silent_pages:
+        if not observations.was_disturbed_within(
+            silent.relay, silent.from_s, silent.until_s
+        ):
+            yield (
+                f'{silent.page} of {silent.relay} did not answer beside very '
+                'many connections'
+            )
+
+
 def _last_tolerated_crash_s(observations: Observations) -> float:
     """Return when the part had to be known as harmful; else infinity."""
     crashes_s = sorted(observations.crashes_s)
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -13,6 +13,7 @@
     Rejection,
     RequestRecord,
     Run,
+    SilentPage,
     Unanswered,
 )
 
@@ -301,6 +302,27 @@
             with self.subTest(published_s):
                 self.assertEqual(len(found), expected)
 
+    def test_page_that_is_silent_beside_many_connections(self) -> None:
+        """It counts at an undisturbed relay."""
+        silent = SilentPage('relay-0', 'ready', 100.0, 104.0)
+        for disturbed, expected in (
+            (Interval('relay-1', 99.0, 103.0), 1),
+            (Interval('relay-0', 90.0, 96.0), 1),
+            (Interval('relay-0', 105.0, 109.0), 1),
+            (Interval('relay-0', 99.0, 100.5), 0),
+            (Interval('relay-0', 90.0, 98.0), 0),
+        ):
+            found = find_violations(
+                build_observations(
+                    build_request_record(),
+                    silent_pages=[silent],
+                    disturbances=[disturbed],
+                )
+            )
+
+            with self.subTest(disturbed):
+                self.assertEqual(len(found), expected)
+
 
 class TestStreamErrors(unittest.TestCase):
     """Complete streams are checked event by event."""
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -64,6 +64,12 @@
 
         self.assertEqual(summary['violations'], [])
 
+    def test_crowd_silences_no_relay(self) -> None:
+        """Connections from the 1,024th descriptor on were never read."""
+        summary = run_soak(960, 3.0, (Kind.crowd,))
+
+        self.assertEqual(summary['violations'], [])
+
     def test_silence_ends_no_stream(self) -> None:
         """With one zone taken out, a single engine served the streams."""
         summary = run_soak(921, 10.0, (Kind.silence, Kind.zone_out))
