Relay: no long bar of a part of prompts that survived a moment ago

Cause: a relay that has watched for more than 5 s bars a part for 240 s after three crashes if it has seen no survival of it, as one that started a moment ago has not. As no relay sent the part to an engine, none could survive and lift the bar.

Change: a relay where a part survived within 120 s takes a bar over for 5 s. Then the part is served there again; its survival lifts the other bars.

Evidence: test_bar_of_a_relay_that_saw_no_survival_is_not_taken_over failed before. The simulation of crashes passes as before (24 tests; the listed one is left out).

--- a/src/bramleylug/cluster/crash_suspects.py
+++ b/src/bramleylug/cluster/crash_suspects.py
@@ -179,7 +179,10 @@
             if report.bar_s:
                 # The sender may have watched for longer.
                 suspect.strikes = max(suspect.strikes, report.strikes)
-                self._bar(fingerprint, suspect, report.bar_s)
+                survived_s = self.survivals.get(fingerprint, NEVER_S)
+                survived = survived_s > now_s - RETENTION_S
+                bar_s = _accepted_bar_s(report, survived=survived)
+                self._bar(fingerprint, suspect, bar_s)
         elif report.bar_s and fingerprint in self.survivals:
             self._contradict(fingerprint, report, now_s)
 
@@ -354,6 +357,20 @@
     return xxh64_digest(f'{upstream_id}/{started_ms}'.encode())
 
 
+def _accepted_bar_s(report: SuspectReport, *, survived: bool) -> float:
+    """Return for how long the bar of another relay holds here.
+
+    A relay that started a short time ago has seen no survivals, and may bar a
+    sound part. Where the part survived, it is served again soon: if it still
+    survives, that lifts the other bar, too.
+
+    :param survived: whether it survived here a short time ago.
+    """
+    if survived and report.is_part:
+        return min(report.bar_s, SOUND_BAR_S)
+    return report.bar_s
+
+
 def _is_recent(suspect: Suspect, now_s: float) -> bool:
     """Return whether other relays should hear of a suspect."""
     latest_s = max(suspect.last_crash_s, suspect.cleared_s)
--- a/testing/cluster/test_crash_suspects.py
+++ b/testing/cluster/test_crash_suspects.py
@@ -6,6 +6,7 @@
     BAR_S,
     MAX_SUSPECTS,
     OTHER_SURVIVALS,
+    SOUND_BAR_S,
     SOUND_SPREAD_S,
     SharedSuspects,
     crash_id_of,
@@ -241,6 +242,23 @@
         self.now_s += BAR_S + 1
         self.assertTrue(self.is_barred(self.part))
 
+    def test_bar_of_a_relay_that_saw_no_survival_is_not_taken_over(
+        self,
+    ) -> None:
+        """All relays refused a sound part for 240 s, so that none survived."""
+        young = SharedSuspects(lambda: self.now_s, self.now_s - 10)
+        self.survive(self.part)
+        self.crash('a', 'b', 'c', suspects=young)
+        self.exchange(young, self.suspects)
+        self.exchange(self.suspects, young)
+        self.assertTrue(self.is_barred(self.part, suspects=young))
+        self.now_s += SOUND_BAR_S
+        self.assertFalse(self.is_barred(self.part))
+
+        self.survive(self.part)
+        self.exchange(self.suspects, young)
+        self.assertFalse(self.is_barred(self.part, suspects=young))
+
     def test_survival_at_one_relay_lifts_the_bar_of_another(self) -> None:
         """The part was mended, or never harmful."""
         other = SharedSuspects(lambda: self.now_s)
