--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -21,12 +21,16 @@
 from bramleylug.node.pages import serve_page
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.settings.daemons import AgentSettings
+from bramleylug.web.limits import WebLimits
 from bramleylug.web.server import Exchange, WebServer
 from bramleylug.weights.manifest import VersionKey
 from bramleylug.weights.swarm import PeerAddress
 from bramleylug.wire.membership_pb2 import Member
 from bramleylug.wire.requests_pb2_grpc import add_ServingServicer_to_server
 
+# Connections to the pages of an agent, which callers do not use.
+PAGE_CONNECTIONS = 256
+
 
 @final
 class AgentDaemon(BaseComponent):
@@ -42,7 +46,11 @@
         self.settings = settings
         self.node = Node(settings, 'agent', workers=settings.workers)
         self.node.register(self)
-        self.web = WebServer(settings.http_bind, self.serve).register(self)
+        self.web = WebServer(
+            settings.http_bind,
+            self.serve,
+            limits=WebLimits(connections=PAGE_CONNECTIONS),
+        ).register(self)
         self.gate = WeightsGate(settings.zone, settings.service)
         self.gate.configuration_problem = lambda: (
             self.node.holder.unconfirmed_reason
