Sockets: a descriptor that is used again is watched for its new socket

A socket that is closed before it is taken out of the poller would leave its descriptor registered, and the next socket with that number could not be added: it would never be read. No path of the project closes one first; a library could. test_descriptor_is_used_again_before_the_removal failed before, with KeyError.

--- a/src/bramleylug/web/poller.py
+++ b/src/bramleylug/web/poller.py
@@ -95,6 +95,7 @@
         registration = self.registrations.get(sock)
         if registration is None:
             registration = Registration(sock.fileno(), source.channel)
+            self._discard_closed(registration.descriptor)
             self.registrations[sock] = registration
             registration.events = events
             self.selector.register(registration.descriptor, events, sock)
@@ -113,6 +114,12 @@
         self.registrations.pop(sock)
         self.selector.unregister(registration.descriptor)
 
+    def _discard_closed(self, descriptor: int) -> None:
+        """Discard the socket that had a descriptor before it was closed."""
+        key = self.selector.get_map().get(descriptor)
+        if key is not None:
+            self.discard(key.data)
+
     def _modify(self, sock: Any, registration: Registration) -> None:
         self.selector.modify(registration.descriptor, registration.events, sock)
 
--- a/testing/web/test_poller.py
+++ b/testing/web/test_poller.py
@@ -156,6 +156,22 @@
         harness.poller.addReader(harness.source, other)
         self.assertEqual(harness.poll(), ['_read'])
 
+    def test_descriptor_is_used_again_before_the_removal(self) -> None:
+        """The new socket would never be read."""
+        harness = PollerHarness(self)
+        harness.poller.addReader(harness.source, harness.sock)
+        descriptor = harness.sock.fileno()
+        harness.sock.close()
+        other, peer = socket.socketpair()
+        self.addCleanup(peer.close)
+        self.addCleanup(other.close)
+        self.assertEqual(other.fileno(), descriptor)
+        harness.poller.addReader(harness.source, other)
+        harness.poller.discard(harness.sock)
+
+        peer.send(b'x')
+        self.assertEqual(harness.poll(), ['_read'])
+
     def test_wake_ups_without_a_poll_do_not_block(self) -> None:
         """A loop that hangs must not stop the threads that call it."""
         harness = PollerHarness(self)
