Tests: failed parts of a test count as one failure

The closing line of a run with more failed parts than tests told a negative number of passed tests. The exit code was right. test_runner failed before. The module that admits connections has a name of its own, beside the package for admission.

--- a/src/bramleylug/cluster/descriptors.py
+++ b/src/bramleylug/cluster/descriptors.py
@@ -4,7 +4,6 @@
 is free when it is needed, whatever the others have taken.
 """
 
-from collections.abc import Mapping
 from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit, setrlimit
 from typing import NamedTuple
 
@@ -91,11 +90,7 @@
     guaranteed = {
         part.use: min(part.most, int(part.share * left)) for part in parts
     }
-    return DescriptorBudget(left - _total(guaranteed), guaranteed)
-
-
-def _total(guaranteed: Mapping[DescriptorUse, int]) -> int:
-    return sum(guaranteed.values())
+    return DescriptorBudget(left - sum(guaranteed.values()), guaranteed)
 
 
 def allow_descriptors(wanted: int) -> int:
--- a/src/bramleylug/web/port.py
+++ b/src/bramleylug/web/port.py
@@ -18,7 +18,7 @@
 
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import BAD_INPUT, count
-from bramleylug.web.admission import ConnectionAdmission
+from bramleylug.web.connection_admission import ConnectionAdmission
 from bramleylug.web.connection import (
     DRAINING,
     IDLE,
--- a/testing/__main__.py
+++ b/testing/__main__.py
@@ -49,8 +49,19 @@
 
 
 def count_results(result: unittest.TestResult) -> Counts:
-    """Count a failed set-up of a class as one failure; its tests never ran."""
-    failed = {test.id(): test for test, _ in (*result.failures, *result.errors)}
+    """Return the counts.
+
+    A failed set-up of a class is one failure, as its tests never ran; so are
+    all failed parts of one test.
+    """
+    # Failed parts of a test, of which there may be many, stand for the test.
+    failed = {
+        whole.id(): whole
+        for whole in (
+            getattr(test, 'test_case', test)
+            for test, _ in (*result.failures, *result.errors)
+        )
+    }
     not_run = sum(
         not isinstance(test, unittest.TestCase) for test in failed.values()
     )
--- a/testing/test_runner.py
+++ b/testing/test_runner.py
@@ -20,6 +20,18 @@
         raise ValueError('no set-up')
 
 
+class FailingParts(unittest.TestCase):
+    """Run by the test below only."""
+
+    __test__ = False
+
+    def run_parts(self) -> None:
+        """Fail in three parts."""
+        for part in range(3):
+            with self.subTest(part):
+                self.fail()
+
+
 class TestCounts(unittest.TestCase):
     """The closing line counts every test once."""
 
@@ -40,3 +52,15 @@
         result = unittest.TextTestRunner(io.StringIO()).run(suite)
 
         self.assertEqual(count_results(result), Counts(1, 1, 0))
+
+    def test_failed_parts_of_a_test_count_once(self) -> None:
+        """More parts than tests gave a negative number of passed ones."""
+        suite = unittest.TestSuite(
+            [
+                FailingParts('run_parts'),
+                unittest.FunctionTestCase(lambda: None),
+            ]
+        )
+        result = unittest.TextTestRunner(io.StringIO()).run(suite)
+
+        self.assertEqual(count_results(result), Counts(1, 1, 0))
