--- a/testing/__main__.py
+++ b/testing/__main__.py
@@ -55,13 +55,11 @@
     all failed parts of one test.
     """
     # Failed parts of a test, of which there may be many, stand for the test.
-    failed = {
-        whole.id(): whole
-        for whole in (
-            getattr(test, 'test_case', test)
-            for test, _ in (*result.failures, *result.errors)
-        )
-    }
+    wholes = [
+        getattr(test, 'test_case', test)
+        for test, _ in (*result.failures, *result.errors)
+    ]
+    failed = {test.id(): test for test in wholes}
     not_run = sum(
         not isinstance(test, unittest.TestCase) for test in failed.values()
     )
