Entry and agent: refused connections are limited, too

Callers saw: an entry that may open 600 descriptors accepted 300 callers, and held each further connection for up to 2 s to refuse it: after 282 of them it had none left, neither for channels to agents nor for refusals.

Cause: only admitted connections were counted.

TestEntryConnections holds the number.

--- a/src/bramleylug/agent/daemon.py
+++ b/src/bramleylug/agent/daemon.py
@@ -16,12 +16,12 @@
 from bramleylug.agent.weights_gate import WeightsGate
 from bramleylug.agent.weights_setup import WeightsSetup
 from bramleylug.claims.service import ClaimService
+from bramleylug.cluster.descriptors import port_share
 from bramleylug.configuration.document import Document, ServiceSpec
 from bramleylug.node.node import Node
 from bramleylug.node.pages import serve_page
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.settings.daemons import AgentSettings
-from bramleylug.web.limits import WebLimits
 from bramleylug.web.server import Exchange, WebServer
 from bramleylug.weights.manifest import VersionKey
 from bramleylug.weights.swarm import PeerAddress
@@ -49,7 +49,7 @@
         self.web = WebServer(
             settings.http_bind,
             self.serve,
-            limits=WebLimits(connections=PAGE_CONNECTIONS),
+            descriptors=port_share(PAGE_CONNECTIONS),
         ).register(self)
         self.gate = WeightsGate(settings.zone, settings.service)
         self.gate.configuration_problem = lambda: (
--- a/src/bramleylug/cluster/descriptors.py
+++ b/src/bramleylug/cluster/descriptors.py
@@ -8,7 +8,11 @@
 from typing import NamedTuple
 
 from bramleylug.observability.events import LogEvent, emit
-from bramleylug.web.descriptors import DescriptorBudget, DescriptorUse
+from bramleylug.web.descriptors import (
+    DescriptorBudget,
+    DescriptorShare,
+    DescriptorUse,
+)
 
 # Files, libraries and the log; at most a quarter where few are allowed.
 FILE_DESCRIPTORS = 200
@@ -21,6 +25,8 @@
 # An entry or an agent, beside its callers: a channel to each of 1,200 hosts and
 # 330 nodes, files, and gossip.
 NODE_DESCRIPTORS = 2048
+# Connections that an entry or an agent refuses at once.
+REJECTED_DESCRIPTORS = 64
 # A loader also fetches chunks from other loaders.
 FETCH_DESCRIPTORS = 96
 
@@ -77,6 +83,17 @@
     return min(wanted, max(allowed - NODE_DESCRIPTORS, allowed // 2))
 
 
+def port_share(connections: int) -> DescriptorShare:
+    """Return the share of the only port of a process.
+
+    Connections beyond the limit are refused, up to a number at once.
+    """
+    budget = DescriptorBudget(
+        connections, {DescriptorUse.rejected: REJECTED_DESCRIPTORS}
+    )
+    return DescriptorShare(budget, DescriptorUse.callers)
+
+
 def _divide(
     allowed: int, fixed: int, parts: tuple[Part, ...]
 ) -> DescriptorBudget:
--- a/src/bramleylug/entry/daemon.py
+++ b/src/bramleylug/entry/daemon.py
@@ -8,6 +8,7 @@
 
 from circuits import BaseComponent
 
+from bramleylug.cluster.descriptors import port_share
 from bramleylug.entry.answers import RETRY_AFTER_S, error_answer
 from bramleylug.entry.dispatch import Dispatcher, DispatchLoop
 from bramleylug.entry.entries import (
@@ -63,6 +64,7 @@
             self.serve,
             limits=web_limits(settings),
             ledger=self.ledger,
+            descriptors=port_share(settings.max_connections),
         ).register(self)
         self.dispatch = DispatchLoop(lambda: Dispatcher(settings, self.node))
         self.random = Random(settings.name)
--- a/testing/cluster/test_descriptors.py
+++ b/testing/cluster/test_descriptors.py
@@ -9,6 +9,7 @@
     FIXED_DESCRIPTORS,
     entry_connections,
     loader_budget,
+    port_share,
     relay_budget,
 )
 from bramleylug.web.descriptors import DescriptorBudget, DescriptorUse
@@ -78,6 +79,13 @@
     def test_all_are_accepted_when_there_are_enough(self) -> None:
         self.assertEqual(entry_connections(2048, 4096), 2048)
 
+    def test_refused_connections_are_limited(self) -> None:
+        """They stay open for a while, and took what channels need."""
+        budget = port_share(300).budget
+        taken = [budget.take(DescriptorUse.rejected) for _ in range(1000)]
+
+        self.assertLess(sum(one is not None for one in taken), 400)
+
     def test_callers_and_hosts_share_too_few(self) -> None:
         self.assertEqual(entry_connections(2048, 1024), 512)
 
