Soak: no port is given out twice

Cause: a free port is found by binding it and letting it go; the kernel may name it again before the process that it is for has bound it.

Change: a run keeps the ports that it has given out.

--- a/src/bramleylug/soak/addresses.py
+++ b/src/bramleylug/soak/addresses.py
@@ -23,11 +23,13 @@
 OWN_HOST = loopback_host(os.getpid())
 
 
+# Ports that were given out: a process may not have bound its port yet.
+GIVEN_PORTS: set[int] = set()
+
+
 def free_address() -> str:
-    """Return an address of this run with a free port."""
-    with socket.socket() as sock:
-        sock.bind((OWN_HOST, 0))
-        return f'{OWN_HOST}:{sock.getsockname()[1]}'
+    """Return an address of this run with a free port, each one once."""
+    return f'{OWN_HOST}:{_free_port()}'
 
 
 def free_port_pair() -> int:
@@ -36,10 +38,23 @@
     Daemons use the first for heartbeats; loaders serve chunks on the second.
     """
     while True:
-        port = int(free_address().rpartition(':')[2])
+        port = _free_port()
+        if port + 1 in GIVEN_PORTS:
+            continue
         with socket.socket() as sock:
             try:
                 sock.bind((OWN_HOST, port + 1))
             except OSError:
                 continue
+        GIVEN_PORTS.add(port + 1)
         return port
+
+
+def _free_port() -> int:
+    while True:
+        with socket.socket() as sock:
+            sock.bind((OWN_HOST, 0))
+            port = int(sock.getsockname()[1])
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
--- a/testing/soak/test_addresses.py
+++ b/testing/soak/test_addresses.py
@@ -24,6 +24,12 @@
         self.assertEqual(len(hosts), 3)
         self.assertTrue(free_address().startswith(f'{OWN_HOST}:'))
 
+    def test_no_port_is_given_out_twice(self) -> None:
+        """A relay whose two ports were the same could never start."""
+        addresses = [free_address() for _ in range(2000)]
+
+        self.assertEqual(len(set(addresses)), 2000)
+
     def test_every_process_id_gives_a_loopback_address(self) -> None:
         for process_id in (1, 255, 65_536, 4_194_303, os.getpid()):
             host = IPv4Address(loopback_host(process_id))
