Relay: a stopping relay takes repeatable requests that usually end in time

Cause: that change goes by the time limit of every request, also of those that can be repeated or resumed elsewhere.

Change: those are taken unless requests of their route have lasted longer, in the last minute or two, than what is left. At 10 s a stream, as at the target, they are refused at once. The limit counts for what may not be repeated.

Evidence: test_draining_relay_... fails before and passes now, as do three new tests of streams and one of the durations.

--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -124,6 +124,11 @@
                 outcome = refusal
             case RequestContext() as context:
                 outcome = await self._serve_with_timeout(context)
+        if context is not None and isinstance(outcome, Ran):
+            if outcome.complete:
+                self.planned_stop.durations.record(
+                    context.route.name, self.clock() - arrived_s
+                )
         writer.on_disconnect = _ignore
         writer.conclude(outcome)
         self._record(exchange.request_id, context, outcome, arrived_s)
--- a/testing/relay/test_planned_stop.py
+++ b/testing/relay/test_planned_stop.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import time
+import unittest
 from typing import Any
 
 from bramleylug.cluster.route_table import RetryPolicy
+from bramleylug.relay.planned_stop import WINDOW_S, RecentDurations
 from testing.relay.scripted_engines import (
+    LAST_CHUNK,
     RecordingExchange,
     ScriptedEngine,
     complete_answer,
+    event,
 )
 from testing.relay.test_relay import RelayCase
 
@@ -16,6 +20,12 @@
 # More than any request of these tests takes.
 ENDLESS_S = 30
 BOOKING = {'streamed': False, 'retry_policy': RetryPolicy.never}
+STREAM = {'streamed': True, 'retry_policy': RetryPolicy.resume}
+OK_HEAD = (
+    b'HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: request-1\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+STREAMS = 2 * ([OK_HEAD, event(1), LAST_CHUNK],)
 
 
 class TestPlannedStop(RelayCase):
@@ -78,6 +88,39 @@
 
         self.assertEqual((await running).ended, 'whole')
 
+    async def test_stream_is_taken_if_others_ended_in_time(self) -> None:
+        """Its time limit is later, but it can be resumed elsewhere."""
+        await self.start(ScriptedEngine(*STREAMS), timeout_s=3, **STREAM)
+        self.stop_within(2)
+        exchange = await self.serve_another()
+
+        self.assertEqual((exchange.status, exchange.ended), (200, 'whole'))
+
+    async def test_stream_is_refused_if_others_lasted_longer(self) -> None:
+        """At 34 ms a token, streams of 10 s are usual."""
+        slow = [STREAMS[0][0], 0.5, *STREAMS[0][1:]]
+        await self.start(ScriptedEngine(slow), timeout_s=3, **STREAM)
+        self.stop_within(0.4)
+        exchange = await self.serve_another()
+
+        self.assertEqual((exchange.status, exchange.ended), (503, 'own'))
+        self.assertEqual(exchange.headers_sent['X-Run'], 'not_run')
+        self.assertEqual(self.arrivals(), [1])
+
+    async def test_stream_that_lasts_too_long_is_cut_before_the_end(
+        self,
+    ) -> None:
+        await self.start(
+            ScriptedEngine(STREAMS[0], [OK_HEAD, event(1), ENDLESS_S]),
+            timeout_s=3,
+            **STREAM,
+        )
+        self.stop_within(0.3)
+        async with asyncio.timeout(1):
+            exchange = await self.serve_another()
+
+        self.assertEqual((exchange.ended, self.relay.running), ('cut', 0))
+
     async def test_waiting_request_is_refused_when_the_stop_begins(
         self,
     ) -> None:
@@ -95,3 +138,20 @@
         self.assertEqual((exchange.status, exchange.ended), (503, 'own'))
         self.assertEqual(exchange.headers_sent['X-Run'], 'not_run')
         self.assertEqual(self.arrivals(), [1])
+
+
+class TestRecentDurations(unittest.TestCase):
+    """The longest duration counts for a minute or two."""
+
+    def test_longest_of_a_route_is_kept_for_a_while(self) -> None:
+        now_s = 0.0
+        durations = RecentDurations(lambda: now_s)
+        durations.record('ask', 3)
+        durations.record('ask', 1)
+        durations.record('book', 9)
+        longest = []
+        for now_s in (0.0, WINDOW_S - 1, WINDOW_S + 1, 3 * WINDOW_S + 2):
+            longest.append(durations.longest_s('ask'))
+
+        self.assertEqual(longest, [3, 3, 3, 0])
+        self.assertEqual(durations.longest_s('unknown'), 0)
