Soak: a proxy takes no port that a process has been given

Change: proxies get their ports as the processes do, each one once.

Evidence: test_proxy_listens_at_a_port_of_its_own failed before.

--- a/src/bramleylug/soak/proxy.py
+++ b/src/bramleylug/soak/proxy.py
@@ -7,7 +7,7 @@
 from socket import SO_LINGER, SOL_SOCKET
 from typing import Any, final
 
-from bramleylug.soak.addresses import OWN_HOST
+from bramleylug.soak.addresses import free_address
 
 READ_BYTES = 65536
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -58,10 +58,13 @@
         self.server: Any = None
 
     async def open(self) -> None:
-        """Listen on a free port of loopback."""
-        self.server = await asyncio.start_server(self._serve, OWN_HOST, 0)
-        host, port = self.server.sockets[0].getsockname()
-        self.address = f'{host}:{port}'
+        """Listen on a free port of loopback.
+
+        The kernel would choose one that a process has been given.
+        """
+        self.address = free_address()
+        host, _, port = self.address.rpartition(':')
+        self.server = await asyncio.start_server(self._serve, host, int(port))
 
     def apply_fault(self, fault: LinkFault) -> None:
         """Start a fault, or end it with :attr:`LinkFault.none`."""
--- a/testing/soak/test_proxy.py
+++ b/testing/soak/test_proxy.py
@@ -5,12 +5,29 @@
 import unittest
 from socket import SO_LINGER, SOL_SOCKET
 
+from bramleylug.soak.addresses import free_address
 from bramleylug.soak.proxy import Proxy
 
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 TIMEOUT_S = 2.0
 
 
+class TestPorts(unittest.IsolatedAsyncioTestCase):
+    """A proxy takes no port that a process is about to bind."""
+
+    async def test_proxy_listens_at_a_port_of_its_own(self) -> None:
+        """An engine never started, and its name led to another one."""
+        given = {free_address() for _ in range(2000)}
+        taken = set()
+        for _ in range(60):
+            proxy = Proxy('127.0.0.1:1')
+            await proxy.open()
+            self.addCleanup(proxy.server.close)
+            taken.add(proxy.address)
+
+        self.assertEqual(given & taken, set())
+
+
 class TestProxy(unittest.IsolatedAsyncioTestCase):
     """A connection through a proxy ends as the one to the server did."""
 
