--- a/src/bramleylug/cluster/descriptors.py
+++ b/src/bramleylug/cluster/descriptors.py
@@ -27,8 +27,10 @@
 NODE_DESCRIPTORS = 2048
 # Connections that an entry or an agent refuses at once.
 REJECTED_DESCRIPTORS = 64
-# A loader also fetches chunks from other loaders.
-FETCH_DESCRIPTORS = 96
+# A loader also fetches chunks from other loaders; at most a quarter where few
+# are allowed.
+FETCH_DESCRIPTORS = 160
+FETCH_DIVISOR = 4
 
 
 class Part(NamedTuple):
@@ -70,8 +72,8 @@
 
     :raises ValueError: if they are too few.
     """
-    fixed = FIXED_DESCRIPTORS + FETCH_DESCRIPTORS
-    return _divide(allowed, fixed, LOADER_PARTS)
+    fetches = min(FETCH_DESCRIPTORS, allowed // FETCH_DIVISOR)
+    return _divide(allowed, FIXED_DESCRIPTORS + fetches, LOADER_PARTS)
 
 
 def entry_connections(wanted: int, allowed: int) -> int:
--- a/src/bramleylug/loader/sources.py
+++ b/src/bramleylug/loader/sources.py
@@ -12,6 +12,8 @@
 from bramleylug.weights.peers import FailureReason
 
 CONNECT_TIMEOUT_S = 0.5
+# Chunks are fetched from all other loaders in turn.
+MAX_IDLE_PEERS = 128
 # A chunk takes 0.1 s on the slowest link, which many transfers share.
 CHUNK_TIMEOUT_S = 3.0
 MANIFEST_TIMEOUT_S = 0.8
@@ -96,7 +98,10 @@
     """HTTP client for other loaders."""
 
     def __init__(self) -> None:
-        self.clients = HttpClients(connect_timeout_s=CONNECT_TIMEOUT_S)
+        self.clients = HttpClients(
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            max_idle_addresses=MAX_IDLE_PEERS,
+        )
 
     async def manifest(
         self, peer: PeerRecord, model: str, version: int
--- a/src/bramleylug/web/http_client.py
+++ b/src/bramleylug/web/http_client.py
@@ -111,11 +111,19 @@
 class HttpClients:
     """One :class:`HttpClient` per address, created on first use.
 
+    :param max_idle_addresses: addresses to which idle connections are kept;
+        more in turn need a new connection for each call.
     :ivar by_address: the longest unused one first.
     """
 
-    def __init__(self, *, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        connect_timeout_s: float,
+        max_idle_addresses: int = MAX_IDLE_ADDRESSES,
+    ) -> None:
         self.connect_timeout_s = connect_timeout_s
+        self.max_idle_addresses = max_idle_addresses
         self.by_address: dict[str, HttpClient] = {}
 
     async def get(
@@ -133,7 +141,7 @@
         return await client.call('GET', target, timeout_s=timeout_s)
 
     def _close_unused(self) -> None:
-        excess = len(self.by_address) - MAX_IDLE_ADDRESSES
+        excess = len(self.by_address) - self.max_idle_addresses
         for address, client in tuple(self.by_address.items())[: max(0, excess)]:
             if not client.running:
                 client.close()
--- a/testing/web/test_http_client.py
+++ b/testing/web/test_http_client.py
@@ -41,6 +41,14 @@
         self.assertEqual(self.open_connections(), MAX_IDLE_ADDRESSES)
         self.assertNotIn(self.peers[0].address, self.clients.by_address)
 
+    async def test_addresses_in_turn_keep_their_connections(self) -> None:
+        """44 loaders fetch from each other in turn; 32 were kept."""
+        self.clients.max_idle_addresses = len(self.peers)
+        for peer in (*self.peers, *self.peers):
+            await self.clients.get(peer.address, '/', timeout_s=1)
+
+        self.assertEqual(self.open_connections(), len(self.peers))
+
     async def test_used_address_keeps_its_connection(self) -> None:
         for peer in (*self.peers[:-1], self.peers[0], self.peers[-1]):
             await self.clients.get(peer.address, '/', timeout_s=1)
