--- a/src/bramleylug/soak/crowd.py
+++ b/src/bramleylug/soak/crowd.py
@@ -1,13 +1,13 @@
 """Very many connections at one relay: idle, half-written and reset."""
 
 import asyncio
-import struct
 from contextlib import suppress
-from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit, setrlimit
 from socket import SO_LINGER, SOL_SOCKET, socket
 
+from bramleylug.cluster.descriptors import allow_descriptors
 from bramleylug.soak.deployment import Deployment
 from bramleylug.web.http_client import CALL_ERRORS, HttpClient
+from bramleylug.web.sockets import RESET_ON_CLOSE
 
 # More than select(2) takes, and fewer than a relay promises.
 CROWD_CONNECTIONS = 1200
@@ -16,7 +16,6 @@
 STEP_CONNECTIONS = 40
 STEP_PAUSE_S = 0.02
 HALF_A_HEAD = b'POST /book/1 HTTP/1.1\r\nHost: advisor'
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 PAGE_TIMEOUT_S = 2.0
 # Every third connection is of one of the kinds: idle, half-written, reset.
 KINDS = 3
@@ -29,7 +28,7 @@
 
     A relay that restarts meanwhile loses them.
     """
-    allow_descriptors()
+    allow_descriptors(NEEDED_DESCRIPTORS)
     relay = deployment.relays[name]
     sockets: list[socket] = []
     try:
@@ -45,16 +44,6 @@
             sock.close()
 
 
-def allow_descriptors() -> None:
-    """Raise the soft limit of open descriptors, within the hard one."""
-    soft, hard = getrlimit(RLIMIT_NOFILE)
-    if soft != RLIM_INFINITY and soft < NEEDED_DESCRIPTORS:
-        wanted = NEEDED_DESCRIPTORS
-        if hard != RLIM_INFINITY:
-            wanted = min(wanted, hard)
-        setrlimit(RLIMIT_NOFILE, (wanted, hard))
-
-
 async def _connect_all(address: str, sockets: list[socket]) -> None:
     host, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
--- a/src/bramleylug/soak/proxy.py
+++ b/src/bramleylug/soak/proxy.py
@@ -1,16 +1,15 @@
 """Loopback TCP proxies that can delay, reset or block their connections."""
 
 import asyncio
-import struct
 from dataclasses import dataclass
 from enum import Enum, unique
 from socket import SO_LINGER, SOL_SOCKET
 from typing import Any, final
 
 from bramleylug.soak.addresses import free_address
+from bramleylug.web.sockets import RESET_ON_CLOSE
 
 READ_BYTES = 65536
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 @final
--- a/testing/web/descriptors.py
+++ b/testing/web/descriptors.py
@@ -3,7 +3,9 @@
 import os
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
-from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit, setrlimit
+from resource import RLIMIT_NOFILE, getrlimit, setrlimit
+
+from bramleylug.cluster.descriptors import allow_descriptors
 
 # Descriptors that tests need in all, those held for others included.
 NEEDED_DESCRIPTORS = 2048
@@ -20,11 +22,9 @@
     :raises OSError: when the system allows too few descriptors.
     """
     limits = getrlimit(RLIMIT_NOFILE)
-    soft, hard = limits
-    if hard != RLIM_INFINITY and hard < NEEDED_DESCRIPTORS:
-        raise OSError(f'only {hard} descriptors are allowed')
-    if soft != RLIM_INFINITY and soft < NEEDED_DESCRIPTORS:
-        setrlimit(RLIMIT_NOFILE, (NEEDED_DESCRIPTORS, hard))
+    allowed = allow_descriptors(NEEDED_DESCRIPTORS)
+    if allowed < NEEDED_DESCRIPTORS:
+        raise OSError(f'only {allowed} descriptors are allowed')
     held = [os.open(os.devnull, os.O_RDONLY)]
     while held[-1] < SELECT_DESCRIPTORS:
         held.append(os.dup(held[0]))
