Tests: one builder for cut answers, one whole answer

prefixes() serves the tests that cut bytes after each one, and WHOLE_ANSWER those of relays that defined the same answer three times. No assertion changes.

--- a/testing/agent/test_cut_heads.py
+++ b/testing/agent/test_cut_heads.py
@@ -7,7 +7,7 @@
 from bramleylug.agent.upstream import Upstream
 from bramleylug.outcomes import Ran
 from testing.agent.canned_upstream import CannedUpstream
-from testing.builders import build_request
+from testing.builders import build_request, prefixes
 
 HEADERS = b'X-Weights-Digest: d1\r\nX-Boot-Id: b1\r\n'
 # Answers that end with their head, and ones with a body.
@@ -37,7 +37,7 @@
 
     def assert_never_whole(self, head: bytes) -> None:
         """Cut an answer after each byte of its head."""
-        for cut in map(head.__getitem__, map(slice, range(len(head)))):
+        for cut in prefixes(head):
             with self.subTest(cut=cut):
                 parts = self.call(cut)
                 self.assertEqual(len(parts), 1)
@@ -62,7 +62,7 @@
         """Cut after its first digit, it was taken for that of the last one."""
         chunked = WITH_BODY[1] + HEADERS + b'\r\n'
         body = b'0005\r\nwhole\r\n0000\r\n\r\n'
-        for cut in map(body.__getitem__, map(slice, range(len(body)))):
+        for cut in prefixes(body):
             with self.subTest(cut=cut):
                 self.assertFalse(self.call(chunked + cut)[-1].complete)
         self.assertTrue(self.call(chunked + body)[-1].complete)
--- a/testing/builders.py
+++ b/testing/builders.py
@@ -53,6 +53,11 @@
     return Member(name=name, **{**defaults, **fields})
 
 
+def prefixes(raw: bytes) -> list[bytes]:
+    """Return what is left of some bytes if they are cut after each one."""
+    return [raw[:length] for length in range(len(raw))]
+
+
 def build_request(**fields: Any) -> Request:
     """Return a booking request with an idempotency key."""
     defaults = {
--- a/testing/relay/scripted_engines.py
+++ b/testing/relay/scripted_engines.py
@@ -55,6 +55,10 @@
     )
 
 
+# Answer to the prepared request, also on a connection with an earlier one.
+WHOLE_ANSWER = complete_answer(b'whole', headers=b'X-Id: request-1\r\n')
+
+
 class ScriptedEngine:
     """Answers each request with the next of the given answers.
 
--- a/testing/relay/test_connection_limits.py
+++ b/testing/relay/test_connection_limits.py
@@ -8,6 +8,7 @@
 from bramleylug.web.descriptors import DescriptorBudget
 from testing.relay.builders import build_upstream_record
 from testing.relay.scripted_engines import (
+    WHOLE_ANSWER,
     RecordingExchange,
     ScriptedEngine,
     complete_answer,
@@ -15,7 +16,6 @@
 from testing.relay.test_relay import RelayCase
 from testing.web.descriptors import no_free_descriptor
 
-ANSWER = complete_answer(b'whole', headers=b'X-Id: request-1\r\n')
 CLOSING_ANSWER = complete_answer(b'whole', headers=b'Connection: close\r\n')
 
 
@@ -41,7 +41,8 @@
     async def test_request_is_refused_as_not_run(self) -> None:
         """It was tried at each engine in turn, which could not work."""
         await self.serve_once(
-            ScriptedEngine(CLOSING_ANSWER, ANSWER), ScriptedEngine(ANSWER)
+            ScriptedEngine(CLOSING_ANSWER, WHOLE_ANSWER),
+            ScriptedEngine(WHOLE_ANSWER),
         )
         exchange = await self.serve_again()
 
@@ -52,7 +53,7 @@
 
     async def test_upstream_is_not_avoided(self) -> None:
         """Each failure counted as one of a sound engine."""
-        await self.serve_once(ScriptedEngine(CLOSING_ANSWER, ANSWER))
+        await self.serve_once(ScriptedEngine(CLOSING_ANSWER, WHOLE_ANSWER))
         await self.serve_again()
         upstream = self.relay.view.upstreams.by_id['engine-0']
         self.assertLess(upstream.avoid_until_s, time.monotonic())
@@ -62,7 +63,7 @@
         self.assertEqual((exchange.status, exchange.ended), (200, 'whole'))
 
     async def test_kept_connection_is_used(self) -> None:
-        await self.serve_once(ScriptedEngine(ANSWER, ANSWER))
+        await self.serve_once(ScriptedEngine(WHOLE_ANSWER, WHOLE_ANSWER))
         exchange = await self.serve_again()
 
         self.assertEqual((exchange.status, exchange.ended), (200, 'whole'))
@@ -75,7 +76,7 @@
         """Return upstreams, each of which answers once."""
         records = []
         for number in range(count):
-            engine = await ScriptedEngine(ANSWER).open()
+            engine = await ScriptedEngine(WHOLE_ANSWER).open()
             self.addAsyncCleanup(engine.close)
             records.append(
                 build_upstream_record(f'e-{number}', address=engine.address)
--- a/testing/relay/test_cut_heads.py
+++ b/testing/relay/test_cut_heads.py
@@ -5,6 +5,7 @@
 
 from bramleylug.cluster.route_table import RetryPolicy
 from testing.relay.scripted_engines import (
+    WHOLE_ANSWER,
     OK_HEAD,
     RESET,
     UNFRAMED_HEAD,
@@ -15,11 +16,10 @@
 )
 from testing.relay.test_relay import RelayCase
 
-WHOLE = complete_answer(b'whole', headers=b'X-Id: request-1\r\n')
 EMPTY = complete_answer(b'', headers=b'X-Id: request-1\r\n')
 NO_CONTENT = b'HTTP/1.1 204 X\r\nX-Signature: s\r\nX-Id: request-1\r\n\r\n'
 HEADS = (
-    WHOLE.partition(b'\r\n\r\n')[0] + b'\r\n\r\n',
+    WHOLE_ANSWER.partition(b'\r\n\r\n')[0] + b'\r\n\r\n',
     EMPTY,
     NO_CONTENT,
     OK_HEAD,
@@ -63,7 +63,7 @@
     async def test_kept_connection_with_an_earlier_answer(self) -> None:
         for cut in ALL_CUTS:
             with self.subTest(cut=cut):
-                await self.assert_failed(WHOLE, [cut, None])
+                await self.assert_failed(WHOLE_ANSWER, [cut, None])
 
     async def test_second_engine_of_a_broken_stream(self) -> None:
         """The stream is cut, and does not end as complete."""
@@ -81,7 +81,7 @@
             with self.subTest(cut=cut):
                 exchange = await self.serve(
                     ScriptedEngine([cut, None]),
-                    ScriptedEngine(WHOLE),
+                    ScriptedEngine(WHOLE_ANSWER),
                     streamed=False,
                     retry_policy=RetryPolicy.always,
                 )
--- a/testing/relay/test_planned_stop.py
+++ b/testing/relay/test_planned_stop.py
@@ -8,15 +8,14 @@
 from bramleylug.cluster.route_table import RetryPolicy
 from bramleylug.relay.planned_stop import WINDOW_S, RecentDurations
 from testing.relay.scripted_engines import (
+    WHOLE_ANSWER,
     LAST_CHUNK,
     RecordingExchange,
     ScriptedEngine,
-    complete_answer,
     event,
 )
 from testing.relay.test_relay import RelayCase
 
-ANSWER = complete_answer(b'whole', headers=b'X-Id: request-1\r\n')
 # More than any request of these tests takes.
 ENDLESS_S = 30
 BOOKING = {'streamed': False, 'retry_policy': RetryPolicy.never}
@@ -48,7 +47,9 @@
         self,
     ) -> None:
         """It ran, and got 502 when the process ended."""
-        await self.start(ScriptedEngine(ANSWER, ANSWER), timeout_s=3)
+        await self.start(
+            ScriptedEngine(WHOLE_ANSWER, WHOLE_ANSWER), timeout_s=3
+        )
         self.stop_within(2)
         exchange = await self.serve_another()
 
@@ -60,7 +61,9 @@
     async def test_request_that_ends_before_the_process_is_served(
         self,
     ) -> None:
-        await self.start(ScriptedEngine(ANSWER, ANSWER), timeout_s=1)
+        await self.start(
+            ScriptedEngine(WHOLE_ANSWER, WHOLE_ANSWER), timeout_s=1
+        )
         self.stop_within(2)
         exchange = await self.serve_another()
 
@@ -70,7 +73,7 @@
         self,
     ) -> None:
         """It was cancelled without a line in the log."""
-        await self.start(ScriptedEngine(ANSWER, [ENDLESS_S]), timeout_s=3)
+        await self.start(ScriptedEngine(WHOLE_ANSWER, [ENDLESS_S]), timeout_s=3)
         running = asyncio.create_task(self.serve_another())
         await asyncio.sleep(0.1)
         self.stop_within(0.2)
@@ -81,7 +84,9 @@
         self.assertEqual(exchange.headers_sent['X-Run'], 'unknown')
 
     async def test_running_request_with_enough_time_is_not_cut(self) -> None:
-        await self.start(ScriptedEngine(ANSWER, [0.3, ANSWER]), timeout_s=1)
+        await self.start(
+            ScriptedEngine(WHOLE_ANSWER, [0.3, WHOLE_ANSWER]), timeout_s=1
+        )
         running = asyncio.create_task(self.serve_another())
         await asyncio.sleep(0.1)
         self.stop_within(1.5)
@@ -125,7 +130,9 @@
         self,
     ) -> None:
         """It was passed on late, and cut when the process ended."""
-        await self.start(ScriptedEngine(ANSWER), timeout_s=3, objective_s=3)
+        await self.start(
+            ScriptedEngine(WHOLE_ANSWER), timeout_s=3, objective_s=3
+        )
         for upstream in self.relay.view.upstreams.by_id.values():
             upstream.running = 1000
         waiting = asyncio.create_task(self.serve_another())
--- a/testing/web/test_http_client.py
+++ b/testing/web/test_http_client.py
@@ -9,6 +9,7 @@
     HttpClient,
     HttpClients,
 )
+from testing.builders import prefixes
 from testing.relay.scripted_engines import ScriptedEngine, complete_answer
 
 ANSWER = complete_answer(b'whole')
@@ -72,12 +73,12 @@
     async def test_answer_cut_after_any_byte_fails(self) -> None:
         for head in (b'204 X\r\n', b'200 X\r\nContent-Length: 0\r\n'):
             raw = b'HTTP/1.1 %sX-More: 1\r\n\r\n' % head
-            for cut in map(raw.__getitem__, map(slice, range(len(raw)))):
+            for cut in prefixes(raw):
                 with self.subTest(cut=cut), self.assertRaises(CALL_ERRORS):
                     await self.call(cut)
             self.assertEqual((await self.call(raw)).body, b'')
 
     async def test_cut_body_with_a_length_fails(self) -> None:
-        for cut in map(ANSWER.__getitem__, map(slice, range(len(ANSWER)))):
+        for cut in prefixes(ANSWER):
             with self.subTest(cut=cut), self.assertRaises(CALL_ERRORS):
                 await self.call(cut)
