Sockets: one mixin attaches TCP and UDP servers to the poller

Both classes had the same handler, which called a function that set their private fields. The connection that can't be accepted is reset by the method that resets the others. No behaviour changes.

--- a/src/bramleylug/node/udp.py
+++ b/src/bramleylug/node/udp.py
@@ -1,20 +1,19 @@
 """UDP server that survives errors of single datagrams."""
 
 from contextlib import suppress
-from typing import Any, final
+from typing import final
 
-from circuits import handler
 from circuits.net.events import read
 from circuits.net.sockets import UDPServer
 
-from bramleylug.web.poller import attach_poller
+from bramleylug.web.poller import PolledServer
 
 BUFFER_BYTES = 4096
 PORT_LIMIT = 65536
 
 
 @final
-class DatagramServer(UDPServer):
+class DatagramServer(PolledServer, UDPServer):
     """UDP server that drops a datagram where circuits would close the socket.
 
     An unreachable network or a full buffer makes a single call fail; closing
@@ -22,13 +21,6 @@
     good.
     """
 
-    @handler('registered', 'started', channel='*')
-    def _on_registered_or_started(
-        self, component: Any, manager: Any = None
-    ) -> None:
-        if component is self and self._poller is None:
-            attach_poller(self)
-
     def _read(self) -> None:
         with suppress(OSError):
             datagram, address = self._sock.recvfrom(BUFFER_BYTES)
--- a/src/bramleylug/web/poller.py
+++ b/src/bramleylug/web/poller.py
@@ -10,7 +10,7 @@
 from selectors import EVENT_READ, EVENT_WRITE, DefaultSelector
 from typing import Any, final
 
-from circuits import Event
+from circuits import Event, handler
 from circuits.core.pollers import BasePoller, _read, _write
 from circuits.net.events import ready
 
@@ -151,18 +151,37 @@
             return b''
 
 
-def attach_poller(server: Any) -> None:
-    """Have a server of circuits use the poller of its loop.
+class PolledServer:
+    """Mixin of servers of circuits; they use the project's poller.
 
     The loop gets one if it has none yet. No server may look for one by itself:
     it would take, or add, a poller of another kind.
     """
-    for component in server.root.components:
+
+    # Of the servers of circuits.
+    root: Any
+    host: Any
+    port: Any
+    fire: Any
+    _sock: Any
+    _poller: Any
+
+    @handler('registered', 'started', channel='*')
+    def _on_registered_or_started(
+        self, component: Any, manager: Any = None
+    ) -> None:
+        if component is not self or self._poller is not None:
+            return
+        self._poller = _poller_of(self.root)
+        self._poller.addReader(self, self._sock)
+        self.fire(ready(self, (self.host, self.port)))
+
+
+def _poller_of(root: Any) -> Poller:
+    """Return the poller of a loop; add one if it has none yet."""
+    for component in root.components:
         if isinstance(component, Poller):
-            poller = component
-            break
-    else:
-        poller = Poller().register(server.root)
-    server._poller = poller  # noqa: SLF001
-    poller.addReader(server, server._sock)  # noqa: SLF001
-    server.fire(ready(server, (server.host, server.port)))
+            return component
+    poller = Poller()
+    poller.register(root)
+    return poller
--- a/src/bramleylug/web/sockets.py
+++ b/src/bramleylug/web/sockets.py
@@ -3,7 +3,7 @@
 import struct
 from contextlib import suppress
 from socket import MSG_PEEK, SHUT_RDWR, SO_LINGER, SOL_SOCKET, socket
-from typing import Any, Protocol, final
+from typing import Protocol, final
 
 from circuits import Event, handler
 from circuits.net.events import closed
@@ -14,7 +14,7 @@
     ExhaustionLog,
     SpareDescriptor,
 )
-from bramleylug.web.poller import attach_poller
+from bramleylug.web.poller import PolledServer
 
 READ_BYTES = 16384
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -40,7 +40,7 @@
 
 
 @final
-class SocketServer(TCPServer):
+class SocketServer(PolledServer, TCPServer):
     """Calls its owner for socket events instead of firing circuits events.
 
     :ivar owner: set before the first connection.
@@ -118,13 +118,6 @@
         self._poller.discard(sock)
         self.accepted.discard(sock)
 
-    @handler('registered', 'started', channel='*')
-    def _on_registered_or_started(
-        self, component: Any, manager: Any = None
-    ) -> None:
-        if component is self and self._poller is None:
-            attach_poller(self)
-
     @handler('_read', priority=1)
     def _on_read(self, sock: socket) -> None:
         if sock is self._sock:
@@ -158,8 +151,7 @@
             self.accepting = False
             self._poller.removeReader(self._sock)
         else:
-            sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
-            sock.close()
+            self.reset(sock)
         self.spare.reopen()
 
     def _read(self, sock: socket) -> None:
