Relay: the time that a request took is read once

The duration for planned stops is recorded where it is computed for the log. What counts as a recent survival is said once for both judgements of a bar.

--- a/src/bramleylug/cluster/crash_suspects.py
+++ b/src/bramleylug/cluster/crash_suspects.py
@@ -180,7 +180,7 @@
                 # The sender may have watched for longer.
                 suspect.strikes = max(suspect.strikes, report.strikes)
                 survived_s = self.survivals.get(fingerprint, NEVER_S)
-                survived = survived_s > now_s - RETENTION_S
+                survived = _counts(survived_s, now_s)
                 bar_s = _accepted_bar_s(report, survived=survived)
                 self._bar(fingerprint, suspect, bar_s)
         elif report.bar_s and fingerprint in self.survivals:
@@ -242,7 +242,7 @@
         """Bar a fingerprint if enough upstreams crashed under it."""
         now_s = self.clock()
         recent = suspect.recent_crashes(now_s)
-        survived = survived_s > now_s - RETENTION_S
+        survived = _counts(survived_s, now_s)
         is_learning = now_s - self.watching_since_s < LEARNING_S
         presumed_sound = survived or (suspect.is_part and is_learning)
         if presumed_sound:
@@ -357,6 +357,11 @@
     return xxh64_digest(f'{upstream_id}/{started_ms}'.encode())
 
 
+def _counts(survived_s: float, now_s: float) -> bool:
+    """Return whether a survival is recent enough to count."""
+    return survived_s > now_s - RETENTION_S
+
+
 def _accepted_bar_s(report: SuspectReport, *, survived: bool) -> float:
     """Return for how long the bar of another relay holds here.
 
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -124,11 +124,6 @@
                 outcome = refusal
             case RequestContext() as context:
                 outcome = await self._serve_with_timeout(context)
-        if context is not None and isinstance(outcome, Ran):
-            if outcome.complete:
-                self.planned_stop.durations.record(
-                    context.route.name, self.clock() - arrived_s
-                )
         writer.on_disconnect = _ignore
         writer.conclude(outcome)
         self._record(exchange.request_id, context, outcome, arrived_s)
@@ -302,6 +297,9 @@
         arrived_s: float,
     ) -> None:
         took_s = self.clock() - arrived_s
+        if context is not None and isinstance(outcome, Ran):
+            if outcome.complete:
+                self.planned_stop.durations.record(context.route.name, took_s)
         table = self.view.table
         service = '' if context is None else context.accepted.service
         count(REQUESTS, service=service, outcome=run_name(outcome))
