Logs: one limit for lines that repeat

The log of connections for want of descriptors limited its lines by code of its own beside that of rejected values; LineLimit serves both.

--- a/src/bramleylug/web/exhaustion.py
+++ b/src/bramleylug/web/exhaustion.py
@@ -8,6 +8,7 @@
 
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import EXHAUSTED, count
+from bramleylug.observability.rejections import LineLimit
 
 # Errors of a call that fails because this process or its host has run out of
 # descriptors, memory for sockets, or local ports; its peer is not at fault.
@@ -51,26 +52,21 @@
     """Counts calls that failed for want of a descriptor, and logs some.
 
     :param what: what could not be done.
-    :ivar unlogged: failures since the last line.
     """
 
     def __init__(self, what: str) -> None:
         self.what = what
-        self.next_s = float('-inf')
-        self.unlogged = 0
+        self.limit = LineLimit(LOG_INTERVAL_S)
 
     def record(self, error: str) -> None:
         """Count a failure; log it unless one was logged a moment ago."""
         count(EXHAUSTED, what=self.what)
-        now_s = time.monotonic()
-        if now_s < self.next_s:
-            self.unlogged += 1
+        repeated = self.limit.record(self.what, time.monotonic())
+        if repeated is None:
             return
-        self.next_s = now_s + LOG_INTERVAL_S
         emit(
             LogEvent.descriptors_exhausted,
             what=self.what,
             error=error,
-            repeated=self.unlogged,
+            repeated=repeated,
         )
-        self.unlogged = 0
