Relay: the most connections of callers follow from the descriptors

The setting was worked out from the descriptors when the settings were read, and again in the daemon; where the system allows fewer, it told a number that does not hold. It is gone; the budget of the process is the only source.

--- a/src/bramleylug/platform/settings.py
+++ b/src/bramleylug/platform/settings.py
@@ -11,7 +11,6 @@
 from bramleylug.relay.settings import RelaySettings
 from bramleylug.settings.addresses import is_address
 from bramleylug.settings.fields import SettingsError
-from bramleylug.web.descriptors import DescriptorUse
 
 SETTINGS_VARIABLE = 'BRAMLEYLUG_CONFIG'
 MILLISECONDS = 1000
@@ -142,7 +141,8 @@
     bounds = document['bounds']
     limits = document['limits']
     listen = document['listen']
-    descriptors = relay_budget(int(limits['file_descriptors']))
+    # Too few are an error of the settings.
+    relay_budget(int(limits['file_descriptors']))
     feed_port = int(document['internal_ports'][0]) + FEED_PORT_OFFSET
     memory_bytes = limits['memory_mb'] * MEBIBYTE * CALLER_MEMORY_SHARE
     return RelaySettings(
@@ -152,7 +152,6 @@
         directory_bind=str(listen.get('directory', '')),
         feed_bind=f'{document["ip"]}:{feed_port}',
         memory_bytes=int(memory_bytes),
-        max_connections=descriptors.limit_of(DescriptorUse.callers),
         stop_time=float(bounds['grace_s']),
         change_limit=_change_limit_s(bounds),
         keep_addresses=min(ADDRESS_TTL_S, float(bounds['ttl_max_s'])),
@@ -168,7 +167,7 @@
 ) -> LoaderSettings:
     first_port = int(document['internal_ports'][0])
     link_bytes = document['limits']['link_mbps'] * BYTES_PER_MEGABIT
-    # Too few are reported with the other problems of the settings.
+    # Too few are an error of the settings.
     loader_budget(int(document['limits']['file_descriptors']))
     return LoaderSettings(
         **_common_fields(document, metrics_bind),
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -84,6 +84,7 @@
     """Daemon that serves callers.
 
     :param settings: validated settings.
+    :ivar max_connections: most connections of callers open at once.
     :ivar ledger: memory for the requests of callers.
     :ivar draining_since_s: when the planned stop began; ``None`` before.
     """
@@ -118,6 +119,7 @@
         self.core.view.permits.on_limit_changed = self.core.announce_soon
         self.core.view.on_peer_started = self.tell_limits
         self.descriptors = relay_budget(settings.file_descriptors)
+        self.max_connections = self.descriptors.limit_of(DescriptorUse.callers)
         self.relay = Relay(
             settings,
             self.core.view,
@@ -141,7 +143,7 @@
             self.serve,
             DescriptorUse.callers,
             WebLimits(
-                connections=settings.max_connections, respond_before_close=False
+                connections=self.max_connections, respond_before_close=False
             ),
         )
         self._serve_on(
@@ -262,7 +264,9 @@
         REVISION.set({'instance': self.settings.name}, view.table.version)
         if view.table.limits != self.limits_in_force:
             self.limits_in_force = view.table.limits
-            self.web.apply_limits(web_limits(self.settings, view.table.limits))
+            self.web.apply_limits(
+                web_limits(self.max_connections, view.table.limits)
+            )
 
     def unready_reason(self) -> str:
         """Return why no requests are accepted; empty if they are."""
@@ -360,12 +364,15 @@
         return server
 
 
-def web_limits(settings: RelaySettings, limits: CallerLimits) -> WebLimits:
-    """Return the limits of the port for callers."""
+def web_limits(connections: int, limits: CallerLimits) -> WebLimits:
+    """Return the limits of the port for callers.
+
+    :param connections: most connections open at once.
+    """
     return WebLimits(
         head_bytes=limits.head_bytes,
         body_bytes=limits.body_bytes,
-        connections=settings.max_connections,
+        connections=connections,
         head_timeout_s=limits.head_timeout_s,
         idle_timeout_s=limits.idle_timeout_s,
         respond_before_close=False,
--- a/src/bramleylug/relay/settings.py
+++ b/src/bramleylug/relay/settings.py
@@ -28,7 +28,6 @@
     caller_bytes: int = setting(
         'answer bytes buffered for one caller', 65536, unit='bytes'
     )
-    max_connections: int = setting('maximum connections of callers', 1024)
     stop_time: float = setting(
         'time from the start of a planned stop to the end', 8.0, unit='s'
     )
