--- a/src/bramleylug/soak/observations.py
+++ b/src/bramleylug/soak/observations.py
@@ -162,7 +162,10 @@
     def was_disturbed_within(
         self, relay: str, from_s: float, until_s: float
     ) -> bool:
-        """Return whether a fault affected a relay in a span of Unix time."""
+        """Return whether a fault affected a relay in a span of Unix time.
+
+        It still does for :data:`STABLE_RELAY_S` after its end.
+        """
         return any(
             interval.name == relay
             and interval.from_s < until_s
@@ -184,11 +187,12 @@
             for request in self.requests
             if request.request_id == request_id
         }
-        for interval in self.disturbances:
-            stable_since_s = at_s - STABLE_RELAY_S if interval.name else since_s
-            overlaps = (
-                interval.from_s < at_s and stable_since_s < interval.until_s
-            )
-            if overlaps and interval.name in {'', *relays}:
-                return True
-        return False
+        store_disturbed = any(
+            not interval.name
+            and interval.from_s < at_s
+            and since_s < interval.until_s
+            for interval in self.disturbances
+        )
+        return store_disturbed or any(
+            self.was_disturbed_within(relay, at_s, at_s) for relay in relays
+        )
