--- a/testing/web/test_poller.py
+++ b/testing/web/test_poller.py
@@ -110,6 +110,18 @@
 class TestPoller(unittest.TestCase):
     """What is reported of a socket follows from what is awaited from it."""
 
+    def reuse_descriptor(
+        self, sock: socket.socket
+    ) -> tuple[socket.socket, socket.socket]:
+        """Close a socket; return one with its descriptor, and its peer."""
+        descriptor = sock.fileno()
+        sock.close()
+        other, peer = socket.socketpair()
+        self.addCleanup(peer.close)
+        self.addCleanup(other.close)
+        self.assertEqual(other.fileno(), descriptor)
+        return other, peer
+
     def test_socket_added_twice_is_removed_at_once(self) -> None:
         """It stayed in the list of the poller and was read while paused."""
         harness = PollerHarness(self)
@@ -144,28 +156,18 @@
         """Its descriptor is used again for the next connection."""
         harness = PollerHarness(self)
         harness.poller.addReader(harness.source, harness.sock)
-        descriptor = harness.sock.fileno()
-        harness.sock.close()
+        other, peer = self.reuse_descriptor(harness.sock)
         harness.poller.discard(harness.sock)
-        other, peer = socket.socketpair()
-        self.addCleanup(peer.close)
-        self.addCleanup(other.close)
-        self.assertEqual(other.fileno(), descriptor)
+        harness.poller.addReader(harness.source, other)
 
         peer.send(b'x')
-        harness.poller.addReader(harness.source, other)
         self.assertEqual(harness.poll(), ['_read'])
 
     def test_descriptor_is_used_again_before_the_removal(self) -> None:
         """The new socket would never be read."""
         harness = PollerHarness(self)
         harness.poller.addReader(harness.source, harness.sock)
-        descriptor = harness.sock.fileno()
-        harness.sock.close()
-        other, peer = socket.socketpair()
-        self.addCleanup(peer.close)
-        self.addCleanup(other.close)
-        self.assertEqual(other.fileno(), descriptor)
+        other, peer = self.reuse_descriptor(harness.sock)
         harness.poller.addReader(harness.source, other)
         harness.poller.discard(harness.sock)
 
