Logs: the start line names release, code and descriptors

Cause: a fault that was mended showed again for users, and nothing that a process writes told which code had run: BL5006 had role, name and zone only.

--- a/src/bramleylug/cli/main.py
+++ b/src/bramleylug/cli/main.py
@@ -16,13 +16,14 @@
     status,
     weights,
 )
-from bramleylug.cli.parser import ExitCode, OneLineParser
+from bramleylug.cli.parser import ExitCode, OneLineParser, add_version_flag
 from bramleylug.cluster.descriptors import (
     NODE_DESCRIPTORS,
     allow_descriptors,
     entry_connections,
 )
 from bramleylug.node.lifecycle import DaemonRunner
+from bramleylug.observability.build_info import build_info
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.logs import set_up_logs
 from bramleylug.settings.daemons import (
@@ -63,6 +64,7 @@
         description='Model weight distribution and request routing for bursts.',
         epilog=f'Exit codes: {codes}.',
     )
+    add_version_flag(parser)
     commands = parser.add_subparsers(required=True, metavar='COMMAND')
     entry = commands.add_parser(
         'entry', help='run an entry, which routes requests'
@@ -106,6 +108,7 @@
         http=daemon.web.address,
         grpc=node.grpc_address,
         gossip=node.membership.own.gossip_address,
+        **build_info()._asdict(),
     )
     DaemonRunner(daemon, daemon.settings.name).run()
     return ExitCode.ok
--- a/src/bramleylug/cli/parser.py
+++ b/src/bramleylug/cli/parser.py
@@ -1,9 +1,11 @@
 """Argument parser with one-line errors, and the exit codes."""
 
 import sys
-from argparse import ArgumentParser
+from argparse import Action, ArgumentParser, Namespace
 from enum import IntEnum, unique
-from typing import NoReturn, final
+from typing import Any, NoReturn, final
+
+from bramleylug.observability.build_info import describe_build
 
 
 @final
@@ -34,3 +36,30 @@
         """Print the error with a hint to ``--help`` and exit."""
         print(f'{self.prog}: {message} (see --help)', file=sys.stderr)
         sys.exit(ExitCode.usage)
+
+
+@final
+class VersionAction(Action):
+    """Prints which release and which code runs, and exits.
+
+    Unlike the action of argparse it reads the code only when it is asked to.
+    """
+
+    def __call__(
+        self,
+        parser: ArgumentParser,
+        namespace: Namespace,
+        arguments: Any,
+        option: str | None = None,
+    ) -> None:
+        print(describe_build())
+        parser.exit()
+
+
+def add_version_flag(parser: ArgumentParser) -> None:
+    parser.add_argument(
+        '--version',
+        action=VersionAction,
+        nargs=0,
+        help='print release, digest of the code and version of Python',
+    )
--- a/src/bramleylug/cluster/status_pages.py
+++ b/src/bramleylug/cluster/status_pages.py
@@ -11,6 +11,7 @@
     PROCESSOR_SECONDS,
     RESIDENT_BYTES,
     STORE_AGE,
+    set_build_info,
 )
 from bramleylug.observability.process import resident_bytes
 from bramleylug.web.exchange import Exchange
@@ -23,6 +24,7 @@
 ) -> None:
     """Respond with all metrics in text format, whatever the path."""
     labels = {'instance': name}
+    set_build_info(name)
     times = os.times()
     PROCESSOR_SECONDS.set(labels, times.user + times.system)
     RESIDENT_BYTES.set(labels, resident_bytes())
--- a/src/bramleylug/node/pages.py
+++ b/src/bramleylug/node/pages.py
@@ -14,6 +14,7 @@
     RESIDENT_BYTES,
     REVISION,
     RUNNING,
+    set_build_info,
 )
 from bramleylug.observability.process import resident_bytes
 from bramleylug.web.server import Exchange
@@ -51,6 +52,7 @@
 
 def _update_gauges(node: 'Node') -> None:
     labels = {'instance': node.settings.name}
+    set_build_info(node.settings.name)
     MEMBERS.set(labels, len(node.members))
     RUNNING.set(labels, node.count_running())
     REVISION.set(labels, node.holder.document.revision)
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -401,14 +401,16 @@
     serving = EventSpec(
         'BL5005',
         'INFO',
-        'serving http={http} grpc={grpc} gossip={gossip}',
-        'Nothing to do.',
+        'serving http={http} grpc={grpc} gossip={gossip}; release {release}, '
+        'code {code}, Python {python}',
+        'Compare release and code with the checkout (--version).',
     )
     started = EventSpec(
         'BL5006',
         'INFO',
-        '{role} {name} in zone {zone} started',
-        'Nothing to do.',
+        '{role} {name} in zone {zone} started; release {release}, code {code}, '
+        'Python {python}, {descriptors} file descriptors',
+        'Compare release and code with the checkout (--version).',
     )
     reloaded = EventSpec(
         'BL5007',
@@ -422,6 +424,12 @@
         'settings could not be reloaded and stay as they were: {faults}',
         'Correct the settings file.',
     )
+    polling = EventSpec(
+        'BL5011',
+        'INFO',
+        'sockets are watched by {selector}',
+        'Nothing to do.',
+    )
     worker_failed = EventSpec(
         'BL5004',
         'ERROR',
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -4,6 +4,8 @@
 
 from aioprometheus.collectors import Counter, Gauge, Histogram
 
+from bramleylug.observability.build_info import build_info
+
 # Upper bounds of the histogram buckets, in seconds: from the fastest record
 # lookup to the deadline of a stream.
 LATENCY_BUCKETS = (
@@ -20,6 +22,9 @@
     6.4,
 )
 
+BUILD_INFO = Gauge(
+    'bramleylug_build_info', '1, with release, code and Python as labels'
+)
 REQUESTS = Counter(
     'bramleylug_requests_total', 'Requests by service and outcome'
 )
@@ -88,3 +93,8 @@
 
 def count(counter: Any, **labels: str) -> None:
     counter.inc(labels)
+
+
+def set_build_info(instance: str) -> None:
+    """Report what a process runs, as labels of a constant."""
+    BUILD_INFO.set({'instance': instance, **build_info()._asdict()}, 1)
--- a/src/bramleylug/platform/__main__.py
+++ b/src/bramleylug/platform/__main__.py
@@ -9,10 +9,11 @@
 from types import FrameType
 from typing import Any
 
-from bramleylug.cli.parser import ExitCode, OneLineParser
+from bramleylug.cli.parser import ExitCode, OneLineParser, add_version_flag
 from bramleylug.cluster.descriptors import MIN_DESCRIPTORS, allow_descriptors
 from bramleylug.cluster.settings import ProcessSettings
 from bramleylug.node.lifecycle import DaemonRunner
+from bramleylug.observability.build_info import build_info
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.logs import set_up_logs
 from bramleylug.platform.settings import (
@@ -43,6 +44,7 @@
         'settings are read from the file named by BRAMLEYLUG_CONFIG.',
         epilog=f'Exit codes: {codes}.',
     )
+    add_version_flag(parser)
     parser.add_argument(
         'program',
         choices=('relay', 'loader', 'check'),
@@ -72,13 +74,16 @@
     )
     set_up_logs(settings.name, level=namespace.log_level, as_json=True)
     _handle_reload(settings, namespace)
+    settings = _limit_descriptors(settings)
     emit(
         LogEvent.started,
         role=namespace.program,
         name=settings.name,
         zone=settings.zone,
+        descriptors=settings.file_descriptors,
+        **build_info()._asdict(),
     )
-    daemon = _build(_limit_descriptors(settings), namespace.program)
+    daemon = _build(settings, namespace.program)
     # The process has spent this time with imports, at least.
     daemon.core.view.started_s -= time.process_time()
     DaemonRunner(daemon, settings.name).run()
--- a/src/bramleylug/web/poller.py
+++ b/src/bramleylug/web/poller.py
@@ -14,6 +14,8 @@
 from circuits.core.pollers import BasePoller, _read, _write
 from circuits.net.events import ready
 
+from bramleylug.observability.events import LogEvent, emit
+
 # Wake-ups that are taken from the control pipe at once.
 CONTROL_BYTES = 4096
 
@@ -184,4 +186,5 @@
             return component
     poller = Poller()
     poller.register(root)
+    emit(LogEvent.polling, selector=type(poller.selector).__name__)
     return poller
