Make: an environment is used only for what it was made from

Cause: make setup compared dates. An environment that was carried over was used for any lock file of an earlier date, and for another Python or processor. Change: the stamp is named by the contents of pyproject.toml and requirements.lock, the version of Python, the processor and the folder; another stamp installs into a cleared environment.

--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,21 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.installed
+# Names what the environment was made from. Contents decide, not dates: an
+# environment may have been carried over from other sources or another machine.
+STAMP := $(VENV)/.installed-$(shell { cat pyproject.toml requirements.lock; \
+	$(PYTHON) -c 'import platform, sys; print(sys.version, platform.machine())'; \
+	pwd; } | cksum | cut -d ' ' -f 1)
 
 .PHONY: setup demo test check bench format generate
 
 setup: $(STAMP)
 
-$(STAMP): pyproject.toml requirements.lock
-	$(PYTHON) -m venv $(VENV)
+$(STAMP):
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install --quiet -r requirements.lock
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
-	touch $(STAMP)
+	touch $@
 
 demo: setup
 	$(BIN)/bramleylug demo $(DEMO_FLAGS)
