--- a/src/bramleylug/observability/build_info.py
+++ b/src/bramleylug/observability/build_info.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from bramleylug import __version__
+from bramleylug.release import VERSION
 
 PACKAGE = Path(__file__).parents[1]
 DIGEST_CHARACTERS = 12
@@ -43,9 +43,7 @@
 @cache
 def build_info() -> BuildInfo:
     """Return what this process runs, as it was on the first call."""
-    return BuildInfo(
-        __version__, code_digest(PACKAGE), platform.python_version()
-    )
+    return BuildInfo(VERSION, code_digest(PACKAGE), platform.python_version())
 
 
 def describe_build() -> str:
--- /dev/null
+++ b/src/bramleylug/release.py
@@ -0,0 +1,3 @@
+"""The release of the project; the build reads it from here."""
+
+VERSION = '0.1.0'
