Relay: a silent upstream is left only for an answer that has begun

Callers of a stream whose engine fell silent for a second were cut off, or waited until they left, although the engine went on: a request that moved to another engine had closed its first connection, and the other one refused it, failed, did not listen or was silent as well. Cause: what the request had was given up before there was something better. Change: the second attempt runs beside the first one (hedge.py, silence.py), and takes over when its first event, or the head of an answer without events, has arrived; if the first one is answered before, the second is closed. A request that a second attempt may have run is never refused as not run. ClientConnection.open can be cancelled at any time: wait_for of Python 3.11 could return a connection to a cancelled task.

--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -1,11 +1,12 @@
 """One attempt to send a request to an upstream and forward its answer."""
 
-import asyncio
 import math
-from collections.abc import Awaitable, Callable
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
-from typing import TypeVar, final
+from typing import NamedTuple, final
 
 from bramleylug.cluster.route_table import RetryPolicy, Route
 from bramleylug.cluster.upstreams import Upstream
@@ -19,6 +20,7 @@
     RequestMetadata,
 )
 from bramleylug.relay.event_splitter import EventSplitter, EventStreamError
+from bramleylug.relay.silence import HedgedReader, Silence, UpstreamSilent
 from bramleylug.web.client_connection import (
     AnswerHead,
     ClientConnection,
@@ -29,20 +31,19 @@
 )
 from bramleylug.wire.requests_pb2 import Head, Header
 
-ResultT = TypeVar('ResultT')
 # Answers up to this size are forwarded only when complete, so that one that
 # breaks off can still be replaced by the answer of another upstream.
 BUFFERED_ANSWER_BYTES = 131072
 # A refusal has a short body; more than this is no refusal of an upstream.
 MAX_REFUSAL_BYTES = 65536
-# While an upstream is silent, or none can continue a stream, another one is
-# looked for at this interval.
-RECHECK_INTERVAL_S = 0.2
 # An upstream that has written an answer for this long is not about to crash
 # under the parts of its prompt.
 PROVEN_S = 1.0
 # Connections of this relay end all the time; another relay may have some now.
 EXHAUSTED_RETRY_S = 0.5
+# From these statuses on, an answer is not worth leaving a silent upstream for.
+FAILED = HTTPStatus.INTERNAL_SERVER_ERROR
+STREAM_FAILED = HTTPStatus.MULTIPLE_CHOICES
 # Statuses that promise a caller that nothing ran.
 NOT_RUN_STATUSES = frozenset(
     (
@@ -54,9 +55,13 @@
 )
 
 
-@final
-class UpstreamSilent(Exception):
-    """The upstream sent nothing, and the request moves or must not wait."""
+# How an attempt may end without an answer that can be forwarded.
+ANSWER_ERRORS = (
+    ConnectionBroken,
+    MalformedAnswer,
+    EventStreamError,
+    UpstreamSilent,
+)
 
 
 @final
@@ -73,6 +78,7 @@
     :ivar longest_gap_s: longest time between two pieces.
     :ivar answer_started_s: when the first event of the last attempt, or its
         whole answer, arrived; ``None`` before.
+    :ivar proven: whether its events have arrived for :data:`PROVEN_S`.
     """
 
     splitter: EventSplitter | None = None
@@ -82,6 +88,13 @@
     last_s: float = 0
     longest_gap_s: float = 0
     answer_started_s: float | None = None
+    proven: bool = False
+
+    def begin_attempt(self) -> None:
+        """Forget what is known of the answer of the previous attempt."""
+        self.answer_started_s = None
+        self.proven = False
+        self.cold_for_s = 0
 
     def record_piece(self, now_s: float) -> None:
         """Record the time at which a piece is forwarded."""
@@ -111,48 +124,20 @@
     idle_s: float | None
     start_by_s: float | None = None
 
+    def before_start(self, now_s: float) -> Silence:
+        """Return the silence before the answer starts."""
+        return Silence.begin(now_s, self.first_s, self.start_by_s)
 
-@final
-@dataclass(slots=True)
-class Silence:
-    """Time during which an upstream sends no head and no complete event.
-
-    :ivar since_s: when it began.
-    :ivar look_s: when another upstream is looked for; infinite for never.
-    :ivar end_s: when the attempt must end; infinite for never.
-    """
-
-    since_s: float
-    look_s: float
-    end_s: float
-
-    @classmethod
-    def begin(
-        cls, now_s: float, timeout_s: float | None, end_s: float | None = None
-    ) -> 'Silence':
-        """Return a silence that begins now."""
-        return cls(
-            now_s,
-            math.inf if timeout_s is None else now_s + timeout_s,
-            math.inf if end_s is None else end_s,
-        )
 
-    def left_s(self, now_s: float) -> float | None:
-        """Return the time until the next check; ``None`` for no limit."""
-        next_s = min(self.look_s, self.end_s)
-        return None if next_s == math.inf else max(0.0, next_s - now_s)
+class BegunAnswer(NamedTuple):
+    """An answer of which nothing has been forwarded.
 
-    def check(self, now_s: float, may_move: Callable[[], bool]) -> None:
-        """Put off the next check unless the attempt must end.
+    :ivar pieces: the pieces of its body that were read.
+    """
 
-        :param may_move: whether the request moves to another upstream now.
-        :raises UpstreamSilent: when the attempt must end.
-        """
-        if now_s >= self.end_s or may_move():
-            raise UpstreamSilent(
-                f'upstream sent nothing for {now_s - self.since_s:.1f} s'
-            )
-        self.look_s = now_s + RECHECK_INTERVAL_S
+    head: AnswerHead
+    metadata: AnswerMetadata
+    pieces: deque[bytes]
 
 
 @final
@@ -162,8 +147,9 @@
     :ivar sent: whether any byte of the request may have been sent.
     :ivar answer_started: whether the first event of a stream has arrived.
     :ivar on_sent: called when the request is sent.
-    :ivar may_move: asked while the upstream is silent; if it returns
-        ``True``, the attempt ends and the request moves to another upstream.
+    :ivar reader: waits while the upstream is silent.
+    :ivar connection: the connection on which the request was sent.
+    :ivar begun: the answer that :meth:`prepare` has waited for.
     :ivar on_answer_started: called when the first event arrives.
     :ivar on_proven: called when events have arrived for :data:`PROVEN_S`.
     :ivar sent_s: when the request was sent.
@@ -188,14 +174,24 @@
         self.sent_s = math.inf
         self.answer_started = False
         self.on_sent: Callable[[], None] = _ignore
-        self.may_move: Callable[[], bool] = _stay
-        self.proven = False
-        progress.answer_started_s = None
+        self.reader = HedgedReader(clock)
+        self.connection: ClientConnection | None = None
+        self.begun: BegunAnswer | None = None
         self.on_answer_started: Callable[[], None] = _ignore
         self.on_proven: Callable[[], None] = _ignore
         self.on_metadata: Callable[[AnswerMetadata], None] = _ignore_metadata
         self.status = 0
 
+    @property
+    def opened(self) -> ClientConnection:
+        """The connection of an attempt that has begun.
+
+        :raises RuntimeError: when it has not.
+        """
+        if self.connection is None:
+            raise RuntimeError('the attempt has not begun')
+        return self.connection
+
     async def run(
         self,
         upstream: Upstream,
@@ -204,7 +200,71 @@
         dialect: Dialect,
         timeouts: AttemptTimeouts,
     ) -> Outcome:
-        """Run the attempt to its end; cancelling it closes the connection."""
+        """Run the attempt to its end; cancelling it closes the connection.
+
+        One that was prepared goes on with its answer.
+        """
+        self.progress.begin_attempt()
+        if self.connection is None:
+            refusal = await self._begin(upstream, metadata, pool, dialect)
+            if refusal is not None:
+                return refusal
+        answer: AnswerMetadata | None = None
+        try:
+            outcome, answer = await self._answer(dialect, timeouts)
+        except ANSWER_ERRORS as error:
+            outcome = self._broken(error)
+        finally:
+            if answer is None or answer.closes_connection:
+                self.close()
+        if answer is not None:
+            self._release(upstream, pool, answer)
+        return outcome
+
+    async def prepare(
+        self,
+        upstream: Upstream,
+        metadata: RequestMetadata,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        timeouts: AttemptTimeouts,
+    ) -> Outcome | None:
+        """Send the request and wait for an answer that can be forwarded.
+
+        Nothing is forwarded before :meth:`run`. A failed run of the upstream
+        is not waited for: another one may do better. Cancelling it closes the
+        connection.
+
+        :returns: how the attempt ended if there is no such answer.
+        """
+        refusal = await self._begin(upstream, metadata, pool, dialect)
+        if refusal is not None:
+            return refusal
+        outcome: Outcome | None = None
+        prepared = False
+        try:
+            outcome = await self._prepare(dialect, timeouts)
+            prepared = outcome is None
+        except ANSWER_ERRORS as error:
+            outcome = self._broken(error)
+        finally:
+            if not prepared:
+                self.close()
+        return outcome
+
+    def close(self) -> None:
+        """Close the connection if there is one."""
+        if self.connection is not None:
+            self.connection.close()
+
+    async def _begin(
+        self,
+        upstream: Upstream,
+        metadata: RequestMetadata,
+        pool: ConnectionPool,
+        dialect: Dialect,
+    ) -> NotRun | None:
+        """Connect and send the request; return why it was not sent."""
         connection = await self._connect(upstream, pool)
         if isinstance(connection, NotRun):
             return connection
@@ -212,26 +272,56 @@
             self._send(connection, dialect, metadata)
         except ConnectionBroken as error:
             return NotRun(Reason.connection_failed, str(error))
+        self.connection = connection
         self.sent = True
         self.sent_s = self.clock()
         self.on_sent()
-        answer: AnswerMetadata | None = None
-        try:
-            outcome, answer = await self._answer(connection, dialect, timeouts)
-        except (ConnectionBroken, MalformedAnswer) as error:
-            outcome = self._broken(Reason.answer_cut, error)
-        except EventStreamError as error:
-            outcome = self._broken(Reason.answer_cut, error)
-        except UpstreamSilent as error:
-            outcome = self._broken(Reason.upstream_failed, error)
-        finally:
-            if answer is None or answer.closes_connection:
-                connection.close()
-        if answer is not None:
-            self.progress.cold_for_s = answer.cold_for_s
-            if not answer.closes_connection:
-                pool.release(upstream.record, connection, answer.keep_alive_s)
-        return outcome
+        return None
+
+    async def _prepare(
+        self, dialect: Dialect, timeouts: AttemptTimeouts
+    ) -> Outcome | None:
+        silence = Silence.begin(self.clock(), None, timeouts.start_by_s)
+        head, answer = await self._read_head(dialect, silence)
+        self.progress.cold_for_s = answer.cold_for_s
+        if answer.not_run:
+            return _not_run(head)
+        self.status = head.status
+        check_answer(head, answer)
+        lowest_failed = FAILED
+        if self.progress.splitter is not None:
+            lowest_failed = STREAM_FAILED
+        if head.status >= lowest_failed:
+            return Ran(head.status)
+        pieces: deque[bytes] = deque()
+        if self.progress.splitter is not None:
+            if self.writer.started:
+                self._check_continuation(head)
+            last_id = self.progress.splitter.last_id
+            pieces = await self._read_first_event(last_id, silence)
+        self.begun = BegunAnswer(head, answer, pieces)
+        return None
+
+    async def _read_first_event(
+        self, last_id: str, silence: Silence
+    ) -> deque[bytes]:
+        """Return the pieces up to the end of the first event after an id."""
+        splitter = EventSplitter(last_id)
+        splitter.restart(continues=self.writer.started)
+        pieces: deque[bytes] = deque()
+        while not pieces or not splitter.feed(pieces[-1]):
+            piece = await self.reader.read(self.opened.read_piece, silence)
+            if not piece:
+                raise ConnectionBroken('answer ended before an event')
+            pieces.append(piece)
+        return pieces
+
+    def _release(
+        self, upstream: Upstream, pool: ConnectionPool, answer: AnswerMetadata
+    ) -> None:
+        self.progress.cold_for_s = answer.cold_for_s
+        if not answer.closes_connection:
+            pool.release(upstream.record, self.opened, answer.keep_alive_s)
 
     async def _connect(
         self, upstream: Upstream, pool: ConnectionPool
@@ -273,36 +363,36 @@
             raise
 
     async def _answer(
-        self,
-        connection: ClientConnection,
-        dialect: Dialect,
-        timeouts: AttemptTimeouts,
+        self, dialect: Dialect, timeouts: AttemptTimeouts
     ) -> tuple[Outcome, AnswerMetadata]:
-        head = await self._read(
-            connection.read_head, self._silence_before_start(timeouts)
-        )
-        answer = dialect.read_answer(head)
-        self._check_request_id(answer, connection)
-        self.on_metadata(answer)
-        if answer.not_run:
-            await read_body(connection, MAX_REFUSAL_BYTES)
-            return _not_run(head), answer
-        self.status = head.status
+        if self.begun is None:
+            silence = timeouts.before_start(self.clock())
+            head, answer = await self._read_head(dialect, silence)
+            if answer.not_run:
+                await read_body(self.opened, MAX_REFUSAL_BYTES)
+                return _not_run(head), answer
+            self.status = head.status
+            check_answer(head, answer)
+        else:
+            head, answer, _ = self.begun
         ok = head.status < HTTPStatus.MULTIPLE_CHOICES
-        if answer.encoded or (ok and not answer.signed):
-            raise MalformedAnswer('answer was not produced by the upstream')
-        if head.status in NOT_RUN_STATUSES:
-            raise MalformedAnswer(
-                f'status {head.status} for a request that ran'
-            )
         if ok and self.progress.splitter is not None:
             await self._forward_events(
-                connection, head, dialect, self.progress.splitter, timeouts
+                head, dialect, self.progress.splitter, timeouts
             )
         else:
-            await self._forward_body(connection, head, dialect)
+            await self._forward_body(head, dialect)
         return Ran(head.status), answer
 
+    async def _read_head(
+        self, dialect: Dialect, silence: Silence
+    ) -> tuple[AnswerHead, AnswerMetadata]:
+        head = await self.reader.read(self.opened.read_head, silence)
+        answer = dialect.read_answer(head)
+        self._check_request_id(answer, self.opened)
+        self.on_metadata(answer)
+        return head, answer
+
     def _check_request_id(
         self, answer: AnswerMetadata, connection: ClientConnection
     ) -> None:
@@ -317,16 +407,14 @@
         if answer.request_id or connection.answered_count:
             raise MalformedAnswer('answer belongs to another request')
 
-    async def _forward_body(
-        self, connection: ClientConnection, head: AnswerHead, dialect: Dialect
-    ) -> None:
+    async def _forward_body(self, head: AnswerHead, dialect: Dialect) -> None:
         if self.writer.started:
             raise MalformedAnswer(
                 f'status {head.status} instead of further events'
             )
         buffer: list[bytes] = []
         buffered_bytes = 0
-        while piece := await connection.read_piece():
+        while piece := await self._read_piece():
             buffer.append(piece)
             buffered_bytes += len(piece)
             if buffered_bytes > BUFFERED_ANSWER_BYTES:
@@ -345,7 +433,6 @@
 
     async def _forward_events(
         self,
-        connection: ClientConnection,
         head: AnswerHead,
         dialect: Dialect,
         splitter: EventSplitter,
@@ -359,16 +446,15 @@
             self.progress.head = head
             self._start(head, dialect, None)
         splitter.restart(continues=continues)
-        silence = self._silence_before_start(timeouts)
-        while piece := await self._read(connection.read_piece, silence):
-            events = splitter.feed(piece)
-            if events:
-                now_s = self.clock()
-                self._record_events(now_s)
-                self.progress.record_piece(now_s)
-                await self.writer.write(events)
-                # Counts from here: a slow caller is no fault of the upstream.
-                silence = Silence.begin(self.clock(), timeouts.idle_s)
+        silence = timeouts.before_start(self.clock())
+        read = partial(self._read_events, splitter)
+        while events := await self.reader.read(read, silence):
+            now_s = self.clock()
+            self._record_events(now_s)
+            self.progress.record_piece(now_s)
+            await self.writer.write(events)
+            # Counts from here: a slow caller is no fault of the upstream.
+            silence = Silence.begin(self.clock(), timeouts.idle_s)
         if splitter.partial:
             raise ConnectionBroken('stream ended inside an event')
         if continues and not self.answer_started:
@@ -384,25 +470,18 @@
         if first is None or _kind_of(head) != _kind_of(first):
             raise MalformedAnswer('answer does not continue the stream')
 
-    async def _read(
-        self, read: Callable[[], Awaitable[ResultT]], silence: Silence
-    ) -> ResultT:
-        """Read from the upstream, however long it takes unless it must end.
+    async def _read_events(self, splitter: EventSplitter) -> bytes:
+        """Return the next complete events; empty at the end of the answer."""
+        while piece := await self._read_piece():
+            events = splitter.feed(piece)
+            if events:
+                return events
+        return b''
 
-        :raises UpstreamSilent: when the request moves to another upstream, or
-            the answer has not started in time.
-        """
-        while True:
-            try:
-                async with asyncio.timeout(silence.left_s(self.clock())):
-                    return await read()
-            except TimeoutError:
-                silence.check(self.clock(), self.may_move)
-
-    def _silence_before_start(self, timeouts: AttemptTimeouts) -> Silence:
-        return Silence.begin(
-            self.clock(), timeouts.first_s, timeouts.start_by_s
-        )
+    async def _read_piece(self) -> bytes:
+        if self.begun is not None and self.begun.pieces:
+            return self.begun.pieces.popleft()
+        return await self.opened.read_piece()
 
     def _record_events(self, now_s: float) -> None:
         started_s = self.progress.answer_started_s
@@ -410,8 +489,8 @@
             self.progress.answer_started_s = now_s
             self.answer_started = True
             self.on_answer_started()
-        elif not self.proven and now_s - started_s >= PROVEN_S:
-            self.proven = True
+        elif not self.progress.proven and now_s - started_s >= PROVEN_S:
+            self.progress.proven = True
             self.on_proven()
 
     def _start(
@@ -428,7 +507,9 @@
             started.content_length = length
         self.writer.start(started)
 
-    def _broken(self, reason: Reason, error: Exception) -> Outcome:
+    def _broken(self, error: Exception) -> Outcome:
+        is_silent = isinstance(error, UpstreamSilent)
+        reason = Reason.upstream_failed if is_silent else Reason.answer_cut
         if self.status:
             return Ran(self.status, False, reason, str(error))
         return Unknown(reason, str(error))
@@ -455,6 +536,18 @@
             return False
 
 
+def check_answer(head: AnswerHead, answer: AnswerMetadata) -> None:
+    """Check that an answer of an upstream that ran may be forwarded.
+
+    :raises MalformedAnswer: when it may not.
+    """
+    ok = head.status < HTTPStatus.MULTIPLE_CHOICES
+    if answer.encoded or (ok and not answer.signed):
+        raise MalformedAnswer('answer was not produced by the upstream')
+    if head.status in NOT_RUN_STATUSES:
+        raise MalformedAnswer(f'status {head.status} for a request that ran')
+
+
 def _not_run(head: AnswerHead) -> NotRun:
     reason = Reason.overloaded
     if head.status == HTTPStatus.MISDIRECTED_REQUEST:
@@ -466,10 +559,6 @@
     """Do nothing."""
 
 
-def _stay() -> bool:
-    return False
-
-
 def _ignore_metadata(metadata: AnswerMetadata) -> None:
     """Do nothing."""
 
--- a/src/bramleylug/relay/handover.py
+++ b/src/bramleylug/relay/handover.py
@@ -6,11 +6,11 @@
 from bramleylug.cluster.upstreams import Upstream
 from bramleylug.observability.metrics import RETRIES, count
 from bramleylug.outcomes import NotRun
-from bramleylug.relay.attempt import RECHECK_INTERVAL_S
 from bramleylug.relay.dispatch_queue import DispatchQueue
 from bramleylug.relay.request_checks import RequestChecks
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.retry_budget import SharedRetryBudget
+from bramleylug.relay.silence import RECHECK_INTERVAL_S
 
 # A caller abandons a stream after 2 s or more without an event. One that is
 # cut off before may still resume it by itself.
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -26,6 +26,7 @@
 from bramleylug.relay.dispatch_queue import DispatchQueue
 from bramleylug.relay.error_responses import error_response
 from bramleylug.relay.handover import Handover
+from bramleylug.relay.hedge import SecondAttempt
 from bramleylug.relay.outcome_recorder import OutcomeRecorder
 from bramleylug.relay.planned_stop import PlannedStop
 from bramleylug.relay.request_checks import RequestChecks
@@ -166,16 +167,19 @@
         except Exception as error:  # noqa: BLE001
             emit(LogEvent.worker_failed, work='relay', error=repr(error))
             return Unknown(Reason.internal, repr(error))
+        finally:
+            if context.hedge is not None:
+                context.hedge.discard()
 
     async def _run_attempts(self, context: RequestContext) -> Outcome:
         outcome: Outcome | None = None
         upstream = await self.dispatch_queue.assign(context, first=True)
         while isinstance(upstream, Upstream):
-            refusal = self.checks.recheck(context.accepted)
+            refusal = self._recheck(context)
             if refusal is not None:
                 return merge_outcomes(outcome, refusal)
             latest = await self._attempt(context, upstream)
-            outcome = merge_outcomes(outcome, latest)
+            outcome = merge_outcomes(outcome or context.hedged_outcome, latest)
             if not may_retry(
                 context.route, latest, started=context.writer.started
             ):
@@ -191,11 +195,42 @@
             upstream = following
         return merge_outcomes(outcome, upstream)
 
+    def _recheck(self, context: RequestContext) -> NotRun | None:
+        """Return why a request must not be sent any more."""
+        if context.hedge is not None:
+            # It was checked when it was sent to this upstream.
+            return None
+        return self.checks.recheck(context.accepted)
+
     async def _attempt(
         self, context: RequestContext, upstream: Upstream
     ) -> Outcome:
-        now_s = self.clock()
-        context.load = upstream.load(now_s)
+        hedge = context.hedge
+        context.hedge = None
+        attempt = (
+            self._start_attempt(context, upstream)
+            if hedge is None
+            else hedge.attempt
+        )
+        outcome: Outcome | None = None
+        try:
+            outcome = await attempt.run(
+                upstream,
+                self._metadata(context, upstream),
+                self.pool,
+                self.dialect,
+                self._timeouts(context, upstream),
+            )
+        finally:
+            self._record_attempt(context, upstream, attempt, outcome)
+        self.outcome_recorder.record(context, upstream, outcome)
+        return outcome
+
+    def _start_attempt(
+        self, context: RequestContext, upstream: Upstream
+    ) -> Attempt:
+        """Return an attempt that counts as running at its upstream."""
+        context.load = upstream.load(self.clock())
         if not context.tried:
             self.retry_budget.record_first_attempt(context.accepted.service)
         attempt = Attempt(
@@ -210,7 +245,7 @@
         attempt.on_sent = partial(
             context.tried.append, upstream.record.upstream_id
         )
-        attempt.may_move = partial(self.handover.try_move, context)
+        attempt.reader.hedge = partial(self._hedge, context)
         attempt.on_answer_started = upstream.record_started
         attempt.on_proven = partial(
             self.outcome_recorder.record_proven, context
@@ -220,19 +255,47 @@
             attempt,
             incarnation_of(upstream.record),
         )
-        outcome: Outcome | None = None
-        try:
-            outcome = await attempt.run(
+        return attempt
+
+    def _hedge(self, context: RequestContext) -> SecondAttempt | None:
+        """Return a second attempt, if another upstream can be tried now."""
+        if not self.handover.try_move(context) or context.moving_to is None:
+            return None
+        upstream = context.moving_to
+        attempt = self._start_attempt(context, upstream)
+        context.hedge = SecondAttempt(
+            attempt,
+            upstream,
+            partial(
+                attempt.prepare,
                 upstream,
                 self._metadata(context, upstream),
                 self.pool,
                 self.dialect,
                 self._timeouts(context, upstream),
+            ),
+            partial(self._record_hedge, context, upstream, attempt),
+        )
+        return context.hedge
+
+    def _record_hedge(
+        self,
+        context: RequestContext,
+        upstream: Upstream,
+        attempt: Attempt,
+        outcome: Outcome | None,
+    ) -> None:
+        """Record a second attempt that does not take over."""
+        context.hedge = None
+        context.moving_to = None
+        self._record_attempt(context, upstream, attempt, outcome)
+        if attempt.sent and not isinstance(outcome, NotRun):
+            context.hedged_outcome = Unknown(
+                Reason.upstream_failed, 'another upstream may have run it'
             )
-        finally:
-            self._record_attempt(context, upstream, attempt, outcome)
-        self.outcome_recorder.record(context, upstream, outcome)
-        return outcome
+        if outcome is not None:
+            self.outcome_recorder.record(context, upstream, outcome)
+        context.progress.cold_for_s = 0
 
     def _record_attempt(
         self,
--- a/src/bramleylug/relay/request_context.py
+++ b/src/bramleylug/relay/request_context.py
@@ -10,6 +10,7 @@
 from bramleylug.relay.attempt import AnswerProgress
 from bramleylug.relay.dialect import CallerRequest
 from bramleylug.relay.event_splitter import EventSplitter
+from bramleylug.relay.hedge import SecondAttempt
 from bramleylug.relay.request_checks import Accepted
 from bramleylug.relay.upstream_selection import Requirements
 
@@ -32,6 +33,8 @@
     :ivar waited_s: time it waited in the queue for a free slot.
     :ivar load: requests running at its last upstream when it was sent.
     :ivar moving_to: the upstream for which its silent one is given up.
+    :ivar hedge: the second attempt, at that upstream.
+    :ivar hedged_outcome: how a second attempt ended that may have run.
     :ivar may_have_run: whether an upstream received it and did not answer
         that it was not run.
     :ivar stopped: whether a planned stop of this relay shortens its time
@@ -48,6 +51,8 @@
     waited_s: float = 0
     load: float = 0
     moving_to: Upstream | None = None
+    hedge: SecondAttempt | None = None
+    hedged_outcome: Outcome | None = None
     may_have_run: bool = False
     stopped: bool = False
 
--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -112,10 +112,10 @@
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         try:
-            _, protocol = await asyncio.wait_for(
-                loop.create_connection(lambda: cls(lease), host, int(port)),
-                timeout_s,
-            )
+            async with asyncio.timeout(timeout_s):
+                _, protocol = await loop.create_connection(
+                    lambda: cls(lease), host, int(port)
+                )
         except (ValueError, OverflowError) as error:
             raise OSError(f'{address} is no address: {error}') from error
         return protocol
