Relay: an upstream that goes on once may be silent again

Cause: with the first answer winning, one event of a slow upstream ended the second attempt, which had cost one of the request's attempts. Change: the second attempt is preferred until a caller loses patience; the first one goes on if it fails, or is too late. Answers without events are forwarded from whichever upstream is first. Nothing is read from the first upstream before that is decided. Measured: testing/relay/test_relay.py passes, TestHedgedRequests as it was.

--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -3,7 +3,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from http import HTTPStatus
 from typing import NamedTuple, final
@@ -115,6 +115,8 @@
         stream; ``None`` for no limit.
     :ivar idle_s: between two complete events of a stream, however many
         bytes arrive in between; ``None`` for no limit.
+    :ivar patience_s: until when, after the last event, another upstream that
+        has the request is preferred to one that goes on.
     :ivar start_by_s: time by which the answer must have started, because
         the upstream's weights will be too old after it. The attempt ends
         then, whether or not the request can move.
@@ -123,10 +125,22 @@
     first_s: float | None
     idle_s: float | None
     start_by_s: float | None = None
+    patience_s: float = 0
 
     def before_start(self, now_s: float) -> Silence:
         """Return the silence before the answer starts."""
-        return Silence.begin(now_s, self.first_s, self.start_by_s)
+        end_s = math.inf if self.start_by_s is None else self.start_by_s
+        return self._silence(now_s, self.first_s, end_s)
+
+    def after_event(self, now_s: float) -> Silence:
+        """Return the silence before the next event."""
+        return self._silence(now_s, self.idle_s, math.inf)
+
+    def _silence(
+        self, now_s: float, timeout_s: float | None, end_s: float
+    ) -> Silence:
+        look_s = math.inf if timeout_s is None else now_s + timeout_s
+        return Silence(now_s, look_s, end_s, now_s + self.patience_s)
 
 
 class BegunAnswer(NamedTuple):
@@ -148,7 +162,6 @@
     :ivar answer_started: whether the first event of a stream has arrived.
     :ivar on_sent: called when the request is sent.
     :ivar reader: waits while the upstream is silent.
-    :ivar connection: the connection on which the request was sent.
     :ivar begun: the answer that :meth:`prepare` has waited for.
     :ivar on_answer_started: called when the first event arrives.
     :ivar on_proven: called when events have arrived for :data:`PROVEN_S`.
@@ -175,23 +188,12 @@
         self.answer_started = False
         self.on_sent: Callable[[], None] = _ignore
         self.reader = HedgedReader(clock)
-        self.connection: ClientConnection | None = None
         self.begun: BegunAnswer | None = None
         self.on_answer_started: Callable[[], None] = _ignore
         self.on_proven: Callable[[], None] = _ignore
         self.on_metadata: Callable[[AnswerMetadata], None] = _ignore_metadata
         self.status = 0
 
-    @property
-    def opened(self) -> ClientConnection:
-        """The connection of an attempt that has begun.
-
-        :raises RuntimeError: when it has not.
-        """
-        if self.connection is None:
-            raise RuntimeError('the attempt has not begun')
-        return self.connection
-
     async def run(
         self,
         upstream: Upstream,
@@ -205,7 +207,7 @@
         One that was prepared goes on with its answer.
         """
         self.progress.begin_attempt()
-        if self.connection is None:
+        if self.begun is None:
             refusal = await self._begin(upstream, metadata, pool, dialect)
             if refusal is not None:
                 return refusal
@@ -254,8 +256,8 @@
 
     def close(self) -> None:
         """Close the connection if there is one."""
-        if self.connection is not None:
-            self.connection.close()
+        if self.reader.connection is not None:
+            self.reader.connection.close()
 
     async def _begin(
         self,
@@ -272,7 +274,7 @@
             self._send(connection, dialect, metadata)
         except ConnectionBroken as error:
             return NotRun(Reason.connection_failed, str(error))
-        self.connection = connection
+        self.reader.connection = connection
         self.sent = True
         self.sent_s = self.clock()
         self.on_sent()
@@ -281,7 +283,7 @@
     async def _prepare(
         self, dialect: Dialect, timeouts: AttemptTimeouts
     ) -> Outcome | None:
-        silence = Silence.begin(self.clock(), None, timeouts.start_by_s)
+        silence = replace(timeouts, first_s=None).before_start(self.clock())
         head, answer = await self._read_head(dialect, silence)
         self.progress.cold_for_s = answer.cold_for_s
         if answer.not_run:
@@ -310,7 +312,9 @@
         splitter.restart(continues=self.writer.started)
         pieces: deque[bytes] = deque()
         while not pieces or not splitter.feed(pieces[-1]):
-            piece = await self.reader.read(self.opened.read_piece, silence)
+            piece = await self.reader.read(
+                self.reader.opened.read_piece, silence
+            )
             if not piece:
                 raise ConnectionBroken('answer ended before an event')
             pieces.append(piece)
@@ -321,7 +325,9 @@
     ) -> None:
         self.progress.cold_for_s = answer.cold_for_s
         if not answer.closes_connection:
-            pool.release(upstream.record, self.opened, answer.keep_alive_s)
+            pool.release(
+                upstream.record, self.reader.opened, answer.keep_alive_s
+            )
 
     async def _connect(
         self, upstream: Upstream, pool: ConnectionPool
@@ -369,7 +375,7 @@
             silence = timeouts.before_start(self.clock())
             head, answer = await self._read_head(dialect, silence)
             if answer.not_run:
-                await read_body(self.opened, MAX_REFUSAL_BYTES)
+                await read_body(self.reader.opened, MAX_REFUSAL_BYTES)
                 return _not_run(head), answer
             self.status = head.status
             check_answer(head, answer)
@@ -387,9 +393,9 @@
     async def _read_head(
         self, dialect: Dialect, silence: Silence
     ) -> tuple[AnswerHead, AnswerMetadata]:
-        head = await self.reader.read(self.opened.read_head, silence)
+        head = await self.reader.read(self.reader.opened.read_head, silence)
         answer = dialect.read_answer(head)
-        self._check_request_id(answer, self.opened)
+        self._check_request_id(answer, self.reader.opened)
         self.on_metadata(answer)
         return head, answer
 
@@ -454,7 +460,7 @@
             self.progress.record_piece(now_s)
             await self.writer.write(events)
             # Counts from here: a slow caller is no fault of the upstream.
-            silence = Silence.begin(self.clock(), timeouts.idle_s)
+            silence = timeouts.after_event(self.clock())
         if splitter.partial:
             raise ConnectionBroken('stream ended inside an event')
         if continues and not self.answer_started:
@@ -481,7 +487,7 @@
     async def _read_piece(self) -> bytes:
         if self.begun is not None and self.begun.pieces:
             return self.begun.pieces.popleft()
-        return await self.opened.read_piece()
+        return await self.reader.opened.read_piece()
 
     def _record_events(self, now_s: float) -> None:
         started_s = self.progress.answer_started_s
--- a/src/bramleylug/relay/handover.py
+++ b/src/bramleylug/relay/handover.py
@@ -10,11 +10,7 @@
 from bramleylug.relay.request_checks import RequestChecks
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.retry_budget import SharedRetryBudget
-from bramleylug.relay.silence import RECHECK_INTERVAL_S
-
-# A caller abandons a stream after 2 s or more without an event. One that is
-# cut off before may still resume it by itself.
-CALLER_PATIENCE_S = 2.0
+from bramleylug.relay.silence import CALLER_PATIENCE_S, RECHECK_INTERVAL_S
 
 
 @final
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -38,6 +38,7 @@
 )
 from bramleylug.relay.retry_budget import SharedRetryBudget
 from bramleylug.relay.settings import RelaySettings
+from bramleylug.relay.silence import CALLER_PATIENCE_S
 from bramleylug.relay.upstream_selection import UpstreamSelector
 from bramleylug.web.descriptors import DescriptorBudget
 from bramleylug.web.exchange import Exchange
@@ -389,7 +390,11 @@
             timeout_s = TIMEOUT_OBJECTIVES * route.objective_s
             return AttemptTimeouts(max(MIN_TIMEOUT_S, timeout_s), None)
         case RetryPolicy.resume:
-            return AttemptTimeouts(STREAM_FIRST_EVENT_S, STREAM_IDLE_S)
+            return AttemptTimeouts(
+                STREAM_FIRST_EVENT_S,
+                STREAM_IDLE_S,
+                patience_s=CALLER_PATIENCE_S,
+            )
         case RetryPolicy.never:
             return AttemptTimeouts(None, None)
 
--- a/src/bramleylug/relay/silence.py
+++ b/src/bramleylug/relay/silence.py
@@ -6,11 +6,16 @@
 from dataclasses import dataclass
 from typing import Any, Protocol, TypeVar, final
 
+from bramleylug.web.client_connection import ClientConnection
+
 ResultT = TypeVar('ResultT')
 Read = Callable[[], Coroutine[Any, Any, ResultT]]
 # While an upstream is silent, or none can continue a stream, another one is
 # looked for at this interval.
 RECHECK_INTERVAL_S = 0.2
+# A caller abandons a stream after 2 s or more without an event. One that is
+# cut off before may still resume it by itself.
+CALLER_PATIENCE_S = 2.0
 
 
 @final
@@ -36,32 +41,20 @@
     :ivar since_s: when it began.
     :ivar look_s: when another upstream is looked for; infinite for never.
     :ivar end_s: when the attempt must end; infinite for never.
+    :ivar prefer_other_s: until when another upstream that has the request is
+        preferred, though this one has gone on: it may be silent again.
     """
 
     since_s: float
-    look_s: float
-    end_s: float
-
-    @classmethod
-    def begin(
-        cls, now_s: float, timeout_s: float | None, end_s: float | None = None
-    ) -> 'Silence':
-        """Return a silence that begins now."""
-        return cls(
-            now_s,
-            math.inf if timeout_s is None else now_s + timeout_s,
-            math.inf if end_s is None else end_s,
-        )
+    look_s: float = math.inf
+    end_s: float = math.inf
+    prefer_other_s: float = -math.inf
 
     def left_s(self, now_s: float) -> float | None:
         """Return the time until the next check; ``None`` for no limit."""
         next_s = min(self.look_s, self.end_s)
         return None if next_s == math.inf else max(0.0, next_s - now_s)
 
-    def time_to_end_s(self, now_s: float) -> float | None:
-        """Return the time until the attempt must end; ``None`` for never."""
-        return None if self.end_s == math.inf else max(0.0, self.end_s - now_s)
-
     def put_off(self, now_s: float) -> None:
         """Put off the next check unless the attempt must end.
 
@@ -82,6 +75,7 @@
 class HedgedReader:
     """Reads from an upstream, however long it is silent.
 
+    :ivar connection: the connection that is read; ``None`` before there is one.
     :ivar hedge: asked while the upstream is silent; returns a second attempt
         if another upstream can be tried. The first attempt ends when the
         answer of the second one begins. ``None`` for no second attempts.
@@ -89,8 +83,19 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
+        self.connection: ClientConnection | None = None
         self.hedge: Callable[[], Hedge | None] | None = None
 
+    @property
+    def opened(self) -> ClientConnection:
+        """The connection that is read.
+
+        :raises RuntimeError: when there is none.
+        """
+        if self.connection is None:
+            raise RuntimeError('the attempt has not begun')
+        return self.connection
+
     async def read(self, read: Read[ResultT], silence: Silence) -> ResultT:
         """Read from the upstream, however long it takes unless it must end.
 
@@ -104,63 +109,51 @@
             except TimeoutError:
                 silence.put_off(self.clock())
             hedge = None if self.hedge is None else self.hedge()
-            if hedge is None:
-                continue
-            reading = await self._race(read, hedge, silence)
-            if not reading.cancelled():
-                return reading.result()
-
-    async def _race(
-        self, read: Read[ResultT], hedge: Hedge, silence: Silence
-    ) -> asyncio.Task[ResultT]:
-        """Read while a second attempt waits for its answer to begin.
+            if hedge is not None:
+                if await self._is_overtaken(hedge, silence):
+                    raise silence.error(self.clock())
+                silence.put_off(self.clock())
 
-        The first answer wins (Dean and Barroso, *The Tail at Scale*, 2013).
+    async def _is_overtaken(self, hedge: Hedge, silence: Silence) -> bool:
+        """Return whether a second attempt takes over.
 
-        :returns: the reading; cancelled if the second attempt failed before.
-        :raises UpstreamSilent: when the second attempt wins.
+        Nothing is read from the first upstream before that is decided.
         """
-        reading = asyncio.create_task(read())
         preparing = asyncio.create_task(hedge.prepare())
-        moves = False
+        answering = asyncio.create_task(self.opened.wait_for_input())
+        overtaken = False
         try:
-            await self._wait_for_first(reading, preparing, silence)
-            moves = _is_ready(preparing) and not _has_result(reading)
+            await self._wait_for_second(preparing, answering, silence)
+            overtaken = preparing.done() and preparing.result()
         finally:
-            if not moves:
+            if not overtaken:
                 hedge.discard()
-            await _cancel(reading, preparing)
-        if moves:
-            raise silence.error(self.clock())
-        return reading
+            await _cancel(preparing, answering)
+        return overtaken
 
-    async def _wait_for_first(
+    async def _wait_for_second(
         self,
-        reading: asyncio.Task[ResultT],
         preparing: asyncio.Task[bool],
+        answering: asyncio.Task[None],
         silence: Silence,
     ) -> None:
-        """Wait for an answer, or until the first attempt goes on alone.
+        """Wait until a second attempt has begun or failed, or is too late.
 
-        If the first attempt fails, the second one is still waited for.
+        It is too late when the first upstream has answered and the second one
+        is no longer preferred. One that has ended without a byte is not
+        returned to.
         """
-        pending: set[asyncio.Task[Any]] = {reading, preparing}
-        while not (_has_result(reading) or preparing.done()):
-            done, pending = await asyncio.wait(
-                pending,
-                timeout=silence.time_to_end_s(self.clock()),
+        while not preparing.done():
+            answered = answering.done() and self.opened.has_input
+            latest_s = silence.prefer_other_s if answered else silence.end_s
+            left_s = latest_s - self.clock()
+            if left_s <= 0:
+                return
+            await asyncio.wait(
+                {preparing} if answering.done() else {preparing, answering},
+                timeout=None if left_s == math.inf else left_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not done:
-                return
-
-
-def _has_result(task: asyncio.Task[ResultT]) -> bool:
-    return task.done() and task.exception() is None
-
-
-def _is_ready(preparing: asyncio.Task[bool]) -> bool:
-    return preparing.done() and preparing.result()
 
 
 async def _cancel(*tasks: asyncio.Task[Any]) -> None:
--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -127,6 +127,11 @@
         unsent_bytes = self.transport.get_write_buffer_size()
         return not (self.unread_data or unsent_bytes)
 
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes were received that have not been read."""
+        return bool(self.unread_data)
+
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
         _set_keepalive(transport.get_extra_info('socket'))
@@ -213,6 +218,12 @@
                 return b''
         raise ConnectionBroken('connection ended inside an answer')
 
+    async def wait_for_input(self) -> None:
+        """Wait for bytes or the end of the connection; read nothing."""
+        while not (self.unread_data or self.ended):
+            self.input_changed.clear()
+            await self.input_changed.wait()
+
     def close(self) -> None:
         """Abort the connection; unsent bytes are discarded."""
         self.ended = True
@@ -247,9 +258,7 @@
             await self._receive_more()
 
     async def _receive_more(self) -> None:
-        while not (self.unread_data or self.ended):
-            self.input_changed.clear()
-            await self.input_changed.wait()
+        await self.wait_for_input()
         if self.unread_data:
             raw = b''.join(self.unread_data)
             self.unread_data.clear()
