Observability: how old a target version is, and pauses of a process

BL1014 said neither how long ago a target version can have been set nor for how long older versions may serve, so that the logs of an incident could not tell a relay that counts the limit from the wrong moment from one that sends too late. It now gives both; the registry keeps when each target was set.

BL5012 reports that a process stood still.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -37,6 +37,7 @@
     UpstreamRegistry,
 )
 from bramleylug.cluster.versions import VersionRegistry
+from bramleylug.node.process_pauses import ProcessPauses
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.mirror import Mirror
 from bramleylug.wire.beats_pb2 import Beat, Notice, PermitMessage
@@ -119,6 +120,11 @@
         self.on_change: Callable[[], None] = _ignore
         self.on_peer_started: Callable[[str], None] = _ignore_name
 
+    @property
+    def pauses(self) -> ProcessPauses:
+        """Return when this process stood still."""
+        return self.mirror.pauses
+
     def store_age_s(self) -> float:
         """Return the age of this process's copy of the store."""
         return self.mirror.age_s(self.clock())
@@ -304,13 +310,23 @@
             self.mirror.changes_written_after_s,
             now_s - max(MIN_STORE_LAG_S, self.settings.change_limit),
         )
-        limit_s = None
+        due_s = None
         if self.is_initial_load:
-            set_s = self.started_s
-            limit_s = self.settings.calm_window - INITIAL_VERSION_MARGIN_S
-        if version > self.versions.newest(model):
-            emit(LogEvent.target_version_changed, model=model, version=version)
-        self.versions.add_target(model, version, set_s, limit_s)
+            set_s = float('-inf')
+            due_s = (
+                self.started_s
+                + self.settings.calm_window
+                - INITIAL_VERSION_MARGIN_S
+            )
+        target = self.versions.add_target(model, version, set_s, due_s)
+        if target is not None:
+            emit(
+                LogEvent.target_version_changed,
+                model=model,
+                version=version,
+                age_s=target.describe_age(now_s),
+                left_s=round(target.due_s - now_s, 2),
+            )
 
     def set_zone_out(self, zone: str, *, out: bool) -> None:
         """Record whether a zone is taken out of service."""
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -20,6 +20,7 @@
 from bramleylug.cluster.settings import ProcessSettings
 from bramleylug.cluster.store_readers import find_reader
 from bramleylug.node.loop_thread import LoopThread
+from bramleylug.node.process_pauses import ProcessPauses, watch_pauses
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.changes import StoreChange, WatchableStore
 from bramleylug.store.feed import Poll, encode
@@ -83,6 +84,7 @@
         self.adapter = adapter
         self.clock = clock
         self.record = record
+        pauses = ProcessPauses()
         schedule = ReadSchedule(
             settings.change_limit,
             settings.confirm_interval,
@@ -102,6 +104,7 @@
                 self._on_store_change,
                 clock,
                 schedule,
+                pauses,
             )
             for prefix in adapter.watched_prefixes(record.role)
         ]
@@ -124,6 +127,11 @@
         self.socket: HeartbeatSocket | None = None
         self.announcement: asyncio.TimerHandle | None = None
 
+    @property
+    def pauses(self) -> ProcessPauses:
+        """Return when this process stood still."""
+        return self.view.pauses
+
     def reader_address(self, avoided: Container[str]) -> str:
         """Return where to read the store; empty for the store itself.
 
@@ -161,6 +169,9 @@
     def open(self) -> None:
         """Start the background tasks, outside the circuits loop."""
         self.loop.start()
+        self.loop.supervise(
+            'pauses', lambda: watch_pauses(self.pauses, self.clock)
+        )
         for watcher in self.watchers:
             self.loop.supervise('follow', watcher.run)
             self.loop.supervise('settle', watcher.run_deferred_removals)
--- a/src/bramleylug/cluster/versions.py
+++ b/src/bramleylug/cluster/versions.py
@@ -1,18 +1,27 @@
 """Target versions of weights, and which older versions may still serve."""
 
 from collections.abc import Mapping
+from math import isfinite
 from typing import NamedTuple, final
 
 
 class Target(NamedTuple):
     """A target version that the operator has set.
 
+    :ivar set_s: time after which it was set; minus infinity if it may have
+        been set at any time.
     :ivar due_s: time after which no older version may serve.
     """
 
     version: int
+    set_s: float
     due_s: float
 
+    def describe_age(self, now_s: float) -> str:
+        """Return the maximum age in seconds, for a log line."""
+        age_s = now_s - self.set_s
+        return f'{age_s:.2f}' if isfinite(age_s) else 'unknown'
+
 
 @final
 class VersionRegistry:
@@ -29,18 +38,24 @@
         self,
         model: str,
         version: int,
-        now_s: float,
-        limit_s: float | None = None,
-    ) -> None:
+        set_s: float,
+        due_s: float | None = None,
+    ) -> Target | None:
         """Add a target version; versions that do not increase are ignored.
 
-        :param limit_s: replaces the default limit where the target may have
-            been set earlier.
+        :param set_s: time after which it was set.
+        :param due_s: replaces the end of the default limit where the target
+            may have been set at any time.
+        :returns: the target; ``None`` if it was ignored.
         """
         known = self.targets.setdefault(model, [])
-        if all(version > other.version for other in known):
-            delay_s = self.limit_s if limit_s is None else limit_s
-            known.append(Target(version, now_s + delay_s))
+        if any(version <= other.version for other in known):
+            return None
+        target = Target(
+            version, set_s, set_s + self.limit_s if due_s is None else due_s
+        )
+        known.append(target)
+        return target
 
     def newest(self, model: str) -> int:
         """Return the newest target version; 0 if there is none."""
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -150,8 +150,10 @@
     target_version_changed = EventSpec(
         'BL1014',
         'INFO',
-        'the target version of {model} is now {version}',
-        'Nothing to do.',
+        'the target version of {model} is now {version}, maximum age in s: '
+        '{age_s}; older versions may serve for {left_s} s',
+        'Nothing to do. The age of a version that this process found when it '
+        'started is unknown.',
     )
     zone_changed = EventSpec(
         'BL1015',
@@ -452,6 +454,14 @@
         'Raise the limit of open files (RLIMIT_NOFILE) of the process, or '
         'lower the setting.',
     )
+    process_paused = EventSpec(
+        'BL5012',
+        'WARNING',
+        'this process stood still for {for_s} s; what it reads now may have '
+        'arrived at any time since',
+        'Check whether this host was suspended, or is short of processor time '
+        'or memory.',
+    )
 
 
 def emit(event: LogEvent, **fields: object) -> None:
--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import final
 
+from bramleylug.node.process_pauses import ProcessPauses
 from bramleylug.store.changes import (
     ReaderTimes,
     Removal,
@@ -35,6 +36,7 @@
     made in the new era says otherwise.
 
     :param outage_s: time without an answer that counts as an outage.
+    :param pauses: when this process stood still; none are known without it.
     :ivar items: items by key.
     :ivar revisions: revision of the latest change of each key, also of keys
         that were removed since.
@@ -53,8 +55,11 @@
     :ivar restored_s: when the first listing of a later era was applied.
     """
 
-    def __init__(self, outage_s: float) -> None:
+    def __init__(
+        self, outage_s: float, pauses: ProcessPauses | None = None
+    ) -> None:
         self.outage_s = outage_s
+        self.pauses = ProcessPauses() if pauses is None else pauses
         self.items: dict[str, StoreItem] = {}
         self.revisions: dict[str, int] = {}
         self.revision = 0
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from typing import final
 
+from bramleylug.node.process_pauses import ProcessPauses
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.changes import (
     HistoryLost,
@@ -37,6 +38,7 @@
     :param schedule: how long the store may hold a call until something
         changes. Only an answer confirms the mirror, and each wait costs one
         call.
+    :param pauses: when this process stood still.
     :ivar unreported: changes that the mirror holds and ``on_changes`` has not
         taken yet.
     """
@@ -48,6 +50,7 @@
         on_changes: Callable[[Sequence[StoreChange]], None],
         clock: Callable[[], float],
         schedule: ReadSchedule,
+        pauses: ProcessPauses | None = None,
     ) -> None:
         self.wait_s = schedule.wait_s
         self.pause_s = schedule.pause_s
@@ -55,7 +58,7 @@
         self.prefix = prefix
         self.on_changes = on_changes
         self.clock = clock
-        self.mirror = Mirror(outage_s=2 * self.wait_s + OUTAGE_MARGIN_S)
+        self.mirror = Mirror(2 * self.wait_s + OUTAGE_MARGIN_S, pauses)
         self.feed = ChangeFeed(self.mirror, clock)
         self.must_reload = True
         self.failures = 0
--- a/testing/cluster/test_versions.py
+++ b/testing/cluster/test_versions.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bramleylug.cluster.versions import VersionRegistry
+from bramleylug.cluster.versions import Target, VersionRegistry
 
 
 class TestVersionRegistry(unittest.TestCase):
@@ -43,6 +43,14 @@
 
     def test_limit_can_be_shorter(self) -> None:
         """A process that starts does not know when a target was set."""
-        self.registry.add_target('other', 5, 10.0, limit_s=1.5)
+        self.registry.add_target('other', 5, float('-inf'), due_s=11.5)
 
         self.assertEqual(self.registry.min_versions(11.5)['other'], 5)
+
+    def test_age_of_a_version_found_at_start_is_unknown(self) -> None:
+        """It may have been set at any time."""
+        found = Target(2, float('-inf'), 11.8)
+        known = Target(2, 8.31, 15.71)
+
+        self.assertEqual(found.describe_age(10.0), 'unknown')
+        self.assertEqual(known.describe_age(12.57), '4.26')
