Test: a version that is set while its reader stands still (failing)

The event loop of one relay or loader jumps ahead on virtual time, at all moments of a wait for changes, and a version is set before, during or after the jump.

The model store moves to a module of its own, as a second test uses it.

--- a/testing/store/test_reader_silence.py
+++ b/testing/store/test_reader_silence.py
@@ -13,94 +13,19 @@
 
 from bramleylug.cluster.process import ProcessCore
 from bramleylug.cluster.store_readers import find_reader
-from bramleylug.store.changes import (
-    Page,
-    StoreChanges,
-    StoreItem,
-    StoreUnavailable,
-)
 from bramleylug.web.http_client import CallAnswer
 from bramleylug.wire.beats_pb2 import Beat
 from testing.relay.builders import build_peer, build_settings
+from testing.store.model_store import LATENCY_S, ModelStore, StoreLink
 from testing.virtual_time import in_virtual_time
 
 # Bound of the users: two seconds from the acknowledgement on. A request takes
 # some time from the choice of its engine until it arrives there.
 LIMIT_S = 2.0
 SEND_S = 0.15
-LATENCY_S = 0.004
-CALL_MARGIN_S = 0.6
 CUT_S = 3.5
 
 
-class ModelStore:
-    """A store that answers waits with the first change.
-
-    :ivar written: changes with the time at which each was acknowledged.
-    """
-
-    def __init__(self) -> None:
-        self.written: list[tuple[float, StoreItem]] = []
-        self.news = asyncio.Event()
-        self.write('first')
-
-    def write(self, key: str) -> None:
-        item = StoreItem(key, b'', len(self.written) + 1)
-        now_s = asyncio.get_running_loop().time()
-        self.written.append((now_s, item))
-        self.news.set()
-        self.news = asyncio.Event()
-
-    def after(self, revision: int) -> tuple[StoreItem, ...]:
-        return tuple(item for _, item in self.written[revision:])
-
-
-class StoreLink:
-    """One process's way to the store.
-
-    :ivar is_cut: whether nothing gets through, without a reset.
-    :ivar calls: times of the calls.
-    """
-
-    era = 0
-
-    def __init__(self, store: ModelStore) -> None:
-        self.store = store
-        self.is_cut = False
-        self.calls: list[float] = []
-
-    async def list_page(self, prefix: str, after: str) -> Page:
-        await self._pass(1.0)
-        return Page(self.store.after(0), len(self.store.written), more=False)
-
-    async def wait_for_changes(
-        self, prefix: str, after_revision: int, wait_s: float
-    ) -> StoreChanges:
-        loop = asyncio.get_running_loop()
-        sent_s = loop.time()
-        self.calls.append(sent_s)
-        await self._pass(wait_s + CALL_MARGIN_S)
-        try:
-            async with asyncio.timeout(wait_s):
-                while not self.store.after(after_revision):
-                    await self.store.news.wait()
-        except TimeoutError:
-            pass
-        await self._pass(wait_s + CALL_MARGIN_S - (loop.time() - sent_s))
-        return StoreChanges(
-            self.store.after(after_revision),
-            len(self.store.written),
-            loop.time() - sent_s,
-        )
-
-    async def _pass(self, timeout_s: float) -> None:
-        """Go one way; a call that is cut off hangs until its time is over."""
-        if self.is_cut:
-            await asyncio.sleep(timeout_s)
-            raise StoreUnavailable('no answer')
-        await asyncio.sleep(LATENCY_S)
-
-
 class RecordingAdapter:
     """Adapter that records when each change was applied.
 
