Relays: a pause does not move the limit of older weights

What callers saw: two relays that stood still while version 2 was named sent requests to engines with version 1 until 4 s after the others had stopped, and they began up to 8.3 s after the acknowledgement (bound 8 s).

Cause: the moment at which the process reads an answer of the store was taken for the moment at which the answer arrived. Mirror.confirm dated the change by the time from the call to the first byte of the answer, which includes the pause, and record_target_version took the later of that and 2.5 s ago, as if the store had been asked all the time.

Now an answer counts from the earliest moment at which it can have arrived: the begin of the pause, also for a short time after it. The lag of a store that answers bounds the age of a change only in time in which this process ran. So a relay that stood still is held to the last answer before the pause, or to what another reader knows; while the store is silent and the relay runs, the limit is as before. A reader that stood still does not claim to have heard of the store just now.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -305,10 +305,12 @@
         """
         now_s = self.clock()
         # A change may arrive late, as transfers of weights use the same link.
-        # The earliest time at which it can have been written counts.
+        # The earliest time at which it can have been written counts. The lag
+        # of a store that answers bounds it only while this process runs.
+        written_s = self.mirror.changes_written_after_s
+        lag_s = max(MIN_STORE_LAG_S, self.settings.change_limit)
         set_s = max(
-            self.mirror.changes_written_after_s,
-            now_s - max(MIN_STORE_LAG_S, self.settings.change_limit),
+            written_s, now_s - lag_s - self.pauses.paused_s(written_s, now_s)
         )
         due_s = None
         if self.is_initial_load:
--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -47,8 +47,8 @@
         were written after this time, if the store answers at once.
     :ivar answered_s: lower bound of the time at which the store produced its
         last answer.
-    :ivar heard_s: when the last answer of the store arrived, at this process
-        or at the one that passed it on.
+    :ivar heard_s: lower bound of the time at which the last answer of the
+        store arrived, at this process or at the one that passed it on.
     :ivar deferred_removals: keys with the time at which their removal is due.
     :ivar withheld_items: items of an older copy whose keys had been removed.
     :ivar era: era of the store that the revisions belong to.
@@ -92,16 +92,18 @@
         """Record that a read sent at ``sent_s`` has been answered.
 
         :param first_byte_after_s: seconds after which the answer began. A wait
-            that the store held open ended with the first change.
+            that the store held open ended with the first change. An answer
+            that is read after a pause of this process may have begun before.
         :returns: whether this ends an outage.
         """
         ends_outage = self.loaded and now_s - self.confirmed_s > self.outage_s
-        self.heard_s = now_s
-        waited_s = first_byte_after_s - ANSWER_LAG_S
+        arrived_s = self.pauses.earliest_arrival_s(now_s)
+        self.heard_s = max(self.heard_s, arrived_s)
+        began_s = min(sent_s + first_byte_after_s, arrived_s) - ANSWER_LAG_S
         before_s = max(self.confirmed_s, self.answered_s)
-        self.answered_s = max(before_s, sent_s + max(0.0, waited_s))
+        self.answered_s = max(before_s, sent_s, began_s)
         self.changes_written_after_s = (
-            self.answered_s if waited_s > 0 else before_s
+            self.answered_s if began_s > sent_s else before_s
         )
         if ends_outage:
             self.recovered_s = now_s
--- a/testing/relay/test_request_checks.py
+++ b/testing/relay/test_request_checks.py
@@ -11,6 +11,7 @@
 )
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.request_checks import Accepted, RequestChecks
+from bramleylug.store.changes import ReaderTimes
 from bramleylug.store.mirror import Mirror
 from bramleylug.wire.beats_pb2 import Beat
 from testing.relay.builders import (
@@ -219,6 +220,39 @@
 
         self.assertAlmostEqual(self.expires_s(), 101.6 + 8.0 - 0.6)
 
+    def test_silence_of_the_store_does_not_shorten_the_limit(self) -> None:
+        """This process runs, so that the store did not answer it."""
+        self.view.is_initial_load = False
+        self.run_until(104.0)
+        self.mirror.confirm(104.0, 104.0)
+
+        self.assertAlmostEqual(self.expires_s(), 101.5 + 8.0 - 0.6)
+
+    def test_pause_of_the_relay_shortens_the_limit(self) -> None:
+        """The target may have been set at any time since the last answer."""
+        self.view.is_initial_load = False
+        self.run_until(101.0)
+        self.now_s = 106.0
+        self.mirror.confirm(106.0, 106.0)
+
+        self.assertAlmostEqual(self.expires_s(), 100.0 + 8.0 - 0.6)
+
+    def test_pause_does_not_discard_what_a_reader_knows(self) -> None:
+        """Another process was told of the change at once."""
+        self.view.is_initial_load = False
+        self.run_until(101.0)
+        self.now_s = 106.0
+        self.mirror.confirm_relayed(
+            106.0, 106.0, ReaderTimes(-0.5, -3.0, -0.25)
+        )
+
+        self.assertAlmostEqual(self.expires_s(), 103.0 + 8.0 - 0.6)
+
+    def run_until(self, now_s: float) -> None:
+        while self.now_s < now_s:
+            self.now_s = round(self.now_s + 0.1, 1)
+            self.view.pauses.tick(self.now_s)
+
     def test_target_found_at_start_has_a_short_limit(self) -> None:
         """It may have been set at any time."""
         self.assertLessEqual(self.expires_s(), self.now_s + 3.0 - 1.0)
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bramleylug.node.process_pauses import ProcessPauses
 from bramleylug.store.changes import Removal, StoreItem
 from bramleylug.store.mirror import (
     RECOVERY_GRACE_S,
@@ -210,3 +211,42 @@
         mirror.confirm(4.0, 5.2)
 
         self.assertEqual(mirror.age_s(6.0), 1.0)
+
+
+class TestPausedProcess(unittest.TestCase):
+    """What is read after a pause may have arrived at any time in it."""
+
+    def setUp(self) -> None:
+        """Run until 8 s, then from 12.5 s on; the last answer is of 7.9 s."""
+        self.pauses = ProcessPauses()
+        self.mirror = Mirror(OUTAGE_S, self.pauses)
+        for tick in range(70, 81):
+            self.pauses.tick(tick / 10)
+        self.mirror.confirm(7.0, 7.9, 0.9)
+
+    def test_answer_read_late_does_not_date_its_change(self) -> None:
+        """The wait seems to have been held open for the whole pause."""
+        self.mirror.confirm(7.95, 12.5, 4.55)
+
+        self.assertAlmostEqual(self.mirror.changes_written_after_s, 7.65)
+
+    def test_answer_may_be_read_some_time_after_the_pause(self) -> None:
+        self.pauses.tick(12.5)
+        self.mirror.confirm(7.95, 12.8, 4.85)
+
+        self.assertAlmostEqual(self.mirror.changes_written_after_s, 7.65)
+
+    def test_wait_after_the_pause_dates_its_change(self) -> None:
+        self.pauses.tick(12.5)
+        self.mirror.confirm(12.55, 12.6, 0.05)
+        for tick in range(126, 137):
+            self.pauses.tick(tick / 10)
+        self.mirror.confirm(12.85, 13.6, 0.75)
+
+        self.assertAlmostEqual(self.mirror.changes_written_after_s, 13.35)
+
+    def test_store_was_heard_of_no_later_than_the_pause_began(self) -> None:
+        """Other processes read the store through this one."""
+        self.mirror.confirm(7.95, 12.5, 4.55)
+
+        self.assertEqual(self.mirror.heard_s, 8.0)
