Loaders: count the limit of older weights as relays do

What was seen: loaders that stood still from 8.2 to 11.7 s, while version 2 was named at 8.3 s, had it whole on the last engine at 18.8 s; older weights may serve until 16.3 s.

Cause: a loader took the moment at which it first saw a version for the one at which it was set, and planned the last load from there.

Now it plans from the time in the registry of target versions, from which relays count, too. That time is a lower bound that contains the lag of an answer, so the margin of the last load no longer adds it. A version that was found at the start is told from a new one in one place as well, by the first listing of its own key prefix: a loader lists other prefixes apart, and took a version found after those for a new one.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -313,7 +313,7 @@
             written_s, now_s - lag_s - self.pauses.paused_s(written_s, now_s)
         )
         due_s = None
-        if self.is_initial_load:
+        if self.is_initial_load or written_s == float('-inf'):
             set_s = float('-inf')
             due_s = (
                 self.started_s
--- a/src/bramleylug/cluster/versions.py
+++ b/src/bramleylug/cluster/versions.py
@@ -64,6 +64,13 @@
             default=0,
         )
 
+    def set_times(self, model: str) -> Mapping[int, float]:
+        """Return by version the time after which it was set."""
+        return {
+            target.version: target.set_s
+            for target in self.targets.get(model, ())
+        }
+
     def expires_s(self, model: str, version: int) -> float | None:
         """Return when a version may no longer serve; ``None`` for never."""
         due = [
--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -83,7 +83,6 @@
     """Loader of one engine.
 
     :param settings: validated settings.
-    :ivar announced_s: when each version was first seen as the target.
     """
 
     channel = 'loader'
@@ -120,8 +119,6 @@
         self.downloader = WeightsDownloader(
             context, self.chunk_stores, engine, self.target_version
         )
-        self.announced_s: dict[int, float] = {}
-        self.is_first_target = True
         self.draining_since_s: float | None = None
         self.descriptors = loader_budget(settings.file_descriptors)
         self._listen(settings.chunk_bind, self.serve, DescriptorUse.chunks)
@@ -187,16 +184,7 @@
         layout = self._layout()
         if layout is None:
             return None
-        view = self.core.view
-        newest = view.versions.newest(layout.model)
-        if newest not in self.announced_s:
-            # A version that was in the store before this process started may
-            # have been announced at any time.
-            may_be_old = not self.announced_s and self.is_first_target
-            self.announced_s[newest] = (
-                float('-inf') if may_be_old else self.clock()
-            )
-        self.is_first_target = False
+        newest = self.core.view.versions.newest(layout.model)
         return TargetVersion(layout.model, newest)
 
     def observe(
@@ -207,9 +195,10 @@
         held = 0 if engine is None else engine.version
         hosts = [self.settings.name, *(peer.name for peer in self.peers())]
         table = self.core.view.table
+        set_times = self.core.view.versions.set_times(self.model())
         return Observation(
             ready_version,
-            outdated_since_s(self.announced_s, held, now_s),
+            outdated_since_s(set_times, held, now_s),
             self.settings.version_limit,
             engine=engine,
             rank=rank(str(ready_version), hosts).index(self.settings.name),
--- a/src/bramleylug/loader/policy.py
+++ b/src/bramleylug/loader/policy.py
@@ -5,7 +5,6 @@
 from typing import final
 
 from bramleylug.cluster.cluster_view import VERSION_MARGIN_S
-from bramleylug.store.mirror import ANSWER_LAG_S
 
 # Pause before an order that failed or had no effect is repeated.
 RETRY_S = 0.5
@@ -17,7 +16,7 @@
 LOAD_SPREAD_S = 2.0
 # The last engine starts loading this long before its old weights expire: 0.1 s
 # before the relays stop sending requests to it.
-LAST_LOAD_MARGIN_S = VERSION_MARGIN_S + ANSWER_LAG_S + 0.1
+LAST_LOAD_MARGIN_S = VERSION_MARGIN_S + 0.1
 
 
 @final
@@ -50,8 +49,8 @@
 
     :ivar ready_version: newest version of which every chunk is held and
         verified; 0 for none.
-    :ivar outdated_since_s: when the first version was announced that is
-        newer than the one the engine holds.
+    :ivar outdated_since_s: time after which the first version was set that
+        is newer than the one the engine holds.
     :ivar outdated_limit_s: time after that in which the older weights may
         still serve.
     :ivar engine: last report of the engine; ``None`` while it does not
@@ -181,14 +180,14 @@
 
 
 def outdated_since_s(
-    announced_s: Mapping[int, float], held: int, now_s: float
+    set_times: Mapping[int, float], held: int, now_s: float
 ) -> float:
-    """Return when the first version newer than the held one was announced.
+    """Return the time after which a version newer than the held one was set.
 
-    That version starts the time limit of the held weights, however many
-    versions are announced after it. Without a newer one, return ``now_s``.
+    The first such version starts the time limit of the held weights, however
+    many are set after it. Without a newer one, return ``now_s``.
 
-    :param announced_s: when each version was announced.
+    :param set_times: by version the time after which it was set.
     """
-    newer = [at_s for version, at_s in announced_s.items() if version > held]
+    newer = [at_s for version, at_s in set_times.items() if version > held]
     return min(newer, default=now_s)
--- a/testing/loader/test_policy.py
+++ b/testing/loader/test_policy.py
@@ -108,11 +108,11 @@
 
     def test_further_versions_do_not_postpone_a_load(self) -> None:
         """The first newer version starts the time limit of the held one."""
-        announced_s = {1: 0.0, 2: 10.0, 3: 15.0, 4: 20.0}
+        set_times = {1: 0.0, 2: 10.0, 3: 15.0, 4: 20.0}
 
-        self.assertEqual(outdated_since_s(announced_s, 1, 21.0), 10.0)
-        self.assertEqual(outdated_since_s(announced_s, 3, 21.0), 20.0)
-        self.assertEqual(outdated_since_s(announced_s, 4, 21.0), 21.0)
+        self.assertEqual(outdated_since_s(set_times, 1, 21.0), 10.0)
+        self.assertEqual(outdated_since_s(set_times, 3, 21.0), 20.0)
+        self.assertEqual(outdated_since_s(set_times, 4, 21.0), 21.0)
 
     def test_loads_are_spread_and_end_in_time(self) -> None:
         """Ten engines load one after another before old weights expire."""
--- a/testing/relay/test_request_checks.py
+++ b/testing/relay/test_request_checks.py
@@ -256,3 +256,16 @@
     def test_target_found_at_start_has_a_short_limit(self) -> None:
         """It may have been set at any time."""
         self.assertLessEqual(self.expires_s(), self.now_s + 3.0 - 1.0)
+
+    def test_target_found_after_other_keys_has_a_short_limit(self) -> None:
+        """A loader reads records of its peers apart from the targets."""
+        mirror = Mirror(3.0)
+        mirror.confirm(100.5, 100.9)
+        view = ClusterView(
+            build_settings(), build_peer, mirror, lambda: self.now_s
+        )
+        view.is_initial_load = False
+        view.record_target_version('fitting', 2)
+
+        self.assertEqual(view.versions.set_times('fitting'), {2: float('-inf')})
+        self.assertAlmostEqual(view.versions.expires_s('fitting', 1), 102.7)
