Store: a listing of another relay does not date what it contains

What could be seen: a process that lost the history of changes, as after a long pause, lists all keys through another relay, and counted the limit of a version found there from that relay's last answer instead of its own last knowledge: older weights served for longer than the limit.

Cause: a listing carried the time after which the changes passed on were written, although its items are of any age. It now carries none. A change is also no older than the last read of the process itself, which another relay cannot know.

--- a/src/bramleylug/store/changes.py
+++ b/src/bramleylug/store/changes.py
@@ -35,7 +35,8 @@
 
     :ivar confirmed_after_s: when its latest answered read was sent; mostly
         negative.
-    :ivar written_after_s: time after which the changes passed on were written.
+    :ivar written_after_s: time after which the changes passed on were written;
+        minus infinity for a listing, whose items are of any age.
     :ivar heard_after_s: when the last answer of the store arrived.
     """
 
--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -121,8 +121,11 @@
         ends_outage = self.loaded and now_s - self.confirmed_s > self.outage_s
         self.heard_s = max(self.heard_s, sent_s + times.heard_after_s)
         confirmed_s = sent_s + times.confirmed_after_s
+        before_s = max(self.confirmed_s, self.answered_s)
+        self.changes_written_after_s = max(
+            before_s, sent_s + times.written_after_s
+        )
         self.answered_s = max(self.answered_s, confirmed_s)
-        self.changes_written_after_s = sent_s + times.written_after_s
         if confirmed_s > self.confirmed_s:
             self.confirmed_s = confirmed_s
             if ends_outage:
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -106,7 +106,9 @@
                     int(answer.revision),
                     more=False,
                     era=int(answer.era),
-                    reader_times=times_of(answer),
+                    reader_times=times_of(answer)._replace(
+                        written_after_s=float('-inf')
+                    ),
                 )
         page = await self.store.list_page(prefix, after)
         self.heard_s[prefix] = self.clock()
--- a/testing/store/test_feed.py
+++ b/testing/store/test_feed.py
@@ -3,7 +3,12 @@
 import asyncio
 import unittest
 
-from bramleylug.store.changes import HistoryLost, Removal, StoreItem
+from bramleylug.store.changes import (
+    HistoryLost,
+    ReaderTimes,
+    Removal,
+    StoreItem,
+)
 from bramleylug.store.feed import (
     MAX_CHANGES,
     ChangeFeed,
@@ -209,6 +214,17 @@
         self.assertEqual((answer.revision, self.store.calls), (6, []))
         self.assertEqual(answer.reader_times.confirmed_after_s, -0.5)
 
+    async def test_listing_of_the_reader_does_not_date_its_items(self) -> None:
+        """Guards against requests on older weights after lost history."""
+        self.let_reader_answer(written_after_us=-500_000)
+
+        page = await self.zone_store.list_page('', '')
+        mirror = Mirror(3.0)
+        mirror.confirm(92.0, 92.1)
+        mirror.confirm_relayed(100.0, 100.1, page.reader_times)
+
+        self.assertEqual(mirror.changes_written_after_s, 92.0)
+
     async def test_old_answer_of_the_reader_is_not_used(self) -> None:
         """The reader is cut off, was frozen, or is turned away alone."""
         self.let_reader_answer(heard_after_us=-1_500_000)
@@ -277,6 +293,14 @@
 
         self.assertAlmostEqual(mirror.age_s(9.0), 2.4)
 
+    def test_changes_are_no_older_than_the_own_last_read(self) -> None:
+        """The reader may have known less than this process."""
+        mirror = Mirror(3.0)
+        mirror.confirm(8.0, 8.0)
+        mirror.confirm_relayed(8.5, 8.6, ReaderTimes(-0.1, -3.0, -0.1))
+
+        self.assertEqual(mirror.changes_written_after_s, 8.0)
+
     def test_older_confirmation_changes_nothing(self) -> None:
         """The process has called the store itself since."""
         reader = Reader()
