Store: a pause of the process is no outage of the store

What could be seen: a relay that stood still for longer than an outage takes kept engines that had left meanwhile for two more seconds, and logged that the store answers again (BL1007), though it had answered all the while.

Cause: the time since the last answer counted as silence of the store also where this process did not run. Owners of leased items write them again after an outage; after a pause of the reader nobody does. Only time in which the process ran counts now, so that a pause beside an outage is still one.

Evidence: the test of a removal after a pause fails on the code before.

--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -28,7 +28,7 @@
 
     Removals of leased items that arrive just after an outage of the store are
     deferred for :data:`RECOVERY_GRACE_S`: their owners may be about to write
-    them again.
+    them again. A pause of this process is no outage of the store.
 
     When the store came back from an older copy of itself, its first listing
     proves only what it contains: for :data:`RESTORE_GRACE_S` keys that it
@@ -96,7 +96,7 @@
             that is read after a pause of this process may have begun before.
         :returns: whether this ends an outage.
         """
-        ends_outage = self.loaded and now_s - self.confirmed_s > self.outage_s
+        ends_outage = self.loaded and self._silent_s(now_s) > self.outage_s
         arrived_s = self.pauses.earliest_arrival_s(now_s)
         self.heard_s = max(self.heard_s, arrived_s)
         began_s = min(sent_s + first_byte_after_s, arrived_s) - ANSWER_LAG_S
@@ -118,7 +118,7 @@
         :param sent_s: when that process was called.
         :returns: whether this ends an outage.
         """
-        ends_outage = self.loaded and now_s - self.confirmed_s > self.outage_s
+        ends_outage = self.loaded and self._silent_s(now_s) > self.outage_s
         self.heard_s = max(self.heard_s, sent_s + times.heard_after_s)
         confirmed_s = sent_s + times.confirmed_after_s
         before_s = max(self.confirmed_s, self.answered_s)
@@ -201,6 +201,11 @@
             self.withheld_items.clear()
         return settled
 
+    def _silent_s(self, now_s: float) -> float:
+        """Return for how long this process ran without an answer."""
+        paused_s = self.pauses.paused_s(self.confirmed_s, now_s)
+        return now_s - self.confirmed_s - paused_s
+
     def _restore(
         self,
         listed: tuple[StoreItem, ...],
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -250,3 +250,19 @@
         self.mirror.confirm(7.95, 12.5, 4.55)
 
         self.assertEqual(self.mirror.heard_s, 8.0)
+
+    def test_pause_does_not_keep_an_engine_that_has_left(self) -> None:
+        """The store answered its owner all the while."""
+        self.mirror.apply([item(5)], 5, 8.0)
+        removal = Removal('engine', 6)
+
+        self.assertFalse(self.mirror.confirm(7.95, 12.5, 4.55))
+        self.assertEqual(self.mirror.apply([removal], 6, 12.5), [removal])
+
+    def test_outage_beside_a_pause_is_one(self) -> None:
+        """The process ran for 3.5 s of it."""
+        self.mirror.apply([item(5)], 5, 8.0)
+        for tick in range(125, 151):
+            self.pauses.tick(tick / 10)
+
+        self.assertTrue(self.mirror.confirm(15.0, 15.0))
