Store: an answer later than its wait does not date a change

What could be seen: a change counted as written up to 0.35 s after the store can have written its answer, where that was late on its way: a wait for 1 ms that was answered after 0.6 s counted as held open for 0.35 s.

Cause: the time to the first byte was taken for the time that the store held the wait, which is at most the wait that was asked for. An answer later than that, and the allowance for lag, now says nothing about when it began; the time of the answer before counts.

--- a/src/bramleylug/platform/keyvalue.py
+++ b/src/bramleylug/platform/keyvalue.py
@@ -20,6 +20,7 @@
     StoreItem,
     StoreUnavailable,
 )
+from bramleylug.store.mirror import ANSWER_LAG_S
 from bramleylug.web.http_client import CALL_ERRORS, CallAnswer, HttpClient
 
 MILLISECONDS = 1000
@@ -79,8 +80,11 @@
             f'/-/kv-watch?path_prefix={quote(prefix)}&after={after_revision}'
             f'&wait_ms={int(wait_s * MILLISECONDS)}'
         )
-        timeout_s = wait_s + WAIT_MARGIN_S
-        answer = await self._send('GET', target, timeout_s)
+        answer = await self._send('GET', target, wait_s + WAIT_MARGIN_S)
+        held_s = answer.first_byte_after_s
+        if held_s > wait_s + ANSWER_LAG_S:
+            # Late on its way: the store held it for at most the wait.
+            held_s = 0
         if answer.status == HTTPStatus.GONE:
             return HistoryLost()
         return _decode_answer(
@@ -88,7 +92,7 @@
             lambda document: StoreChanges(
                 tuple(_change(entry) for entry in document['events']),
                 int(document['current_rev']),
-                answer.first_byte_after_s,
+                held_s,
                 _era_of(answer),
             ),
         )
