Store: an answer arrives no earlier than its read was sent

A reader that had stood still said for half a second after a pause that it last heard of the store before it, although it had been answered since, so that other processes avoided it for longer than needed. What is read then may have arrived during the pause, but not before its own call was sent.

Evidence: the test fails on the code before (8.0 instead of 12.55 s).

--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -97,7 +97,7 @@
         :returns: whether this ends an outage.
         """
         ends_outage = self.loaded and self._silent_s(now_s) > self.outage_s
-        arrived_s = self.pauses.earliest_arrival_s(now_s)
+        arrived_s = max(sent_s, self.pauses.earliest_arrival_s(now_s))
         self.heard_s = max(self.heard_s, arrived_s)
         began_s = min(sent_s + first_byte_after_s, arrived_s) - ANSWER_LAG_S
         before_s = max(self.confirmed_s, self.answered_s)
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -251,6 +251,13 @@
 
         self.assertEqual(self.mirror.heard_s, 8.0)
 
+    def test_answer_to_a_read_after_the_pause_is_heard_at_once(self) -> None:
+        """Other processes would avoid this one for longer otherwise."""
+        self.pauses.tick(12.5)
+        self.mirror.confirm(12.55, 12.6, 0.05)
+
+        self.assertEqual(self.mirror.heard_s, 12.55)
+
     def test_pause_does_not_keep_an_engine_that_has_left(self) -> None:
         """The store answered its owner all the while."""
         self.mirror.apply([item(5)], 5, 8.0)
