Versions: the end of a limit is passed by name

Two tests of queued requests passed a limit in seconds where add_target now takes the end of the limit, so that their weights had expired from the start. They pass the end as well, at the same time as before; the parameter can only be given by its name.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -320,7 +320,7 @@
                 + self.settings.calm_window
                 - INITIAL_VERSION_MARGIN_S
             )
-        target = self.versions.add_target(model, version, set_s, due_s)
+        target = self.versions.add_target(model, version, set_s, due_s=due_s)
         if target is not None:
             emit(
                 LogEvent.target_version_changed,
--- a/src/bramleylug/cluster/versions.py
+++ b/src/bramleylug/cluster/versions.py
@@ -39,6 +39,7 @@
         model: str,
         version: int,
         set_s: float,
+        *,
         due_s: float | None = None,
     ) -> Target | None:
         """Add a target version; versions that do not increase are ignored.
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -101,7 +101,10 @@
 
         def build(route):
             relay = build_relay(route)
-            relay.view.versions.add_target(MODEL, 2, time.monotonic(), after_s)
+            now_s = time.monotonic()
+            relay.view.versions.add_target(
+                MODEL, 2, now_s, due_s=now_s + after_s
+            )
             return relay
 
         self.build_relay = build
