Relay: log when an upstream with requests falls silent

Neither logs nor metrics told since when an upstream had sent nothing, or that a request that waited there found no other one, so that requests left at a stopped host looked like slow ones.

A connection tells of each piece that it receives; an upstream is silent when a request has waited there for longer than it should and nothing at all was received from that incarnation in that time. BL2013 and BL2014 log when a silence begins and ends, BL2015 once for each request that finds no second upstream meanwhile; bramleylug_upstream_silences_total counts silences. What is sent where does not change.

--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -7,6 +7,7 @@
 from bramleylug.cluster.cold_start import ColdStart
 from bramleylug.cluster.permits import HeldPermits
 from bramleylug.cluster.rate_limit import Incarnation, RateLimit, RateLimits
+from bramleylug.cluster.responsiveness import Responsiveness
 
 # Share of an upstream's slots that is filled before requests wait at the
 # relay. Requests that two relays send at the same moment may exceed the
@@ -114,6 +115,7 @@
     :ivar weights_written_s: when the weights in its record were read first.
     :ivar limit: what is known of the limit that it names.
     :ivar permits: those of this process while it names one.
+    :ivar responsiveness: whether anything is received from this incarnation.
     :ivar removed: whether its record has been removed.
     """
 
@@ -131,6 +133,7 @@
     weights_written_s: float = float('-inf')
     limit: RateLimit = field(default_factory=RateLimit)
     permits: HeldPermits = field(default_factory=HeldPermits)
+    responsiveness: Responsiveness = field(default_factory=Responsiveness)
     removed: bool = False
 
     @property
@@ -159,6 +162,7 @@
         self.result_count = 0
         self.cold = None
         self.permits = HeldPermits()
+        self.responsiveness = Responsiveness()
 
     def load(self, now_s: float) -> float:
         """Return the number of running requests, as far as known.
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -259,6 +259,28 @@
         'upstream {upstream} names no limit any more, as {source} said',
         'Nothing to do.',
     )
+    upstream_silent = EventSpec(
+        'BL2013',
+        'WARNING',
+        'nothing was received from upstream {upstream} for {for_s} s while '
+        '{running} requests of this relay run there',
+        'Check the upstream and its host if the other relays report it too; '
+        'otherwise the network of this relay.',
+    )
+    upstream_heard = EventSpec(
+        'BL2014',
+        'INFO',
+        'upstream {upstream} is heard again after {for_s} s',
+        'Find out why it stopped: its host, its network or its own process.',
+    )
+    no_second_upstream = EventSpec(
+        'BL2015',
+        'INFO',
+        'request {request_id} waits at the silent upstream {upstream}: no '
+        'other one can take it now',
+        'Look for its end in BL2004; if there are many, upstreams are short '
+        'or the retry budget is spent.',
+    )
     # 3: weights
     staging_full = EventSpec(
         'BL3001',
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -59,6 +59,10 @@
 RETRIES = Counter(
     'bramleylug_retries_total', 'Retries requested from the budget, by service'
 )
+SILENCES = Counter(
+    'bramleylug_upstream_silences_total',
+    'Times at which an upstream with requests fell silent, by service',
+)
 REQUEST_SECONDS = Histogram(
     'bramleylug_request_seconds',
     'Time from a request to the end of its answer',
--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -21,6 +21,7 @@
 )
 from bramleylug.relay.event_splitter import EventSplitter, EventStreamError
 from bramleylug.relay.silence import HedgedReader, Silence, UpstreamSilent
+from bramleylug.relay.upstream_watch import UpstreamWatch
 from bramleylug.web.client_connection import (
     AnswerHead,
     ClientConnection,
@@ -120,12 +121,15 @@
     :ivar start_by_s: time by which the answer must have started, because
         the upstream's weights will be too old after it. The attempt ends
         then, whether or not the request can move.
+    :ivar quiet_limit_s: until the upstream is silent if nothing at all is
+        received from it.
     """
 
     first_s: float | None
     idle_s: float | None
     start_by_s: float | None = None
     patience_s: float = 0
+    quiet_limit_s: float = math.inf
 
     def before_start(self, now_s: float) -> Silence:
         """Return the silence before the answer starts."""
@@ -140,7 +144,14 @@
         self, now_s: float, timeout_s: float | None, end_s: float
     ) -> Silence:
         look_s = math.inf if timeout_s is None else now_s + timeout_s
-        return Silence(now_s, look_s, end_s, now_s + self.patience_s)
+        return Silence(
+            now_s,
+            look_s,
+            end_s,
+            now_s + self.patience_s,
+            self.quiet_limit_s,
+            now_s + self.quiet_limit_s,
+        )
 
 
 class BegunAnswer(NamedTuple):
@@ -274,12 +285,18 @@
             self._send(connection, dialect, metadata)
         except ConnectionBroken as error:
             return NotRun(Reason.connection_failed, str(error))
-        self.reader.connection = connection
+        self._watch(connection, upstream)
         self.sent = True
         self.sent_s = self.clock()
         self.on_sent()
         return None
 
+    def _watch(self, connection: ClientConnection, upstream: Upstream) -> None:
+        watch = UpstreamWatch(upstream, self.request.request_id, self.clock)
+        connection.on_input = watch.record_input
+        self.reader.connection = connection
+        self.reader.watch = watch
+
     async def _prepare(
         self, dialect: Dialect, timeouts: AttemptTimeouts
     ) -> Outcome | None:
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -50,6 +50,9 @@
 MIN_TIMEOUT_S = 0.4
 STREAM_FIRST_EVENT_S = 1.5
 STREAM_IDLE_S = 1.2
+# An upstream is silent if nothing at all is received from it while a request
+# waits there for this time, and for the timeout of an idempotent request.
+QUIET_LIMIT_S = 1.0
 # Requests sent on outdated weights may still start for this part of the margin
 # before the version limit; the rest is for closing the connection.
 LATE_START_S = 0.3
@@ -385,18 +388,24 @@
 
 def timeouts_of(route: Route) -> AttemptTimeouts:
     """Return the timeouts that depend on the route alone."""
+    timeout_s = TIMEOUT_OBJECTIVES * route.objective_s
+    quiet_limit_s = max(QUIET_LIMIT_S, timeout_s)
     match route.retry_policy:
         case RetryPolicy.always:
-            timeout_s = TIMEOUT_OBJECTIVES * route.objective_s
-            return AttemptTimeouts(max(MIN_TIMEOUT_S, timeout_s), None)
+            return AttemptTimeouts(
+                max(MIN_TIMEOUT_S, timeout_s),
+                None,
+                quiet_limit_s=quiet_limit_s,
+            )
         case RetryPolicy.resume:
             return AttemptTimeouts(
                 STREAM_FIRST_EVENT_S,
                 STREAM_IDLE_S,
                 patience_s=CALLER_PATIENCE_S,
+                quiet_limit_s=QUIET_LIMIT_S,
             )
         case RetryPolicy.never:
-            return AttemptTimeouts(None, None)
+            return AttemptTimeouts(None, None, quiet_limit_s=quiet_limit_s)
 
 
 def _milliseconds(seconds: float) -> int | None:
--- a/src/bramleylug/relay/silence.py
+++ b/src/bramleylug/relay/silence.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol, TypeVar, final
 
+from bramleylug.relay.upstream_watch import UpstreamWatch
 from bramleylug.web.client_connection import ClientConnection
 
 ResultT = TypeVar('ResultT')
@@ -43,26 +44,34 @@
     :ivar end_s: when the attempt must end; infinite for never.
     :ivar prefer_other_s: until when another upstream that has the request is
         preferred, though this one has gone on: it may be silent again.
+    :ivar quiet_limit_s: how long a request should wait at most without
+        anything received from its upstream; infinite if that says nothing.
+    :ivar check_s: when that is checked.
     """
 
     since_s: float
     look_s: float = math.inf
     end_s: float = math.inf
     prefer_other_s: float = -math.inf
+    quiet_limit_s: float = math.inf
+    check_s: float = math.inf
 
     def left_s(self, now_s: float) -> float | None:
         """Return the time until the next check; ``None`` for no limit."""
-        next_s = min(self.look_s, self.end_s)
+        next_s = min(self.look_s, self.check_s, self.end_s)
         return None if next_s == math.inf else max(0.0, next_s - now_s)
 
     def put_off(self, now_s: float) -> None:
-        """Put off the next check unless the attempt must end.
+        """Put off the checks that are due unless the attempt must end.
 
         :raises UpstreamSilent: when it must.
         """
         if now_s >= self.end_s:
             raise self.error(now_s)
-        self.look_s = now_s + RECHECK_INTERVAL_S
+        if now_s >= self.look_s:
+            self.look_s = now_s + RECHECK_INTERVAL_S
+        if now_s >= self.check_s:
+            self.check_s = now_s + RECHECK_INTERVAL_S
 
     def error(self, now_s: float) -> UpstreamSilent:
         """Return the error that ends the attempt."""
@@ -79,12 +88,14 @@
     :ivar hedge: asked while the upstream is silent; returns a second attempt
         if another upstream can be tried. The first attempt ends when the
         answer of the second one begins. ``None`` for no second attempts.
+    :ivar watch: observes the upstream; ``None`` before the request was sent.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.connection: ClientConnection | None = None
         self.hedge: Callable[[], Hedge | None] | None = None
+        self.watch: UpstreamWatch | None = None
 
     @property
     def opened(self) -> ClientConnection:
@@ -107,13 +118,33 @@
                 async with asyncio.timeout(silence.left_s(self.clock())):
                     return await read()
             except TimeoutError:
-                silence.put_off(self.clock())
-            hedge = None if self.hedge is None else self.hedge()
+                hedge = self._look(silence)
             if hedge is not None:
                 if await self._is_overtaken(hedge, silence):
                     raise silence.error(self.clock())
                 silence.put_off(self.clock())
 
+    def _look(self, silence: Silence) -> Hedge | None:
+        """Return a second attempt if it is time for one.
+
+        :raises UpstreamSilent: when the attempt must end.
+        """
+        now_s = self.clock()
+        is_silent = self._is_upstream_silent(silence)
+        is_due = now_s >= silence.look_s
+        silence.put_off(now_s)
+        if self.hedge is None or not is_due:
+            return None
+        hedge = self.hedge()
+        if hedge is None and is_silent and self.watch is not None:
+            self.watch.record_wait()
+        return hedge
+
+    def _is_upstream_silent(self, silence: Silence) -> bool:
+        return self.watch is not None and self.watch.is_silent(
+            silence.since_s, silence.quiet_limit_s
+        )
+
     async def _is_overtaken(self, hedge: Hedge, silence: Silence) -> bool:
         """Return whether a second attempt takes over.
 
--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client connections on asyncio; h11 implements the protocol."""
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
 from socket import (
     IPPROTO_TCP,
@@ -77,6 +77,7 @@
     :ivar must_close: whether bytes were received that belong to no request, or
         the protocol does not allow another request.
     :ivar lease: counts its descriptor, and is released when it has closed.
+    :ivar on_input: called when bytes of an answer are received.
     """
 
     def __init__(self, lease: DescriptorLease | None = None) -> None:
@@ -93,6 +94,7 @@
         self.paused = False
         self.must_close = False
         self.answered_count = 0
+        self.on_input: Callable[[], None] = _ignore
 
     @classmethod
     async def open(
@@ -142,6 +144,7 @@
             self.must_close = True
             self.transport.abort()
             return
+        self.on_input()
         self.unread_data.append(data)
         if sum(map(len, self.unread_data)) > MAX_READ_AHEAD_BYTES:
             self.paused = True
@@ -277,6 +280,10 @@
         return MalformedAnswer(str(error))
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 def _answer_head(event: Any) -> AnswerHead:
     pairs = tuple(
         (name.decode('latin-1'), text.decode('latin-1'))
