Tests: requests at a stopped engine, failing

Four tests of what callers of a stopped engine meet: new requests are sent to it when the first callers have left, other relays are told that their slots are free, its requests look for another engine no sooner than those of one that is only slow, and new requests take every slot that is freed meanwhile.

--- a/testing/relay/test_silent_upstreams.py
+++ b/testing/relay/test_silent_upstreams.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from bramleylug.cluster.heartbeats import relay_heartbeat
 from testing.relay.scripted_engines import (
     LAST_CHUNK,
     OK_HEAD,
@@ -15,6 +16,8 @@
 )
 from testing.relay.test_relay import RelayCase
 
+WHOLE_STREAM = [OK_HEAD, event(1), LAST_CHUNK]
+
 
 class SilentUpstreamCase(RelayCase):
     """Base of tests in which an upstream is silent after 0.2 s."""
@@ -78,3 +81,89 @@
         await self.serve(ScriptedEngine([1.2, OK_HEAD, event(1), LAST_CHUNK]))
 
         self.assertEqual(lines.count('BL2015'), 1)
+
+
+class TestStoppedEngine(SilentUpstreamCase):
+    """An engine stands still with its host for longer than callers wait."""
+
+    async def serve_another(self, done=None, name=''):
+        """Serve one more request of the same relay."""
+        exchange = RecordingExchange()
+        await self.relay.serve(exchange)
+        if done is not None:
+            done.append(name)
+        return exchange
+
+    async def test_second_wave_of_requests_is_not_sent_to_it(self) -> None:
+        """Slots of callers that had left it counted as free."""
+        self.spend_retry_budget()
+        await self.serve(
+            ScriptedEngine([30.0], [30.0]),
+            ScriptedEngine(WHOLE_STREAM),
+            loads=(0, 50),
+            disconnect_after_s=0.5,
+        )
+
+        exchange = await asyncio.wait_for(self.serve_another(), 5)
+
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertEqual(self.arrivals(), [1, 1])
+
+    async def test_slot_of_a_caller_that_left_is_not_told_as_free(self) -> None:
+        """Relays that have no request there sent theirs to it."""
+        self.spend_retry_budget()
+
+        await self.serve(ScriptedEngine([30.0]), disconnect_after_s=0.5)
+
+        heartbeat = relay_heartbeat(
+            'relay-1',
+            1,
+            self.relay.view.upstreams,
+            self.relay.view.suspects,
+            self.relay.clock(),
+            draining=False,
+        )
+        self.assertEqual([one.running for one in heartbeat.counts], [1])
+
+    async def test_its_requests_do_not_starve_behind_new_ones(self) -> None:
+        """New requests took each slot of the other engine that was freed."""
+        done: list[str] = []
+        slow = [OK_HEAD.replace(b'X-Sig', b'X-Id: request-1\r\nX-Sig')]
+        for number in range(1, 6):
+            slow += [event(number), 0.1]
+        slow += [LAST_CHUNK]
+        stopped = asyncio.create_task(
+            self.serve(
+                ScriptedEngine([30.0]),
+                ScriptedEngine(slow, slow, slow),
+                loads=(0, 99),
+                objective_s=4.0,
+            )
+        )
+        stopped.add_done_callback(lambda _: done.append('stopped'))
+        await asyncio.sleep(0.02)
+        self.report_load(0, 99)
+        others = [
+            asyncio.create_task(self.serve_another(done, name))
+            for name in ('running', 'new')
+        ]
+
+        exchange = await asyncio.wait_for(stopped, 5)
+        await asyncio.gather(*others)
+
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertEqual(done, ['running', 'stopped', 'new'])
+
+    async def test_its_requests_move_before_those_of_a_slow_engine(
+        self,
+    ) -> None:
+        """Another engine was looked for too late for the caller."""
+        with patch('bramleylug.relay.relay.STREAM_FIRST_EVENT_S', 10.0):
+            exchange = await self.serve(
+                ScriptedEngine([30.0]),
+                ScriptedEngine(WHOLE_STREAM),
+                disconnect_after_s=1.5,
+            )
+
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertEqual(self.arrivals(), [1, 1])
