Relay: send nothing new to a stopped upstream, and let its requests move first

Callers of an engine that stood still with its host left after 2.4 s without an event. Other callers were sent to it then, as the slots of the first ones counted as free, and the first ones looked for another engine only after 1.5 s, every 0.2 s, for a slot that was free at that moment, while new requests queued for each one.

An upstream is silent when a stream that has begun got nothing for 0.6 s, or another request for 1.0 s or three objectives, and nothing at all was received from it meanwhile.

- gets no new request until something is received from it; after the last request of this relay has left it for 2 s, one is sent to find out.
If all upstreams are silent, they are chosen as before: then it is this relay that is cut off or stood still;
- keeps its running requests.
Streams and idempotent requests look for a second upstream at once, and queue for the next free slot before new requests, the one that has waited longest first; the retry budget bounds them as before;
- keeps the slots of callers that left, in heartbeats too, so that relays that have no request there learn of it without a message of its own.

Heartbeats of loaders do not count as a sign of life: at 330 relays they come every few seconds, and a loader lives on beside an engine that hangs.

--- a/src/bramleylug/cluster/heartbeats.py
+++ b/src/bramleylug/cluster/heartbeats.py
@@ -133,10 +133,9 @@
     """
     heartbeat = Beat(name=name, boot=boot, draining=draining)
     for upstream_id, upstream in registry.by_id.items():
-        if upstream.running:
-            heartbeat.counts.add(
-                upstream_id=upstream_id, running=upstream.running
-            )
+        running = upstream.own_running(now_s)
+        if running:
+            heartbeat.counts.add(upstream_id=upstream_id, running=running)
     for upstream_id, started_ms, notice in registry.recent_notices(now_s):
         paused_s = max(0.0, notice.paused_until_s - now_s)
         if notice.leaving or paused_s:
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -176,11 +176,23 @@
             for count, received_s in self.reported_running.values()
             if now_s - received_s < REPORT_TTL_S
         )
+        own = self.own_running(now_s)
         report = self.report
         if report is None or now_s - report.received_s >= REPORT_TTL_S:
-            return self.running + reported
+            return own + reported
         others = report.running + report.waiting - report.own_running
-        return self.running + max(reported, others)
+        return own + max(reported, others)
+
+    def own_running(self, now_s: float) -> int:
+        """Return how many requests of this process it has.
+
+        A silent upstream has not noticed yet that some have ended.
+        """
+        return self.running + self.responsiveness.left_running(now_s)
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether it gets no new request because it is silent."""
+        return self.responsiveness.is_avoided(self.running, now_s)
 
     def may_send(self, now_s: float) -> bool:
         """Return whether the rates that it takes allow a request now."""
@@ -383,7 +395,8 @@
         """Record a loader's report on the upstream at an address."""
         for upstream in self.by_id.values():
             if upstream.record.address == address:
-                upstream.report = report._replace(own_running=upstream.running)
+                own_running = upstream.own_running(report.received_s)
+                upstream.report = report._replace(own_running=own_running)
 
     def _notice(
         self, upstream_id: str, started_ms: int, now_s: float
--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -121,27 +121,34 @@
     :ivar start_by_s: time by which the answer must have started, because
         the upstream's weights will be too old after it. The attempt ends
         then, whether or not the request can move.
-    :ivar quiet_limit_s: until the upstream is silent if nothing at all is
-        received from it.
+    :ivar quiet_first_s: until the upstream is silent if nothing at all is
+        received from it, before the answer starts.
+    :ivar quiet_idle_s: the same after an event; whether another request has
+        shown that it is silent is checked from then on.
     """
 
     first_s: float | None
     idle_s: float | None
     start_by_s: float | None = None
     patience_s: float = 0
-    quiet_limit_s: float = math.inf
+    quiet_first_s: float = math.inf
+    quiet_idle_s: float = math.inf
 
     def before_start(self, now_s: float) -> Silence:
         """Return the silence before the answer starts."""
         end_s = math.inf if self.start_by_s is None else self.start_by_s
-        return self._silence(now_s, self.first_s, end_s)
+        return self._silence(now_s, self.first_s, end_s, self.quiet_first_s)
 
     def after_event(self, now_s: float) -> Silence:
         """Return the silence before the next event."""
-        return self._silence(now_s, self.idle_s, math.inf)
+        return self._silence(now_s, self.idle_s, math.inf, self.quiet_idle_s)
 
     def _silence(
-        self, now_s: float, timeout_s: float | None, end_s: float
+        self,
+        now_s: float,
+        timeout_s: float | None,
+        end_s: float,
+        quiet_limit_s: float,
     ) -> Silence:
         look_s = math.inf if timeout_s is None else now_s + timeout_s
         return Silence(
@@ -149,8 +156,8 @@
             look_s,
             end_s,
             now_s + self.patience_s,
-            self.quiet_limit_s,
-            now_s + self.quiet_limit_s,
+            quiet_limit_s,
+            now_s + self.quiet_idle_s,
         )
 
 
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -16,6 +16,7 @@
     count,
 )
 from bramleylug.outcomes import NotRun, Reason
+from bramleylug.relay.move_queue import MoveQueue
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.upstream_selection import (
     AtCapacity,
@@ -25,6 +26,7 @@
     Selection,
     UpstreamSelector,
     closed_until_s,
+    responsive,
 )
 from bramleylug.relay.wait_queue import Refuse, Wait, WaitQueue
 
@@ -58,6 +60,7 @@
     """Assigns requests to upstreams; queues them while none has a free slot.
 
     :ivar queues: waiting requests by service.
+    :ivar moves: by service, requests that wait to leave a silent upstream.
     :ivar waiters: waiting requests, by token.
     :ivar has_waiting: set while requests wait.
     """
@@ -72,6 +75,7 @@
         self.selector = selector
         self.clock = clock
         self.queues: dict[str, WaitQueue] = {}
+        self.moves: dict[str, MoveQueue] = {}
         self.waiters: dict[int, Waiter] = {}
         self.tokens = numbers()
         self.has_waiting = asyncio.Event()
@@ -119,20 +123,33 @@
             return self._claim(selection.upstream)
         return None
 
+    def queue_move(
+        self, service: str, since_s: float, take_slot: Callable[[], bool]
+    ) -> Callable[[], None]:
+        """Let a request at a silent upstream wait for a slot of another one.
+
+        :param since_s: since when it waits for the silent one.
+        :param take_slot: called when slots are free; returns whether the
+            request has taken one.
+        :returns: what ends the wait.
+        """
+        self.has_waiting.set()
+        return self.moves.setdefault(service, MoveQueue()).push(
+            since_s, take_slot
+        )
+
     def record_completion(self, service: str) -> None:
         """Record that a request left an upstream; wake waiting requests."""
         queue = self.queues.get(service)
         if queue is None:
             return
         queue.record_completion(self.clock())
-        if queue.size:
-            self._wake(service, queue)
+        self._wake(service, queue)
 
     def wake_waiting(self) -> None:
         """Wake the waiting requests of all services for free slots."""
         for service, queue in self.queues.items():
-            if queue.size:
-                self._wake(service, queue)
+            self._wake(service, queue)
 
     def ask_further(self, upstream: Upstream) -> None:
         """Ask for permits of others, as one will come later."""
@@ -155,7 +172,8 @@
             await self.has_waiting.wait()
             await asyncio.sleep(RETRY_INTERVAL_S)
             self.wake_waiting()
-            if not self.waiters:
+            moving = sum(moves.size for moves in self.moves.values())
+            if not (self.waiters or moving):
                 self.has_waiting.clear()
 
     async def _wait(
@@ -210,13 +228,20 @@
 
     def _wake(self, service: str, queue: WaitQueue) -> None:
         """Wake as many waiting requests as there are free slots."""
+        moves = self.moves.get(service)
+        if not queue.size and not (moves and moves.size):
+            return
         now_s = self.clock()
         WAITING.set({'service': service}, queue.size)
         free = sum(
             upstream.sendable(now_s)
-            for upstream in self.view.upstreams.of_service(service)
+            for upstream in responsive(
+                list(self.view.upstreams.of_service(service)), now_s
+            )
             if now_s >= closed_until_s(upstream, now_s)
         )
+        if moves is not None:
+            free -= moves.offer(free)
         for _ in range(min(free, queue.size)):
             waiter = self.waiters.get(queue.queue.pop().token)
             if waiter is not None:
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -53,6 +53,9 @@
 # An upstream is silent if nothing at all is received from it while a request
 # waits there for this time, and for the timeout of an idempotent request.
 QUIET_LIMIT_S = 1.0
+# Streams that have begun are silent for much less, even if the prompts of
+# others are read in between.
+QUIET_STREAM_S = 0.6
 # Requests sent on outdated weights may still start for this part of the margin
 # before the version limit; the rest is for closing the connection.
 LATE_START_S = 0.3
@@ -250,6 +253,9 @@
             context.tried.append, upstream.record.upstream_id
         )
         attempt.reader.hedge = partial(self._hedge, context)
+        attempt.reader.queue_move = partial(
+            self.dispatch_queue.queue_move, context.accepted.service
+        )
         attempt.on_answer_started = upstream.record_started
         attempt.on_proven = partial(
             self.outcome_recorder.record_proven, context
@@ -312,6 +318,7 @@
         if not attempt.answer_started:
             upstream.record_started()
         if attempt.sent:
+            upstream.responsiveness.record_left(self.clock())
             context.may_have_run |= not isinstance(outcome, NotRun)
         self.dispatch_queue.record_completion(context.accepted.service)
 
@@ -395,17 +402,24 @@
             return AttemptTimeouts(
                 max(MIN_TIMEOUT_S, timeout_s),
                 None,
-                quiet_limit_s=quiet_limit_s,
+                quiet_first_s=quiet_limit_s,
+                quiet_idle_s=quiet_limit_s,
             )
         case RetryPolicy.resume:
             return AttemptTimeouts(
                 STREAM_FIRST_EVENT_S,
                 STREAM_IDLE_S,
                 patience_s=CALLER_PATIENCE_S,
-                quiet_limit_s=QUIET_LIMIT_S,
+                quiet_first_s=QUIET_LIMIT_S,
+                quiet_idle_s=QUIET_STREAM_S,
             )
         case RetryPolicy.never:
-            return AttemptTimeouts(None, None, quiet_limit_s=quiet_limit_s)
+            return AttemptTimeouts(
+                None,
+                None,
+                quiet_first_s=quiet_limit_s,
+                quiet_idle_s=quiet_limit_s,
+            )
 
 
 def _milliseconds(seconds: float) -> int | None:
--- a/src/bramleylug/relay/silence.py
+++ b/src/bramleylug/relay/silence.py
@@ -11,9 +11,12 @@
 
 ResultT = TypeVar('ResultT')
 Read = Callable[[], Coroutine[Any, Any, ResultT]]
+QueueMove = Callable[[float, Callable[[], bool]], Callable[[], None]]
 # While an upstream is silent, or none can continue a stream, another one is
 # looked for at this interval.
 RECHECK_INTERVAL_S = 0.2
+# Whether an upstream is silent is checked at this interval.
+CHECK_INTERVAL_S = 0.1
 # A caller abandons a stream after 2 s or more without an event. One that is
 # cut off before may still resume it by itself.
 CALLER_PATIENCE_S = 2.0
@@ -56,6 +59,11 @@
     quiet_limit_s: float = math.inf
     check_s: float = math.inf
 
+    @property
+    def may_move(self) -> bool:
+        """Whether another upstream may be looked for."""
+        return self.look_s < math.inf
+
     def left_s(self, now_s: float) -> float | None:
         """Return the time until the next check; ``None`` for no limit."""
         next_s = min(self.look_s, self.check_s, self.end_s)
@@ -71,7 +79,7 @@
         if now_s >= self.look_s:
             self.look_s = now_s + RECHECK_INTERVAL_S
         if now_s >= self.check_s:
-            self.check_s = now_s + RECHECK_INTERVAL_S
+            self.check_s = now_s + CHECK_INTERVAL_S
 
     def error(self, now_s: float) -> UpstreamSilent:
         """Return the error that ends the attempt."""
@@ -89,6 +97,12 @@
         if another upstream can be tried. The first attempt ends when the
         answer of the second one begins. ``None`` for no second attempts.
     :ivar watch: observes the upstream; ``None`` before the request was sent.
+    :ivar queue_move: lets the request wait for a slot of another upstream,
+        given since when it waits and what takes the slot; returns what ends
+        the wait.
+    :ivar leave_queue: ends that wait; ``None`` while there is none.
+    :ivar offered: the second attempt that has taken such a slot.
+    :ivar pause: the current wait for the upstream.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -96,6 +110,10 @@
         self.connection: ClientConnection | None = None
         self.hedge: Callable[[], Hedge | None] | None = None
         self.watch: UpstreamWatch | None = None
+        self.queue_move: QueueMove | None = None
+        self.leave_queue: Callable[[], None] | None = None
+        self.offered: Hedge | None = None
+        self.pause: asyncio.Timeout | None = None
 
     @property
     def opened(self) -> ClientConnection:
@@ -113,9 +131,16 @@
         :raises UpstreamSilent: when the answer of another upstream has begun,
             or that of this one has not started in time.
         """
+        try:
+            return await self._read(read, silence)
+        finally:
+            self._stop_looking()
+
+    async def _read(self, read: Read[ResultT], silence: Silence) -> ResultT:
         while True:
+            self.pause = asyncio.timeout(silence.left_s(self.clock()))
             try:
-                async with asyncio.timeout(silence.left_s(self.clock())):
+                async with self.pause:
                     return await read()
             except TimeoutError:
                 hedge = self._look(silence)
@@ -131,15 +156,48 @@
         """
         now_s = self.clock()
         is_silent = self._is_upstream_silent(silence)
-        is_due = now_s >= silence.look_s
+        is_due = now_s >= silence.look_s or (is_silent and silence.may_move)
         silence.put_off(now_s)
-        if self.hedge is None or not is_due:
-            return None
+        hedge = self.offered
+        self.offered = None
+        if hedge is not None or self.hedge is None or not is_due:
+            return hedge
         hedge = self.hedge()
-        if hedge is None and is_silent and self.watch is not None:
-            self.watch.record_wait()
+        if hedge is None and is_silent:
+            self._wait_for_slot(silence.since_s)
+        else:
+            self._leave_queue()
         return hedge
 
+    def _wait_for_slot(self, since_s: float) -> None:
+        if self.watch is not None:
+            self.watch.record_wait()
+        if self.leave_queue is None and self.queue_move is not None:
+            self.leave_queue = self.queue_move(since_s, self._take_slot)
+
+    def _take_slot(self) -> bool:
+        """Take a free slot of another upstream; return whether it has."""
+        hedge = None if self.hedge is None else self.hedge()
+        if hedge is None:
+            return False
+        self.offered = hedge
+        self.leave_queue = None
+        if self.pause is not None and not self.pause.expired():
+            self.pause.reschedule(asyncio.get_running_loop().time())
+        return True
+
+    def _stop_looking(self) -> None:
+        """Give up the place in the queue, or the slot it has led to."""
+        self._leave_queue()
+        if self.offered is not None:
+            self.offered.discard()
+            self.offered = None
+
+    def _leave_queue(self) -> None:
+        if self.leave_queue is not None:
+            self.leave_queue()
+            self.leave_queue = None
+
     def _is_upstream_silent(self, silence: Silence) -> bool:
         return self.watch is not None and self.watch.is_silent(
             silence.since_s, silence.quiet_limit_s
--- a/src/bramleylug/relay/upstream_selection.py
+++ b/src/bramleylug/relay/upstream_selection.py
@@ -126,6 +126,7 @@
             return NoneEligible(
                 candidates[-1][1] if candidates else NOT_REGISTERED
             )
+        eligible = responsive(eligible, now_s)
         available = [one for one in eligible if is_available(one, now_s)]
         without_permit = tuple(
             one for one in eligible if lacks_only_permit(one, now_s)
@@ -229,6 +230,14 @@
     return ''
 
 
+def responsive(upstreams: list[Upstream], now_s: float) -> list[Upstream]:
+    """Return the upstreams that are not silent; all if each one is.
+
+    Then rather the network of this process is at fault.
+    """
+    return [one for one in upstreams if not one.is_silent(now_s)] or upstreams
+
+
 def closed_until_s(upstream: Upstream, now_s: float) -> float:
     """Return until when an upstream gets no request, whatever its load."""
     until_s = max(upstream.avoid_until_s, upstream.notice.paused_until_s)
--- a/testing/cluster/test_responsiveness.py
+++ b/testing/cluster/test_responsiveness.py
@@ -42,6 +42,48 @@
         self.assertEqual(heard, [HeardAgain(4.5), None])
         self.assertFalse(responsiveness.silent)
 
+    def test_silent_upstream_gets_nothing_while_it_has_requests(self) -> None:
+        """They show when it goes on."""
+        responsiveness = Responsiveness()
+        responsiveness.record_silence(9.5)
+
+        self.assertTrue(responsiveness.is_avoided(1, 100.0))
+
+        responsiveness.record_heard(100.0)
+
+        self.assertFalse(responsiveness.is_avoided(1, 100.0))
+
+    def test_silent_upstream_without_requests_gets_one_later(self) -> None:
+        """Nothing else could show that it has gone on."""
+        responsiveness = Responsiveness()
+        responsiveness.record_silence(9.5)
+        responsiveness.record_left(12.0)
+
+        avoided = [responsiveness.is_avoided(0, at_s) for at_s in (13.9, 14.0)]
+
+        self.assertEqual(avoided, [True, False])
+
+    def test_slots_of_ended_requests_are_not_free_at_once(self) -> None:
+        """A silent upstream has not noticed that its callers left."""
+        responsiveness = Responsiveness()
+        responsiveness.record_left(9.0)
+        responsiveness.record_silence(9.5)
+        responsiveness.record_left(12.0)
+        responsiveness.record_left(12.5)
+
+        left = [responsiveness.left_running(at_s) for at_s in (12.5, 14.5)]
+
+        self.assertEqual(left, [2, 0])
+
+    def test_slots_of_ended_requests_are_free_when_it_is_heard(self) -> None:
+        """It reads then that their callers have left."""
+        responsiveness = Responsiveness()
+        responsiveness.record_silence(9.5)
+        responsiveness.record_left(12.0)
+        responsiveness.record_heard(12.5)
+
+        self.assertEqual(responsiveness.left_running(12.5), 0)
+
     def test_new_incarnation_is_not_silent(self) -> None:
         """Bytes of the previous one say nothing of it."""
         registry = UpstreamRegistry()
--- a/testing/relay/test_silent_upstreams.py
+++ b/testing/relay/test_silent_upstreams.py
@@ -1,22 +1,31 @@
 """Tests of upstreams from which nothing is received."""
 
 import asyncio
+import unittest
 
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from loguru import logger
 
 from bramleylug.cluster.heartbeats import relay_heartbeat
+from bramleylug.cluster.route_table import RetryPolicy
+from bramleylug.relay.relay import timeouts_of
+from bramleylug.relay.silence import HedgedReader, Silence
+from testing.relay.builders import build_route
 from testing.relay.scripted_engines import (
     LAST_CHUNK,
     OK_HEAD,
     RecordingExchange,
     ScriptedEngine,
+    complete_answer,
     event,
 )
 from testing.relay.test_relay import RelayCase
 
+# The answer to a request on a connection with an earlier one names it.
+OK_HEAD_WITH_ID = OK_HEAD.replace(b'X-Sig', b'X-Id: request-1\r\nX-Sig')
 WHOLE_STREAM = [OK_HEAD, event(1), LAST_CHUNK]
+WHOLE_STREAM_WITH_ID = [OK_HEAD_WITH_ID, event(1), LAST_CHUNK]
 
 
 class SilentUpstreamCase(RelayCase):
@@ -26,6 +35,7 @@
         """Let a single slow stream look for another engine after 0.6 s."""
         for name, value in (
             ('QUIET_LIMIT_S', 0.2),
+            ('QUIET_STREAM_S', 0.2),
             ('STREAM_FIRST_EVENT_S', 0.6),
             ('STREAM_IDLE_S', 0.6),
         ):
@@ -128,10 +138,8 @@
     async def test_its_requests_do_not_starve_behind_new_ones(self) -> None:
         """New requests took each slot of the other engine that was freed."""
         done: list[str] = []
-        slow = [OK_HEAD.replace(b'X-Sig', b'X-Id: request-1\r\nX-Sig')]
-        for number in range(1, 6):
-            slow += [event(number), 0.1]
-        slow += [LAST_CHUNK]
+        slow = [OK_HEAD_WITH_ID, event(1), 0.1, event(2), 0.1, event(3), 0.1]
+        slow += [event(4), 0.1, event(5), 0.1, LAST_CHUNK]
         stopped = asyncio.create_task(
             self.serve(
                 ScriptedEngine([30.0]),
@@ -167,3 +175,107 @@
 
         self.assertEqual(exchange.ended, 'whole')
         self.assertEqual(self.arrivals(), [1, 1])
+
+    async def test_request_that_may_run_once_stays_there(self) -> None:
+        """New ones go to another engine all the same."""
+        answer = complete_answer(b'booked')
+        serving = asyncio.create_task(
+            self.serve(
+                ScriptedEngine([0.8, answer]),
+                ScriptedEngine(answer),
+                loads=(0, 50),
+                retry_policy=RetryPolicy.never,
+                streamed=False,
+                objective_s=0.05,
+            )
+        )
+        await asyncio.sleep(0.5)
+
+        exchanges = [await self.serve_another(), await serving]
+
+        self.assertEqual([one.status for one in exchanges], [200, 200])
+        self.assertEqual(self.arrivals(), [1, 1])
+
+    async def test_answer_that_comes_with_the_slot_is_forwarded(self) -> None:
+        """The slot is given back."""
+        self.relay = self.build_relay(build_route())
+        reader = HedgedReader(self.relay.clock)
+        hedge = Mock()
+        reader.hedge = Mock(side_effect=[None, hedge])
+        reader.watch = Mock()
+        reader.queue_move = Mock()
+        silence = Silence(0.0, look_s=0.0, quiet_limit_s=0.1, check_s=0.0)
+        input_came = asyncio.Event()
+
+        async def read():
+            await input_came.wait()
+            return b'event'
+
+        reading = asyncio.create_task(reader.read(read, silence))
+        await asyncio.sleep(0.05)
+        input_came.set()
+        taken = reader.queue_move.call_args.args[1]()
+
+        self.assertEqual((taken, await reading), (True, b'event'))
+        hedge.discard.assert_called_once_with()
+
+
+class TestResumedEngine(SilentUpstreamCase):
+    """A silent engine that goes on is used again."""
+
+    async def test_engine_that_is_heard_again_gets_requests(self) -> None:
+        """The other engine is busier."""
+        self.spend_retry_budget()
+        await self.serve(
+            ScriptedEngine([0.5, *WHOLE_STREAM], WHOLE_STREAM_WITH_ID),
+            ScriptedEngine(WHOLE_STREAM),
+            loads=(0, 99),
+        )
+        exchange = RecordingExchange()
+
+        await self.relay.serve(exchange)
+
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertEqual(self.arrivals(), [2, 0])
+
+
+class TestQuietLimits(unittest.TestCase):
+    """How long a request waits before its upstream counts as silent."""
+
+    def limits(self, silence):
+        return silence.quiet_limit_s, silence.check_s, silence.may_move
+
+    def test_streams(self) -> None:
+        """One that has begun gets events in quick succession."""
+        timeouts = timeouts_of(build_route())
+
+        self.assertEqual(
+            self.limits(timeouts.before_start(10.0)), (1.0, 10.6, True)
+        )
+        self.assertEqual(
+            self.limits(timeouts.after_event(10.0)), (0.6, 10.6, True)
+        )
+
+    def test_request_that_may_run_once(self) -> None:
+        """It takes longer on a slow service, and never moves."""
+        for objective_s, limit_s in ((0.1, 1.0), (0.5, 1.5)):
+            route = build_route(
+                retry_policy=RetryPolicy.never,
+                streamed=False,
+                objective_s=objective_s,
+            )
+
+            silence = timeouts_of(route).before_start(10.0)
+
+            self.assertEqual(
+                self.limits(silence), (limit_s, 10.0 + limit_s, False)
+            )
+
+    def test_idempotent_request(self) -> None:
+        """It moves before its upstream counts as silent."""
+        route = build_route(retry_policy=RetryPolicy.always, objective_s=0.2)
+
+        silence = timeouts_of(route).before_start(10.0)
+
+        self.assertEqual(self.limits(silence), (1.0, 11.0, True))
+        self.assertAlmostEqual(silence.look_s, 10.6)
--- a/testing/relay/test_upstream_selection.py
+++ b/testing/relay/test_upstream_selection.py
@@ -129,6 +129,30 @@
 
         self.assertNotIn('near', self.chosen())
 
+    def test_silent_engine_gets_nothing(self) -> None:
+        """It may have more free slots than the others."""
+        self.near.running = 1
+        self.near.responsiveness.record_silence(-2.0)
+
+        self.assertNotIn('near', self.chosen())
+
+    def test_request_waits_rather_than_go_to_a_silent_engine(self) -> None:
+        """All others are full."""
+        self.near.running = 1
+        self.near.responsiveness.record_silence(-2.0)
+        self.also_near.running = 4
+        self.far.running = 4
+
+        self.assertEqual(self.select(), AtCapacity(8))
+
+    def test_engines_are_selected_as_usual_if_all_are_silent(self) -> None:
+        """This process is cut off, or stood still itself."""
+        for upstream in (self.near, self.also_near, self.far):
+            upstream.running = 1
+            upstream.responsiveness.record_silence(-2.0)
+
+        self.assertEqual(set(self.chosen()), {'near', 'also-near'})
+
     def test_region_restriction_holds(self) -> None:
         """A request is not sent outside its allowed regions."""
         requirements = build_requirements(regions=frozenset(('west',)))
