Relay: a new request waits while others wait to leave a silent upstream

It took a free slot without waiting if no other new request waited, although requests at a silent upstream had not had their share yet. The slot is offered to those first now. The test fails on the code before: the new request is sent with no offer.

--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -95,7 +95,8 @@
         requirements = context.requirements()
         queue = self.queues.setdefault(requirements.service, WaitQueue())
         selection = self._select(requirements)
-        if isinstance(selection, Selected) and queue.size and first:
+        waiting = queue.size + self._moving(requirements.service)
+        if isinstance(selection, Selected) and waiting and first:
             # Requests that already wait go first; this one may be queued.
             selection = AtCapacity(0)
         match selection:
@@ -176,8 +177,7 @@
             await self.has_waiting.wait()
             await asyncio.sleep(RETRY_INTERVAL_S)
             self.wake_waiting()
-            moving = sum(moves.size for moves in self.moves.values())
-            if not (self.waiters or moving):
+            if not (self.waiters or any(map(self._moving, self.moves))):
                 self.has_waiting.clear()
 
     async def _wait(
@@ -232,8 +232,7 @@
 
     def _wake(self, service: str, queue: WaitQueue) -> None:
         """Wake as many waiting requests as there are free slots."""
-        moves = self.moves.get(service)
-        if not queue.size and not (moves and moves.size):
+        if not (queue.size or self._moving(service)):
             return
         now_s = self.clock()
         relays = self.view.peers.relay_count()
@@ -245,13 +244,18 @@
             )
             if now_s >= closed_until_s(upstream, now_s)
         )
-        if moves is not None:
-            free -= moves.offer(free)
+        if self._moving(service):
+            free -= self.moves[service].offer(free)
         for _ in range(min(free, queue.size)):
             waiter = self.waiters.get(queue.queue.pop().token)
             if waiter is not None:
                 waiter.woken.set()
 
+    def _moving(self, service: str) -> int:
+        """Return how many requests wait to leave a silent upstream."""
+        moves = self.moves.get(service)
+        return 0 if moves is None else moves.size
+
     def _select(self, requirements: Requirements) -> Selection:
         selection = self._look(requirements)
         if not isinstance(selection, NoneEligible):
--- a/testing/relay/test_handover.py
+++ b/testing/relay/test_handover.py
@@ -1,5 +1,6 @@
 """Tests of whether a request may move to another upstream."""
 
+import asyncio
 import unittest
 from dataclasses import replace
 from random import Random
@@ -108,3 +109,22 @@
         self.now_s += 60
 
         self.assertFalse(self.handover.try_move(context))
+
+    async def test_free_slot_is_offered_to_waiting_moves_first(self) -> None:
+        """A new request gets it only when none of them can use it."""
+        offers: list[str] = []
+        queue = self.handover.dispatch_queue
+
+        def take_slot() -> bool:
+            offers.append('offered')
+            return False
+
+        running = asyncio.create_task(queue.run())
+        self.addCleanup(running.cancel)
+        queue.queue_move('advisor', 99.0, take_slot)
+        offers.clear()
+
+        found = await queue.assign(self.build_context(), first=True)
+
+        self.assertEqual(found.record.upstream_id, 'engine-1')
+        self.assertEqual(offers, ['offered'])
