--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -7,6 +7,7 @@
 from bramleylug.cluster.cold_start import ColdStart
 from bramleylug.cluster.permits import HeldPermits
 from bramleylug.cluster.rate_limit import Incarnation, RateLimit, RateLimits
+from bramleylug.cluster.responsiveness import Responsiveness
 
 # Share of an upstream's slots that is filled before requests wait at the
 # relay. Requests that two relays send at the same moment may exceed the
@@ -114,6 +115,7 @@
     :ivar weights_written_s: when the weights in its record were read first.
     :ivar limit: what is known of the limit that it names.
     :ivar permits: those of this process while it names one.
+    :ivar responsiveness: whether anything is received from this incarnation.
     :ivar removed: whether its record has been removed.
     """
 
@@ -131,6 +133,7 @@
     weights_written_s: float = float('-inf')
     limit: RateLimit = field(default_factory=RateLimit)
     permits: HeldPermits = field(default_factory=HeldPermits)
+    responsiveness: Responsiveness = field(default_factory=Responsiveness)
     removed: bool = False
 
     @property
@@ -159,6 +162,7 @@
         self.result_count = 0
         self.cold = None
         self.permits = HeldPermits()
+        self.responsiveness = Responsiveness()
 
     def load(self, now_s: float) -> float:
         """Return the number of running requests, as far as known.
@@ -172,11 +176,23 @@
             for count, received_s in self.reported_running.values()
             if now_s - received_s < REPORT_TTL_S
         )
+        own = self.own_running(now_s)
         report = self.report
         if report is None or now_s - report.received_s >= REPORT_TTL_S:
-            return self.running + reported
+            return own + reported
         others = report.running + report.waiting - report.own_running
-        return self.running + max(reported, others)
+        return own + max(reported, others)
+
+    def own_running(self, now_s: float) -> int:
+        """Return how many requests of this process it has.
+
+        A silent upstream has not noticed yet that some have ended.
+        """
+        return self.running + self.responsiveness.left_running(now_s)
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether it gets no new request because it is silent."""
+        return self.responsiveness.is_avoided(self.running, now_s)
 
     def may_send(self, now_s: float) -> bool:
         """Return whether the rates that it takes allow a request now."""
@@ -379,7 +395,8 @@
         """Record a loader's report on the upstream at an address."""
         for upstream in self.by_id.values():
             if upstream.record.address == address:
-                upstream.report = report._replace(own_running=upstream.running)
+                own_running = upstream.own_running(report.received_s)
+                upstream.report = report._replace(own_running=own_running)
 
     def _notice(
         self, upstream_id: str, started_ms: int, now_s: float
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -16,6 +16,7 @@
     count,
 )
 from bramleylug.outcomes import NotRun, Reason
+from bramleylug.relay.move_queue import MoveQueue
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.upstream_selection import (
     AtCapacity,
@@ -25,6 +26,8 @@
     Selection,
     UpstreamSelector,
     closed_until_s,
+    responsive,
+    sendable_at_once,
 )
 from bramleylug.relay.wait_queue import Refuse, Wait, WaitQueue
 
@@ -58,6 +61,7 @@
     """Assigns requests to upstreams; queues them while none has a free slot.
 
     :ivar queues: waiting requests by service.
+    :ivar moves: by service, requests that wait to leave a silent upstream.
     :ivar waiters: waiting requests, by token.
     :ivar has_waiting: set while requests wait.
     """
@@ -72,6 +76,7 @@
         self.selector = selector
         self.clock = clock
         self.queues: dict[str, WaitQueue] = {}
+        self.moves: dict[str, MoveQueue] = {}
         self.waiters: dict[int, Waiter] = {}
         self.tokens = numbers()
         self.has_waiting = asyncio.Event()
@@ -90,7 +95,8 @@
         requirements = context.requirements()
         queue = self.queues.setdefault(requirements.service, WaitQueue())
         selection = self._select(requirements)
-        if isinstance(selection, Selected) and queue.size and first:
+        waiting = queue.size + self._moving(requirements.service)
+        if isinstance(selection, Selected) and waiting and first:
             # Requests that already wait go first; this one may be queued.
             selection = AtCapacity(0)
         match selection:
@@ -119,20 +125,36 @@
             return self._claim(selection.upstream)
         return None
 
+    def queue_move(
+        self, service: str, since_s: float, take_slot: Callable[[], bool]
+    ) -> Callable[[], None]:
+        """Let a request at a silent upstream wait for a slot of another one.
+
+        It may get one at once.
+
+        :param since_s: since when it waits for the silent one.
+        :param take_slot: called when slots are free; returns whether the
+            request has taken one.
+        :returns: what ends the wait.
+        """
+        moves = self.moves.setdefault(service, MoveQueue())
+        remove = moves.push(since_s, take_slot)
+        self.has_waiting.set()
+        self._wake(service, self.queues.setdefault(service, WaitQueue()))
+        return remove
+
     def record_completion(self, service: str) -> None:
         """Record that a request left an upstream; wake waiting requests."""
         queue = self.queues.get(service)
         if queue is None:
             return
         queue.record_completion(self.clock())
-        if queue.size:
-            self._wake(service, queue)
+        self._wake(service, queue)
 
     def wake_waiting(self) -> None:
         """Wake the waiting requests of all services for free slots."""
         for service, queue in self.queues.items():
-            if queue.size:
-                self._wake(service, queue)
+            self._wake(service, queue)
 
     def ask_further(self, upstream: Upstream) -> None:
         """Ask for permits of others, as one will come later."""
@@ -155,7 +177,7 @@
             await self.has_waiting.wait()
             await asyncio.sleep(RETRY_INTERVAL_S)
             self.wake_waiting()
-            if not self.waiters:
+            if not (self.waiters or any(map(self._moving, self.moves))):
                 self.has_waiting.clear()
 
     async def _wait(
@@ -210,18 +232,30 @@
 
     def _wake(self, service: str, queue: WaitQueue) -> None:
         """Wake as many waiting requests as there are free slots."""
+        if not (queue.size or self._moving(service)):
+            return
         now_s = self.clock()
+        relays = self.view.peers.relay_count()
         WAITING.set({'service': service}, queue.size)
         free = sum(
-            upstream.sendable(now_s)
-            for upstream in self.view.upstreams.of_service(service)
+            sendable_at_once(upstream, relays, now_s)
+            for upstream in responsive(
+                list(self.view.upstreams.of_service(service)), now_s
+            )
             if now_s >= closed_until_s(upstream, now_s)
         )
+        if self._moving(service):
+            free -= self.moves[service].offer(free)
         for _ in range(min(free, queue.size)):
             waiter = self.waiters.get(queue.queue.pop().token)
             if waiter is not None:
                 waiter.woken.set()
 
+    def _moving(self, service: str) -> int:
+        """Return how many requests wait to leave a silent upstream."""
+        moves = self.moves.get(service)
+        return 0 if moves is None else moves.size
+
     def _select(self, requirements: Requirements) -> Selection:
         selection = self._look(requirements)
         if not isinstance(selection, NoneEligible):
