Relay: a move that cannot be made holds up no new request

While a request waited to leave a silent upstream, each new request of the service was queued although upstreams had free slots: it waited up to 50 ms, or got 503 if requests of the service end seldom. That lasted as long as the silence, also when the waiting request could not move at all: no attempt or no retry budget left, every other upstream tried or in a forbidden region.

Free slots are now offered to the waiting moves when the new request arrives, and what they leave is its own. The test got a refusal before.

--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -95,10 +95,8 @@
         requirements = context.requirements()
         queue = self.queues.setdefault(requirements.service, WaitQueue())
         selection = self._select(requirements)
-        waiting = queue.size + self._moving(requirements.service)
-        if isinstance(selection, Selected) and waiting and first:
-            # Requests that already wait go first; this one may be queued.
-            selection = AtCapacity(0)
+        if isinstance(selection, Selected) and first:
+            selection = self._after_waiting(requirements, queue, selection)
         match selection:
             case Selected(upstream):
                 return self._claim(upstream)
@@ -230,10 +228,30 @@
                 queue.drop(arrival)
         return True
 
-    def _wake(self, service: str, queue: WaitQueue) -> None:
-        """Wake as many waiting requests as there are free slots."""
+    def _after_waiting(
+        self, requirements: Requirements, queue: WaitQueue, selection: Selection
+    ) -> Selection:
+        """Return what is left for a new request: those that wait go first.
+
+        Requests that wait to leave a silent upstream may be unable to use any
+        slot, so these are offered to them once.
+        """
+        service = requirements.service
+        if queue.size:
+            return AtCapacity(0)
+        if not self._moving(service):
+            return selection
+        if self._wake(service, queue):
+            return self._select(requirements)
+        return AtCapacity(0)
+
+    def _wake(self, service: str, queue: WaitQueue) -> int:
+        """Wake as many waiting requests as there are free slots.
+
+        :returns: how many slots are left.
+        """
         if not (queue.size or self._moving(service)):
-            return
+            return 0
         now_s = self.clock()
         relays = self.view.peers.relay_count()
         WAITING.set({'service': service}, queue.size)
@@ -246,10 +264,12 @@
         )
         if self._moving(service):
             free -= self.moves[service].offer(free)
-        for _ in range(min(free, queue.size)):
+        woken = max(0, min(free, queue.size))
+        for _ in range(woken):
             waiter = self.waiters.get(queue.queue.pop().token)
             if waiter is not None:
                 waiter.woken.set()
+        return max(0, free - woken)
 
     def _moving(self, service: str) -> int:
         """Return how many requests wait to leave a silent upstream."""
--- a/testing/relay/test_handover.py
+++ b/testing/relay/test_handover.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 from bramleylug.cluster.cluster_view import ClusterView
 from bramleylug.relay.dispatch_queue import DispatchQueue
@@ -128,3 +129,18 @@
 
         self.assertEqual(found.record.upstream_id, 'engine-1')
         self.assertEqual(offers, ['offered'])
+
+    async def test_move_that_cannot_be_made_holds_up_no_new_request(
+        self,
+    ) -> None:
+        """Guards against 503 and waits while engines are free."""
+        queue = self.handover.dispatch_queue
+        queue.queue_move('advisor', 99.0, Mock(return_value=False))
+        queue.record_completion('advisor')
+        self.now_s += 2.5
+        self.mirror.confirm(self.now_s, self.now_s)
+
+        async with asyncio.timeout(1):
+            found = await queue.assign(self.build_context(), first=True)
+
+        self.assertEqual(found.record.upstream_id, 'engine-1')
