Soak: processes are paused for longer than callers wait

An engine is never stopped, only killed, and no client leaves a stream before its deadline, so that the checks of runs had nothing to judge.

The other stops a relay and a loader while new weights are named, the loader past the time limit. A new check judges streams that engines begin over 0.5 s after their callers have left: more than a quarter, and than three, break the rule. The check of older weights judged such a relay from 3 s after its pause on; a test shows that it does.

--- a/src/bramleylug/soak/checks.py
+++ b/src/bramleylug/soak/checks.py
@@ -22,6 +22,11 @@
 # the time in which those that were on their way do not count.
 MAX_DURING_PAUSE = 2
 PAUSE_SLACK_S = 0.5
+# Engines may begin this share of the streams that their callers have left, and
+# this many, later than this time after the callers left.
+GONE_SLACK_S = 0.5
+GONE_SHARE = 0.25
+MAX_GONE = 3
 
 
 def find_violations(observations: Observations) -> list[str]:
@@ -36,6 +41,7 @@
         *_runs_in_evacuated_zones(observations),
         *_runs_at_leaving_engines(observations),
         *_requests_during_pauses(observations),
+        *_begun_for_gone_callers(observations),
         *_not_recovered(observations),
         *find_trouble_violations(observations),
         *find_limit_violations(observations),
@@ -179,6 +185,30 @@
             yield relay, pause
 
 
+def _begun_for_gone_callers(observations: Observations) -> Iterable[str]:
+    """An engine that was stopped begins little when it goes on."""
+    left_s = {
+        request.request_id: request.ended_s
+        for request in observations.requests
+        if request.outcome is Outcome.left
+        and not observations.was_disturbed_within(
+            request.relay, request.sent_s, request.ended_s
+        )
+    }
+    ran = {run.request_id for run in observations.runs} & left_s.keys()
+    late = {
+        run.request_id
+        for run in observations.runs
+        if run.request_id in ran
+        and run.at_s > left_s[run.request_id] + GONE_SLACK_S
+    }
+    if len(late) > max(MAX_GONE, GONE_SHARE * len(ran)):
+        yield (
+            f'engines began {len(late)} of {len(ran)} streams more than '
+            f'{GONE_SLACK_S} s after their callers had left'
+        )
+
+
 def _not_recovered(observations: Observations) -> Iterable[str]:
     outcomes: defaultdict[bool, int] = defaultdict(int)
     for request in observations.requests:
--- a/src/bramleylug/soak/clients.py
+++ b/src/bramleylug/soak/clients.py
@@ -22,6 +22,8 @@
 EVENT = re.compile(r'id: (\d+)\ndata: (\S+) v(\d+)\n\n')
 EVENT_COUNT = 6
 REQUEST_TIMEOUT_S = 6.0
+# Clients leave a stream after this time while the host of an engine is paused.
+PATIENCE_S = 2.4
 CONNECT_TIMEOUT_S = 0.5
 MEAN_PAUSE_S = 0.12
 RESOLVE_INTERVAL_S = 1.0
@@ -84,18 +86,9 @@
             and self.traffic.harmful_faults > 0
         )
         key = self.random.choice(KEYS)
+        request = self._build(request_id, key, booking, harmful)
         sent_s = time.time()
-        try:
-            async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                head, body = await self._send(
-                    relay, self._build(request_id, key, booking, harmful)
-                )
-        except CALL_ERRORS:
-            outcome, error = Outcome.failed, ''
-        else:
-            outcome, error = classify_answer(
-                head, body, request_id, booking=booking
-            )
+        outcome, error = await self._call(relay, request, request_id, booking)
         self.observations.requests.append(
             RequestRecord(
                 request_id,
@@ -110,6 +103,24 @@
             )
         )
 
+    async def _call(
+        self,
+        relay: RelayAddress,
+        request: ClientRequest,
+        request_id: str,
+        booking: bool,
+    ) -> tuple[Outcome, str]:
+        """Return how a request ends, and the error in a complete answer."""
+        leaves = not booking and self.traffic.host_pauses > 0
+        patience = asyncio.timeout(PATIENCE_S if leaves else REQUEST_TIMEOUT_S)
+        try:
+            async with patience:
+                head, body = await self._send(relay, request)
+        except CALL_ERRORS:
+            has_left = leaves and patience.expired()
+            return Outcome.left if has_left else Outcome.failed, ''
+        return classify_answer(head, body, request_id, booking=booking)
+
     def _build(
         self, request_id: str, key: str, booking: bool, harmful: bool
     ) -> ClientRequest:
--- a/src/bramleylug/soak/fault_injector.py
+++ b/src/bramleylug/soak/fault_injector.py
@@ -17,6 +17,7 @@
 from bramleylug.soak.fault_schedule import Fault, Kind
 from bramleylug.soak.observations import Interval, Observations, SilentPage
 from bramleylug.soak.odd_entries import build_odd_entry
+from bramleylug.soak.pause_faults import PauseFaults
 from bramleylug.soak.proxy import LinkFault
 from bramleylug.soak.traffic import Traffic
 
@@ -69,6 +70,9 @@
         self.traffic = traffic
         self.low_limits_s: list[float] = []
         self.engine_faults = EngineFaults(deployment)
+        self.pause_faults = PauseFaults(
+            deployment, observations, traffic, self._weights_named
+        )
         self.version = 1
         self.revoked: set[str] = set()
         self.handlers: dict[Kind, Callable[[Fault], Awaitable[None]]] = {
@@ -92,6 +96,8 @@
             Kind.engine_in_need: self.engine_faults.in_need,
             Kind.odd_entry: self._odd_entry,
             Kind.crowd: self._crowd,
+            Kind.host_paused: self.pause_faults.host_paused,
+            Kind.naming_missed: self.pause_faults.naming_missed,
         }
 
     async def inject(self, fault: Fault) -> None:
--- a/src/bramleylug/soak/fault_schedule.py
+++ b/src/bramleylug/soak/fault_schedule.py
@@ -45,6 +45,8 @@
     engine_in_need = 'engine names a rate limit for a while'
     odd_entry = 'another writer leaves an entry that cannot be used'
     crowd = 'very many connections at a relay'
+    host_paused = 'engine and its loader paused together'
+    naming_missed = 'relay and loader paused while new weights are named'
 
 
 # Relative frequency of the kinds; 1 for those that are absent.
@@ -62,6 +64,8 @@
 FIRST_KINDS = ALL_KINDS[: ALL_KINDS.index(Kind.engine_leaving)]
 # Those before engines were silent, crashed by a part or ended answers early.
 SECOND_KINDS = ALL_KINDS[: ALL_KINDS.index(Kind.silence)]
+# Those before processes were paused for longer than callers wait.
+THIRD_KINDS = ALL_KINDS[: ALL_KINDS.index(Kind.host_paused)]
 
 
 class Fault(NamedTuple):
--- a/src/bramleylug/soak/observations.py
+++ b/src/bramleylug/soak/observations.py
@@ -11,12 +11,16 @@
 @final
 @unique
 class Outcome(Enum):
-    """How a request ended for its client."""
+    """How a request ended for its client.
+
+    ``left`` is a stream that its client gave up before its deadline.
+    """
 
     complete = 'whole'
     refused = 'refused'
     failed = 'failed'
     denied = 'denied'
+    left = 'left'
 
 
 class RequestRecord(NamedTuple):
--- a/src/bramleylug/soak/traffic.py
+++ b/src/bramleylug/soak/traffic.py
@@ -24,10 +24,13 @@
 
     :ivar harmful_faults: number of faults during which some clients send
         requests with a harmful part.
+    :ivar host_pauses: number of faults that pause hosts of engines, during
+        which clients leave streams that take long.
     :ivar idle_limits: published idle limits, the latest one last.
     """
 
     harmful_faults: int = 0
+    host_pauses: int = 0
     idle_limits: list[IdleLimit] = field(default_factory=list)
 
     def publish_limit(self, limit_s: float) -> None:
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -187,6 +187,56 @@
 
         self.assertEqual([len(one) for one in found], [0, 1])
 
+    def test_outdated_run_of_a_relay_that_missed_the_naming(self) -> None:
+        """It is judged from 3 s after its pause on."""
+        for paused_until_s, expected in ((96.9, 1), (97.1, 0)):
+            found = find_violations(
+                build_observations(
+                    build_request_record(),
+                    runs=[build_run()],
+                    targets_set_s={2: 91.9},
+                    disturbances=[Interval('relay-0', 91.5, paused_until_s)],
+                )
+            )
+
+            with self.subTest(paused_until_s):
+                self.assertEqual(len(found), expected)
+
+    def find_gone(self, late: int, in_time: int, **fields: object) -> list[str]:
+        """Check streams that begin before or after their callers leave."""
+        requests = [
+            build_request_record(
+                str(place), booking=False, outcome=Outcome.left, ended_s=102.4
+            )
+            for place in range(late + in_time)
+        ]
+        runs = [
+            build_run(str(place), at_s=103.0 if place < late else 102.8)
+            for place in range(late + in_time)
+        ]
+        served = [build_request_record(f's{place}') for place in range(300)]
+        return find_violations(
+            build_observations(*requests, *served, runs=runs, **fields)
+        )
+
+    def test_streams_that_begin_after_their_callers_have_left(self) -> None:
+        """A quarter of them may, and three, later than 0.5 s after it."""
+        for late, in_time, expected in (
+            (4, 0, 1),
+            (3, 0, 0),
+            (5, 14, 1),
+            (5, 15, 0),
+        ):
+            with self.subTest(late=late, in_time=in_time):
+                found = self.find_gone(late, in_time)
+
+                self.assertEqual(len(found), expected)
+
+    def test_streams_left_at_a_disturbed_relay_are_exempt(self) -> None:
+        disturbed = [Interval('relay-0', 96.0, 98.0)]
+
+        self.assertEqual(self.find_gone(4, 0, disturbances=disturbed), [])
+
     def test_service_that_does_not_recover(self) -> None:
         """After the faults, 90 % of the requests have to be served."""
         requests = [
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -75,3 +75,9 @@
         summary = run_soak(921, 10.0, (Kind.silence, Kind.zone_out))
 
         self.assertEqual(summary['violations'], [])
+
+    def test_relay_that_missed_a_naming_sends_to_no_older_weights(self) -> None:
+        """Relay and loader were paused, one engine was late."""
+        summary = run_soak(40, 1.1, (Kind.naming_missed,))
+
+        self.assertEqual(summary['violations'], [])
