--- a/src/bramleylug/soak/soak.py
+++ b/src/bramleylug/soak/soak.py
@@ -41,15 +41,21 @@
 SETTLE_S = 12.0
 RECOVERY_CHECK_S = 4.0
 RUNS_POLL_S = 0.4
+OWN_LOOP_INTERVAL_S = 0.1
 
 
 class Summary(TypedDict):
-    """Result of a soak, which is printed as JSON."""
+    """Result of a soak, which is printed as JSON.
+
+    ``stood_still_s`` is the longest time for which the soak itself did not
+    run: it holds all clients and proxies.
+    """
 
     seed: int
     faults: int
     endings: dict[str, int]
     runs: int
+    stood_still_s: float
     violations: list[str]
 
 
@@ -79,6 +85,7 @@
         self.runs: dict[str, Run] = {}
         self.rejections: dict[str, Rejection] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.stood_still_s = 0.0
         self.traffic = Traffic()
         self.traffic.publish_limit(IDLE_LIMIT_S)
         self.injector = FaultInjector(
@@ -105,6 +112,7 @@
             faults=len(faults),
             endings=dict(outcomes),
             runs=len(self.observations.runs),
+            stood_still_s=round(self.stood_still_s, 2),
             violations=find_violations(self.observations),
         )
 
@@ -118,6 +126,7 @@
         directory = Directory(self.deployment.relays)
         self._spawn(directory.run())
         self._spawn(self._poll_runs())
+        self._spawn(self._watch_own_loop())
         for number in range(CLIENT_COUNT):
             client = Client(
                 number,
@@ -164,6 +173,14 @@
     def _spawn(self, coroutine: Awaitable[None]) -> None:
         self.tasks.add(asyncio.ensure_future(coroutine))
 
+    async def _watch_own_loop(self) -> None:
+        """Measure for how long the loop of the soak does not run."""
+        while True:
+            due_s = time.monotonic() + OWN_LOOP_INTERVAL_S
+            await asyncio.sleep(OWN_LOOP_INTERVAL_S)
+            late_s = time.monotonic() - due_s
+            self.stood_still_s = max(self.stood_still_s, late_s)
+
     async def _poll_runs(self) -> None:
         """Poll the engines' runs, as a killed engine loses those not read."""
         while True:
