--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import final
 
+from bramleylug.node.process_pauses import ProcessPauses
 from bramleylug.store.changes import (
     ReaderTimes,
     Removal,
@@ -27,7 +28,7 @@
 
     Removals of leased items that arrive just after an outage of the store are
     deferred for :data:`RECOVERY_GRACE_S`: their owners may be about to write
-    them again.
+    them again. A pause of this process is no outage of the store.
 
     When the store came back from an older copy of itself, its first listing
     proves only what it contains: for :data:`RESTORE_GRACE_S` keys that it
@@ -35,6 +36,7 @@
     made in the new era says otherwise.
 
     :param outage_s: time without an answer that counts as an outage.
+    :param pauses: when this process stood still; none are known without it.
     :ivar items: items by key.
     :ivar revisions: revision of the latest change of each key, also of keys
         that were removed since.
@@ -45,16 +47,19 @@
         were written after this time, if the store answers at once.
     :ivar answered_s: lower bound of the time at which the store produced its
         last answer.
-    :ivar heard_s: when the last answer of the store arrived, at this process
-        or at the one that passed it on.
+    :ivar heard_s: lower bound of the time at which the last answer of the
+        store arrived, at this process or at the one that passed it on.
     :ivar deferred_removals: keys with the time at which their removal is due.
     :ivar withheld_items: items of an older copy whose keys had been removed.
     :ivar era: era of the store that the revisions belong to.
     :ivar restored_s: when the first listing of a later era was applied.
     """
 
-    def __init__(self, outage_s: float) -> None:
+    def __init__(
+        self, outage_s: float, pauses: ProcessPauses | None = None
+    ) -> None:
         self.outage_s = outage_s
+        self.pauses = ProcessPauses() if pauses is None else pauses
         self.items: dict[str, StoreItem] = {}
         self.revisions: dict[str, int] = {}
         self.revision = 0
@@ -87,16 +92,18 @@
         """Record that a read sent at ``sent_s`` has been answered.
 
         :param first_byte_after_s: seconds after which the answer began. A wait
-            that the store held open ended with the first change.
+            that the store held open ended with the first change. An answer
+            that is read after a pause of this process may have begun before.
         :returns: whether this ends an outage.
         """
-        ends_outage = self.loaded and now_s - self.confirmed_s > self.outage_s
-        self.heard_s = now_s
-        waited_s = first_byte_after_s - ANSWER_LAG_S
+        ends_outage = self.loaded and self._silent_s(now_s) > self.outage_s
+        arrived_s = max(sent_s, self.pauses.earliest_arrival_s(now_s))
+        self.heard_s = max(self.heard_s, arrived_s)
+        began_s = min(sent_s + first_byte_after_s, arrived_s) - ANSWER_LAG_S
         before_s = max(self.confirmed_s, self.answered_s)
-        self.answered_s = max(before_s, sent_s + max(0.0, waited_s))
+        self.answered_s = max(before_s, sent_s, began_s)
         self.changes_written_after_s = (
-            self.answered_s if waited_s > 0 else before_s
+            self.answered_s if began_s > sent_s else before_s
         )
         if ends_outage:
             self.recovered_s = now_s
@@ -111,11 +118,14 @@
         :param sent_s: when that process was called.
         :returns: whether this ends an outage.
         """
-        ends_outage = self.loaded and now_s - self.confirmed_s > self.outage_s
+        ends_outage = self.loaded and self._silent_s(now_s) > self.outage_s
         self.heard_s = max(self.heard_s, sent_s + times.heard_after_s)
         confirmed_s = sent_s + times.confirmed_after_s
+        before_s = max(self.confirmed_s, self.answered_s)
+        self.changes_written_after_s = max(
+            before_s, sent_s + times.written_after_s
+        )
         self.answered_s = max(self.answered_s, confirmed_s)
-        self.changes_written_after_s = sent_s + times.written_after_s
         if confirmed_s > self.confirmed_s:
             self.confirmed_s = confirmed_s
             if ends_outage:
@@ -191,6 +201,11 @@
             self.withheld_items.clear()
         return settled
 
+    def _silent_s(self, now_s: float) -> float:
+        """Return for how long this process ran without an answer."""
+        paused_s = self.pauses.paused_s(self.confirmed_s, now_s)
+        return now_s - self.confirmed_s - paused_s
+
     def _restore(
         self,
         listed: tuple[StoreItem, ...],
