Relays: a report from a pause does not outlive a later record

Callers got refusals, or longer waits, as a relay left an engine idle: while it stood still, the engine loaded newer weights and wrote so in its record, and its loader ended. The relay read the record first and the loader's report, which was older, from its socket afterwards. A report holds until the record is written again, so that the older weights stayed without end.

The report counts from the earliest time at which it can have arrived now.

Test: the report of version 1 was still believed 0.1 s and 6 s after the pause, on the code before.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -376,7 +376,9 @@
         if heartbeat.HasField('reading'):
             self.upstreams.record_report(
                 heartbeat.reading.address,
-                report_from_message(heartbeat.reading, now_s),
+                report_from_message(
+                    heartbeat.reading, self.pauses.earliest_arrival_s(now_s)
+                ),
             )
         for notice in heartbeat.notices:
             self._receive_notice(notice, now_s)
--- a/src/bramleylug/cluster/report_messages.py
+++ b/src/bramleylug/cluster/report_messages.py
@@ -26,7 +26,7 @@
 
 
 def report_from_message(
-    message: UpstreamReading, now_s: float
+    message: UpstreamReading, received_s: float
 ) -> UpstreamReport:
     """Return the report from a received message."""
     weights: Mapping[str, HeldWeights] = {
@@ -39,5 +39,5 @@
         int(message.waiting),
         weights,
         message.closing,
-        now_s,
+        received_s,
     )
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -65,6 +65,7 @@
     """State of an engine as its loader last read it.
 
     :ivar closing: whether the loader is about to load other weights.
+    :ivar received_s: when it was received, at the earliest.
     :ivar own_running: requests of this process that ran there when the report
         was received.
     """
--- a/testing/cluster/test_cluster_view.py
+++ b/testing/cluster/test_cluster_view.py
@@ -10,6 +10,8 @@
     permit_to_message,
 )
 from bramleylug.cluster.rate_limit import Incarnation, RateLimitReport
+from bramleylug.cluster.report_messages import report_to_message
+from bramleylug.cluster.upstreams import HeldWeights, UpstreamReport
 from bramleylug.store.mirror import Mirror
 from bramleylug.wire.beats_pb2 import Beat
 from testing.relay.builders import (
@@ -136,6 +138,36 @@
         self.assertEqual(self.upstream.load(self.now_s), 3)
 
 
+class TestPauses(ViewCase):
+    """What arrived while this process stood still is as old as that."""
+
+    def setUp(self) -> None:
+        """Stand still from 100 s to 104 s."""
+        super().setUp()
+        self.view.pauses.tick(self.now_s)
+        self.now_s += 4
+
+    def test_report_from_a_pause_outlives_no_later_record(self) -> None:
+        """The engine has loaded version 2 since, and its loader is gone."""
+        weights = {'fitting': HeldWeights(2, whole=True)}
+        self.view.register_upstream(build_upstream_record(weights=weights))
+        report = UpstreamReport(
+            1000, 0, 0, {'fitting': HeldWeights(1, whole=True)}, False, 0
+        )
+        address = self.upstream.record.address
+        self.now_s += 0.01
+        self.view.receive_heartbeat(
+            Beat(name='loader-1', reading=report_to_message(address, report))
+        )
+
+        for now_s in (104.1, 110.0):
+            with self.subTest(now_s):
+                self.assertEqual(
+                    self.upstream.weights_of('fitting', now_s),
+                    HeldWeights(2, whole=True),
+                )
+
+
 class TestStarts(ViewCase):
     """A peer that has started is noticed by its first heartbeat."""
 
