Permits: one that arrived during a pause has expired

Callers of an engine that names a rate limit got more refusals from it than its limit explains: a relay that had stood still read the permits granted meanwhile and used each for 0.25 s more, though the issuer had granted others those of the seconds since.

It counts from the earliest time at which it can have arrived now, and goes back to its issuer, as one that was not used. Within half a second of a pause a fresh one goes back too.

Asks, and the times of permits that come later, still count from when they are read: an ask is repeated within 1 s and a time is 1 s at most.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -389,7 +389,10 @@
     def _receive_permit(self, message: PermitMessage, sender: str) -> None:
         incarnation, report = limit_from_message(message.limit)
         self.merge_limit(incarnation, report, sender)
-        self.permits.receive(sender, incarnation, permit_from_message(message))
+        arrived_s = self.pauses.earliest_arrival_s(self.clock())
+        self.permits.receive(
+            sender, incarnation, permit_from_message(message), arrived_s
+        )
 
     def _receive_notice(self, notice: Notice, now_s: float) -> None:
         """Apply what an upstream said to another relay."""
--- a/src/bramleylug/cluster/permit_exchange.py
+++ b/src/bramleylug/cluster/permit_exchange.py
@@ -95,16 +95,23 @@
             self._tell(issuer, incarnation, Ask())
 
     def receive(
-        self, sender: str, incarnation: Incarnation, news: PermitNews | None
+        self,
+        sender: str,
+        incarnation: Incarnation,
+        news: PermitNews | None,
+        arrived_s: float,
     ) -> None:
-        """Apply news from another relay."""
+        """Apply news from another relay.
+
+        :param arrived_s: when it arrived, at the earliest.
+        """
         match news:
             case Ask():
                 self._queue(incarnation, sender)
             case Return(unused):
                 self._take_back(incarnation, unused)
             case Grant() | Defer():
-                self._apply(incarnation, news)
+                self._apply(incarnation, news, arrived_s)
 
     def issues(self, incarnation: Incarnation) -> bool:
         """Return whether this relay issues the permits of an upstream."""
@@ -201,22 +208,23 @@
     ) -> None:
         """Answer a relay, which may be this one."""
         if relay == self.issuers.own_name:
-            self._apply(incarnation, news)
+            self._apply(incarnation, news, self.clock())
         else:
             self._tell(relay, incarnation, news)
 
-    def _apply(self, incarnation: Incarnation, news: Grant | Defer) -> None:
+    def _apply(
+        self, incarnation: Incarnation, news: Grant | Defer, arrived_s: float
+    ) -> None:
         """Apply the answer of an issuer to the permits held here."""
         upstream = self.upstreams.by_id.get(incarnation.upstream_id)
         if upstream is None or incarnation_of(upstream.record) != incarnation:
             return
-        now_s = self.clock()
         match news:
             case Defer(wait_s):
-                upstream.permits.defer(wait_s, now_s)
+                upstream.permits.defer(wait_s, self.clock())
                 self.on_deferred(upstream)
             case Grant():
-                upstream.permits.grant(now_s)
+                upstream.permits.grant(arrived_s)
                 self.holding[incarnation.upstream_id] = upstream
                 self.active.set()
                 self.on_granted()
--- a/testing/cluster/test_cluster_view.py
+++ b/testing/cluster/test_cluster_view.py
@@ -167,6 +167,26 @@
                     HeldWeights(2, whole=True),
                 )
 
+    def test_permit_from_a_pause_is_not_used(self) -> None:
+        """Its issuer grants others those of later seconds meanwhile."""
+        self.view.record_limit(ENGINE, 2.0)
+        self.view.receive_heartbeat(
+            Beat(name='relay-2', permits=[permit_to_message(LIMIT, Grant())])
+        )
+
+        self.assertFalse(self.upstream.may_send(self.now_s))
+
+    def test_permit_after_a_pause_is_used(self) -> None:
+        self.view.record_limit(ENGINE, 2.0)
+        for _ in range(4):
+            self.view.pauses.tick(self.now_s)
+            self.now_s += 0.2
+        self.view.receive_heartbeat(
+            Beat(name='relay-2', permits=[permit_to_message(LIMIT, Grant())])
+        )
+
+        self.assertTrue(self.upstream.may_send(self.now_s))
+
 
 class TestStarts(ViewCase):
     """A peer that has started is noticed by its first heartbeat."""
