--- a/src/bramleylug/soak/clients.py
+++ b/src/bramleylug/soak/clients.py
@@ -23,7 +23,7 @@
 EVENT_COUNT = 6
 REQUEST_TIMEOUT_S = 6.0
 # Clients leave a stream after this time while the host of an engine is paused.
-PATIENCE_S = 2.4
+PATIENCE_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
 MEAN_PAUSE_S = 0.12
 RESOLVE_INTERVAL_S = 1.0
--- a/src/bramleylug/soak/fault_schedule.py
+++ b/src/bramleylug/soak/fault_schedule.py
@@ -45,7 +45,7 @@
     engine_in_need = 'engine names a rate limit for a while'
     odd_entry = 'another writer leaves an entry that cannot be used'
     crowd = 'very many connections at a relay'
-    host_paused = 'engine and its loader paused together'
+    host_paused = 'engines but one paused with their loaders'
     naming_missed = 'relay and loader paused while new weights are named'
 
 
--- a/src/bramleylug/soak/pause_faults.py
+++ b/src/bramleylug/soak/pause_faults.py
@@ -11,7 +11,6 @@
     RELAY_COUNT,
     Deployment,
 )
-from bramleylug.soak.engine_faults import ONE_ENGINE_SHARE
 from bramleylug.soak.fault_schedule import MAX_DURATION_S, Fault
 from bramleylug.soak.observations import Interval, Observations
 from bramleylug.soak.traffic import Traffic
@@ -24,8 +23,6 @@
 # and the loader for so long that its engine is late for the time limit.
 PAUSED_BEFORE_S = 0.3
 OUTDATED_S = 12.0
-# Derives the host from the random number that also selects how many.
-PICK_STEPS = 97
 
 
 @final
@@ -33,7 +30,6 @@
     """Stops processes and lets them go on.
 
     :param name_weights: names new weights.
-    :ivar paused_hosts: indices of the engines whose hosts are paused now.
     """
 
     def __init__(
@@ -47,25 +43,19 @@
         self.observations = observations
         self.traffic = traffic
         self.name_weights = name_weights
-        self.paused_hosts: set[int] = set()
 
     async def host_paused(self, fault: Fault) -> None:
-        """Stop one host or all but one, unless none would be left."""
-        hosts = set(range(ENGINE_COUNT))
-        selected = {int(fault.pick * PICK_STEPS) % ENGINE_COUNT}
-        if fault.pick > ONE_ENGINE_SHARE:
-            selected = hosts - selected
-        stopped = selected - self.paused_hosts
-        if hosts == self.paused_hosts | selected or not stopped:
+        """Stop all hosts but one, unless some are stopped already."""
+        if self.traffic.host_pauses:
             return
-        self.paused_hosts |= stopped
         self.traffic.host_pauses += 1
+        spared = int(fault.pick * ENGINE_COUNT)
+        stopped = set(range(ENGINE_COUNT)) - {spared}
         await self._pause(
             [f'{role}-{one}' for one in stopped for role in HOST_ROLES],
             _duration_s(fault),
         )
         self.traffic.host_pauses -= 1
-        self.paused_hosts -= stopped
 
     async def naming_missed(self, fault: Fault) -> None:
         """Name new weights while a relay and a loader are stopped."""
