--- a/src/bramleylug/soak/clients.py
+++ b/src/bramleylug/soak/clients.py
@@ -26,6 +26,9 @@
 PATIENCE_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
 MEAN_PAUSE_S = 0.12
+CLIENT_COUNT = 12
+# More clients that send only while hosts of engines are paused.
+EXTRA_CLIENT_COUNT = 24
 RESOLVE_INTERVAL_S = 1.0
 REFUSED_STATUSES = frozenset((408, 421, 429, 503))
 DENIED_STATUSES = frozenset((401, 403, 404))
@@ -69,11 +72,16 @@
         self.idle_connections: dict[str, ClientConnection] = {}
         self.count = 0
 
+    @property
+    def sends(self) -> bool:
+        """Whether it sends requests now."""
+        return self.number < CLIENT_COUNT or self.traffic.host_pauses > 0
+
     async def run(self) -> None:
         while True:
             await asyncio.sleep(self.random.uniform(0, 2 * MEAN_PAUSE_S))
             addresses = self.directory.addresses
-            if addresses:
+            if addresses and self.sends:
                 await self._request(self.random.choice(addresses))
 
     async def _request(self, relay: RelayAddress) -> None:
--- a/src/bramleylug/soak/soak.py
+++ b/src/bramleylug/soak/soak.py
@@ -9,7 +9,12 @@
 from typing import Any, TypedDict, final
 
 from bramleylug.soak.checks import find_violations
-from bramleylug.soak.clients import Client, Directory
+from bramleylug.soak.clients import (
+    CLIENT_COUNT,
+    EXTRA_CLIENT_COUNT,
+    Client,
+    Directory,
+)
 from bramleylug.soak.deployment import (
     IDLE_LIMIT_S,
     KEYS,
@@ -34,7 +39,6 @@
 )
 from bramleylug.soak.traffic import Traffic
 
-CLIENT_COUNT = 12
 IDLE_CLIENT_COUNT = 24
 READY_TIMEOUT_S = 20.0
 # Processes may still be starting and weights loading after the last fault.
@@ -127,7 +131,7 @@
         self._spawn(directory.run())
         self._spawn(self._poll_runs())
         self._spawn(self._watch_own_loop())
-        for number in range(CLIENT_COUNT):
+        for number in range(CLIENT_COUNT + EXTRA_CLIENT_COUNT):
             client = Client(
                 number,
                 directory,
