Test: engines begin streams that callers left at a pause (failing)

Requests look for another engine after 1.5 s; a part of them finds the other one that is paused, and new ones go on being sent to both until the store removes them.

--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -81,3 +81,11 @@
         summary = run_soak(40, 1.1, (Kind.naming_missed,))
 
         self.assertEqual(summary['violations'], [])
+
+    def test_engines_begin_no_streams_that_callers_left_at_a_pause(
+        self,
+    ) -> None:
+        """All hosts but one of engines were paused, three times."""
+        summary = run_soak(92, 10.0, (Kind.host_paused,))
+
+        self.assertEqual(summary['violations'], [])
