--- a/src/bramleylug/soak/pause_faults.py
+++ b/src/bramleylug/soak/pause_faults.py
@@ -10,6 +10,7 @@
     ENGINE_COUNT,
     RELAY_COUNT,
     Deployment,
+    is_listening,
 )
 from bramleylug.soak.fault_schedule import MAX_DURATION_S, Fault
 from bramleylug.soak.observations import Interval, Observations
@@ -45,11 +46,12 @@
         self.name_weights = name_weights
 
     async def host_paused(self, fault: Fault) -> None:
-        """Stop all hosts but one, unless some are stopped already."""
-        if self.traffic.host_pauses:
+        """Stop all hosts but one; one at least goes on serving."""
+        spared = int(fault.pick * ENGINE_COUNT)
+        serves = await is_listening(self.deployment.engines[f'engine-{spared}'])
+        if not serves or self.traffic.host_pauses:
             return
         self.traffic.host_pauses += 1
-        spared = int(fault.pick * ENGINE_COUNT)
         stopped = set(range(ENGINE_COUNT)) - {spared}
         await self._pause(
             [f'{role}-{one}' for one in stopped for role in HOST_ROLES],
