--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -376,7 +376,9 @@
         if heartbeat.HasField('reading'):
             self.upstreams.record_report(
                 heartbeat.reading.address,
-                report_from_message(heartbeat.reading, now_s),
+                report_from_message(
+                    heartbeat.reading, self.pauses.earliest_arrival_s(now_s)
+                ),
             )
         for notice in heartbeat.notices:
             self._receive_notice(notice, now_s)
@@ -387,7 +389,10 @@
     def _receive_permit(self, message: PermitMessage, sender: str) -> None:
         incarnation, report = limit_from_message(message.limit)
         self.merge_limit(incarnation, report, sender)
-        self.permits.receive(sender, incarnation, permit_from_message(message))
+        arrived_s = self.pauses.earliest_arrival_s(self.clock())
+        self.permits.receive(
+            sender, incarnation, permit_from_message(message), arrived_s
+        )
 
     def _receive_notice(self, notice: Notice, now_s: float) -> None:
         """Apply what an upstream said to another relay."""
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -75,3 +75,17 @@
         summary = run_soak(921, 10.0, (Kind.silence, Kind.zone_out))
 
         self.assertEqual(summary['violations'], [])
+
+    def test_relay_that_missed_a_naming_sends_to_no_older_weights(self) -> None:
+        """Relay and loader were paused, one engine was late."""
+        summary = run_soak(40, 1.1, (Kind.naming_missed,))
+
+        self.assertEqual(summary['violations'], [])
+
+    def test_engines_begin_no_streams_that_callers_left_at_a_pause(
+        self,
+    ) -> None:
+        """All hosts but one of engines were paused, three times."""
+        summary = run_soak(92, 10.0, (Kind.host_paused,))
+
+        self.assertEqual(summary['violations'], [])
