--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -21,6 +21,7 @@
 )
 from bramleylug.relay.event_splitter import EventSplitter, EventStreamError
 from bramleylug.relay.silence import HedgedReader, Silence, UpstreamSilent
+from bramleylug.relay.upstream_watch import UpstreamWatch
 from bramleylug.web.client_connection import (
     AnswerHead,
     ClientConnection,
@@ -120,27 +121,44 @@
     :ivar start_by_s: time by which the answer must have started, because
         the upstream's weights will be too old after it. The attempt ends
         then, whether or not the request can move.
+    :ivar quiet_first_s: until the upstream is silent if nothing at all is
+        received from it, before the answer starts.
+    :ivar quiet_idle_s: the same after an event; whether another request has
+        shown that it is silent is checked from then on.
     """
 
     first_s: float | None
     idle_s: float | None
     start_by_s: float | None = None
     patience_s: float = 0
+    quiet_first_s: float = math.inf
+    quiet_idle_s: float = math.inf
 
     def before_start(self, now_s: float) -> Silence:
         """Return the silence before the answer starts."""
         end_s = math.inf if self.start_by_s is None else self.start_by_s
-        return self._silence(now_s, self.first_s, end_s)
+        return self._silence(now_s, self.first_s, end_s, self.quiet_first_s)
 
     def after_event(self, now_s: float) -> Silence:
         """Return the silence before the next event."""
-        return self._silence(now_s, self.idle_s, math.inf)
+        return self._silence(now_s, self.idle_s, math.inf, self.quiet_idle_s)
 
     def _silence(
-        self, now_s: float, timeout_s: float | None, end_s: float
+        self,
+        now_s: float,
+        timeout_s: float | None,
+        end_s: float,
+        quiet_limit_s: float,
     ) -> Silence:
         look_s = math.inf if timeout_s is None else now_s + timeout_s
-        return Silence(now_s, look_s, end_s, now_s + self.patience_s)
+        return Silence(
+            now_s,
+            look_s,
+            end_s,
+            now_s + self.patience_s,
+            quiet_limit_s,
+            now_s + self.quiet_idle_s,
+        )
 
 
 class BegunAnswer(NamedTuple):
@@ -274,12 +292,18 @@
             self._send(connection, dialect, metadata)
         except ConnectionBroken as error:
             return NotRun(Reason.connection_failed, str(error))
-        self.reader.connection = connection
+        self._watch(connection, upstream)
         self.sent = True
         self.sent_s = self.clock()
         self.on_sent()
         return None
 
+    def _watch(self, connection: ClientConnection, upstream: Upstream) -> None:
+        watch = UpstreamWatch(upstream, self.request.request_id, self.clock)
+        connection.on_input = watch.record_input
+        self.reader.connection = connection
+        self.reader.watch = watch
+
     async def _prepare(
         self, dialect: Dialect, timeouts: AttemptTimeouts
     ) -> Outcome | None:
--- a/src/bramleylug/relay/upstream_selection.py
+++ b/src/bramleylug/relay/upstream_selection.py
@@ -126,6 +126,7 @@
             return NoneEligible(
                 candidates[-1][1] if candidates else NOT_REGISTERED
             )
+        eligible = responsive(eligible, now_s)
         available = [one for one in eligible if is_available(one, now_s)]
         without_permit = tuple(
             one for one in eligible if lacks_only_permit(one, now_s)
@@ -229,6 +230,14 @@
     return ''
 
 
+def responsive(upstreams: list[Upstream], now_s: float) -> list[Upstream]:
+    """Return the upstreams that are not silent; all if each one is.
+
+    Then rather the network of this process is at fault.
+    """
+    return [one for one in upstreams if not one.is_silent(now_s)] or upstreams
+
+
 def closed_until_s(upstream: Upstream, now_s: float) -> float:
     """Return until when an upstream gets no request, whatever its load."""
     until_s = max(upstream.avoid_until_s, upstream.notice.paused_until_s)
@@ -242,6 +251,22 @@
     return _has_room(upstream, now_s) and upstream.may_send(now_s)
 
 
+def sendable_at_once(upstream: Upstream, relays: int, now_s: float) -> int:
+    """Return how many waiting requests may be sent to an upstream now.
+
+    All relays learn of free slots at the same time. Each takes its share of
+    those of an engine until its prompts there have been read, which are read
+    one after the other.
+
+    :param relays: relays that may have waiting requests.
+    """
+    free = upstream.sendable(now_s)
+    if not upstream.record.weights:
+        return free
+    share = max(1, (free + upstream.unstarted) // max(1, relays))
+    return max(0, min(free, share - upstream.unstarted))
+
+
 def lacks_only_permit(upstream: Upstream, now_s: float) -> bool:
     """Return whether it could take a request if this relay had a permit."""
     if not upstream.limited or upstream.permits.count(now_s):
