Relay: an answer that arrived in a pause starts no second attempt

Engines got requests a second time, and gave them up again: after a pause of the relay all timers of silent upstreams are due in the pass of the event loop in which the sockets are read. The timer ends the read before the bytes are taken, so that each request looked for another engine though its answer was there; the second attempt was sent and discarded.

A second attempt is looked for only while the connection has no bytes that were not read.

Test: with a pause of 4 s and the answer in the socket a second attempt was asked for on the code before.

--- a/src/bramleylug/relay/silence.py
+++ b/src/bramleylug/relay/silence.py
@@ -164,15 +164,16 @@
             self._leave_queue()
         hedge = self.offered
         self.offered = None
-        if (
-            hedge is None
-            and is_due
-            and not is_silent
-            and self.hedge is not None
-        ):
-            hedge = self.hedge()
+        if hedge is None and is_due and not is_silent:
+            return self._look_elsewhere()
         return hedge
 
+    def _look_elsewhere(self) -> Hedge | None:
+        # A process that stood still finds timer and answer at the same time.
+        if self.hedge is None or self.opened.has_input:
+            return None
+        return self.hedge()
+
     def _wait_for_slot(self, since_s: float) -> None:
         if self.offered is not None or self.leave_queue is not None:
             return
