--- a/src/bramleylug/cluster/responsiveness.py
+++ b/src/bramleylug/cluster/responsiveness.py
@@ -28,14 +28,15 @@
 
     :ivar heard_s: when anything was last received.
     :ivar silent_since_s: when its silence began; ``None`` unless it is silent.
-    :ivar left: requests that were ended since without a sign that it noticed.
+    :ivar abandoned: requests that were ended since; it showed no sign that it
+        noticed.
     :ivar probe_s: when another request may be sent if none of this process is
         there, and the slots of those that left may be free.
     """
 
     heard_s: float = float('-inf')
     silent_since_s: float | None = None
-    left: int = 0
+    abandoned: int = 0
     probe_s: float = float('-inf')
 
     @property
@@ -64,18 +65,18 @@
         if since_s is None:
             return None
         self.silent_since_s = None
-        self.left = 0
+        self.abandoned = 0
         return HeardAgain(now_s - since_s)
 
-    def record_left(self, now_s: float) -> None:
+    def record_ended(self, now_s: float) -> None:
         """Record that a request that was sent there has ended."""
         if self.silent:
-            self.left = self.left_running(now_s) + 1
+            self.abandoned = self.abandoned_running(now_s) + 1
             self.probe_s = now_s + PROBE_DELAY_S
 
-    def left_running(self, now_s: float) -> int:
+    def abandoned_running(self, now_s: float) -> int:
         """Return how many ended requests it may still take for running."""
-        return self.left if self.silent and now_s < self.probe_s else 0
+        return self.abandoned if self.silent and now_s < self.probe_s else 0
 
     def is_avoided(self, running: int, now_s: float) -> bool:
         """Return whether it gets no new request.
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -189,7 +189,7 @@
 
         A silent upstream has not noticed yet that some have ended.
         """
-        return self.running + self.responsiveness.left_running(now_s)
+        return self.running + self.responsiveness.abandoned_running(now_s)
 
     def is_silent(self, now_s: float) -> bool:
         """Return whether it gets no new request because it is silent."""
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -318,7 +318,7 @@
         if not attempt.answer_started:
             upstream.record_started()
         if attempt.sent:
-            upstream.responsiveness.record_left(self.clock())
+            upstream.responsiveness.record_ended(self.clock())
             context.may_have_run |= not isinstance(outcome, NotRun)
         self.dispatch_queue.record_completion(context.accepted.service)
 
--- a/src/bramleylug/relay/silence.py
+++ b/src/bramleylug/relay/silence.py
@@ -102,7 +102,7 @@
         the wait.
     :ivar leave_queue: ends that wait; ``None`` while there is none.
     :ivar offered: the second attempt that has taken such a slot.
-    :ivar pause: the current wait for the upstream.
+    :ivar timeout: limits the current wait for the upstream.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -113,7 +113,7 @@
         self.queue_move: QueueMove | None = None
         self.leave_queue: Callable[[], None] | None = None
         self.offered: Hedge | None = None
-        self.pause: asyncio.Timeout | None = None
+        self.timeout: asyncio.Timeout | None = None
 
     @property
     def opened(self) -> ClientConnection:
@@ -138,9 +138,9 @@
 
     async def _read(self, read: Read[ResultT], silence: Silence) -> ResultT:
         while True:
-            self.pause = asyncio.timeout(silence.left_s(self.clock()))
+            self.timeout = asyncio.timeout(silence.left_s(self.clock()))
             try:
-                async with self.pause:
+                async with self.timeout:
                     return await read()
             except TimeoutError:
                 hedge = self._look(silence)
@@ -191,8 +191,8 @@
             return False
         self.offered = hedge
         self.leave_queue = None
-        if self.pause is not None and not self.pause.expired():
-            self.pause.reschedule(asyncio.get_running_loop().time())
+        if self.timeout is not None and not self.timeout.expired():
+            self.timeout.reschedule(asyncio.get_running_loop().time())
         return True
 
     def _stop_looking(self) -> None:
--- a/testing/cluster/test_responsiveness.py
+++ b/testing/cluster/test_responsiveness.py
@@ -57,7 +57,7 @@
         """Nothing else could show that it has gone on."""
         responsiveness = Responsiveness()
         responsiveness.record_silence(9.5)
-        responsiveness.record_left(12.0)
+        responsiveness.record_ended(12.0)
 
         avoided = [responsiveness.is_avoided(0, at_s) for at_s in (13.9, 14.0)]
 
@@ -66,23 +66,25 @@
     def test_slots_of_ended_requests_are_not_free_at_once(self) -> None:
         """A silent upstream has not noticed that its callers left."""
         responsiveness = Responsiveness()
-        responsiveness.record_left(9.0)
+        responsiveness.record_ended(9.0)
         responsiveness.record_silence(9.5)
-        responsiveness.record_left(12.0)
-        responsiveness.record_left(12.5)
+        responsiveness.record_ended(12.0)
+        responsiveness.record_ended(12.5)
 
-        left = [responsiveness.left_running(at_s) for at_s in (12.5, 14.5)]
+        running = [
+            responsiveness.abandoned_running(at_s) for at_s in (12.5, 14.5)
+        ]
 
-        self.assertEqual(left, [2, 0])
+        self.assertEqual(running, [2, 0])
 
     def test_slots_of_ended_requests_are_free_when_it_is_heard(self) -> None:
         """It reads then that their callers have left."""
         responsiveness = Responsiveness()
         responsiveness.record_silence(9.5)
-        responsiveness.record_left(12.0)
+        responsiveness.record_ended(12.0)
         responsiveness.record_heard(12.5)
 
-        self.assertEqual(responsiveness.left_running(12.5), 0)
+        self.assertEqual(responsiveness.abandoned_running(12.5), 0)
 
     def test_new_incarnation_is_not_silent(self) -> None:
         """Bytes of the previous one say nothing of it."""
