Loader: log how old the check of staged chunks is when an engine loads them

BL3002 and BL3013 named neither the age of the oldest read nor how many chunks had been written again, so that the log of a loader could not tell a check that had grown old from one that passed corrupt chunks. Staging moves to a module of its own, which reports both. No decision changes.

--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -5,11 +5,7 @@
 from typing import Protocol, final
 
 from bramleylug.cluster.upstreams import UpstreamReport
-from bramleylug.loader.chunk_store import (
-    ChunkStore,
-    ChunkStores,
-    matches_manifest,
-)
+from bramleylug.loader.chunk_store import ChunkStore, ChunkStores
 from bramleylug.loader.downloader import TargetVersion
 from bramleylug.loader.engine import EngineUnavailable, LocalEngine
 from bramleylug.loader.policy import (
@@ -19,13 +15,13 @@
     LoadWeights,
     Observation,
 )
+from bramleylug.loader.staging_area import StagingArea
 from bramleylug.observability.events import LogEvent, emit
 
 INTERVAL_S = 0.1
 # While the engine holds the newest weights, only its load changes.
 IDLE_INTERVAL_S = 0.3
-# Concurrent calls to the engine while chunks are staged.
-PARALLEL_CALLS = 4
+MILLISECONDS = 1000
 
 
 class EngineContext(Protocol):
@@ -63,6 +59,7 @@
         clock: Callable[[], float],
     ) -> None:
         self.engine = engine
+        self.staging_area = StagingArea(engine, clock)
         self.chunk_stores = chunk_stores
         self.context = context
         self.clock = clock
@@ -82,25 +79,6 @@
             if self.state is not None:
                 await self._step()
 
-    async def stage(self, chunk_store: ChunkStore) -> None:
-        """Stage missing and corrupt chunks; verify all by reading them back.
-
-        Chunks that were staged before may have become corrupt since.
-
-        :raises EngineUnavailable: also if a chunk is corrupt when read back.
-        """
-        limit = asyncio.Semaphore(PARALLEL_CALLS)
-        failures = await asyncio.gather(
-            *(
-                self._stage_chunk(chunk_store, index, limit)
-                for index in chunk_store.chunks
-            ),
-            return_exceptions=True,
-        )
-        for failure in failures:
-            if failure is not None:
-                raise failure
-
     def _is_idle(self) -> bool:
         target = self.context.target_version()
         if target is None or self.state is None:
@@ -141,39 +119,37 @@
 
     async def _load(self, chunk_store: ChunkStore, order: LoadWeights) -> None:
         weights = f'{chunk_store.manifest.model}@{chunk_store.manifest.version}'
+        began_s = self.clock()
         try:
-            await self.stage(chunk_store)
+            staging = await self.staging_area.stage(chunk_store)
             accepted = await self.engine.load(
                 chunk_store.manifest,
                 order.after_orders,
                 interrupt=order.interrupt,
             )
         except EngineUnavailable as error:
-            emit(LogEvent.load_failed, weights=weights, error=str(error))
-            self.policy.record_failure(self.clock())
+            self._record_failure(weights, began_s, str(error))
             return
-        if accepted:
-            emit(LogEvent.weights_loaded, order=weights)
-        else:
-            emit(LogEvent.load_failed, weights=weights, error='refused')
-            self.policy.record_failure(self.clock())
-
-    async def _stage_chunk(
-        self, chunk_store: ChunkStore, index: int, limit: asyncio.Semaphore
-    ) -> None:
-        async with limit:
-            if await self._is_staged(chunk_store, index):
-                return
-            await self.engine.stage(
-                chunk_store.manifest.model, index, chunk_store.chunks[index]
-            )
-            if not await self._is_staged(chunk_store, index):
-                raise EngineUnavailable(f'staged chunk {index} is corrupt')
-
-    async def _is_staged(self, chunk_store: ChunkStore, index: int) -> bool:
-        staged_chunk = await self.engine.read_staged(
-            chunk_store.manifest.model, index
+        if not accepted:
+            self._record_failure(weights, began_s, 'refused')
+            return
+        emit(
+            LogEvent.weights_loaded,
+            order=weights,
+            after_orders=order.after_orders,
+            age_ms=self._elapsed_ms(staging.oldest_read_s),
+            took_ms=self._elapsed_ms(staging.began_s),
+            written=staging.written,
         )
-        return staged_chunk is not None and matches_manifest(
-            chunk_store.manifest, index, staged_chunk
+
+    def _record_failure(self, weights: str, began_s: float, error: str) -> None:
+        emit(
+            LogEvent.load_failed,
+            weights=weights,
+            error=error,
+            took_ms=self._elapsed_ms(began_s),
         )
+        self.policy.record_failure(self.clock())
+
+    def _elapsed_ms(self, since_s: float) -> int:
+        return round((self.clock() - since_s) * MILLISECONDS)
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -293,8 +293,11 @@
     weights_loaded = EventSpec(
         'BL3002',
         'INFO',
-        'the engine accepted {order}',
-        'Nothing to do.',
+        'the engine accepted {order} after {after_orders} earlier orders; '
+        'staging and verifying took {took_ms} ms, the oldest chunk was read '
+        '{age_ms} ms before, {written} chunks were written',
+        'Nothing to do, unless the oldest read is seconds old: the engine or '
+        'this host was slow or stood still.',
     )
     chunk_corrupt = EventSpec(
         'BL3003',
@@ -366,7 +369,8 @@
     load_failed = EventSpec(
         'BL3013',
         'WARNING',
-        'the engine did not load {weights}: {error}',
+        'the engine did not load {weights}, {took_ms} ms after staging began: '
+        '{error}',
         'It is retried; check the engine if the message repeats.',
     )
     peer_silent = EventSpec(
--- a/testing/loader/test_engine_updater.py
+++ b/testing/loader/test_engine_updater.py
@@ -11,7 +11,8 @@
 )
 from bramleylug.loader.downloader import TargetVersion
 from bramleylug.loader.engine import DecodedReport, EngineUnavailable
-from bramleylug.loader.engine_updater import PARALLEL_CALLS, EngineUpdater
+from bramleylug.loader.engine_updater import EngineUpdater
+from bramleylug.loader.staging_area import PARALLEL_CALLS, StagingArea
 from bramleylug.weights.manifest import chunk_hash
 from testing.loader.swarm import CHUNK_BYTES, chunks_of
 from testing.relay.builders import (
@@ -117,9 +118,8 @@
     async def stage(self, engine):
         """Return the seconds that staging a version took."""
         clock = asyncio.get_running_loop().time
-        updater = EngineUpdater(engine, ChunkStores(), CountingContext(), clock)
         began_s = clock()
-        await updater.stage(build_chunk_store())
+        await StagingArea(engine, clock).stage(build_chunk_store())
         return clock() - began_s
 
     @in_virtual_time
