Loader, relays: serve loaded weights only once their chunks were read back

Cause: a loader verified the staged chunks and then ordered the engine to load them. An engine takes them as they are when it accepts the order. Nothing bounded the time between the two: reads may be slow, the process or its host may stand still, and an order whose answer was lost may be accepted later, also in place of that of the next process. The class: something is checked at one moment and used at another, and may change between them.

Change: after the engine has accepted an order, the loader reads the chunks back (WeightsAudit, StagingArea.find_corrupt). What is sound then was sound when it was taken, as only the loader mends chunks, and writes that may have come after the acceptance count as corrupt. The loader's heartbeat says which weights are confirmed; relays keep that by incarnation, apart from the engine's record, and give an engine whose loader they know no request on weights that it has not confirmed, whatever the record or lost heartbeats say. Weights that may be corrupt are given up by an order that empties the engine, which then loads them again; an order for the version that it holds would do nothing.

Reading back takes place while the engine loads.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -1,6 +1,6 @@
 """A process's view of the cluster: configuration, upstreams and peers."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from random import Random
 from typing import NamedTuple, final
@@ -35,6 +35,7 @@
     Upstream,
     UpstreamRecord,
     UpstreamRegistry,
+    UpstreamReport,
 )
 from bramleylug.cluster.versions import VersionRegistry
 from bramleylug.node.process_pauses import ProcessPauses
@@ -374,11 +375,11 @@
         counts = {item.upstream_id: item.running for item in heartbeat.counts}
         self.upstreams.record_counts(heartbeat.name, counts, now_s)
         if heartbeat.HasField('reading'):
-            self.upstreams.record_report(
-                heartbeat.reading.address,
-                report_from_message(
-                    heartbeat.reading, self.pauses.earliest_arrival_s(now_s)
-                ),
+            arrived_s = self.pauses.earliest_arrival_s(now_s)
+            report = report_from_message(heartbeat.reading, arrived_s)
+            _log_checks(
+                self.upstreams.record_report(heartbeat.reading.address, report),
+                report,
             )
         for notice in heartbeat.notices:
             self._receive_notice(notice, now_s)
@@ -433,6 +434,17 @@
         return ColdStart.from_limit(limit, len(holders), self.clock())
 
 
+def _log_checks(changed: Iterable[Upstream], report: UpstreamReport) -> None:
+    """Log of which upstreams a report has changed the confirmed weights."""
+    for upstream in changed:
+        emit(
+            LogEvent.weights_check_changed,
+            upstream=upstream.record.upstream_id,
+            check=report.check.value,
+            weights=_describe(report.weights),
+        )
+
+
 def _describe(weights: Mapping[str, object]) -> str:
     return ','.join(f'{model}={held}' for model, held in weights.items())
 
--- a/src/bramleylug/cluster/report_messages.py
+++ b/src/bramleylug/cluster/report_messages.py
@@ -2,8 +2,22 @@
 
 from collections.abc import Mapping
 
-from bramleylug.cluster.upstreams import HeldWeights, UpstreamReport
-from bramleylug.wire.beats_pb2 import ReadWeights, UpstreamReading
+from bramleylug.cluster.held_weights import HeldWeights, WeightsCheck
+from bramleylug.cluster.upstreams import UpstreamReport
+from bramleylug.wire.beats_pb2 import (
+    CONFIRMED,
+    UNCONFIRMED,
+    UNKNOWN,
+    ReadWeights,
+    UpstreamReading,
+)
+
+CHECKS = {
+    UNKNOWN: WeightsCheck.unknown,
+    UNCONFIRMED: WeightsCheck.unconfirmed,
+    CONFIRMED: WeightsCheck.confirmed,
+}
+CHECK_MESSAGES = {check: message for message, check in CHECKS.items()}
 
 
 def report_to_message(address: str, report: UpstreamReport) -> UpstreamReading:
@@ -18,6 +32,7 @@
         running=report.running,
         waiting=report.waiting,
         closing=report.closing,
+        check=CHECK_MESSAGES[report.check],
         weights=[
             ReadWeights(model=model, version=held.version, whole=held.whole)
             for model, held in report.weights.items()
@@ -40,4 +55,5 @@
         weights,
         message.closing,
         received_s,
+        check=CHECKS.get(message.check, WeightsCheck.unknown),
     )
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -5,6 +5,12 @@
 from typing import NamedTuple, final
 
 from bramleylug.cluster.cold_start import ColdStart
+from bramleylug.cluster.held_weights import (
+    ConfirmedWeights,
+    HeldWeights,
+    WeightsCheck,
+    WeightsConfirmations,
+)
 from bramleylug.cluster.permits import HeldPermits
 from bramleylug.cluster.rate_limit import Incarnation, RateLimit, RateLimits
 from bramleylug.cluster.responsiveness import Responsiveness
@@ -30,17 +36,6 @@
 NOTICE_ANNOUNCED_S = 10.0
 
 
-class HeldWeights(NamedTuple):
-    """Weights that an upstream serves from.
-
-    :ivar whole: whether all layers are loaded. Its name appears in the log,
-        which contains the representation of this class.
-    """
-
-    version: int
-    whole: bool
-
-
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamRecord:
@@ -69,6 +64,7 @@
     :ivar received_s: when it was received, at the earliest.
     :ivar own_running: requests of this process that ran there when the report
         was received.
+    :ivar check: whether the loader has found the weights sound.
     """
 
     started_ms: int
@@ -78,6 +74,7 @@
     closing: bool
     received_s: float
     own_running: int = 0
+    check: WeightsCheck = WeightsCheck.unknown
 
 
 @final
@@ -113,6 +110,7 @@
     :ivar avoid_until_s: no request is sent there before.
     :ivar failed_share: exponential moving average of the share of failed
         requests.
+    :ivar confirmed_weights: those that its loader has found sound.
     :ivar weights_written_s: when the weights in its record were read first.
     :ivar limit: what is known of the limit that it names.
     :ivar permits: those of this process while it names one.
@@ -131,6 +129,9 @@
     result_count: int = 0
     cold: ColdStart | None = None
     notice: UpstreamNotice = field(default_factory=UpstreamNotice)
+    confirmed_weights: ConfirmedWeights = field(
+        default_factory=ConfirmedWeights
+    )
     weights_written_s: float = float('-inf')
     limit: RateLimit = field(default_factory=RateLimit)
     permits: HeldPermits = field(default_factory=HeldPermits)
@@ -225,14 +226,12 @@
 
         A report holds until it expires and its record has been written since:
         an engine writes there some time after its weights have changed.
+        Weights that its loader has not confirmed count as incomplete.
         """
-        report = self.report
-        if report is None or report.started_ms != self.record.started_ms:
-            return self.record.weights.get(model)
-        is_recent = now_s - report.received_s < REPORT_TTL_S
-        if is_recent or self.weights_written_s < report.received_s:
-            return report.weights.get(model)
-        return self.record.weights.get(model)
+        held = self._reported_weights(now_s).get(model)
+        if held is None:
+            return None
+        return self.confirmed_weights.restrict(model, held)
 
     def is_closing(self, now_s: float) -> bool:
         """Return whether its loader is about to load other weights."""
@@ -247,6 +246,17 @@
         """Return whether it just started and takes only a limited rate."""
         return now_s < self.record.cold_until_s
 
+    def record_report(self, report: UpstreamReport) -> bool:
+        """Record its loader's report.
+
+        :returns: whether other weights are confirmed now than before.
+        """
+        own_running = self.own_running(report.received_s)
+        self.report = report._replace(own_running=own_running)
+        if report.started_ms != self.record.started_ms:
+            return False
+        return self.confirmed_weights.update(report.check, report.weights)
+
     def record_started(self) -> None:
         """Record that the answer to a request has started, or never will."""
         self.unstarted -= 1
@@ -275,17 +285,28 @@
         self.avoid_until_s = max(self.avoid_until_s, now_s + EJECTION_S)
         return True
 
+    def _reported_weights(self, now_s: float) -> Mapping[str, HeldWeights]:
+        report = self.report
+        if report is None or report.started_ms != self.record.started_ms:
+            return self.record.weights
+        is_recent = now_s - report.received_s < REPORT_TTL_S
+        if is_recent or self.weights_written_s < report.received_s:
+            return report.weights
+        return self.record.weights
+
 
 @final
 class UpstreamRegistry:
     """All known upstreams, by id.
 
     :ivar notices: what upstreams said about themselves, by id and start time.
+    :ivar confirmations: which of their weights their loaders found sound.
     """
 
     def __init__(self) -> None:
         self.by_id: dict[str, Upstream] = {}
         self.limits = RateLimits()
+        self.confirmations = WeightsConfirmations()
         self.notices: dict[tuple[str, int], UpstreamNotice] = {}
 
     def register(self, record: UpstreamRecord) -> Upstream:
@@ -304,12 +325,17 @@
         notice = self.notices.get(
             (record.upstream_id, record.started_ms), UpstreamNotice()
         )
-        limit = self.limits.of(incarnation_of(record))
+        incarnation = incarnation_of(record)
+        limit = self.limits.of(incarnation)
+        confirmed = self.confirmations.of(incarnation)
         if known is not None:
             known.restart(record, notice)
             known.limit = limit
+            known.confirmed_weights = confirmed
             return known
-        upstream = Upstream(record, notice=notice, limit=limit)
+        upstream = Upstream(
+            record, notice=notice, limit=limit, confirmed_weights=confirmed
+        )
         self.by_id[record.upstream_id] = upstream
         return upstream
 
@@ -361,9 +387,11 @@
             is_used = upstream is not None and upstream.notice is notice
             if not is_used and now_s - notice.updated_s > NOTICE_RETENTION_S:
                 self.notices.pop(key)
-        self.limits.remove_expired(
-            now_s, {incarnation_of(one.record) for one in self.by_id.values()}
-        )
+        registered = {
+            incarnation_of(upstream.record) for upstream in self.by_id.values()
+        }
+        self.limits.remove_expired(now_s, registered)
+        self.confirmations.remove_expired(now_s, registered)
 
     def remove(self, upstream_id: str) -> Upstream | None:
         """Remove an upstream; return ``None`` if it was unknown."""
@@ -392,12 +420,19 @@
             if count or relay in upstream.reported_running:
                 upstream.reported_running[relay] = (count, now_s)
 
-    def record_report(self, address: str, report: UpstreamReport) -> None:
-        """Record a loader's report on the upstream at an address."""
-        for upstream in self.by_id.values():
-            if upstream.record.address == address:
-                own_running = upstream.own_running(report.received_s)
-                upstream.report = report._replace(own_running=own_running)
+    def record_report(
+        self, address: str, report: UpstreamReport
+    ) -> Iterable[Upstream]:
+        """Record a loader's report on the upstream at an address.
+
+        :returns: upstreams of which other weights are confirmed than before.
+        """
+        return [
+            upstream
+            for upstream in self.by_id.values()
+            if upstream.record.address == address
+            and upstream.record_report(report)
+        ]
 
     def _notice(
         self, upstream_id: str, started_ms: int, now_s: float
--- a/src/bramleylug/loader/engine.py
+++ b/src/bramleylug/loader/engine.py
@@ -1,6 +1,7 @@
 """Interface to the engine of this host, implemented by the adapter."""
 
-from typing import NamedTuple, Protocol
+from enum import Enum, unique
+from typing import NamedTuple, Protocol, final
 
 from bramleylug.cluster.upstreams import UpstreamReport
 from bramleylug.loader.policy import EngineState
@@ -18,6 +19,31 @@
     report: UpstreamReport
 
 
+@final
+@unique
+class OrderAnswer(Enum):
+    """How the engine answered an order to load."""
+
+    began = 'began'
+    in_effect = 'in effect'
+    refused = 'refused'
+
+
+class LoadOrder(NamedTuple):
+    """Order to load staged chunks.
+
+    :ivar after_orders: number of orders that the engine must have accepted so
+        far; otherwise it refuses this one.
+    :ivar interrupt: whether running requests are cut off instead of waited
+        for.
+    :ivar unload: whether the engine is to give up all layers instead.
+    """
+
+    after_orders: int
+    interrupt: bool
+    unload: bool = False
+
+
 class LocalEngine(Protocol):
     """Calls to the engine; all may raise :class:`EngineUnavailable`."""
 
@@ -34,14 +60,5 @@
     async def read_staged(self, model: str, index: int) -> bytes | None:
         """Return a staged chunk, not verified; ``None`` if absent."""
 
-    async def load(
-        self, manifest: Manifest, after_orders: int, *, interrupt: bool
-    ) -> bool:
-        """Order the engine to load the staged chunks.
-
-        :param after_orders: number of orders that the engine must have
-            accepted so far; otherwise it refuses this one.
-        :param interrupt: whether running requests are cut off instead of
-            waited for.
-        :returns: whether the engine accepted the order.
-        """
+    async def load(self, manifest: Manifest, order: LoadOrder) -> OrderAnswer:
+        """Order the engine to load the staged chunks, as they are by then."""
--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -4,24 +4,35 @@
 from collections.abc import Callable
 from typing import Protocol, final
 
+from bramleylug.cluster.held_weights import WeightsCheck
 from bramleylug.cluster.upstreams import UpstreamReport
 from bramleylug.loader.chunk_store import ChunkStore, ChunkStores
 from bramleylug.loader.downloader import TargetVersion
-from bramleylug.loader.engine import EngineUnavailable, LocalEngine
+from bramleylug.loader.engine import (
+    EngineUnavailable,
+    LoadOrder,
+    LocalEngine,
+    OrderAnswer,
+)
 from bramleylug.loader.policy import (
+    RETRY_S,
     AnnounceClosing,
     EngineState,
     LoadPolicy,
     LoadWeights,
     Observation,
 )
-from bramleylug.loader.staging_area import StagingArea
+from bramleylug.loader.staging_area import StagingArea, StagingReport
+from bramleylug.loader.weights_audit import WeightsAudit
 from bramleylug.observability.events import LogEvent, emit
+from bramleylug.weights.manifest import Manifest
 
 INTERVAL_S = 0.1
 # While the engine holds the newest weights, only its load changes.
 IDLE_INTERVAL_S = 0.3
 MILLISECONDS = 1000
+# Heartbeats to all relays after a change, in case datagrams are lost.
+ANNOUNCEMENTS = 3
 
 
 class EngineContext(Protocol):
@@ -49,6 +60,8 @@
     :ivar state: last reported state; ``None`` while the engine does not
         answer.
     :ivar report: last report in the form that relays get.
+    :ivar announcements_due: heartbeats that are to tell all relays of a
+        change of the weights or of their check.
     """
 
     def __init__(
@@ -59,13 +72,15 @@
         clock: Callable[[], float],
     ) -> None:
         self.engine = engine
-        self.staging_area = StagingArea(engine, clock)
+        self.audit = WeightsAudit()
+        self.staging_area = StagingArea(engine, clock, self.audit.record_write)
         self.chunk_stores = chunk_stores
         self.context = context
         self.clock = clock
         self.policy = LoadPolicy()
         self.state: EngineState | None = None
         self.report: UpstreamReport | None = None
+        self.announcements_due = 0
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -77,14 +92,17 @@
             if model:
                 await self._read_report(model)
             if self.state is not None:
-                await self._step()
+                await self._step(self.state)
+            self._announce()
 
     def _is_idle(self) -> bool:
         target = self.context.target_version()
         if target is None or self.state is None:
             return False
         is_loading = self.state.busy or self.policy.closing
-        return not is_loading and self.state.can_serve(target.version)
+        if is_loading or self.audit.is_due(self.state):
+            return False
+        return self.state.can_serve(target.version)
 
     async def _read_report(self, model: str) -> None:
         try:
@@ -97,55 +115,154 @@
             return
         previous = self.state
         self.state = decoded.state
-        self.report = decoded.report
+        self.audit.observe(decoded.state)
+        self._set_report(decoded.report)
         if previous is None or decoded.state.version != previous.version:
             # Otherwise the engine would get no requests until the next
             # scheduled heartbeat.
             self.context.send_heartbeat()
 
-    async def _step(self) -> None:
+    def _set_report(self, report: UpstreamReport) -> None:
+        check = WeightsCheck.unknown
+        if self.state is not None:
+            check = self.audit.check(self.state)
+        if self.report is not None and self.report.check is not check:
+            self.announcements_due = ANNOUNCEMENTS
+        self.report = report._replace(check=check)
+
+    def _announce(self) -> None:
+        if self.announcements_due:
+            self.announcements_due -= 1
+            self.context.send_heartbeat()
+
+    async def _step(self, engine: EngineState) -> None:
         chunk_store = self.chunk_stores.newest_complete()
+        if self.audit.is_due(engine):
+            await self._read_back(engine)
         if chunk_store is None:
             return
-        observation = self.context.observe(
-            int(chunk_store.manifest.version), self.state
-        )
+        version = int(chunk_store.manifest.version)
+        observation = self.context.observe(version, engine)
+        if self.audit.must_unload(engine):
+            await self._unload(chunk_store, observation)
+            return
         for action in self.policy.step(observation, self.clock()):
             match action:
                 case AnnounceClosing():
                     self.context.send_heartbeat()
                 case LoadWeights():
-                    await self._load(chunk_store, action)
+                    order = LoadOrder(action.after_orders, action.interrupt)
+                    await self._order(chunk_store, order)
 
-    async def _load(self, chunk_store: ChunkStore, order: LoadWeights) -> None:
-        weights = f'{chunk_store.manifest.model}@{chunk_store.manifest.version}'
+    async def _read_back(self, engine: EngineState) -> None:
+        """Read the staged chunks back that the engine has loaded."""
+        manifest = self._loaded_manifest(engine)
+        if manifest is None:
+            return
         began_s = self.clock()
         try:
-            staging = await self.staging_area.stage(chunk_store)
-            accepted = await self.engine.load(
-                chunk_store.manifest,
-                order.after_orders,
-                interrupt=order.interrupt,
+            corrupt = await self.staging_area.find_corrupt(manifest)
+        except EngineUnavailable:
+            # Its next report fails as well, which is logged.
+            return
+        suspect = self.audit.record_read_back(
+            engine, int(manifest.version), corrupt
+        )
+        if self.report is not None:
+            self._set_report(self.report)
+        if suspect:
+            emit(
+                LogEvent.weights_corrupt,
+                weights=_describe(manifest),
+                chunks=sorted(suspect),
             )
+            return
+        emit(
+            LogEvent.weights_confirmed,
+            weights=_describe(manifest),
+            took_ms=self._elapsed_ms(began_s),
+            orders=engine.accepted_orders,
+        )
+
+    def _loaded_manifest(self, engine: EngineState) -> Manifest | None:
+        """Return the manifest of what the engine loads or has loaded."""
+        ordered = self.audit.ordered_manifest(engine)
+        if ordered is not None:
+            return ordered
+        by_version = self.chunk_stores.by_version
+        chunk_store = by_version.get(engine.version)
+        if chunk_store is None or max(by_version) > engine.version:
+            # An earlier process may have staged chunks of a newer version.
+            return None
+        return chunk_store.manifest
+
+    async def _unload(
+        self, chunk_store: ChunkStore, observation: Observation
+    ) -> None:
+        """Have the engine give up what it has loaded.
+
+        It does not load a version again that it holds whole. An empty engine
+        gets an order to load at once.
+        """
+        engine = observation.engine
+        now_s = self.clock()
+        if engine is None or engine.busy or now_s < self.policy.retry_at_s:
+            return
+        self.policy.retry_at_s = now_s + RETRY_S
+        order = LoadOrder(
+            engine.accepted_orders, observation.may_interrupt, unload=True
+        )
+        await self._order(chunk_store, order)
+
+    async def _order(self, chunk_store: ChunkStore, order: LoadOrder) -> None:
+        """Send an order; before one to load, stage and verify the chunks."""
+        manifest = chunk_store.manifest
+        began_s = self.clock()
+        staging = StagingReport(began_s, began_s, 0)
+        try:
+            if not order.unload:
+                staging = await self.staging_area.stage(chunk_store)
+            answer = await self._send_order(manifest, order)
         except EngineUnavailable as error:
-            self._record_failure(weights, began_s, str(error))
+            self._record_failure(manifest, began_s, str(error))
             return
-        if not accepted:
-            self._record_failure(weights, began_s, 'refused')
+        if answer is OrderAnswer.refused:
+            self._record_failure(manifest, began_s, answer.value)
             return
         emit(
             LogEvent.weights_loaded,
-            order=weights,
+            order=_describe(manifest),
+            unload=order.unload,
+            answer=answer.value,
             after_orders=order.after_orders,
             age_ms=self._elapsed_ms(staging.oldest_read_s),
             took_ms=self._elapsed_ms(staging.began_s),
             written=staging.written,
         )
 
-    def _record_failure(self, weights: str, began_s: float, error: str) -> None:
+    async def _send_order(
+        self, manifest: Manifest, order: LoadOrder
+    ) -> OrderAnswer:
+        """Send an order and return its answer.
+
+        :raises EngineUnavailable: when the answer is lost.
+        """
+        self.audit.record_order(manifest, order)
+        try:
+            answer = await self.engine.load(manifest, order)
+        except EngineUnavailable:
+            self.audit.record_lost_answer()
+            raise
+        if answer is OrderAnswer.began:
+            self.audit.record_begun()
+        return answer
+
+    def _record_failure(
+        self, manifest: Manifest, began_s: float, error: str
+    ) -> None:
         emit(
             LogEvent.load_failed,
-            weights=weights,
+            weights=_describe(manifest),
             error=error,
             took_ms=self._elapsed_ms(began_s),
         )
@@ -153,3 +270,7 @@
 
     def _elapsed_ms(self, since_s: float) -> int:
         return round((self.clock() - since_s) * MILLISECONDS)
+
+
+def _describe(manifest: Manifest) -> str:
+    return f'{manifest.model}@{manifest.version}'
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -283,6 +283,13 @@
         'Look for its end in BL2004; if there are many, upstreams are short '
         'or the retry budget is spent.',
     )
+    weights_check_changed = EventSpec(
+        'BL2016',
+        'INFO',
+        'the loader of upstream {upstream} reports {weights}, check: {check}',
+        'Nothing to do; while they are unconfirmed, it gets no requests. Look '
+        'for BL3017 of its loader if that lasts.',
+    )
     # 3: weights
     staging_full = EventSpec(
         'BL3001',
@@ -293,9 +300,10 @@
     weights_loaded = EventSpec(
         'BL3002',
         'INFO',
-        'the engine accepted {order} after {after_orders} earlier orders; '
-        'staging and verifying took {took_ms} ms, the oldest chunk was read '
-        '{age_ms} ms before, {written} chunks were written',
+        'the engine accepted {order} after {after_orders} earlier orders: '
+        '{answer}, unload: {unload}; staging and verifying took {took_ms} ms, '
+        'the oldest chunk was read {age_ms} ms before, {written} chunks were '
+        'written',
         'Nothing to do, unless the oldest read is seconds old: the engine or '
         'this host was slow or stood still.',
     )
@@ -385,6 +393,21 @@
         'chunk {index} of {weights} from {source}: {outcome}',
         'Nothing to do.',
     )
+    weights_confirmed = EventSpec(
+        'BL3016',
+        'INFO',
+        'the chunks that the engine loaded as {weights} are sound: read back '
+        'within {took_ms} ms after {orders} orders',
+        'Nothing to do.',
+    )
+    weights_corrupt = EventSpec(
+        'BL3017',
+        'ERROR',
+        'the engine may have loaded corrupt chunks of {weights}: {chunks}; it '
+        'gets no requests until it has loaded them again',
+        'It loads them again by itself; check the storage of this host if the '
+        'message repeats.',
+    )
     # 4: admission and claims at the agent
     claims_rolled_back = EventSpec(
         'BL4001',
--- a/src/bramleylug/platform/decoding.py
+++ b/src/bramleylug/platform/decoding.py
@@ -13,7 +13,8 @@
     WeightsLayout,
     Workspace,
 )
-from bramleylug.cluster.upstreams import HeldWeights, UpstreamRecord
+from bramleylug.cluster.held_weights import HeldWeights
+from bramleylug.cluster.upstreams import UpstreamRecord
 from bramleylug.platform.fields import (
     MAX_COUNT,
     MAX_NUMBER,
--- a/src/bramleylug/platform/engines.py
+++ b/src/bramleylug/platform/engines.py
@@ -5,9 +5,15 @@
 from typing import Any, final
 from urllib.parse import quote
 
-from bramleylug.cluster.upstreams import HeldWeights, UpstreamReport
+from bramleylug.cluster.held_weights import HeldWeights
+from bramleylug.cluster.upstreams import UpstreamReport
 from bramleylug.loader.chunk_store import build_manifest
-from bramleylug.loader.engine import DecodedReport, EngineUnavailable
+from bramleylug.loader.engine import (
+    DecodedReport,
+    EngineUnavailable,
+    LoadOrder,
+    OrderAnswer,
+)
 from bramleylug.loader.policy import EngineState
 from bramleylug.loader.sources import FetchFailed
 from bramleylug.platform.decoding import decode_weights
@@ -24,10 +30,11 @@
 from bramleylug.weights.manifest import Manifest
 from bramleylug.weights.peers import FailureReason
 
+# An engine that is to hold no layer gives up all that it holds.
+NO_LAYERS = {'from': 0, 'to': 0}
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
 CHUNK_TIMEOUT_S = 4.0
-ACCEPTED = frozenset((HTTPStatus.OK, HTTPStatus.ACCEPTED))
 
 
 @final
@@ -62,21 +69,26 @@
         status, raw = await self._call('GET', target)
         return raw if status == HTTPStatus.OK else None
 
-    async def load(
-        self, manifest: Manifest, after_orders: int, *, interrupt: bool
-    ) -> bool:
-        """Order the engine to load the staged chunks."""
-        order = {
+    async def load(self, manifest: Manifest, order: LoadOrder) -> OrderAnswer:
+        """Order the engine to load the staged chunks, as they are by then."""
+        document = {
             'operation': 'start',
             'model': manifest.model,
             'version': int(manifest.version),
-            'mode': 'cut' if interrupt else 'wait',
-            'expected': after_orders,
+            'mode': 'cut' if order.interrupt else 'wait',
+            'expected': order.after_orders,
         }
+        if order.unload:
+            document.update(NO_LAYERS)
         status, _ = await self._call(
-            'POST', '/-/order', json.dumps(order).encode()
+            'POST', '/-/order', json.dumps(document).encode()
         )
-        return status in ACCEPTED
+        match status:
+            case HTTPStatus.ACCEPTED:
+                return OrderAnswer.began
+            case HTTPStatus.OK:
+                return OrderAnswer.in_effect
+        return OrderAnswer.refused
 
     async def _get(self, target: str) -> bytes:
         status, raw = await self._call('GET', target)
--- a/testing/cluster/test_cluster_view.py
+++ b/testing/cluster/test_cluster_view.py
@@ -11,7 +11,8 @@
 )
 from bramleylug.cluster.rate_limit import Incarnation, RateLimitReport
 from bramleylug.cluster.report_messages import report_to_message
-from bramleylug.cluster.upstreams import HeldWeights, UpstreamReport
+from bramleylug.cluster.held_weights import HeldWeights
+from bramleylug.cluster.upstreams import UpstreamReport
 from bramleylug.store.mirror import Mirror
 from bramleylug.wire.beats_pb2 import Beat
 from testing.relay.builders import (
--- a/testing/cluster/test_upstreams.py
+++ b/testing/cluster/test_upstreams.py
@@ -2,11 +2,13 @@
 
 import unittest
 
+from bramleylug.cluster.held_weights import HeldWeights, WeightsCheck
 from bramleylug.cluster.upstreams import (
     NOTICE_RETENTION_S,
     UpstreamRegistry,
+    UpstreamReport,
 )
-from testing.relay.builders import build_upstream_record
+from testing.relay.builders import MODEL, build_upstream_record
 
 
 class TestNewIncarnation(unittest.TestCase):
@@ -82,3 +84,73 @@
         self.registry.remove_expired_notices(2.0 + NOTICE_RETENTION_S)
 
         self.assertEqual(self.registry.notices, {})
+
+
+class TestConfirmedWeights(unittest.TestCase):
+    """Weights serve once the loader of the engine has found them sound."""
+
+    def setUp(self) -> None:
+        self.registry = UpstreamRegistry()
+        self.registry.register(build_upstream_record())
+
+    def report(self, version: int, check: WeightsCheck) -> None:
+        weights = {MODEL: HeldWeights(version, whole=True)}
+        report = UpstreamReport(1000, 0, 0, weights, False, 1.0, check=check)
+        self.registry.record_report('127.0.0.1:1', report)
+
+    def held(self, now_s: float = 9.0) -> HeldWeights | None:
+        """Return the weights after all reports have expired."""
+        return self.registry.by_id['engine-1'].weights_of(MODEL, now_s)
+
+    def register(self, version: int, **fields: int) -> None:
+        weights = {MODEL: HeldWeights(version, whole=True)}
+        self.registry.register(build_upstream_record(weights=weights, **fields))
+        self.registry.by_id['engine-1'].weights_written_s = 2.0
+
+    def test_engine_is_believed_until_its_loader_is_heard(self) -> None:
+        self.report(1, WeightsCheck.unknown)
+
+        self.assertEqual(self.held(), HeldWeights(1, whole=True))
+
+    def test_version_that_is_not_confirmed_does_not_serve(
+        self,
+    ) -> None:
+        """Its heartbeat may be lost, or the loader may be gone."""
+        self.report(1, WeightsCheck.confirmed)
+        self.register(2)
+
+        self.assertEqual(self.held(), HeldWeights(2, whole=False))
+
+    def test_unconfirmed_weights_do_not_serve(self) -> None:
+        """Also after its loader has fallen silent or has restarted."""
+        self.report(1, WeightsCheck.confirmed)
+        self.report(1, WeightsCheck.unconfirmed)
+        self.report(1, WeightsCheck.unknown)
+
+        self.assertEqual(self.held(), HeldWeights(1, whole=False))
+
+    def test_removed_engine_that_comes_back_is_not_believed(self) -> None:
+        """Its record expires while its host stands still."""
+        self.report(1, WeightsCheck.unconfirmed)
+        self.registry.remove_expired_notices(1.0)
+        self.registry.remove('engine-1')
+        self.registry.remove_expired_notices(5.0)
+        self.register(1)
+
+        self.assertEqual(self.held(), HeldWeights(1, whole=False))
+
+    def test_restarted_engine_is_believed_until_its_loader_is_heard(
+        self,
+    ) -> None:
+        self.report(1, WeightsCheck.unconfirmed)
+        self.register(1, started_ms=2000)
+
+        self.assertEqual(self.held(), HeldWeights(1, whole=True))
+
+    def test_confirmation_is_forgotten_after_the_engine_is_gone(self) -> None:
+        self.report(1, WeightsCheck.confirmed)
+        self.registry.remove_expired_notices(1.0)
+        self.registry.remove('engine-1')
+        self.registry.remove_expired_notices(2.0 + NOTICE_RETENTION_S)
+
+        self.assertEqual(self.registry.confirmations.by_incarnation, {})
--- a/testing/loader/test_engine_updater.py
+++ b/testing/loader/test_engine_updater.py
@@ -119,7 +119,7 @@
         """Return the seconds that staging a version took."""
         clock = asyncio.get_running_loop().time
         began_s = clock()
-        await StagingArea(engine, clock).stage(build_chunk_store())
+        await StagingArea(engine, clock, set().add).stage(build_chunk_store())
         return clock() - began_s
 
     @in_virtual_time
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bramleylug.cluster.route_table import RetryPolicy, ServiceShare
-from bramleylug.cluster.upstreams import HeldWeights
+from bramleylug.cluster.held_weights import HeldWeights
 from bramleylug.platform.decoding import (
     decode_configuration,
     decode_engine,
--- a/testing/relay/builders.py
+++ b/testing/relay/builders.py
@@ -14,7 +14,8 @@
     WeightsLayout,
     Workspace,
 )
-from bramleylug.cluster.upstreams import HeldWeights, UpstreamRecord
+from bramleylug.cluster.held_weights import HeldWeights
+from bramleylug.cluster.upstreams import UpstreamRecord
 from bramleylug.loader.policy import EngineState, Observation
 from bramleylug.loader.settings import LoaderSettings
 from bramleylug.relay.dialect import CallerRequest
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -14,7 +14,7 @@
     ClusterView,
 )
 from bramleylug.cluster.route_table import RetryPolicy
-from bramleylug.cluster.upstreams import HeldWeights
+from bramleylug.cluster.held_weights import HeldWeights
 from bramleylug.relay.relay import Relay
 from bramleylug.store.mirror import Mirror
 from bramleylug.web.server import WebServer
