Agent: compare an answer with the weights that its request is pinned to

Cause: the gate checks the pinned digest, and the digest that the answer is compared with was read from the gate again afterwards. If the gate is closed and opened for other weights between the two (an engine that took a late order, a thread that stood still), the answer of those weights passes.

Change: the answer is compared with the pinned digest itself.

test_swap_after_the_check_mixes_no_weights failed before (three replies with the other weights' answer), and passes now. It works because the request says what it may run on; nothing that can change is read after the check.

--- a/src/bramleylug/agent/request_runner.py
+++ b/src/bramleylug/agent/request_runner.py
@@ -152,7 +152,8 @@
     def _observe_parts(
         self, context: RequestContext, call: UpstreamCall
     ) -> Iterator[AnswerPart]:
-        digest = self.gate.open_digest
+        # The gate may have been opened for other weights since its check.
+        digest = context.request.pinned_digest or self.gate.open_digest
         started_s = time.monotonic()
         for part in call.run(context.request):
             result = part
--- a/testing/agent/test_serving.py
+++ b/testing/agent/test_serving.py
@@ -37,6 +37,19 @@
         return True
 
 
+class SwappingContext(GrpcContext):
+    """Fake context; its host swaps weights once the gate has been checked."""
+
+    def __init__(self, gate: WeightsGate) -> None:
+        super().__init__()
+        self.gate = gate
+
+    def is_active(self) -> bool:
+        """Open the gate for other weights first."""
+        self.gate.open('boot-1', 'd2')
+        return True
+
+
 class ServingTestCase(unittest.TestCase):
     """Two agents of a booking service that share a store."""
 
@@ -52,8 +65,8 @@
             self.start_agent(f'agent-{number}/1') for number in (1, 2)
         ]
 
-    def start_agent(self, holder: str) -> Serving:
-        spec = build_spec('bookings', kind='plain', idempotent=False)
+    def start_agent(self, holder: str, kind: str = 'plain') -> Serving:
+        spec = build_spec('bookings', kind=kind, idempotent=False)
         document = build_document(spec)
         limiter = Limiter()
         limiter.observe_boot('boot-1')
@@ -144,6 +157,25 @@
         self.assertTrue(replies[-1].HasField('load'))
 
 
+class TestPinnedWeights(ServingTestCase):
+    """A stream goes on with the weights that began it."""
+
+    answer = HEAD + b'X-Weights-Digest: d2\r\nContent-Length: 1\r\n\r\n2'
+
+    def test_swap_after_the_check_mixes_no_weights(self) -> None:
+        """Guards against an answer of weights the gate opened for later."""
+        agent = self.start_agent('agent-3/1', kind='model')
+        agent.runner.gate.open('boot-1', 'd1')
+        request = build_request(idempotency_key='', pinned_digest='d1')
+        context = SwappingContext(agent.runner.gate)
+
+        replies = list(agent.Dispatch(request, context))
+
+        self.assertEqual(
+            [reply.broken.reason for reply in replies], ['weights_incomplete']
+        )
+
+
 class TestCrash(ServingTestCase):
     """A request that crashes each upstream that runs it."""
 
