Agent: stage a version anew whose files were spoilt after their check

Cause: an agent verifies a version when it commits it and never again before a restart. Files that change later stayed "verified": an engine that checks what it loads refuses the order, and the agent repeats the same order for ever; its host serves the old version, or nothing. What a failed eviction had left of a version counted as complete, too.

Change: after an order that was not accepted the staged version is verified again. If it does not match, it is partial again, without its spoilt chunks, and the download fetches just these. begin() verifies a folder it finds.

--- a/src/bramleylug/agent/engine_orders.py
+++ b/src/bramleylug/agent/engine_orders.py
@@ -7,7 +7,7 @@
 from bramleylug.agent.upstream import Upstream
 from bramleylug.agent.version_actions import OrderAdapter, OrderVersion
 from bramleylug.weights.manifest import VersionKey
-from bramleylug.weights.staging import Staging
+from bramleylug.weights.version_cache import VersionCache
 
 # One order of a version and one of an adapter.
 ORDERS_AT_ONCE = 2
@@ -24,15 +24,18 @@
 class EngineOrders:
     """Sends orders in threads of its own and collects their results."""
 
-    def __init__(self, upstream: Upstream, staging: Staging) -> None:
+    def __init__(self, upstream: Upstream, version_cache: VersionCache) -> None:
         self.upstream = upstream
-        self.staging = staging
+        self.version_cache = version_cache
         self.executor = ThreadPoolExecutor(ORDERS_AT_ONCE)
         self.ended: SimpleQueue[EndedOrder] = SimpleQueue()
 
     def send(self, order: OrderVersion | OrderAdapter) -> None:
-        """Send an order; its result comes from :meth:`collect_ended`."""
-        future = self.executor.submit(self.upstream.order, self._message(order))
+        """Send an order; its result comes from :meth:`collect_ended`.
+
+        When it is not accepted, the staged version is verified again.
+        """
+        future = self.executor.submit(self._send, order)
         future.add_done_callback(lambda done: self._end(order, done))
 
     def collect_ended(self) -> list[EndedOrder]:
@@ -44,6 +47,12 @@
         except Empty:
             return ended
 
+    def _send(self, order: OrderVersion | OrderAdapter) -> bool:
+        accepted = self.upstream.order(self._message(order)) is not None
+        if not accepted:
+            self.version_cache.recheck(_staged_key(order))
+        return accepted
+
     def _message(self, order: OrderVersion | OrderAdapter) -> dict[str, Any]:
         message: dict[str, Any] = {'fencing': order.fencing}
         match order:
@@ -57,14 +66,14 @@
         return message
 
     def _path(self, key: VersionKey) -> str:
-        return str(self.staging.committed_path(key))
+        return str(self.version_cache.staging.committed_path(key))
 
     def _end(
         self,
         order: OrderVersion | OrderAdapter,
-        done: Future[dict[str, Any] | None],
+        done: Future[bool],
     ) -> None:
-        accepted = done.exception() is None and done.result() is not None
+        accepted = done.exception() is None and done.result()
         self.ended.put(EndedOrder(order, accepted))
 
 
@@ -72,3 +81,12 @@
     """Parse ``model@version``."""
     model, _, version = adapter.partition('@')
     return VersionKey(model, version)
+
+
+def _staged_key(order: OrderVersion | OrderAdapter) -> VersionKey:
+    """Return the staged version that an order names."""
+    match order:
+        case OrderVersion(key=key):
+            return key
+        case OrderAdapter(adapter=adapter):
+            return adapter_key(adapter)
--- a/src/bramleylug/agent/version_manager.py
+++ b/src/bramleylug/agent/version_manager.py
@@ -80,7 +80,7 @@
         self.replica_hosts = ReplicaHosts(node.settings.name)
         self.logged_wait_reason = ''
         self.wanted: VersionKey | None = None
-        self.orders = EngineOrders(upstream, version_cache.staging)
+        self.orders = EngineOrders(upstream, version_cache)
 
     @property
     def progress(self) -> float:
--- a/src/bramleylug/weights/staging.py
+++ b/src/bramleylug/weights/staging.py
@@ -102,8 +102,7 @@
                 return
             self._free_space(manifest)
             self._reserve(manifest)
-        if self.committed_path(manifest.key) is not None:
-            self._mark_complete(manifest)
+        if self.recheck(manifest):
             return
         partial = self._partial(manifest.key)
         partial.mkdir(parents=True, exist_ok=True)
@@ -177,6 +176,29 @@
         os.rename(partial, committed)
         return committed
 
+    def recheck(self, manifest: Manifest) -> bool:
+        """Verify a committed version again; it may have changed since.
+
+        :returns: whether all of it matches the manifest. If not, it is
+            partial again, without the chunks that do not match.
+        """
+        committed = self.committed_path(manifest.key)
+        if committed is None:
+            return False
+        if self._is_complete(manifest, committed):
+            self._mark_complete(manifest)
+            return True
+        with self.lock:
+            partial = self._partial(manifest.key)
+            # The version may have been evicted meanwhile.
+            if manifest.key in self.reservations and committed.is_dir():
+                shutil.rmtree(partial, ignore_errors=True)
+                os.rename(committed, partial)
+                self.chunks[manifest.key] = from_indices(
+                    self._valid_chunks(manifest, partial)
+                )
+        return False
+
     def committed_path(self, key: VersionKey) -> Path | None:
         """Return the folder of a committed version, or ``None``."""
         committed = self._committed_folder(key)
--- a/src/bramleylug/weights/version_cache.py
+++ b/src/bramleylug/weights/version_cache.py
@@ -122,6 +122,29 @@
         """Cancel every download."""
         self.set_wanted(frozenset(), frozenset())
 
+    def recheck(self, key: VersionKey) -> bool:
+        """Verify a committed version again.
+
+        One that does not match its manifest is downloaded anew, as far as
+        its chunks do not, once :meth:`set_wanted` names it.
+
+        :returns: whether it matches.
+        """
+        manifest = self.verified.get(key)
+        if manifest is None:
+            return False
+        if self.staging.recheck(manifest):
+            return True
+        with self.lock:
+            self.verified.pop(key, None)
+        emit(
+            LogEvent.chunk_corrupt,
+            weights='@'.join(key),
+            index=', '.join(map(str, self._missing_chunks(manifest))),
+            source='the staging area',
+        )
+        return False
+
     def progress(self, key: VersionKey) -> float:
         """Return the share of a version that is held; 1 once it is verified."""
         if key in self.verified:
@@ -200,13 +223,20 @@
     def _commit(self, manifest: Manifest) -> bool:
         if self.staging.commit(manifest) is None:
             return False
-        self.verified[manifest.key] = manifest
+        with self.lock:
+            self.verified[manifest.key] = manifest
         emit(LogEvent.version_staged, weights='@'.join(manifest.key))
         return True
 
+    def _missing_chunks(self, manifest: Manifest) -> list[int]:
+        held = self.staging.held(manifest.key)
+        indices = range(len(manifest.chunk_hashes))
+        return [index for index in indices if not held >> index & 1]
+
     def _forget_evicted(self) -> None:
-        self.verified = {
-            key: manifest
-            for key, manifest in self.verified.items()
-            if key in self.staging.reservations
-        }
+        with self.lock:
+            self.verified = {
+                key: manifest
+                for key, manifest in self.verified.items()
+                if key in self.staging.reservations
+            }
--- a/testing/weights/test_staging.py
+++ b/testing/weights/test_staging.py
@@ -81,6 +81,16 @@
             staging.committed_path(build_manifest(version='2').key)
         )
 
+    def test_folder_of_a_committed_version_is_verified_when_begun(self) -> None:
+        """Guards against what an eviction that failed has left of it."""
+        self.stage('1')
+        staging = self.open()
+        (self.folder / 'seat-model@1' / '000002').unlink()
+        staging.begin(build_manifest())
+
+        self.assertEqual(staging.held(build_manifest().key), 0b1011)
+        self.assertIsNone(staging.commit(build_manifest()))
+
     def test_recently_read_version_is_evicted_last(self) -> None:
         """Peers may still be fetching the second version."""
         self.stage('1')
--- a/testing/weights/test_version_cache.py
+++ b/testing/weights/test_version_cache.py
@@ -120,6 +120,21 @@
 
         self.assertEqual(set(self.version_cache.digests()), {FIRST})
 
+    def test_committed_version_that_was_spoilt_is_staged_again(self) -> None:
+        """Guards against a spoilt file that is kept until a restart."""
+        self.set_wanted(FIRST)
+        self.wait_for_event(LogEvent.version_staged)
+        read_before = self.host.origin.bytes_read
+        committed = self.host.staging.committed_path(FIRST)
+        (committed / '000003').write_bytes(b'spoilt')
+
+        self.assertFalse(self.version_cache.recheck(FIRST))
+        self.set_wanted(FIRST)
+        self.wait_for_event(LogEvent.version_staged)
+
+        self.assertTrue(self.version_cache.recheck(FIRST))
+        self.assertEqual(self.host.origin.bytes_read - read_before, CHUNK_BYTES)
+
     def _record_event(self, event: LogEvent, **_fields: object) -> None:
         self.logged[event].set()
 
