Daemons: stop on a signal that came while they were suspended

Cause: the kernel gives a signal to any thread of a process. Python's handler runs in the main thread, which waited for a lock; a lock is woken only when the main thread itself is interrupted. When another thread got the signal after SIGCONT, the main thread waited without end.

Change: the main thread reads from a socket, to which the signal handler of the interpreter writes the signal's number in whatever thread it runs (signal.set_wakeup_fd).

--- a/src/bramleylug/node/lifecycle.py
+++ b/src/bramleylug/node/lifecycle.py
@@ -1,9 +1,10 @@
 """Runs a daemon until a stop signal and then stops it gracefully."""
 
 import signal
+import socket
 import time
 from collections.abc import Callable
-from threading import Event, Lock, Thread
+from threading import Lock, Thread
 from types import FrameType
 from typing import Any, Protocol, final
 
@@ -15,6 +16,8 @@
 IDLE_CHECKS = 4
 DRAIN_ANNOUNCEMENT_S = 1.5
 JOIN_TIMEOUT_S = 5.0
+STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
+SIGNAL_READ_BYTES = 64
 
 
 class Daemon(Protocol):
@@ -39,6 +42,39 @@
         """Stop the circuits loop."""
 
 
+@final
+class StopSignals:
+    """Lets the main thread wait for a signal to stop.
+
+    The kernel may give a signal to any thread. It writes the number of the
+    signal to a socket, which the main thread reads: a wait for a lock would
+    go on until the main thread itself is interrupted.
+    """
+
+    def __init__(self) -> None:
+        reader, writer = socket.socketpair()
+        writer.setblocking(False)  # noqa: FBT003
+        self.reader = reader
+        self.writer = writer
+
+    def __enter__(self) -> 'StopSignals':
+        for signo in STOP_SIGNALS:
+            signal.signal(signo, _ignore_signal)
+        signal.set_wakeup_fd(self.writer.fileno())
+        return self
+
+    def __exit__(self, *raised: object) -> None:
+        signal.set_wakeup_fd(-1)
+        self.reader.close()
+        self.writer.close()
+
+    def wait(self) -> None:
+        """Block until the process gets SIGTERM or SIGINT."""
+        received = b''
+        while STOP_SIGNALS.isdisjoint(received):
+            received = self.reader.recv(SIGNAL_READ_BYTES)
+
+
 @final
 class DaemonRunner:
     """Runs a daemon in a thread and stops it gracefully.
@@ -57,17 +93,15 @@
         self.name = name
         self.sleep = sleep
         self.thread: Thread | None = None
-        self.stop_requested = Event()
         self.lock = Lock()
         self.stopped = False
 
     def run(self) -> None:
         """Run until SIGTERM or SIGINT, then drain and stop."""
-        signal.signal(signal.SIGTERM, self._on_signal)
-        signal.signal(signal.SIGINT, self._on_signal)
-        self.start()
-        self.stop_requested.wait()
-        self.drain_and_stop()
+        with StopSignals() as stop_signals:
+            self.start()
+            stop_signals.wait()
+            self.drain_and_stop()
 
     def start(self) -> None:
         """Start the daemon in a thread of its own."""
@@ -102,5 +136,6 @@
         if self.thread is not None:
             self.thread.join(JOIN_TIMEOUT_S)
 
-    def _on_signal(self, signo: int, frame: FrameType | None) -> None:
-        self.stop_requested.set()
+
+def _ignore_signal(signo: int, frame: FrameType | None) -> None:
+    """Do nothing: the wakeup descriptor has the signal's number."""
