Agent: log an accepted order as an event of its own

Cause: BL3002 got fields of the loader's staging, and agents log the same event without them. emit() then raises KeyError in the thread that handles versions: its step is cut short, and the worker begins anew a second later by verifying all that is staged.

Change: agents log BL3020.

test_loaded_version_is_served fails on with KeyError: 'after_orders', and passes now. No test ran an agent's version manager by itself before; the demonstration cluster passes with the error, as its worker is started again.

--- a/src/bramleylug/agent/version_manager.py
+++ b/src/bramleylug/agent/version_manager.py
@@ -265,7 +265,7 @@
                         now_s, accepted=accepted
                     )
             if accepted:
-                emit(LogEvent.weights_loaded, order=order)
+                emit(LogEvent.order_accepted, order=order)
 
     def _waiting_hosts(self, spec: ServiceSpec) -> list[str]:
         """Return the agents that hold but do not serve the wanted version."""
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -346,6 +346,12 @@
         'finish in time',
         'Nothing to do; it is retried.',
     )
+    order_accepted = EventSpec(
+        'BL3020',
+        'INFO',
+        'the engine accepted {order}',
+        'Nothing to do.',
+    )
     engine_digest_changed = EventSpec(
         'BL3010',
         'WARNING',
