Agent: serve only loads whose staged files are sound afterwards

What callers could get: answers from a spoilt chunk. An engine that does not verify what it loads reports the version's digest all the same, and the gate opens.

Cause: a check at one moment, its use at another, and nothing that bounds the time between or looks again.

Change: once the engine reports a load, the staged files are verified again, and the gate opens only then. As files do not heal, what is sound after the load was sound during it. They are healed by staging them anew, so a load counts only if it was ordered since then and the engine reports the order's fencing number; otherwise the engine counts as empty and is ordered anew, which needs no lease as it serves nothing. A check that began before an order confirms nothing, and a report that was requested before an order ended is not used any more.

Evidence: test_chunk_spoilt_before_the_load_is_never_served runs an agent's version manager, staging area and downloads beside an engine that trusts its files. On the code before the gate opens for the spoilt bytes; now it opens only once the chunk was fetched and loaded anew.

Cost: each load is followed by one more read of the version with the gate closed, and an agent that lost its staging area orders its engine to load again.

--- a/src/bramleylug/agent/version_manager.py
+++ b/src/bramleylug/agent/version_manager.py
@@ -1,10 +1,13 @@
 """Executes the version policy on the cache, engine, gate and swap leases."""
 
 import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from typing import Any, final
 
 from bramleylug.admission.limiter import Limiter
 from bramleylug.agent.engine_orders import EngineOrders, adapter_key
+from bramleylug.agent.load_checks import LoadChecks
 from bramleylug.agent.replicas import (
     ReplicaHosts,
     enough_ready,
@@ -81,6 +84,9 @@
         self.logged_wait_reason = ''
         self.wanted: VersionKey | None = None
         self.orders = EngineOrders(upstream, version_cache)
+        self.load_checks = LoadChecks(
+            version_cache, ThreadPoolExecutor(1, 'load-checks').submit
+        )
 
     @property
     def progress(self) -> float:
@@ -129,6 +135,8 @@
         if spec is None:
             self.gate.close()
             return
+        # A report that was requested before an order ended may be outdated.
+        self._record_ended_orders(time.monotonic())
         # Read before the report is requested: an answer that contradicts it
         # meanwhile must keep the gate closed.
         contradictions = self.gate.contradictions
@@ -138,9 +146,10 @@
             return
         report = None if state is None else EngineReport.from_state(state)
         observation = self._observe(spec, report)
-        now_s = time.monotonic()
-        self._record_ended_orders(now_s)
-        for action in self.policy.step(observation, now_s):
+        if report is not None:
+            checked = self.load_checks.observe(report, self.policy.verified)
+            observation = replace(observation, report=checked)
+        for action in self.policy.step(observation, time.monotonic()):
             self._execute(action, contradictions)
 
     def find_peers(self, key: VersionKey) -> dict[str, PeerAddress]:
@@ -231,13 +240,21 @@
             case ReleaseLease():
                 self.swap_leases.lease_wanted = False
             case OrderVersion() | OrderAdapter():
-                self.orders.send(action)
+                self._send_order(action)
             case event:
                 self._log(event)
 
+    def _send_order(self, order: OrderVersion | OrderAdapter) -> None:
+        if isinstance(order, OrderVersion):
+            self.load_checks.record_order(order)
+        self.orders.send(order)
+
     def _open_gate(
         self, boot_id: str, digest: str, contradictions: int
     ) -> None:
+        if not self.load_checks.is_confirmed(boot_id, digest):
+            self.gate.close()
+            return
         self.limiter.observe_boot(boot_id)
         if digest != self.gate.open_digest:
             # Concurrency ramps up again on the new weights.
@@ -259,6 +276,7 @@
         for order, accepted in self.orders.collect_ended():
             match order:
                 case OrderVersion():
+                    self.load_checks.record_order_end()
                     self.policy.record_order_end(now_s, accepted=accepted)
                 case OrderAdapter():
                     self.policy.record_adapter_order_end(
--- a/src/bramleylug/weights/version_cache.py
+++ b/src/bramleylug/weights/version_cache.py
@@ -1,6 +1,7 @@
 """Versions on this host: downloads the wanted ones, verifies and keeps them."""
 
 import time
+from collections import Counter
 from collections.abc import Callable, Mapping
 from functools import partial
 from threading import Event, Lock, Thread
@@ -61,6 +62,7 @@
     :param find_peers: returns the agents that want or hold a version.
     :ivar verified: manifests of the committed versions.
     :ivar downloads: running downloads by version.
+    :ivar stagings: number of downloads of each version that were committed.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.find_peers = find_peers
         self.verified: dict[VersionKey, Manifest] = {}
         self.downloads: dict[VersionKey, VersionDownload] = {}
+        self.stagings: Counter[VersionKey] = Counter()
         self.lock = Lock()
 
     @property
@@ -145,6 +148,13 @@
         )
         return False
 
+    def staging_count(self, key: VersionKey) -> int:
+        """Return how often a version was staged since the start.
+
+        0 for one that an earlier process staged.
+        """
+        return self.stagings[key]
+
     def progress(self, key: VersionKey) -> float:
         """Return the share of a version that is held; 1 once it is verified."""
         if key in self.verified:
@@ -224,6 +234,7 @@
         if self.staging.commit(manifest) is None:
             return False
         with self.lock:
+            self.stagings[manifest.key] += 1
             self.verified[manifest.key] = manifest
         emit(LogEvent.version_staged, weights='@'.join(manifest.key))
         return True
--- a/testing/agent/test_version_manager.py
+++ b/testing/agent/test_version_manager.py
@@ -22,6 +22,7 @@
 SIZE_BYTES = 65536
 CHUNK_BYTES = 8192
 RATE = 1_000_000_000
+SPOILT_CHUNK = '000001'
 STEP_S = 0.01
 OPEN_STEPS = 20
 LIMIT_S = 30
@@ -30,11 +31,14 @@
 class TrustingEngine:
     """Engine that loads staged files without verifying them.
 
+    :ivar spoil_before_load: whether a file is spoilt just before the next
+        load.
     :ivar loaded_digest: digest of the bytes that it has loaded.
     """
 
     def __init__(self, digest: str) -> None:
         self.digest = digest
+        self.spoil_before_load = False
         self.loaded_digest = ''
         self.report = {'boot_id': 'boot-1', 'digest': '', 'fencing': 0}
 
@@ -44,6 +48,9 @@
     def order(self, order: dict[str, Any]) -> dict[str, Any]:
         """Load the version that an order names, and report it as whole."""
         path = Path(order['path'])
+        if self.spoil_before_load:
+            self.spoil_before_load = False
+            (path / SPOILT_CHUNK).write_bytes(b'spoilt')
         loaded = hashlib.sha256()
         for chunk in sorted(path.glob('0*')):
             loaded.update(chunk.read_bytes())
@@ -109,3 +116,9 @@
     def test_loaded_version_is_served(self) -> None:
         """The engine has loaded what was staged."""
         self.assertEqual(self.served_digests(), {self.engine.digest})
+
+    def test_chunk_spoilt_before_the_load_is_never_served(self) -> None:
+        """Guards against files that change between check and load (WHOLE)."""
+        self.engine.spoil_before_load = True
+
+        self.assertEqual(self.served_digests(), {self.engine.digest})
