Agent: send nothing on a permit of an earlier boot

Cause: the limiter grants a permit for the boot that it knows; a request then waits up to 2 s for its claim in the store. If the upstream restarts meanwhile and the gate opens for the new boot, the request is sent on the old permit, which does not count against the limit of the new boot.

Change: the boot of the permit is compared right before the request is sent; a request of an earlier boot is refused as not run.

What callers saw: a just-started upstream could get as many requests as waited for a claim on top of its first limit. test_permit_of_an_earlier_boot_sends_nothing failed before (the request was sent) and passes now.

--- a/src/bramleylug/agent/request_runner.py
+++ b/src/bramleylug/agent/request_runner.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple, final
 
 from bramleylug.admission.controller import AdmittedRequest
-from bramleylug.admission.limiter import Limiter
+from bramleylug.admission.limiter import RETRY_AFTER_S, Limiter
 from bramleylug.agent.answer_recorder import AnswerRecorder, replayed_parts
 from bramleylug.agent.crash_detector import CrashDetector
 from bramleylug.agent.upstream import (
@@ -140,6 +140,12 @@
         checked = self.gate.check(context.request, self.document())
         if isinstance(checked, NotRun):
             return checked
+        if context.admitted.permit.boot_id != self.limiter.boot_id:
+            return NotRun(
+                Reason.overloaded,
+                'the upstream has restarted since the request was admitted',
+                RETRY_AFTER_S,
+            )
         if (
             time.monotonic() >= context.deadline_s
             or not context.call_context.is_active()
--- a/testing/agent/test_serving.py
+++ b/testing/agent/test_serving.py
@@ -3,6 +3,7 @@
 import unittest
 from threading import Thread
 from typing import Any
+from unittest.mock import patch
 
 from bramleylug.admission.controller import AdmissionController
 from bramleylug.admission.limiter import Limiter
@@ -176,6 +177,26 @@
         )
 
 
+class TestRestart(ServingTestCase):
+    """The upstream restarts while a request waits for its claim."""
+
+    def test_permit_of_an_earlier_boot_sends_nothing(self) -> None:
+        """Guards against more than a just-started upstream bears."""
+        runner = self.agents[0].runner
+        write = self.store.compare_and_swap
+
+        def restart_and_write(*call: Any, **options: Any) -> Any:
+            runner.limiter.observe_boot('boot-2')
+            runner.gate.open('boot-2', '')
+            return write(*call, **options)
+
+        with patch.object(self.store, 'compare_and_swap', restart_and_write):
+            replies = self.send(0)
+
+        self.assertEqual(replies[0].refusal.reason, 'overloaded')
+        self.assertEqual(self.canned.connections, 0)
+
+
 class TestCrash(ServingTestCase):
     """A request that crashes each upstream that runs it."""
 
