--- a/testing/platform/test_paused_processes.py
+++ b/testing/platform/test_paused_processes.py
@@ -8,16 +8,14 @@
 import json
 import unittest
 from collections.abc import Iterable
-from contextlib import asynccontextmanager
 from itertools import product
 from typing import Any, NamedTuple
 
 from bramleylug.cluster.process import ProcessCore
 from bramleylug.loader.daemon import LoaderDaemon
 from bramleylug.loader.engine_updater import IDLE_INTERVAL_S
-from bramleylug.node.process_pauses import watch_pauses
-from bramleylug.platform.adapter import PlatformAdapter
 from bramleylug.wire.beats_pb2 import Beat
+from testing.platform.virtual_processes import build_adapter, running
 from testing.relay.builders import (
     MODEL,
     build_engine_state,
@@ -26,7 +24,7 @@
     build_settings,
     build_table,
 )
-from testing.store.model_store import ModelStore, StoreLink
+from testing.store.model_store import ModelStore
 from testing.virtual_time import in_virtual_time
 
 # Time after which older weights serve no request.
@@ -56,35 +54,6 @@
     )
 
 
-def build_adapter(store: ModelStore) -> PlatformAdapter:
-    """Return an adapter whose store is a model."""
-    adapter = PlatformAdapter('127.0.0.1:1')
-    adapter.store = StoreLink(store)
-    return adapter
-
-
-@asynccontextmanager
-async def running(core: ProcessCore, *others: Any) -> Any:
-    """Run the tasks of a process that read the store, and others."""
-    tasks = [
-        *(asyncio.create_task(other) for other in others),
-        asyncio.create_task(watch_pauses(core.pauses, core.clock)),
-        *(asyncio.create_task(watcher.run()) for watcher in core.watchers),
-    ]
-    try:
-        yield
-    finally:
-        await stop(core, tasks)
-
-
-async def stop(core: ProcessCore, tasks: list[asyncio.Task[None]]) -> None:
-    """End the tasks; close the loop, which holds descriptors till then."""
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-    core.loop.loop.close()
-
-
 async def suspend(pause: Pause, store: ModelStore) -> float:
     """Let the process stand still; return when a version was set."""
     loop: Any = asyncio.get_running_loop()
