Loader: send all relays no heartbeat outside of the schedule for unconfirmed weights

At 330 relays, six heartbeats more for each load were 400 kB on the link of a host. Weights that are not confirmed do not serve whether or not a relay hears that, so only a confirmation is sent at once, twice.

--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -31,8 +31,9 @@
 # While the engine holds the newest weights, only its load changes.
 IDLE_INTERVAL_S = 0.3
 MILLISECONDS = 1000
-# Heartbeats to all relays after a change, in case datagrams are lost.
-ANNOUNCEMENTS = 3
+# Heartbeats to all relays once weights are confirmed, as they do not serve
+# without and datagrams may be lost.
+ANNOUNCEMENTS = 2
 
 
 class EngineContext(Protocol):
@@ -60,8 +61,8 @@
     :ivar state: last reported state; ``None`` while the engine does not
         answer.
     :ivar report: last report in the form that relays get.
-    :ivar announcements_due: heartbeats that are to tell all relays of a
-        change of the weights or of their check.
+    :ivar announcements_due: heartbeats that are still to tell all relays that
+        the weights are confirmed.
     """
 
     def __init__(
@@ -126,7 +127,8 @@
         check = WeightsCheck.unknown
         if self.state is not None:
             check = self.audit.check(self.state)
-        if self.report is not None and self.report.check is not check:
+        is_new = self.report is not None and self.report.check is not check
+        if is_new and check is WeightsCheck.confirmed:
             self.announcements_due = ANNOUNCEMENTS
         self.report = report._replace(check=check)
 
