Event loops: count and log turns that keep all connections waiting (BL5013)

Starvation of a process by one peer was invisible: a loop that is busy and a host without processor time both only answered late. bramleylug_long_turns_total counts turns over 34 ms, the time between two tokens of the stated target; BL5013 names the length of one over 0.2 s and how much of it was on the processor, at most every 10 s.

--- a/src/bramleylug/node/loop_thread.py
+++ b/src/bramleylug/node/loop_thread.py
@@ -5,6 +5,7 @@
 from threading import Thread
 from typing import Any, final
 
+from bramleylug.node.loop_turns import TurnSelector
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.serving import serve_to_end
@@ -21,7 +22,7 @@
     """
 
     def __init__(self, name: str) -> None:
-        self.loop = asyncio.new_event_loop()
+        self.loop = asyncio.SelectorEventLoop(TurnSelector())
         self.tasks: set[asyncio.Task[None]] = set()
         self.thread = Thread(target=self._run, name=name, daemon=True)
 
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -488,6 +488,15 @@
         'Check whether this host was suspended, or is short of processor time '
         'or memory.',
     )
+    long_turn = EventSpec(
+        'BL5013',
+        'WARNING',
+        'one turn of the event loop took {took_s} s, {processor_s} s of it on '
+        'the processor; all connections waited',
+        'If most of it was on the processor, look for a peer that sends very '
+        'much or in very small pieces; otherwise this host is short of '
+        'processor time.',
+    )
 
 
 def emit(event: LogEvent, **fields: object) -> None:
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -44,6 +44,10 @@
 RESIDENT_BYTES = Gauge(
     'bramleylug_resident_bytes', 'Resident memory of the process'
 )
+LONG_TURNS = Counter(
+    'bramleylug_long_turns_total',
+    'Turns of the event loop in which all connections waited for over 34 ms',
+)
 WEIGHTS_PROGRESS = Gauge(
     'bramleylug_weights_progress',
     'Fraction of the wanted version that is present',
