Relay: splitting a stream costs the same per byte in tiny pieces

Cause: for each piece EventSplitter.feed copied and searched all that it held of the event. Change: the buffer is a bytearray that is appended to, and only the new bytes and the three before them are searched. The test failed before for pieces of 1, 4, 16 and 256 bytes.

--- a/src/bramleylug/relay/event_splitter.py
+++ b/src/bramleylug/relay/event_splitter.py
@@ -5,6 +5,7 @@
 
 # Events end with an empty line (WHATWG HTML, server-sent events).
 EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+MAX_END_BYTES = 4
 EVENT_ID = re.compile(rb'(?:^|[\r\n])id: ?([^\r\n]*)')
 INTEGER = re.compile(rb'[0-9]{1,15}')
 # Begins a line that is no field.
@@ -28,7 +29,7 @@
 
     def __init__(self, last_id: str = '') -> None:
         self.last_id = last_id
-        self.partial = b''
+        self.partial = bytearray()
         self.needs_id = False
 
     def feed(self, raw: bytes) -> bytes:
@@ -37,25 +38,25 @@
         :raises EventStreamError: when an event id does not increase, or is
             missing where a stream goes on, or an event is too large.
         """
+        search_from = max(0, len(self.partial) - MAX_END_BYTES + 1)
         self.partial += raw
-        complete = []
         start = 0
-        for end in EVENT_END.finditer(self.partial):
-            event = self.partial[start : end.end()]
-            start = end.end()
-            self._check(event)
-            complete.append(event)
-        self.partial = self.partial[start:]
+        while end := EVENT_END.search(self.partial, search_from):
+            search_from = end.end()
+            self._check(bytes(self.partial[start:search_from]))
+            start = search_from
+        complete = bytes(self.partial[:start])
+        del self.partial[:start]
         if len(self.partial) > MAX_EVENT_BYTES:
             raise EventStreamError('event is too large')
-        return b''.join(complete)
+        return complete
 
     def restart(self, *, continues: bool) -> None:
         """Drop an incomplete event; the next upstream sends it again.
 
         :param continues: whether events of another upstream were forwarded.
         """
-        self.partial = b''
+        self.partial = bytearray()
         self.needs_id = continues and bool(self.last_id)
 
     def _check(self, event: bytes) -> None:
--- a/testing/relay/test_event_splitter.py
+++ b/testing/relay/test_event_splitter.py
@@ -1,17 +1,42 @@
 """Tests of splitting a stream into complete events."""
 
+import re
 import unittest
+from typing import Any
+from unittest.mock import patch
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bramleylug.relay.event_splitter import EventSplitter, EventStreamError
+from bramleylug.relay.event_splitter import (
+    EVENT_END,
+    EventSplitter,
+    EventStreamError,
+)
 
 EVENTS = [
     b'id: %d\ndata: token-%d\n\n' % (number, number) for number in range(1, 9)
 ]
 
 
+class CountingPattern:
+    """The pattern of an end of an event, with the bytes it was given.
+
+    :ivar searched_bytes: bytes that were to be searched, repeated ones too.
+    """
+
+    def __init__(self) -> None:
+        self.searched_bytes = 0
+
+    def search(self, raw: bytes, start: int = 0) -> 're.Match[bytes] | None':
+        self.searched_bytes += len(raw) - start
+        return EVENT_END.search(raw, start)
+
+    def finditer(self, raw: bytes) -> Any:
+        self.searched_bytes += len(raw)
+        return EVENT_END.finditer(raw)
+
+
 class TestEventSplitter(unittest.TestCase):
     """Only complete events are returned, in order and once."""
 
@@ -70,3 +95,19 @@
 
         with self.assertRaises(EventStreamError):
             splitter.feed(b'data: ' + b'x' * 300_000)
+
+    def test_event_in_single_bytes_is_searched_once(self) -> None:
+        """Guards against callers starved by one event in tiny pieces."""
+        raw = b'data: ' + b'x' * 20_000 + b'\n\n'
+        for size in (1, 4, 16, 256, 16384):
+            pattern = CountingPattern()
+            splitter = EventSplitter()
+            with (
+                self.subTest(size),
+                patch('bramleylug.relay.event_splitter.EVENT_END', pattern),
+            ):
+                for start in range(0, len(raw), size):
+                    received = splitter.feed(raw[start : start + size])
+
+                self.assertEqual(received, raw)
+                self.assertLessEqual(pattern.searched_bytes, 5 * len(raw))
