Connections to peers are read in turns of bounded size

Callers beside an engine that answered without end in small chunks got no answer: of 60 calls to a sound engine in 3 s, 60, 60 and 55 were lost (an event in single bytes, comments of four bytes, a failed answer in single bytes). Cause: all that had arrived on a connection, up to 320 KB, was parsed in one turn of the event loop, as no await on the way had to wait; 40 connections took all turns. The engine decides into how many pieces its bytes fall. What has arrived is joined before it is forwarded. Unread bytes are counted as they come: the list of them was summed for each packet.

--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -19,6 +19,7 @@
 import h11
 
 from bramleylug.web.descriptors import DescriptorLease
+from bramleylug.web.read_turns import ReadAllowance, ReadTurns, running_turns
 
 # Linux closes the connection if sent bytes stay unacknowledged for this long.
 USER_TIMEOUT_MS = 3000
@@ -30,6 +31,8 @@
 # Reading from the socket pauses while more bytes than this wait to be parsed.
 MAX_READ_AHEAD_BYTES = 65536
 MAX_HEAD_BYTES = 65536
+# Pieces of a body that have arrived are joined up to about this size.
+JOINED_BYTES = 16384
 # Interim responses (status 1xx) before an answer.
 MAX_INTERIM_RESPONSES = 8
 
@@ -78,6 +81,10 @@
         the protocol does not allow another request.
     :ivar lease: counts its descriptor, and is released when it has closed.
     :ivar on_input: called when bytes of an answer are received.
+    :ivar needs_data: whether the parser has no complete part left.
+    :ivar parsed: a part of the answer, or the error found in it, that follows
+        the pieces that were returned last.
+    :ivar turns: turns of the event loop, in which it reads.
     """
 
     def __init__(self, lease: DescriptorLease | None = None) -> None:
@@ -87,7 +94,11 @@
         self.lease = lease
         self.transport: Any = None
         self.input_changed = asyncio.Event()
-        self.unread_data: list[bytes] = []
+        self.unread_data = bytearray()
+        self.needs_data = False
+        self.parsed: Any = None
+        self.turns: ReadTurns | None = None
+        self.allowance: ReadAllowance | None = None
         self.ended = False
         self.failure: Exception | None = None
         self.active = False
@@ -145,8 +156,8 @@
             self.transport.abort()
             return
         self.on_input()
-        self.unread_data.append(data)
-        if sum(map(len, self.unread_data)) > MAX_READ_AHEAD_BYTES:
+        self.unread_data += data
+        if len(self.unread_data) > MAX_READ_AHEAD_BYTES and not self.paused:
             self.paused = True
             self.transport.pause_reading()
         self.input_changed.set()
@@ -185,6 +196,7 @@
         if request.body:
             raw.append(self.http.send(h11.Data(data=request.body)))
         self.http.send(h11.EndOfMessage())
+        self.needs_data = True
         self.active = True
         self.transport.write(b''.join(part for part in raw if part))
 
@@ -215,7 +227,7 @@
         event = await self._next_event()
         match event:
             case h11.Data():
-                return bytes(event.data)
+                return self._join(bytes(event.data))
             case h11.EndOfMessage():
                 self._finish()
                 return b''
@@ -251,21 +263,67 @@
         self.must_close = True
 
     async def _next_event(self) -> Any:
-        while True:
-            try:
-                event = self.http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise self._translate_error(error) from error
-            if event is not h11.NEED_DATA:
-                return event
-            await self._receive_more()
+        """Return the next part of the answer, once it is this one's turn.
+
+        The peer decides how many parts its bytes make, and would otherwise
+        keep the event loop for as long as any are left.
+        """
+        while self.parsed is None:
+            if self.needs_data:
+                await self._receive_more()
+            turns, allowance = self._use_turns()
+            if not turns.try_take(allowance):
+                await turns.take(allowance)
+            self.parsed = self._parse()
+        parsed = self.parsed
+        if isinstance(parsed, Exception):
+            raise parsed
+        self.parsed = None
+        return parsed
+
+    def _join(self, piece: bytes) -> bytes:
+        """Return a piece of the body with those that follow it.
+
+        Only what has arrived, and may be read in this turn, is joined.
+        """
+        if len(piece) >= JOINED_BYTES:
+            return piece
+        turns, allowance = self._use_turns()
+        joined = bytearray(piece)
+        while len(joined) < JOINED_BYTES and turns.try_take(allowance):
+            parsed = self._parse()
+            if not isinstance(parsed, h11.Data):
+                self.parsed = parsed
+                break
+            joined += parsed.data
+        return bytes(joined)
+
+    def _parse(self) -> Any:
+        """Return the next part, or the error found in it.
+
+        :returns: ``None`` if more bytes are needed.
+        """
+        try:
+            event = self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            return self._translate_error(error)
+        self.needs_data = event is h11.NEED_DATA
+        return None if self.needs_data else event
+
+    def _use_turns(self) -> tuple[ReadTurns, ReadAllowance]:
+        if self.turns is None or self.allowance is None:
+            self.turns = running_turns()
+            self.allowance = self.turns.allowance()
+        return self.turns, self.allowance
 
     async def _receive_more(self) -> None:
         await self.wait_for_input()
         if self.unread_data:
-            raw = b''.join(self.unread_data)
+            turns, allowance = self._use_turns()
+            turns.charge_bytes(allowance, len(self.unread_data))
+            self.http.receive_data(self.unread_data)
             self.unread_data.clear()
-            self.http.receive_data(raw)
+            self.needs_data = False
             if self.paused and not self.ended:
                 self.paused = False
                 self.transport.resume_reading()
@@ -273,6 +331,7 @@
         if self.failure is not None:
             raise ConnectionBroken(f'connection failed: {self.failure}')
         self.http.receive_data(b'')
+        self.needs_data = False
 
     def _translate_error(self, error: Exception) -> Exception:
         if self.ended and not self.unread_data:
--- a/testing/web/test_client_connection.py
+++ b/testing/web/test_client_connection.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from socket import SO_LINGER, SOL_SOCKET
+from unittest.mock import Mock
 
 from bramleylug.web.client_connection import (
     ClientConnection,
@@ -14,6 +15,7 @@
     MalformedAnswer,
     call,
 )
+from bramleylug.web.read_turns import SLICE_PIECES, TURN_PIECES
 
 Peer = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 REQUEST = ClientRequest('GET', '/x', [('Host', 'a')])
@@ -56,6 +58,37 @@
         server.close()
 
 
+async def most_read_in_a_turn(raw: bytes) -> int:
+    """Return the most body bytes that are read in one turn of the loop."""
+    connection = ClientConnection()
+    connection.connection_made(
+        Mock(
+            get_write_buffer_size=Mock(return_value=0),
+            get_extra_info=Mock(return_value=None),
+        )
+    )
+    connection.send(REQUEST)
+    connection.data_received(
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    )
+    await connection.read_head()
+    read: list[int] = []
+
+    async def read_on() -> None:
+        while True:
+            read.append(len(await connection.read_piece()))
+
+    reading = asyncio.create_task(read_on())
+    connection.data_received(raw)
+    most = 0
+    for _ in range(50):
+        read.clear()
+        await asyncio.sleep(0)
+        most = max(most, sum(read))
+    reading.cancel()
+    return most
+
+
 class TestClientConnection(unittest.IsolatedAsyncioTestCase):
     """A response is complete, or an error is raised."""
 
@@ -152,10 +185,20 @@
             await connection.read_head()
             await asyncio.sleep(0.2)
 
-            held_bytes = sum(map(len, connection.unread_data))
+            held_bytes = len(connection.unread_data)
 
         self.assertLess(held_bytes, 1_000_000)
 
+    async def test_small_pieces_leave_the_loop_to_others(self) -> None:
+        """Guards against callers starved by answers in tiny chunks."""
+        for size in (1, 4, 16, 256):
+            raw = (b'%x\r\n%s\r\n' % (size, b'x' * size)) * 5000
+            with self.subTest(size):
+                self.assertLessEqual(
+                    await most_read_in_a_turn(raw) // size,
+                    TURN_PIECES + SLICE_PIECES,
+                )
+
     async def test_kernel_detects_an_unresponsive_peer(self) -> None:
         """Keep-alive probes and a limit on unacknowledged bytes are set."""
         async with connected(answering(b'')) as connection:
