Relay: comments in a stream are no events

Cause: a comment, or an empty line, counted as an event: it renewed the time until the next one, so that an engine that sent nothing else kept its requests until their deadline, and what it sent was forwarded without end. Callers leave a stream after two seconds without an event, comments or not. Change: they are forwarded as before, but only events renew the limits, begin an answer or end the wait for a second attempt, and 256 KiB of them without an event end the attempt as a larger event does. The time in which the caller did not read them is left out. A block that begins with a comment and has fields is an event, and needs an id where a stream goes on. The tests of both failed before.

--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -115,7 +115,7 @@
     :ivar first_s: until the head of the answer, or the first event of a
         stream; ``None`` for no limit.
     :ivar idle_s: between two complete events of a stream, however many
-        bytes arrive in between; ``None`` for no limit.
+        bytes and comments arrive in between; ``None`` for no limit.
     :ivar patience_s: until when, after the last event, another upstream that
         has the request is preferred to one that goes on.
     :ivar start_by_s: time by which the answer must have started, because
@@ -335,13 +335,14 @@
         splitter = EventSplitter(last_id)
         splitter.restart(continues=self.writer.started)
         pieces: deque[bytes] = deque()
-        while not pieces or not splitter.feed(pieces[-1]):
+        while not splitter.event_count:
             piece = await self.reader.read(
                 self.reader.opened.read_piece, silence
             )
             if not piece:
                 raise ConnectionBroken('answer ended before an event')
             pieces.append(piece)
+            splitter.feed(piece)
         return pieces
 
     def _release(
@@ -478,13 +479,20 @@
         splitter.restart(continues=continues)
         silence = timeouts.before_start(self.clock())
         read = partial(self._read_events, splitter)
-        while events := await self.reader.read(read, silence):
+        event_count = splitter.event_count
+        while complete := await self.reader.read(read, silence):
             now_s = self.clock()
-            self._record_events(now_s)
-            self.progress.record_piece(now_s)
-            await self.writer.write(events)
-            # Counts from here: a slow caller is no fault of the upstream.
-            silence = timeouts.after_event(self.clock())
+            has_event = splitter.event_count > event_count
+            event_count = splitter.event_count
+            if has_event:
+                self._record_events(now_s)
+                self.progress.record_piece(now_s)
+            await self.writer.write(complete)
+            # A slow caller is no fault of the upstream.
+            if has_event:
+                silence = timeouts.after_event(self.clock())
+            else:
+                silence.extend(self.clock() - now_s)
         if splitter.partial:
             raise ConnectionBroken('stream ended inside an event')
         if continues and not self.answer_started:
@@ -501,11 +509,11 @@
             raise MalformedAnswer('answer does not continue the stream')
 
     async def _read_events(self, splitter: EventSplitter) -> bytes:
-        """Return the next complete events; empty at the end of the answer."""
+        """Return complete events or comments; empty at the answer's end."""
         while piece := await self._read_piece():
-            events = splitter.feed(piece)
-            if events:
-                return events
+            complete = splitter.feed(piece)
+            if complete:
+                return complete
         return b''
 
     async def _read_piece(self) -> bytes:
--- a/src/bramleylug/relay/event_splitter.py
+++ b/src/bramleylug/relay/event_splitter.py
@@ -8,8 +8,8 @@
 MAX_END_BYTES = 4
 EVENT_ID = re.compile(rb'(?:^|[\r\n])id: ?([^\r\n]*)')
 INTEGER = re.compile(rb'[0-9]{1,15}')
-# Begins a line that is no field.
-COMMENT = b':'
+# A line that is neither empty nor a comment.
+FIELD_LINE = re.compile(rb'(?:^|[\r\n])[^:\r\n]')
 MAX_EVENT_BYTES = 262144
 
 
@@ -21,22 +21,29 @@
 class EventSplitter:
     """Buffers bytes until events are complete and checks their order.
 
+    Comments and empty lines pass as well, but are no events.
+
     :ivar last_id: id of the last complete event; empty before the first.
+    :ivar event_count: complete events so far.
     :ivar partial: bytes of an event that is not complete yet.
+    :ivar comment_bytes: bytes of comments since the last event.
     :ivar needs_id: whether the next event must have an id, as it follows one
         of another upstream.
     """
 
     def __init__(self, last_id: str = '') -> None:
         self.last_id = last_id
+        self.event_count = 0
         self.partial = bytearray()
+        self.comment_bytes = 0
         self.needs_id = False
 
     def feed(self, raw: bytes) -> bytes:
-        """Add received bytes; return the events that are now complete.
+        """Add received bytes; return what is now complete.
 
         :raises EventStreamError: when an event id does not increase, or is
-            missing where a stream goes on, or an event is too large.
+            missing where a stream goes on, or an event, or the comments
+            before it, are too large.
         """
         search_from = max(0, len(self.partial) - MAX_END_BYTES + 1)
         self.partial += raw
@@ -57,12 +64,23 @@
         :param continues: whether events of another upstream were forwarded.
         """
         self.partial = bytearray()
+        self.comment_bytes = 0
         self.needs_id = continues and bool(self.last_id)
 
     def _check(self, event: bytes) -> None:
+        if FIELD_LINE.search(event):
+            self.event_count += 1
+            self.comment_bytes = 0
+            self._check_id(event)
+            return
+        self.comment_bytes += len(event)
+        if self.comment_bytes > MAX_EVENT_BYTES:
+            raise EventStreamError('comments without an event')
+
+    def _check_id(self, event: bytes) -> None:
         found = EVENT_ID.search(event)
         if found is None:
-            if self.needs_id and not event.startswith(COMMENT):
+            if self.needs_id:
                 raise EventStreamError('no id where the stream goes on')
             return
         self.needs_id = False
--- a/src/bramleylug/relay/silence.py
+++ b/src/bramleylug/relay/silence.py
@@ -81,6 +81,13 @@
         if now_s >= self.check_s:
             self.check_s = now_s + CHECK_INTERVAL_S
 
+    def extend(self, for_s: float) -> None:
+        """Leave out a time in which nothing was read."""
+        self.since_s += for_s
+        self.look_s += for_s
+        self.prefer_other_s += for_s
+        self.check_s += for_s
+
     def error(self, now_s: float) -> UpstreamSilent:
         """Return the error that ends the attempt."""
         return UpstreamSilent(
--- a/testing/relay/test_event_splitter.py
+++ b/testing/relay/test_event_splitter.py
@@ -10,6 +10,7 @@
 
 from bramleylug.relay.event_splitter import (
     EVENT_END,
+    MAX_EVENT_BYTES,
     EventSplitter,
     EventStreamError,
 )
@@ -111,3 +112,28 @@
 
                 self.assertEqual(received, raw)
                 self.assertLessEqual(pattern.searched_bytes, 5 * len(raw))
+
+    def test_comments_and_empty_lines_are_no_events(self) -> None:
+        """They pass, so that connections are kept alive."""
+        splitter = EventSplitter()
+        raw = b': wait\n\n\n\n' + EVENTS[0] + b':\r\n\r\n'
+
+        received = splitter.feed(raw)
+
+        self.assertEqual(received, raw)
+        self.assertEqual(splitter.event_count, 1)
+
+    def test_event_may_begin_with_a_comment(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(b': wait\nid: 1\n\n')
+
+        self.assertEqual((splitter.event_count, splitter.last_id), (1, '1'))
+
+    def test_endless_comments_are_an_error(self) -> None:
+        """Guards against streams that go on without an event."""
+        for comment in (b':\n\n', b'\n\n', b':' + b'x' * 1000 + b'\n\n'):
+            splitter = EventSplitter()
+            splitter.feed(EVENTS[0])
+            with self.subTest(comment), self.assertRaises(EventStreamError):
+                for _ in range(MAX_EVENT_BYTES):
+                    splitter.feed(comment)
--- a/testing/relay/test_relay.py
+++ b/testing/relay/test_relay.py
@@ -343,6 +343,19 @@
 
         self.assertEqual(exchange.ended, 'whole')
 
+    async def test_endless_comments_are_no_event_of_a_stream(self) -> None:
+        """Guards against streams that comments keep at a faulty engine."""
+        comments = [part for _ in range(40) for part in (0.05, chunk(b':\n\n'))]
+        with patch('bramleylug.relay.relay.STREAM_IDLE_S', 0.3):
+            exchange = await self.serve(
+                ScriptedEngine([OK_HEAD, event(1), *comments]),
+                ScriptedEngine([OK_HEAD, event(2), LAST_CHUNK]),
+            )
+
+        self.assertEqual(exchange.ended, 'whole')
+        self.assertIn(plain_event(2), exchange.sent)
+        self.assertLess(exchange.sent.count(b':\n\n'), 40)
+
     async def test_caller_that_resumes_by_itself_gets_the_whole_answer(
         self,
     ) -> None:
