--- a/testing/loader/staged_engine.py
+++ b/testing/loader/staged_engine.py
@@ -155,6 +155,8 @@
         task = asyncio.create_task(run())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        # The error of a call that nobody waits for any more is of no interest.
+        task.add_done_callback(_retrieve_error)
         done, _ = await asyncio.wait((task,), timeout=CALL_TIMEOUT_S)
         if not done:
             raise EngineUnavailable('no answer')
@@ -333,5 +335,10 @@
     """Do nothing."""
 
 
+def _retrieve_error(task: asyncio.Task[object]) -> None:
+    if not task.cancelled():
+        task.exception()
+
+
 def _never() -> bool:
     return False
