Fakes: layers of an engine remember how their chunks were

The stand-in engine takes the layers of an order from its staging area at the moment at which it accepts the order, and each layer remembers whether one of its chunks was then missing, of other weights, or corrupt and for how long. Orders may name a range of layers: layers of the same version in both ranges are kept as they were taken, others are given up. An order that is in effect is answered 200 and counts for nothing, one for layers that do not exist 409.

Troubles: chunks turn corrupt at once or after they were read back, reads and writes of chunks are answered late, and orders are looked at late, with or without an answer.

The check changes: a run that makes tokens with a layer taken from a chunk that was missing, of other weights or corrupt for over 3 s is a violation, and every run with a layer from a corrupt chunk is listed. Weights loaded from chunks that are missing or of other weights are a violation at the load, as before. Only chunks that the stand-in itself turned corrupt, which nothing did before, are judged at the run alone: no loader can prevent that they are loaded.

--- a/src/bramleylug/fakes/engine_trouble.py
+++ b/src/bramleylug/fakes/engine_trouble.py
@@ -36,6 +36,17 @@
     retry_after_s: float
 
 
+class LateOrder(NamedTuple):
+    """How the next order to load weights is accepted late.
+
+    :ivar wait_s: time from its arrival until the engine looks at it.
+    :ivar lost: whether its answer is lost.
+    """
+
+    wait_s: float
+    lost: bool
+
+
 @final
 @dataclass(slots=True)
 class Trouble:
@@ -52,6 +63,12 @@
     :ivar rejections: requests turned away with a time to come back.
     :ivar harmful_part: part of a prompt that crashes it; empty for none.
     :ivar harmful_runs: number of requests with that part that began to run.
+    :ivar staging_delay_s: by how much answers to reads and writes of staged
+        chunks are late.
+    :ivar last_read_s: by how much more the answer is late that completes the
+        read-backs of all chunks.
+    :ivar late_orders: the next orders, those after them are accepted at once.
+    :ivar received_orders: number of orders that arrived.
     :ivar on_harmful: called with the id of each of them.
     :ivar on_crash: called on the loop of the server when the engine crashes,
         after its connections were reset.
@@ -67,6 +84,10 @@
     rejections: list[Rejection] = field(default_factory=list)
     harmful_part: str = ''
     harmful_runs: int = 0
+    staging_delay_s: float = 0
+    last_read_s: float = 0
+    late_orders: list[LateOrder] = field(default_factory=list)
+    received_orders: int = 0
     on_harmful: Callable[[str], None] = lambda _: None
     on_crash: Callable[[], None] = lambda: None
 
@@ -82,6 +103,19 @@
         self.silent_until_s = now_s + float(silent_s)
         unframed_s = document.get('unframed_s', self.unframed_until_s - now_s)
         self.unframed_until_s = now_s + float(unframed_s)
+        self.staging_delay_s = float(
+            document.get('staging_delay_s', self.staging_delay_s)
+        )
+        self.last_read_s = float(document.get('last_read_s', self.last_read_s))
+        self.late_orders.extend(
+            LateOrder(float(order['wait_s']), bool(order.get('lost')))
+            for order in document.get('late_orders', ())
+        )
+
+    def take_late_order(self) -> LateOrder | None:
+        """Count an order; return how it is late, ``None`` if it is not."""
+        self.received_orders += 1
+        return self.late_orders.pop(0) if self.late_orders else None
 
     def take_cut(self) -> bool:
         """Return whether a stream that starts now ends inside an event."""
--- a/src/bramleylug/fakes/model_engine.py
+++ b/src/bramleylug/fakes/model_engine.py
@@ -13,11 +13,14 @@
 
 from bramleylug.fakes.engine_trouble import (
     ENDLESS_LIMIT_S,
+    LateOrder,
     Rejection,
     Trouble,
     finish_answer,
     send_without_end,
 )
+from bramleylug.fakes.held_weights import HeldWeights, Load
+from bramleylug.fakes.staged_chunks import Spoilage, StagedChunks
 from bramleylug.node.loop_thread import LoopThread
 from bramleylug.platform.keyvalue import PlatformStore
 from bramleylug.store.presence import Presence
@@ -80,18 +83,34 @@
     limit_per_s: float | None
 
 
+class CorruptRun(NamedTuple):
+    """A run that made tokens with a layer taken from a corrupt chunk.
+
+    :ivar at_s: when it made the first of them, Unix time.
+    :ivar corrupt_ms: for how long the chunk had been corrupt when the layer
+        was taken.
+    """
+
+    request_id: str
+    at_s: float
+    layer: int
+    corrupt_ms: int
+
+
 @final
 class FakeModelEngine(BaseComponent):
     """Serves streams or bookings, and loads weights that a loader staged.
 
-    :ivar weights_complete: whether all layers of the weights are loaded.
-    :ivar staged: staged chunks by their index.
-    :ivar orders: number of accepted orders to load weights.
+    :ivar staged: chunks in its staging area.
+    :ivar weights: the weights that it holds.
     :ivar runs: number of runs of each request id.
     :ivar run_log: every run, in the order of their starts.
     :ivar trouble: how it misbehaves.
-    :ivar violations: descriptions of invalid requests and of weights that
-        were loaded from missing or corrupt chunks.
+    :ivar violations: descriptions of invalid requests, of weights that were
+        loaded from missing chunks or those of other weights, and of runs with
+        layers that were taken from chunks corrupt for too long.
+    :ivar corrupt_runs: runs with layers that were taken from corrupt chunks,
+        for however long these had been corrupt.
     """
 
     channel = 'web'
@@ -101,18 +120,22 @@
         self.settings = settings
         self.web = WebServer(settings.bind, self.serve).register(self)
         self.started_ms = time.time_ns() // 1_000_000
-        self.version = settings.version
-        self.weights_complete = bool(settings.version)
-        self.staged: dict[int, bytes] = {}
-        if settings.version:
-            pieces = version_chunks(settings, settings.version)
-            self.staged = dict(enumerate(pieces))
-        self.orders = 0
-        self.busy = False
+        self.staged = StagedChunks(
+            version_chunks(settings, settings.version)
+            if settings.version
+            else ()
+        )
+        self.weights = HeldWeights(
+            settings.version,
+            settings.layers,
+            self.staged,
+            lambda version: version_chunks(settings, version),
+        )
         self.active = 0
         self.runs: Counter[str] = Counter()
         self.run_log: list[Run] = []
         self.violations: list[str] = []
+        self.corrupt_runs: list[CorruptRun] = []
         self.draining = False
         self.trouble = Trouble(harmful_part=settings.harmful_part)
         self.loop = LoopThread('engine')
@@ -122,6 +145,11 @@
             self._registration,
         )
 
+    @property
+    def version(self) -> int:
+        """Version of the weights it holds; 0 for none."""
+        return self.weights.version
+
     def open(self) -> None:
         """Register in the store and keep the registration."""
         self.loop.start()
@@ -141,13 +169,12 @@
             case ['-', 'report']:
                 exchange.reply_json(200, self._report())
             case ['-', 'stage-put', _]:
-                self.staged[number] = exchange.body()
-                exchange.reply(200, b'')
+                self.staged.write(number, exchange.body())
+                self._answer_staging(exchange, b'')
             case ['-', 'stage-get', _]:
-                chunk = self.staged.get(number)
-                exchange.reply(404 if chunk is None else 200, chunk or b'')
+                self._answer_staging(exchange, self.staged.read(number))
             case ['-', 'order']:
-                self._order(exchange, json.loads(exchange.body()))
+                self._receive_order(exchange, json.loads(exchange.body()))
             case ['-', page]:
                 self._serve_test(page, exchange)
             case ['health']:
@@ -158,13 +185,22 @@
     def _serve_test(self, page: str, exchange: Exchange) -> None:
         """Serve what only tests ask for."""
         if page == 'trouble':
-            self.trouble.update(json.loads(exchange.body()))
+            document = json.loads(exchange.body())
+            self.trouble.update(document)
+            spoilage = document.get('spoilage')
+            if spoilage is not None:
+                self.staged.plan(Spoilage.from_document(spoilage))
         exchange.reply_json(
             200,
             {
                 'runs': self.run_log,
                 'rejections': self.trouble.rejections,
                 'faults': self.violations,
+                'corrupt_runs': self.corrupt_runs,
+                'spoilt': self.staged.spoilt,
+                'read_backs': len(self.staged.read_back),
+                'received_orders': self.trouble.received_orders,
+                'accepted_orders': self.weights.orders,
             },
         )
 
@@ -215,7 +251,7 @@
         if self.settings.model:
             if version and int(version) != self.version:
                 return 'misdirected'
-            if self.busy or not self.weights_complete:
+            if self.weights.busy or not self.weights.complete:
                 return 'loading'
         return 'full' if self.active >= self.settings.slots else ''
 
@@ -287,14 +323,16 @@
             cut_at = max(first, self.settings.events // 2)
         await self.trouble.wait_out_silence()
         self.trouble.start_answer(exchange, headers)
+        checked: set[int] = set()
         for number in range(first, self.settings.events + 1):
             await asyncio.sleep(self.settings.gap_s)
             await self.trouble.wait_out_silence()
-            if self.version != version or not self.weights_complete:
+            if self.version != version or not self.weights.complete:
                 exchange.abort()
                 return
             if exchange.closed:
                 return
+            self._check_layers(exchange.request_id, checked)
             event = b'id: %d\ndata: %s v%d\n\n' % (
                 number,
                 exchange.request_id.encode(),
@@ -306,42 +344,85 @@
             exchange.send(event)
         finish_answer(exchange)
 
-    def _order(self, exchange: Exchange, order: dict[str, Any]) -> None:
-        if order.get('expected', self.orders) != self.orders or self.busy:
-            exchange.reply(409, b'')
+    def _check_layers(self, request_id: str, checked: set[int]) -> None:
+        """Record the flaws of the layers that make a token.
+
+        :param checked: layers whose flaws were recorded for this run.
+        """
+        for layer, held in self.weights.layers.items():
+            flaw = held.flaw
+            if flaw is None or layer in checked:
+                continue
+            checked.add(layer)
+            if flaw.corrupt_ms is not None:
+                self.corrupt_runs.append(
+                    CorruptRun(request_id, time.time(), layer, flaw.corrupt_ms)
+                )
+            if not flaw.tolerated:
+                self.violations.append(
+                    f'{request_id} ran with layer {layer} of version '
+                    f'{held.version}, which was taken when {flaw}'
+                )
+
+    def _answer_staging(self, exchange: Exchange, chunk: bytes | None) -> None:
+        """Answer a read or write of a staged chunk, which may be late."""
+        delay_s = self.trouble.staging_delay_s
+        if len(self.staged.read_back) == self.settings.chunks:
+            delay_s += self.trouble.last_read_s
+            self.trouble.last_read_s = 0
+        status = 404 if chunk is None else 200
+        if not delay_s:
+            exchange.reply(status, chunk or b'')
             return
-        self.orders += 1
-        self.busy = True
-        if order['mode'] == 'cut':
-            self.weights_complete = False
-        exchange.reply(202, b'')
-        chunks = dict(self.staged)
-        self.loop.spawn(
-            lambda: self._load_weights(int(order['version']), chunks)
-        )
 
-    async def _load_weights(
-        self, version: int, chunks: dict[int, bytes]
+        async def answer_late() -> None:
+            await asyncio.sleep(delay_s)
+            exchange.reply(status, chunk or b'')
+
+        self.loop.spawn(answer_late)
+
+    def _receive_order(self, exchange: Exchange, order: dict[str, Any]) -> None:
+        late = self.trouble.take_late_order()
+        if late is None:
+            exchange.reply(self._accept_order(order), b'')
+        else:
+            self.loop.spawn(lambda: self._receive_late(exchange, order, late))
+
+    async def _receive_late(
+        self, exchange: Exchange, order: dict[str, Any], late: LateOrder
     ) -> None:
-        while self.weights_complete and self.active:
+        await asyncio.sleep(late.wait_s)
+        status = self._accept_order(order)
+        if late.lost:
+            exchange.abort()
+        else:
+            exchange.reply(status, b'')
+
+    def _accept_order(self, order: dict[str, Any]) -> int:
+        """Return the status of an order, which is carried out if it is 202."""
+        match self.weights.accept(order):
+            case Load() as load:
+                self.loop.spawn(lambda: self._load_weights(load))
+                return 202
+            case status:
+                return status
+
+    async def _load_weights(self, load: Load) -> None:
+        weights = self.weights
+        while weights.complete and self.active:
             await asyncio.sleep(self.settings.gap_s)
-        self.weights_complete = False
-        await asyncio.sleep(self.settings.load_s)
-        expected = version_chunks(self.settings, version)
-        if [chunks.get(index) for index, _ in enumerate(expected)] != expected:
-            self.violations.append(
-                f'version {version} was loaded from missing or corrupt chunks'
-            )
-        self.version = version
-        self.weights_complete = True
-        self.busy = False
+        weights.loading = not load.alongside
+        await asyncio.sleep(self.settings.load_s * load.new_share)
+        fault = weights.finish(load)
+        if fault:
+            self.violations.append(fault)
         self.presence.announce()
 
     def _report(self) -> dict[str, Any]:
         return {
             **self._model_fields(),
-            'busy': self.busy,
-            'sequence': self.orders,
+            'busy': self.weights.busy,
+            'sequence': self.weights.orders,
             'queue_depth': 0,
             'active_requests': self.active,
             'born': self.started_ms,
@@ -351,10 +432,9 @@
         settings = self.settings
         if not settings.model:
             return {}
-        end_layer = settings.layers if self.weights_complete else 0
         return {
             'models': [{'name': settings.model, 'version': self.version}],
-            'layers': {'from': 0, 'to': end_layer, 'version': self.version},
+            'layers': self.weights.report(),
         }
 
     def _registration(self) -> bytes:
