--- a/src/bramleylug/soak/deployment.py
+++ b/src/bramleylug/soak/deployment.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, final
@@ -91,6 +91,25 @@
             await self.process.wait()
 
 
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeploymentSettings:
+    """Numbers of processes, and the weights of the engines.
+
+    :ivar version: weights that the engines hold at start; 0 for none.
+    :ivar chunks: number of chunks of the weights.
+    """
+
+    relays: int = RELAY_COUNT
+    engines: int = ENGINE_COUNT
+    records: int = 2
+    version: int = 1
+    chunks: int = 8
+
+
+FULL_DEPLOYMENT = DeploymentSettings()
+
+
 @final
 class Deployment:
     """Store, origin, engines with loaders, records engines and relays.
@@ -107,8 +126,13 @@
     :ivar written: what the operator wrote and did not remove, by key.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        settings: DeploymentSettings = FULL_DEPLOYMENT,
+    ) -> None:
         self.folder = folder
+        self.settings = settings
         self.processes: dict[str, ManagedProcess] = {}
         self.relays: dict[str, dict[str, str]] = {}
         self.engines: dict[str, str] = {}
@@ -123,21 +147,33 @@
         self.publish_lock = asyncio.Lock()
         self.written: dict[str, Any] = {}
 
-    async def start(self) -> None:
-        """Start the processes and publish the first configuration."""
+    async def start(self, later: Collection[str] = ()) -> None:
+        """Start the processes and publish the first configuration.
+
+        :param later: names of processes that are not started yet.
+        """
+        settings = self.settings
         self._add_fake('store', 'store', self.store_address)
-        self._add_fake('origin', 'origin', self.origin_address)
+        origin = {'bind': self.origin_address, 'chunks': settings.chunks}
+        self._add_fake('origin', 'origin', json.dumps(origin))
         await self._start_store('store')
         await self.publish(KEYS)
-        for index in range(ENGINE_COUNT):
+        for index in range(settings.engines):
             await self._add_engine(f'engine-{index}', index, model=True)
             await self._add_loader(f'loader-{index}', f'engine-{index}', index)
-        for index in range(2):
+        for index in range(settings.records):
             await self._add_engine(f'records-{index}', index, model=False)
-        for index in range(RELAY_COUNT):
+        for index in range(settings.relays):
             await self._add_relay(f'relay-{index}', index)
-        for process in self.processes.values():
-            self.tasks.append(asyncio.create_task(process.supervise()))
+        for name in self.processes:
+            if name not in later:
+                self.supervise(name)
+
+    def supervise(self, name: str) -> None:
+        """Start a process, and again whenever it exits."""
+        process = self.processes[name]
+        process.should_run = True
+        self.tasks.append(asyncio.create_task(process.supervise()))
 
     async def stop(self) -> None:
         """Kill every process that was started."""
@@ -157,7 +193,11 @@
         async with self.publish_lock:
             self.version += 3
             document = build_configuration(
-                self.version, keys, self.origin_address, self.idle_limit_s
+                self.version,
+                keys,
+                self.origin_address,
+                self.idle_limit_s,
+                self.settings.chunks,
             )
             self.published_s.append(time.time())
             await self.control({'put': 'op/config', 'document': document})
@@ -216,7 +256,8 @@
             'bind': address,
             'advertised': proxy.address,
             'model': 'fitting' if model else '',
-            'version': 1 if model else 0,
+            'version': self.settings.version if model else 0,
+            'chunks': self.settings.chunks,
             'harmful_part': HARMFUL_PART if model else '',
         }
         self._add_fake(name, 'engine', json.dumps(settings))
@@ -269,7 +310,11 @@
 
 
 def build_configuration(
-    version: int, keys: Iterable[str], origin: str, idle_limit_s: float
+    version: int,
+    keys: Iterable[str],
+    origin: str,
+    idle_limit_s: float,
+    chunks: int,
 ) -> dict[str, Any]:
     """Return a configuration with a route for streams and one for bookings."""
     route = {
@@ -308,7 +353,7 @@
                 'engine': {
                     'models': [{'name': 'fitting', 'warm_s': 0.05}],
                     'layers': 4,
-                    'chunks': 8,
+                    'chunks': chunks,
                     'chunk_bytes': 4096,
                 },
             },
--- a/src/bramleylug/soak/stand_in.py
+++ b/src/bramleylug/soak/stand_in.py
@@ -18,8 +18,9 @@
 def main() -> None:
     """Run the fake that the arguments ask for.
 
-    Arguments are ``store BIND``, ``origin BIND`` or ``engine SETTINGS``, with
-    the settings as JSON.
+    Arguments are ``store BIND``, ``origin LAYOUT`` or ``engine SETTINGS``,
+    with the settings as JSON; those of an origin are its address and the
+    number of chunks.
     """
     kind, argument = sys.argv[1:]
     fake: Any
@@ -28,9 +29,14 @@
             fake = FakeMetadataStore(argument)
         case 'origin':
             layout = ModelEngineSettings(
-                engine_id='', service='', zone='', store='', model='fitting'
+                engine_id='',
+                service='',
+                zone='',
+                store='',
+                model='fitting',
+                **json.loads(argument),
             )
-            fake = FakeWeightsOrigin(layout, argument)
+            fake = FakeWeightsOrigin(layout, layout.bind)
         case _:
             fake = FakeModelEngine(ModelEngineSettings(**json.loads(argument)))
             fake.trouble.on_harmful = _print_harmful
