Loader: an order may be accepted by the next incarnation of an engine

Cause: when a report showed another incarnation, the audit forgot that an order was unanswered. That incarnation may have accepted it just before, and reports are some hundred ms old. A chunk that the next try then mended counted as one that was loaded sound.

Change: an order stays unanswered until one of a later try has begun.

What callers saw: nothing yet, found in review; it would have been answers from a corrupt layer. Weights are loaded once more than needed if no chunk was corrupt.

--- a/src/bramleylug/loader/weights_audit.py
+++ b/src/bramleylug/loader/weights_audit.py
@@ -73,9 +73,9 @@
         if self.observed is None:
             self.inherited = count
         elif self.observed.started_ms != count.started_ms:
+            # An order whose answer was lost may have reached this incarnation.
             self.corrupt = None
             self.sent = None
-            self._forget_writes()
         self.observed = count
 
     def check(self, engine: EngineState) -> WeightsCheck:
