Relays: keep the check of an incarnation whose record is read later

Cause: a loader's report of another incarnation than that of the record was dropped, and the record of the previous one was still believed. Store and loader are heard in any order. With the record late, a request went to the address of an engine that had restarted and loaded the same version, not confirmed yet; with the heartbeat first, what it said was lost, and the record that came later was believed until the next one.

Change: the check is kept for the incarnation that it names. While a loader reports another incarnation than the record, its weights count as incomplete; registering that incarnation ends this.

What callers saw: nothing yet, found in review. Both tests failed before.

--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -226,11 +226,14 @@
 
         A report holds until it expires and its record has been written since:
         an engine writes there some time after its weights have changed.
-        Weights that its loader has not confirmed count as incomplete.
+        Weights that its loader has not confirmed count as incomplete, and so
+        do those of a record while its loader reports another incarnation.
         """
         held = self._reported_weights(now_s).get(model)
         if held is None:
             return None
+        if self._is_replaced():
+            return held._replace(whole=False)
         return self.confirmed_weights.restrict(model, held)
 
     def is_closing(self, now_s: float) -> bool:
@@ -246,16 +249,10 @@
         """Return whether it just started and takes only a limited rate."""
         return now_s < self.record.cold_until_s
 
-    def record_report(self, report: UpstreamReport) -> bool:
-        """Record its loader's report.
-
-        :returns: whether other weights are confirmed now than before.
-        """
+    def record_report(self, report: UpstreamReport) -> None:
+        """Record its loader's report."""
         own_running = self.own_running(report.received_s)
         self.report = report._replace(own_running=own_running)
-        if report.started_ms != self.record.started_ms:
-            return False
-        return self.confirmed_weights.update(report.check, report.weights)
 
     def record_started(self) -> None:
         """Record that the answer to a request has started, or never will."""
@@ -285,6 +282,16 @@
         self.avoid_until_s = max(self.avoid_until_s, now_s + EJECTION_S)
         return True
 
+    def _is_replaced(self) -> bool:
+        """Return whether its loader was last heard of another incarnation.
+
+        Registering that one drops the report.
+        """
+        report = self.report
+        return (
+            report is not None and report.started_ms != self.record.started_ms
+        )
+
     def _reported_weights(self, now_s: float) -> Mapping[str, HeldWeights]:
         report = self.report
         if report is None or report.started_ms != self.record.started_ms:
@@ -425,14 +432,22 @@
     ) -> Iterable[Upstream]:
         """Record a loader's report on the upstream at an address.
 
+        The incarnation that it is of may not be registered yet.
+
         :returns: upstreams of which other weights are confirmed than before.
         """
-        return [
-            upstream
-            for upstream in self.by_id.values()
-            if upstream.record.address == address
-            and upstream.record_report(report)
-        ]
+        changed: list[Upstream] = []
+        for upstream in self.by_id.values():
+            if upstream.record.address != address:
+                continue
+            upstream.record_report(report)
+            confirmed = self.confirmations.of(
+                Incarnation(upstream.record.upstream_id, report.started_ms)
+            )
+            confirmed.used_s = max(confirmed.used_s, report.received_s)
+            if confirmed.update(report.check, report.weights):
+                changed.append(upstream)
+        return changed
 
     def _notice(
         self, upstream_id: str, started_ms: int, now_s: float
--- a/testing/cluster/test_upstreams.py
+++ b/testing/cluster/test_upstreams.py
@@ -1,6 +1,7 @@
 """Tests of what is kept and dropped when an upstream registers again."""
 
 import unittest
+from dataclasses import replace
 
 from bramleylug.cluster.held_weights import HeldWeights, WeightsCheck
 from bramleylug.cluster.upstreams import (
@@ -154,3 +155,47 @@
         self.registry.remove_expired_notices(2.0 + NOTICE_RETENTION_S)
 
         self.assertEqual(self.registry.confirmations.by_incarnation, {})
+
+
+class TestReportsOfAnotherIncarnation(unittest.TestCase):
+    """Loader and store are heard in any order after an engine restarts."""
+
+    def setUp(self) -> None:
+        """Register an upstream that serves confirmed weights."""
+        self.registry = UpstreamRegistry()
+        self.record = build_upstream_record(
+            weights={MODEL: HeldWeights(2, whole=True)}
+        )
+        self.upstream = self.registry.register(self.record)
+        self.report(1000, WeightsCheck.confirmed)
+
+    def test_record_of_the_previous_incarnation_is_not_believed(self) -> None:
+        """The record of the next one is read late."""
+        self.report(2000, WeightsCheck.unconfirmed)
+
+        self.assertFalse(self.is_whole())
+
+    def test_check_that_was_heard_before_the_record_is_kept(self) -> None:
+        """The next heartbeat of the loader may be lost or seconds away."""
+        self.report(2000, WeightsCheck.unconfirmed)
+        self.registry.register(replace(self.record, started_ms=2000))
+
+        self.assertFalse(self.is_whole())
+
+    def report(self, started_ms: int, check: WeightsCheck) -> None:
+        self.registry.record_report(
+            self.record.address,
+            UpstreamReport(
+                started_ms,
+                0,
+                0,
+                self.record.weights,
+                closing=False,
+                received_s=1.0,
+                check=check,
+            ),
+        )
+
+    def is_whole(self) -> bool:
+        held = self.upstream.weights_of(MODEL, now_s=1.0)
+        return held is not None and held.whole
