Loader: read weights back while a newer version cannot be completed

Cause: weights were not read back once the manifest of a newer version was held, as an earlier process may have staged that. If the first read-back failed and the origin did too, sound weights got no request until the newer version was complete.

Change: what this process has staged itself decides, once it has staged any.

The test of this failed before: not offered for 20 s, and would not have been. Weights that an earlier process had the engine load are still not read back then.

--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -62,6 +62,8 @@
     :ivar report: last report in the form that relays get.
     :ivar announcements_due: heartbeats that are to tell all relays of a
         change of the weights or of their check.
+    :ivar staged_version: version that this process has staged last, perhaps
+        in part; 0 for none.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.state: EngineState | None = None
         self.report: UpstreamReport | None = None
         self.announcements_due = 0
+        self.staged_version = 0
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -191,8 +194,9 @@
             return ordered
         by_version = self.chunk_stores.by_version
         chunk_store = by_version.get(engine.version)
-        if chunk_store is None or max(by_version) > engine.version:
-            # An earlier process may have staged chunks of a newer version.
+        # An earlier process may have staged chunks of any version.
+        staged = self.staged_version or max(by_version, default=0)
+        if chunk_store is None or staged > engine.version:
             return None
         return chunk_store.manifest
 
@@ -221,6 +225,7 @@
         staging = StagingReport(began_s, began_s, 0)
         try:
             if not order.unload:
+                self.staged_version = int(manifest.version)
                 staging = await self.staging_area.stage(chunk_store)
             answer = await self._send_order(manifest, order)
         except EngineUnavailable as error:
--- a/testing/loader/test_spoilt_chunks.py
+++ b/testing/loader/test_spoilt_chunks.py
@@ -7,7 +7,7 @@
 import unittest
 from random import Random
 
-from testing.loader.staged_engine import HostModel
+from testing.loader.staged_engine import HostModel, build_chunk_store
 from testing.loader.swarm import CHUNKS
 from testing.virtual_time import in_virtual_time
 
@@ -104,6 +104,27 @@
         self.assertEqual(host.engine.orders, 1)
 
 
+class TestSoundWeights(unittest.TestCase):
+    """Sound weights serve, whatever the staging area contains by now."""
+
+    @in_virtual_time
+    async def test_newer_version_that_cannot_be_completed(self) -> None:
+        """The origin fails while weights are loaded and read back."""
+        host = await start_host()
+        host.engine.restart()
+        while not host.engine.busy:
+            await asyncio.sleep(0.005)
+        host.engine.delays.calls_s = 1.2
+        host.chunk_stores.open(2, build_chunk_store(2).manifest)
+        await asyncio.sleep(2.0)
+        host.engine.delays.calls_s = 0.001
+        await asyncio.sleep(20.0)
+        host.stop()
+
+        self.assertTrue(host.is_offered())
+        self.assertEqual(host.engine.orders, 1)
+
+
 class TestRandomFaults(unittest.TestCase):
     """Faults at random moments never have a request run on corrupt layers."""
 
