Loader: read a chunk back once, also if another one cannot be read

Cause: a chunk that could not be read ended a read-back, and the next one read all chunks again. An engine that fails a share of the reads got no request on sound weights until all of one pass were answered.

Change: chunks that were found sound after the order was accepted need no other read.

--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -164,9 +164,12 @@
             return
         began_s = self.clock()
         try:
-            corrupt = await self.staging_area.find_corrupt(manifest)
+            corrupt = await self.staging_area.find_corrupt(
+                manifest,
+                self.audit.sound_chunks(engine, int(manifest.version)),
+            )
         except EngineUnavailable:
-            # Its next report fails as well, which is logged.
+            # The other chunks are read after the next report.
             return
         suspect = self.audit.record_read_back(
             engine, int(manifest.version), corrupt
--- a/src/bramleylug/loader/staging_area.py
+++ b/src/bramleylug/loader/staging_area.py
@@ -80,20 +80,25 @@
             written,
         )
 
-    async def find_corrupt(self, manifest: Manifest) -> frozenset[int]:
-        """Read all chunks of a version; return the missing and corrupt ones.
+    async def find_corrupt(
+        self, manifest: Manifest, known_sound: set[int]
+    ) -> frozenset[int]:
+        """Read chunks of a version; return the missing and corrupt ones.
 
+        :param known_sound: chunks that need no read; those that are found
+            sound are added, also if others cannot be read.
         :raises EngineUnavailable: if one of them cannot be read.
         """
         limit = asyncio.Semaphore(PARALLEL_CALLS)
 
-        async def is_sound(index: int) -> bool:
+        async def read(index: int) -> None:
             async with limit:
-                return await self._is_staged(manifest, index)
+                if await self._is_staged(manifest, index):
+                    known_sound.add(index)
 
-        indices = range(len(manifest.chunk_hashes))
-        sound = await _gather([is_sound(index) for index in indices])
-        return frozenset(index for index in indices if not sound[index])
+        indices = frozenset(range(len(manifest.chunk_hashes)))
+        await _gather([read(index) for index in indices - known_sound])
+        return indices - known_sound
 
     async def _stage_chunks(
         self, chunk_store: ChunkStore, indices: Iterable[int]
--- a/src/bramleylug/loader/weights_audit.py
+++ b/src/bramleylug/loader/weights_audit.py
@@ -33,7 +33,7 @@
 
 
 class SoundLoad(NamedTuple):
-    """A load whose chunks were read back sound.
+    """A load whose chunks are read back, or were found sound.
 
     :ivar version: version that the chunks are of. Another order may have been
         accepted in place of the one of this process, for another version.
@@ -56,6 +56,8 @@
         accepted, an order whose answer is not known, as that of an earlier
         process.
     :ivar rewritten: chunks that were written since that order was sent.
+    :ivar reading: load whose chunks are being read back.
+    :ivar read_sound: those of its chunks that were found sound.
     """
 
     def __init__(self) -> None:
@@ -66,6 +68,8 @@
         self.sent: SentOrder | None = None
         self.is_unanswered = True
         self.rewritten: set[int] = set()
+        self.reading: SoundLoad | None = None
+        self.read_sound: set[int] = set()
 
     def observe(self, engine: EngineState) -> None:
         """Apply a report of the engine."""
@@ -140,6 +144,17 @@
         """
         self._forget_writes()
 
+    def sound_chunks(self, engine: EngineState, version: int) -> set[int]:
+        """Return the chunks of a load that are known to be sound, to add to.
+
+        A chunk may fail to be read; the others need not be read again.
+        """
+        reading = SoundLoad(count_of(engine), version)
+        if reading != self.reading:
+            self.reading = reading
+            self.read_sound = set()
+        return self.read_sound
+
     def record_read_back(
         self, engine: EngineState, version: int, corrupt: Collection[int]
     ) -> frozenset[int]:
--- a/testing/loader/staged_engine.py
+++ b/testing/loader/staged_engine.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
+from random import Random
 from typing import NamedTuple
 
 from bramleylug.cluster.constraints import Constraints
@@ -85,6 +86,8 @@
     unless the engine has restarted.
 
     :ivar on_staged_read: called after each read of a staged chunk.
+    :ivar is_read_lost: returns whether the next such read gets no answer.
+    :ivar late_writes: by chunk how late its next write is carried out.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -97,6 +100,8 @@
         self.delays = Delays()
         self.tasks: set[asyncio.Task[object]] = set()
         self.on_staged_read: Callable[[int], None] = _ignore
+        self.is_read_lost: Callable[[], bool] = _never
+        self.late_writes: dict[int, float] = {}
 
     @property
     def version(self) -> int:
@@ -123,17 +128,31 @@
         if index in self.staged:
             self.staged |= {index: b'spoilt'}
 
+    def lose_write(self, index: int, late_s: float) -> None:
+        """Carry the next write of a chunk out late, without an answer."""
+        self.late_writes[index] = late_s
+
+    def lose_reads(self, random: Random, share: float) -> None:
+        """Give no answer to a share of the reads of staged chunks."""
+
+        def is_lost() -> bool:
+            return random.random() < share
+
+        self.is_read_lost = is_lost
+
     async def report(self, model: str, now_s: float) -> DecodedReport:
         return await self._call(self.delays.calls_s, lambda: self._read(now_s))
 
     async def stage(self, model: str, index: int, chunk: bytes) -> None:
         await self._call(
-            self.delays.calls_s, lambda: self.staged.update({index: chunk})
+            self.late_writes.pop(index, self.delays.calls_s),
+            lambda: self.staged.update({index: chunk}),
         )
 
     async def read_staged(self, model: str, index: int) -> bytes | None:
         chunk = await self._call(
-            self.delays.calls_s, partial(self.staged.get, index)
+            2 * CALL_TIMEOUT_S if self.is_read_lost() else self.delays.calls_s,
+            partial(self.staged.get, index),
         )
         self.on_staged_read(index)
         return chunk
--- a/testing/loader/test_spoilt_chunks.py
+++ b/testing/loader/test_spoilt_chunks.py
@@ -107,6 +107,21 @@
 class TestSoundWeights(unittest.TestCase):
     """Sound weights serve, whatever the staging area contains by now."""
 
+    @in_virtual_time
+    async def test_reads_that_fail_now_and_then_do_not_delay_it(self) -> None:
+        """A chunk that was read back once needs no other read."""
+        host = await start_host()
+        host.name(2)
+        while host.engine.orders < 2:
+            await asyncio.sleep(0.005)
+        host.engine.lose_reads(Random(1), share=0.4)
+        host.offers.clear()
+        await asyncio.sleep(20.0)
+        host.stop()
+
+        self.assertTrue(host.is_offered())
+        self.assertEqual(host.violations, [])
+
     @in_virtual_time
     async def test_newer_version_that_cannot_be_completed(self) -> None:
         """The origin fails while weights are loaded and read back."""
