--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -63,6 +63,8 @@
     :ivar report: last report in the form that relays get.
     :ivar announcements_due: heartbeats that are still to tell all relays that
         the weights are confirmed.
+    :ivar staged_version: version that this process has staged last, perhaps
+        in part; 0 for none.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.state: EngineState | None = None
         self.report: UpstreamReport | None = None
         self.announcements_due = 0
+        self.staged_version = 0
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -163,9 +166,12 @@
             return
         began_s = self.clock()
         try:
-            corrupt = await self.staging_area.find_corrupt(manifest)
+            corrupt = await self.staging_area.find_corrupt(
+                manifest,
+                self.audit.sound_chunks(engine, int(manifest.version)),
+            )
         except EngineUnavailable:
-            # Its next report fails as well, which is logged.
+            # The other chunks are read after the next report.
             return
         suspect = self.audit.record_read_back(
             engine, int(manifest.version), corrupt
@@ -193,8 +199,9 @@
             return ordered
         by_version = self.chunk_stores.by_version
         chunk_store = by_version.get(engine.version)
-        if chunk_store is None or max(by_version) > engine.version:
-            # An earlier process may have staged chunks of a newer version.
+        # An earlier process may have staged chunks of any version.
+        staged = self.staged_version or max(by_version, default=0)
+        if chunk_store is None or staged > engine.version:
             return None
         return chunk_store.manifest
 
@@ -223,6 +230,7 @@
         staging = StagingReport(began_s, began_s, 0)
         try:
             if not order.unload:
+                self.staged_version = int(manifest.version)
                 staging = await self.staging_area.stage(chunk_store)
             answer = await self._send_order(manifest, order)
         except EngineUnavailable as error:
