--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -321,7 +321,7 @@
         if self.unread_data:
             turns, allowance = self._use_turns()
             turns.charge_bytes(allowance, len(self.unread_data))
-            self.http.receive_data(self.unread_data)
+            self.http.receive_data(bytes(self.unread_data))
             self.unread_data.clear()
             self.needs_data = False
             if self.paused and not self.ended:
