Relay: bytes that make no event keep no request at its engine

Cause: when another engine is to be looked for, unread bytes are taken for an answer that came while the process stood still, and the look is put off by 0.2 s. An engine that sends without end always has some, so that its requests never moved; and a second attempt was given up once the caller's patience was over, as if the first engine had answered. Change: that holds once for each event that is waited for. Bytes that made no event by the next look are no sign of one, also while a second attempt runs.

--- a/src/bramleylug/relay/silence.py
+++ b/src/bramleylug/relay/silence.py
@@ -50,6 +50,9 @@
     :ivar quiet_limit_s: how long a request should wait at most without
         anything received from its upstream; infinite if that says nothing.
     :ivar check_s: when that is checked.
+    :ivar had_input: whether unread bytes were found when another upstream was
+        to be looked for. If they made no event by the next time, more of them
+        are no sign of one.
     """
 
     since_s: float
@@ -58,6 +61,7 @@
     prefer_other_s: float = -math.inf
     quiet_limit_s: float = math.inf
     check_s: float = math.inf
+    had_input: bool = False
 
     @property
     def may_move(self) -> bool:
@@ -172,12 +176,15 @@
         hedge = self.offered
         self.offered = None
         if hedge is None and is_due and not is_silent:
-            return self._look_elsewhere()
+            return self._look_elsewhere(silence)
         return hedge
 
-    def _look_elsewhere(self) -> Hedge | None:
-        # A process that stood still finds timer and answer at the same time.
-        if self.hedge is None or self.opened.has_input:
+    def _look_elsewhere(self, silence: Silence) -> Hedge | None:
+        if self.hedge is None:
+            return None
+        if self.opened.has_input and not silence.had_input:
+            # A process that stood still finds timer and answer at once.
+            silence.had_input = True
             return None
         return self.hedge()
 
@@ -249,7 +256,11 @@
         returned to.
         """
         while not preparing.done():
-            answered = answering.done() and self.opened.has_input
+            answered = (
+                answering.done()
+                and self.opened.has_input
+                and not silence.had_input
+            )
             latest_s = silence.prefer_other_s if answered else silence.end_s
             left_s = latest_s - self.clock()
             if left_s <= 0:
