Feed: a compressed answer takes bounded memory

Cause: the answer of a relay through which another process reads the store was decompressed whatever its size; only the bytes received were limited (8 MB).

--- a/src/bramleylug/store/feed.py
+++ b/src/bramleylug/store/feed.py
@@ -24,6 +24,8 @@
 # processes of a zone at the same time.
 COMPRESSED_FROM_BYTES = 2048
 COMPRESSION_LEVEL = 1
+# A short compressed answer may stand for any number of bytes.
+MAX_DECODED_BYTES = 33554432
 
 
 class Poll(NamedTuple):
@@ -155,15 +157,24 @@
 def decode(raw: bytes, *, compressed: bool) -> FeedAnswer:
     """Return an answer from its bytes.
 
-    :raises ValueError: when they cannot be decompressed.
+    :raises ValueError: when they cannot be decompressed, or are more than
+        :data:`MAX_DECODED_BYTES` then.
     :raises google.protobuf.message.DecodeError: when they are no answer.
     """
+    return FeedAnswer.FromString(_decompress(raw) if compressed else raw)
+
+
+def _decompress(raw: bytes) -> bytes:
+    stream = zlib.decompressobj()
     try:
-        return FeedAnswer.FromString(
-            zlib.decompress(raw) if compressed else raw
-        )
+        decoded = stream.decompress(raw, MAX_DECODED_BYTES)
     except zlib.error as error:
         raise ValueError(str(error)) from error
+    if stream.unconsumed_tail:
+        raise ValueError(f'answer has more than {MAX_DECODED_BYTES} bytes')
+    if not stream.eof:
+        raise ValueError('compressed answer is incomplete')
+    return decoded
 
 
 def changes_of(answer: FeedAnswer) -> Iterable[StoreChange]:
