Server: whole chunks of a request body are read in one pass

Cause: each chunk was read in three steps that each searched and cut the buffer. One read of 16 KB of one-byte chunks kept the thread of all callers for 20 ms; the caller decides into how many chunks its body falls. Change: chunks that have arrived whole are read in one pass, and the buffer is cut once. What is left, or is wrong, is read part by part as before; a property test holds both ways against each other.

--- a/src/bramleylug/web/reader.py
+++ b/src/bramleylug/web/reader.py
@@ -19,6 +19,8 @@
 HEXADECIMAL = 16
 CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,15})[\t ]*(?:;[\t\x20-\xff]*)?')
 
+WHOLE_CHUNK_LINE = re.compile(CHUNK_SIZE.pattern + LINE_END)
+
 
 class Message(NamedTuple):
     """A complete request."""
@@ -135,6 +137,8 @@
 
     def _read_chunks(self) -> Step | None:
         while self.phase is not Phase.trailers:
+            if self.phase is Phase.chunk_size:
+                self._read_whole_chunks()
             before = self.phase, len(self.buffer)
             error = self._read_chunk_part()
             if error is not None:
@@ -143,6 +147,26 @@
                 return None
         return self._read_trailers()
 
+    def _read_whole_chunks(self) -> None:
+        """Read all chunks that have arrived whole, in one pass.
+
+        What is left, or is wrong, is read part by part.
+        """
+        start = 0
+        while line := WHOLE_CHUNK_LINE.match(
+            self.buffer, start, start + CHUNK_LINE_BYTES
+        ):
+            size_bytes = int(line.group(1), HEXADECIMAL)
+            end = line.end() + size_bytes
+            following = end + len(LINE_END)
+            if not size_bytes or self.buffer[end:following] != LINE_END:
+                break
+            if len(self.body) + size_bytes > self.limits.body_bytes:
+                break
+            self.body += self.buffer[line.end() : end]
+            start = following
+        del self.buffer[:start]
+
     def _read_chunk_part(self) -> BadRequest | None:
         if self.phase is Phase.chunk_size:
             return self._read_chunk_size()
--- a/testing/web/test_reader.py
+++ b/testing/web/test_reader.py
@@ -1,6 +1,7 @@
 """Tests of parsing bytes into requests of limited size."""
 
 import unittest
+from unittest.mock import Mock, patch
 
 from hypothesis import given, strategies
 
@@ -30,6 +31,21 @@
     return b'POST /a HTTP/1.1\r\n%s%s\r\n%s' % (HOST, headers, body)
 
 
+CHUNK_PARTS = (
+    b'1\r\nx\r\n',
+    b'3;a=b\r\nxyz\r\n',
+    b'00002 \r\n\r\n\r\n',
+    b'1\r\nxy\r\n',
+    b'f\r\n',
+    b'2;' + b'x' * 250 + b'\r\nxy\r\n',
+    b'1;' + b'x' * 300 + b'\r\nx\r\n',
+    b'g\r\n',
+    b'1\nx\n',
+    b'0\r\n\r\n',
+    b'0\r\nX: y\r\n\r\n',
+)
+
+
 class TestValidRequests(unittest.TestCase):
     """Valid requests are parsed, however the bytes are split."""
 
@@ -52,6 +68,28 @@
 
         self.assertEqual([step.body for step in steps], [b'body', b'body'])
 
+    @given(strategies.lists(strategies.sampled_from(CHUNK_PARTS)))
+    def test_chunks_are_the_same_at_once_and_in_bytes(
+        self, parts: list[bytes]
+    ) -> None:
+        """Whole chunks are read in one pass, others part by part."""
+        raw = post(CHUNKED, b''.join(parts))
+
+        self.assertEqual(
+            read(raw, piece_bytes=len(raw)), read(raw, piece_bytes=1)
+        )
+
+    def test_tiny_chunks_are_read_in_one_pass(self) -> None:
+        """Guards against callers starved by a body in tiny chunks."""
+        reader = MessageReader(WebLimits())
+        reader.feed(post(CHUNKED, b'1\r\nx\r\n' * 2000))
+        part = Mock(wraps=reader._read_chunk_part)
+        with patch.object(reader, '_read_chunk_part', part):
+            reader.advance()
+
+        self.assertEqual(len(reader.body), 2000)
+        self.assertLess(part.call_count, 10)
+
     def test_continue_is_requested_before_the_body(self) -> None:
         """A client that expects 100 Continue gets it once."""
         raw = post(b'Expect: 100-continue\r\nContent-Length: 2\r\n', b'')
