--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -94,7 +94,7 @@
         self.lease = lease
         self.transport: Any = None
         self.input_changed = asyncio.Event()
-        self.unread_data = bytearray()
+        self.unread_data: bytes | bytearray = b''
         self.needs_data = False
         self.parsed: Any = None
         self.turns: ReadTurns | None = None
@@ -156,7 +156,7 @@
             self.transport.abort()
             return
         self.on_input()
-        self.unread_data += data
+        self._buffer(data)
         if len(self.unread_data) > MAX_READ_AHEAD_BYTES and not self.paused:
             self.paused = True
             self.transport.pause_reading()
@@ -246,6 +246,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _buffer(self, data: bytes) -> None:
+        if not self.unread_data:
+            self.unread_data = data
+            return
+        if isinstance(self.unread_data, bytes):
+            self.unread_data = bytearray(self.unread_data)
+        self.unread_data += data
+
     def _release_descriptor(self) -> None:
         if self.lease is not None:
             self.lease.release()
@@ -322,7 +330,7 @@
             turns, allowance = self._use_turns()
             turns.charge_bytes(allowance, len(self.unread_data))
             self.http.receive_data(bytes(self.unread_data))
-            self.unread_data.clear()
+            self.unread_data = b''
             self.needs_data = False
             if self.paused and not self.ended:
                 self.paused = False
--- a/src/bramleylug/web/read_turns.py
+++ b/src/bramleylug/web/read_turns.py
@@ -12,7 +12,7 @@
 BURST_PIECES = 64
 REFILL_PIECES_PER_S = 200.0
 # Received bytes that count as one more piece.
-PIECE_BYTES = 16384
+PIECE_BYTES = 65536
 # Pieces that all connections together read in one turn of the loop.
 TURN_PIECES = 256
 # Of these, what connections that had to wait for a turn get first.
