Event loops: BL5013 tells what other threads used in a long turn

A turn of 0.83 s had used 0.007 s of processor itself; whether the thread of the callers held the interpreter or the host was short of processor time could not be told.

--- a/src/bramleylug/node/loop_turns.py
+++ b/src/bramleylug/node/loop_turns.py
@@ -22,10 +22,12 @@
     """One turn of an event loop, from the end of a wait to the next wait.
 
     :ivar processor_s: processor time of the thread in it.
+    :ivar others_s: processor time of the other threads of the process.
     """
 
     took_s: float
     processor_s: float
+    others_s: float = 0
 
 
 @final
@@ -57,19 +59,23 @@
 
     :ivar woke_s: when the last wait ended; ``None`` before.
     :ivar used_s: processor time of the thread until then.
+    :ivar process_s: processor time of the process until then.
     """
 
     def __init__(
         self,
         clock: Callable[[], float] = time.monotonic,
         thread_clock: Callable[[], float] = time.thread_time,
+        process_clock: Callable[[], float] = time.process_time,
     ) -> None:
         super().__init__()
         self.clock = clock
         self.thread_clock = thread_clock
+        self.process_clock = process_clock
         self.turns = TurnRecord()
         self.woke_s: float | None = None
         self.used_s = 0.0
+        self.process_s = 0.0
 
     def select(self, timeout: float | None = None) -> list[Any]:
         """Wait as the base class does; record the turn that ends here."""
@@ -77,16 +83,20 @@
         ready = super().select(timeout)
         self.woke_s = self.clock()
         self.used_s = self.thread_clock()
+        self.process_s = self.process_clock()
         return ready
 
     def _end_turn(self) -> None:
         now_s = self.clock()
         if self.woke_s is None or now_s - self.woke_s < LONG_TURN_S:
             return
-        turn = Turn(now_s - self.woke_s, self.thread_clock() - self.used_s)
+        used_s = self.thread_clock() - self.used_s
+        others_s = self.process_clock() - self.process_s - used_s
+        turn = Turn(now_s - self.woke_s, used_s, others_s)
         if self.turns.record(turn, now_s):
             emit(
                 LogEvent.long_turn,
                 took_s=round(turn.took_s, 3),
                 processor_s=round(turn.processor_s, 3),
+                others_s=round(turn.others_s, 3),
             )
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -492,10 +492,11 @@
         'BL5013',
         'WARNING',
         'one turn of the event loop took {took_s} s, {processor_s} s of it on '
-        'the processor; all connections waited',
+        'the processor and {others_s} s on other threads; all connections '
+        'waited',
         'If most of it was on the processor, look for a peer that sends very '
-        'much or in very small pieces; otherwise this host is short of '
-        'processor time.',
+        'much or in very small pieces; if on other threads, for such a caller; '
+        'otherwise this host is short of processor time.',
     )
 
 
--- a/testing/node/test_loop_turns.py
+++ b/testing/node/test_loop_turns.py
@@ -53,10 +53,17 @@
         sink = logger.add(lines.append, format='{message}')
         self.addCleanup(logger.remove, sink)
         times = iter((0.0, 0.0, 1.5, 1.5))
-        selector = TurnSelector(times.__next__, iter((0.0, 0.4, 0.4)).__next__)
+        selector = TurnSelector(
+            times.__next__,
+            iter((0.0, 0.4, 0.4)).__next__,
+            iter((0.0, 0.7, 0.7)).__next__,
+        )
         self.addCleanup(selector.close)
 
         selector.select(0)
         selector.select(0)
 
-        self.assertIn('took 1.5 s, 0.4 s of it on the processor', lines[0])
+        self.assertIn(
+            'took 1.5 s, 0.4 s of it on the processor and 0.3 s on other',
+            lines[0],
+        )
