Agent: load an adapter again whose staged files were spoilt

Cause: the files of an adapter are verified when they are committed and read by the engine later, like those of a version. A spoilt adapter stayed loaded until the engine restarted, as the engine reports the digest that is wanted.

Change: they are verified again after each order of the adapter. If they do not match, they are fetched anew, and the report counts as one without the digest, so that the adapter is dropped or ordered again.

What remains: requests that name the adapter may run on it between its load and the end of the check; the gate knows no adapters.

--- a/src/bramleylug/agent/engine_orders.py
+++ b/src/bramleylug/agent/engine_orders.py
@@ -14,10 +14,15 @@
 
 
 class EndedOrder(NamedTuple):
-    """An order that was accepted, refused or timed out."""
+    """An order that was accepted, refused or timed out.
+
+    :ivar spoilt: whether the staged files did not match their manifest when
+        they were verified after an order.
+    """
 
     order: OrderVersion | OrderAdapter
     accepted: bool
+    spoilt: bool = False
 
 
 @final
@@ -33,7 +38,8 @@
     def send(self, order: OrderVersion | OrderAdapter) -> None:
         """Send an order; its result comes from :meth:`collect_ended`.
 
-        When it is not accepted, the staged version is verified again.
+        The staged files of an adapter, or of an order that is not accepted,
+        are verified again.
         """
         future = self.executor.submit(self._send, order)
         future.add_done_callback(lambda done: self._end(order, done))
@@ -47,11 +53,15 @@
         except Empty:
             return ended
 
-    def _send(self, order: OrderVersion | OrderAdapter) -> bool:
+    def _send(self, order: OrderVersion | OrderAdapter) -> EndedOrder:
         accepted = self.upstream.order(self._message(order)) is not None
-        if not accepted:
-            self.version_cache.recheck(_staged_key(order))
-        return accepted
+        spoilt = False
+        match order:
+            case OrderVersion(key=key) if not accepted:
+                spoilt = not self.version_cache.recheck(key)
+            case OrderAdapter(adapter=adapter, load=True):
+                spoilt = not self.version_cache.recheck(adapter_key(adapter))
+        return EndedOrder(order, accepted, spoilt)
 
     def _message(self, order: OrderVersion | OrderAdapter) -> dict[str, Any]:
         message: dict[str, Any] = {'fencing': order.fencing}
@@ -69,24 +79,13 @@
         return str(self.version_cache.staging.committed_path(key))
 
     def _end(
-        self,
-        order: OrderVersion | OrderAdapter,
-        done: Future[bool],
+        self, order: OrderVersion | OrderAdapter, done: Future[EndedOrder]
     ) -> None:
-        accepted = done.exception() is None and done.result()
-        self.ended.put(EndedOrder(order, accepted))
+        failed = done.exception() is not None
+        self.ended.put(EndedOrder(order, False) if failed else done.result())
 
 
 def adapter_key(adapter: str) -> VersionKey:
     """Parse ``model@version``."""
     model, _, version = adapter.partition('@')
     return VersionKey(model, version)
-
-
-def _staged_key(order: OrderVersion | OrderAdapter) -> VersionKey:
-    """Return the staged version that an order names."""
-    match order:
-        case OrderVersion(key=key):
-            return key
-        case OrderAdapter(adapter=adapter):
-            return adapter_key(adapter)
--- a/src/bramleylug/agent/load_checks.py
+++ b/src/bramleylug/agent/load_checks.py
@@ -5,7 +5,11 @@
 from dataclasses import replace
 from typing import NamedTuple, Protocol, final
 
-from bramleylug.agent.version_actions import EngineReport, OrderVersion
+from bramleylug.agent.version_actions import (
+    EngineReport,
+    OrderAdapter,
+    OrderVersion,
+)
 from bramleylug.weights.manifest import VersionKey
 
 Recheck = Callable[[VersionKey], bool]
@@ -62,6 +66,8 @@
     :param submit: runs a verification in another thread.
     :ivar confirmed: load whose files were sound afterwards.
     :ivar pending: whether a version order has not ended yet.
+    :ivar spoilt_adapters: adapters whose files were not sound after their
+        latest order, as ``model@version``.
     """
 
     def __init__(self, staged: StagedVersions, submit: Submit) -> None:
@@ -72,6 +78,7 @@
         self.sent: dict[str, SentOrder] = {}
         self.orders = 0
         self.pending = False
+        self.spoilt_adapters: set[str] = set()
 
     def record_order(self, order: OrderVersion) -> None:
         """Record that a version order is sent."""
@@ -85,6 +92,15 @@
         """Record that a version order was accepted, refused or timed out."""
         self.pending = False
 
+    def record_adapter_order_end(
+        self, order: OrderAdapter, *, accepted: bool, spoilt: bool
+    ) -> None:
+        """Record the result of an order to load or to drop an adapter."""
+        if spoilt:
+            self.spoilt_adapters.add(order.adapter)
+        elif accepted:
+            self.spoilt_adapters.discard(order.adapter)
+
     def observe(
         self, report: EngineReport, verified: Mapping[str, VersionKey]
     ) -> EngineReport:
@@ -92,7 +108,8 @@
 
         :param verified: verified versions by digest.
         :returns: the report; without weights when these were loaded from
-            other files than those that are staged now.
+            other files than those that are staged now, and without the
+            digests of spoilt adapters, so that these are loaded again.
         """
         self._collect()
         key = verified.get(report.digest)
@@ -105,7 +122,7 @@
         if idle and load != self.confirmed:
             result = self.submit(self.staged.recheck, key)
             self.check = RunningCheck(load, result)
-        return report
+        return replace(report, adapters=self._sound_adapters(report))
 
     def is_confirmed(self, boot_id: str, digest: str) -> bool:
         """Return whether the files of a load were sound afterwards."""
@@ -124,6 +141,12 @@
             return staging == 0
         return order.staging == staging and report.fencing >= order.fencing
 
+    def _sound_adapters(self, report: EngineReport) -> dict[str, str]:
+        return {
+            adapter: '' if adapter in self.spoilt_adapters else digest
+            for adapter, digest in report.adapters.items()
+        }
+
     def _collect(self) -> None:
         check = self.check
         if check is None or not check.result.done():
--- a/src/bramleylug/agent/version_manager.py
+++ b/src/bramleylug/agent/version_manager.py
@@ -273,12 +273,15 @@
                 )
 
     def _record_ended_orders(self, now_s: float) -> None:
-        for order, accepted in self.orders.collect_ended():
+        for order, accepted, spoilt in self.orders.collect_ended():
             match order:
                 case OrderVersion():
                     self.load_checks.record_order_end()
                     self.policy.record_order_end(now_s, accepted=accepted)
                 case OrderAdapter():
+                    self.load_checks.record_adapter_order_end(
+                        order, accepted=accepted, spoilt=spoilt
+                    )
                     self.policy.record_adapter_order_end(
                         now_s, accepted=accepted
                     )
