Store: register nothing once a process has withdrawn

Cause: whether a process has withdrawn was checked before its lease was granted, and the key was written after. A process that is told to stop while it registers again, as after a pause in which its lease expired, withdrew first and wrote its key then.

Change: it is checked again after the grant; the new lease is revoked.

--- a/src/bramleylug/store/presence.py
+++ b/src/bramleylug/store/presence.py
@@ -69,6 +69,9 @@
     async def withdraw(self) -> None:
         """Revoke the lease, which removes the key, and end :meth:`run`."""
         self.withdrawn = True
+        await self._end_lease()
+
+    async def _end_lease(self) -> None:
         if self.lease is None or self.lease_era != self.store.era:
             return
         try:
@@ -88,6 +91,10 @@
             self.lease = await self.store.grant_lease(self.lease_s)
             self.lease_era = self.store.era
             self.written = None
+        if self.withdrawn:
+            # Withdrawn while the lease was being granted.
+            await self._end_lease()
+            return
         value = self.describe()
         if value != self.written:
             await self.store.put(self.key, value, self.lease.lease_id)
--- a/testing/store/test_presence.py
+++ b/testing/store/test_presence.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
+from bramleylug.store.changes import Lease
 from bramleylug.store.presence import Presence
 from testing.store.scripted import ScriptedStore
 from testing.virtual_time import in_virtual_time
@@ -74,3 +76,21 @@
 
         self.assertEqual(store.leases, 1)
         self.assertIn(('end', 1), store.calls)
+
+    @in_virtual_time
+    async def test_lease_granted_during_a_withdrawal_registers_nothing(
+        self,
+    ) -> None:
+        """Guards against a stopped process that is registered again."""
+        store = ScriptedStore()
+        presence = Presence(store, 'key', lambda: b'serving')
+        grant_lease = store.grant_lease
+
+        async def withdraw_and_grant(ttl_s: float) -> Lease:
+            await presence.withdraw()
+            return await grant_lease(ttl_s)
+
+        with patch.object(store, 'grant_lease', withdraw_and_grant):
+            await asyncio.wait_for(presence.run(), 3)
+
+        self.assertEqual(store.calls, [('grant', 1), ('end', 1)])
