Tests: corrupt loads that are confirmed, sound ones that are given up

A successor of a killed loader cannot know which chunks were written after the order was accepted; a write whose answer was lost mends a chunk later; a relay that has just started believes the record; and a chunk that becomes corrupt after a load has the next loader process empty an engine whose weights are sound.

--- a/testing/loader/test_spoilt_chunks.py
+++ b/testing/loader/test_spoilt_chunks.py
@@ -7,8 +7,9 @@
 import unittest
 from random import Random
 
-from testing.loader.staged_engine import HostModel, build_chunk_store
-from testing.loader.swarm import CHUNKS
+from bramleylug.cluster.upstreams import UpstreamRegistry
+from testing.loader.staged_engine import Delays, HostModel, build_chunk_store
+from testing.loader.swarm import CHUNKS, chunks_of
 from testing.virtual_time import in_virtual_time
 
 # An engine with sound weights serves again within this time of the last fault.
@@ -104,6 +105,68 @@
         self.assertEqual(host.engine.orders, 1)
 
 
+class TestPredecessors(unittest.TestCase):
+    """A process takes over from one that ended between two steps."""
+
+    @in_virtual_time
+    async def test_chunk_mended_by_a_loader_killed_before_its_audit(
+        self,
+    ) -> None:
+        """The order is accepted while the next try reads the chunks."""
+        host = await start_host()
+        engine = host.engine
+        engine.delays.order_s = 2.2
+        loop = asyncio.get_running_loop()
+        loop.call_later(1.2, setattr, engine.delays, 'calls_s', 0.3)
+        loop.call_later(1.3, engine.spoil, 5)
+        host.name(2)
+        while engine.orders < 2 or engine.staged[5] != chunks_of(2)[5]:
+            await asyncio.sleep(0.005)
+        host.restart_loader()
+        engine.delays = Delays()
+        await asyncio.sleep(20.0)
+        host.stop()
+
+        self.assertEqual(host.violations, [])
+        self.assertTrue(host.engine.sound)
+
+    @in_virtual_time
+    async def test_relay_started_while_corrupt_weights_are_loaded(self) -> None:
+        """It reads the record before it hears the loader."""
+        host = await start_host()
+        host.engine.delays.order_s = 0.8
+        asyncio.get_running_loop().call_later(1.0, host.engine.spoil, 5)
+        host.name(2)
+        while host.engine.sound or host.engine.busy:
+            await asyncio.sleep(0.01)
+        host.registry = UpstreamRegistry()
+        await asyncio.sleep(20.0)
+        host.stop()
+
+        self.assertEqual(host.violations, [])
+
+    @in_virtual_time
+    async def test_chunk_mended_by_a_late_write(self) -> None:
+        """A write without an answer arrives after the order was accepted."""
+        host = await start_host()
+        engine = host.engine
+        engine.lose_write(5, late_s=3.0)
+        engine.delays.order_s = 0.9
+        host.name(2)
+        while engine.staged[5] != chunks_of(2)[5]:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.1)
+        engine.spoil(5)
+        while engine.orders < 2:
+            await asyncio.sleep(0.005)
+        engine.delays.calls_s = 0.5
+        await asyncio.sleep(20.0)
+        host.stop()
+
+        self.assertEqual(host.violations, [])
+        self.assertTrue(host.engine.sound)
+
+
 class TestSoundWeights(unittest.TestCase):
     """Sound weights serve, whatever the staging area contains by now."""
 
@@ -139,6 +202,18 @@
         self.assertTrue(host.is_offered())
         self.assertEqual(host.engine.orders, 1)
 
+    @in_virtual_time
+    async def test_chunk_that_is_spoilt_after_the_load(self) -> None:
+        """The loader's successor does not have the engine load again."""
+        host = await start_host()
+        host.engine.spoil(3)
+        host.restart_loader()
+        await asyncio.sleep(20.0)
+        host.stop()
+
+        self.assertTrue(host.is_offered())
+        self.assertEqual(host.engine.orders, 1)
+
 
 class TestRandomFaults(unittest.TestCase):
     """Faults at random moments never have a request run on corrupt layers."""
