Loader: do not stage chunks on a report older than an accepted order

Cause: an engine's report is some hundred ms old. After an order that took half a second to be accepted, the next report still showed the count before it, and the loader staged again. It mended a chunk that the engine had loaded corrupt, and as the order had been answered, that write did not make the chunk suspect.

Change: reports with the count from before an order that has begun are skipped.

What callers saw: nothing yet.

--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -139,6 +139,8 @@
             self.context.send_heartbeat()
 
     async def _step(self, engine: EngineState) -> None:
+        if self.audit.is_outdated(engine):
+            return
         chunk_store = self.chunk_stores.newest_complete()
         if self.audit.is_due(engine):
             await self._read_back(engine)
@@ -262,7 +264,7 @@
             self.audit.record_lost_answer()
             raise
         if answer is OrderAnswer.began:
-            self.audit.record_begun()
+            self.audit.record_begun(order.after_orders)
         return answer
 
     def _record_failure(
--- a/src/bramleylug/loader/weights_audit.py
+++ b/src/bramleylug/loader/weights_audit.py
@@ -55,6 +55,7 @@
     :ivar is_unanswered: whether the engine may still accept, or may have
         accepted, an order whose answer is not known, as that of an earlier
         process.
+    :ivar begun_after: count before the last order that has begun.
     :ivar rewritten: chunks that were written since that order was sent.
     :ivar reading: load whose chunks are being read back.
     :ivar read_sound: those of its chunks that were found sound.
@@ -66,6 +67,7 @@
         self.corrupt: OrderCount | None = None
         self.inherited: OrderCount | None = None
         self.sent: SentOrder | None = None
+        self.begun_after: OrderCount | None = None
         self.is_unanswered = True
         self.rewritten: set[int] = set()
         self.reading: SoundLoad | None = None
@@ -136,12 +138,23 @@
         """Record that the engine may accept, or has accepted, an order."""
         self.is_unanswered = True
 
-    def record_begun(self) -> None:
+    def is_outdated(self, engine: EngineState) -> bool:
+        """Return whether a report is older than the order that has begun.
+
+        To stage chunks now might mend what the engine has just loaded.
+        """
+        return count_of(engine) == self.begun_after
+
+    def record_begun(self, after_orders: int) -> None:
         """Record that the engine has accepted an order.
 
         Each order names the count before it, so that an earlier one can no
         longer be accepted.
         """
+        if self.observed is not None:
+            self.begun_after = self.observed._replace(
+                accepted_orders=after_orders
+            )
         self._forget_writes()
 
     def sound_chunks(self, engine: EngineState, version: int) -> set[int]:
--- a/testing/loader/test_weights_audit.py
+++ b/testing/loader/test_weights_audit.py
@@ -39,3 +39,16 @@
         suspect = audit.record_read_back(loading, 1, corrupt=())
 
         self.assertEqual(suspect, {5})
+
+    def test_report_from_before_an_accepted_order(self) -> None:
+        """The next try would mend a chunk that has just been loaded."""
+        audit = WeightsAudit()
+        audit.observe(build_state())
+        audit.record_order(
+            build_chunk_store().manifest, LoadOrder(0, interrupt=False)
+        )
+        audit.record_begun(0)
+
+        self.assertTrue(audit.is_outdated(build_state()))
+        self.assertFalse(audit.is_outdated(build_state(1000, 1, busy=True)))
+        self.assertFalse(audit.is_outdated(build_state(2000)))
