--- a/testing/relay/endless_play.py
+++ b/testing/relay/endless_play.py
@@ -90,7 +90,7 @@
     def _start(self, folder: Path, log: Path) -> None:
         self.store.start()
         store = self.store.web.address
-        config = build_configuration(3, [KEY], free_address(), 15.0)
+        config = build_configuration(3, [KEY], free_address(), 15.0, 8)
         self.store.put('op/config', config)
         addresses = [free_address() for _ in range(ENDLESS_ENGINES)]
         self._spawn(
