Loader: write no chunk while it is unknown whether an order was accepted

What callers saw: nothing yet, found in review; answers from a corrupt layer after a loader was killed. Cause: an order whose answer was lost could be accepted with a corrupt chunk, which the next try mended. The loader knew that, its successor did not: it read all chunks back sound and confirmed the load.

Change: an order to load whose answer was lost is sent again as it was, without staging, until the engine has begun an order or the load was read back. The chunks then still show how they were.

--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -226,12 +226,16 @@
         await self._order(chunk_store, order)
 
     async def _order(self, chunk_store: ChunkStore, order: LoadOrder) -> None:
-        """Send an order; before one to load, stage and verify the chunks."""
-        manifest = chunk_store.manifest
+        """Send an order; before one to load, stage and verify the chunks.
+
+        An order to load whose answer was lost is sent again as it was.
+        """
+        unsettled = None if order.unload else self.audit.unsettled
+        manifest = unsettled or chunk_store.manifest
         began_s = self.clock()
         staging = StagingReport(began_s, began_s, 0)
         try:
-            if not order.unload:
+            if not (order.unload or unsettled):
                 self.staged_version = int(manifest.version)
                 staging = await self.staging_area.stage(chunk_store)
             answer = await self._send_order(manifest, order)
--- a/src/bramleylug/loader/weights_audit.py
+++ b/src/bramleylug/loader/weights_audit.py
@@ -55,6 +55,9 @@
     :ivar is_unanswered: whether the engine may still accept, or may have
         accepted, an order whose answer is not known, as that of an earlier
         process.
+    :ivar unsettled: what this process has ordered without an answer. Until it
+        is known whether the engine has loaded it, no chunk is written, so that
+        a later process can tell by reading the chunks back.
     :ivar begun_after: count before the last order that has begun.
     :ivar rewritten: chunks that were written since that order was sent.
     :ivar reading: load whose chunks are being read back.
@@ -69,6 +72,7 @@
         self.sent: SentOrder | None = None
         self.begun_after: OrderCount | None = None
         self.is_unanswered = True
+        self.unsettled: Manifest | None = None
         self.rewritten: set[int] = set()
         self.reading: SoundLoad | None = None
         self.read_sound: set[int] = set()
@@ -137,6 +141,8 @@
     def record_lost_answer(self) -> None:
         """Record that the engine may accept, or has accepted, an order."""
         self.is_unanswered = True
+        if self.sent is not None:
+            self.unsettled = self.sent.manifest
 
     def is_outdated(self, engine: EngineState) -> bool:
         """Return whether a report is older than the order that has begun.
@@ -190,6 +196,7 @@
 
     def _forget_writes(self) -> None:
         self.is_unanswered = False
+        self.unsettled = None
         self.rewritten.clear()
 
     def _is_accepted(self, count: OrderCount) -> bool:
