Soak: staged chunks spoil while a host that loads them is paused

New kind, last in the list: new weights are named, one engine answers its loader late, a staged chunk turns corrupt after a random number of read-backs, the order is looked at late and its answer may be lost, and engine, loader or both are paused for 3 to 4.5 s at a random moment of that. Violations are runs with layers from chunks corrupt for over 3 s; all runs with layers from corrupt chunks are counted.

--- a/src/bramleylug/soak/fault_injector.py
+++ b/src/bramleylug/soak/fault_injector.py
@@ -19,6 +19,7 @@
 from bramleylug.soak.odd_entries import build_odd_entry
 from bramleylug.soak.pause_faults import PauseFaults
 from bramleylug.soak.proxy import LinkFault
+from bramleylug.soak.spoilage_faults import SpoilageFaults
 from bramleylug.soak.traffic import Traffic
 
 LINK_FAULTS = (
@@ -73,6 +74,9 @@
         self.pause_faults = PauseFaults(
             deployment, observations, traffic, self._weights_named
         )
+        spoilage_faults = SpoilageFaults(
+            deployment, self._weights_named, self.pause_faults.pause
+        )
         self.version = 1
         self.revoked: set[str] = set()
         self.handlers: dict[Kind, Callable[[Fault], Awaitable[None]]] = {
@@ -98,6 +102,7 @@
             Kind.crowd: self._crowd,
             Kind.host_paused: self.pause_faults.host_paused,
             Kind.naming_missed: self.pause_faults.naming_missed,
+            Kind.staged_spoilt: spoilage_faults.staged_spoilt,
         }
 
     async def inject(self, fault: Fault) -> None:
--- a/src/bramleylug/soak/fault_schedule.py
+++ b/src/bramleylug/soak/fault_schedule.py
@@ -47,6 +47,7 @@
     crowd = 'very many connections at a relay'
     host_paused = 'engines but one paused with their loaders'
     naming_missed = 'relay and loader paused while new weights are named'
+    staged_spoilt = 'staged chunks spoil and the host that loads is paused'
 
 
 # Relative frequency of the kinds; 1 for those that are absent.
--- a/src/bramleylug/soak/observations.py
+++ b/src/bramleylug/soak/observations.py
@@ -126,6 +126,8 @@
     """Everything observed during a soak; times are Unix times.
 
     :ivar engine_violations: violations that engines reported themselves.
+    :ivar corrupt_runs: runs with layers taken from corrupt chunks, however
+        recently these had turned corrupt.
     :ivar targets_set_s: when each version became the target version.
     :ivar revocations: intervals in which a key was revoked.
     :ivar evacuations: intervals in which a zone was evacuated.
@@ -144,6 +146,7 @@
     runs: list[Run] = field(default_factory=list)
     rejections: list[Rejection] = field(default_factory=list)
     engine_violations: list[str] = field(default_factory=list)
+    corrupt_runs: set[str] = field(default_factory=set)
     targets_set_s: dict[int, float] = field(default_factory=dict)
     revocations: list[Interval] = field(default_factory=list)
     evacuations: list[Interval] = field(default_factory=list)
--- a/src/bramleylug/soak/pause_faults.py
+++ b/src/bramleylug/soak/pause_faults.py
@@ -53,7 +53,7 @@
             return
         self.traffic.host_pauses += 1
         stopped = set(range(ENGINE_COUNT)) - {spared}
-        await self._pause(
+        await self.pause(
             [f'{role}-{one}' for one in stopped for role in HOST_ROLES],
             _duration_s(fault),
         )
@@ -65,7 +65,7 @@
         loader = f'loader-{int(fault.pick * ENGINE_COUNT)}'
         started_s = time.time()
         pauses = [
-            asyncio.create_task(self._pause(names, for_s))
+            asyncio.create_task(self.pause(names, for_s))
             for names, for_s in (
                 ([relay], PAUSED_BEFORE_S + _duration_s(fault)),
                 ([loader], OUTDATED_S),
@@ -79,7 +79,7 @@
         )
         await pauses[1]
 
-    async def _pause(self, names: Iterable[str], for_s: float) -> None:
+    async def pause(self, names: Iterable[str], for_s: float) -> None:
         """Stop processes together, and let them go on after a time."""
         paused = [self.deployment.processes[name] for name in names]
         for managed in paused:
--- a/src/bramleylug/soak/soak.py
+++ b/src/bramleylug/soak/soak.py
@@ -52,13 +52,16 @@
     """Result of a soak, which is printed as JSON.
 
     ``stood_still_s`` is the longest time for which the soak itself did not
-    run: it holds all clients and proxies.
+    run: it holds all clients and proxies. ``corrupt_runs`` counts runs with
+    layers that were taken from corrupt chunks, including those that had been
+    corrupt for so short a time that the run is no violation.
     """
 
     seed: int
     faults: int
     endings: dict[str, int]
     runs: int
+    corrupt_runs: int
     stood_still_s: float
     violations: list[str]
 
@@ -116,6 +119,7 @@
             faults=len(faults),
             endings=dict(outcomes),
             runs=len(self.observations.runs),
+            corrupt_runs=len(self.observations.corrupt_runs),
             stood_still_s=round(self.stood_still_s, 2),
             violations=find_violations(self.observations),
         )
@@ -214,6 +218,9 @@
                 request_id, float(at_s), float(retry_after_s), name
             )
             self.rejections[f'{name} {request_id} {at_s}'] = rejection
+        self.observations.corrupt_runs.update(
+            f'{name} {corrupt_run[0]}' for corrupt_run in reply['corrupt_runs']
+        )
         for violation in reply['faults']:
             text = f'{name}: {violation}'
             if text not in self.observations.engine_violations:
