--- a/src/bramleylug/weights/version_cache.py
+++ b/src/bramleylug/weights/version_cache.py
@@ -1,6 +1,7 @@
 """Versions on this host: downloads the wanted ones, verifies and keeps them."""
 
 import time
+from collections import Counter
 from collections.abc import Callable, Mapping
 from functools import partial
 from threading import Event, Lock, Thread
@@ -61,6 +62,7 @@
     :param find_peers: returns the agents that want or hold a version.
     :ivar verified: manifests of the committed versions.
     :ivar downloads: running downloads by version.
+    :ivar stagings: number of downloads of each version that were committed.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.find_peers = find_peers
         self.verified: dict[VersionKey, Manifest] = {}
         self.downloads: dict[VersionKey, VersionDownload] = {}
+        self.stagings: Counter[VersionKey] = Counter()
         self.lock = Lock()
 
     @property
@@ -122,6 +125,36 @@
         """Cancel every download."""
         self.set_wanted(frozenset(), frozenset())
 
+    def recheck(self, key: VersionKey) -> bool:
+        """Verify a committed version again.
+
+        One that does not match its manifest is downloaded anew, as far as
+        its chunks do not, once :meth:`set_wanted` names it.
+
+        :returns: whether it matches.
+        """
+        manifest = self.verified.get(key)
+        if manifest is None:
+            return False
+        if self.staging.recheck(manifest):
+            return True
+        with self.lock:
+            self.verified.pop(key, None)
+        emit(
+            LogEvent.chunk_corrupt,
+            weights='@'.join(key),
+            index=', '.join(map(str, self._missing_chunks(manifest))),
+            source='the staging area',
+        )
+        return False
+
+    def staging_count(self, key: VersionKey) -> int:
+        """Return how often a version was staged since the start.
+
+        0 for one that an earlier process staged.
+        """
+        return self.stagings[key]
+
     def progress(self, key: VersionKey) -> float:
         """Return the share of a version that is held; 1 once it is verified."""
         if key in self.verified:
@@ -200,13 +233,21 @@
     def _commit(self, manifest: Manifest) -> bool:
         if self.staging.commit(manifest) is None:
             return False
-        self.verified[manifest.key] = manifest
+        with self.lock:
+            self.stagings[manifest.key] += 1
+            self.verified[manifest.key] = manifest
         emit(LogEvent.version_staged, weights='@'.join(manifest.key))
         return True
 
+    def _missing_chunks(self, manifest: Manifest) -> list[int]:
+        held = self.staging.held(manifest.key)
+        indices = range(len(manifest.chunk_hashes))
+        return [index for index in indices if not held >> index & 1]
+
     def _forget_evicted(self) -> None:
-        self.verified = {
-            key: manifest
-            for key, manifest in self.verified.items()
-            if key in self.staging.reservations
-        }
+        with self.lock:
+            self.verified = {
+                key: manifest
+                for key, manifest in self.verified.items()
+                if key in self.staging.reservations
+            }
