--- a/src/bramleylug/fakes/held_weights.py
+++ b/src/bramleylug/fakes/held_weights.py
@@ -68,9 +68,9 @@
             for layer, held in self.layers.items()
             if held.version == version and layer in wanted
         }
-        if len(kept) == len(wanted) == len(self.layers):
+        keeps_all = len(kept) == len(self.layers)
+        if keeps_all and len(kept) == len(wanted):
             return 200
-        keeps_all = bool(kept) and len(kept) == len(self.layers)
         self.orders += 1
         self.busy = True
         if order['mode'] == 'cut' and not keeps_all:
@@ -105,15 +105,11 @@
         return ''
 
     def _wanted_layers(self, order: Mapping[str, Any]) -> range | None:
-        """Return the layers to hold; ``None`` if there are no such layers.
-
-        An engine that is to hold an empty range gives up all its layers.
-        """
+        """Return the layers to hold; ``None`` if there are no such layers."""
         first = int(order.get('from', 0))
         end = int(order.get('to', self.layer_count))
-        if first < 0 or end > self.layer_count:
-            return None
-        return range(first, end)
+        exists = 0 <= first and first <= end and end <= self.layer_count
+        return range(first, end) if exists else None
 
     def report(self) -> dict[str, Any]:
         """Return the range of the layers that can be used now."""
--- a/testing/fakes/test_held_weights.py
+++ b/testing/fakes/test_held_weights.py
@@ -85,25 +85,27 @@
             list(engine.weights.layers.values()), [HeldLayer(2)] * LAYERS
         )
 
-    def test_order_in_effect_begins_nothing(self) -> None:
+    def test_empty_range_gives_up_all_layers(self) -> None:
+        """The same version can be loaded again then."""
         engine = Engine(version=2)
+        engine.stage(2)
 
-        self.assertEqual(engine.order(), 200)
-        self.assertEqual(engine.weights.orders, 0)
+        engine.order(end=0)
 
-    def test_empty_range_has_all_layers_given_up(self) -> None:
-        engine = Engine(version=2)
+        self.assertFalse(engine.weights.complete)
+        self.assertIsInstance(engine.order(), Load)
+        self.assertTrue(engine.weights.complete)
 
-        engine.order(first=0, end=0)
+    def test_order_in_effect_begins_nothing(self) -> None:
+        engine = Engine(version=2)
 
-        self.assertEqual(engine.weights.orders, 1)
-        self.assertEqual(engine.weights.layers, {})
-        self.assertEqual(engine.order(first=0, end=0), 200)
+        self.assertEqual(engine.order(), 200)
+        self.assertEqual(engine.weights.orders, 0)
 
     def test_order_that_does_not_fit_is_refused(self) -> None:
         """Another order was accepted meanwhile, or has no such layers."""
         engine = Engine(version=1)
-        for fields in ({'expected': 1}, {'first': -1}, {'end': 5}):
+        for fields in ({'expected': 1}, {'first': 3, 'end': 2}, {'end': 5}):
             with self.subTest(fields):
                 self.assertEqual(engine.order(**fields), 409)
         engine.weights.accept({'mode': 'wait', 'version': 2})
