--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -82,6 +82,13 @@
 
         self.assertEqual(summary['violations'], [])
 
+    def test_requests_run_on_no_layer_taken_from_corrupt_chunks(self) -> None:
+        """Hosts of engines were paused as they staged new weights."""
+        summary = run_soak(4806, 3.0, (Kind.staged_spoilt,))
+
+        self.assertEqual(summary['violations'], [])
+        self.assertEqual(summary['corrupt_runs'], 0)
+
     def test_engines_begin_no_streams_that_callers_left_at_a_pause(
         self,
     ) -> None:
