--- a/testing/relay/test_endless_answers.py
+++ b/testing/relay/test_endless_answers.py
@@ -12,15 +12,23 @@
 class TestEndlessAnswers(unittest.TestCase):
     """One engine's bytes don't keep the relay from its other callers."""
 
+    def play(self, form: str, size: int) -> None:
+        """Play with pieces of this size; check what others get."""
+        play = EndlessPlay(form, size, LENGTH_S)
+
+        shown = play.run()
+
+        self.assertEqual(shown.lost, 0, play.log[-2000:])
+        # A host that stands still refuses some in any case.
+        self.assertGreater(len(shown.took_ms), shown.refused)
+        self.assertLess(shown.peak_mb, MEMORY_MB)
+
     def test_endless_answers_starve_no_other_caller(self) -> None:
         """Guards against callers lost beside answers without end."""
         for form, size in (('event', 1), ('comments', 4), ('failure', 1)):
             with self.subTest(form, size=size):
-                play = EndlessPlay(form, size, LENGTH_S)
-
-                shown = play.run()
+                self.play(form, size)
 
-                self.assertEqual(shown.lost, 0, play.log[-2000:])
-                # A host that stands still refuses some in any case.
-                self.assertGreater(len(shown.took_ms), shown.refused)
-                self.assertLess(shown.peak_mb, MEMORY_MB)
+    def test_large_pieces_of_empty_lines_starve_no_other_caller(self) -> None:
+        """Guards against callers lost beside what one piece is split into."""
+        self.play('empty lines in chunks', 16384)
