Relay: runs of comments and empty lines pass at once

Change: a run of comments and empty lines is passed in one match; it counts towards their limit as before. A property test holds it against single bytes.

--- a/src/bramleylug/relay/event_splitter.py
+++ b/src/bramleylug/relay/event_splitter.py
@@ -10,6 +10,11 @@
 INTEGER = re.compile(rb'[0-9]{1,15}')
 # A line that is neither empty nor a comment.
 FIELD_LINE = re.compile(rb'(?:^|[\r\n])[^:\r\n]')
+# Comments and empty lines up to an empty line, any number in a row.
+COMMENTS = re.compile(
+    rb'(?:(?:(?::[^\r\n]*+\n)++|\n)\n)++'
+    rb'|(?:(?:(?::[^\r\n]*+\r\n)++|\r\n)\r\n)++'
+)
 MAX_EVENT_BYTES = 262144
 
 
@@ -49,8 +54,13 @@
         self.partial += raw
         start = 0
         while end := EVENT_END.search(self.partial, search_from):
-            search_from = end.end()
-            self._check(bytes(self.partial[start:search_from]))
+            comments = COMMENTS.match(self.partial, start)
+            if comments is None:
+                search_from = end.end()
+                self._check(bytes(self.partial[start:search_from]))
+            else:
+                search_from = comments.end()
+                self._check_comments(search_from - start)
             start = search_from
         complete = bytes(self.partial[:start])
         del self.partial[:start]
@@ -73,7 +83,10 @@
             self.comment_bytes = 0
             self._check_id(event)
             return
-        self.comment_bytes += len(event)
+        self._check_comments(len(event))
+
+    def _check_comments(self, size_bytes: int) -> None:
+        self.comment_bytes += size_bytes
         if self.comment_bytes > MAX_EVENT_BYTES:
             raise EventStreamError('comments without an event')
 
--- a/testing/relay/test_event_splitter.py
+++ b/testing/relay/test_event_splitter.py
@@ -137,3 +137,32 @@
             with self.subTest(comment), self.assertRaises(EventStreamError):
                 for _ in range(MAX_EVENT_BYTES):
                     splitter.feed(comment)
+
+    @given(
+        st.lists(
+            st.sampled_from(
+                (
+                    b'\n',
+                    b'\r\n',
+                    b':',
+                    b': c',
+                    b':\n\n',
+                    b'data: x',
+                    *EVENTS[:1],
+                )
+            ),
+            max_size=20,
+        )
+    )
+    def test_comments_pass_the_same_in_any_pieces(self, parts) -> None:
+        """Runs of comments are passed at once."""
+        raw = b''.join(parts).replace(b'id: 1\n', b'')
+        whole, bytewise = EventSplitter(), EventSplitter()
+
+        received = whole.feed(raw)
+
+        pieces = [bytewise.feed(raw[at : at + 1]) for at in range(len(raw))]
+        self.assertEqual(received, b''.join(pieces))
+        self.assertEqual(whole.partial, bytewise.partial)
+        self.assertEqual(whole.event_count, bytewise.event_count)
+        self.assertEqual(whole.comment_bytes, bytewise.comment_bytes)
