--- a/src/bramleylug/agent/engine_orders.py
+++ b/src/bramleylug/agent/engine_orders.py
@@ -7,32 +7,41 @@
 from bramleylug.agent.upstream import Upstream
 from bramleylug.agent.version_actions import OrderAdapter, OrderVersion
 from bramleylug.weights.manifest import VersionKey
-from bramleylug.weights.staging import Staging
+from bramleylug.weights.version_cache import VersionCache
 
 # One order of a version and one of an adapter.
 ORDERS_AT_ONCE = 2
 
 
 class EndedOrder(NamedTuple):
-    """An order that was accepted, refused or timed out."""
+    """An order that was accepted, refused or timed out.
+
+    :ivar spoilt: whether the staged files did not match their manifest when
+        they were verified after an order.
+    """
 
     order: OrderVersion | OrderAdapter
     accepted: bool
+    spoilt: bool = False
 
 
 @final
 class EngineOrders:
     """Sends orders in threads of its own and collects their results."""
 
-    def __init__(self, upstream: Upstream, staging: Staging) -> None:
+    def __init__(self, upstream: Upstream, version_cache: VersionCache) -> None:
         self.upstream = upstream
-        self.staging = staging
+        self.version_cache = version_cache
         self.executor = ThreadPoolExecutor(ORDERS_AT_ONCE)
         self.ended: SimpleQueue[EndedOrder] = SimpleQueue()
 
     def send(self, order: OrderVersion | OrderAdapter) -> None:
-        """Send an order; its result comes from :meth:`collect_ended`."""
-        future = self.executor.submit(self.upstream.order, self._message(order))
+        """Send an order; its result comes from :meth:`collect_ended`.
+
+        The staged files of an adapter, or of an order that is not accepted,
+        are verified again.
+        """
+        future = self.executor.submit(self._send, order)
         future.add_done_callback(lambda done: self._end(order, done))
 
     def collect_ended(self) -> list[EndedOrder]:
@@ -44,6 +53,16 @@
         except Empty:
             return ended
 
+    def _send(self, order: OrderVersion | OrderAdapter) -> EndedOrder:
+        accepted = self.upstream.order(self._message(order)) is not None
+        spoilt = False
+        match order:
+            case OrderVersion(key=key) if not accepted:
+                spoilt = not self.version_cache.recheck(key)
+            case OrderAdapter(adapter=adapter, load=True):
+                spoilt = not self.version_cache.recheck(adapter_key(adapter))
+        return EndedOrder(order, accepted, spoilt)
+
     def _message(self, order: OrderVersion | OrderAdapter) -> dict[str, Any]:
         message: dict[str, Any] = {'fencing': order.fencing}
         match order:
@@ -57,15 +76,13 @@
         return message
 
     def _path(self, key: VersionKey) -> str:
-        return str(self.staging.committed_path(key))
+        return str(self.version_cache.staging.committed_path(key))
 
     def _end(
-        self,
-        order: OrderVersion | OrderAdapter,
-        done: Future[dict[str, Any] | None],
+        self, order: OrderVersion | OrderAdapter, done: Future[EndedOrder]
     ) -> None:
-        accepted = done.exception() is None and done.result() is not None
-        self.ended.put(EndedOrder(order, accepted))
+        failed = done.exception() is not None
+        self.ended.put(EndedOrder(order, False) if failed else done.result())
 
 
 def adapter_key(adapter: str) -> VersionKey:
--- a/testing/cluster/test_upstreams.py
+++ b/testing/cluster/test_upstreams.py
@@ -1,12 +1,15 @@
 """Tests of what is kept and dropped when an upstream registers again."""
 
 import unittest
+from dataclasses import replace
 
+from bramleylug.cluster.held_weights import HeldWeights, WeightsCheck
 from bramleylug.cluster.upstreams import (
     NOTICE_RETENTION_S,
     UpstreamRegistry,
+    UpstreamReport,
 )
-from testing.relay.builders import build_upstream_record
+from testing.relay.builders import MODEL, build_upstream_record
 
 
 class TestNewIncarnation(unittest.TestCase):
@@ -82,3 +85,117 @@
         self.registry.remove_expired_notices(2.0 + NOTICE_RETENTION_S)
 
         self.assertEqual(self.registry.notices, {})
+
+
+class TestConfirmedWeights(unittest.TestCase):
+    """Weights serve once the loader of the engine has found them sound."""
+
+    def setUp(self) -> None:
+        self.registry = UpstreamRegistry()
+        self.registry.register(build_upstream_record())
+
+    def report(self, version: int, check: WeightsCheck) -> None:
+        weights = {MODEL: HeldWeights(version, whole=True)}
+        report = UpstreamReport(1000, 0, 0, weights, False, 1.0, check=check)
+        self.registry.record_report('127.0.0.1:1', report)
+
+    def held(self, now_s: float = 9.0) -> HeldWeights | None:
+        """Return the weights after all reports have expired."""
+        return self.registry.by_id['engine-1'].weights_of(MODEL, now_s)
+
+    def register(self, version: int, **fields: int) -> None:
+        weights = {MODEL: HeldWeights(version, whole=True)}
+        self.registry.register(build_upstream_record(weights=weights, **fields))
+        self.registry.by_id['engine-1'].weights_written_s = 2.0
+
+    def test_engine_is_believed_until_its_loader_is_heard(self) -> None:
+        self.report(1, WeightsCheck.unknown)
+
+        self.assertEqual(self.held(), HeldWeights(1, whole=True))
+
+    def test_version_that_is_not_confirmed_does_not_serve(
+        self,
+    ) -> None:
+        """Its heartbeat may be lost, or the loader may be gone."""
+        self.report(1, WeightsCheck.confirmed)
+        self.register(2)
+
+        self.assertEqual(self.held(), HeldWeights(2, whole=False))
+
+    def test_unconfirmed_weights_do_not_serve(self) -> None:
+        """Also after its loader has fallen silent or has restarted."""
+        self.report(1, WeightsCheck.confirmed)
+        self.report(1, WeightsCheck.unconfirmed)
+        self.report(1, WeightsCheck.unknown)
+
+        self.assertEqual(self.held(), HeldWeights(1, whole=False))
+
+    def test_removed_engine_that_comes_back_is_not_believed(self) -> None:
+        """Its record expires while its host stands still."""
+        self.report(1, WeightsCheck.unconfirmed)
+        self.registry.remove_expired_notices(1.0)
+        self.registry.remove('engine-1')
+        self.registry.remove_expired_notices(5.0)
+        self.register(1)
+
+        self.assertEqual(self.held(), HeldWeights(1, whole=False))
+
+    def test_restarted_engine_is_believed_until_its_loader_is_heard(
+        self,
+    ) -> None:
+        self.report(1, WeightsCheck.unconfirmed)
+        self.register(1, started_ms=2000)
+
+        self.assertEqual(self.held(), HeldWeights(1, whole=True))
+
+    def test_confirmation_is_forgotten_after_the_engine_is_gone(self) -> None:
+        self.report(1, WeightsCheck.confirmed)
+        self.registry.remove_expired_notices(1.0)
+        self.registry.remove('engine-1')
+        self.registry.remove_expired_notices(2.0 + NOTICE_RETENTION_S)
+
+        self.assertEqual(self.registry.confirmations.by_incarnation, {})
+
+
+class TestReportsOfAnotherIncarnation(unittest.TestCase):
+    """Loader and store are heard in any order after an engine restarts."""
+
+    def setUp(self) -> None:
+        """Register an upstream that serves confirmed weights."""
+        self.registry = UpstreamRegistry()
+        self.record = build_upstream_record(
+            weights={MODEL: HeldWeights(2, whole=True)}
+        )
+        self.upstream = self.registry.register(self.record)
+        self.report(1000, WeightsCheck.confirmed)
+
+    def test_record_of_the_previous_incarnation_is_not_believed(self) -> None:
+        """The record of the next one is read late."""
+        self.report(2000, WeightsCheck.unconfirmed)
+
+        self.assertFalse(self.is_whole())
+
+    def test_check_that_was_heard_before_the_record_is_kept(self) -> None:
+        """The next heartbeat of the loader may be lost or seconds away."""
+        self.report(2000, WeightsCheck.unconfirmed)
+        self.registry.register(replace(self.record, started_ms=2000))
+
+        self.assertFalse(self.is_whole())
+
+    def report(self, started_ms: int, check: WeightsCheck) -> None:
+        self.registry.record_report(
+            self.record.address,
+            UpstreamReport(
+                started_ms,
+                0,
+                0,
+                self.record.weights,
+                closing=False,
+                received_s=1.0,
+                check=check,
+            ),
+        )
+
+    def is_whole(self) -> bool:
+        held = self.upstream.weights_of(MODEL, now_s=1.0)
+        return held is not None and held.whole
