Relays: a loader's check counts that was heard before its engine's record

What callers saw: in one of two plays of test_spoilt_weights beside a load average of 40, one request ran with a layer that was taken when a chunk had been corrupt for 3.8 s. Cause, by reading: a report is dropped if no upstream is registered at its address yet, and an engine whose loader was never heard is believed. A loader that stands still right after the start was heard, but before the record of its engine was read.

Change: the last report is kept by address and applied when its incarnation is registered.

--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -308,12 +308,15 @@
 
     :ivar notices: what upstreams said about themselves, by id and start time.
     :ivar confirmations: which of their weights their loaders found sound.
+    :ivar last_reports: what loaders reported last, by address: a loader may be
+        heard before the record of its engine is read.
     """
 
     def __init__(self) -> None:
         self.by_id: dict[str, Upstream] = {}
         self.limits = RateLimits()
         self.confirmations = WeightsConfirmations()
+        self.last_reports: dict[str, UpstreamReport] = {}
         self.notices: dict[tuple[str, int], UpstreamNotice] = {}
 
     def register(self, record: UpstreamRecord) -> Upstream:
@@ -335,6 +338,9 @@
         incarnation = incarnation_of(record)
         limit = self.limits.of(incarnation)
         confirmed = self.confirmations.of(incarnation)
+        heard = self.last_reports.get(record.address)
+        if heard is not None and heard.started_ms == record.started_ms:
+            confirmed.update(heard.check, heard.weights)
         if known is not None:
             known.restart(record, notice)
             known.limit = limit
@@ -397,6 +403,9 @@
         registered = {
             incarnation_of(upstream.record) for upstream in self.by_id.values()
         }
+        for address, report in tuple(self.last_reports.items()):
+            if now_s - report.received_s > NOTICE_RETENTION_S:
+                self.last_reports.pop(address)
         self.limits.remove_expired(now_s, registered)
         self.confirmations.remove_expired(now_s, registered)
 
@@ -436,6 +445,7 @@
 
         :returns: upstreams of which other weights are confirmed than before.
         """
+        self.last_reports[address] = report
         changed: list[Upstream] = []
         for upstream in self.by_id.values():
             if upstream.record.address != address:
--- a/testing/cluster/test_upstreams.py
+++ b/testing/cluster/test_upstreams.py
@@ -140,6 +140,16 @@
 
         self.assertEqual(self.held(), HeldWeights(1, whole=False))
 
+    def test_loader_that_was_heard_before_its_engine_is_read_counts(
+        self,
+    ) -> None:
+        """The relay has just started, or the engine."""
+        self.registry = UpstreamRegistry()
+        self.report(1, WeightsCheck.unconfirmed)
+        self.register(1)
+
+        self.assertEqual(self.held(), HeldWeights(1, whole=False))
+
     def test_restarted_engine_is_believed_until_its_loader_is_heard(
         self,
     ) -> None:
