--- a/src/bramleylug/soak/soak.py
+++ b/src/bramleylug/soak/soak.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any, TypedDict, final
 
+from bramleylug.soak.cancellation import cancel_until_done
 from bramleylug.soak.checks import find_violations
 from bramleylug.soak.clients import (
     CLIENT_COUNT,
@@ -125,9 +126,7 @@
         )
 
     async def _stop(self) -> None:
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_until_done(self.tasks)
         await self.deployment.stop()
 
     async def _run_faults(self, faults: list[Fault]) -> None:
