--- a/src/bramleylug/loader/weights_audit.py
+++ b/src/bramleylug/loader/weights_audit.py
@@ -2,8 +2,8 @@
 
 An engine loads the staged chunks as they are when it accepts an order, and
 they may become corrupt, or an order may arrive late, after they were verified.
-Chunks that are read back sound after the order was accepted were sound then:
-only this process mends them, and it writes none before it has read them back.
+Chunks that are read back sound after the order was accepted were sound then,
+unless they were written in between, which only this process does.
 """
 
 from collections.abc import Collection
@@ -32,8 +32,8 @@
     manifest: Manifest
 
 
-class SoundLoad(NamedTuple):
-    """A load whose chunks are read back, or were found sound.
+class VersionLoad(NamedTuple):
+    """A load of one version.
 
     :ivar version: version that the chunks are of. Another order may have been
         accepted in place of the one of this process, for another version.
@@ -52,9 +52,9 @@
     :ivar inherited: count in the first report, if an earlier process has
         ordered that load.
     :ivar sent: the last order.
-    :ivar is_unanswered: whether the engine may still accept, or may have
-        accepted, an order whose answer is not known, as that of an earlier
-        process.
+    :ivar may_be_pending: whether the engine may still accept, or may have
+        accepted, an order whose answer is not known; at first one of an
+        earlier process.
     :ivar unsettled: what this process has ordered without an answer. Until it
         is known whether the engine has loaded it, no chunk is written, so that
         a later process can tell by reading the chunks back.
@@ -66,15 +66,15 @@
 
     def __init__(self) -> None:
         self.observed: OrderCount | None = None
-        self.sound: SoundLoad | None = None
+        self.sound: VersionLoad | None = None
         self.corrupt: OrderCount | None = None
         self.inherited: OrderCount | None = None
         self.sent: SentOrder | None = None
         self.begun_after: OrderCount | None = None
-        self.is_unanswered = True
+        self.may_be_pending = True
         self.unsettled: Manifest | None = None
         self.rewritten: set[int] = set()
-        self.reading: SoundLoad | None = None
+        self.reading: VersionLoad | None = None
         self.read_sound: set[int] = set()
 
     def observe(self, engine: EngineState) -> None:
@@ -94,7 +94,7 @@
         An engine that has accepted no order serves what it started with.
         """
         count = count_of(engine)
-        found = SoundLoad(count, engine.version)
+        found = VersionLoad(count, engine.version)
         if found == self.sound or not count.accepted_orders:
             return WeightsCheck.confirmed
         if count == self.inherited and self.corrupt is None:
@@ -129,7 +129,7 @@
 
     def record_write(self, index: int) -> None:
         """Record that a chunk is written to the staging area."""
-        if self.is_unanswered:
+        if self.may_be_pending:
             self.rewritten.add(index)
 
     def record_order(self, manifest: Manifest, order: LoadOrder) -> None:
@@ -140,7 +140,7 @@
 
     def record_lost_answer(self) -> None:
         """Record that the engine may accept, or has accepted, an order."""
-        self.is_unanswered = True
+        self.may_be_pending = True
         if self.sent is not None:
             self.unsettled = self.sent.manifest
 
@@ -168,7 +168,7 @@
 
         A chunk may fail to be read; the others need not be read again.
         """
-        reading = SoundLoad(count_of(engine), version)
+        reading = VersionLoad(count_of(engine), version)
         if reading != self.reading:
             self.reading = reading
             self.read_sound = set()
@@ -191,11 +191,11 @@
             self.corrupt = count_of(engine)
         else:
             self.corrupt = None
-            self.sound = SoundLoad(count_of(engine), version)
+            self.sound = VersionLoad(count_of(engine), version)
         return suspect
 
     def _forget_writes(self) -> None:
-        self.is_unanswered = False
+        self.may_be_pending = False
         self.unsettled = None
         self.rewritten.clear()
 
