Upstreams: one check of whether a loader reports another incarnation

_reported_weights compared the start times as _is_replaced does. Behaviour is the same; the tests of upstreams, their selection, the cluster view, spoilt chunks and the path end to end pass.

--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -294,7 +294,7 @@
 
     def _reported_weights(self, now_s: float) -> Mapping[str, HeldWeights]:
         report = self.report
-        if report is None or report.started_ms != self.record.started_ms:
+        if report is None or self._is_replaced():
             return self.record.weights
         is_recent = now_s - report.received_s < REPORT_TTL_S
         if is_recent or self.weights_written_s < report.received_s:
