Relay: a request obeys the configuration in force when it is sent

Callers' requests could reach an engine outside the regions of their route or workspace (HOME), or run for a revoked key.

Cause: a request kept the configuration under which it was accepted to its last attempt. It may wait in the queue, connect for up to 0.4 s, move away from a silent engine or be resumed for seconds; only the age of keys and suspected prompts were looked at again. Zones and weights were not looked at again after connecting either.

Change: a request is checked anew before each sending. One that no engine has received is handled as a new one: its regions, key, route and service are those in force. One that an engine has received keeps its route and service, as its answer may have begun; its key and regions are those in force. Waiting requests that a new configuration handles in another way leave the queue as it is applied; refusals come at once. After connecting, the choice of the engine is checked again: regions, zone, weights, service; the deadline that is passed on is that of the sending, not of the choice.

BL2004 has the configuration that a request was accepted by, the one it was sent by and its regions; BL1012 the engine's zone.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -204,6 +204,7 @@
                 LogEvent.upstream_updated,
                 upstream=record.upstream_id,
                 address=record.address,
+                zone=record.zone,
                 draining=record.draining,
                 weights=_describe(record.weights),
             )
--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -62,6 +62,13 @@
     public: bool
     regions: frozenset[str] = frozenset()
 
+    def leads_to(self, service: str) -> bool:
+        """Return whether requests of the route may go to a service."""
+        return any(
+            share.service == service and share.weight > 0
+            for share in self.shares
+        )
+
     def choose_service(self, random: Random) -> str:
         """Return a random service, by weight; empty if all weights are 0."""
         names = [share.service for share in self.shares]
--- a/src/bramleylug/outcomes.py
+++ b/src/bramleylug/outcomes.py
@@ -27,6 +27,7 @@
     wrong_version = 'wrong_version'
     no_upstream = 'no_upstream'
     connection_failed = 'connection_failed'
+    outdated_choice = 'outdated_choice'
     upstream_failed = 'upstream_failed'
     upstream_crashed = 'upstream_crashed'
     answer_cut = 'answer_cut'
--- a/src/bramleylug/relay/attempt.py
+++ b/src/bramleylug/relay/attempt.py
@@ -179,6 +179,8 @@
     :ivar sent: whether any byte of the request may have been sent.
     :ivar answer_started: whether the first event of a stream has arrived.
     :ivar on_sent: called when the request is sent.
+    :ivar check_sending: called before the request is sent; returns why it
+        must not be.
     :ivar reader: waits while the upstream is silent.
     :ivar begun: the answer that :meth:`prepare` has waited for.
     :ivar on_answer_started: called when the first event arrives.
@@ -205,6 +207,7 @@
         self.sent_s = math.inf
         self.answer_started = False
         self.on_sent: Callable[[], None] = _ignore
+        self.check_sending: Callable[[], NotRun | None] = _ignore
         self.reader = HedgedReader(clock)
         self.begun: BegunAnswer | None = None
         self.on_answer_started: Callable[[], None] = _ignore
@@ -215,7 +218,7 @@
     async def run(
         self,
         upstream: Upstream,
-        metadata: RequestMetadata,
+        metadata: Callable[[], RequestMetadata],
         pool: ConnectionPool,
         dialect: Dialect,
         timeouts: AttemptTimeouts,
@@ -244,7 +247,7 @@
     async def prepare(
         self,
         upstream: Upstream,
-        metadata: RequestMetadata,
+        metadata: Callable[[], RequestMetadata],
         pool: ConnectionPool,
         dialect: Dialect,
         timeouts: AttemptTimeouts,
@@ -280,7 +283,7 @@
     async def _begin(
         self,
         upstream: Upstream,
-        metadata: RequestMetadata,
+        metadata: Callable[[], RequestMetadata],
         pool: ConnectionPool,
         dialect: Dialect,
     ) -> NotRun | None:
@@ -289,7 +292,7 @@
         if isinstance(connection, NotRun):
             return connection
         try:
-            self._send(connection, dialect, metadata)
+            self._send(connection, dialect, metadata())
         except ConnectionBroken as error:
             return NotRun(Reason.connection_failed, str(error))
         self._watch(connection, upstream)
@@ -369,10 +372,10 @@
         if self.writer.caller_disconnected:
             pool.release(upstream.record, connection, None)
             return NotRun(Reason.slow_reader, 'caller disconnected')
-        if upstream.leaving or upstream.removed:
-            # It may have left since it was chosen: connecting takes time.
-            connection.close()
-            return NotRun(Reason.connection_failed, 'upstream is leaving')
+        refusal = self.check_sending()
+        if refusal is not None:
+            pool.release(upstream.record, connection, None)
+            return refusal
         return connection
 
     def _send(
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -17,6 +17,7 @@
 )
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.move_queue import MoveQueue
+from bramleylug.relay.request_checks import RequestChecks
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.upstream_selection import (
     AtCapacity,
@@ -47,14 +48,24 @@
 class Waiter:
     """A request that waits for an upstream.
 
-    :ivar woken: set when it may be sent.
+    :ivar requirements: those that it waits with.
+    :ivar woken: set when it may be sent, or must not be sent as it waits.
+    :ivar queued: whether it has its place in the queue.
     :ivar asks: permits that it has asked for.
     """
 
+    context: RequestContext
     requirements: Requirements
     woken: asyncio.Event = field(default_factory=asyncio.Event)
+    queued: bool = True
     asks: int = 0
 
+    def must_move(self, checks: RequestChecks) -> bool:
+        """Return whether a new configuration handles it in another way."""
+        if self.context.renew(checks) is not None:
+            return True
+        return self.context.requirements() != self.requirements
+
 
 @final
 class DispatchQueue:
@@ -64,15 +75,19 @@
     :ivar moves: by service, requests that wait to leave a silent upstream.
     :ivar waiters: waiting requests, by token.
     :ivar has_waiting: set while requests wait.
+    :ivar checked_version: configuration that they were checked against.
     """
 
     def __init__(
         self,
         view: ClusterView,
         selector: UpstreamSelector,
+        checks: RequestChecks,
         clock: Callable[[], float],
     ) -> None:
         self.view = view
+        self.checks = checks
+        self.checked_version = 0
         self.selector = selector
         self.clock = clock
         self.queues: dict[str, WaitQueue] = {}
@@ -80,7 +95,7 @@
         self.waiters: dict[int, Waiter] = {}
         self.tokens = numbers()
         self.has_waiting = asyncio.Event()
-        view.on_change = self.wake_waiting
+        view.on_change = self.apply_change
         view.permits.on_granted = self.wake_waiting
         view.permits.on_deferred = self.ask_further
 
@@ -149,6 +164,17 @@
         queue.record_completion(self.clock())
         self._wake(service, queue)
 
+    def apply_change(self) -> None:
+        """Apply changes of the view to the waiting requests."""
+        table = self.view.table
+        version = 0 if table is None else table.version
+        if version != self.checked_version:
+            self.checked_version = version
+            for waiter in self.waiters.values():
+                if waiter.must_move(self.checks):
+                    waiter.woken.set()
+        self.wake_waiting()
+
     def wake_waiting(self) -> None:
         """Wake the waiting requests of all services for free slots."""
         for service, queue in self.queues.items():
@@ -193,11 +219,12 @@
             len(context.request.body),
             until_s,
         )
-        selection: Selection = AtCapacity(0)
+        selection: Selection | NotRun | None = AtCapacity(0)
         while isinstance(selection, AtCapacity):
-            if not await self._wait_in_queue(arrival, queue, requirements):
+            waiter = Waiter(context, requirements)
+            if not await self._wait_in_queue(arrival, queue, waiter):
                 break
-            selection = self._select(requirements)
+            selection = self._select_again(context, requirements)
         waited_s = self.clock() - began_s
         context.waited_s += waited_s
         WAIT_SECONDS.observe({'service': requirements.service}, waited_s)
@@ -206,13 +233,30 @@
                 return self._claim(upstream)
             case NoneEligible(reason):
                 return _none_eligible(reason)
+            case NotRun() as refusal:
+                return refusal
+            case None:
+                return await self.assign(context, first=False)
         return _overloaded(queue.retry_after_s(self.clock()))
 
+    def _select_again(
+        self, context: RequestContext, requirements: Requirements
+    ) -> Selection | NotRun | None:
+        """Select an upstream for a request that has waited.
+
+        :returns: ``None`` if a new configuration requires another upstream.
+        """
+        refusal = context.renew(self.checks)
+        if refusal is not None:
+            return refusal
+        if context.requirements() != requirements:
+            return None
+        return self._select(requirements)
+
     async def _wait_in_queue(
-        self, arrival: Arrival, queue: WaitQueue, requirements: Requirements
+        self, arrival: Arrival, queue: WaitQueue, waiter: Waiter
     ) -> bool:
         """Wait until woken; return ``False`` if the time has run out."""
-        waiter = Waiter(requirements)
         woken = waiter.woken
         self.waiters[arrival.token] = waiter
         self.has_waiting.set()
@@ -224,7 +268,7 @@
             return woken.is_set()
         finally:
             self.waiters.pop(arrival.token, None)
-            if not woken.is_set():
+            if waiter.queued:
                 queue.drop(arrival)
         return True
 
@@ -268,6 +312,7 @@
         for _ in range(woken):
             waiter = self.waiters.get(queue.queue.pop().token)
             if waiter is not None:
+                waiter.queued = False
                 waiter.woken.set()
         return max(0, free - woken)
 
--- a/src/bramleylug/relay/handover.py
+++ b/src/bramleylug/relay/handover.py
@@ -5,13 +5,16 @@
 
 from bramleylug.cluster.upstreams import Upstream
 from bramleylug.observability.metrics import RETRIES, count
-from bramleylug.outcomes import NotRun
+from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.dispatch_queue import DispatchQueue
 from bramleylug.relay.request_checks import RequestChecks
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.retry_budget import SharedRetryBudget
 from bramleylug.relay.silence import CALLER_PATIENCE_S, RECHECK_INTERVAL_S
 
+# Refusals that may end within the time that a caller waits.
+CURABLE = frozenset((Reason.store_unavailable, Reason.not_ready))
+
 
 @final
 class Handover:
@@ -67,10 +70,10 @@
     async def _wait(self, context: RequestContext) -> Upstream | None:
         until_s = context.progress.last_s + CALLER_PATIENCE_S
         while self._has_attempts(context):
-            if self.checks.is_suspect(context.accepted):
-                return None
             if self.dispatch_queue.clock() > until_s:
                 return None
+            if self._is_refused(context):
+                return None
             if self._is_allowed(context):
                 found = await self.dispatch_queue.assign(context, first=False)
                 # The budget or the key may have run out in the queue.
@@ -80,6 +83,11 @@
             await asyncio.sleep(RECHECK_INTERVAL_S)
         return None
 
+    def _is_refused(self, context: RequestContext) -> bool:
+        """Return whether waiting cannot make the request be sent."""
+        refusal = context.renew(self.checks)
+        return refusal is not None and refusal.reason not in CURABLE
+
     def _acquire_retry(self, context: RequestContext) -> bool:
         if not context.tried:
             # No upstream received the request: another connection does not
@@ -91,10 +99,9 @@
         return len(context.tried) < context.route.max_attempts
 
     def _is_allowed(self, context: RequestContext) -> bool:
-        accepted = context.accepted
-        if self.checks.recheck(accepted) is not None:
+        if context.renew(self.checks) is not None:
             return False
-        return self.retry_budget.allows(accepted.service)
+        return self.retry_budget.allows(context.accepted.service)
 
     def _consume(self, context: RequestContext) -> bool:
         service = context.accepted.service
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -39,7 +39,10 @@
 from bramleylug.relay.retry_budget import SharedRetryBudget
 from bramleylug.relay.settings import RelaySettings
 from bramleylug.relay.silence import CALLER_PATIENCE_S
-from bramleylug.relay.upstream_selection import UpstreamSelector
+from bramleylug.relay.upstream_selection import (
+    UpstreamSelector,
+    ineligible_reason,
+)
 from bramleylug.web.descriptors import DescriptorBudget
 from bramleylug.web.exchange import Exchange
 
@@ -90,7 +93,7 @@
         selector = UpstreamSelector(
             view.upstreams, settings.zone, settings.region, random
         )
-        self.dispatch_queue = DispatchQueue(view, selector, clock)
+        self.dispatch_queue = DispatchQueue(view, selector, self.checks, clock)
         self.outcome_recorder = OutcomeRecorder(view)
         self.retry_budget = SharedRetryBudget(
             settings.retry_share,
@@ -207,7 +210,32 @@
         if context.hedge is not None:
             # It was checked when it was sent to this upstream.
             return None
-        return self.checks.recheck(context.accepted)
+        return context.renew(self.checks)
+
+    def _check_sending(
+        self, context: RequestContext, upstream: Upstream, route: Route
+    ) -> NotRun | None:
+        """Return why a request is not sent to an upstream after all.
+
+        Connecting takes time, in which the configuration, the upstream and
+        what restricts the choice of one may have changed.
+
+        :param route: the route with which the attempt began.
+        """
+        refusal = context.renew(self.checks)
+        if refusal is not None:
+            return refusal
+        requirements = context.requirements()
+        reason = ineligible_reason(
+            upstream, requirements, self.view.constraints(), self.clock()
+        )
+        if upstream.leaving or upstream.removed:
+            reason = 'upstream is leaving'
+        if upstream.record.service != requirements.service:
+            reason = 'it serves another service'
+        if context.route != route:
+            reason = 'the route has changed'
+        return NotRun(Reason.outdated_choice, reason) if reason else None
 
     async def _attempt(
         self, context: RequestContext, upstream: Upstream
@@ -223,14 +251,15 @@
         try:
             outcome = await attempt.run(
                 upstream,
-                self._metadata(context, upstream),
+                partial(self._metadata, context, upstream),
                 self.pool,
                 self.dialect,
                 self._timeouts(context, upstream),
             )
         finally:
             self._record_attempt(context, upstream, attempt, outcome)
-        self.outcome_recorder.record(context, upstream, outcome)
+        if attempt.sent or outcome.reason is Reason.connection_failed:
+            self.outcome_recorder.record(context, upstream, outcome)
         return outcome
 
     def _start_attempt(
@@ -252,6 +281,9 @@
         attempt.on_sent = partial(
             context.tried.append, upstream.record.upstream_id
         )
+        attempt.check_sending = partial(
+            self._check_sending, context, upstream, context.route
+        )
         attempt.reader.hedge = partial(self._hedge, context)
         attempt.reader.queue_move = partial(
             self.dispatch_queue.queue_move, context.accepted.service
@@ -279,7 +311,7 @@
             partial(
                 attempt.prepare,
                 upstream,
-                self._metadata(context, upstream),
+                partial(self._metadata, context, upstream),
                 self.pool,
                 self.dialect,
                 self._timeouts(context, upstream),
@@ -303,7 +335,9 @@
             context.hedged_outcome = Unknown(
                 Reason.upstream_failed, 'another upstream may have run it'
             )
-        if outcome is not None:
+        if outcome is not None and (
+            attempt.sent or outcome.reason is Reason.connection_failed
+        ):
             self.outcome_recorder.record(context, upstream, outcome)
         context.progress.cold_for_s = 0
 
@@ -435,6 +469,9 @@
         'route': context.route.name,
         'given_ms': round((context.until_s - context.arrived_s) * MILLISECONDS),
         'workspace': context.workspace_name,
+        'accepted_configuration': context.accepted_version,
+        'sent_configuration': context.accepted.version,
+        'regions': _describe_regions(context.accepted.regions),
         'upstreams': context.tried,
         'load': context.load,
         'waited_ms': round(context.waited_s * MILLISECONDS),
@@ -443,5 +480,11 @@
     }
 
 
+def _describe_regions(regions: frozenset[str] | None) -> str:
+    if regions is None:
+        return 'any'
+    return ','.join(sorted(regions)) or 'none'
+
+
 def _ignore() -> None:
     """Do nothing."""
--- a/src/bramleylug/relay/request_checks.py
+++ b/src/bramleylug/relay/request_checks.py
@@ -1,6 +1,6 @@
 """Checks of a request that do not depend on load: route, API key, crashes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import islice
 from random import Random
 from typing import NamedTuple, final
@@ -37,7 +37,8 @@
     """The request may be served.
 
     :ivar regions: regions in which it may be served; ``None`` for any.
-    :ivar version: version of the configuration used for the decision.
+    :ivar version: version of the configuration that it was checked against
+        last.
     """
 
     route: Route
@@ -67,8 +68,14 @@
     settings: RelaySettings
     random: Random
 
-    def check(self, request: CallerRequest) -> Accepted | NotRun:
-        """Return the route and service for a request, or its refusal."""
+    def check(
+        self, request: CallerRequest, preferred_service: str = ''
+    ) -> Accepted | NotRun:
+        """Return the route and service for a request, or its refusal.
+
+        :param preferred_service: service that is chosen if the route leads to
+            it; empty for none.
+        """
         table = self.view.table
         if table is None:
             return NotRun(
@@ -79,26 +86,52 @@
         route = table.find_route(request.host, request.path)
         if route is None:
             return self._refuse_unknown(Reason.unknown_service, 'no such route')
-        workspace = None
-        if table.needs_keys and not route.public:
-            found = self._find_workspace(table, request)
-            if isinstance(found, NotRun):
-                return found
-            workspace = found
-        return self._accept(request, route, workspace, table)
-
-    def recheck(self, accepted: Accepted) -> NotRun | None:
-        """Return why an accepted request must not be sent any more.
-
-        It may have waited since it was accepted.
-        """
-        if accepted.workspace is not None and not self.keys_are_fresh():
-            return self._refuse_stale_key()
-        return self._refuse_suspect(accepted.traits)
+        workspace = self._workspace_of(request, route, table)
+        if isinstance(workspace, NotRun):
+            return workspace
+        service = preferred_service
+        if not route.leads_to(service):
+            service = route.choose_service(self.random)
+        return self._admit(
+            Accepted(
+                route,
+                workspace,
+                service,
+                allowed_regions(route, workspace),
+                table.version,
+                traits_of(request, workspace),
+            )
+        )
+
+    def renew(
+        self, request: CallerRequest, accepted: Accepted, *, sent: bool
+    ) -> Accepted | NotRun:
+        """Check an accepted request again before it is sent.
+
+        It may have waited since. One that no upstream has received is handled
+        as a new one. Another one keeps its route and service, as its answer
+        may have begun; its key and its regions are those of the configuration
+        in force.
 
-    def is_suspect(self, accepted: Accepted) -> bool:
-        """Return whether upstreams have crashed under such requests."""
-        return self._refuse_suspect(accepted.traits) is not None
+        :param sent: whether an upstream has received it.
+        """
+        table = self.view.table
+        if table is None or table.version == accepted.version:
+            return self._confirm(accepted)
+        if not sent:
+            return self.check(request, accepted.service)
+        route = table.find_route(request.host, request.path) or accepted.route
+        workspace = self._workspace_of(request, route, table)
+        if isinstance(workspace, NotRun):
+            return workspace
+        return self._confirm(
+            replace(
+                accepted,
+                workspace=workspace,
+                regions=allowed_regions(route, workspace),
+                version=table.version,
+            )
+        )
 
     def keys_are_fresh(self) -> bool:
         """Return whether no key can have been revoked longer than allowed."""
@@ -108,36 +141,28 @@
         is_confirmed = age_s < self.settings.key_limit - KEY_MARGIN_S
         return is_confirmed and not self.view.is_behind()
 
-    def _accept(
-        self,
-        request: CallerRequest,
-        route: Route,
-        workspace: Workspace | None,
-        table: RouteTable,
-    ) -> Accepted | NotRun:
-        traits = traits_of(request, workspace)
-        refusal = self._refuse_suspect(traits)
-        if refusal is not None:
-            return refusal
-        service = route.choose_service(self.random)
-        if not service:
-            return NotRun(
+    def _confirm(self, accepted: Accepted) -> Accepted | NotRun:
+        if accepted.workspace is not None and not self.keys_are_fresh():
+            return self._refuse_stale_key()
+        return self._admit(accepted)
+
+    def _admit(self, accepted: Accepted) -> Accepted | NotRun:
+        """Return a request whose route and key are valid, or its refusal."""
+        refusal = self._refuse_suspect(accepted.traits)
+        if refusal is None and not accepted.service:
+            refusal = NotRun(
                 Reason.no_upstream,
                 'no service of the route has a positive weight',
                 UNKNOWN_RETRY_S,
             )
-        return Accepted(
-            route,
-            workspace,
-            service,
-            allowed_regions(route, workspace),
-            table.version,
-            traits,
-        )
-
-    def _find_workspace(
-        self, table: RouteTable, request: CallerRequest
-    ) -> Workspace | NotRun:
+        return refusal or accepted
+
+    def _workspace_of(
+        self, request: CallerRequest, route: Route, table: RouteTable
+    ) -> Workspace | NotRun | None:
+        """Return the owner of a request's key; ``None`` if it needs none."""
+        if route.public or not table.needs_keys:
+            return None
         workspace = table.workspaces.get(request.api_key)
         if workspace is None:
             if not request.api_key:
--- a/src/bramleylug/relay/request_context.py
+++ b/src/bramleylug/relay/request_context.py
@@ -11,7 +11,7 @@
 from bramleylug.relay.dialect import CallerRequest
 from bramleylug.relay.event_splitter import EventSplitter
 from bramleylug.relay.hedge import SecondAttempt
-from bramleylug.relay.request_checks import Accepted
+from bramleylug.relay.request_checks import Accepted, RequestChecks
 from bramleylug.relay.upstream_selection import Requirements
 
 MILLISECONDS = 1000
@@ -28,6 +28,8 @@
 class RequestContext:
     """One accepted request and the state of its attempts.
 
+    :ivar accepted_version: version of the configuration under which it was
+        accepted at first.
     :ivar until_s: latest time of the final answer to the caller.
     :ivar tried: ids of the upstreams that received it.
     :ivar waited_s: time it waited in the queue for a free slot.
@@ -46,6 +48,7 @@
     writer: AnswerWriter
     arrived_s: float
     until_s: float
+    accepted_version: int
     progress: AnswerProgress = field(default_factory=AnswerProgress)
     tried: list[str] = field(default_factory=list)
     waited_s: float = 0
@@ -69,11 +72,37 @@
         if request.deadline_s is not None:
             limit_s = min(limit_s, request.deadline_s)
         until_s = arrived_s + limit_s - TIMEOUT_MARGIN_S
-        context = cls(request, accepted, writer, arrived_s, until_s)
-        if accepted.route.streamed:
-            context.progress.splitter = EventSplitter(request.resume_after)
+        context = cls(
+            request, accepted, writer, arrived_s, until_s, accepted.version
+        )
+        context.accept(accepted)
         return context
 
+    def accept(self, accepted: Accepted) -> None:
+        """Handle the request as accepted from now on.
+
+        Its time limit stays that of the first acceptance.
+        """
+        self.accepted = accepted
+        if self.tried:
+            return
+        self.progress.splitter = (
+            EventSplitter(self.request.resume_after)
+            if accepted.route.streamed
+            else None
+        )
+
+    def renew(self, checks: RequestChecks) -> NotRun | None:
+        """Check the request again; return why it must not be sent."""
+        renewed = checks.renew(
+            self.request, self.accepted, sent=bool(self.tried)
+        )
+        if isinstance(renewed, NotRun):
+            return renewed
+        if renewed is not self.accepted:
+            self.accept(renewed)
+        return None
+
     @property
     def route(self) -> Route:
         return self.accepted.route
--- a/testing/relay/test_handover.py
+++ b/testing/relay/test_handover.py
@@ -44,7 +44,7 @@
         )
         self.budget = SharedRetryBudget(0, 4, lambda: 1, self.clock)
         self.handover = Handover(
-            DispatchQueue(self.view, selector, self.clock),
+            DispatchQueue(self.view, selector, self.checks, self.clock),
             self.checks,
             self.budget,
         )
--- a/testing/relay/test_request_checks.py
+++ b/testing/relay/test_request_checks.py
@@ -168,7 +168,7 @@
         waiting = self.check(prompt_parts=('base', 'bad', 'own'))
         self.crash_under_part('bad')
 
-        refusal = self.checks.recheck(waiting)
+        refusal = self.checks.renew(build_caller_request(), waiting, sent=False)
 
         self.assertEqual(refusal.reason, Reason.crash_suspect)
 
