Loader: the origin of weights is left room for hosts that come back

Cause: an origin takes few connections, 48 of all hosts together. Loaders kept theirs for as long as the origin did, some 25 s, and read as many chunks at once as there are chunks. Before a version was named, loaders that joined asked the origin alone, never each other.

Change: connections to the origin close after 0.1 s without a read. The chunks that are open to their homes at once use a quarter of what the origin takes. BL3021 tells from where a manifest was read, and when.

--- a/src/bramleylug/loader/chunk_store.py
+++ b/src/bramleylug/loader/chunk_store.py
@@ -56,6 +56,12 @@
         ]
         return self.by_version[max(complete)] if complete else None
 
+    def find(self, version: int) -> ChunkStore | None:
+        """Return the chunk store of a version; version 0 means the newest."""
+        if not version:
+            version = max(self.by_version, default=0)
+        return self.by_version.get(version)
+
     def open(self, version: int, manifest: Manifest) -> ChunkStore:
         """Return the chunk store of a version; create it if there is none.
 
--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -37,6 +37,7 @@
     CHUNK_PATH,
     MANIFEST_PATH,
     Origin,
+    OriginRecord,
     PeerClient,
 )
 from bramleylug.loader.transfer import TransferContext
@@ -111,7 +112,7 @@
             settings.name,
             settings.region,
             self.peers,
-            self.origin_address,
+            self.origin_record,
             adapter.origin,
             PeerClient(),
             clock,
@@ -223,12 +224,16 @@
         """Return the live other loaders."""
         return self.core.view.peers.alive(Role.loader, self.clock())
 
-    def origin_address(self) -> str:
-        """Return the address of the origin; empty while it is unknown."""
+    def origin_record(self) -> OriginRecord:
+        """Return the origin as the configuration has it."""
         table = self.core.view.table
         if table is None:
-            return ''
-        return next((service.origin for service in table.origins()), '')
+            return OriginRecord()
+        records = (
+            OriginRecord(service.origin, service.max_connections)
+            for service in table.origins()
+        )
+        return next(records, OriginRecord())
 
     def serve_metrics(self, exchange: Exchange) -> None:
         serve_metrics(exchange, self.settings.name, self.core.view.store_age_s)
@@ -239,7 +244,7 @@
 
     async def _answer(self, exchange: Exchange) -> None:
         query = parse_qs(exchange.query)
-        chunk_store = self.chunk_stores.by_version.get(
+        chunk_store = self.chunk_stores.find(
             integer_parameter(query, 'version', -1)
         )
         if chunk_store is not None and exchange.path == MANIFEST_PATH:
--- a/src/bramleylug/loader/downloader.py
+++ b/src/bramleylug/loader/downloader.py
@@ -7,6 +7,7 @@
 from bramleylug.cluster.peers import PeerRecord
 from bramleylug.loader.chunk_store import ChunkStore, ChunkStores
 from bramleylug.loader.engine import EngineUnavailable, LocalEngine
+from bramleylug.loader.manifest_turns import ManifestTurns
 from bramleylug.loader.sources import FetchFailed, OriginMonitor
 from bramleylug.loader.transfer import Transfer, TransferContext
 from bramleylug.observability.events import LogEvent, emit
@@ -19,9 +20,7 @@
 
 INTERVAL_S = 0.2
 MANIFEST_RETRY_S = 0.2
-# Hosts that read the manifest of a new version from the origin at once, and
-# peers that one host asks for it.
-MANIFEST_READERS = 8
+# Peers that one host asks for the manifest of a new version.
 MANIFEST_PEERS = 3
 # Within this time of its start, a transfer should have read one copy of every
 # chunk from the origin.
@@ -53,6 +52,7 @@
         target cannot be obtained; 0 for none.
     :ivar wanted: version whose manifest is being fetched.
     :ivar wanted_since_s: since when.
+    :ivar manifest_turns: when this host may read a manifest from the origin.
     :ivar may_be_staged: whether an earlier process may have staged chunks
         that this one has not read yet.
     """
@@ -74,6 +74,7 @@
         self.fallback_version = 0
         self.wanted: TargetVersion | None = None
         self.wanted_since_s = float('-inf')
+        self.manifest_turns = ManifestTurns()
         self.may_be_staged = True
 
     async def run(self) -> None:
@@ -146,6 +147,9 @@
         chunk_store = self.chunk_stores.by_version.get(version)
         if chunk_store is not None:
             return chunk_store.manifest
+        if target != self.wanted:
+            self.wanted = target
+            self.wanted_since_s = self.context.clock()
         return await self._fetch_manifest(target)
 
     async def _download(self, manifest: Manifest) -> None:
@@ -242,18 +246,30 @@
         """
         manifest = await self._fetch_manifest_from_peers(target)
         if manifest is not None:
+            self._log_manifest(manifest, 'a peer')
             return manifest
         if not self._may_read_manifest(target):
             return None
         try:
-            return await self._fetch_manifest_from_origin(target)
+            manifest = await self._fetch_manifest_from_origin(target)
         except FetchFailed as error:
             emit(
                 LogEvent.manifest_missing,
                 weights=f'{target.model}@{target.version}',
                 error=str(error),
             )
-        return None
+            return None
+        self._log_manifest(manifest, 'the origin')
+        return manifest
+
+    def _log_manifest(self, manifest: Manifest, source: str) -> None:
+        waited_s = self.context.clock() - self.wanted_since_s
+        emit(
+            LogEvent.manifest_read,
+            weights=f'{manifest.model}@{manifest.version}',
+            source=source,
+            waited_ms=round(waited_s * MILLISECONDS),
+        )
 
     async def _fetch_manifest_from_origin(
         self, target: TargetVersion
@@ -262,7 +278,7 @@
 
         Nothing else would reveal a corrupted digest.
         """
-        address = self.context.origin_address()
+        address = self.context.origin_record().address
         origin = self.context.origin
         manifest = await origin.manifest(address, target.model, target.version)
         second = await origin.manifest(address, target.model, target.version)
@@ -271,26 +287,26 @@
         return manifest
 
     def _may_read_manifest(self, target: TargetVersion) -> bool:
-        """Return whether it is this host's turn to read the origin.
-
-        Each :data:`MANIFEST_RETRY_S`, :data:`MANIFEST_READERS` more hosts may.
-        """
-        now_s = self.context.clock()
-        if target != self.wanted:
-            self.wanted = target
-            self.wanted_since_s = now_s
+        """Return whether it is this host's turn to read the origin."""
         name = self.context.name
-        names = [name, *(peer.name for peer in self.context.peers())]
-        position = rank(f'{target.model}@{target.version}', names).index(name)
-        turn = position // MANIFEST_READERS
-        return now_s - self.wanted_since_s >= turn * MANIFEST_RETRY_S
+        return self.manifest_turns.take(
+            f'{target.model}@{target.version}',
+            name,
+            [name, *(peer.name for peer in self.context.peers())],
+            self.context.clock(),
+        )
 
     def _manifest_peers(self, target: TargetVersion) -> list[PeerRecord]:
         """Return peers to ask: those that announced chunks of the version.
 
         If none did, some that may have it and stopped announcing it.
         """
-        announced = self.peer_states.get(target.version, {})
+        announced = {
+            name
+            for version, peer_states in self.peer_states.items()
+            for name in peer_states
+            if target.version in {0, version}
+        }
         peers = {peer.name: peer for peer in self.context.peers()}
         names = [name for name in peers if name in announced] or list(peers)
         return [
@@ -302,8 +318,6 @@
         self, target: TargetVersion
     ) -> Manifest | None:
         """Ask some peers concurrently; return the first manifest received."""
-        if not target.version:
-            return None
         requests = [
             asyncio.create_task(
                 self.context.client.manifest(peer, target.model, target.version)
--- a/src/bramleylug/loader/sources.py
+++ b/src/bramleylug/loader/sources.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from http import HTTPStatus
-from typing import Protocol, final
+from typing import NamedTuple, Protocol, final
 
 from bramleylug.cluster.peers import PeerRecord
 from bramleylug.web.http_client import CALL_ERRORS, HttpClients
@@ -34,6 +34,18 @@
         self.reason = reason
 
 
+class OriginRecord(NamedTuple):
+    """The origin of weights in the configuration.
+
+    :ivar address: ``host:port``; empty while it is unknown.
+    :ivar max_connections: connections that it takes from all hosts together;
+        0 if there is no limit.
+    """
+
+    address: str = ''
+    max_connections: int = 0
+
+
 class Origin(Protocol):
     """Interface to the origin of weights, implemented by the adapter."""
 
@@ -106,13 +118,14 @@
     async def manifest(
         self, peer: PeerRecord, model: str, version: int
     ) -> Manifest:
+        """Return the manifest of a version; version 0 means its newest."""
         target = f'{MANIFEST_PATH}?model={model}&version={version}'
         raw = await self._get(peer, target, MANIFEST_TIMEOUT_S)
         try:
             manifest = Manifest.from_json(raw)
         except ManifestError as error:
             raise FetchFailed(FailureReason.corrupt, str(error)) from error
-        if manifest.key != (model, str(version)):
+        if manifest.key != (model, str(version or manifest.version)):
             raise FetchFailed(
                 FailureReason.corrupt,
                 f'peer sent the manifest of {manifest.key}',
--- a/src/bramleylug/loader/transfer.py
+++ b/src/bramleylug/loader/transfer.py
@@ -8,7 +8,12 @@
 
 from bramleylug.cluster.peers import PeerRecord
 from bramleylug.loader.chunk_store import ChunkStore
-from bramleylug.loader.sources import FetchFailed, Origin, PeerClient
+from bramleylug.loader.sources import (
+    FetchFailed,
+    Origin,
+    OriginRecord,
+    PeerClient,
+)
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.weights.actions import (
     Action,
@@ -48,6 +53,18 @@
     peer_backoff_max_s=2.0,
     parallel_fetches=3,
 )
+# The connections of hosts that lost power count at the origin until it
+# notices. Chunks that are open to their homes, of which some are read twice,
+# use this share of what it takes, so that there is room for them once more.
+ORIGIN_READS_SHARE = 0.25
+
+
+def limits_for(origin: OriginRecord) -> TransferLimits:
+    """Return the limits of transfers from an origin."""
+    if not origin.max_connections:
+        return TRANSFER_LIMITS
+    open_chunks = max(1, int(origin.max_connections * ORIGIN_READS_SHARE))
+    return TRANSFER_LIMITS._replace(open_chunks=open_chunks)
 
 
 class TransferContext(NamedTuple):
@@ -55,14 +72,13 @@
 
     :ivar name: name of this loader.
     :ivar peers: returns the live other loaders of the service.
-    :ivar origin_address: returns the address of the origin; empty while it
-        is unknown.
+    :ivar origin_record: returns the origin as the configuration has it.
     """
 
     name: str
     region: str
     peers: Callable[[], Iterable[PeerRecord]]
-    origin_address: Callable[[], str]
+    origin_record: Callable[[], OriginRecord]
     origin: Origin
     client: PeerClient
     clock: Callable[[], float]
@@ -107,7 +123,7 @@
             chunk_store.manifest,
             Random(context.name),  # noqa: S311
             context.clock(),
-            TRANSFER_LIMITS,
+            limits_for(context.origin_record()),
         )
         self.fetches: dict[int, asyncio.Task[None]] = {}
         self.changed = asyncio.Event()
@@ -255,7 +271,10 @@
 
     async def _from_origin(self, index: int) -> bytes:
         return await self.context.origin.chunk(
-            self.context.origin_address(), self.model, self.version, index
+            self.context.origin_record().address,
+            self.model,
+            self.version,
+            index,
         )
 
     async def _from_peer(self, index: int, name: str) -> bytes:
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -368,6 +368,12 @@
         'The wanted version is loaded again; check the engine if the message '
         'repeats.',
     )
+    manifest_read = EventSpec(
+        'BL3021',
+        'INFO',
+        'the manifest of {weights} was read from {source} after {waited_ms} ms',
+        'Nothing to do.',
+    )
     version_staged = EventSpec(
         'BL3011',
         'INFO',
--- a/src/bramleylug/platform/engines.py
+++ b/src/bramleylug/platform/engines.py
@@ -35,6 +35,9 @@
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
 CHUNK_TIMEOUT_S = 4.0
+# An origin takes few connections from all hosts together, so that none is kept
+# for longer than between the reads of one transfer.
+ORIGIN_IDLE_S = 0.1
 
 
 @final
@@ -113,7 +116,9 @@
     """Client for the platform's weights origin."""
 
     def __init__(self) -> None:
-        self.clients = HttpClients(connect_timeout_s=CONNECT_TIMEOUT_S)
+        self.clients = HttpClients(
+            connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=ORIGIN_IDLE_S
+        )
 
     async def manifest(
         self, address: str, model: str, version: int
--- a/src/bramleylug/web/http_client.py
+++ b/src/bramleylug/web/http_client.py
@@ -45,12 +45,21 @@
     A connection on which a call failed is never reused: a late answer on it
     would be read as the answer to the next call.
 
+    :param max_idle_s: how long an idle connection is kept; ``None`` for as
+        long as the peer does.
     :ivar running: calls that have not ended.
     """
 
-    def __init__(self, address: str, *, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        *,
+        connect_timeout_s: float,
+        max_idle_s: float | None = None,
+    ) -> None:
         self.address = address
         self.connect_timeout_s = connect_timeout_s
+        self.max_idle_s = max_idle_s
         self.idle: list[ClientConnection] = []
         self.running = 0
 
@@ -79,6 +88,12 @@
         while self.idle:
             self.idle.pop().close()
 
+    def close_idle(self, connection: ClientConnection, answered: int) -> None:
+        """Close a connection unless it has been used since."""
+        if connection in self.idle and connection.answered_count == answered:
+            self.idle.remove(connection)
+            connection.close()
+
     async def _call(self, method: str, target: str, body: bytes) -> CallAnswer:
         connection = await self._connect()
         headers = [('Host', self.address)]
@@ -91,11 +106,21 @@
             connection.close()
             raise
         if connection.reusable and head.headers.get('connection') != 'close':
-            self.idle.append(connection)
+            self._keep(connection)
         else:
             connection.close()
         return answer
 
+    def _keep(self, connection: ClientConnection) -> None:
+        self.idle.append(connection)
+        if self.max_idle_s is not None:
+            asyncio.get_running_loop().call_later(
+                self.max_idle_s,
+                self.close_idle,
+                connection,
+                connection.answered_count,
+            )
+
     async def _connect(self) -> ClientConnection:
         while self.idle:
             connection = self.idle.pop()
@@ -113,6 +138,7 @@
 
     :param max_idle_addresses: addresses to which idle connections are kept;
         more in turn need a new connection for each call.
+    :param max_idle_s: as of :class:`HttpClient`.
     :ivar by_address: the longest unused one first.
     """
 
@@ -121,8 +147,10 @@
         *,
         connect_timeout_s: float,
         max_idle_addresses: int = MAX_IDLE_ADDRESSES,
+        max_idle_s: float | None = None,
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
+        self.max_idle_s = max_idle_s
         self.max_idle_addresses = max_idle_addresses
         self.by_address: dict[str, HttpClient] = {}
 
@@ -134,7 +162,9 @@
         :raises OSError: as :meth:`HttpClient.call`.
         """
         client = self.by_address.pop(address, None) or HttpClient(
-            address, connect_timeout_s=self.connect_timeout_s
+            address,
+            connect_timeout_s=self.connect_timeout_s,
+            max_idle_s=self.max_idle_s,
         )
         self.by_address[address] = client
         self._close_unused()
--- a/src/bramleylug/weights/limits.py
+++ b/src/bramleylug/weights/limits.py
@@ -26,6 +26,8 @@
     :ivar peer_backoff_s: first pause after a peer did not answer.
     :ivar peer_backoff_max_s: longest such pause; each failure doubles it.
     :ivar parallel_fetches: fetches that run at once.
+    :ivar open_chunks: chunks that the homes of all hosts together may be
+        fetching at once; ``None`` for no limit.
     """
 
     first_exchange_s: float = 1.0
@@ -40,6 +42,7 @@
     peer_backoff_s: float = 1.0
     peer_backoff_max_s: float = 30.0
     parallel_fetches: int = 4
+    open_chunks: int | None = None
 
 
 DEFAULT_LIMITS = TransferLimits()
--- a/src/bramleylug/weights/take_over.py
+++ b/src/bramleylug/weights/take_over.py
@@ -51,7 +51,10 @@
             return True
         window = max(MIN_WINDOW, count // WINDOWS)
         windows = 1 + (now_s - self.started_s) / self.limits.window_s
-        if index >= known + window * windows:
+        open_chunks = window * windows
+        if self.limits.open_chunks is not None:
+            open_chunks = min(open_chunks, self.limits.open_chunks)
+        if index >= known + open_chunks:
             return False
         self.opened_s[index] = now_s
         return True
--- a/testing/loader/swarm.py
+++ b/testing/loader/swarm.py
@@ -7,7 +7,7 @@
 from bramleylug.loader.chunk_store import ChunkStores, build_manifest
 from bramleylug.loader.downloader import TargetVersion, WeightsDownloader
 from bramleylug.loader.engine import EngineUnavailable
-from bramleylug.loader.sources import FetchFailed
+from bramleylug.loader.sources import FetchFailed, OriginRecord
 from bramleylug.loader.transfer import TransferContext
 from bramleylug.weights.chunk_sets import to_bytes
 from bramleylug.weights.manifest import Manifest, chunk_hash, synthetic_chunks
@@ -22,9 +22,9 @@
 ANNOUNCE_INTERVAL_S = 0.02
 
 
-def chunks_of(version: int) -> list[bytes]:
+def chunks_of(version: int, count: int = CHUNKS) -> list[bytes]:
     return list(
-        synthetic_chunks(f'v{version}', CHUNKS * CHUNK_BYTES, CHUNK_BYTES)
+        synthetic_chunks(f'v{version}', count * CHUNK_BYTES, CHUNK_BYTES)
     )
 
 
@@ -36,7 +36,8 @@
     :ivar reads: version and index of each chunk that was fetched.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, chunk_count: int = CHUNKS) -> None:
+        self.chunk_count = chunk_count
         self.is_up = True
         self.manifest_reads = 0
         self.fetch_s = FETCH_S
@@ -49,7 +50,8 @@
         self._fail_if_down()
         self.manifest_reads += 1
         version = version or 1
-        digests = [chunk_hash(chunk) for chunk in chunks_of(version)]
+        chunks = chunks_of(version, self.chunk_count)
+        digests = [chunk_hash(chunk) for chunk in chunks]
         return build_manifest(model, version, CHUNK_BYTES, digests)
 
     async def chunk(
@@ -61,7 +63,7 @@
         if index in self.corrupt:
             self.corrupt.discard(index)
             return b'spoilt'
-        return chunks_of(version)[index]
+        return chunks_of(version, self.chunk_count)[index]
 
     def _fail_if_down(self) -> None:
         if not self.is_up:
@@ -84,12 +86,19 @@
     :ivar announcements: task that passes holdings to all other hosts.
     """
 
-    def __init__(self, hosts: int = 4, late_host: str = '') -> None:
+    def __init__(
+        self,
+        hosts: int = 4,
+        late_host: str = '',
+        origin: SwarmOrigin | None = None,
+        max_connections: int = 0,
+    ) -> None:
         self.target = 1
+        self.max_connections = max_connections
         self.manifest_calls = 0
         self.late_host = late_host
         self.peer_fetch_s = FETCH_S
-        self.origin = SwarmOrigin()
+        self.origin = SwarmOrigin() if origin is None else origin
         self.records = {
             f'host-{index}': build_peer(
                 f'host-{index}',
@@ -162,7 +171,7 @@
 
     async def manifest(self, peer: Any, model: str, version: int) -> Manifest:
         self.manifest_calls += 1
-        chunk_store = self.chunk_stores[peer.name].by_version.get(version)
+        chunk_store = self.chunk_stores[peer.name].find(version)
         if chunk_store is None:
             raise FetchFailed(FailureReason.not_held, 'manifest')
         return chunk_store.manifest
@@ -176,7 +185,7 @@
             name,
             self.records[name].region,
             lambda: others,
-            str,
+            lambda: OriginRecord(name, self.max_connections),
             self.origin,
             self,
             clock,
@@ -195,7 +204,9 @@
             for name, chunk_stores in self.chunk_stores.items():
                 for version, chunk_store in chunk_stores.by_version.items():
                     held = HeldChunks(
-                        bitmap=to_bytes(chunk_store.held, CHUNKS),
+                        bitmap=to_bytes(
+                            chunk_store.held, self.origin.chunk_count
+                        ),
                         free_upload_slots=2,
                     )
                     self._deliver(
--- a/testing/loader/test_downloader.py
+++ b/testing/loader/test_downloader.py
@@ -3,7 +3,8 @@
 import asyncio
 import unittest
 
-from bramleylug.loader.downloader import MANIFEST_PEERS, MANIFEST_READERS
+from bramleylug.loader.downloader import MANIFEST_PEERS
+from bramleylug.loader.manifest_turns import MANIFEST_READERS
 from testing.loader.swarm import CHUNKS, Swarm
 from testing.virtual_time import in_virtual_time
 
--- a/testing/web/test_http_client.py
+++ b/testing/web/test_http_client.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP client for many addresses."""
 
+import asyncio
 import unittest
 
 from bramleylug.web.http_client import (
@@ -58,6 +59,39 @@
         self.assertEqual(len(self.peers[0].heads), 2)
 
 
+class TestIdleTime(unittest.IsolatedAsyncioTestCase):
+    """A peer that takes few connections is not kept from other callers."""
+
+    async def asyncSetUp(self) -> None:
+        self.peer = await ScriptedEngine(ANSWER, ANSWER).open()
+        self.addAsyncCleanup(self.peer.close)
+
+    async def get(self, clients: HttpClients) -> None:
+        await clients.get(self.peer.address, '/', timeout_s=1)
+
+    async def test_connection_closes_when_it_has_been_idle(self) -> None:
+        """The origin of weights counted those of idle loaders (RECOVER)."""
+        clients = HttpClients(connect_timeout_s=1, max_idle_s=0.05)
+        await self.get(clients)
+        await asyncio.wait_for(self.peer.closed.wait(), 5)
+
+        await self.get(clients)
+        self.assertEqual(len(self.peer.heads), 2)
+
+    async def test_connection_that_was_used_since_does_not_close(self) -> None:
+        """Its time begins anew with each answer."""
+        clients = HttpClients(connect_timeout_s=1, max_idle_s=60)
+        await self.get(clients)
+        await self.get(clients)
+        client = clients.by_address[self.peer.address]
+        connection = client.idle[0]
+
+        client.close_idle(connection, answered=1)
+        self.assertEqual(client.idle, [connection])
+        client.close_idle(connection, answered=2)
+        self.assertEqual(client.idle, [])
+
+
 class TestCutAnswers(unittest.IsolatedAsyncioTestCase):
     """Answers of the store, of the origin and of feeds are whole, or fail."""
 
