Store: a long limit leaves time for the way to the upstream

The waits of a relay whose reader falls silent add up to the whole limit, however long it is, with 0.15 s for the way to the engine. Where regions share a link of 16 Mbit/s, and relays have half a core, that is little. In virtual time, two relays, limit 4 s, 900 orders of two changes and a cut: the worst change was known after 3.28 s; a test that leaves a quarter of the limit for the way failed.

Of a limit that is longer than the longest waits need, half of the rest is now left to the way; silence is noticed 1 s earlier at 4 s. Limits of 2 s and the calls of a calm store are as before.

--- a/src/bramleylug/store/read_schedule.py
+++ b/src/bramleylug/store/read_schedule.py
@@ -14,7 +14,8 @@
 =====================  ======================================================
 
 While the store is heard of, that happens at least once in a wait and the pause
-after it, so the wait follows from ``silence_s``.
+after it, so the wait follows from ``silence_s``. Of a limit that is longer than
+the longest waits need, a share is left to the last one.
 """
 
 from dataclasses import dataclass
@@ -33,6 +34,9 @@
 # How much later than usual the store may be heard of before it counts as
 # silence.
 SLACK_S = 0.1
+# What a limit leaves beyond the longest waits is shared between silence and the
+# way to the upstream, which may lead over a link that many requests share.
+SILENCE_SHARE = 0.5
 # Shorter waits would call the store more often than it bears. Limits that
 # need them are not kept while a reader is silent.
 MIN_WAIT_S = 0.2
@@ -71,6 +75,14 @@
         return self.wait_s * PAUSE_SHARE
 
     def _longest_silence_s(self) -> float:
-        shortest_s = MIN_WAIT_S * (1 + PAUSE_SHARE) + SPREAD_S + SLACK_S
         other_s = ANSWER_LAG_S + POLL_LAG_S + CALL_S + SEND_S
-        return max(shortest_s, self.limit_s - other_s)
+        allowed_s = self.limit_s - other_s
+        needed_s = _silence_for(self.max_wait_s)
+        if allowed_s > needed_s:
+            return needed_s + (allowed_s - needed_s) * SILENCE_SHARE
+        return max(_silence_for(MIN_WAIT_S), allowed_s)
+
+
+def _silence_for(wait_s: float) -> float:
+    """Return the silence that allows a wait and the pause after it."""
+    return wait_s * (1 + PAUSE_SHARE) + SPREAD_S + SLACK_S
--- a/testing/store/test_reader_silence.py
+++ b/testing/store/test_reader_silence.py
@@ -24,6 +24,9 @@
 LIMIT_S = 2.0
 SEND_S = 0.15
 CUT_S = 3.5
+# Regions of a large deployment share a link, on which a request waits.
+LONG_LIMIT_S = 4.0
+LONG_SEND_S = 1.0
 
 
 class RecordingAdapter:
@@ -189,10 +192,10 @@
 
 
 async def play(
-    steps: Play, silence: Callable[[Zone], None]
+    steps: Play, silence: Callable[[Zone], None], limit_s: float
 ) -> dict[str, float]:
     """Return how late the follower applied the changes of a play."""
-    zone = Zone()
+    zone = Zone(change_limit=limit_s)
     loop = asyncio.get_running_loop()
     async with zone.running():
         await asyncio.sleep(5.0)
@@ -202,7 +205,7 @@
             start_s + steps.second_s, zone.store.write, 'second-change'
         )
         loop.call_later(start_s + steps.silent_s, silence, zone)
-        await asyncio.sleep(start_s + steps.second_s + CUT_S)
+        await asyncio.sleep(start_s + steps.second_s + CUT_S + limit_s)
     return zone.delays()
 
 
@@ -224,14 +227,26 @@
 
         await self.check(suspend)
 
-    async def check(self, silence: Callable[[Zone], None]) -> None:
+    @in_virtual_time
+    async def test_longer_limit_leaves_time_for_the_way_to_an_engine(
+        self,
+    ) -> None:
+        """All of it was spent on waiting for the reader."""
+        await self.check(Zone.cut_reader, LONG_LIMIT_S, LONG_SEND_S)
+
+    async def check(
+        self,
+        silence: Callable[[Zone], None],
+        limit_s: float = LIMIT_S,
+        send_s: float = SEND_S,
+    ) -> None:
         latest = {
-            steps: max((await play(steps, silence)).values())
+            steps: max((await play(steps, silence, limit_s)).values())
             for steps in all_orders()
         }
         worst = max(latest, key=latest.__getitem__)
 
-        self.assertLessEqual(latest[worst], LIMIT_S - SEND_S, worst)
+        self.assertLessEqual(latest[worst], limit_s - send_s, worst)
 
 
 class TestStoreCalls(unittest.TestCase):
