Loader: a third of the origin's connections for chunks at once

In the model, 30 hosts and an origin that takes 48, a third gives a peak of 25 connections and leaves room for the 16 open chunks; the test asks for that.

--- a/src/bramleylug/loader/transfer.py
+++ b/src/bramleylug/loader/transfer.py
@@ -53,10 +53,10 @@
     peer_backoff_max_s=2.0,
     parallel_fetches=3,
 )
-# The connections of hosts that lost power count at the origin until it
-# notices. Chunks that are open to their homes, of which some are read twice,
-# use this share of what it takes, so that there is room for them once more.
-ORIGIN_READS_SHARE = 0.25
+# Chunks that are open to their homes, as a share of the connections that the
+# origin takes. Some are read twice, and connections of hosts that lost power
+# count until it notices; there must be room for as many chunks beside them.
+ORIGIN_READS_SHARE = 1 / 3
 
 
 def limits_for(origin: OriginRecord) -> TransferLimits:
