--- a/src/bramleylug/loader/manifest_turns.py
+++ b/src/bramleylug/loader/manifest_turns.py
@@ -1,6 +1,7 @@
 """Decides when this host may read a manifest from the origin."""
 
 from collections.abc import Collection
+from math import ceil
 from typing import final
 
 from bramleylug.routing.rendezvous import rank
@@ -47,8 +48,8 @@
         waited_s = now_s - self.wanted_since_s - position * TURN_S
         if waited_s < 0:
             return False
-        turns = -(-len(hosts) // MANIFEST_READERS)
-        turn_began_s = now_s - waited_s % (turns * TURN_S)
+        round_s = ceil(len(hosts) / MANIFEST_READERS) * TURN_S
+        turn_began_s = now_s - waited_s % round_s
         if self.asked_s >= turn_began_s:
             return False
         self.asked_s = now_s
--- a/src/bramleylug/relay/handover.py
+++ b/src/bramleylug/relay/handover.py
@@ -12,8 +12,8 @@
 from bramleylug.relay.retry_budget import SharedRetryBudget
 from bramleylug.relay.silence import CALLER_PATIENCE_S, RECHECK_INTERVAL_S
 
-# Refusals that may end within the time that a caller waits.
-CURABLE = frozenset((Reason.store_unavailable, Reason.not_ready))
+# Reasons of refusals that may end while a caller waits.
+TEMPORARY_REASONS = frozenset((Reason.store_unavailable, Reason.not_ready))
 
 
 @final
@@ -86,7 +86,7 @@
     def _is_refused(self, context: RequestContext) -> bool:
         """Return whether waiting cannot make the request be sent."""
         refusal = context.renew(self.checks)
-        return refusal is not None and refusal.reason not in CURABLE
+        return refusal is not None and refusal.reason not in TEMPORARY_REASONS
 
     def _acquire_retry(self, context: RequestContext) -> bool:
         if not context.tried:
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -258,8 +258,7 @@
             )
         finally:
             self._record_attempt(context, upstream, attempt, outcome)
-        if attempt.sent or outcome.reason is Reason.connection_failed:
-            self.outcome_recorder.record(context, upstream, outcome)
+        self._record_outcome(context, upstream, attempt, outcome)
         return outcome
 
     def _start_attempt(
@@ -335,12 +334,21 @@
             context.hedged_outcome = Unknown(
                 Reason.upstream_failed, 'another upstream may have run it'
             )
-        if outcome is not None and (
-            attempt.sent or outcome.reason is Reason.connection_failed
-        ):
-            self.outcome_recorder.record(context, upstream, outcome)
+        if outcome is not None:
+            self._record_outcome(context, upstream, attempt, outcome)
         context.progress.cold_for_s = 0
 
+    def _record_outcome(
+        self,
+        context: RequestContext,
+        upstream: Upstream,
+        attempt: Attempt,
+        outcome: Outcome,
+    ) -> None:
+        """Record what an attempt says about its upstream, if anything."""
+        if attempt.sent or outcome.reason is Reason.connection_failed:
+            self.outcome_recorder.record(context, upstream, outcome)
+
     def _record_attempt(
         self,
         context: RequestContext,
