Loader: a chunk that arrives slowly is not given up

Cause: a fetch without progress for 1.2 s is given up, and the loader recorded progress when a chunk was whole. Where many reads share a narrow link, each takes longer, so all are given up and begun anew: the link carries parts of chunks that nobody keeps, for as long as the transfer goes on, and whatever else shares it waits behind them. Hosts also took over chunks from homes that were slow.

Change: bytes that arrive count as progress, for the fetch and for what other hosts hear of a home; a chunk may take 12 s in all.

--- a/src/bramleylug/loader/sources.py
+++ b/src/bramleylug/loader/sources.py
@@ -14,8 +14,9 @@
 CONNECT_TIMEOUT_S = 0.5
 # Chunks are fetched from all other loaders in turn.
 MAX_IDLE_PEERS = 128
-# A chunk takes 0.1 s on the slowest link, which many transfers share.
-CHUNK_TIMEOUT_S = 3.0
+# A chunk takes 0.1 s on the slowest link, which many transfers share. One that
+# makes no progress is given up before, by its transfer.
+CHUNK_TIMEOUT_S = 12.0
 MANIFEST_TIMEOUT_S = 0.8
 # After a failed call, the origin counts as down for this long.
 ORIGIN_DOWN_S = 1.5
@@ -58,10 +59,16 @@
         """
 
     async def chunk(
-        self, address: str, model: str, version: int, index: int
+        self,
+        address: str,
+        model: str,
+        version: int,
+        index: int,
+        on_progress: Callable[[], None],
     ) -> bytes:
         """Return the bytes of one chunk, not verified.
 
+        :param on_progress: called when some of them have arrived.
         :raises FetchFailed: if they cannot be fetched.
         """
 
@@ -89,10 +96,17 @@
             return await self.origin.manifest(address, model, version)
 
     async def chunk(
-        self, address: str, model: str, version: int, index: int
+        self,
+        address: str,
+        model: str,
+        version: int,
+        index: int,
+        on_progress: Callable[[], None],
     ) -> bytes:
         with self._monitored():
-            return await self.origin.chunk(address, model, version, index)
+            return await self.origin.chunk(
+                address, model, version, index, on_progress
+            )
 
     @contextmanager
     def _monitored(self) -> Iterator[None]:
@@ -133,18 +147,33 @@
         return manifest
 
     async def chunk(
-        self, peer: PeerRecord, model: str, version: int, index: int
+        self,
+        peer: PeerRecord,
+        model: str,
+        version: int,
+        index: int,
+        on_progress: Callable[[], None],
     ) -> bytes:
-        """Return the bytes of one chunk, not verified."""
+        """Return the bytes of one chunk, not verified.
+
+        :param on_progress: called when some of them have arrived.
+        """
         target = f'{CHUNK_PATH}?model={model}&version={version}&index={index}'
-        return await self._get(peer, target, CHUNK_TIMEOUT_S)
+        return await self._get(peer, target, CHUNK_TIMEOUT_S, on_progress)
 
     async def _get(
-        self, peer: PeerRecord, target: str, timeout_s: float
+        self,
+        peer: PeerRecord,
+        target: str,
+        timeout_s: float,
+        on_progress: Callable[[], None] | None = None,
     ) -> bytes:
         try:
             answer = await self.clients.get(
-                peer.chunks, target, timeout_s=timeout_s
+                peer.chunks,
+                target,
+                timeout_s=timeout_s,
+                on_input=on_progress,
             )
         except CALL_ERRORS as error:
             raise FetchFailed(FailureReason.unreachable, repr(error)) from error
--- a/src/bramleylug/loader/transfer.py
+++ b/src/bramleylug/loader/transfer.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any, NamedTuple, final
 
@@ -275,13 +276,22 @@
             self.model,
             self.version,
             index,
+            partial(self._record_input, index),
         )
 
     async def _from_peer(self, index: int, name: str) -> bytes:
         return await self.context.client.chunk(
-            self._find_peer(name), self.model, self.version, index
+            self._find_peer(name),
+            self.model,
+            self.version,
+            index,
+            partial(self._record_input, index),
         )
 
+    def _record_input(self, index: int) -> None:
+        """Record that at least one byte of a chunk has arrived."""
+        self.planner.record_progress(index, 1, self.context.clock())
+
     def _find_peer(self, name: str) -> PeerRecord:
         for peer in self.context.peers():
             if peer.name == name:
--- a/src/bramleylug/platform/engines.py
+++ b/src/bramleylug/platform/engines.py
@@ -1,6 +1,7 @@
 """HTTP clients for the platform's engines and its weights origin."""
 
 import json
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, final
 from urllib.parse import quote
@@ -34,7 +35,8 @@
 NO_LAYERS = {'from': 0, 'to': 0}
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
-CHUNK_TIMEOUT_S = 4.0
+# One that makes no progress is given up before, by its transfer.
+CHUNK_TIMEOUT_S = 12.0
 # An origin takes few connections from all hosts together, so that none is kept
 # for longer than between the reads of one transfer.
 ORIGIN_IDLE_S = 0.1
@@ -136,20 +138,31 @@
             raise FetchFailed(FailureReason.corrupt, str(error)) from error
 
     async def chunk(
-        self, address: str, model: str, version: int, index: int
+        self,
+        address: str,
+        model: str,
+        version: int,
+        index: int,
+        on_progress: Callable[[], None],
     ) -> bytes:
         """Return the bytes of one chunk, not verified."""
         target = f'/-/piece/{quote(model)}?number={index}&version={version}'
-        return await self._get(address, target, CHUNK_TIMEOUT_S)
-
-    async def _get(self, address: str, target: str, timeout_s: float) -> bytes:
+        return await self._get(address, target, CHUNK_TIMEOUT_S, on_progress)
+
+    async def _get(
+        self,
+        address: str,
+        target: str,
+        timeout_s: float,
+        on_progress: Callable[[], None] | None = None,
+    ) -> bytes:
         if not address:
             raise FetchFailed(
                 FailureReason.unreachable, 'no origin is configured'
             )
         try:
             answer = await self.clients.get(
-                address, target, timeout_s=timeout_s
+                address, target, timeout_s=timeout_s, on_input=on_progress
             )
         except CALL_ERRORS as error:
             raise FetchFailed(FailureReason.unreachable, repr(error)) from error
--- a/src/bramleylug/web/http_client.py
+++ b/src/bramleylug/web/http_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, final
 
 from bramleylug.web.client_connection import (
@@ -70,16 +70,18 @@
         body: bytes = b'',
         *,
         timeout_s: float,
+        on_input: Callable[[], None] | None = None,
     ) -> CallAnswer:
         """Send a request once and return its answer.
 
+        :param on_input: called when bytes of the answer have arrived.
         :raises OSError: when the request could not be sent or its answer was
             lost; :data:`CALL_ERRORS` lists everything that is raised.
         """
         self.running += 1
         try:
             return await asyncio.wait_for(
-                self._call(method, target, body), timeout_s
+                self._call(method, target, body, on_input), timeout_s
             )
         finally:
             self.running -= 1
@@ -94,8 +96,15 @@
             self.idle.remove(connection)
             connection.close()
 
-    async def _call(self, method: str, target: str, body: bytes) -> CallAnswer:
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        on_input: Callable[[], None] | None,
+    ) -> CallAnswer:
         connection = await self._connect()
+        connection.on_input = on_input or _ignore
         headers = [('Host', self.address)]
         if body:
             headers.append(('Content-Type', 'application/json'))
@@ -155,10 +164,16 @@
         self.by_address: dict[str, HttpClient] = {}
 
     async def get(
-        self, address: str, target: str, *, timeout_s: float
+        self,
+        address: str,
+        target: str,
+        *,
+        timeout_s: float,
+        on_input: Callable[[], None] | None = None,
     ) -> CallAnswer:
         """Send a GET request to an address.
 
+        :param on_input: as of :meth:`HttpClient.call`.
         :raises OSError: as :meth:`HttpClient.call`.
         """
         client = self.by_address.pop(address, None) or HttpClient(
@@ -168,7 +183,9 @@
         )
         self.by_address[address] = client
         self._close_unused()
-        return await client.call('GET', target, timeout_s=timeout_s)
+        return await client.call(
+            'GET', target, timeout_s=timeout_s, on_input=on_input
+        )
 
     def _close_unused(self) -> None:
         excess = len(self.by_address) - self.max_idle_addresses
@@ -178,6 +195,10 @@
                 self.by_address.pop(address)
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 async def _exchange(
     connection: ClientConnection, request: ClientRequest
 ) -> tuple[AnswerHead, CallAnswer]:
--- a/testing/loader/swarm.py
+++ b/testing/loader/swarm.py
@@ -1,6 +1,7 @@
 """Downloaders of several hosts in one event loop, without a network."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from bramleylug.cluster.peers import Role
@@ -55,7 +56,12 @@
         return build_manifest(model, version, CHUNK_BYTES, digests)
 
     async def chunk(
-        self, address: str, model: str, version: int, index: int
+        self,
+        address: str,
+        model: str,
+        version: int,
+        index: int,
+        on_progress: Callable[[], None],
     ) -> bytes:
         await asyncio.sleep(self.fetch_s)
         self._fail_if_down()
@@ -161,7 +167,12 @@
         return held
 
     async def chunk(
-        self, peer: Any, model: str, version: int, index: int
+        self,
+        peer: Any,
+        model: str,
+        version: int,
+        index: int,
+        on_progress: Callable[[], None],
     ) -> bytes:
         await asyncio.sleep(self.peer_fetch_s)
         chunk_store = self.chunk_stores[peer.name].by_version.get(version)
@@ -207,6 +218,7 @@
                         bitmap=to_bytes(
                             chunk_store.held, self.origin.chunk_count
                         ),
+                        duty_bytes=self._home_bytes(name, version),
                         free_upload_slots=2,
                     )
                     self._deliver(
@@ -214,6 +226,13 @@
                         TransferState(model=MODEL, version=version, held=held),
                     )
 
+    def _home_bytes(self, name: str, version: int) -> int:
+        """Return what a host fetched of a version as a home."""
+        transfer = self.downloaders[name].transfer
+        if transfer is None or transfer.version != version:
+            return 0
+        return transfer.home_bytes
+
     def _deliver(self, name: str, state: TransferState) -> None:
         for other, downloader in self.downloaders.items():
             if other != name:
