--- a/testing/platform/stopping_loader.py
+++ b/testing/platform/stopping_loader.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+from typing import Any
 from unittest.mock import patch
 
 from bramleylug.platform.__main__ import main
@@ -19,13 +20,12 @@
     method: str,
     target: str,
     body: bytes = b'',
-    *,
-    timeout_s: float,
+    **options: Any,
 ) -> CallAnswer:
     """Send a request; the first order only after SIGCONT."""
     if target == ORDER_TARGET and pending_stops:
         os.kill(os.getpid(), pending_stops.pop())
-    return await send_call(client, method, target, body, timeout_s=timeout_s)
+    return await send_call(client, method, target, body, **options)
 
 
 if __name__ == '__main__':
