Loader: one time limit for a chunk, of peers and of the origin

The adapter repeated the constant of loader/sources; a test restored an attribute of its own instance for nothing.

--- a/src/bramleylug/platform/engines.py
+++ b/src/bramleylug/platform/engines.py
@@ -16,7 +16,7 @@
     OrderAnswer,
 )
 from bramleylug.loader.policy import EngineState
-from bramleylug.loader.sources import FetchFailed
+from bramleylug.loader.sources import CHUNK_TIMEOUT_S, FetchFailed
 from bramleylug.platform.decoding import decode_weights
 from bramleylug.platform.fields import (
     MAX_COUNT,
@@ -35,8 +35,6 @@
 NO_LAYERS = {'from': 0, 'to': 0}
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
-# One that makes no progress is given up before, by its transfer.
-CHUNK_TIMEOUT_S = 12.0
 # An origin takes few connections from all hosts together, so that none is kept
 # for longer than between the reads of one transfer.
 ORIGIN_IDLE_S = 0.1
--- a/testing/relay/test_changes_while_waiting.py
+++ b/testing/relay/test_changes_while_waiting.py
@@ -239,14 +239,12 @@
     ) -> None:
         """The zone is taken out while the relay connects."""
         table = build_table(build_route(**BOOKING), version=4)
-        apply = self.apply
 
         def take_out(_: RouteTable) -> None:
             self.relay.view.set_zone_out('zone-a', out=True)
 
         self.apply = take_out
         exchange = await self.serve_while_connecting(table)
-        self.apply = apply
 
         self.assertEqual(self.arrivals(), [0, 1])
         self.assertEqual(exchange.sent, b'south')
