Store client: an answer that is arriving is not given up

Each read had 1.0 s in all, whatever its size and however it advanced, and began anew from nothing when that was over.

A call may have a limit beside its time limit; bytes that arrive then move the time limit, up to that limit. Reads of the store use it.

--- a/src/bramleylug/platform/keyvalue.py
+++ b/src/bramleylug/platform/keyvalue.py
@@ -26,8 +26,10 @@
 MILLISECONDS = 1000
 CONNECT_TIMEOUT_S = 0.5
 # The platform specifies 4 ms per answer; a slow store takes tens of times
-# longer.
+# longer. An answer that is arriving may take longer: its bytes would have to
+# pass a slow link once more.
 READ_TIMEOUT_S = 1.0
+READ_LIMIT_S = 10.0
 WRITE_TIMEOUT_S = 1.0
 # Rises by one each time the store comes back from an older copy of itself.
 ERA_HEADER = 'store-era'
@@ -58,7 +60,9 @@
         target = f'/-/kv-range?path_prefix={quote(prefix)}'
         if after:
             target = f'{target}&after={quote(after)}'
-        answer = await self._send('GET', target, READ_TIMEOUT_S)
+        answer = await self._send(
+            'GET', target, READ_TIMEOUT_S, limit_s=READ_LIMIT_S
+        )
         return _decode_answer(
             answer,
             lambda document: Page(
@@ -80,7 +84,12 @@
             f'/-/kv-watch?path_prefix={quote(prefix)}&after={after_revision}'
             f'&wait_ms={int(wait_s * MILLISECONDS)}'
         )
-        answer = await self._send('GET', target, wait_s + WAIT_MARGIN_S)
+        answer = await self._send(
+            'GET',
+            target,
+            wait_s + WAIT_MARGIN_S,
+            limit_s=wait_s + READ_LIMIT_S,
+        )
         held_s = answer.first_byte_after_s
         if held_s > wait_s + ANSWER_LAG_S:
             # Late on its way: the store held it for at most the wait.
@@ -146,11 +155,13 @@
         target: str,
         timeout_s: float,
         document: Any = None,
+        *,
+        limit_s: float | None = None,
     ) -> CallAnswer:
         body = b'' if document is None else json.dumps(document).encode()
         try:
             answer = await self.client.call(
-                method, target, body, timeout_s=timeout_s
+                method, target, body, timeout_s=timeout_s, limit_s=limit_s
             )
         except CALL_ERRORS as error:
             raise StoreUnavailable(repr(error), uncertain=True) from error
--- a/src/bramleylug/web/http_client.py
+++ b/src/bramleylug/web/http_client.py
@@ -38,6 +38,40 @@
     headers: Mapping[str, str]
 
 
+@final
+class CallProgress:
+    """Moves the time limit of a call while its answer arrives.
+
+    :param timeout_s: longest time without input.
+    :param limit_s: longest time of the call; ``None`` if input does not move
+        the time limit.
+    """
+
+    def __init__(
+        self,
+        timeout: asyncio.Timeout,
+        timeout_s: float,
+        limit_s: float | None,
+        on_input: Callable[[], None],
+    ) -> None:
+        self.timeout = timeout
+        self.timeout_s = timeout_s
+        self.on_input = on_input
+        self.loop = asyncio.get_running_loop()
+        self.latest_s: float | None = None
+        if limit_s is not None:
+            self.latest_s = self.loop.time() + limit_s
+
+    def record_input(self) -> None:
+        """Record that bytes of the answer have arrived."""
+        self.on_input()
+        if self.latest_s is None or self.timeout.expired():
+            return
+        self.timeout.reschedule(
+            min(self.latest_s, self.loop.time() + self.timeout_s)
+        )
+
+
 @final
 class HttpClient:
     """Calls one address; each call has a time limit.
@@ -70,19 +104,27 @@
         body: bytes = b'',
         *,
         timeout_s: float,
+        limit_s: float | None = None,
         on_input: Callable[[], None] | None = None,
     ) -> CallAnswer:
         """Send a request once and return its answer.
 
+        :param timeout_s: longest time of the call; with a limit, the longest
+            time without input.
+        :param limit_s: longest time of a call whose answer is arriving.
         :param on_input: called when bytes of the answer have arrived.
         :raises OSError: when the request could not be sent or its answer was
             lost; :data:`CALL_ERRORS` lists everything that is raised.
         """
         self.running += 1
         try:
-            return await asyncio.wait_for(
-                self._call(method, target, body, on_input), timeout_s
-            )
+            async with asyncio.timeout(timeout_s) as timeout:
+                progress = CallProgress(
+                    timeout, timeout_s, limit_s, on_input or _ignore
+                )
+                return await self._call(
+                    method, target, body, progress.record_input
+                )
         finally:
             self.running -= 1
 
@@ -101,10 +143,10 @@
         method: str,
         target: str,
         body: bytes,
-        on_input: Callable[[], None] | None,
+        on_input: Callable[[], None],
     ) -> CallAnswer:
         connection = await self._connect()
-        connection.on_input = on_input or _ignore
+        connection.on_input = on_input
         headers = [('Host', self.address)]
         if body:
             headers.append(('Content-Type', 'application/json'))
@@ -169,10 +211,12 @@
         target: str,
         *,
         timeout_s: float,
+        limit_s: float | None = None,
         on_input: Callable[[], None] | None = None,
     ) -> CallAnswer:
         """Send a GET request to an address.
 
+        :param limit_s: as of :meth:`HttpClient.call`.
         :param on_input: as of :meth:`HttpClient.call`.
         :raises OSError: as :meth:`HttpClient.call`.
         """
@@ -184,7 +228,11 @@
         self.by_address[address] = client
         self._close_unused()
         return await client.call(
-            'GET', target, timeout_s=timeout_s, on_input=on_input
+            'GET',
+            target,
+            timeout_s=timeout_s,
+            limit_s=limit_s,
+            on_input=on_input,
         )
 
     def _close_unused(self) -> None:
--- a/testing/web/test_http_client.py
+++ b/testing/web/test_http_client.py
@@ -12,8 +12,10 @@
 )
 from testing.builders import prefixes
 from testing.relay.scripted_engines import ScriptedEngine, complete_answer
+from testing.web.paced_server import PacedServer
 
 ANSWER = complete_answer(b'whole')
+PIECE_PAUSE_S = 0.02
 
 
 class TestHttpClients(unittest.IsolatedAsyncioTestCase):
@@ -116,3 +118,43 @@
         for cut in prefixes(ANSWER):
             with self.subTest(cut=cut), self.assertRaises(CALL_ERRORS):
                 await self.call(cut)
+
+
+class TestArrivingAnswers(unittest.IsolatedAsyncioTestCase):
+    """Time limits of an answer that arrives in many pieces."""
+
+    async def asyncSetUp(self) -> None:
+        self.peer = await PacedServer(ANSWER, PIECE_PAUSE_S).open()
+        self.addAsyncCleanup(self.peer.close)
+        self.client = HttpClient(self.peer.address, connect_timeout_s=1)
+        self.whole_s = len(ANSWER) * PIECE_PAUSE_S
+
+    async def test_answer_that_advances_is_not_given_up(self) -> None:
+        answer = await self.client.call(
+            'GET', '/', timeout_s=self.whole_s / 3, limit_s=3 * self.whole_s
+        )
+
+        self.assertEqual(answer.body, b'whole')
+
+    async def test_answer_that_stops_is_given_up(self) -> None:
+        self.peer.stops_after = len(ANSWER) // 2
+
+        with self.assertRaises(TimeoutError):
+            await self.client.call(
+                'GET', '/', timeout_s=self.whole_s / 3, limit_s=60
+            )
+
+    async def test_answer_that_takes_longer_than_its_limit(self) -> None:
+        with self.assertRaises(TimeoutError):
+            await self.client.call(
+                'GET',
+                '/',
+                timeout_s=self.whole_s / 3,
+                limit_s=self.whole_s / 2,
+            )
+
+    async def test_time_limit_without_another_one_holds_for_the_call(
+        self,
+    ) -> None:
+        with self.assertRaises(TimeoutError):
+            await self.client.call('GET', '/', timeout_s=self.whole_s / 3)
