Store readers: processes that start together read through few of them

A process learned the readers of its zone from the store itself, so that each process read all of it once: 41 copies of 650 KB over a link of 16 Mbit/s between two regions.

Relays register their feed under a key of their own, by zone and under the lease that they have. A process that starts lists these keys, a few KB, and reads through a reader, which holds the call until it has read the store. Of processes that start where nobody is registered, each knows the ones before it. A reader that does not answer within 2 s, or is cut off, is passed over, and after 6 s the store itself is read; no two processes wait for each other, as readers precede the processes that use them in one order.

Reads of the configuration by loaders had 0.05 s at a reader, as the limit of polls was applied to them, and then went to the store, also every 2 s while the origin was away. The limit holds for prefixes that are watched.

BL1023 tells what was listed, from where and how long it took.

--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -10,6 +10,7 @@
 from urllib.parse import parse_qs
 
 from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.feed_directory import FeedDirectory
 from bramleylug.cluster.heartbeat_schedule import HeartbeatSchedule
 from bramleylug.cluster.heartbeats import (
     HEARTBEAT_INTERVAL_S,
@@ -24,7 +25,7 @@
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.changes import StoreChange, WatchableStore
 from bramleylug.store.feed import Poll, encode
-from bramleylug.store.presence import Presence
+from bramleylug.store.presence import FixedItem, Presence
 from bramleylug.store.read_schedule import ReadSchedule
 from bramleylug.store.watcher import StoreWatcher
 from bramleylug.store.zone_store import CHANGES_PATH, ITEMS_PATH, ZoneStore
@@ -50,6 +51,9 @@
     def watched_prefixes(self, role: Role) -> tuple[str, ...]:
         """Return the key prefixes that a process of a role watches."""
 
+    def feed_prefix(self, zone: str) -> str:
+        """Return the prefix of the keys that name the feeds of a zone."""
+
     def peer_key(self, name: str) -> str:
         """Return the key that a process registers itself under."""
 
@@ -90,12 +94,19 @@
             settings.confirm_interval,
             Random(settings.name).random(),  # noqa: S311
         )
+        feeds = FeedDirectory(
+            adapter.store,
+            adapter.feed_prefix(record.zone),
+            lambda: self.record,
+            clock,
+        )
         self.store = ZoneStore(
             adapter.store,
             self.reader_address,
             clock,
             schedule,
             confirms=record.role is Role.relay,
+            find_feed=feeds.find,
         )
         self.watchers = [
             StoreWatcher(
@@ -118,6 +129,8 @@
             adapter.peer_key(settings.name),
             lambda: adapter.encode_peer(self.record),
             settings.calm_window,
+            feed_item(adapter, record),
+            feeds.registered.set,
         )
         self.make_heartbeat = make_heartbeat
         self.on_clean_up: Callable[[], None] = _ignore
@@ -149,16 +162,18 @@
         feed = self.watchers[0].feed
         query = parse_qs(exchange.query)
         prefix = query.get('prefix', [''])[0]
+        wait_s = min(
+            MAX_POLL_S, integer_parameter(query, 'wait_ms', 0) / MILLISECONDS
+        )
+        if exchange.path == ITEMS_PATH:
+            await feed.wait_until_loaded(wait_s)
         if exchange.path == ITEMS_PATH and feed.mirror.loaded:
             _reply_feed(exchange, feed.listing(prefix, arrived_s))
         elif exchange.path == CHANGES_PATH and feed.mirror.loaded:
             poll = Poll(
                 prefix,
                 integer_parameter(query, 'after', 0),
-                min(
-                    MAX_POLL_S,
-                    integer_parameter(query, 'wait_ms', 0) / MILLISECONDS,
-                ),
+                wait_s,
                 bool(integer_parameter(query, 'confirms', 0)),
                 arrived_s,
             )
@@ -301,6 +316,14 @@
     exchange.reply(HTTPStatus.OK, raw, headers)
 
 
+def feed_item(adapter: Adapter, record: PeerRecord) -> FixedItem | None:
+    """Return the item that registers the feed of a process, if it has one."""
+    if not record.feed:
+        return None
+    key = f'{adapter.feed_prefix(record.zone)}{record.name}'
+    return FixedItem(key, record.feed.encode())
+
+
 def uptime_s() -> float:
     """Return seconds that also count while the host is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/bramleylug/cluster/store_readers.py
+++ b/src/bramleylug/cluster/store_readers.py
@@ -34,11 +34,27 @@
         for peer in peers
         if peer.feed and peer.feed not in avoided
     }
+    name = choose_reader(own, relays, len(peers))
+    return None if name is None else relays[name]
+
+
+def choose_reader(
+    own: PeerRecord, relays: Iterable[str], peer_count: int
+) -> str | None:
+    """Return the name of the relay through which a process reads the store.
+
+    The readers that a process may choose precede it in an order that is the
+    same for all of the zone, so that no two processes wait for each other.
+
+    :param relays: names of the other relays of its zone that may be used.
+    :param peer_count: number of the other processes of its zone.
+    :returns: ``None`` if it reads the store itself.
+    """
+    names = set(relays)
     if own.role is Role.relay and not own.draining:
-        relays[own.name] = own
-    count = 1 + len(peers) // PROCESSES_PER_READER
-    readers = rank(own.zone, relays)[:count]
+        names.add(own.name)
+    count = 1 + peer_count // PROCESSES_PER_READER
+    readers = rank(own.zone, names)[:count]
     if own.name in readers:
         return None
-    name = owner(own.name, readers)
-    return None if name is None else relays[name]
+    return owner(own.name, readers)
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -113,6 +113,12 @@
         '{for_s} s: {cause}; calling the store itself',
         'Check that relay and its connection to the store if it repeats.',
     )
+    store_listed = EventSpec(
+        'BL1023',
+        'INFO',
+        'listed {prefix!r}: {items} items from {source} in {took_ms} ms',
+        'Nothing to do; one that takes seconds shows a slow link to the store.',
+    )
     value_unreadable = EventSpec(
         'BL1009',
         'WARNING',
--- a/src/bramleylug/platform/adapter.py
+++ b/src/bramleylug/platform/adapter.py
@@ -20,6 +20,7 @@
     StoreChangeHandler,
     bar_key,
     encode_peer,
+    feed_prefix,
     peer_key,
 )
 from bramleylug.relay.daemon import DirectoryQuery
@@ -68,6 +69,10 @@
         """Return the store key under which a process registers itself."""
         return peer_key(name)
 
+    def feed_prefix(self, zone: str) -> str:
+        """Return the prefix of the store keys of a zone's feeds."""
+        return feed_prefix(zone)
+
     def bar_key(self, fingerprint: bytes) -> str:
         """Return the store key of a bar."""
         return bar_key(fingerprint)
--- a/src/bramleylug/platform/store_changes.py
+++ b/src/bramleylug/platform/store_changes.py
@@ -34,6 +34,7 @@
 # Keys that bramleylug itself writes; the others belong to the platform.
 PEER_PREFIX = 'bramleylug/peers/'
 BAR_PREFIX = 'bramleylug/bars/'
+FEED_PREFIX = 'bramleylug/feeds/'
 # Relays watch every key, so that one watch call covers the platform's keys
 # and bramleylug's own.
 RELAY_PREFIX = ''
@@ -157,6 +158,10 @@
     return f'{PEER_PREFIX}{name}'
 
 
+def feed_prefix(zone: str) -> str:
+    return f'{FEED_PREFIX}{zone}/'
+
+
 def bar_key(fingerprint: bytes) -> str:
     return f'{BAR_PREFIX}{fingerprint.hex()}'
 
--- a/src/bramleylug/store/feed.py
+++ b/src/bramleylug/store/feed.py
@@ -84,6 +84,14 @@
         self.start_revision = self.mirror.revision
         self._announce()
 
+    async def wait_until_loaded(self, wait_s: float) -> bool:
+        """Return whether the mirror is loaded within a time."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while not self.mirror.loaded:
+                    await self.news.wait()
+        return self.mirror.loaded
+
     async def wait(self, poll: Poll) -> FeedAnswer:
         """Return the news for a poll, or an answer without any in the end."""
         known_s = self.mirror.confirmed_s
--- a/src/bramleylug/store/presence.py
+++ b/src/bramleylug/store/presence.py
@@ -1,8 +1,8 @@
-"""Registers this process in the store under a leased key."""
+"""Registers this process in the store under leased keys."""
 
 import asyncio
 from collections.abc import Callable
-from typing import final
+from typing import NamedTuple, final
 
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.changes import (
@@ -19,13 +19,26 @@
 RETRY_S = 0.4
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
+class FixedItem(NamedTuple):
+    """A key whose value never changes."""
+
+    key: str
+    value: bytes
+
+
 @final
 class Presence:
-    """Keeps one leased key written and its lease renewed.
+    """Keeps leased keys written and their lease renewed.
 
     :param describe: returns the value of the key; it is written again when it
         differs from what was written last.
     :param lease_s: duration of the lease.
+    :param fixed_item: is written under the same lease.
+    :param on_registered: called when everything has been written.
     """
 
     def __init__(
@@ -34,8 +47,12 @@
         key: str,
         describe: Callable[[], bytes],
         lease_s: float = LEASE_S,
+        fixed_item: FixedItem | None = None,
+        on_registered: Callable[[], None] = _ignore,
     ) -> None:
         self.lease_s = lease_s
+        self.fixed_item = fixed_item
+        self.on_registered = on_registered
         self.store = store
         self.key = key
         self.describe = describe
@@ -95,9 +112,16 @@
             # Withdrawn while the lease was being granted.
             await self._end_lease()
             return
+        await self._write(self.lease.lease_id)
+        self.on_registered()
+
+    async def _write(self, lease_id: int) -> None:
+        """Write what has changed since the lease was granted."""
+        if self.written is None and self.fixed_item is not None:
+            await self.store.put(*self.fixed_item, lease_id)
         value = self.describe()
         if value != self.written:
-            await self.store.put(self.key, value, self.lease.lease_id)
+            await self.store.put(self.key, value, lease_id)
             self.written = value
 
     async def _sleep(self, pause_s: float) -> None:
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -1,6 +1,6 @@
 """Reads the store through another process of the zone where possible."""
 
-from collections.abc import Callable, Container
+from collections.abc import Awaitable, Callable, Container
 from typing import final
 from urllib.parse import quote
 
@@ -22,7 +22,13 @@
 from bramleylug.wire.feed_pb2 import FeedAnswer
 
 CONNECT_TIMEOUT_S = 0.3
+# A listing that is arriving may take longer.
 LISTING_TIMEOUT_S = 1.0
+LISTING_LIMIT_S = 5.0
+# Wait for a reader that is itself reading the store for the first time, and
+# for all readers that are tried one after the other.
+START_WAIT_S = 2.0
+START_LIMIT_S = 6.0
 MAX_READER_WAIT_S = 1.0
 # How much later than the requested wait a reader may answer.
 WAIT_MARGIN_S = 0.35
@@ -54,10 +60,14 @@
         that are avoided; empty to call the store.
     :param schedule: how long ago the reader may have heard of the store.
     :param confirms: whether each confirmation is wanted, also without changes.
+    :param find_feed: as ``choose_reader``, of a process that has not read the
+        store yet.
     :param clock: seconds that also count while the host is suspended.
     :ivar avoid_until_s: until when each reader is avoided; those that have
         been of use since are not among them.
     :ivar heard_s: when the store was heard of last, by prefix.
+    :ivar watched: prefixes that are kept current, whose changes have to be
+        known in time.
     """
 
     def __init__(
@@ -68,15 +78,18 @@
         schedule: ReadSchedule,
         *,
         confirms: bool,
+        find_feed: Callable[[Container[str]], Awaitable[str]] | None = None,
     ) -> None:
         self.store = store
         self.choose_reader = choose_reader
         self.clock = clock
         self.schedule = schedule
         self.confirms = confirms
+        self.find_feed = find_feed or _find_none
         self.clients = HttpClients(connect_timeout_s=CONNECT_TIMEOUT_S)
         self.avoid_until_s: dict[str, float] = {}
         self.heard_s: dict[str, float] = {}
+        self.watched: set[str] = set()
         self.reader = ''
         self.feed_era = 0
 
@@ -87,31 +100,18 @@
 
     async def list_page(self, prefix: str, after: str) -> Page:
         """Return all items from a reader, or a page of the store."""
-        reader = '' if after else self._find_reader()
-        if reader:
-            answer = await self._call(
-                reader,
-                prefix,
-                f'{ITEMS_PATH}?prefix={quote(prefix)}',
-                LISTING_TIMEOUT_S,
-            )
-            if answer is not None:
-                items = tuple(
-                    item
-                    for item in changes_of(answer)
-                    if isinstance(item, StoreItem)
-                )
-                return Page(
-                    items,
-                    int(answer.revision),
-                    more=False,
-                    era=int(answer.era),
-                    reader_times=times_of(answer)._replace(
-                        written_after_s=float('-inf')
-                    ),
-                )
-        page = await self.store.list_page(prefix, after)
-        self.heard_s[prefix] = self.clock()
+        began_s = self.clock()
+        page = None if after else await self._list_at_reader(prefix)
+        if page is None:
+            page = await self.store.list_page(prefix, after)
+            self.heard_s[prefix] = self.clock()
+        emit(
+            LogEvent.store_listed,
+            prefix=prefix,
+            items=len(page.items),
+            source='the store' if page.reader_times is None else 'a reader',
+            took_ms=round((self.clock() - began_s) * MILLISECONDS),
+        )
         return page
 
     async def wait_for_changes(
@@ -123,6 +123,7 @@
         that was suspended is noticed sooner. When the store has been silent
         for too long, it is asked at once for what it has.
         """
+        self.watched.add(prefix)
         while reader := self._find_reader():
             answer = await self._poll(reader, prefix, after_revision, wait_s)
             if answer is not None:
@@ -145,6 +146,59 @@
     async def put(self, key: str, value: bytes, lease_id: int) -> None:
         await self.store.put(key, value, lease_id)
 
+    async def _list_at_reader(self, prefix: str) -> Page | None:
+        """Return all items from a reader; ``None`` if none is of use."""
+        if prefix not in self.watched:
+            return await self._list_at_any(prefix)
+        reader = self._find_reader()
+        return await self._list_at(reader, prefix, 0) if reader else None
+
+    async def _list_at_any(self, prefix: str) -> Page | None:
+        """Return all items from the first reader that is of use.
+
+        Of processes that start together, one may have to wait until its
+        reader has read the store.
+        """
+        ends_s = self.clock() + START_LIMIT_S
+        while self.clock() < ends_s:
+            reader = self._find_reader()
+            reader = reader or await self.find_feed(self._avoided())
+            if not reader:
+                return None
+            page = await self._list_at(reader, prefix, START_WAIT_S)
+            if page is not None:
+                return page
+        return None
+
+    async def _list_at(
+        self, reader: str, prefix: str, wait_s: float
+    ) -> Page | None:
+        """Return all items from a reader; ``None`` if it is of no use.
+
+        :param wait_s: how long it may wait until it has read the store.
+        """
+        target = (
+            f'{ITEMS_PATH}?prefix={quote(prefix)}'
+            f'&wait_ms={int(wait_s * MILLISECONDS)}'
+        )
+        answer = await self._call(
+            reader, prefix, target, wait_s + LISTING_TIMEOUT_S
+        )
+        if answer is None:
+            return None
+        listed = tuple(
+            item for item in changes_of(answer) if isinstance(item, StoreItem)
+        )
+        return Page(
+            listed,
+            int(answer.revision),
+            more=False,
+            era=int(answer.era),
+            reader_times=times_of(answer)._replace(
+                written_after_s=float('-inf')
+            ),
+        )
+
     async def _poll(
         self, reader: str, prefix: str, after_revision: int, wait_s: float
     ) -> StoreChanges | HistoryLost | None:
@@ -188,13 +242,19 @@
     ) -> FeedAnswer | None:
         """Return the answer of the reader; ``None`` if it is of no use.
 
-        It is waited for no longer than until the store counts as silent.
+        Where changes have to be known in time, it is waited for no longer than
+        until the store counts as silent.
         """
         sent_s = self.clock()
-        timeout_s = min(timeout_s, self._left_s(prefix) + POLL_LAG_S)
+        limit_s = timeout_s + LISTING_LIMIT_S
+        if prefix in self.watched:
+            limit_s = self._left_s(prefix) + POLL_LAG_S
+            timeout_s = min(timeout_s, limit_s)
         try:
             answer = _decode(
-                await self.clients.get(reader, target, timeout_s=timeout_s)
+                await self.clients.get(
+                    reader, target, timeout_s=timeout_s, limit_s=limit_s
+                )
             )
         except FEED_ERRORS as error:
             self._avoid(reader, repr(error))
@@ -210,15 +270,17 @@
         return answer
 
     def _find_reader(self) -> str:
+        reader = self.choose_reader(self._avoided())
+        self._log_reader(reader)
+        return reader
+
+    def _avoided(self) -> set[str]:
         now_s = self.clock()
-        avoided = {
+        return {
             reader
             for reader, until_s in self.avoid_until_s.items()
             if now_s < until_s
         }
-        reader = self.choose_reader(avoided)
-        self._log_reader(reader)
-        return reader
 
     def _left_s(self, prefix: str) -> float:
         """Return the time until the store has been silent for too long."""
@@ -250,6 +312,11 @@
             self.reader = reader
 
 
+async def _find_none(avoided: Container[str]) -> str:
+    """Return no reader."""
+    return ''
+
+
 def _decode(answer: CallAnswer) -> FeedAnswer:
     if answer.status != OK_STATUS:
         raise ValueError(f'reader answered with status {answer.status}')
--- a/testing/cluster/test_process.py
+++ b/testing/cluster/test_process.py
@@ -16,6 +16,9 @@
     def watched_prefixes(self, role):
         return ('',)
 
+    def feed_prefix(self, zone):
+        return f'feeds/{zone}/'
+
     def peer_key(self, name):
         return name
 
--- a/testing/store/test_feed.py
+++ b/testing/store/test_feed.py
@@ -164,7 +164,7 @@
         self.targets: list[str] = []
         self.timeouts: list[float] = []
 
-    async def get(self, address, target, *, timeout_s):
+    async def get(self, address, target, *, timeout_s, **options):
         self.targets.append(target)
         self.timeouts.append(timeout_s)
         if self.answer is None:
--- a/testing/store/test_presence.py
+++ b/testing/store/test_presence.py
@@ -5,7 +5,7 @@
 from unittest.mock import patch
 
 from bramleylug.store.changes import Lease
-from bramleylug.store.presence import Presence
+from bramleylug.store.presence import FixedItem, Presence
 from testing.store.scripted import ScriptedStore
 from testing.virtual_time import in_virtual_time
 
@@ -94,3 +94,35 @@
             await asyncio.wait_for(presence.run(), 3)
 
         self.assertEqual(store.calls, [('grant', 1), ('end', 1)])
+
+    @in_virtual_time
+    async def test_fixed_item_is_written_for_each_lease(self) -> None:
+        """A key under an ended lease is gone."""
+        store = ScriptedStore()
+        registered = []
+        presence = Presence(
+            store,
+            'key',
+            lambda: b'serving',
+            fixed_item=FixedItem('feed', b'address'),
+            on_registered=lambda: registered.append(len(store.calls)),
+        )
+        task = asyncio.create_task(presence.run())
+        await asyncio.sleep(0)
+        store.ended.add(1)
+        presence.announce()
+        await asyncio.sleep(0.01)
+        task.cancel()
+
+        writes = [call[1:] for call in store.calls if call[0] == 'put']
+        self.assertEqual(
+            writes,
+            [
+                ('feed', b'address', 1),
+                ('key', b'serving', 1),
+                ('feed', b'address', 2),
+                ('key', b'serving', 2),
+            ],
+        )
+        # The lease and two writes come first.
+        self.assertEqual(registered[0], 3)
--- a/testing/store/test_reader_silence.py
+++ b/testing/store/test_reader_silence.py
@@ -42,6 +42,9 @@
     def watched_prefixes(self, role: Any) -> tuple[str, ...]:
         return ('',)
 
+    def feed_prefix(self, zone: str) -> str:
+        return f'feeds/{zone}/'
+
     def peer_key(self, name: str) -> str:
         return name
 
@@ -80,7 +83,7 @@
         self.suspended = False
 
     async def get(
-        self, address: str, target: str, *, timeout_s: float
+        self, address: str, target: str, *, timeout_s: float, **options: Any
     ) -> CallAnswer:
         parts = urlsplit(target)
         exchange = FeedExchange(parts.path, parts.query, [])
