Feed: changes that many processes of a zone wait for are compressed once

A reader of the store compressed each answer by itself: a configuration of 490 KB for each of 14 processes, one after the other, beside the streams of its callers. Only the times in an answer differ. Changes are compressed first and kept; the rest of each answer continues the compressed stream.

--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -24,7 +24,7 @@
 from bramleylug.node.process_pauses import ProcessPauses, watch_pauses
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.changes import StoreChange, WatchableStore
-from bramleylug.store.feed import Poll, encode
+from bramleylug.store.feed import ChangeFeed, Poll
 from bramleylug.store.presence import FixedItem, Presence
 from bramleylug.store.read_schedule import ReadSchedule
 from bramleylug.store.watcher import StoreWatcher
@@ -168,7 +168,7 @@
         if exchange.path == ITEMS_PATH:
             await feed.wait_until_loaded(wait_s)
         if exchange.path == ITEMS_PATH and feed.mirror.loaded:
-            _reply_feed(exchange, feed.listing(prefix, arrived_s))
+            _reply_feed(exchange, feed, feed.listing(prefix, arrived_s))
         elif exchange.path == CHANGES_PATH and feed.mirror.loaded:
             poll = Poll(
                 prefix,
@@ -177,7 +177,7 @@
                 bool(integer_parameter(query, 'confirms', 0)),
                 arrived_s,
             )
-            _reply_feed(exchange, await feed.wait(poll))
+            _reply_feed(exchange, feed, await feed.wait(poll))
         else:
             exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE, b'')
 
@@ -310,8 +310,10 @@
             self.on_clean_up()
 
 
-def _reply_feed(exchange: Exchange, answer: FeedAnswer) -> None:
-    raw, compressed = encode(answer)
+def _reply_feed(
+    exchange: Exchange, feed: ChangeFeed, answer: FeedAnswer
+) -> None:
+    raw, compressed = feed.encoder.encode(answer)
     headers = {'Content-Encoding': 'deflate'} if compressed else {}
     exchange.reply(HTTPStatus.OK, raw, headers)
 
--- a/src/bramleylug/store/feed.py
+++ b/src/bramleylug/store/feed.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from contextlib import suppress
-from typing import NamedTuple, final
+from typing import Any, NamedTuple, final
 
 from bramleylug.store.changes import Removal, StoreChange, StoreItem
 from bramleylug.store.mirror import Mirror
@@ -24,6 +24,9 @@
 # processes of a zone at the same time.
 COMPRESSED_FROM_BYTES = 2048
 COMPRESSION_LEVEL = 1
+# Compressed changes that are kept for further answers. Processes that poll a
+# reader have one of few prefixes.
+MAX_SHARED = 4
 # A short compressed answer may stand for any number of bytes.
 MAX_DECODED_BYTES = 33554432
 
@@ -59,6 +62,7 @@
     :param clock: seconds that also count while the host is suspended.
     :ivar records: changes since ``start_revision``.
     :ivar news: set, and replaced, after each answer of the store.
+    :ivar encoder: encodes the answers.
     """
 
     def __init__(self, mirror: Mirror, clock: Callable[[], float]) -> None:
@@ -67,6 +71,7 @@
         self.records: deque[FeedRecord] = deque()
         self.start_revision = 0
         self.news = asyncio.Event()
+        self.encoder = FeedEncoder()
 
     def record(self, changes: Iterable[StoreChange]) -> None:
         """Record an answer of the store; the mirror has applied it."""
@@ -156,10 +161,57 @@
 
 def encode(answer: FeedAnswer) -> tuple[bytes, bool]:
     """Return the bytes of an answer, and whether they are compressed."""
-    raw = answer.SerializeToString()
-    if len(raw) < COMPRESSED_FROM_BYTES:
-        return raw, False
-    return zlib.compress(raw, COMPRESSION_LEVEL), True
+    return FeedEncoder().encode(answer)
+
+
+class _CompressedChanges(NamedTuple):
+    """The start of a compressed answer.
+
+    :ivar stream: compressor that can continue after it.
+    """
+
+    start: bytes
+    stream: Any
+
+
+@final
+class FeedEncoder:
+    """Encodes answers; changes that many of them share are compressed once.
+
+    :ivar recent: compressed changes by their bytes, the latest one last.
+    """
+
+    def __init__(self) -> None:
+        self.recent: dict[bytes, _CompressedChanges] = {}
+
+    def encode(self, answer: FeedAnswer) -> tuple[bytes, bool]:
+        """Return the bytes of an answer, and whether they are compressed.
+
+        Fields of a message may follow each other in any order, so that the
+        changes can go first.
+        """
+        if answer.ByteSize() < COMPRESSED_FROM_BYTES:
+            return answer.SerializeToString(), False
+        shared = self._compress(
+            FeedAnswer(changes=answer.changes).SerializeToString()
+        )
+        own = FeedAnswer()
+        own.CopyFrom(answer)
+        own.ClearField('changes')
+        stream = shared.stream.copy()
+        rest = stream.compress(own.SerializeToString()) + stream.flush()
+        return shared.start + rest, True
+
+    def _compress(self, changes: bytes) -> _CompressedChanges:
+        found = self.recent.pop(changes, None)
+        if found is None:
+            stream = zlib.compressobj(COMPRESSION_LEVEL)
+            start = stream.compress(changes) + stream.flush(zlib.Z_FULL_FLUSH)
+            found = _CompressedChanges(start, stream)
+        self.recent[changes] = found
+        for oldest in tuple(self.recent)[:-MAX_SHARED]:
+            self.recent.pop(oldest)
+        return found
 
 
 def decode(raw: bytes, *, compressed: bool) -> FeedAnswer:
--- a/testing/store/test_feed_size.py
+++ b/testing/store/test_feed_size.py
@@ -3,7 +3,13 @@
 import unittest
 import zlib
 
-from bramleylug.store.feed import MAX_DECODED_BYTES, decode, encode
+from bramleylug.store.feed import (
+    MAX_DECODED_BYTES,
+    MAX_SHARED,
+    FeedEncoder,
+    decode,
+    encode,
+)
 from bramleylug.wire.feed_pb2 import FeedAnswer, FeedChange
 
 
@@ -35,3 +41,41 @@
 
         self.assertTrue(compressed)
         self.assertEqual(decode(raw, compressed=compressed), answer)
+
+
+class TestSharedChanges(unittest.TestCase):
+    """What many answers share is compressed once."""
+
+    def setUp(self) -> None:
+        self.encoder = FeedEncoder()
+
+    def answer(self, confirmed_after_us: int, keys: int = 200) -> FeedAnswer:
+        return FeedAnswer(
+            era=1,
+            revision=7,
+            confirmed_after_us=confirmed_after_us,
+            changes=[
+                FeedChange(key=f'k-{number}', value=bytes(64))
+                for number in range(keys)
+            ],
+        )
+
+    def test_answers_with_the_same_changes(self) -> None:
+        """A configuration was compressed for each process of a zone."""
+        answers = [self.answer(-age) for age in range(3)]
+        encoded = [self.encoder.encode(answer) for answer in answers]
+
+        self.assertEqual(len(self.encoder.recent), 1)
+        self.assertEqual(
+            [decode(raw, compressed=packed) for raw, packed in encoded],
+            answers,
+        )
+
+    def test_changes_in_turn_are_kept_apart(self) -> None:
+        sizes = (100, 200, 300, 100, 400, 500, 600, 200)
+        for keys in sizes:
+            answer = self.answer(-1, keys)
+            raw, packed = self.encoder.encode(answer)
+
+            self.assertEqual(decode(raw, compressed=packed), answer)
+        self.assertEqual(len(self.encoder.recent), MAX_SHARED)
