Decoding: a route that was in the configuration before is kept

Each change of the configuration had all of its routes decoded by every process, though one route changed. A route is compared with the one of its name and decoded again if it differs.

--- a/src/bramleylug/platform/decoding.py
+++ b/src/bramleylug/platform/decoding.py
@@ -1,7 +1,7 @@
 """Decodes values that the operator and the engines write to the store."""
 
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Iterable, Mapping
+from typing import Any, final
 
 from bramleylug.cluster.route_table import (
     CallerLimits,
@@ -40,12 +40,45 @@
 STATES = frozenset(('ready', 'draining'))
 
 
-def decode_configuration(value: bytes) -> RouteTable:
+def decode_configuration(
+    value: bytes, routes: 'RouteDecoder | None' = None
+) -> RouteTable:
     """Return the configuration.
 
+    :param routes: decodes its routes; it knows those of the one before.
     :raises UnreadableValue: if the value is malformed.
     """
-    return decode_json(value, _route_table)
+    decoder = routes or RouteDecoder()
+    return decode_json(value, lambda document: _route_table(document, decoder))
+
+
+@final
+class RouteDecoder:
+    """Decodes the routes of one configuration after the other.
+
+    Most changes leave nearly all of many routes as they are; a route that was
+    in the configuration before is not decoded again.
+
+    :ivar known: document and route by the name of the route.
+    """
+
+    def __init__(self) -> None:
+        self.known: dict[str, tuple[Any, Route]] = {}
+
+    def decode(self, documents: Iterable[Any]) -> tuple[Route, ...]:
+        """Return the routes.
+
+        :raises UnreadableValue: if one of them is malformed.
+        """
+        decoded = [(document, self._decode(document)) for document in documents]
+        self.known = {route.name: (raw, route) for raw, route in decoded}
+        return tuple(route for _, route in decoded)
+
+    def _decode(self, document: Any) -> Route:
+        previous, route = self.known.get(document['name'], (None, None))
+        if route is not None and previous == document:
+            return route
+        return _route(document)
 
 
 def decode_engine(key: str, value: bytes, now_s: float) -> UpstreamRecord:
@@ -96,12 +129,12 @@
     }
 
 
-def _route_table(document: Any) -> RouteTable:
+def _route_table(document: Any, routes: RouteDecoder) -> RouteTable:
     tenants = rows(document.get('tenants'), 'tenants')
     limits = document['limits']
     return RouteTable(
         version=integer(document['version'], 'version', MAX_NUMBER),
-        routes=tuple(_route(route) for route in document['routes']),
+        routes=routes.decode(document['routes']),
         services={
             _name(service): _service(service)
             for service in document['services']
--- a/src/bramleylug/platform/store_changes.py
+++ b/src/bramleylug/platform/store_changes.py
@@ -15,6 +15,7 @@
     ENGINE_PREFIX,
     EVACUATION_PREFIX,
     VERSION_PREFIX,
+    RouteDecoder,
     decode_configuration,
     decode_engine,
     decode_version,
@@ -50,12 +51,14 @@
     an engine that is left out also ends the one before it.
 
     :ivar handlers: method that applies a written item, by key prefix.
+    :ivar routes: decodes the routes of the configuration.
     :ivar rejections: limits the log lines about what is left out.
     """
 
     def __init__(self, view: ClusterView) -> None:
         self.view = view
         self.rejections = RejectionLog(view.clock)
+        self.routes = RouteDecoder()
         self.handlers: dict[str, Callable[[StoreItem], None]] = {
             ENGINE_PREFIX: self._apply_engine,
             EVACUATION_PREFIX: self._apply_evacuation,
@@ -76,7 +79,9 @@
     def _apply_change(self, change: StoreChange) -> None:
         match change:
             case StoreItem(key=key) if key == CONFIG_KEY:
-                self.view.apply_route_table(decode_configuration(change.value))
+                self.view.apply_route_table(
+                    decode_configuration(change.value, self.routes)
+                )
             case StoreItem():
                 self._apply_item(change)
             case Removal(key=key):
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -5,6 +5,7 @@
 from bramleylug.cluster.route_table import RetryPolicy, ServiceShare
 from bramleylug.cluster.held_weights import HeldWeights
 from bramleylug.platform.decoding import (
+    RouteDecoder,
     decode_configuration,
     decode_engine,
     decode_version,
@@ -208,3 +209,35 @@
         'target_latency_ms': 100,
         'service': 'advisor',
     }
+
+
+class TestRouteDecoder(unittest.TestCase):
+    """Routes that stay as they are are not decoded again."""
+
+    def decode(self, decoder: RouteDecoder, *routes: dict) -> tuple:
+        return decode_configuration(
+            build_config(routes=list(routes)), decoder
+        ).routes
+
+    def test_only_the_route_that_changed_is_decoded(self) -> None:
+        """Each change cost as much as there are routes (SHORT)."""
+        decoder = RouteDecoder()
+        first, second = CONFIG['routes']
+        before = self.decode(decoder, first, second)
+        after = self.decode(
+            decoder, {**first, 'timeout_ms': 1234}, second, first
+        )
+
+        self.assertEqual(after[0].timeout_s, 1.234)
+        self.assertIs(after[1], before[1])
+        self.assertEqual(len(after), 3)
+
+    def test_configuration_that_is_malformed_changes_nothing(self) -> None:
+        decoder = RouteDecoder()
+        first, second = CONFIG['routes']
+        before = self.decode(decoder, first, second)
+        for odd in ({**second, 'kind': 5, 'timeout_ms': 'x'}, 7, {'name': []}):
+            with self.subTest(odd), self.assertRaises(UnreadableValue):
+                self.decode(decoder, {**first, 'timeout_ms': 1}, odd)
+
+        self.assertEqual(self.decode(decoder, first, second), before)
