Upstreams: a heartbeat costs as much as it says, not as the fleet has

Counts touch what they name and what the heartbeat before had named; upstreams are found by address.

Loaders went through all routes at each look at their engine; services with requests that run once are derived once for each configuration. Registration of a peer is looked up before its heartbeats.

--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -138,12 +138,17 @@
         """Return the peers of a role that are alive, except this process."""
         own_name = self.own().name
         is_fresh = self._is_store_fresh()
+        # Registration is looked up first: the fleet is gone through often.
+        registered = self.in_store if is_fresh else {}
         return [
             record
             for record in self.known.values()
             if record.role is role
             and record.name != own_name
-            and self._is_alive(record, now_s, is_fresh=is_fresh)
+            and (
+                record.name in registered
+                or self._is_alive(record, now_s, is_fresh=is_fresh)
+            )
         ]
 
     def is_alive(self, record: PeerRecord, now_s: float) -> bool:
--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -173,14 +173,20 @@
             allowed |= route.regions
         return frozenset(allowed)
 
-    def all_resumable(self, service: str) -> bool:
-        """Return whether every request of a service may be sent again."""
-        return all(
-            route.retry_policy is not RetryPolicy.never
+    @cached_property
+    def run_once_services(self) -> frozenset[str]:
+        """Services with requests that must not be sent again."""
+        return frozenset(
+            share.service
             for route in self.routes
-            if any(share.service == service for share in route.shares)
+            if route.retry_policy is RetryPolicy.never
+            for share in route.shares
         )
 
+    def all_resumable(self, service: str) -> bool:
+        """Return whether every request of a service may be sent again."""
+        return service not in self.run_once_services
+
     def origins(self) -> Iterable[Service]:
         """Return the services that are origins of weights."""
         return (service for service in self.services.values() if service.origin)
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -306,6 +306,9 @@
 class UpstreamRegistry:
     """All known upstreams, by id.
 
+    :ivar by_address: upstreams by their address; ``None`` until it is needed
+        after a change.
+    :ivar counted: by relay, the upstreams that it reported requests at.
     :ivar notices: what upstreams said about themselves, by id and start time.
     :ivar confirmations: which of their weights their loaders found sound.
     :ivar last_reports: what loaders reported last, by address: a loader may be
@@ -314,6 +317,8 @@
 
     def __init__(self) -> None:
         self.by_id: dict[str, Upstream] = {}
+        self.by_address: dict[str, list[Upstream]] | None = None
+        self.counted: dict[str, frozenset[str]] = {}
         self.limits = RateLimits()
         self.confirmations = WeightsConfirmations()
         self.last_reports: dict[str, UpstreamReport] = {}
@@ -325,6 +330,7 @@
         A new incarnation keeps only the counts of requests that this process
         has there; reports and failures of the previous one are dropped.
         """
+        self.by_address = None
         known = self.by_id.get(record.upstream_id)
         if known is not None and _is_same(known.record, record):
             # An incarnation that leaves does not change its mind; an older
@@ -411,6 +417,7 @@
 
     def remove(self, upstream_id: str) -> Upstream | None:
         """Remove an upstream; return ``None`` if it was unknown."""
+        self.by_address = None
         upstream = self.by_id.pop(upstream_id, None)
         if upstream is not None:
             upstream.removed = True
@@ -431,10 +438,16 @@
 
         An upstream that is missing from the counts has none.
         """
-        for upstream_id, upstream in self.by_id.items():
-            count = counts.get(upstream_id, 0)
-            if count or relay in upstream.reported_running:
-                upstream.reported_running[relay] = (count, now_s)
+        gone = self.counted.get(relay, frozenset()) - counts.keys()
+        self.counted[relay] = frozenset(counts)
+        for upstream_id in gone:
+            upstream = self.by_id.get(upstream_id)
+            if upstream is not None:
+                upstream.reported_running.pop(relay, None)
+        for upstream_id, running in counts.items():
+            upstream = self.by_id.get(upstream_id)
+            if upstream is not None:
+                upstream.reported_running[relay] = (running, now_s)
 
     def record_report(
         self, address: str, report: UpstreamReport
@@ -447,9 +460,7 @@
         """
         self.last_reports[address] = report
         changed: list[Upstream] = []
-        for upstream in self.by_id.values():
-            if upstream.record.address != address:
-                continue
+        for upstream in self._at_address(address):
             upstream.record_report(report)
             confirmed = self.confirmations.of(
                 Incarnation(upstream.record.upstream_id, report.started_ms)
@@ -459,6 +470,15 @@
                 changed.append(upstream)
         return changed
 
+    def _at_address(self, address: str) -> Iterable[Upstream]:
+        if self.by_address is None:
+            self.by_address = {}
+            for upstream in self.by_id.values():
+                self.by_address.setdefault(upstream.record.address, []).append(
+                    upstream
+                )
+        return self.by_address.get(address, ())
+
     def _notice(
         self, upstream_id: str, started_ms: int, now_s: float
     ) -> UpstreamNotice:
--- a/testing/cluster/test_upstreams.py
+++ b/testing/cluster/test_upstreams.py
@@ -1,6 +1,7 @@
 """Tests of what is kept and dropped when an upstream registers again."""
 
 import unittest
+from collections import UserDict
 from dataclasses import replace
 
 from bramleylug.cluster.held_weights import HeldWeights, WeightsCheck
@@ -209,3 +210,87 @@
     def is_whole(self) -> bool:
         held = self.upstream.weights_of(MODEL, now_s=1.0)
         return held is not None and held.whole
+
+
+class RecordingUpstreams(UserDict):
+    """Upstreams by id; records which ones are looked at."""
+
+    def __init__(self, upstreams) -> None:
+        super().__init__(upstreams)
+        self.looked_up = []
+
+    def get(self, key, default=None):
+        self.looked_up.append(key)
+        return self.data.get(key, default)
+
+    def __iter__(self):
+        self.looked_up.extend(self.data)
+        return iter(self.data)
+
+
+class TestCounts(unittest.TestCase):
+    """Counts of other relays hold until their next heartbeat."""
+
+    def setUp(self) -> None:
+        self.registry = UpstreamRegistry()
+        for number in range(3):
+            self.registry.register(
+                build_upstream_record(upstream_id=f'e-{number}')
+            )
+
+    def loads(self) -> list[float]:
+        return [one.load(1.0) for one in self.registry.by_id.values()]
+
+    def test_upstream_that_is_missing_from_the_counts_has_none(self) -> None:
+        self.registry.record_counts('relay-9', {'e-0': 3, 'e-1': 2}, 1.0)
+        self.registry.record_counts('relay-8', {'e-1': 1}, 1.0)
+        self.registry.record_counts('relay-9', {'e-2': 4}, 1.0)
+
+        self.assertEqual(self.loads(), [0, 1, 4])
+
+    def test_upstream_that_registers_after_it_was_counted(self) -> None:
+        self.registry.record_counts('relay-9', {'e-3': 3}, 1.0)
+        self.registry.register(build_upstream_record(upstream_id='e-3'))
+        self.registry.record_counts('relay-9', {'e-3': 2}, 1.0)
+
+        self.assertEqual(self.loads(), [0, 0, 0, 2])
+
+    def test_counts_touch_only_upstreams_that_they_name(self) -> None:
+        """Each heartbeat went through all upstreams of the fleet (SHORT)."""
+        by_id = RecordingUpstreams(self.registry.by_id)
+        self.registry.by_id = by_id
+        self.registry.record_counts('relay-9', {'e-0': 1}, 1.0)
+        self.registry.record_counts('relay-9', {'e-1': 1}, 1.0)
+
+        self.assertEqual(by_id.looked_up, ['e-0', 'e-0', 'e-1'])
+
+
+class TestAddresses(unittest.TestCase):
+    """A report goes to what is registered at its address by then."""
+
+    def setUp(self) -> None:
+        self.registry = UpstreamRegistry()
+        self.registry.register(build_upstream_record())
+
+    def report_to(self, address: str) -> None:
+        report = UpstreamReport(1000, 1, 0, {}, closing=False, received_s=1.0)
+        self.registry.record_report(address, report)
+
+    def test_upstream_that_moved_is_found_at_its_new_address(self) -> None:
+        self.report_to('127.0.0.1:1')
+        moved = self.registry.register(
+            build_upstream_record(address='127.0.0.1:77', started_ms=2000)
+        )
+        self.report_to('127.0.0.1:77')
+
+        self.assertIsNotNone(moved.report)
+
+    def test_upstream_that_left_gets_no_report(self) -> None:
+        record = build_upstream_record(upstream_id='other')
+        other = self.registry.register(record)
+        self.report_to(record.address)
+        other.report = None
+        self.registry.remove('other')
+        self.report_to(record.address)
+
+        self.assertIsNone(other.report)
