Event loops: datagrams are read in batches, periodic work shares its turns

Datagrams that follow each other are collected for 50 ms, except while permits are exchanged, which requests wait for. Tasks with intervals of some tenths of a second wake at the same ticks. Addresses of heartbeats are checked once.

--- a/src/bramleylug/cluster/heartbeats.py
+++ b/src/bramleylug/cluster/heartbeats.py
@@ -1,8 +1,8 @@
 """Heartbeat datagrams between relays and loaders."""
 
-import asyncio
 from collections.abc import Callable, Container, Iterable
 from contextlib import suppress
+from functools import lru_cache
 from math import isfinite
 from typing import Any, final
 
@@ -14,6 +14,7 @@
 from bramleylug.cluster.permit_messages import limit_to_message
 from bramleylug.cluster.rate_limit import Incarnation
 from bramleylug.cluster.upstreams import UpstreamRegistry
+from bramleylug.node.datagrams import DatagramPort
 from bramleylug.node.udp import parse_address
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import BAD_INPUT, count
@@ -26,6 +27,8 @@
 # with the next one, which messages hold in 64 bits.
 BOOT_BITS = 63
 MAX_BOOT = (1 << BOOT_BITS) - 1
+# Addresses of peers that are kept parsed.
+MAX_TARGETS = 4096
 # Changes of load reach peers within a small part of the duration of a request.
 # A heartbeat has about 200 bytes; the rates keep all heartbeats of a host
 # below the 17 kB/s that control traffic may use at the target cluster size.
@@ -42,54 +45,67 @@
 
 
 @final
-class HeartbeatSocket(asyncio.DatagramProtocol):
-    """UDP socket for heartbeats; errors of one datagram are not fatal."""
+class HeartbeatSocket:
+    """UDP socket for heartbeats; errors of one datagram are not fatal.
+
+    :ivar port: set once it is open.
+    """
 
     def __init__(self, on_heartbeat: Callable[[Beat], None]) -> None:
         self.on_heartbeat = on_heartbeat
-        self.transport: Any = None
+        self.port: Any = None
 
     @classmethod
-    async def open(
+    def open(
         cls, bind: str, on_heartbeat: Callable[[Beat], None]
     ) -> 'HeartbeatSocket':
-        """Bind to ``host:port``."""
-        loop = asyncio.get_running_loop()
-        _, protocol = await loop.create_datagram_endpoint(
-            lambda: cls(on_heartbeat), local_addr=parse_address(bind)
-        )
-        return protocol
+        """Bind to ``host:port``, on the running loop.
 
-    def connection_made(self, transport: Any) -> None:
-        self.transport = transport
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
+        :raises OSError: if the port cannot be bound.
+        """
+        address = parse_address(bind)
+        if address is None:
+            raise OSError(f'{bind!r} is no address')
+        opened = cls(on_heartbeat)
+        opened.port = DatagramPort.open(address, opened.receive)
+        return opened
+
+    def receive(self, raw: bytes, sender: Any) -> bool:
+        """Apply a datagram; return whether its kind is waited for."""
         try:
-            heartbeat = decode_heartbeat(data)
+            heartbeat = decode_heartbeat(raw)
         except (DecodeError, ValueError) as error:
             count(BAD_INPUT, kind='heartbeat')
-            emit(LogEvent.heartbeat_unreadable, sender=addr, error=repr(error))
-            return
+            emit(
+                LogEvent.heartbeat_unreadable, sender=sender, error=repr(error)
+            )
+            return False
         self.on_heartbeat(heartbeat)
-
-    def error_received(self, exc: Exception) -> None:
-        """Ignore errors: the next heartbeat replaces a lost one."""
+        return bool(heartbeat.permits)
 
     def send(self, heartbeat: Beat, addresses: Iterable[str]) -> None:
         """Send a heartbeat; addresses that no datagram can reach are skipped.
 
-        The transport would close itself on such an address.
+        The next heartbeat replaces one that cannot be sent now.
         """
         raw = heartbeat.SerializeToString()
         for address in addresses:
-            target = parse_address(address)
-            if target is not None and _is_host(target[0]):
-                self.transport.sendto(raw, target)
+            target = _find_target(address)
+            if target is not None:
+                with suppress(OSError):
+                    self.port.sendto(raw, target)
 
     def close(self) -> None:
         """Stop receiving."""
-        if self.transport is not None:
-            self.transport.close()
+        if self.port is not None:
+            self.port.close()
+
+
+@lru_cache(maxsize=MAX_TARGETS)
+def _find_target(address: str) -> tuple[str, int] | None:
+    """Return where to send a datagram; ``None`` if none can be sent there."""
+    target = parse_address(address)
+    return target if target is not None and _is_host(target[0]) else None
 
 
 def _is_host(name: str) -> bool:
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -22,6 +22,7 @@
 from bramleylug.cluster.store_readers import find_reader
 from bramleylug.node.loop_thread import LoopThread
 from bramleylug.node.process_pauses import ProcessPauses, watch_pauses
+from bramleylug.node.ticks import sleep_until_tick
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.changes import StoreChange, WatchableStore
 from bramleylug.store.feed import ChangeFeed, Poll
@@ -295,17 +296,17 @@
 
     async def _run_heartbeats(self) -> None:
         if self.socket is None:
-            self.socket = await HeartbeatSocket.open(
+            self.socket = HeartbeatSocket.open(
                 self.settings.beat_bind,
                 lambda heartbeat: self.on_heartbeat(heartbeat),
             )
         while True:
             self.send_due_heartbeats()
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            await sleep_until_tick(HEARTBEAT_INTERVAL_S)
 
     async def _run_clean_up(self) -> None:
         while True:
-            await asyncio.sleep(CLEAN_UP_INTERVAL_S)
+            await sleep_until_tick(CLEAN_UP_INTERVAL_S)
             self.view.peers.remove_expired(self.clock())
             self.on_clean_up()
 
--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -23,10 +23,7 @@
 from bramleylug.loader.downloader import TargetVersion, WeightsDownloader
 from bramleylug.loader.engine import LocalEngine
 from bramleylug.loader.engine_updater import EngineUpdater
-from bramleylug.loader.holdings_schedule import (
-    HOLDINGS_INTERVAL_S,
-    HoldingsSchedule,
-)
+from bramleylug.loader.holdings_schedule import HoldingsSchedule
 from bramleylug.loader.policy import (
     EngineState,
     Observation,
@@ -60,8 +57,6 @@
 # Time from the start of draining until the process may end.
 DRAIN_S = 0.3
 CONFIGURATION_CHECK_S = 2.0
-# How often changes of the held chunks are looked for between transfers.
-IDLE_INTERVAL_S = 0.3
 CONFIGURATION_RETRY_S = 0.3
 
 
@@ -264,11 +259,7 @@
         """Send other loaders heartbeats with the chunks held here."""
         schedule = HoldingsSchedule(self.settings.region)
         while True:
-            await asyncio.sleep(
-                HOLDINGS_INTERVAL_S
-                if schedule.is_active(self.clock())
-                else IDLE_INTERVAL_S
-            )
+            await schedule.wait(self.clock())
             states = [
                 self._transfer_state(chunk_store)
                 for chunk_store in self.chunk_stores.by_version.values()
--- a/src/bramleylug/loader/downloader.py
+++ b/src/bramleylug/loader/downloader.py
@@ -10,6 +10,7 @@
 from bramleylug.loader.manifest_turns import ManifestTurns
 from bramleylug.loader.sources import FetchFailed, OriginMonitor
 from bramleylug.loader.transfer import Transfer, TransferContext
+from bramleylug.node.ticks import sleep_until_tick
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import WEIGHTS_PROGRESS
 from bramleylug.routing.rendezvous import rank
@@ -80,7 +81,7 @@
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
-            await asyncio.sleep(INTERVAL_S)
+            await sleep_until_tick(INTERVAL_S)
             target = self.get_target()
             if target is None or self._is_held(target):
                 continue
--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -1,6 +1,5 @@
 """Loads the newest downloaded weights into the engine of this host."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Protocol, final
 
@@ -24,6 +23,7 @@
 )
 from bramleylug.loader.staging_area import StagingArea, StagingReport
 from bramleylug.loader.weights_audit import WeightsAudit
+from bramleylug.node.ticks import sleep_until_tick
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.weights.manifest import Manifest
 
@@ -89,7 +89,7 @@
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
-            await asyncio.sleep(
+            await sleep_until_tick(
                 IDLE_INTERVAL_S if self._is_idle() else INTERVAL_S
             )
             model = self.context.model()
--- a/src/bramleylug/loader/holdings_schedule.py
+++ b/src/bramleylug/loader/holdings_schedule.py
@@ -9,8 +9,11 @@
     HeartbeatSchedule,
 )
 from bramleylug.cluster.peers import PeerRecord
+from bramleylug.node.ticks import sleep_until_tick
 from bramleylug.wire.beats_pb2 import TransferState
 
+# How often changes of the held chunks are looked for between transfers.
+IDLE_INTERVAL_S = 0.3
 # During a transfer, loaders of the same region learn of a new chunk within a
 # fraction of the time that fetching one takes. Loaders of other regions need
 # fewer updates.
@@ -49,6 +52,12 @@
         """Return whether heartbeats are being sent."""
         return now_s - self.changed_s <= REPEAT_S
 
+    async def wait(self, now_s: float) -> None:
+        """Wait until heartbeats may be due again."""
+        await sleep_until_tick(
+            HOLDINGS_INTERVAL_S if self.is_active(now_s) else IDLE_INTERVAL_S
+        )
+
     def due(
         self,
         states: Sequence[TransferState],
--- a/src/bramleylug/node/loop_turns.py
+++ b/src/bramleylug/node/loop_turns.py
@@ -13,6 +13,9 @@
 
 # A longer turn delays the tokens of all streams noticeably.
 LONG_TURN_S = 0.034
+# How old a reading of the processor times may be when a turn begins: each one
+# is two calls of the kernel.
+MAX_READING_AGE_S = 0.02
 # Turns from this length on are logged, with this interval at least.
 LOGGED_TURN_S = 0.2
 LOG_INTERVAL_S = 10.0
@@ -21,7 +24,8 @@
 class Turn(NamedTuple):
     """One turn of an event loop, from the end of a wait to the next wait.
 
-    :ivar processor_s: processor time of the thread in it.
+    :ivar processor_s: processor time of the thread in it, and in up to
+        :data:`MAX_READING_AGE_S` before it.
     :ivar others_s: processor time of the other threads of the process.
     """
 
@@ -58,6 +62,7 @@
     """A selector that measures the time between its waits.
 
     :ivar woke_s: when the last wait ended; ``None`` before.
+    :ivar read_s: when the processor times were read, then or just before.
     :ivar used_s: processor time of the thread until then.
     :ivar process_s: processor time of the process until then.
     """
@@ -74,6 +79,7 @@
         self.process_clock = process_clock
         self.turns = TurnRecord()
         self.woke_s: float | None = None
+        self.read_s = float('-inf')
         self.used_s = 0.0
         self.process_s = 0.0
 
@@ -82,8 +88,10 @@
         self._end_turn()
         ready = super().select(timeout)
         self.woke_s = self.clock()
-        self.used_s = self.thread_clock()
-        self.process_s = self.process_clock()
+        if self.woke_s - self.read_s > MAX_READING_AGE_S:
+            self.read_s = self.woke_s
+            self.used_s = self.thread_clock()
+            self.process_s = self.process_clock()
         return ready
 
     def _end_turn(self) -> None:
--- a/src/bramleylug/node/process_pauses.py
+++ b/src/bramleylug/node/process_pauses.py
@@ -4,10 +4,10 @@
 reading then says little about when it was sent.
 """
 
-import asyncio
 from collections.abc import Callable
 from typing import NamedTuple, final
 
+from bramleylug.node.ticks import sleep_until_tick
 from bramleylug.observability.events import LogEvent, emit
 
 TICK_INTERVAL_S = 0.1
@@ -88,4 +88,4 @@
                 LogEvent.process_paused,
                 for_s=round(pause.end_s - pause.start_s, 2),
             )
-        await asyncio.sleep(TICK_INTERVAL_S)
+        await sleep_until_tick(TICK_INTERVAL_S)
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -5,6 +5,7 @@
 from typing import final
 
 from bramleylug.node.process_pauses import ProcessPauses
+from bramleylug.node.ticks import sleep_until_tick
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.changes import (
     HistoryLost,
@@ -75,7 +76,7 @@
     async def run_deferred_removals(self) -> None:
         """Apply deferred removals when they are due, until cancelled."""
         while True:
-            await asyncio.sleep(
+            await sleep_until_tick(
                 REMOVAL_CHECK_S if self.mirror.has_deferred else IDLE_CHECK_S
             )
             self._notify(self.mirror.apply_due_removals(self.clock()))
--- a/src/bramleylug/web/server.py
+++ b/src/bramleylug/web/server.py
@@ -9,6 +9,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from typing import Any, final
 
 from circuits import BaseComponent, Event, Timer, handler
 
@@ -22,6 +23,8 @@
 __all__ = ('Exchange', 'WebServer')
 
 SWEEP_INTERVAL_S = 0.25
+# Channel of the sweeps of all servers of a loop.
+SWEEP_CHANNEL = 'sweeps'
 
 
 class invoke(Event):  # noqa: N801
@@ -32,6 +35,14 @@
     """Periodic check for connections that exceeded a time limit."""
 
 
+@final
+class SweepTimer(Timer):
+    """Starts the sweeps of all servers of a loop.
+
+    A loop examines each of its timers in every turn.
+    """
+
+
 class WebServer(BaseComponent):
     """HTTP server that passes each request to a callable as an exchange.
 
@@ -76,7 +87,6 @@
         )
         self.tcp.owner = self.connections
         self.tcp.register(self)
-        Timer(SWEEP_INTERVAL_S, sweep(), channel, persist=True).register(self)
 
     @property
     def host(self) -> str:
@@ -115,6 +125,11 @@
             self.invoke_pending = True
             self.fire(invoke(), self.channel)
 
+    @handler('registered', channel='*')
+    def _on_registered(self, component: Any, manager: Any) -> None:
+        if component is self:
+            _start_sweeps(self.root)
+
     @handler('invoke')
     def _on_invoke(self) -> None:
         self.invoke_pending = False
@@ -122,7 +137,15 @@
             self.actions.popleft()()
         self.connections.flush()
 
-    @handler('sweep')
+    @handler('sweep', channel=SWEEP_CHANNEL)
     def _on_sweep(self) -> None:
         self.tcp.continue_accepting()
         self.connections.sweep()
+
+
+def _start_sweeps(root: Any) -> None:
+    """Start the sweeps of a loop unless they have been started."""
+    if any(isinstance(one, SweepTimer) for one in root.components):
+        return
+    timer = SweepTimer(SWEEP_INTERVAL_S, sweep(), SWEEP_CHANNEL, persist=True)
+    timer.register(root)
--- a/testing/platform/test_odd_values.py
+++ b/testing/platform/test_odd_values.py
@@ -420,16 +420,15 @@
     ) -> None:
         """Guards against a transport that closes itself for good."""
         heard = asyncio.Event()
-        receiver = await HeartbeatSocket.open(
+        receiver = HeartbeatSocket.open(
             '127.0.0.1:0', lambda heartbeat: heard.set()
         )
-        own = receiver.transport.get_extra_info('sockname')
-        sender = await HeartbeatSocket.open('127.0.0.1:0', lambda _: None)
+        sender = HeartbeatSocket.open('127.0.0.1:0', lambda _: None)
         odd = ['nowhere', f'{"a" * 70}.example:80', '127.0.0.1:99999']
-        sender.send(Beat(name='r'), [*odd, f'{own[0]}:{own[1]}'])
+        sender.send(Beat(name='r'), [*odd, receiver.port.address])
 
         await asyncio.wait_for(heard.wait(), 5.0)
-        self.assertFalse(sender.transport.is_closing())
+        self.assertFalse(sender.port.closed)
         sender.close()
         receiver.close()
 
@@ -447,7 +446,7 @@
             Beat(name='r', limits=[NamedLimit(upstream_id='e', per_s=nan)]),
             Beat(name='r', limits=[NamedLimit(upstream_id='e', per_s=-1)]),
         ):
-            socket.datagram_received(odd.SerializeToString(), ('127.0.0.1', 1))
+            socket.receive(odd.SerializeToString(), ('127.0.0.1', 1))
 
         self.assertEqual(received, [])
 
--- a/testing/relay/crash_simulation.py
+++ b/testing/relay/crash_simulation.py
@@ -518,7 +518,7 @@
             simulation.random,
         )
         self.socket = HeartbeatSocket(self.view.receive_heartbeat)
-        self.socket.transport = LossyLink(simulation, record.name)
+        self.socket.port = LossyLink(simulation, record.name)
         self.schedule = HeartbeatSchedule(record.region, HEARTBEAT_RATES)
         self.tasks: dict[asyncio.Task[None], None] = {}
 
@@ -757,7 +757,7 @@
     def deliver_datagram(self, name: str, raw: bytes) -> None:
         node = self.nodes[name]
         if node is not None:
-            node.socket.datagram_received(raw, None)
+            node.socket.receive(raw, None)
 
     async def _run(self, length_s: float) -> None:
         for number in range(self.engine_count):
