Store readers: a start tries few readers, and pauses before the next one

A relay that comes back alone, while the other relays of its zone are still registered, tried one after the other for 6 s before it read the store. Four are tried, 0.25 s apart, so that a reader that starts a moment later is found as well.

The number of known relays and that of each region are kept or derived once, where each look at the queue or the retry budget counted them anew.

--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -87,8 +87,10 @@
     :param store_age_s: returns the age of this process's copy of the store.
     :param confirm_interval_s: interval at which that copy is confirmed.
     :ivar in_store: peers that are registered in the store.
-    :ivar relays_by_region: number of relays among them.
+    :ivar relays_by_region: number of relays among them; ``None`` until it is
+        needed after a change.
     :ivar known: these, and peers that were removed but may be alive.
+    :ivar known_relays: names of the relays among them.
     :ivar registered_s: incarnation of each, and when it was read first.
     """
 
@@ -107,7 +109,8 @@
         self.random = random
         self.in_store: dict[str, PeerRecord] = {}
         self.known: dict[str, PeerRecord] = {}
-        self.relays_by_region: Counter[str] = Counter()
+        self.known_relays: set[str] = set()
+        self.relays_by_region: Counter[str] | None = None
         self.last_heartbeats: dict[str, HeartbeatStatus] = {}
         self.registered_s: dict[str, tuple[int, float]] = {}
 
@@ -121,7 +124,11 @@
             self.registered_s[record.name] = record.boot, now_s
         self.in_store[record.name] = record
         self.known[record.name] = record
-        self._count_relays()
+        if record.role is Role.relay:
+            self.known_relays.add(record.name)
+        else:
+            self.known_relays.discard(record.name)
+        self.relays_by_region = None
 
     def remove(self, name: str) -> None:
         """Record that a peer is no longer registered in the store.
@@ -129,7 +136,7 @@
         It stays known until its heartbeats expire.
         """
         self.in_store.pop(name, None)
-        self._count_relays()
+        self.relays_by_region = None
 
     def record_heartbeat(self, name: str, heartbeat: HeartbeatStatus) -> None:
         self.last_heartbeats[name] = heartbeat
@@ -181,8 +188,7 @@
 
     def relay_count(self) -> int:
         """Return the number of relays that may send to upstreams."""
-        near, far = self.relay_names(self.own().region)
-        return len(near | far)
+        return len(self.known_relays | {self.own().name})
 
     def relay_names(self, region: str) -> tuple[set[str], set[str]]:
         """Return the names of relays that may send to upstreams.
@@ -264,6 +270,7 @@
         for name, record in tuple(self.known.items()):
             if name not in self.in_store and not self.is_alive(record, now_s):
                 self.known.pop(name)
+                self.known_relays.discard(name)
                 self.last_heartbeats.pop(name, None)
                 self.registered_s.pop(name, None)
 
@@ -299,13 +306,12 @@
         """Return whether a peer is one of too many in other regions."""
         if record.region == self.own().region:
             return False
+        if self.relays_by_region is None:
+            self.relays_by_region = Counter(
+                peer.region
+                for peer in self.in_store.values()
+                if peer.role is Role.relay
+            )
         relay_count = self.relays_by_region.total()
         relay_count -= self.relays_by_region[record.region]
         return relay_count > MAX_DIRECT_PEERS
-
-    def _count_relays(self) -> None:
-        self.relays_by_region = Counter(
-            peer.region
-            for peer in self.in_store.values()
-            if peer.role is Role.relay
-        )
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -1,5 +1,6 @@
 """Reads the store through another process of the zone where possible."""
 
+import asyncio
 from collections.abc import Awaitable, Callable, Container
 from typing import final
 from urllib.parse import quote
@@ -26,8 +27,11 @@
 LISTING_TIMEOUT_S = 1.0
 LISTING_LIMIT_S = 5.0
 # Wait for a reader that is itself reading the store for the first time, and
-# for all readers that are tried one after the other.
+# the readers that are tried one after the other, with a pause in which the next
+# one may start.
 START_WAIT_S = 2.0
+START_READERS = 4
+START_PAUSE_S = 0.25
 START_LIMIT_S = 6.0
 MAX_READER_WAIT_S = 1.0
 # How much later than the requested wait a reader may answer.
@@ -160,7 +164,9 @@
         reader has read the store.
         """
         ends_s = self.clock() + START_LIMIT_S
-        while self.clock() < ends_s:
+        tried = 0
+        while tried < START_READERS and self.clock() < ends_s:
+            tried += 1
             reader = self._find_reader()
             reader = reader or await self.find_feed(self._avoided())
             if not reader:
@@ -168,6 +174,7 @@
             page = await self._list_at(reader, prefix, START_WAIT_S)
             if page is not None:
                 return page
+            await asyncio.sleep(START_PAUSE_S)
         return None
 
     async def _list_at(
--- a/testing/store/region_start.py
+++ b/testing/store/region_start.py
@@ -16,6 +16,7 @@
     StoreItem,
     StoreUnavailable,
 )
+from bramleylug.store.zone_store import CONNECT_TIMEOUT_S
 from bramleylug.web.http_client import CallAnswer
 from bramleylug.wire.beats_pb2 import Beat
 from testing.platform.builders import build_config
@@ -147,13 +148,18 @@
     """Calls processes of the region.
 
     :ivar frozen: addresses that take calls and never answer.
+    :ivar dark: addresses without power, which connections are not made to.
     """
 
     frozen: frozenset[str] = frozenset()
+    dark: frozenset[str] = frozenset()
 
     async def get(
         self, address: str, target: str, *, timeout_s: float, **options: Any
     ) -> CallAnswer:
+        if address in self.dark:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise TimeoutError
         if address in self.frozen:
             await asyncio.sleep(timeout_s)
             raise TimeoutError
@@ -189,15 +195,13 @@
         self.loaded_s: dict[str, float] = {}
 
     @asynccontextmanager
-    async def starting(self, *frozen: str) -> Any:
-        """Start all processes but some, which answer nobody."""
-        self.clients.frozen = frozenset(
-            self.cores[name].record.feed for name in frozen
-        )
+    async def starting(self, *absent: str) -> Any:
+        """Start all processes but some, which have no power."""
+        self.clients.dark = self._feeds(*absent)
         tasks = [
             asyncio.create_task(work)
             for name, core in self.cores.items()
-            if name not in frozen
+            if name not in absent
             for work in self._work(core)
         ]
         try:
@@ -205,6 +209,10 @@
         finally:
             await self._stop(tasks)
 
+    def freeze(self, name: str) -> None:
+        """Let a process take calls and answer none."""
+        self.clients.frozen = self._feeds(name)
+
     async def wait_until_loaded(self, count: int, timeout_s: float) -> None:
         """Wait until some processes have read what they need."""
         async with asyncio.timeout(timeout_s):
@@ -226,6 +234,9 @@
         for core in self.cores.values():
             core.loop.loop.close()
 
+    def _feeds(self, *names: str) -> frozenset[str]:
+        return frozenset(self.cores[name].record.feed for name in names)
+
     def _core(self, record: PeerRecord) -> ProcessCore:
         adapter = PlatformAdapter('127.0.0.1:1')
         adapter.store = RegionStoreClient(self.store, record.name)
--- a/testing/store/test_region_start.py
+++ b/testing/store/test_region_start.py
@@ -4,6 +4,7 @@
 
 from bramleylug.cluster.store_readers import choose_reader
 from bramleylug.platform.decoding import CONFIG_KEY
+from bramleylug.routing.rendezvous import rank
 from bramleylug.store.changes import StoreItem
 from testing.store.region_start import (
     Region,
@@ -65,7 +66,9 @@
         region = build_region()
         region.register_feeds()
         frozen = first_reader(region)
-        async with region.starting(frozen):
+        region.freeze(frozen)
+        region.store.cut.add(frozen)
+        async with region.starting():
             await region.wait_until_loaded(PROCESSES - 1, LIMIT_S)
 
         self.assertLessEqual(copies_sent(region), 2 * MAX_COPIES)
@@ -82,6 +85,27 @@
 
         self.assertLessEqual(copies_sent(region), 2 * MAX_COPIES)
 
+    @in_virtual_time
+    async def test_process_whose_zone_is_gone_reads_the_store_itself(
+        self,
+    ) -> None:
+        """The others are registered and have no power."""
+        region = build_region()
+        region.register_feeds()
+        others = [name for name in region.cores if name.startswith('relay-')]
+        others.remove(last_reader(region))
+        async with region.starting(
+            *others, *(f'loader-{number}' for number in range(LOADERS))
+        ):
+            await region.wait_until_loaded(1, LIMIT_S)
+
+
+def last_reader(region: Region) -> str:
+    """Return the relay that is a reader only without all the others."""
+    relays = [name for name in region.cores if name.startswith('relay-')]
+    zone = region.cores['loader-0'].record.zone
+    return rank(zone, relays)[-1]
+
 
 def first_reader(region: Region) -> str:
     """Return the relay that most loaders would read through."""
