Platform adapter: each program imports only what it needs

A loader imported the relay and its dialect at each start, and a relay the clients of engine and origin, as one adapter serves both; 207 processes start at the same moment after a loss of power. What only one program asks for is imported then.

--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -63,7 +63,9 @@
 class LoaderAdapter(Adapter, Protocol):
     """Interface to the platform that a loader needs."""
 
-    origin: Origin
+    @property
+    def origin(self) -> Origin:
+        """Return a client for the origin of weights."""
 
     def engine(self, address: str) -> LocalEngine:
         """Return a client for the engine of this host."""
--- a/src/bramleylug/platform/adapter.py
+++ b/src/bramleylug/platform/adapter.py
@@ -2,17 +2,14 @@
 
 import json
 from collections.abc import Callable, Sequence
+from functools import cached_property
 from http import HTTPStatus
-from typing import final
+from typing import TYPE_CHECKING, final
 from urllib.parse import parse_qs
 
 from bramleylug.cluster.cluster_view import ClusterView
 from bramleylug.cluster.peers import PeerRecord, Role
-from bramleylug.loader.engine import LocalEngine
-from bramleylug.loader.sources import Origin
 from bramleylug.platform.decoding import CONFIG_KEY
-from bramleylug.platform.dialect import PlatformDialect
-from bramleylug.platform.engines import PlatformEngine, PlatformOrigin
 from bramleylug.platform.keyvalue import PlatformStore
 from bramleylug.platform.store_changes import (
     LOADER_PREFIXES,
@@ -23,11 +20,15 @@
     feed_prefix,
     peer_key,
 )
-from bramleylug.relay.daemon import DirectoryQuery
-from bramleylug.relay.dialect import Dialect
+from bramleylug.relay.directory_query import DirectoryQuery
 from bramleylug.store.changes import StoreChange, StoreItem, WatchableStore
 from bramleylug.web.exchange import Exchange
 
+if TYPE_CHECKING:
+    from bramleylug.loader.engine import LocalEngine
+    from bramleylug.loader.sources import Origin
+    from bramleylug.relay.dialect import Dialect
+
 RESOLVE_PATH = '/-/resolve'
 
 
@@ -35,15 +36,36 @@
 class PlatformAdapter:
     """Provides the platform's store, HTTP headers, engines and origin.
 
+    What only one of the programs needs is imported when it asks for it: many
+    of them start at the same moment after a loss of power.
+
     :param store_address: ``host:port`` of the platform's store.
     """
 
     def __init__(self, store_address: str) -> None:
         self.store: WatchableStore = PlatformStore(store_address)
-        self.dialect: Dialect = PlatformDialect()
-        self.origin: Origin = PlatformOrigin()
 
-    def engine(self, address: str) -> LocalEngine:
+    @cached_property
+    def dialect(self) -> 'Dialect':
+        from bramleylug.platform.dialect import (  # noqa: PLC0415
+            PlatformDialect,
+        )
+
+        return PlatformDialect()
+
+    @cached_property
+    def origin(self) -> 'Origin':
+        from bramleylug.platform.engines import (  # noqa: PLC0415
+            PlatformOrigin,
+        )
+
+        return PlatformOrigin()
+
+    def engine(self, address: str) -> 'LocalEngine':
+        from bramleylug.platform.engines import (  # noqa: PLC0415
+            PlatformEngine,
+        )
+
         return PlatformEngine(address)
 
     def watched_prefixes(self, role: Role) -> tuple[str, ...]:
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from random import Random
-from typing import NamedTuple, Protocol, final
+from typing import Protocol, final
 
 from circuits import BaseComponent
 
@@ -24,6 +24,7 @@
 from bramleylug.observability.metrics import LIMITED_UPSTREAMS, REVISION
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.dialect import Dialect
+from bramleylug.relay.directory_query import DirectoryQuery
 from bramleylug.relay.error_responses import error_response
 from bramleylug.relay.relay import Relay
 from bramleylug.relay.request_context import leaving_refusal
@@ -51,21 +52,12 @@
 LAST_ANSWERS_S = 0.3
 
 
-class DirectoryQuery(NamedTuple):
-    """A caller's request for the addresses of relays.
-
-    :ivar host: host name of its requests.
-    """
-
-    host: str
-    region: str
-    zone: str
-
-
 class RelayAdapter(Adapter, Protocol):
     """Interface to the platform that a relay needs."""
 
-    dialect: Dialect
+    @property
+    def dialect(self) -> Dialect:
+        """Return what reads and writes the platform's headers."""
 
     def bar_key(self, fingerprint: bytes) -> str:
         """Return the store key of a bar."""
