--- a/src/bramleylug/cluster/heartbeat_schedule.py
+++ b/src/bramleylug/cluster/heartbeat_schedule.py
@@ -13,6 +13,9 @@
 
 # Longest interval for any number of peers: reports expire after 1.5 times this.
 MAX_INTERVAL_S = 1.0
+# Interval of the turns of remote peers: each message to one of them takes as
+# long to prepare as those to several.
+TURN_INTERVAL_S = 0.4
 # A timer that fires early by less than this does not skip a heartbeat.
 EARLY_S = 0.01
 
@@ -50,6 +53,11 @@
         self.remote_due_s = float('-inf')
         self.next_turn = 0
 
+    @property
+    def next_due_s(self) -> float:
+        """Time before which no peer is due."""
+        return min(self.local_due_s, self.remote_due_s)
+
     def due(
         self, peers: Iterable[PeerRecord], now_s: float
     ) -> list[PeerRecord]:
@@ -76,7 +84,7 @@
                 len(remote), self.rates.remote_per_s
             )
             return remote
-        interval_s = self.rates.min_interval_s
+        interval_s = max(self.rates.min_interval_s, TURN_INTERVAL_S)
         self.remote_due_s = now_s + interval_s
         count = max(1, round(self.rates.turns_per_s * interval_s))
         first = self.next_turn % len(remote)
--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -39,7 +39,7 @@
 )
 from bramleylug.loader.transfer import TransferContext
 from bramleylug.loader.uploads import Pacer, Uploads, upload_rate_limit
-from bramleylug.routing.rendezvous import rank
+from bramleylug.routing.rendezvous import place
 from bramleylug.store.changes import (
     StoreChange,
     StoreUnavailable,
@@ -191,7 +191,7 @@
         """Return the input of the engine updater's next decision."""
         now_s = self.clock()
         held = 0 if engine is None else engine.version
-        hosts = [self.settings.name, *(peer.name for peer in self.peers())]
+        hosts = (self.settings.name, *(peer.name for peer in self.peers()))
         table = self.core.view.table
         set_times = self.core.view.versions.set_times(self.model())
         return Observation(
@@ -199,7 +199,7 @@
             outdated_since_s(set_times, held, now_s),
             self.settings.version_limit,
             engine=engine,
-            rank=rank(str(ready_version), hosts).index(self.settings.name),
+            rank=place(str(ready_version), self.settings.name, hosts),
             host_count=len(hosts),
             may_interrupt=table is not None
             and table.all_resumable(self.settings.service),
--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -63,6 +63,7 @@
     :ivar report: last report in the form that relays get.
     :ivar announcements_due: heartbeats that are still to tell all relays that
         the weights are confirmed.
+    :ivar read_s: when the report was read last.
     :ivar staged_version: version that this process has staged last, perhaps
         in part; 0 for none.
     """
@@ -84,6 +85,7 @@
         self.state: EngineState | None = None
         self.report: UpstreamReport | None = None
         self.announcements_due = 0
+        self.read_s = float('-inf')
         self.staged_version = 0
 
     async def run(self) -> None:
@@ -92,13 +94,34 @@
             await sleep_until_tick(
                 IDLE_INTERVAL_S if self._is_idle() else INTERVAL_S
             )
-            model = self.context.model()
-            if model:
-                await self._read_report(model)
-            if self.state is not None:
-                await self._step(self.state)
+            if self._has_work() or self._is_report_old():
+                await self._update()
             self._announce()
 
+    async def _update(self) -> None:
+        self.read_s = self.clock()
+        model = self.context.model()
+        if model:
+            await self._read_report(model)
+        if self.state is not None:
+            await self._step(self.state)
+
+    def _has_work(self) -> bool:
+        """Return whether the engine loads, or is to load or to unload."""
+        engine = self.state
+        if engine is None or engine.busy or self.policy.closing:
+            return True
+        if self.audit.is_due(engine) or self.audit.must_unload(engine):
+            return True
+        chunk_store = self.chunk_stores.newest_complete()
+        return chunk_store is not None and not engine.can_serve(
+            int(chunk_store.manifest.version)
+        )
+
+    def _is_report_old(self) -> bool:
+        age_s = self.clock() - self.read_s
+        return age_s > IDLE_INTERVAL_S - INTERVAL_S / 2
+
     def _is_idle(self) -> bool:
         target = self.context.target_version()
         if target is None or self.state is None:
--- a/src/bramleylug/loader/holdings_schedule.py
+++ b/src/bramleylug/loader/holdings_schedule.py
@@ -1,5 +1,6 @@
 """Schedules heartbeats that tell other loaders which chunks are held."""
 
+import asyncio
 from collections.abc import Iterable, Sequence
 from typing import final
 
@@ -54,9 +55,11 @@
 
     async def wait(self, now_s: float) -> None:
         """Wait until heartbeats may be due again."""
-        await sleep_until_tick(
-            HOLDINGS_INTERVAL_S if self.is_active(now_s) else IDLE_INTERVAL_S
-        )
+        if self.is_active(now_s):
+            due_s = self.schedule.next_due_s - now_s
+            await asyncio.sleep(max(HOLDINGS_INTERVAL_S, due_s))
+        else:
+            await sleep_until_tick(IDLE_INTERVAL_S)
 
     def due(
         self,
--- a/src/bramleylug/routing/rendezvous.py
+++ b/src/bramleylug/routing/rendezvous.py
@@ -1,9 +1,13 @@
 """Rendezvous hashing: consistent ownership without coordination."""
 
 from collections.abc import Iterable
+from functools import lru_cache
 
 from xxhash import xxh64_intdigest
 
+# Places that are kept: a host asks for its own one again and again.
+MAX_PLACES = 4
+
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
     """Return the names ranked for a key; the first one owns it.
@@ -17,6 +21,12 @@
     )
 
 
+@lru_cache(maxsize=MAX_PLACES)
+def place(key: str, name: str, names: tuple[str, ...]) -> int:
+    """Return the place of a name among names ranked for a key, from 0."""
+    return rank(key, names).index(name)
+
+
 def owner(key: str, names: Iterable[str]) -> str | None:
     """Return the highest-ranked name for a key; ``None`` without names."""
     return max(
--- a/testing/cluster/test_heartbeat_schedule.py
+++ b/testing/cluster/test_heartbeat_schedule.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from bramleylug.cluster.heartbeat_schedule import (
+    EARLY_S,
     MAX_INTERVAL_S,
     HeartbeatSchedule,
 )
@@ -78,3 +79,15 @@
 
         self.assertEqual(rates, [10.0, 10.0, 10.0])
         self.assertEqual(len(count_heartbeats(2, 100)), 102)
+
+    def test_nobody_is_due_before_the_time_that_is_named(self) -> None:
+        """The sender sleeps until then."""
+        peers = [
+            *(build_peer(f'near-{index}') for index in range(20)),
+            *(build_peer(f'f-{index}', region='south') for index in range(80)),
+        ]
+        schedule = HeartbeatSchedule('north', HEARTBEAT_RATES)
+        for step in range(int(LENGTH_S / HEARTBEAT_INTERVAL_S)):
+            now_s = step * HEARTBEAT_INTERVAL_S
+            early = now_s + EARLY_S < schedule.next_due_s
+            self.assertEqual(bool(schedule.due(peers, now_s)), not early)
--- a/testing/loader/test_engine_updater.py
+++ b/testing/loader/test_engine_updater.py
@@ -28,8 +28,10 @@
 
     def __init__(self) -> None:
         self.version = 1
+        self.reports = 0
 
     async def report(self, model, now_s):
+        self.reports += 1
         state = build_engine_state(version=self.version)
         return DecodedReport(state, UpstreamReport(1, 0, 0, {}, False, now_s))
 
@@ -72,6 +74,20 @@
 
         self.assertEqual((heartbeats, context.heartbeats), (1, 2))
 
+    @in_virtual_time
+    async def test_engine_is_asked_rarely_while_nothing_can_be_loaded(
+        self,
+    ) -> None:
+        """It was asked ten times a second for as long as chunks came."""
+        engine = ReportingEngine()
+        clock = asyncio.get_running_loop().time
+        updater = EngineUpdater(engine, ChunkStores(), CountingContext(), clock)
+        task = asyncio.create_task(updater.run())
+        await asyncio.sleep(3.0)
+        task.cancel()
+
+        self.assertAlmostEqual(engine.reports, 10, delta=1)
+
 
 class StagingEngine:
     """An engine whose staging area may be corrupt, for good or once.
--- a/testing/observability/test_build_info.py
+++ b/testing/observability/test_build_info.py
@@ -14,7 +14,7 @@
     code_digest,
     describe_build,
 )
-from bramleylug.platform.__main__ import build_parser as build_platform_parser
+from bramleylug.platform.program import build_parser as build_platform_parser
 
 
 class TestCodeDigest(unittest.TestCase):
--- a/testing/platform/stopping_loader.py
+++ b/testing/platform/stopping_loader.py
@@ -6,7 +6,7 @@
 from typing import Any
 from unittest.mock import patch
 
-from bramleylug.platform.__main__ import main
+from bramleylug.platform.program import main
 from bramleylug.web.http_client import CallAnswer, HttpClient
 
 ORDER_TARGET = '/-/order'
