--- a/src/bramleylug/web/server.py
+++ b/src/bramleylug/web/server.py
@@ -125,8 +125,11 @@
             self.invoke_pending = True
             self.fire(invoke(), self.channel)
 
-    @handler('registered', channel='*')
-    def _on_registered(self, component: Any, manager: Any) -> None:
+    @handler('registered', 'started', channel='*')
+    def _on_registered_or_started(
+        self, component: Any, manager: Any = None
+    ) -> None:
+        # A server that is itself the root is started without registering.
         if component is self:
             _start_sweeps(self.root)
 
