Heartbeats: relays collect them for a sixth of their interval

Heartbeats of a small site come every 0.2 s and are collected for 33 ms, so that what placing knows is hardly older; those of a large fleet come every 0.7 s and are read with the other periodic work, at its ticks of 0.1 s. Loaders keep 50 ms: their fetches depend on what others hold.

--- a/src/bramleylug/cluster/heartbeat_schedule.py
+++ b/src/bramleylug/cluster/heartbeat_schedule.py
@@ -16,6 +16,10 @@
 # Interval of the turns of remote peers: each message to one of them takes as
 # long to prepare as those to several.
 TURN_INTERVAL_S = 0.4
+# Received heartbeats may be collected for this share of the interval at which
+# peers of the own region send theirs, and for at most so long.
+COLLECT_SHARE = 1 / 6
+MAX_COLLECT_S = 0.1
 # A timer that fires early by less than this does not skip a heartbeat.
 EARLY_S = 0.01
 
@@ -49,6 +53,7 @@
     def __init__(self, region: str, rates: HeartbeatRates) -> None:
         self.region = region
         self.rates = rates
+        self.local_interval_s = rates.min_interval_s
         self.local_due_s = float('-inf')
         self.remote_due_s = float('-inf')
         self.next_turn = 0
@@ -58,6 +63,14 @@
         """Time before which no peer is due."""
         return min(self.local_due_s, self.remote_due_s)
 
+    @property
+    def collect_s(self) -> float:
+        """Time for which received heartbeats may be collected.
+
+        Peers of the region send theirs at about the interval of this process.
+        """
+        return min(MAX_COLLECT_S, self.local_interval_s * COLLECT_SHARE)
+
     def due(
         self, peers: Iterable[PeerRecord], now_s: float
     ) -> list[PeerRecord]:
@@ -68,9 +81,10 @@
             (local if peer.region == self.region else remote).append(peer)
         due: list[PeerRecord] = []
         if now_s >= self.local_due_s - EARLY_S:
-            self.local_due_s = now_s + self._interval_s(
+            self.local_interval_s = self._interval_s(
                 len(local), self.rates.local_per_s
             )
+            self.local_due_s = now_s + self.local_interval_s
             due.extend(local)
         if now_s >= self.remote_due_s - EARLY_S:
             due.extend(self._due_remote(remote, now_s))
--- a/src/bramleylug/cluster/heartbeats.py
+++ b/src/bramleylug/cluster/heartbeats.py
@@ -14,7 +14,7 @@
 from bramleylug.cluster.permit_messages import limit_to_message
 from bramleylug.cluster.rate_limit import Incarnation
 from bramleylug.cluster.upstreams import UpstreamRegistry
-from bramleylug.node.datagrams import DatagramPort
+from bramleylug.node.datagrams import DatagramPort, batch_s
 from bramleylug.node.udp import parse_address
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import BAD_INPUT, count
@@ -57,17 +57,21 @@
 
     @classmethod
     def open(
-        cls, bind: str, on_heartbeat: Callable[[Beat], None]
+        cls,
+        bind: str,
+        on_heartbeat: Callable[[Beat], None],
+        collect_s: Callable[[], float] = batch_s,
     ) -> 'HeartbeatSocket':
         """Bind to ``host:port``, on the running loop.
 
+        :param collect_s: as of :class:`DatagramPort`.
         :raises OSError: if the port cannot be bound.
         """
         address = parse_address(bind)
         if address is None:
             raise OSError(f'{bind!r} is no address')
         opened = cls(on_heartbeat)
-        opened.port = DatagramPort.open(address, opened.receive)
+        opened.port = DatagramPort.open(address, opened.receive, collect_s)
         return opened
 
     def receive(self, raw: bytes, sender: Any) -> bool:
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -20,6 +20,7 @@
 from bramleylug.cluster.peers import PeerRecord, Role
 from bramleylug.cluster.settings import ProcessSettings
 from bramleylug.cluster.store_readers import find_reader
+from bramleylug.node.datagrams import BATCH_S
 from bramleylug.node.loop_thread import LoopThread
 from bramleylug.node.process_pauses import ProcessPauses, watch_pauses
 from bramleylug.node.ticks import sleep_until_tick
@@ -299,11 +300,21 @@
             self.socket = HeartbeatSocket.open(
                 self.settings.beat_bind,
                 lambda heartbeat: self.on_heartbeat(heartbeat),
+                self._collect_s,
             )
         while True:
             self.send_due_heartbeats()
             await sleep_until_tick(HEARTBEAT_INTERVAL_S)
 
+    def _collect_s(self) -> float:
+        """Return for how long received heartbeats are collected.
+
+        A loader gets holdings, on which its next fetches depend.
+        """
+        if self.record.role is Role.loader:
+            return BATCH_S
+        return self.schedule.collect_s
+
     async def _run_clean_up(self) -> None:
         while True:
             await sleep_until_tick(CLEAN_UP_INTERVAL_S)
--- a/src/bramleylug/node/datagrams.py
+++ b/src/bramleylug/node/datagrams.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable
 from typing import Any, final
 
+from bramleylug.node.ticks import until_tick_s
+
 DATAGRAM_BYTES = 65536
-# After some datagrams were read, further ones are collected for this time: a
-# turn of the loop costs as much as reading several of them.
+# After some datagrams were read, further ones are collected, usually for this
+# time: a turn of the loop costs as much as reading several of them.
 BATCH_S = 0.05
 # While datagrams arrive that are waited for, each one is read at once.
 URGENT_S = 1.0
@@ -15,6 +17,11 @@
 MAX_BATCH = 64
 
 
+def batch_s() -> float:
+    """Return the usual time for which datagrams are collected."""
+    return BATCH_S
+
+
 @final
 class DatagramPort:
     """Sends datagrams at once and reads them in batches.
@@ -22,13 +29,18 @@
     :param sock: bound, non-blocking socket.
     :param receive: called with each datagram and its sender; returns whether
         the next ones may be waited for.
+    :param collect_s: returns for how long further datagrams are collected.
     """
 
     def __init__(
-        self, sock: socket.socket, receive: Callable[[bytes, Any], bool]
+        self,
+        sock: socket.socket,
+        receive: Callable[[bytes, Any], bool],
+        collect_s: Callable[[], float] = batch_s,
     ) -> None:
         self.sock = sock
         self.receive = receive
+        self.collect_s = collect_s
         self.loop = asyncio.get_running_loop()
         self.urgent_until_s = float('-inf')
         self.timer: asyncio.TimerHandle | None = None
@@ -36,7 +48,10 @@
 
     @classmethod
     def open(
-        cls, address: tuple[str, int], receive: Callable[[bytes, Any], bool]
+        cls,
+        address: tuple[str, int],
+        receive: Callable[[bytes, Any], bool],
+        collect_s: Callable[[], float] = batch_s,
     ) -> 'DatagramPort':
         """Bind to host and port.
 
@@ -49,7 +64,7 @@
         except OSError:
             sock.close()
             raise
-        return cls(sock, receive)
+        return cls(sock, receive, collect_s)
 
     @property
     def address(self) -> str:
@@ -84,7 +99,8 @@
             self._collect()
 
     def _collect(self) -> None:
-        self.timer = self.loop.call_later(BATCH_S, self._read_collected)
+        delay_s = until_tick_s(self.loop, self.collect_s())
+        self.timer = self.loop.call_later(delay_s, self._read_collected)
 
     def _read_collected(self) -> None:
         # The timer comes first: what a receiver raises must not end reading.
--- a/src/bramleylug/node/ticks.py
+++ b/src/bramleylug/node/ticks.py
@@ -14,12 +14,19 @@
 )
 
 
-async def sleep_until_tick(interval_s: float) -> None:
-    """Sleep until the next multiple of an interval since the loop's first tick.
+def until_tick_s(loop: asyncio.AbstractEventLoop, interval_s: float) -> float:
+    """Return the time until the next tick.
 
-    Tasks whose intervals have a common divisor then share turns of the loop.
+    That is the next multiple of an interval since the loop's first tick. What
+    has intervals with a common divisor then shares turns of the loop.
     """
-    loop = asyncio.get_running_loop()
-    passed_s = loop.time() - origins.setdefault(loop, loop.time())
+    now_s = loop.time()
+    passed_s = now_s - origins.setdefault(loop, now_s)
     due = floor(passed_s / interval_s + EARLY_SHARE) + 1
-    await asyncio.sleep(due * interval_s - passed_s)
+    return due * interval_s - passed_s
+
+
+async def sleep_until_tick(interval_s: float) -> None:
+    """Sleep until the next tick of an interval."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(until_tick_s(loop, interval_s))
