Datagrams: a crowd is read without pauses

After 64 datagrams the rest waited for the next batch, up to 0.1 s in a large fleet: 1,600 reports of a crash, what 99 relays tell each other at once, would have taken 2.5 s. A full batch is followed by the next one in the next turn. Both tests failed before.

--- a/src/bramleylug/node/datagrams.py
+++ b/src/bramleylug/node/datagrams.py
@@ -93,10 +93,11 @@
         self.sock.close()
 
     def _read_first(self) -> None:
-        self._read_batch()
-        if not (self.closed or self._is_urgent()):
-            self.loop.remove_reader(self.sock)
-            self._collect()
+        count = self._read_batch()
+        if self.closed or self._is_urgent() or count == MAX_BATCH:
+            return
+        self.loop.remove_reader(self.sock)
+        self._collect()
 
     def _collect(self) -> None:
         delay_s = until_tick_s(self.loop, self.collect_s())
@@ -105,7 +106,7 @@
     def _read_collected(self) -> None:
         # The timer comes first: what a receiver raises must not end reading.
         self._collect()
-        if self._read_batch() and not self._is_urgent():
+        if 0 < self._read_batch() < MAX_BATCH and not self._is_urgent():
             return
         if self.timer is not None:
             self.timer.cancel()
@@ -115,16 +116,19 @@
     def _is_urgent(self) -> bool:
         return self.loop.time() < self.urgent_until_s
 
-    def _read_batch(self) -> bool:
-        """Read what has arrived; return whether there was anything."""
+    def _read_batch(self) -> int:
+        """Read what has arrived; return how many datagrams that were.
+
+        After :data:`MAX_BATCH`, others wait for the next turn.
+        """
         for number in range(MAX_BATCH):
             try:
                 raw, sender = self.sock.recvfrom(DATAGRAM_BYTES)
             except BlockingIOError:
-                return number > 0
+                return number
             except OSError:
                 # An earlier datagram of this process could not be delivered.
                 continue
             if self.receive(raw, sender):
                 self.urgent_until_s = self.loop.time() + URGENT_S
-        return True
+        return MAX_BATCH
--- a/testing/node/test_datagrams.py
+++ b/testing/node/test_datagrams.py
@@ -4,7 +4,12 @@
 import unittest
 from typing import Any
 
-from bramleylug.node.datagrams import BATCH_S, URGENT_S, DatagramPort
+from bramleylug.node.datagrams import (
+    BATCH_S,
+    MAX_BATCH,
+    URGENT_S,
+    DatagramPort,
+)
 from testing.virtual_time import in_virtual_time
 
 # What a relay of the users' large fleet gets.
@@ -85,6 +90,33 @@
             {raw: receiver.arrived_s[raw] for raw in sent_s}, sent_s
         )
 
+    @in_virtual_time
+    async def test_crowd_of_datagrams_is_read_without_pauses(self) -> None:
+        """All relays tell each other of a crash at the same moment."""
+        receiver = Receiver()
+        host, _, port = receiver.port.address.rpartition(':')
+        for number in range(4 * MAX_BATCH):
+            receiver.sender.sendto(b'%d' % number, (host, int(port)))
+        await asyncio.sleep(BATCH_S)
+        await receiver.close()
+
+        self.assertEqual(len(receiver.arrived_s), 4 * MAX_BATCH)
+        self.assertEqual(len(set(receiver.arrived_s.values())), 1)
+
+    @in_virtual_time
+    async def test_crowd_that_comes_while_others_are_collected(self) -> None:
+        receiver = Receiver()
+        await receiver.send(b'first')
+        host, _, port = receiver.port.address.rpartition(':')
+        for number in range(4 * MAX_BATCH):
+            receiver.sender.sendto(b'%d' % number, (host, int(port)))
+        await asyncio.sleep(BATCH_S)
+        await receiver.close()
+
+        late_s = max(receiver.arrived_s.values()) - receiver.arrived_s[b'first']
+        self.assertEqual(len(receiver.arrived_s), 4 * MAX_BATCH + 1)
+        self.assertLessEqual(late_s, BATCH_S + 1e-6)
+
     @in_virtual_time
     async def test_error_of_a_datagram_does_not_end_reading(self) -> None:
         receiver = Receiver()
