Event loops: no call of the kernel between callbacks that follow each other

An event of a stream wakes its reader, which wakes the task that passes it on: asyncio asked the kernel for ready files before each of these steps. While callbacks are ready, files are looked at every 2 ms at most; a loop that waits looks at once. What passes in between counts as the same turn, so that long turns are found as before.

--- a/src/bramleylug/node/loop_turns.py
+++ b/src/bramleylug/node/loop_turns.py
@@ -13,6 +13,9 @@
 
 # A longer turn delays the tokens of all streams noticeably.
 LONG_TURN_S = 0.034
+# While callbacks are ready, files are looked at no more often than this: each
+# look is a call of the kernel, and most callbacks only lead to the next one.
+LOOK_INTERVAL_S = 0.002
 # How old a reading of the processor times may be when a turn begins: each one
 # is two calls of the kernel.
 MAX_READING_AGE_S = 0.02
@@ -84,8 +87,15 @@
         self.process_s = 0.0
 
     def select(self, timeout: float | None = None) -> list[Any]:
-        """Wait as the base class does; record the turn that ends here."""
-        self._end_turn()
+        """Wait as the base class does; record the turn that ends here.
+
+        Without a wait, files that were looked at just before are not reported
+        again; the turn goes on.
+        """
+        now_s = self.clock()
+        if timeout is not None and timeout <= 0 and self._has_looked(now_s):
+            return []
+        self._end_turn(now_s)
         ready = super().select(timeout)
         self.woke_s = self.clock()
         if self.woke_s - self.read_s > MAX_READING_AGE_S:
@@ -94,8 +104,10 @@
             self.process_s = self.process_clock()
         return ready
 
-    def _end_turn(self) -> None:
-        now_s = self.clock()
+    def _has_looked(self, now_s: float) -> bool:
+        return self.woke_s is not None and now_s - self.woke_s < LOOK_INTERVAL_S
+
+    def _end_turn(self, now_s: float) -> None:
         if self.woke_s is None or now_s - self.woke_s < LONG_TURN_S:
             return
         used_s = self.thread_clock() - self.used_s
--- a/testing/node/test_loop_turns.py
+++ b/testing/node/test_loop_turns.py
@@ -1,11 +1,15 @@
 """Tests of how the turns of an event loop are measured."""
 
 import unittest
+from selectors import EVENT_READ
+from socket import socketpair
 
 from loguru import logger
 
 from bramleylug.node.loop_turns import (
     LOG_INTERVAL_S,
+    LONG_TURN_S,
+    LOOK_INTERVAL_S,
     Turn,
     TurnRecord,
     TurnSelector,
@@ -67,3 +71,48 @@
             'took 1.5 s, 0.4 s of it on the processor and 0.3 s on other',
             lines[0],
         )
+
+    def test_files_are_looked_at_rarely_while_callbacks_are_ready(self) -> None:
+        """Each look without a wait is a call of the kernel (SHORT)."""
+        now_s = [0.0]
+        selector = TurnSelector(lambda: now_s[0])
+        self.addCleanup(selector.close)
+        reader, writer = socketpair()
+        self.addCleanup(reader.close)
+        self.addCleanup(writer.close)
+        selector.register(reader, EVENT_READ)
+        selector.select(0)
+        writer.send(b'x')
+
+        at_once = selector.select(0)
+        now_s[0] += LOOK_INTERVAL_S
+        later = selector.select(0)
+
+        self.assertEqual((len(at_once), len(later)), (0, 1))
+
+    def test_files_are_looked_at_once_the_loop_waits(self) -> None:
+        selector = TurnSelector(float)
+        self.addCleanup(selector.close)
+        reader, writer = socketpair()
+        self.addCleanup(reader.close)
+        self.addCleanup(writer.close)
+        selector.register(reader, EVENT_READ)
+        selector.select(0)
+        writer.send(b'x')
+
+        self.assertEqual(len(selector.select(1.0)), 1)
+
+    def test_turn_goes_on_until_files_are_looked_at(self) -> None:
+        """What passes in between delays all connections."""
+        now_s = [0.0]
+        selector = TurnSelector(lambda: now_s[0])
+        self.addCleanup(selector.close)
+        selector.select(0)
+        LONG_TURNS.inc({})
+        before = LONG_TURNS.get({})
+        now_s[0] = LOOK_INTERVAL_S / 2
+        selector.select(0)
+        now_s[0] = LONG_TURN_S
+        selector.select(0)
+
+        self.assertEqual(LONG_TURNS.get({}), before + 1)
