Heartbeats: collected in large regions only

Counts that waited for 33 to 50 ms cost placing more than an interval of 0.2 s tells.

Datagrams are collected where peers of the region send theirs at longer intervals than 0.5 s, from 17 relays on; elsewhere each is read at once. The large site is read as before.

--- a/src/bramleylug/cluster/heartbeat_schedule.py
+++ b/src/bramleylug/cluster/heartbeat_schedule.py
@@ -16,10 +16,11 @@
 # Interval of the turns of remote peers: each message to one of them takes as
 # long to prepare as those to several.
 TURN_INTERVAL_S = 0.4
-# Received heartbeats may be collected for this share of the interval at which
-# peers of the own region send theirs, and for at most so long.
-COLLECT_SHARE = 1 / 6
-MAX_COLLECT_S = 0.1
+# Received heartbeats are collected for this time in a region with so many peers
+# that they send theirs at longer intervals than the second one. Elsewhere the
+# counts in them are younger, and placing would lose by it.
+COLLECT_S = 0.1
+COLLECT_FROM_S = 0.5
 # A timer that fires early by less than this does not skip a heartbeat.
 EARLY_S = 0.01
 
@@ -65,11 +66,11 @@
 
     @property
     def collect_s(self) -> float:
-        """Time for which received heartbeats may be collected.
+        """Time for which received heartbeats may be collected; 0 for none.
 
         Peers of the region send theirs at about the interval of this process.
         """
-        return min(MAX_COLLECT_S, self.local_interval_s * COLLECT_SHARE)
+        return COLLECT_S if self.local_interval_s > COLLECT_FROM_S else 0
 
     def due(
         self, peers: Iterable[PeerRecord], now_s: float
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -311,9 +311,10 @@
 
         A loader gets holdings, on which its next fetches depend.
         """
+        collect_s = self.schedule.collect_s
         if self.record.role is Role.loader:
-            return BATCH_S
-        return self.schedule.collect_s
+            return min(BATCH_S, collect_s)
+        return collect_s
 
     async def _run_clean_up(self) -> None:
         while True:
--- a/src/bramleylug/node/datagrams.py
+++ b/src/bramleylug/node/datagrams.py
@@ -29,7 +29,8 @@
     :param sock: bound, non-blocking socket.
     :param receive: called with each datagram and its sender; returns whether
         the next ones may be waited for.
-    :param collect_s: returns for how long further datagrams are collected.
+    :param collect_s: returns for how long further datagrams are collected; 0
+        to read each at once.
     """
 
     def __init__(
@@ -100,7 +101,7 @@
         self._collect()
 
     def _collect(self) -> None:
-        delay_s = until_tick_s(self.loop, self.collect_s())
+        delay_s = until_tick_s(self.loop, self.collect_s() or BATCH_S)
         self.timer = self.loop.call_later(delay_s, self._read_collected)
 
     def _read_collected(self) -> None:
@@ -114,7 +115,7 @@
             self.loop.add_reader(self.sock, self._read_first)
 
     def _is_urgent(self) -> bool:
-        return self.loop.time() < self.urgent_until_s
+        return not self.collect_s() or self.loop.time() < self.urgent_until_s
 
     def _read_batch(self) -> int:
         """Read what has arrived; return how many datagrams that were.
--- a/testing/cluster/test_heartbeat_schedule.py
+++ b/testing/cluster/test_heartbeat_schedule.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from bramleylug.cluster.heartbeat_schedule import (
+    COLLECT_S,
     EARLY_S,
     MAX_INTERVAL_S,
     HeartbeatSchedule,
@@ -91,3 +92,13 @@
             now_s = step * HEARTBEAT_INTERVAL_S
             early = now_s + EARLY_S < schedule.next_due_s
             self.assertEqual(bool(schedule.due(peers, now_s)), not early)
+
+    def test_heartbeats_are_collected_in_a_large_region_only(self) -> None:
+        """Of a small one, each count is worth a look at once."""
+        collected = {}
+        for near in (2, 14, 20, 80):
+            schedule = HeartbeatSchedule('north', HEARTBEAT_RATES)
+            schedule.due([build_peer(f'r-{one}') for one in range(near)], 0.0)
+            collected[near] = schedule.collect_s
+
+        self.assertEqual(collected, {2: 0, 14: 0, 20: COLLECT_S, 80: COLLECT_S})
--- a/testing/node/test_datagrams.py
+++ b/testing/node/test_datagrams.py
@@ -30,7 +30,10 @@
         self.loop = asyncio.get_running_loop()
         self.arrived_s: dict[bytes, float] = {}
         self.urgent = False
-        self.port = DatagramPort.open(('127.0.0.1', 0), self.receive)
+        self.collect_s = BATCH_S
+        self.port = DatagramPort.open(
+            ('127.0.0.1', 0), self.receive, lambda: self.collect_s
+        )
         self.sender = DatagramPort.open(('127.0.0.1', 0), self.receive)
 
     def receive(self, raw: bytes, sender: Any) -> bool:
@@ -90,6 +93,27 @@
             {raw: receiver.arrived_s[raw] for raw in sent_s}, sent_s
         )
 
+    @in_virtual_time
+    async def test_datagrams_of_a_small_fleet_are_read_at_once(self) -> None:
+        """Placing lost by counts that were collected (scale days)."""
+        receiver = Receiver()
+        receiver.collect_s = 0
+        sent_s = await receiver.send_evenly(1.0)
+        await receiver.close()
+
+        self.assertEqual(receiver.arrived_s, sent_s)
+
+    @in_virtual_time
+    async def test_collecting_ends_where_the_fleet_shrinks(self) -> None:
+        receiver = Receiver()
+        await receiver.send_evenly(1.0)
+        receiver.collect_s = 0
+        await asyncio.sleep(2 * BATCH_S)
+        sent_s = await receiver.send(b'late')
+        await receiver.close()
+
+        self.assertEqual(receiver.arrived_s[b'late'], sent_s)
+
     @in_virtual_time
     async def test_crowd_of_datagrams_is_read_without_pauses(self) -> None:
         """All relays tell each other of a crash at the same moment."""
