Web server: the answering thread sends a piece that nothing precedes

Cause: each event of a stream and each piece of a chunk crossed from the asyncio thread to the circuits thread: an event of circuits, a wake-up through a pipe, a turn of the loop.

Change: Output holds the pieces of a connection behind a lock. A piece that neither waiting output nor calls precede is written by the thread that answers; what the socket does not accept is left to the loop. The socket is closed under the same lock, as its descriptor may be another connection's afterwards.

--- a/src/bramleylug/web/connection.py
+++ b/src/bramleylug/web/connection.py
@@ -1,24 +1,20 @@
 """Buffers, state and time limits of one server connection."""
 
 from enum import Enum, unique
-from fcntl import ioctl
 from http import HTTPStatus
 from socket import socket
-from struct import Struct
 from typing import TYPE_CHECKING, Protocol, final
 
 from bramleylug.observability.metrics import BAD_INPUT, count
 from bramleylug.web.heads import BadRequest
 from bramleylug.web.limits import WebLimits
+from bramleylug.web.output import Output
 from bramleylug.web.reader import MessageReader, Phase
 
 if TYPE_CHECKING:
     from bramleylug.web.exchange import Exchange
     from bramleylug.web.memory import MemoryLedger
 
-# Linux ioctl: returns the bytes in a socket's buffer that were never sent.
-SIOCOUTQNSD = 0x894B
-INT = Struct('i')
 # After its last response, a connection discards input for this long at most,
 # then it is closed.
 LINGER_S = 2.0
@@ -68,7 +64,6 @@
 class Connection:
     """Buffered input and output, state and time limits of one socket.
 
-    :ivar output: pieces that the socket has not accepted yet.
     :ivar exchange: the request that is being answered.
     :ivar closing: whether the connection closes once all output was sent.
     :ivar lingering: whether all output was sent and the sending side closed.
@@ -79,7 +74,6 @@
     :ivar paused: whether reading is paused because too much input waits.
     :ivar request_until_s: until when a request is known to be on its way.
     :ivar input_since_s: when the present wait for input began.
-    :ivar output_since_s: when output last made progress.
     :ivar was_in_body: whether the reader was past a head at the last update.
     """
 
@@ -87,8 +81,7 @@
         self.sock = sock
         self.limits = limits
         self.reader = MessageReader(limits)
-        self.output: list[bytes | memoryview] = []
-        self.output_bytes = 0
+        self.output = Output(sock, limits.send_buffer_bytes, now_s)
         self.exchange: Exchange | None = None
         self.closing = False
         self.lingering = False
@@ -98,7 +91,6 @@
         self.discarded_bytes = 0
         self.request_until_s = now_s + REQUEST_WAIT_S
         self.input_since_s = now_s
-        self.output_since_s = now_s
         self.was_in_body = False
 
     @property
@@ -108,7 +100,7 @@
             return False
         return (
             self.exchange is not None
-            or bool(self.output)
+            or bool(self.output.pieces)
             or not self.reader.is_between_messages
         )
 
@@ -174,28 +166,16 @@
             self.input_since_s = now_s
         self.was_in_body = in_body
 
-    def queue(self, piece: bytes, now_s: float) -> None:
-        """Add output; if none waited, start the stall time limit."""
-        if not self.output:
-            self.output_since_s = now_s
-        self.output.append(piece)
-        self.output_bytes += len(piece)
-
     def send(self, now_s: float) -> None:
         """Write as much output as the socket accepts.
 
         :raises OSError: when the connection is broken.
         """
-        if not self.output:
-            return
-        piece = (
-            self.output[0] if len(self.output) == 1 else b''.join(self.output)
+        self.output.send(
+            now_s,
+            None if self.exchange is None else self.exchange.progress,
+            is_last=self._is_output_complete(),
         )
-        sent = _send_some(self.sock, piece, self.limits.send_buffer_bytes)
-        if sent and not self._is_output_complete():
-            self.output_since_s = now_s
-        self.output = [memoryview(piece)[sent:]] if sent < len(piece) else []
-        self.output_bytes = len(piece) - sent
 
     def find_timeout(
         self, now_s: float, *, draining: bool
@@ -205,10 +185,10 @@
         :param draining: whether unused connections are to be closed.
         """
         if self.lingering:
-            late = now_s - self.output_since_s > LINGER_S
+            late = now_s - self.output.since_s > LINGER_S
             return TimeoutKind.linger if late else None
-        if self.output:
-            late = now_s - self.output_since_s > self.limits.stall_timeout_s
+        if self.output.pieces:
+            late = now_s - self.output.since_s > self.limits.stall_timeout_s
             return TimeoutKind.stalled if late else None
         if self.exchange is not None:
             return None
@@ -259,44 +239,15 @@
     def _use_limits(self, limits: WebLimits) -> None:
         self.limits = limits
         self.reader.limits = limits
+        self.output.limit_bytes = limits.send_buffer_bytes
 
     def _is_output_complete(self) -> bool:
-        """Return whether no more output will be queued.
-
-        Such output has one stall time limit in all: sent bytes don't extend
-        it, or a client could read a byte at a time for ever.
-        """
+        """Return whether no more output will be added."""
         if self.exchange is None:
             return self.closing
         return self.exchange.finished
 
 
-def _send_some(
-    sock: socket, piece: bytes | memoryview, unsent_limit: int
-) -> int:
-    """Write to a socket and return the number of bytes it accepted.
-
-    The kernel checks for free space in a send buffer only before it starts a
-    new segment, and appends to a waiting one without a check. Therefore its
-    unsent bytes are read first.
-
-    :param unsent_limit: most unsent bytes in the kernel; 0 for no limit.
-    """
-    if unsent_limit:
-        if _unsent_bytes(sock) >= unsent_limit:
-            return 0
-        piece = piece[:unsent_limit]
-    try:
-        return sock.send(piece)
-    except BlockingIOError:
-        return 0
-
-
-def _unsent_bytes(sock: socket) -> int:
-    result = ioctl(sock, SIOCOUTQNSD, bytes(INT.size))
-    return int(INT.unpack(result)[0])
-
-
 REQUEST_TIMEOUT = BadRequest(
     HTTPStatus.REQUEST_TIMEOUT,
     'slow_sender',
--- a/src/bramleylug/web/exchange.py
+++ b/src/bramleylug/web/exchange.py
@@ -4,11 +4,11 @@
 import re
 import uuid
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, final
 
 from bramleylug.web.framing import Framing, HeaderPairs, clean_headers
+from bramleylug.web.output import SendProgress
 
 if TYPE_CHECKING:
     from circuits.web.headers import Headers
@@ -22,18 +22,32 @@
 
 
 @final
-@dataclass(slots=True)
-class SendProgress:
-    """Byte counters of one response body; they only increase.
+class CallSequence:
+    """Calls that a loop runs in order; one thread at a time makes them.
 
-    :ivar submitted: bytes that the owner passed to :meth:`Exchange.send`.
-    :ivar queued: bytes that reached the loop that owns the socket.
-    :ivar written: bytes that the socket has accepted.
+    :param call: runs a callable on the loop; thread-safe.
+    :ivar made: calls that were made, counted by the caller.
+    :ivar ended: calls that have ended, counted by the loop.
     """
 
-    submitted: int = 0
-    queued: int = 0
-    written: int = 0
+    def __init__(self, call: Callable[[Callable[[], None]], None]) -> None:
+        self.call = call
+        self.made = 0
+        self.ended = 0
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether all calls have ended; only the caller may ask."""
+        return self.made == self.ended
+
+    def add(self, action: Callable[[], None]) -> None:
+        """Let the loop run a callable."""
+        self.made += 1
+        self.call(lambda: self._run(action))
+
+    def _run(self, action: Callable[[], None]) -> None:
+        action()
+        self.ended += 1
 
 
 @final
@@ -42,7 +56,9 @@
 
     Every method may be called from any thread, by one thread at a time; the
     work runs on the loop of the server, as do the callbacks ``on_drained``,
-    ``on_closed`` and ``on_ended``.
+    ``on_closed`` and ``on_ended``. A piece that nothing precedes is sent by
+    the calling thread, which then calls ``on_drained``: it costs less than to
+    wake the loop.
 
     :ivar on_drained: called after the socket has accepted bytes.
     :ivar on_closed: called when the client disconnected or its connection
@@ -57,6 +73,7 @@
         self, port: 'Port', connection: 'Connection', message: 'Message'
     ) -> None:
         self.port = port
+        self.calls = CallSequence(port.context.call)
         self.connection = connection
         self.head = message.head
         self.payload = message.body
@@ -112,13 +129,12 @@
             unknown length, sent in chunks or ended by closing the connection.
         """
         pairs = clean_headers(headers)
-        self.port.context.call(
-            lambda: self._start(status, pairs, content_length)
-        )
+        self.calls.add(lambda: self._start(status, pairs, content_length))
 
     def send(self, piece: bytes) -> None:
         self.progress.submitted += len(piece)
-        self.port.context.call(lambda: self._send(piece))
+        if not (self.calls.has_ended and self._send_at_once(piece)):
+            self.calls.add(lambda: self._send(piece))
 
     def finish(self) -> None:
         """End the response; the connection may be kept for other requests.
@@ -126,11 +142,11 @@
         If the body differs in length from what was announced, the connection
         is reset instead.
         """
-        self.port.context.call(self._finish)
+        self.calls.add(self._finish)
 
     def abort(self) -> None:
         """Reset the connection, so that the client sees an error."""
-        self.port.context.call(lambda: self.port.reset(self.connection))
+        self.calls.add(lambda: self.port.reset(self.connection))
 
     def reply(
         self,
@@ -158,25 +174,40 @@
         The client gets a 502 response that promises nothing, or a reset if a
         response has begun. A complete response stays as it is.
         """
-        self.port.context.call(self._fail)
+        self.calls.add(self._fail)
 
     def disable_keep_alive(self) -> None:
         """Close the connection once the response has ended."""
         self.close_after_response = True
 
-    def update_unsent(self, unsent_bytes: int) -> None:
-        """Record how many queued bytes the socket has not accepted yet."""
-        self.progress.written = self.progress.queued - min(
-            self.progress.queued, unsent_bytes
-        )
-        self.on_drained()
-
     def socket_closed(self) -> None:
         """Record that the connection was closed or reset."""
         self.closed = True
         self.on_closed()
         self.on_ended()
 
+    def _send_at_once(self, piece: bytes) -> bool:
+        """Send a piece if nothing precedes it; return whether it was taken."""
+        framing = self.framing
+        if self.closed or self.finished or not piece or framing is None:
+            return False
+        if not framing.has_body:
+            return False
+        connection = self.connection
+        taken = connection.output.send_at_once(
+            framing.frame(piece),
+            len(piece),
+            self.progress,
+            self.port.context.clock(),
+        )
+        if not taken:
+            return False
+        if connection.output.pieces:
+            # The loop sends the rest, and closes a broken connection.
+            self.calls.add(lambda: self.port.schedule_flush(connection))
+        self.on_drained()
+        return True
+
     def _start(
         self,
         status: int,
@@ -206,9 +237,7 @@
         if not framing.has_body:
             self.progress.written = self.progress.queued
             return
-        if framing.chunked:
-            piece = b'%x\r\n%s\r\n' % (len(piece), piece)
-        self.port.write(self.connection, piece)
+        self.port.write(self.connection, framing.frame(piece))
 
     def _finish(self) -> None:
         framing = self.framing
--- a/src/bramleylug/web/framing.py
+++ b/src/bramleylug/web/framing.py
@@ -66,6 +66,12 @@
             return True
         return sent_bytes == self.content_length
 
+    def frame(self, piece: bytes) -> bytes:
+        """Return a piece of the body as it is sent; it is not empty."""
+        if self.chunked:
+            return b'%x\r\n%s\r\n' % (len(piece), piece)
+        return piece
+
     def render(
         self, pairs: list[tuple[str, str]], request_id: str, connection: str
     ) -> bytes:
--- a/src/bramleylug/web/port.py
+++ b/src/bramleylug/web/port.py
@@ -90,7 +90,7 @@
 
     def write(self, connection: Connection, piece: bytes) -> None:
         """Queue output; the next flush sends all of it in one write."""
-        connection.queue(piece, self.context.clock())
+        connection.output.add(piece, self.context.clock())
         self.to_flush[connection] = None
 
     def schedule_flush(self, connection: Connection) -> None:
@@ -100,8 +100,7 @@
     def reset(self, connection: Connection) -> None:
         """Close a connection with a TCP reset, which the client sees."""
         if connection.sock in self.connections:
-            self.transport.reset(connection.sock)
-            self.disconnected(connection.sock)
+            self._drop(connection, self.transport.reset)
 
     def apply_limits(self, limits: WebLimits) -> None:
         """Replace the limits.
@@ -186,17 +185,10 @@
             self.flush()
 
     def disconnected(self, sock: socket) -> None:
-        """Release what belongs to a closed socket."""
-        connection = self.connections.pop(sock, None)
-        if connection is None:
-            return
-        connection.closing = True
-        connection.reserve_input(0, self.context.ledger)
-        self.admission.release(connection)
-        exchange = connection.exchange
-        connection.exchange = None
-        if exchange is not None:
-            exchange.socket_closed()
+        """Close a socket that is broken, or whose server closes."""
+        connection = self.connections.get(sock)
+        if connection is not None:
+            self._drop(connection)
 
     def sweep(self) -> None:
         """Close the connections that have exceeded a time limit."""
@@ -282,8 +274,8 @@
             return
         exchange = connection.exchange
         if exchange is not None:
-            exchange.update_unsent(connection.output_bytes)
-        if connection.output:
+            exchange.on_drained()
+        if connection.output.pieces:
             self.transport.write_when_ready(connection.sock)
         elif connection.closing:
             self._linger(connection)
@@ -313,15 +305,31 @@
         if connection.lingering:
             return
         connection.lingering = True
-        connection.output_since_s = self.context.clock()
+        connection.output.since_s = self.context.clock()
         connection.reserve_input(0, self.context.ledger)
         connection.resume(self.transport)
         with contextlib.suppress(OSError):
             connection.sock.shutdown(SHUT_WR)
 
-    def _drop(self, connection: Connection) -> None:
-        self.transport.drop(connection.sock)
-        self.disconnected(connection.sock)
+    def _drop(
+        self,
+        connection: Connection,
+        close: Callable[[socket], None] | None = None,
+    ) -> None:
+        """Close a connection and release what belongs to it.
+
+        :param close: closes its socket; by default without a reset.
+        """
+        connection.output.close(close or self.transport.drop)
+        if self.connections.pop(connection.sock, None) is None:
+            return
+        connection.closing = True
+        connection.reserve_input(0, self.context.ledger)
+        self.admission.release(connection)
+        exchange = connection.exchange
+        connection.exchange = None
+        if exchange is not None:
+            exchange.socket_closed()
 
 
 def _limit_send_buffer(sock: socket, limit_bytes: int) -> None:
--- a/src/bramleylug/web/sockets.py
+++ b/src/bramleylug/web/sockets.py
@@ -36,7 +36,7 @@
         """Send more output: the socket accepts bytes again."""
 
     def disconnected(self, sock: socket) -> None:
-        """Release what belongs to a closed socket."""
+        """Close a socket that is broken, or whose server closes."""
 
 
 @final
@@ -106,7 +106,6 @@
     def close(self) -> None:
         """Close all sockets; the loop stops."""
         for sock in tuple(self.accepted):
-            self.drop(sock)
             self.owner.disconnected(sock)
         if self._poller is not None:
             self._poller.discard(self._sock)
@@ -162,7 +161,6 @@
         except BlockingIOError:
             return
         except OSError:
-            self.drop(sock)
             self.owner.disconnected(sock)
             return
         self.owner.received(sock, raw)
--- a/testing/web/ports.py
+++ b/testing/web/ports.py
@@ -14,13 +14,16 @@
 
 
 class FakeSocket:
-    """Accepts as many bytes as its capacity allows."""
+    """Accepts as many bytes as its capacity allows, unless it is broken."""
 
     def __init__(self) -> None:
         self.capacity = 10**9
         self.sent = b''
+        self.broken = False
 
     def send(self, piece: bytes) -> int:
+        if self.broken:
+            raise ConnectionResetError
         if not self.capacity:
             raise BlockingIOError
         accepted = piece[: self.capacity]
@@ -65,7 +68,11 @@
 
 
 class PortHarness:
-    """A port whose events and clock are controlled by the test."""
+    """A port whose events and clock are controlled by the test.
+
+    :ivar deferred: whether calls wait for :meth:`run_calls`.
+    :ivar calls: those that wait.
+    """
 
     def __init__(
         self,
@@ -76,6 +83,8 @@
         **limits: Any,
     ) -> None:
         self.now_s = 0.0
+        self.deferred = False
+        self.calls: list[Callable[[], None]] = []
         self.served: list[Exchange] = []
         self.transport = FakeTransport()
         self.ledger = MemoryLedger(memory_bytes)
@@ -93,9 +102,18 @@
 
     def call(self, action: Callable[[], None]) -> None:
         """Run a callable at once; on a server, the loop would run it."""
+        if self.deferred:
+            self.calls.append(action)
+            return
         action()
         self.port.flush()
 
+    def run_calls(self) -> None:
+        """Run the calls that wait, as the loop does when it wakes."""
+        while self.calls:
+            self.calls.pop(0)()
+        self.port.flush()
+
     def connect(self) -> FakeSocket:
         """Open a connection and return its socket."""
         sock = FakeSocket()
