Relay: the requests at an upstream are counted once a selection

It looks at each of 94 engines.

Cause: what other relays have at an engine was added up twice, once to see whether it has room and once for its score, and its weights were looked up again though all that may serve are the newest.

Change: each candidate's free slots are found once. Only where older weights may still serve, the version is compared again.

The test failed before: 40 counts for 20 engines.

--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -227,11 +227,12 @@
         Weights that its loader has not confirmed count as incomplete, and so
         do those of a record while its loader reports another incarnation.
         """
+        if self._is_replaced():
+            held = self.record.weights.get(model)
+            return None if held is None else held._replace(whole=False)
         held = self._reported_weights(now_s).get(model)
         if held is None:
             return None
-        if self._is_replaced():
-            return held._replace(whole=False)
         return self.confirmed_weights.restrict(model, held)
 
     def is_closing(self, now_s: float) -> bool:
@@ -303,8 +304,9 @@
         )
 
     def _reported_weights(self, now_s: float) -> Mapping[str, HeldWeights]:
+        """Return the weights of the incarnation that its loader reports."""
         report = self.report
-        if report is None or self._is_replaced():
+        if report is None:
             return self.record.weights
         is_recent = now_s - report.received_s < REPORT_TTL_S
         if is_recent or self.weights_written_s < report.received_s:
--- a/src/bramleylug/relay/upstream_selection.py
+++ b/src/bramleylug/relay/upstream_selection.py
@@ -127,10 +127,19 @@
                 candidates[-1][1] if candidates else NOT_REGISTERED
             )
         eligible = responsive(eligible, now_s)
-        available = [one for one in eligible if is_available(one, now_s)]
+        with_room = [
+            (one, free_slots)
+            for one in eligible
+            if (free_slots := room(one, now_s)) >= 1
+        ]
         without_permit = tuple(
-            one for one in eligible if lacks_only_permit(one, now_s)
+            one for one, _ in with_room if lacks_permit(one, now_s)
         )
+        available = [
+            (one, free_slots)
+            for one, free_slots in with_room
+            if one.may_send(now_s)
+        ]
         if not available:
             return AtCapacity(
                 sum(one.record.slots for one in eligible),
@@ -139,8 +148,8 @@
             )
         # Permits expire soon: they are used before free slots elsewhere.
         permitted = [
-            one
-            for one in available
+            (one, free_slots)
+            for one, free_slots in available
             if one.limited and self._is_near(one, constraints)
         ]
         return Selected(
@@ -157,43 +166,42 @@
 
     def _choose(
         self,
-        available: list[Upstream],
+        available: list[tuple[Upstream, float]],
         requirements: Requirements,
         constraints: Constraints,
         now_s: float,
     ) -> Upstream:
         scores = [
-            self._score(one, requirements, constraints, now_s)
-            for one in available
+            free_slots - self._penalty(one, requirements, constraints, now_s)
+            for one, free_slots in available
         ]
         weights = [max(MIN_WEIGHT, score) for score in scores]
         pair = self.random.choices(range(len(available)), weights, k=2)
-        return available[max(pair, key=scores.__getitem__)]
+        upstream, _ = available[max(pair, key=scores.__getitem__)]
+        return upstream
 
-    def _score(
+    def _penalty(
         self,
         upstream: Upstream,
         requirements: Requirements,
         constraints: Constraints,
         now_s: float,
     ) -> float:
+        """Return how many more free slots would justify the choice."""
         zone = upstream.record.zone
         penalty = 0.0
         if zone != self.zone:
             penalty += OTHER_ZONE_PENALTY
         if not self._is_near(upstream, constraints):
             penalty += OTHER_REGION_PENALTY
-        newest = constraints.newest_versions.get(requirements.model, 0)
-        held = upstream.weights_of(requirements.model, now_s)
-        if held is not None and held.version < newest:
+        if _is_outdated(upstream, requirements.model, constraints, now_s):
             penalty += OUTDATED_PENALTY
         preferred = constraints.preferred
         if preferred and upstream.record.upstream_id not in preferred:
             penalty += NON_PREFERRED_SHARE * upstream.record.slots
         if now_s < upstream.notice.peers_paused_until_s:
             penalty += PEER_PAUSED_SHARE * upstream.record.slots
-        penalty += UNSTARTED_PENALTY * upstream.unstarted
-        return upstream.free_slots(now_s) - penalty
+        return penalty + UNSTARTED_PENALTY * upstream.unstarted
 
 
 def ineligible_reason(
@@ -246,11 +254,6 @@
     return until_s
 
 
-def is_available(upstream: Upstream, now_s: float) -> bool:
-    """Return whether an upstream can take one more request now."""
-    return _has_room(upstream, now_s) and upstream.may_send(now_s)
-
-
 def sendable_at_once(upstream: Upstream, relays: int, now_s: float) -> int:
     """Return how many waiting requests may be sent to an upstream now.
 
@@ -267,14 +270,32 @@
     return max(0, min(free, share - upstream.unstarted))
 
 
-def lacks_only_permit(upstream: Upstream, now_s: float) -> bool:
-    """Return whether it could take a request if this relay had a permit."""
-    if not upstream.limited or upstream.permits.count(now_s):
-        return False
-    return _has_room(upstream, now_s)
+def lacks_permit(upstream: Upstream, now_s: float) -> bool:
+    """Return whether it takes requests only of relays with a permit."""
+    return upstream.limited and not upstream.permits.count(now_s)
+
 
+def room(upstream: Upstream, now_s: float) -> float:
+    """Return how many more requests it can run, whatever its rates.
 
-def _has_room(upstream: Upstream, now_s: float) -> bool:
-    if now_s < max(upstream.avoid_until_s, upstream.notice.paused_until_s):
+    None if it is avoided, paused or about to load other weights.
+    """
+    if now_s < upstream.avoid_until_s:
+        return 0
+    if now_s < upstream.notice.paused_until_s or upstream.is_closing(now_s):
+        return 0
+    return upstream.free_slots(now_s)
+
+
+def _is_outdated(
+    upstream: Upstream, model: str, constraints: Constraints, now_s: float
+) -> bool:
+    """Return whether an eligible upstream holds older weights than the newest.
+
+    It holds the lowest version that may serve, or a later one.
+    """
+    newest = constraints.newest_versions.get(model, 0)
+    if newest <= constraints.min_versions.get(model, 0):
         return False
-    return not upstream.is_closing(now_s) and upstream.free_slots(now_s) >= 1
+    held = upstream.weights_of(model, now_s)
+    return held is not None and held.version < newest
--- a/testing/relay/test_upstream_selection.py
+++ b/testing/relay/test_upstream_selection.py
@@ -3,10 +3,12 @@
 import unittest
 from collections import Counter
 from random import Random
+from unittest.mock import patch
 
 from bramleylug.cluster.cold_start import ColdStart
 from bramleylug.cluster.upstreams import (
     HeldWeights,
+    Upstream,
     UpstreamRegistry,
     UpstreamReport,
 )
@@ -318,3 +320,20 @@
         )
 
         self.assertEqual(self.at_once(6, running=4, unstarted=4), 12)
+
+
+class TestCost(unittest.TestCase):
+    """What a selection costs for each of many upstreams."""
+
+    def test_requests_at_an_upstream_are_counted_once(self) -> None:
+        """Each relay of a large fleet has told how many it has there."""
+        registry = UpstreamRegistry()
+        for number in range(20):
+            registry.register(build_upstream_record(f'engine-{number}'))
+        selector = UpstreamSelector(registry, 'zone-a', 'north', Random(1))
+
+        with patch.object(
+            Upstream, 'load', autospec=True, side_effect=Upstream.load
+        ) as counted:
+            selector.select(build_requirements(), build_constraints(), 0.0)
+            self.assertEqual(counted.call_count, 20)
