--- a/src/bramleylug/relay/upstream_selection.py
+++ b/src/bramleylug/relay/upstream_selection.py
@@ -278,7 +278,7 @@
 def room(upstream: Upstream, now_s: float) -> float:
     """Return how many more requests it can run, whatever its rates.
 
-    None if it is avoided, paused or about to load other weights.
+    That is 0 while it is avoided, paused or about to load other weights.
     """
     if now_s < upstream.avoid_until_s:
         return 0
@@ -290,12 +290,10 @@
 def _is_outdated(
     upstream: Upstream, model: str, constraints: Constraints, now_s: float
 ) -> bool:
-    """Return whether an eligible upstream holds older weights than the newest.
-
-    It holds the lowest version that may serve, or a later one.
-    """
+    """Return whether the weights of an eligible upstream are not the newest."""
     newest = constraints.newest_versions.get(model, 0)
     if newest <= constraints.min_versions.get(model, 0):
+        # An eligible one holds the lowest version that may serve, or a later.
         return False
     held = upstream.weights_of(model, now_s)
     return held is not None and held.version < newest
