Permits, feeds: one check of a missing permit, no code that only tests call

Found in a last reading; behaviour stays as it is.

- Whether an upstream takes requests only of relays with a permit stood in three places; Upstream.lacks_permit serves all of them.
- encode() of the feed was left from before FeedEncoder and called by tests only, which call the encoder now, with the same assertions.
- The result of wait_until_loaded() was used by nobody.
- The listing of feeds marked what is no address by an empty name and removed that afterwards; it is left out at once.
An empty name still counts for none.
- Two tests of the selector share how their socket receives a byte.

Formatter, linter, types; tests of feeds, starts in a region, selection, upstreams, permits, rate limits, relay, odd values and loop turns pass.

--- a/src/bramleylug/cluster/feed_directory.py
+++ b/src/bramleylug/cluster/feed_directory.py
@@ -90,12 +90,14 @@
 
     async def _list(self) -> None:
         page = await self.store.list_page(self.prefix, '')
-        self.feeds = dict(map(self._decode, page.items))
-        self.feeds.pop('', None)
+        self.feeds = {
+            name: feed
+            for name, feed in map(self._decode, page.items)
+            if name and is_address(feed)
+        }
         self.listed_s = self.clock()
 
     def _decode(self, item: StoreItem) -> tuple[str, str]:
-        """Return name and address; the name is empty if it is no address."""
-        feed = item.value.decode(errors='replace')
+        """Return the name of a relay and what should be an address."""
         name = item.key.removeprefix(self.prefix)
-        return (name, feed) if is_address(feed) else ('', '')
+        return name, item.value.decode(errors='replace')
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -199,7 +199,11 @@
         if self.is_cold(now_s) and self.cold is not None:
             if not self.cold.can_consume(now_s):
                 return False
-        return not self.limited or bool(self.permits.count(now_s))
+        return not self.lacks_permit(now_s)
+
+    def lacks_permit(self, now_s: float) -> bool:
+        """Return whether it takes requests only of relays with a permit."""
+        return self.limited and not self.permits.count(now_s)
 
     def consume(self, now_s: float) -> None:
         """Count a request that is sent now against these rates."""
--- a/src/bramleylug/relay/upstream_selection.py
+++ b/src/bramleylug/relay/upstream_selection.py
@@ -133,7 +133,7 @@
             if (free_slots := room(one, now_s)) >= 1
         ]
         without_permit = tuple(
-            one for one, _ in with_room if lacks_permit(one, now_s)
+            one for one, _ in with_room if one.lacks_permit(now_s)
         )
         available = [
             (one, free_slots)
@@ -249,7 +249,7 @@
 def closed_until_s(upstream: Upstream, now_s: float) -> float:
     """Return until when an upstream gets no request, whatever its load."""
     until_s = max(upstream.avoid_until_s, upstream.notice.paused_until_s)
-    if upstream.limited and not upstream.permits.count(now_s):
+    if upstream.lacks_permit(now_s):
         return max(until_s, upstream.permits.expected_s)
     return until_s
 
@@ -270,11 +270,6 @@
     return max(0, min(free, share - upstream.unstarted))
 
 
-def lacks_permit(upstream: Upstream, now_s: float) -> bool:
-    """Return whether it takes requests only of relays with a permit."""
-    return upstream.limited and not upstream.permits.count(now_s)
-
-
 def room(upstream: Upstream, now_s: float) -> float:
     """Return how many more requests it can run, whatever its rates.
 
--- a/src/bramleylug/store/feed.py
+++ b/src/bramleylug/store/feed.py
@@ -89,13 +89,12 @@
         self.start_revision = self.mirror.revision
         self._announce()
 
-    async def wait_until_loaded(self, wait_s: float) -> bool:
-        """Return whether the mirror is loaded within a time."""
+    async def wait_until_loaded(self, wait_s: float) -> None:
+        """Wait until the mirror is loaded, for so long at most."""
         with suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
                 while not self.mirror.loaded:
                     await self.news.wait()
-        return self.mirror.loaded
 
     async def wait(self, poll: Poll) -> FeedAnswer:
         """Return the news for a poll, or an answer without any in the end."""
@@ -159,11 +158,6 @@
         self.news = asyncio.Event()
 
 
-def encode(answer: FeedAnswer) -> tuple[bytes, bool]:
-    """Return the bytes of an answer, and whether they are compressed."""
-    return FeedEncoder().encode(answer)
-
-
 class _CompressedChanges(NamedTuple):
     """The start of a compressed answer.
 
--- a/testing/node/test_loop_turns.py
+++ b/testing/node/test_loop_turns.py
@@ -72,10 +72,8 @@
             lines[0],
         )
 
-    def test_files_are_looked_at_rarely_while_callbacks_are_ready(self) -> None:
-        """Each look without a wait is a call of the kernel (SHORT)."""
-        now_s = [0.0]
-        selector = TurnSelector(lambda: now_s[0])
+    def receive_after_a_look(self, selector: TurnSelector) -> None:
+        """Have a socket receive a byte just after it was looked at."""
         self.addCleanup(selector.close)
         reader, writer = socketpair()
         self.addCleanup(reader.close)
@@ -84,6 +82,12 @@
         selector.select(0)
         writer.send(b'x')
 
+    def test_files_are_looked_at_rarely_while_callbacks_are_ready(self) -> None:
+        """Each look without a wait is a call of the kernel (SHORT)."""
+        now_s = [0.0]
+        selector = TurnSelector(lambda: now_s[0])
+        self.receive_after_a_look(selector)
+
         at_once = selector.select(0)
         now_s[0] += LOOK_INTERVAL_S
         later = selector.select(0)
@@ -92,13 +96,7 @@
 
     def test_files_are_looked_at_once_the_loop_waits(self) -> None:
         selector = TurnSelector(float)
-        self.addCleanup(selector.close)
-        reader, writer = socketpair()
-        self.addCleanup(reader.close)
-        self.addCleanup(writer.close)
-        selector.register(reader, EVENT_READ)
-        selector.select(0)
-        writer.send(b'x')
+        self.receive_after_a_look(selector)
 
         self.assertEqual(len(selector.select(1.0)), 1)
 
--- a/testing/platform/test_odd_values.py
+++ b/testing/platform/test_odd_values.py
@@ -42,7 +42,7 @@
     StoreItem,
     StoreUnavailable,
 )
-from bramleylug.store.feed import ChangeFeed, decode, encode
+from bramleylug.store.feed import ChangeFeed, FeedEncoder, decode
 from bramleylug.store.mirror import Mirror
 from bramleylug.store.read_schedule import ReadSchedule
 from bramleylug.store.watcher import StoreWatcher
@@ -369,7 +369,9 @@
         mirror.replace(page.items, 5, 0.0)
         mirror.confirm(0.0, 0.0)
 
-        raw, compressed = encode(ChangeFeed(mirror, float).listing('', 0.0))
+        raw, compressed = FeedEncoder().encode(
+            ChangeFeed(mirror, float).listing('', 0.0)
+        )
 
         self.assertEqual(decode(raw, compressed=compressed).revision, 5)
 
--- a/testing/store/test_feed.py
+++ b/testing/store/test_feed.py
@@ -12,10 +12,10 @@
 from bramleylug.store.feed import (
     MAX_CHANGES,
     ChangeFeed,
+    FeedEncoder,
     Poll,
     changes_of,
     decode,
-    encode,
 )
 from bramleylug.store.mirror import Mirror
 from bramleylug.store.read_schedule import ReadSchedule
@@ -116,7 +116,7 @@
         self.reader.read(item('config', 6, b'route ' * 10_000))
         answer = self.reader.feed.answer(self.reader.poll())
 
-        raw, compressed = encode(answer)
+        raw, compressed = FeedEncoder().encode(answer)
 
         self.assertTrue(compressed)
         self.assertLess(len(raw), 2000)
@@ -169,7 +169,7 @@
         self.timeouts.append(timeout_s)
         if self.answer is None:
             raise OSError('no reader')
-        raw, compressed = encode(self.answer)
+        raw, compressed = FeedEncoder().encode(self.answer)
         headers = {'content-encoding': 'deflate'} if compressed else {}
         return CallAnswer(200, raw, 0.0, headers)
 
--- a/testing/store/test_feed_size.py
+++ b/testing/store/test_feed_size.py
@@ -8,7 +8,6 @@
     MAX_SHARED,
     FeedEncoder,
     decode,
-    encode,
 )
 from bramleylug.wire.feed_pb2 import FeedAnswer, FeedChange
 
@@ -37,7 +36,7 @@
             for number in range(3000)
         ]
         answer = FeedAnswer(era=1, revision=3000, changes=changes)
-        raw, compressed = encode(answer)
+        raw, compressed = FeedEncoder().encode(answer)
 
         self.assertTrue(compressed)
         self.assertEqual(decode(raw, compressed=compressed), answer)
