Figures of engines, sizes of requests, pace and memory of reports are decoded

Cause: decisions under load count each request as 1 and know no engine's speed. The configuration's engine figures, X-Token-Usage, X-Length-Hint and a report's pace and memory were dropped when they were read.

Change: scheduling/figures.py holds them; platform/ decodes them, heartbeats of loaders carry pace and memory. No decision uses them yet.

--- a/src/bramleylug/cluster/heartbeats.py
+++ b/src/bramleylug/cluster/heartbeats.py
@@ -132,6 +132,9 @@
     named = (*heartbeat.limits, *(one.limit for one in heartbeat.permits))
     if not all(isfinite(limit.per_s) and limit.per_s >= 0 for limit in named):
         raise ValueError('a limit is not a rate')
+    pace = heartbeat.reading.pace
+    if not isfinite(pace) or pace < 0:
+        raise ValueError('a pace is not a factor')
     return heartbeat
 
 
--- a/src/bramleylug/cluster/report_messages.py
+++ b/src/bramleylug/cluster/report_messages.py
@@ -33,6 +33,9 @@
         waiting=report.waiting,
         closing=report.closing,
         check=CHECK_MESSAGES[report.check],
+        pace=report.pace,
+        memory_used=report.memory_used,
+        memory_total=report.memory_total,
         weights=[
             ReadWeights(model=model, version=held.version, whole=held.whole)
             for model, held in report.weights.items()
@@ -56,4 +59,8 @@
         message.closing,
         received_s,
         check=CHECKS.get(message.check, WeightsCheck.unknown),
+        # A loader of an earlier release sends none.
+        pace=message.pace or 1.0,
+        memory_used=int(message.memory_used),
+        memory_total=int(message.memory_total),
     )
--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -8,6 +8,8 @@
 from random import Random
 from typing import NamedTuple, final
 
+from bramleylug.scheduling.figures import EngineFigures
+
 
 @final
 @unique
@@ -47,6 +49,8 @@
     :ivar max_attempts: upstreams that one request may be sent to.
     :ivar public: whether no API key is required.
     :ivar regions: regions in which it may be served; empty for any.
+    :ivar pause_objective_s: longest time between two events of a stream that
+        is in time; 0 if not given.
     """
 
     name: str
@@ -61,6 +65,7 @@
     max_attempts: int
     public: bool
     regions: frozenset[str] = frozenset()
+    pause_objective_s: float = 0
 
     def leads_to(self, service: str) -> bool:
         """Return whether requests of the route may go to a service."""
@@ -115,6 +120,7 @@
         its upstreams have no cold start.
     :ivar origin: address of the weights origin if the service is one; else
         empty.
+    :ivar engine: speed of its engines; ``None`` if it is not stated.
     """
 
     name: str
@@ -122,6 +128,7 @@
     cold_per_s: float
     weights: WeightsLayout | None = None
     origin: str = ''
+    engine: EngineFigures | None = None
 
 
 class CallerLimits(NamedTuple):
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -65,6 +65,9 @@
     :ivar own_running: requests of this process that ran there when the report
         was received.
     :ivar check: whether the loader has found the weights sound.
+    :ivar pace: how many times longer than nominal its work takes.
+    :ivar memory_used: memory that is taken, in a unit of the engine's own.
+    :ivar memory_total: all of it; 0 if unknown.
     """
 
     started_ms: int
@@ -75,6 +78,9 @@
     received_s: float
     own_running: int = 0
     check: WeightsCheck = WeightsCheck.unknown
+    pace: float = 1.0
+    memory_used: int = 0
+    memory_total: int = 0
 
 
 @final
--- a/src/bramleylug/platform/decoding.py
+++ b/src/bramleylug/platform/decoding.py
@@ -31,8 +31,11 @@
     text,
     texts,
 )
+from bramleylug.scheduling.figures import EngineFigures
 
 MAX_SLOTS = 65_536
+THOUSAND = 1_000
+MILLION = 1_000_000
 CONFIG_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
 VERSION_PREFIX = 'op/version/'
@@ -194,6 +197,7 @@
         ),
         public=bool(route.get('public')),
         regions=texts(route.get('allowed_regions'), 'allowed_regions'),
+        pause_objective_s=seconds(route.get('gap_aim_ms') or 0, 'gap_aim_ms'),
     )
 
 
@@ -210,6 +214,31 @@
         cold_per_s=number(service.get('cold_per_s') or 0, 'cold_per_s'),
         weights=layout,
         origin=optional_address(service.get('origin'), 'origin'),
+        engine=_engine_figures(engine) if engine.get('step_ms') else None,
+    )
+
+
+def _engine_figures(engine: Mapping[str, Any]) -> EngineFigures:
+    """Return the speed of a service's engines; absent figures are 0."""
+    usual = mapping(engine.get('usual'), 'usual')
+    # Stated in ms for 1,000 tokens, and for 1,000,000 pairs.
+    context_s = seconds(engine.get('context_per_k') or 0, 'context_per_k')
+    pairs_s = seconds(engine.get('pairs_per_m') or 0, 'pairs_per_m')
+    return EngineFigures(
+        step_s=seconds(engine['step_ms'], 'step_ms'),
+        sequence_s=seconds(engine.get('per_seq_ms') or 0, 'per_seq_ms'),
+        context_token_s=context_s / THOUSAND,
+        read_per_s=number(engine.get('read_per_s') or 0, 'read_per_s'),
+        pair_s=pairs_s / MILLION,
+        step_tokens=integer(engine.get('chunk') or 0, 'chunk', MAX_COUNT),
+        steps=integer(engine.get('stride') or 1, 'stride', MAX_COUNT),
+        usual_prompt=number(usual.get('prompt') or 0, 'prompt'),
+        usual_answer=number(usual.get('answer') or 0, 'answer'),
+        memory_tokens=integer(
+            engine.get('kv_capacity_tokens') or 0,
+            'kv_capacity_tokens',
+            MAX_NUMBER,
+        ),
     )
 
 
--- a/src/bramleylug/platform/dialect.py
+++ b/src/bramleylug/platform/dialect.py
@@ -10,6 +10,7 @@
     HeaderPair,
     RequestMetadata,
 )
+from bramleylug.scheduling.figures import RequestSize
 from bramleylug.web.client_connection import AnswerHead
 from bramleylug.web.exchange import Exchange
 
@@ -81,8 +82,8 @@
             deadline_s=_seconds(deadline_ms),
             api_key=_bearer_token(exchange.header('Authorization')),
             model=exchange.header('X-Model'),
-            token_count=_token_count(exchange.header('X-Token-Usage')),
             prompt_parts=_prompt_parts(exchange.header('X-Prompt-Prefix')),
+            size=_request_size(exchange),
             resume_after=exchange.header('Last-Event-Id'),
             forwarded_headers=tuple(
                 (name, text)
@@ -162,9 +163,14 @@
     return ''
 
 
-def _token_count(text: str) -> int:
-    numbers = [_parse_unsigned(part.strip()) for part in text.split(',')]
-    return sum(number or 0 for number in numbers)
+def _request_size(exchange: Exchange) -> RequestSize:
+    """Return the size from the counts of prompt and answer, and the hint."""
+    prompt, _, answer = exchange.header('X-Token-Usage').partition(',')
+    return RequestSize(
+        _parse_unsigned(prompt.strip()) or 0,
+        _parse_unsigned(answer.strip()) or 0,
+        _parse_unsigned(exchange.header('X-Length-Hint').strip()) or 0,
+    )
 
 
 def _prompt_parts(text: str) -> tuple[str, ...]:
--- a/src/bramleylug/platform/engines.py
+++ b/src/bramleylug/platform/engines.py
@@ -24,6 +24,7 @@
     UnreadableValue,
     decode_json,
     integer,
+    number,
     rows,
     text,
 )
@@ -211,5 +212,12 @@
         weights,
         closing=False,
         received_s=now_s,
+        pace=number(document.get('pace') or 1.0, 'pace'),
+        memory_used=integer(
+            document.get('kv_used') or 0, 'kv_used', MAX_NUMBER
+        ),
+        memory_total=integer(
+            document.get('kv_total') or 0, 'kv_total', MAX_NUMBER
+        ),
     )
     return DecodedReport(state, report)
--- a/src/bramleylug/relay/dialect.py
+++ b/src/bramleylug/relay/dialect.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol, final
 
+from bramleylug.scheduling.figures import RequestSize
 from bramleylug.web.client_connection import AnswerHead
 from bramleylug.web.exchange import Exchange
 
@@ -18,7 +19,7 @@
         ``None`` if not given.
     :ivar api_key: credentials; empty if not given.
     :ivar model: requested model; empty if not given.
-    :ivar token_count: tokens that it may use at an engine; 0 if unknown.
+    :ivar size: how much work it is for an engine.
     :ivar prompt_parts: ids of the parts of its prompt in their order; all but
         the last may be parts of other requests, too.
     :ivar resume_after: id of the last event that the caller received; empty
@@ -35,10 +36,10 @@
     deadline_s: float | None
     api_key: str
     model: str
-    token_count: int
     resume_after: str
     forwarded_headers: tuple[HeaderPair, ...]
     prompt_parts: tuple[str, ...] = ()
+    size: RequestSize = RequestSize()
 
     @property
     def target(self) -> str:
--- /dev/null
+++ b/src/bramleylug/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: estimates, levels, shares, waiting and refusals."""
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -12,6 +12,7 @@
 )
 from bramleylug.platform.engines import decode_report
 from bramleylug.platform.fields import UnreadableValue
+from bramleylug.scheduling.figures import EngineFigures
 from testing.platform.builders import (
     CONFIG,
     REPORT,
@@ -40,6 +41,38 @@
         )
         self.assertEqual(route.regions, {'north'})
 
+    def test_speed_of_engines_is_in_seconds_a_token(self) -> None:
+        engine = {
+            'step_ms': 8,
+            'per_seq_ms': 0.5,
+            'context_per_k': 2,
+            'read_per_s': 19100,
+            'pairs_per_m': 1.5,
+            'chunk': 2048,
+            'stride': 5,
+            'usual': {'prompt': 980, 'answer': 96},
+            'kv_capacity_tokens': 1180000,
+        }
+        table = decode_configuration(
+            build_config(services=[{'name': 'advisor', 'engine': engine}])
+        )
+
+        self.assertEqual(
+            table.services['advisor'].engine,
+            EngineFigures(
+                step_s=0.008,
+                sequence_s=0.0005,
+                context_token_s=2e-6,
+                read_per_s=19100.0,
+                pair_s=1.5e-9,
+                step_tokens=2048,
+                steps=5,
+                usual_prompt=980.0,
+                usual_answer=96.0,
+                memory_tokens=1180000,
+            ),
+        )
+
     def test_unsafe_route_is_never_retried_and_keeps_its_split(
         self,
     ) -> None:
@@ -197,6 +230,24 @@
             (decoded.report.running, decoded.report.waiting), (12, 1)
         )
 
+    def test_pace_and_memory_of_a_report(self) -> None:
+        document = {**REPORT, 'pace': 2.5, 'kv_used': 41000, 'kv_total': 90000}
+        report = decode_report(document, 'fitting', 5.0).report
+
+        self.assertEqual(
+            (report.pace, report.memory_used, report.memory_total),
+            (2.5, 41000, 90000),
+        )
+
+    def test_engine_without_a_pace_works_as_stated(self) -> None:
+        document = {
+            name: field for name, field in REPORT.items() if name != 'pace'
+        }
+
+        self.assertEqual(
+            decode_report(document, 'fitting', 5.0).report.pace, 1.0
+        )
+
 
 def route_of_kind(kind):
     """Return the fields of a route of a kind."""
--- a/testing/platform/test_dialect.py
+++ b/testing/platform/test_dialect.py
@@ -5,6 +5,7 @@
 
 from bramleylug.platform.dialect import PlatformDialect
 from bramleylug.relay.dialect import RequestMetadata
+from bramleylug.scheduling.figures import RequestSize
 from bramleylug.web.client_connection import AnswerHead
 
 HEADERS = {
@@ -55,6 +56,22 @@
             ('5c1e07a2', '91bd3f06', 'e4402b7d'),
         )
 
+    def test_size_is_read_with_the_hint_of_the_caller(self) -> None:
+        exchange = build_exchange({'X-Length-Hint': '64'})
+
+        self.assertEqual(
+            self.dialect.read_request(exchange).size, RequestSize(1460, 80, 64)
+        )
+
+    def test_unreadable_size_counts_as_unknown(self) -> None:
+        exchange = build_exchange(
+            {'X-Token-Usage': '-3,many', 'X-Length-Hint': 'long'}
+        )
+
+        self.assertEqual(
+            self.dialect.read_request(exchange).size, RequestSize(0, 0, 0)
+        )
+
     def written(self, **fields):
         """Return the headers that an engine gets."""
         defaults = {
@@ -76,9 +93,7 @@
             (request.host, request.deadline_s, request.api_key),
             ('advisor.example', 6.075, 'key-1'),
         )
-        self.assertEqual(
-            (request.token_count, request.model), (1540, 'fitting')
-        )
+        self.assertEqual(request.model, 'fitting')
         self.assertEqual(request.target, '/ask/1?a=b')
 
     def test_engine_gets_the_workspace_and_not_the_key(self) -> None:
--- a/testing/relay/builders.py
+++ b/testing/relay/builders.py
@@ -21,6 +21,7 @@
 from bramleylug.relay.dialect import CallerRequest
 from bramleylug.relay.settings import RelaySettings
 from bramleylug.relay.upstream_selection import Requirements
+from bramleylug.scheduling.figures import RequestSize
 
 REGIONS = {'zone-a': 'north', 'zone-b': 'south'}
 MODEL = 'fitting'
@@ -154,7 +155,7 @@
         'deadline_s': 5.0,
         'api_key': 'key-1',
         'model': MODEL,
-        'token_count': 100,
+        'size': RequestSize(80, 20),
         'resume_after': '',
         'forwarded_headers': (('Host', 'advisor.example'),),
     }
