Relays tell their load by service and urgency

Cause: a relay knows how many requests others run at each upstream, but not of which urgency, nor how many wait, arrive or are refused there.

Change: scheduling/demand.py counts them with decaying rates; heartbeats carry them for services whose requests differ in urgency. No decision uses them yet.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -13,6 +13,7 @@
 )
 from bramleylug.cluster.constraints import Constraints
 from bramleylug.cluster.crash_suspects import SharedSuspects
+from bramleylug.cluster.demand_messages import loads_from_messages
 from bramleylug.cluster.issuer_directory import IssuerDirectory
 from bramleylug.cluster.peers import (
     HeartbeatStatus,
@@ -375,6 +376,9 @@
             self.on_peer_started(heartbeat.name)
         counts = {item.upstream_id: item.running for item in heartbeat.counts}
         self.upstreams.record_counts(heartbeat.name, counts, now_s)
+        self.peers.record_demand(
+            heartbeat.name, loads_from_messages(heartbeat.levels), now_s
+        )
         if heartbeat.HasField('reading'):
             arrived_s = self.pauses.earliest_arrival_s(now_s)
             report = report_from_message(heartbeat.reading, arrived_s)
--- a/src/bramleylug/cluster/heartbeats.py
+++ b/src/bramleylug/cluster/heartbeats.py
@@ -132,12 +132,20 @@
     named = (*heartbeat.limits, *(one.limit for one in heartbeat.permits))
     if not all(isfinite(limit.per_s) and limit.per_s >= 0 for limit in named):
         raise ValueError('a limit is not a rate')
-    pace = heartbeat.reading.pace
-    if not isfinite(pace) or pace < 0:
-        raise ValueError('a pace is not a factor')
+    if not all(isfinite(part) and part >= 0 for part in _parts(heartbeat)):
+        raise ValueError('a pace or a load is not a number')
     return heartbeat
 
 
+def _parts(heartbeat: Beat) -> Iterable[float]:
+    """Return the factors and rates that others compute with."""
+    yield heartbeat.reading.pace
+    for load in heartbeat.levels:
+        yield from (load.asked_per_s, load.refused_per_s)
+    for use in heartbeat.uses:
+        yield from (use.slots, use.wanted_slots)
+
+
 def relay_heartbeat(
     name: str,
     boot: int,
--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -1,13 +1,19 @@
 """Registry of relays and loaders: which are alive and accept callers."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum, unique
 from random import Random
 from typing import NamedTuple, final
 
 from bramleylug.cluster.permit_issuers import IssuerCandidate
+from bramleylug.scheduling.demand import (
+    FleetDemand,
+    Level,
+    LevelLoad,
+    ToldDemand,
+)
 
 # A peer that is not registered in the store, or whose registration cannot be
 # confirmed, counts as dead if its last heartbeat is older than this. The
@@ -92,6 +98,7 @@
     :ivar known: these, and peers that were removed but may be alive.
     :ivar known_relays: names of the relays among them.
     :ivar registered_s: incarnation of each, and when it was read first.
+    :ivar demand: load of the other relays.
     """
 
     def __init__(
@@ -113,6 +120,7 @@
         self.relays_by_region: Counter[str] | None = None
         self.last_heartbeats: dict[str, HeartbeatStatus] = {}
         self.registered_s: dict[str, tuple[int, float]] = {}
+        self.demand = FleetDemand()
 
     def add(self, record: PeerRecord, now_s: float = NEVER_S) -> None:
         """Record that a peer is registered in the store.
@@ -141,6 +149,14 @@
     def record_heartbeat(self, name: str, heartbeat: HeartbeatStatus) -> None:
         self.last_heartbeats[name] = heartbeat
 
+    def record_demand(
+        self, name: str, loads: Mapping[Level, LevelLoad], now_s: float
+    ) -> None:
+        """Record the load that a relay tells."""
+        if name in self.known_relays:
+            told = ToldDemand(self.known[name].zone, loads, now_s)
+            self.demand.record(name, told)
+
     def alive(self, role: Role, now_s: float) -> Iterable[PeerRecord]:
         """Return the peers of a role that are alive, except this process."""
         own_name = self.own().name
@@ -267,6 +283,7 @@
 
     def remove_expired(self, now_s: float) -> None:
         """Forget peers that are neither in the store nor alive."""
+        self.demand.remove_expired(now_s)
         for name, record in tuple(self.known.items()):
             if name not in self.in_store and not self.is_alive(record, now_s):
                 self.known.pop(name)
--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -194,6 +194,25 @@
         """Return whether every request of a service may be sent again."""
         return service not in self.run_once_services
 
+    @cached_property
+    def urgencies(self) -> Mapping[str, frozenset[int]]:
+        """The urgencies that requests of each service may have."""
+        owned = {
+            workspace.urgency
+            for workspace in self.workspaces.values()
+            if workspace.urgency is not None
+        }
+        by_service: defaultdict[str, set[int]] = defaultdict(set)
+        for route in self.routes:
+            for share in route.shares:
+                by_service[share.service].add(route.urgency)
+                if not route.public:
+                    by_service[share.service] |= owned
+        return {
+            service: frozenset(urgencies)
+            for service, urgencies in by_service.items()
+        }
+
     def origins(self) -> Iterable[Service]:
         """Return the services that are origins of weights."""
         return (service for service in self.services.values() if service.origin)
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -1,7 +1,7 @@
 """The relay daemon: ports for callers, readiness, directory and metrics."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from random import Random
 from typing import Protocol, final
@@ -9,6 +9,7 @@
 from circuits import BaseComponent
 
 from bramleylug.cluster.bar_archive import BarArchive
+from bramleylug.cluster.demand_messages import loads_to_messages
 from bramleylug.cluster.descriptors import relay_budget
 from bramleylug.cluster.heartbeats import relay_heartbeat
 from bramleylug.cluster.peers import PeerRecord, Requester, Role
@@ -18,7 +19,7 @@
     boot_id,
     uptime_s,
 )
-from bramleylug.cluster.route_table import CallerLimits
+from bramleylug.cluster.route_table import CallerLimits, RouteTable
 from bramleylug.cluster.status_pages import serve_metrics, serve_readiness
 from bramleylug.entry.reservations import Reservation
 from bramleylug.observability.metrics import LIMITED_UPSTREAMS, REVISION
@@ -29,6 +30,7 @@
 from bramleylug.relay.relay import Relay
 from bramleylug.relay.request_context import leaving_refusal
 from bramleylug.relay.settings import RelaySettings
+from bramleylug.scheduling.demand import Level, LevelLoad
 from bramleylug.web.descriptors import DescriptorShare, DescriptorUse
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.limits import WebLimits
@@ -225,6 +227,9 @@
         )
         if view.table is not None:
             heartbeat.configuration = view.table.version
+            heartbeat.levels.extend(
+                loads_to_messages(self._told_loads(view.table))
+            )
         return heartbeat
 
     def tell_limits(self, name: str) -> None:
@@ -332,6 +337,15 @@
             exchange, addresses, self.settings.keep_addresses
         )
 
+    def _told_loads(self, table: RouteTable) -> Mapping[Level, LevelLoad]:
+        """Return the loads that other relays decide by."""
+        loads = self.relay.demand.loads(self.clock())
+        return {
+            level: load
+            for level, load in loads.items()
+            if len(table.urgencies.get(level.service, ())) > 1
+        }
+
     def _serve_on(
         self,
         bind: str,
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -31,6 +31,7 @@
     sendable_at_once,
 )
 from bramleylug.relay.wait_queue import Refuse, Wait, WaitQueue
+from bramleylug.scheduling.demand import DemandMeter
 
 # Waiting requests are retried at this interval even if no request of this
 # relay ends: heartbeats of other processes also change the free slots.
@@ -76,6 +77,7 @@
     :ivar waiters: waiting requests, by token.
     :ivar has_waiting: set while requests wait.
     :ivar checked_version: configuration that they were checked against.
+    :ivar demand: counts the waiting requests by service and urgency.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self.waiters: dict[int, Waiter] = {}
         self.tokens = numbers()
         self.has_waiting = asyncio.Event()
+        self.demand = DemandMeter()
         view.on_change = self.apply_change
         view.permits.on_granted = self.wake_waiting
         view.permits.on_deferred = self.ask_further
@@ -220,11 +223,12 @@
             until_s,
         )
         selection: Selection | NotRun | None = AtCapacity(0)
-        while isinstance(selection, AtCapacity):
-            waiter = Waiter(context, requirements)
-            if not await self._wait_in_queue(arrival, queue, waiter):
-                break
-            selection = self._select_again(context, requirements)
+        with self.demand.of(context.level).count_waiting():
+            while isinstance(selection, AtCapacity):
+                waiter = Waiter(context, requirements)
+                if not await self._wait_in_queue(arrival, queue, waiter):
+                    break
+                selection = self._select_again(context, requirements)
         waited_s = self.clock() - began_s
         context.waited_s += waited_s
         WAIT_SECONDS.observe({'service': requirements.service}, waited_s)
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -43,6 +43,7 @@
     UpstreamSelector,
     ineligible_reason,
 )
+from bramleylug.scheduling.demand import DemandMeter
 from bramleylug.web.descriptors import DescriptorBudget
 from bramleylug.web.exchange import Exchange
 
@@ -74,6 +75,7 @@
     :param descriptors: limits the connections to upstreams; by default there
         is no limit.
     :ivar running: requests that have not ended.
+    :ivar demand: those by service and urgency.
     """
 
     def __init__(
@@ -107,6 +109,8 @@
         self.pool = ConnectionPool(clock, descriptors or DescriptorBudget())
         self.planned_stop = PlannedStop(clock)
         self.running = 0
+        self.demand = DemandMeter()
+        self.dispatch_queue.demand = self.demand
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one exchange to its end.
@@ -134,6 +138,7 @@
             case NotRun() as refusal:
                 outcome = refusal
             case RequestContext() as context:
+                self.demand.of(context.level).asked.record(arrived_s)
                 outcome = await self._serve_with_timeout(context)
         writer.on_disconnect = _ignore
         writer.conclude(outcome)
@@ -277,6 +282,7 @@
         )
         upstream.running += 1
         upstream.unstarted += 1
+        self.demand.of(context.level).running += 1
         attempt.on_sent = partial(
             context.tried.append, upstream.record.upstream_id
         )
@@ -357,6 +363,7 @@
         outcome: Outcome | None,
     ) -> None:
         upstream.running -= 1
+        self.demand.of(context.level).running -= 1
         if not attempt.answer_started:
             upstream.record_started()
         if attempt.sent:
@@ -412,7 +419,10 @@
         outcome: Outcome,
         arrived_s: float,
     ) -> None:
-        took_s = self.clock() - arrived_s
+        now_s = self.clock()
+        took_s = now_s - arrived_s
+        if context is not None and isinstance(outcome, NotRun):
+            self.demand.of(context.level).refused.record(now_s)
         if context is not None and isinstance(outcome, Ran):
             if outcome.complete:
                 self.planned_stop.durations.record(context.route.name, took_s)
--- a/src/bramleylug/relay/request_context.py
+++ b/src/bramleylug/relay/request_context.py
@@ -13,6 +13,7 @@
 from bramleylug.relay.hedge import SecondAttempt
 from bramleylug.relay.request_checks import Accepted, RequestChecks
 from bramleylug.relay.upstream_selection import Requirements
+from bramleylug.scheduling.demand import Level
 
 MILLISECONDS = 1000
 # The relay's own timeout answer is sent this long before the time limit of
@@ -41,6 +42,7 @@
         that it was not run.
     :ivar stopped: whether a planned stop of this relay shortens its time
         limit.
+    :ivar level: what its load is counted under, from its first acceptance.
     """
 
     request: CallerRequest
@@ -58,6 +60,7 @@
     hedged_outcome: Outcome | None = None
     may_have_run: bool = False
     stopped: bool = False
+    level: Level = Level('', 0)
 
     @classmethod
     def from_request(
@@ -75,6 +78,7 @@
         context = cls(
             request, accepted, writer, arrived_s, until_s, accepted.version
         )
+        context.level = Level(accepted.service, accepted.urgency)
         context.accept(accepted)
         return context
 
