Answers whose status is none of HTTP's are not passed on

Cause: h11 takes any three digits from 200 on for a final status, http.client any number from 100 to 999. An engine's 600, 777 and 999 reached the caller as answers; 000, 001, 099 and 1000 ended as 502.

Change: the connections to engines, store, origin and loaders, and those of the agent, take 200 to 599 for a final status. Anything else is no answer: whether the request ran is unknown, its connection is closed.

--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
+from http import HTTPStatus
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -35,6 +36,7 @@
 JOINED_BYTES = 16384
 # Interim responses (status 1xx) before an answer.
 MAX_INTERIM_RESPONSES = 8
+MAX_STATUS = 599
 
 
 class ConnectionBroken(Exception):
@@ -213,6 +215,7 @@
                 case h11.InformationalResponse():
                     interim_count += 1
                 case h11.Response():
+                    _check_status(event.status_code)
                     return _answer_head(event)
                 case _:
                     raise ConnectionBroken('connection ended before an answer')
@@ -347,6 +350,16 @@
         return MalformedAnswer(str(error))
 
 
+def _check_status(status: int) -> None:
+    """Check that a number is the status of a final answer.
+
+    :raises MalformedAnswer: when it is none (RFC 9110, 15); h11 accepts any
+        of three digits.
+    """
+    if not HTTPStatus.OK <= status <= MAX_STATUS:
+        raise MalformedAnswer(f'{status} is no status of an answer')
+
+
 def _ignore() -> None:
     """Do nothing."""
 
--- a/src/bramleylug/web/response.py
+++ b/src/bramleylug/web/response.py
@@ -1,8 +1,11 @@
 """Responses for ``http.client`` that are rejected when their head is cut."""
 
-from http.client import HTTPException, HTTPResponse
+from http import HTTPStatus
+from http.client import BadStatusLine, HTTPException, HTTPResponse
 from typing import Any, cast, final
 
+from bramleylug.web.client_connection import MAX_STATUS
+
 # They end the headers, and the trailers after the last chunk.
 EMPTY_LINES = frozenset((b'\r\n', b'\n'))
 
@@ -45,7 +48,8 @@
         """Read the head.
 
         :raises IncompleteHead: when the connection ended inside it.
-        :raises HTTPException: when it is malformed.
+        :raises HTTPException: when it is malformed, or its status is none of a
+            final answer.
         """
         self.reader = LineReader(self.fp)
         self.fp = cast(Any, self.reader)
@@ -53,6 +57,9 @@
         if self.reader.last_line not in EMPTY_LINES:
             self.close()
             raise IncompleteHead('connection ended inside the head')
+        if not HTTPStatus.OK <= self.status <= MAX_STATUS:
+            self.close()
+            raise BadStatusLine(str(self.status))
 
     def ended_whole(self) -> bool:
         """Return whether a body that was read to its end was complete.
--- a/testing/agent/test_upstream.py
+++ b/testing/agent/test_upstream.py
@@ -67,6 +67,17 @@
 
         self.assertEqual(parts[-1].reason, Reason.answer_cut)
 
+    def test_number_that_is_no_final_status_is_no_answer(self) -> None:
+        """An engine in trouble may send any; whether it ran is unknown."""
+        for status in (b'000', b'099', b'103', b'600', b'777', b'999', b'1000'):
+            with self.subTest(status=status):
+                parts = self.call(
+                    b'HTTP/1.1 %s OK\r\nContent-Length: 2\r\n\r\nok' % status
+                )
+
+                self.assertIsInstance(parts[0], Unknown)
+                self.assertEqual(len(parts), 1)
+
     def test_answer_without_length_or_chunks_is_incomplete(self) -> None:
         """Its end cannot be distinguished from a cut."""
         parts = self.call(HEAD + b'\r\nok')
--- a/testing/web/test_client_connection.py
+++ b/testing/web/test_client_connection.py
@@ -101,6 +101,19 @@
 
         self.assertEqual([first[1], second[1]], [b'hi', b'hi'])
 
+    async def test_number_that_is_no_final_status_raises(self) -> None:
+        """Peers are the store, the origin, loaders and engines."""
+        for status in (b'000', b'099', b'600', b'777', b'999', b'1000'):
+            raw = b'HTTP/1.1 %s OK\r\nContent-Length: 2\r\n\r\nhi' % status
+            async with connected(answering(raw)) as connection:
+                answered = call(connection, REQUEST)
+                with self.subTest(status=status):
+                    await self.assert_malformed(answered)
+
+    async def assert_malformed(self, answered) -> None:
+        with self.assertRaises(MalformedAnswer):
+            await answered
+
     async def test_truncated_body_raises(self) -> None:
         """The connection ends before the announced length."""
         raw = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi'
