Cold upstreams: shares follow the known relays and add up while relays start

A relay computed its share of a cold upstream's rate once, from the relays that it knew by then, and with no configuration read yet it had no limit at all.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -5,12 +5,7 @@
 from random import Random
 from typing import NamedTuple, final
 
-from bramleylug.cluster.cold_start import (
-    NO_SHARE,
-    ColdLimit,
-    ColdStart,
-    select_holders,
-)
+from bramleylug.cluster.cold_shares import ColdShares
 from bramleylug.cluster.constraints import Constraints
 from bramleylug.cluster.crash_suspects import SharedSuspects
 from bramleylug.cluster.demand_messages import loads_from_messages
@@ -111,6 +106,9 @@
             Random(settings.name),  # noqa: S311
             settings.confirm_interval,
         )
+        self._cold_shares = ColdShares(
+            settings, self.peers, lambda: self.table, clock
+        )
         self.permits = PermitExchange(
             self.upstreams,
             IssuerDirectory(self.peers, clock),
@@ -127,6 +125,14 @@
         """Return when this process stood still."""
         return self.mirror.pauses
 
+    def clean_up(self) -> None:
+        """Update what changes rarely, and forget what is no longer used."""
+        self.update_preferred()
+        self.upstreams.remove_expired_notices(self.clock())
+        self.suspects.remove_expired()
+        self.permits.clean_up()
+        self._cold_shares.remove_expired(self.clock(), self.upstreams.by_id)
+
     def store_age_s(self) -> float:
         """Return the age of this process's copy of the store."""
         return self.mirror.age_s(self.clock())
@@ -196,8 +202,15 @@
     def register_upstream(self, record: UpstreamRecord) -> None:
         known = self.upstreams.by_id.get(record.upstream_id)
         previous = None if known is None else known.record
+        was_warm = False
+        if previous is not None and previous.started_ms == record.started_ms:
+            was_warm = self.clock() >= previous.cold_until_s
+            # An answer may have said more of its cold start than this record,
+            # which was written earlier.
+            cold_until_s = max(previous.cold_until_s, record.cold_until_s)
+            record = replace(record, cold_until_s=cold_until_s)
         upstream = self.upstreams.register(record)
-        self._limit_cold_start(upstream)
+        self._cold_shares.update(upstream, was_warm=was_warm)
         if previous is None or previous.weights != record.weights:
             upstream.weights_written_s = self.clock()
         if previous != record:
@@ -412,32 +425,6 @@
                 notice.paused_ms / MILLISECONDS,
             )
 
-    def _limit_cold_start(self, upstream: Upstream) -> None:
-        """Give this relay its share of a cold upstream's request rate."""
-        if not upstream.is_cold(self.clock()) or self.table is None:
-            return
-        service = self.table.services.get(upstream.record.service)
-        if service is None or not service.cold_per_s:
-            return
-        if upstream.cold is None:
-            spare = service.cold_per_s * (self.settings.cold_overshoot - 1)
-            upstream.cold = self._cold_share(
-                upstream.record,
-                ColdLimit(
-                    service.cold_per_s, spare + self.settings.cold_reserve
-                ),
-            )
-
-    def _cold_share(
-        self, record: UpstreamRecord, limit: ColdLimit
-    ) -> ColdStart:
-        region = self.settings.regions.get(record.zone, '')
-        near, far = self.peers.relay_names(region)
-        holders = select_holders(record.upstream_id, near, far, limit)
-        if self.peers.own().name not in holders:
-            return replace(NO_SHARE)
-        return ColdStart.from_limit(limit, len(holders), self.clock())
-
 
 def _log_checks(changed: Iterable[Upstream], report: UpstreamReport) -> None:
     """Log of which upstreams a report has changed the confirmed weights."""
--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -20,6 +20,8 @@
 # platform allows 6 s for the detection.
 HEARTBEAT_TTL_S = 2.5
 NEVER_S = float('-inf')
+# A relay that was heard within this time is not taken for dead by others yet.
+IN_TOUCH_S = 2.0
 # Delay of the store's answers, beyond the usual, within which its data still
 # count as current.
 STORE_DELAY_S = 0.6
@@ -98,6 +100,9 @@
     :ivar known: these, and peers that were removed but may be alive.
     :ivar known_relays: names of the relays among them.
     :ivar registered_s: incarnation of each, and when it was read first.
+    :ivar listed_s: names in the store, and since when they are there without
+        a break, whatever the incarnation.
+    :ivar relays_version: changes with the known relays.
     :ivar demand: load of the other relays.
     """
 
@@ -120,6 +125,8 @@
         self.relays_by_region: Counter[str] | None = None
         self.last_heartbeats: dict[str, HeartbeatStatus] = {}
         self.registered_s: dict[str, tuple[int, float]] = {}
+        self.listed_s: dict[str, float] = {}
+        self.relays_version = 0
         self.demand = FleetDemand()
 
     def add(self, record: PeerRecord, now_s: float = NEVER_S) -> None:
@@ -130,6 +137,14 @@
         boot, _ = self.registered_s.get(record.name, (0, 0))
         if boot != record.boot:
             self.registered_s[record.name] = record.boot, now_s
+        if record.name not in self.listed_s:
+            # An earlier incarnation wrote it: that was some time ago.
+            is_earlier = record.boot < self.own().boot
+            is_own = record.name == self.own().name
+            self.listed_s[record.name] = (
+                NEVER_S if is_own and is_earlier else now_s
+            )
+        self.relays_version += 1
         self.in_store[record.name] = record
         self.known[record.name] = record
         if record.role is Role.relay:
@@ -144,6 +159,7 @@
         It stays known until its heartbeats expire.
         """
         self.in_store.pop(name, None)
+        self.listed_s.pop(name, None)
         self.relays_by_region = None
 
     def record_heartbeat(self, name: str, heartbeat: HeartbeatStatus) -> None:
@@ -160,7 +176,7 @@
     def alive(self, role: Role, now_s: float) -> Iterable[PeerRecord]:
         """Return the peers of a role that are alive, except this process."""
         own_name = self.own().name
-        is_fresh = self._is_store_fresh()
+        is_fresh = self.is_store_fresh()
         # Registration is looked up first: the fleet is gone through often.
         registered = self.in_store if is_fresh else {}
         return [
@@ -180,7 +196,7 @@
         Registration in the store counts while the copy of the store is
         current; otherwise a recent heartbeat is required.
         """
-        return self._is_alive(record, now_s, is_fresh=self._is_store_fresh())
+        return self._is_alive(record, now_s, is_fresh=self.is_store_fresh())
 
     def accepts_callers(self, record: PeerRecord, now_s: float) -> bool:
         """Return whether callers may be directed to a relay."""
@@ -192,7 +208,7 @@
         Without those that are leaving, or cannot confirm what they know.
         """
         own = self.own()
-        is_fresh = self._is_store_fresh()
+        is_fresh = self.is_store_fresh()
         return [
             record
             for record in self.known.values()
@@ -233,7 +249,7 @@
         :param settling_s: how long a relay must have been registered.
         """
         own = self.own()
-        is_fresh = self._is_store_fresh()
+        is_fresh = self.is_store_fresh()
         return [
             IssuerCandidate(
                 record.name,
@@ -258,6 +274,30 @@
         }
         return len(names | {own.name} if own.region == region else names)
 
+    def heard_relays(self, now_s: float) -> int:
+        """Return the number of relays of the own region in touch, with own."""
+        own = self.own()
+        return 1 + sum(
+            record.role is Role.relay
+            and record.region == own.region
+            and record.name != own.name
+            and self._is_heard(record, now_s, IN_TOUCH_S)
+            for record in self.known.values()
+        )
+
+    def is_settled(self, now_s: float, settling_s: float) -> bool:
+        """Return whether this process has been registered for a time.
+
+        An earlier incarnation under its name counts for it: the others know
+        the name.
+        """
+        listed_s = self.listed_s.get(self.own().name)
+        return listed_s is not None and now_s - listed_s >= settling_s
+
+    def is_store_fresh(self) -> bool:
+        """Return whether the copy of the store is current."""
+        return self.store_age_s() < self.max_store_age_s
+
     def addresses_for(self, requester: Requester, now_s: float) -> list[str]:
         """Return addresses of relays for a caller, preferably in its region."""
         own = self.own()
@@ -287,6 +327,7 @@
         for name, record in tuple(self.known.items()):
             if name not in self.in_store and not self.is_alive(record, now_s):
                 self.known.pop(name)
+                self.relays_version += 1
                 self.known_relays.discard(name)
                 self.last_heartbeats.pop(name, None)
                 self.registered_s.pop(name, None)
@@ -298,9 +339,6 @@
                 return True
         return record.draining
 
-    def _is_store_fresh(self) -> bool:
-        return self.store_age_s() < self.max_store_age_s
-
     def _is_alive(
         self, record: PeerRecord, now_s: float, *, is_fresh: bool
     ) -> bool:
@@ -311,12 +349,17 @@
         # Its silence means nothing where it sends to its remote peers in turn.
         return record.name in self.in_store and self._takes_turns(record)
 
-    def _is_heard(self, record: PeerRecord, now_s: float) -> bool:
+    def _is_heard(
+        self,
+        record: PeerRecord,
+        now_s: float,
+        within_s: float = HEARTBEAT_TTL_S,
+    ) -> bool:
         heartbeat = self.last_heartbeats.get(record.name)
         return (
             heartbeat is not None
             and heartbeat.boot >= record.boot
-            and now_s - heartbeat.received_s < HEARTBEAT_TTL_S
+            and now_s - heartbeat.received_s < within_s
         )
 
     def _takes_turns(self, record: PeerRecord) -> bool:
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -240,10 +240,7 @@
     def clean_up(self) -> None:
         """Update what changes rarely, and close unused connections."""
         view = self.core.view
-        view.update_preferred()
-        view.upstreams.remove_expired_notices(self.clock())
-        view.suspects.remove_expired()
-        view.permits.clean_up()
+        view.clean_up()
         LIMITED_UPSTREAMS.set(
             {'instance': self.settings.name},
             sum(one.limited for one in view.upstreams.by_id.values()),
