Cold upstreams: a relay whose name the store still has takes its share at once

After a loss of power of a second all relays know each other by the records of their earlier incarnations.

--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -100,8 +100,9 @@
     :ivar known: these, and peers that were removed but may be alive.
     :ivar known_relays: names of the relays among them.
     :ivar registered_s: incarnation of each, and when it was read first.
-    :ivar listed_s: names in the store, and since when they are there without
-        a break, whatever the incarnation.
+    :ivar listed_s: since when the name of this process is in the store
+        without a break; ``None`` while it is not.
+    :ivar was_listed_before: whether it was there when this process started.
     :ivar relays_version: changes with the known relays.
     :ivar demand: load of the other relays.
     """
@@ -125,7 +126,8 @@
         self.relays_by_region: Counter[str] | None = None
         self.last_heartbeats: dict[str, HeartbeatStatus] = {}
         self.registered_s: dict[str, tuple[int, float]] = {}
-        self.listed_s: dict[str, float] = {}
+        self.listed_s: float | None = None
+        self.was_listed_before = False
         self.relays_version = 0
         self.demand = FleetDemand()
 
@@ -137,13 +139,8 @@
         boot, _ = self.registered_s.get(record.name, (0, 0))
         if boot != record.boot:
             self.registered_s[record.name] = record.boot, now_s
-        if record.name not in self.listed_s:
-            # An earlier incarnation wrote it: that was some time ago.
-            is_earlier = record.boot < self.own().boot
-            is_own = record.name == self.own().name
-            self.listed_s[record.name] = (
-                NEVER_S if is_own and is_earlier else now_s
-            )
+        if record.name == self.own().name and self.listed_s is None:
+            self.listed_s = now_s
         self.relays_version += 1
         self.in_store[record.name] = record
         self.known[record.name] = record
@@ -159,7 +156,9 @@
         It stays known until its heartbeats expire.
         """
         self.in_store.pop(name, None)
-        self.listed_s.pop(name, None)
+        if name == self.own().name:
+            self.listed_s = None
+            self.was_listed_before = False
         self.relays_by_region = None
 
     def record_heartbeat(self, name: str, heartbeat: HeartbeatStatus) -> None:
@@ -286,13 +285,13 @@
         )
 
     def is_settled(self, now_s: float, settling_s: float) -> bool:
-        """Return whether this process has been registered for a time.
+        """Return whether the name of this process is registered for a time.
 
-        An earlier incarnation under its name counts for it: the others know
-        the name.
+        The record of an earlier incarnation counts: the others know the name.
         """
-        listed_s = self.listed_s.get(self.own().name)
-        return listed_s is not None and now_s - listed_s >= settling_s
+        if self.listed_s is None:
+            return False
+        return self.was_listed_before or now_s - self.listed_s >= settling_s
 
     def is_store_fresh(self) -> bool:
         """Return whether the copy of the store is current."""
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -133,6 +133,7 @@
             settings.calm_window,
             feed_item(adapter, record),
             feeds.registered.set,
+            self._find_earlier if record.role is Role.relay else None,
         )
         self.make_heartbeat = make_heartbeat
         self.on_clean_up: Callable[[], None] = _ignore
@@ -282,6 +283,16 @@
         self.presence.announce()
         self.send_heartbeat()
 
+    async def _find_earlier(self) -> None:
+        """Find out whether the others know the name of this relay already.
+
+        Its record in the store is then that of an earlier incarnation.
+        """
+        key = self.adapter.peer_key(self.settings.name)
+        page = await self.adapter.store.list_page(key, '')
+        if any(item.key == key for item in page.items):
+            self.view.peers.was_listed_before = True
+
     def _announce(self) -> None:
         self.announcement = None
         self.send_heartbeat()
--- a/src/bramleylug/store/presence.py
+++ b/src/bramleylug/store/presence.py
@@ -1,7 +1,7 @@
 """Registers this process in the store under leased keys."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple, final
 
 from bramleylug.observability.events import LogEvent, emit
@@ -39,6 +39,8 @@
     :param lease_s: duration of the lease.
     :param fixed_item: is written under the same lease.
     :param on_registered: called when everything has been written.
+    :param before_first: is awaited before anything is written for the first
+        time, again if it raises :class:`StoreUnavailable`.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         lease_s: float = LEASE_S,
         fixed_item: FixedItem | None = None,
         on_registered: Callable[[], None] = _ignore,
+        before_first: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
+        self.before_first = before_first
         self.lease_s = lease_s
         self.fixed_item = fixed_item
         self.on_registered = on_registered
@@ -112,6 +116,9 @@
             # Withdrawn while the lease was being granted.
             await self._end_lease()
             return
+        if self.before_first is not None:
+            await self.before_first()
+            self.before_first = None
         await self._write(self.lease.lease_id)
         self.on_registered()
 
--- a/testing/cluster/cold_play.py
+++ b/testing/cluster/cold_play.py
@@ -200,6 +200,7 @@
             self._plan(relay, due_s, _adding(peer.record))
         self._tell_cold(loaded_s, 1000, [relay])
         if self.names_listed:
+            relay.view.peers.was_listed_before = True
             for listed in self.relays:
                 earlier = replace(listed.record, boot=1)
                 self._plan(relay, loaded_s, _adding(earlier))
--- a/testing/cluster/test_process.py
+++ b/testing/cluster/test_process.py
@@ -3,6 +3,7 @@
 import unittest
 
 from bramleylug.cluster.process import ProcessCore
+from bramleylug.store.changes import Page, StoreItem
 from bramleylug.wire.beats_pb2 import Beat
 from testing.relay.builders import build_peer, build_settings
 from testing.store.scripted import ScriptedStore
@@ -87,3 +88,23 @@
         core.receive_heartbeat(Beat(name='relay-1', known_boot=400))
 
         self.assertEqual((core.record.boot, core.socket.sent), (400, []))
+
+
+class TestEarlierRecord(unittest.IsolatedAsyncioTestCase):
+    """A relay whose name the others know need not wait for its share."""
+
+    async def test_found_record_settles_the_name(self) -> None:
+        self.assertTrue(await self.is_settled('relay-1'))
+
+    async def test_record_of_a_similar_name_does_not(self) -> None:
+        self.assertFalse(await self.is_settled('relay-10'))
+
+    async def is_settled(self, found: str) -> bool:
+        """Return whether relay-1 is settled when it has just registered."""
+        core = build_core('relay-1', 2)
+        core.view.peers.remove('relay-1')
+        page = Page((StoreItem(found, b'', 1),), 1, more=False)
+        core.adapter.store.pages = [page]
+        await core.presence.before_first()
+        core.view.peers.add(build_peer('relay-1', boot=2), 100.0)
+        return core.view.peers.is_settled(100.0, 1.5)
--- a/testing/store/test_presence.py
+++ b/testing/store/test_presence.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest.mock import patch
 
-from bramleylug.store.changes import Lease
+from bramleylug.store.changes import Lease, StoreUnavailable
 from bramleylug.store.presence import FixedItem, Presence
 from testing.store.scripted import ScriptedStore
 from testing.virtual_time import in_virtual_time
@@ -33,6 +33,28 @@
             [('put', 'key', b'serving', 1), ('put', 'key', b'leaving', 1)],
         )
 
+    @in_virtual_time
+    async def test_nothing_is_written_before_the_first_look(self) -> None:
+        """Whether the key was there is not known after it is written."""
+        store = ScriptedStore()
+        seen: list[int] = []
+
+        async def look() -> None:
+            seen.append(len(store.calls))
+            if len(seen) == 1:
+                raise StoreUnavailable('slow')
+
+        presence = Presence(store, 'key', lambda: b'serving', before_first=look)
+        task = asyncio.create_task(presence.run())
+        await asyncio.sleep(5.0)
+        task.cancel()
+
+        writes = [
+            place for place, call in enumerate(store.calls) if call[0] == 'put'
+        ]
+        self.assertEqual(len(seen), 2)
+        self.assertEqual(writes, [seen[1]])
+
     @in_virtual_time
     async def test_ended_lease_is_replaced(self) -> None:
         """The lease of a process that was suspended may expire."""
