Engines are chosen by an estimate of their work; sharers tell each other

Cause: relays chose engines by counts of requests that were up to a second old, a request counted 1 whatever its size, and nobody knew which engines were slow.

Where a service states the speed of its engines, a relay now sends to a few engines first, next to each other in an order that all relays share, and tells the other relays that share one of them of each request as it is sent and as its answer starts (one datagram each). The choice goes by an estimate from the engine's figures, its requests and unread prompts, and its pace, which its loader reports and which is corrected by the passes that streams show. Another engine is drawn only if none of the first ones is expected to serve in time.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -25,7 +25,6 @@
 from bramleylug.cluster.report_messages import report_from_message
 from bramleylug.cluster.route_table import RouteTable
 from bramleylug.cluster.settings import ProcessSettings
-from bramleylug.cluster.subsetting import preferred_subset
 from bramleylug.cluster.suspect_messages import suspect_from_message
 from bramleylug.cluster.upstreams import (
     Upstream,
@@ -34,10 +33,11 @@
     UpstreamReport,
 )
 from bramleylug.cluster.versions import VersionRegistry
+from bramleylug.cluster.work_exchange import WorkExchange
 from bramleylug.node.process_pauses import ProcessPauses
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.mirror import Mirror
-from bramleylug.wire.beats_pb2 import Beat, Notice, PermitMessage
+from bramleylug.wire.beats_pb2 import Beat, Notice
 
 MILLISECONDS = 1000
 # Relays stop sending to outdated weights this long before the limit, so that
@@ -70,7 +70,7 @@
     :param own: returns the record of this process.
     :param clock: seconds that also count while the host is suspended.
     :ivar table: configuration in force; ``None`` before the first.
-    :ivar preferred: ids of the upstreams that this relay sends to first.
+    :ivar work: what relays that send to the same engines tell each other.
     :ivar zones_out: zones that get no new requests.
     :ivar started_s: when this process started.
     :ivar is_initial_load: whether the data of the first read of the store are
@@ -116,7 +116,7 @@
             Random(settings.name),  # noqa: S311
             clock,
         )
-        self.preferred: frozenset[str] = frozenset()
+        self.work = WorkExchange(self.upstreams, clock)
         self.on_change: Callable[[], None] = _ignore
         self.on_peer_started: Callable[[str], None] = _ignore_name
 
@@ -151,12 +151,14 @@
         )
 
     def constraints(self) -> Constraints:
+        table = self.table
         return Constraints(
             self.zones_out,
             self.versions.min_versions(self.clock()),
             self.versions.newest_by_model(),
             self.settings.regions,
-            self.preferred,
+            self.work.preferred,
+            {} if table is None else table.engine_models,
         )
 
     def update_preferred(self) -> None:
@@ -168,21 +170,21 @@
             for peer in (own, *alive)
             if not peer.draining
         )
-        regions = self.settings.regions
         by_service: dict[str, list[tuple[str, str]]] = {}
         for upstream in self.upstreams.by_id.values():
             record = upstream.record
-            key = regions.get(record.zone, ''), record.upstream_id
-            by_service.setdefault(record.service, []).append(key)
-        self.preferred = frozenset().union(
-            *(
-                preferred_subset(
-                    own.name,
-                    [name for _, name in relays],
-                    [name for _, name in sorted(keys)],
-                )
-                for keys in by_service.values()
+            region = self.settings.regions.get(record.zone, '')
+            by_service.setdefault(record.service, []).append(
+                (region, record.upstream_id)
             )
+        self.work.share(
+            own.name,
+            [name for _, name in relays],
+            {
+                service: [name for _, name in sorted(keys)]
+                for service, keys in by_service.items()
+            },
+            {} if self.table is None else self.table.engine_models,
         )
 
     def apply_route_table(self, table: RouteTable) -> None:
@@ -370,9 +372,8 @@
         now_s = self.clock()
         for message in heartbeat.limits:
             self.merge_limit(*limit_from_message(message), heartbeat.name)
-        if heartbeat.permits:
-            for permit in heartbeat.permits:
-                self._receive_permit(permit, heartbeat.name)
+        if heartbeat.permits or heartbeat.work:
+            self._receive_messages(heartbeat)
             return True
         if heartbeat.configuration > self.announced.version:
             self.announced = AnnouncedConfiguration(
@@ -405,13 +406,19 @@
             self.suspects.merge(suspect_from_message(crash))
         return True
 
-    def _receive_permit(self, message: PermitMessage, sender: str) -> None:
-        incarnation, report = limit_from_message(message.limit)
-        self.merge_limit(incarnation, report, sender)
-        arrived_s = self.pauses.earliest_arrival_s(self.clock())
-        self.permits.receive(
-            sender, incarnation, permit_from_message(message), arrived_s
-        )
+    def _receive_messages(self, heartbeat: Beat) -> None:
+        """Apply messages that another relay has sent to few relays."""
+        for work in heartbeat.work:
+            self.work.receive(heartbeat.name, work)
+        for message in heartbeat.permits:
+            incarnation, report = limit_from_message(message.limit)
+            self.merge_limit(incarnation, report, heartbeat.name)
+            self.permits.receive(
+                heartbeat.name,
+                incarnation,
+                permit_from_message(message),
+                self.pauses.earliest_arrival_s(self.clock()),
+            )
 
     def _receive_notice(self, notice: Notice, now_s: float) -> None:
         """Apply what an upstream said to another relay."""
--- a/src/bramleylug/cluster/constraints.py
+++ b/src/bramleylug/cluster/constraints.py
@@ -1,8 +1,11 @@
 """What currently restricts the choice of an upstream for any request."""
 
 from collections.abc import Collection, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
+from bramleylug.scheduling.estimate import EngineModel
+
 
 class Constraints(NamedTuple):
     """Constraints that currently apply to all requests.
@@ -12,6 +15,7 @@
     :ivar newest_versions: by model, the newest target version.
     :ivar regions: region of each zone.
     :ivar preferred: ids of the upstreams that this relay sends to first.
+    :ivar engines: models of the engines of services that state their speed.
     """
 
     zones_out: Collection[str]
@@ -19,3 +23,4 @@
     newest_versions: Mapping[str, int]
     regions: Mapping[str, str]
     preferred: Collection[str] = ()
+    engines: Mapping[str, EngineModel] = MappingProxyType({})
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Container, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from dataclasses import replace
 from http import HTTPStatus
 from random import Random
@@ -33,7 +33,7 @@
 from bramleylug.store.zone_store import CHANGES_PATH, ITEMS_PATH, ZoneStore
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.queries import integer_parameter
-from bramleylug.wire.beats_pb2 import Beat, PermitMessage
+from bramleylug.wire.beats_pb2 import Beat, PermitMessage, RelayWork
 from bramleylug.wire.feed_pb2 import FeedAnswer
 
 NANOSECONDS_PER_MS = 1_000_000
@@ -125,6 +125,7 @@
             settings, lambda: self.record, self.watchers[0].mirror, clock
         )
         self.view.permits.send = self.send_permits
+        self.view.work.send = self.send_work
         self.apply_changes = adapter.store_change_handler(self.view)
         self.presence = Presence(
             self.store,
@@ -223,6 +224,17 @@
             heartbeat = Beat(name=self.settings.name, permits=messages)
             self.socket.send(heartbeat, [peer.beats])
 
+    def send_work(self, relays: Iterable[str], work: RelayWork) -> None:
+        """Send what this relay has at an engine to other relays."""
+        if self.socket is None:
+            return
+        known = self.view.peers.known
+        heartbeat = Beat(name=self.settings.name, work=[work])
+        self.socket.send(
+            heartbeat,
+            [known[name].beats for name in relays if name in known],
+        )
+
     def send_heartbeat_to(self, name: str) -> None:
         """Send a heartbeat to one relay outside of the schedule."""
         peer = self.view.peers.known.get(name)
@@ -313,6 +325,7 @@
                 lambda heartbeat: self.on_heartbeat(heartbeat),
                 self._collect_s,
             )
+            self.view.work.read = self.socket.port.read
         while True:
             self.send_due_heartbeats()
             await sleep_until_tick(HEARTBEAT_INTERVAL_S)
--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import NamedTuple, final
 
+from bramleylug.scheduling.estimate import EngineModel
 from bramleylug.scheduling.figures import EngineFigures
 
 
@@ -213,6 +214,15 @@
             for service, urgencies in by_service.items()
         }
 
+    @cached_property
+    def engine_models(self) -> Mapping[str, EngineModel]:
+        """Models of the engines of services that state their speed."""
+        return {
+            name: EngineModel(service.engine)
+            for name, service in self.services.items()
+            if service.engine is not None
+        }
+
     def origins(self) -> Iterable[Service]:
         """Return the services that are origins of weights."""
         return (service for service in self.services.values() if service.origin)
--- a/src/bramleylug/cluster/subsetting.py
+++ b/src/bramleylug/cluster/subsetting.py
@@ -2,6 +2,13 @@
 
 from collections.abc import Sequence
 
+# Relays that send to one engine first, at most about so many: each of them
+# tells the others of every request that it sends there.
+SHARERS = 12
+# Engines that a relay sends to first; with one, there would be no choice.
+MIN_SHARED = 2
+MAX_SHARED = 6
+
 
 def preferred_subset(
     own: str, relays: Sequence[str], upstreams: Sequence[str]
@@ -28,3 +35,24 @@
         for index, upstream in enumerate(upstreams)
         if index * relay_count // upstream_count == position
     )
+
+
+def shared_subset(
+    position: int, relay_count: int, engines: Sequence[str]
+) -> Sequence[str]:
+    """Return the engines that a relay sends to first, with a few others.
+
+    As the choice is between engines, each relay gets several, next to each
+    other in the given order. Those of neighbours overlap.
+
+    :param position: place of the relay among all of them.
+    """
+    engine_count = len(engines)
+    first = position * engine_count // relay_count
+    last = (position + 1) * engine_count // relay_count
+    shared = SHARERS * engine_count // relay_count
+    size = max(last - first, min(MAX_SHARED, max(MIN_SHARED, shared)))
+    return [
+        engines[(first + number) % engine_count]
+        for number in range(min(size, engine_count))
+    ]
--- a/src/bramleylug/cluster/upstreams.py
+++ b/src/bramleylug/cluster/upstreams.py
@@ -5,12 +5,14 @@
 from typing import NamedTuple, final
 
 from bramleylug.cluster.cold_start import ColdStart
+from bramleylug.cluster.engine_work import UpstreamWork
 from bramleylug.cluster.held_weights import (
     ConfirmedWeights,
     HeldWeights,
     WeightsCheck,
     WeightsConfirmations,
 )
+from bramleylug.cluster.notices import UpstreamNotice
 from bramleylug.cluster.permits import HeldPermits
 from bramleylug.cluster.rate_limit import Incarnation, RateLimit, RateLimits
 from bramleylug.cluster.responsiveness import Responsiveness
@@ -83,27 +85,6 @@
     memory_total: int = 0
 
 
-@final
-@dataclass(slots=True)
-class UpstreamNotice:
-    """What one incarnation of an upstream said about itself in its answers.
-
-    It is kept apart from the record: an incarnation that is removed and
-    registered again has not taken back what it said.
-
-    :ivar leaving: whether it said that it is about to leave.
-    :ivar paused_until_s: until when it wants nothing from this relay.
-    :ivar peers_paused_until_s: the latest such time that another relay
-        reported for itself; only a hint that the upstream is busy.
-    :ivar updated_s: when it was last changed.
-    """
-
-    leaving: bool = False
-    paused_until_s: float = float('-inf')
-    peers_paused_until_s: float = float('-inf')
-    updated_s: float = float('-inf')
-
-
 @final
 @dataclass(slots=True)
 class Upstream:
@@ -121,6 +102,7 @@
     :ivar limit: what is known of the limit that it names.
     :ivar permits: those of this process while it names one.
     :ivar responsiveness: whether anything is received from this incarnation.
+    :ivar work: what this process has at this incarnation, and its speed.
     :ivar removed: whether its record has been removed.
     """
 
@@ -142,6 +124,7 @@
     limit: RateLimit = field(default_factory=RateLimit)
     permits: HeldPermits = field(default_factory=HeldPermits)
     responsiveness: Responsiveness = field(default_factory=Responsiveness)
+    work: UpstreamWork = field(default_factory=UpstreamWork)
     removed: bool = False
 
     @property
@@ -171,6 +154,7 @@
         self.cold = None
         self.permits = HeldPermits()
         self.responsiveness = Responsiveness()
+        self.work = UpstreamWork()
 
     def load(self, now_s: float) -> float:
         """Return the number of running requests, as far as known.
@@ -263,9 +247,10 @@
         own_running = self.own_running(report.received_s)
         self.report = report._replace(own_running=own_running)
 
-    def record_started(self) -> None:
+    def record_started(self, token: int = 0) -> None:
         """Record that the answer to a request has started, or never will."""
         self.unstarted -= 1
+        self.work.record_started(token)
 
     def record_unreachable(self, now_s: float) -> None:
         """Avoid it with exponential backoff after a failed connection."""
@@ -471,6 +456,15 @@
             if upstream is not None:
                 upstream.reported_running[relay] = (running, now_s)
 
+    def record_count(
+        self, relay: str, upstream: Upstream, running: int, now_s: float
+    ) -> None:
+        """Record how many requests another relay runs at one upstream."""
+        self.counted[relay] = self.counted.get(relay, frozenset()) | {
+            upstream.record.upstream_id
+        }
+        upstream.reported_running[relay] = (running, now_s)
+
     def record_report(
         self, address: str, report: UpstreamReport
     ) -> Iterable[Upstream]:
--- a/src/bramleylug/node/datagrams.py
+++ b/src/bramleylug/node/datagrams.py
@@ -84,6 +84,11 @@
         """
         self.sock.sendto(raw, target)
 
+    def read(self) -> None:
+        """Read what has arrived and would be collected for longer."""
+        if not self.closed:
+            self._read_batch()
+
     def close(self) -> None:
         """Stop receiving."""
         if self.closed:
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -19,7 +19,7 @@
 from bramleylug.relay.move_queue import MoveQueue
 from bramleylug.relay.request_checks import RequestChecks
 from bramleylug.relay.request_context import RequestContext
-from bramleylug.relay.upstream_selection import (
+from bramleylug.scheduling.placing import (
     AtCapacity,
     NoneEligible,
     Requirements,
@@ -116,8 +116,8 @@
         if isinstance(selection, Selected) and first:
             selection = self._after_waiting(requirements, queue, selection)
         match selection:
-            case Selected(upstream):
-                return self._claim(upstream)
+            case Selected():
+                return self._claim(context, selection)
             case NoneEligible(reason):
                 return _none_eligible(reason)
         now_s = self.clock()
@@ -138,7 +138,7 @@
         """Return an upstream that has a free slot now."""
         selection = self._select(context.requirements())
         if isinstance(selection, Selected):
-            return self._claim(selection.upstream)
+            return self._claim(context, selection)
         return None
 
     def queue_move(
@@ -233,8 +233,8 @@
         context.waited_s += waited_s
         WAIT_SECONDS.observe({'service': requirements.service}, waited_s)
         match selection:
-            case Selected(upstream):
-                return self._claim(upstream)
+            case Selected():
+                return self._claim(context, selection)
             case NoneEligible(reason):
                 return _none_eligible(reason)
             case NotRun() as refusal:
@@ -332,15 +332,18 @@
         return selection
 
     def _look(self, requirements: Requirements) -> Selection:
+        self.view.work.read()
         return self.selector.select(
             requirements, self.view.constraints(), self.clock()
         )
 
-    def _claim(self, upstream: Upstream) -> Upstream:
+    def _claim(self, context: RequestContext, selection: Selected) -> Upstream:
         """Count a request against the rates that its upstream takes.
 
         It is sent without suspending in between.
         """
+        upstream = selection.upstream
+        context.estimate = selection.estimate
         if upstream.limited:
             count(PERMITS, event='used')
         upstream.consume(self.clock())
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -39,7 +39,7 @@
 from bramleylug.relay.retry_budget import SharedRetryBudget
 from bramleylug.relay.settings import RelaySettings
 from bramleylug.relay.silence import CALLER_PATIENCE_S
-from bramleylug.relay.upstream_selection import (
+from bramleylug.scheduling.placing import (
     UpstreamSelector,
     ineligible_reason,
 )
@@ -282,6 +282,13 @@
         )
         upstream.running += 1
         upstream.unstarted += 1
+        upstream.work.record_sent(
+            id(attempt),
+            context.request.size.prompt_tokens,
+            self.clock(),
+            context.estimate,
+        )
+        self.view.work.announce(upstream)
         self.demand.of(context.level).running += 1
         attempt.on_sent = partial(
             context.tried.append, upstream.record.upstream_id
@@ -293,7 +300,9 @@
         attempt.reader.queue_move = partial(
             self.dispatch_queue.queue_move, context.accepted.service
         )
-        attempt.on_answer_started = upstream.record_started
+        attempt.on_answer_started = partial(
+            self._record_started, upstream, attempt
+        )
         attempt.on_proven = partial(
             self.outcome_recorder.record_proven, context
         )
@@ -365,12 +374,17 @@
         upstream.running -= 1
         self.demand.of(context.level).running -= 1
         if not attempt.answer_started:
-            upstream.record_started()
+            self._record_started(upstream, attempt)
         if attempt.sent:
             upstream.responsiveness.record_ended(self.clock())
             context.may_have_run |= not isinstance(outcome, NotRun)
         self.dispatch_queue.record_completion(context.accepted.service)
 
+    def _record_started(self, upstream: Upstream, attempt: Attempt) -> None:
+        """Record that an answer has started, or never will."""
+        upstream.record_started(id(attempt))
+        self.view.work.announce(upstream)
+
     def _metadata(
         self, context: RequestContext, upstream: Upstream
     ) -> RequestMetadata:
@@ -492,6 +506,7 @@
         'regions': _describe_regions(context.accepted.regions),
         'upstreams': context.tried,
         'load': context.load,
+        'estimate_ms': context.estimate_ms(),
         'waited_ms': round(context.waited_s * MILLISECONDS),
         'first_ms': context.first_piece_ms(),
         'gap_ms': round(context.progress.longest_gap_s * MILLISECONDS),
--- a/src/bramleylug/relay/request_context.py
+++ b/src/bramleylug/relay/request_context.py
@@ -12,8 +12,9 @@
 from bramleylug.relay.event_splitter import EventSplitter
 from bramleylug.relay.hedge import SecondAttempt
 from bramleylug.relay.request_checks import Accepted, RequestChecks
-from bramleylug.relay.upstream_selection import Requirements
+from bramleylug.scheduling.placing import Requirements
 from bramleylug.scheduling.demand import Level
+from bramleylug.scheduling.estimate import WorkEstimate
 
 MILLISECONDS = 1000
 # The relay's own timeout answer is sent this long before the time limit of
@@ -35,6 +36,8 @@
     :ivar tried: ids of the upstreams that received it.
     :ivar waited_s: time it waited in the queue for a free slot.
     :ivar load: requests running at its last upstream when it was sent.
+    :ivar estimate: what it was to get at its last upstream; ``None`` if
+        unknown.
     :ivar moving_to: the upstream for which its silent one is given up.
     :ivar hedge: the second attempt, at that upstream.
     :ivar hedged_outcome: how a second attempt ended that may have run.
@@ -55,6 +58,7 @@
     tried: list[str] = field(default_factory=list)
     waited_s: float = 0
     load: float = 0
+    estimate: WorkEstimate | None = None
     moving_to: Upstream | None = None
     hedge: SecondAttempt | None = None
     hedged_outcome: Outcome | None = None
@@ -132,6 +136,9 @@
             model=self.request.model,
             regions=self.accepted.regions,
             tried=frozenset(self.tried),
+            size=self.request.size,
+            objective_s=self.route.objective_s,
+            pause_objective_s=self.route.pause_objective_s,
         )
 
     def first_piece_ms(self) -> int:
@@ -141,6 +148,12 @@
             return 0
         return round((first_s - self.arrived_s) * MILLISECONDS)
 
+    def estimate_ms(self) -> int | None:
+        """Return the estimated time to the first event; ``None`` without."""
+        if self.estimate is None:
+            return None
+        return round(self.estimate.first_s * MILLISECONDS)
+
     def timeout_outcome(self) -> Outcome:
         """Return the outcome when the time limit has been reached."""
         if self.may_have_run or self.writer.started:
--- a/src/bramleylug/relay/upstream_watch.py
+++ b/src/bramleylug/relay/upstream_watch.py
@@ -15,6 +15,7 @@
     It belongs to the incarnation that the attempt was sent to.
 
     :param request_id: the request in log lines.
+    :ivar input_s: when bytes were last received; ``None`` before the first.
     """
 
     def __init__(
@@ -22,13 +23,19 @@
     ) -> None:
         self.upstream = upstream
         self.responsiveness = upstream.responsiveness
+        self.passes = upstream.work.passes
+        self.input_s: float | None = None
         self.request_id = request_id
         self.clock = clock
         self.logged_wait = False
 
     def record_input(self) -> None:
         """Record that bytes were received."""
-        heard = self.responsiveness.record_heard(self.clock())
+        now_s = self.clock()
+        if self.input_s is not None:
+            self.passes.record(self.input_s, now_s)
+        self.input_s = now_s
+        heard = self.responsiveness.record_heard(now_s)
         if heard is not None:
             emit(
                 LogEvent.upstream_heard,
--- a/src/bramleylug/relay/upstream_selection.py
+++ b/src/bramleylug/scheduling/placing.py
@@ -1,12 +1,26 @@
-"""Selection of the upstream for a request by eligibility and free slots."""
+"""Selection of the upstream for a request by eligibility and estimate."""
 
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
+from itertools import starmap
+from operator import itemgetter
 from random import Random
-from typing import final
+from typing import NamedTuple, final
 
 from bramleylug.cluster.constraints import Constraints
-from bramleylug.cluster.upstreams import Upstream, UpstreamRegistry
+from bramleylug.cluster.engine_work import ReportedWork
+from bramleylug.cluster.upstreams import (
+    FILL_SHARE,
+    REPORT_TTL_S,
+    Upstream,
+    UpstreamRegistry,
+)
+from bramleylug.scheduling.estimate import (
+    EngineLoad,
+    EngineModel,
+    WorkEstimate,
+)
+from bramleylug.scheduling.figures import RequestSize
 
 # Penalties, in requests. An upstream in another zone or region must have
 # this many more free slots to justify the traffic between zones.
@@ -25,6 +39,19 @@
 # for a pause.
 PEER_PAUSED_SHARE = 0.35
 MIN_WEIGHT = 0.1
+# Engines beside the preferred ones that are drawn for one request. The relays
+# that know little of them would all take the best one of several.
+CHOICES = 1
+# Costs, in parts of the objective, that estimates do not show. Distance
+# decides only between engines that serve equally well.
+OTHER_ZONE_COST = 0.02
+OTHER_REGION_COST = 0.08
+OUTDATED_COST = 1.0
+PEER_PAUSED_COST = 0.5
+# Part of an objective that an estimate may take: it is not exact.
+SAFE_SHARE = 0.8
+# Objectives of requests whose route states none.
+USUAL_OBJECTIVE_S = 1.0
 NOT_REGISTERED = 'no upstream of the service is registered'
 
 
@@ -36,12 +63,20 @@
     :ivar model: required model; empty where the service serves none.
     :ivar regions: allowed regions; ``None`` for any.
     :ivar tried: ids of the upstreams that received it before.
+    :ivar size: how much work it is.
+    :ivar objective_s: objective of its first event or whole answer; 0 if
+        unknown.
+    :ivar pause_objective_s: objective of the pauses of its route's streams;
+        0 if unknown.
     """
 
     service: str
     model: str = ''
     regions: frozenset[str] | None = None
     tried: Collection[str] = ()
+    size: RequestSize = RequestSize()
+    objective_s: float = 0
+    pause_objective_s: float = 0
 
 
 @final
@@ -49,11 +84,14 @@
 class Selected:
     """The request can be sent to this upstream.
 
+    :ivar estimate: what it would get there; ``None`` if the speed of the
+        service's engines is not stated.
     :ivar without_permit: near upstreams that it could as well be sent to if
         this relay had a permit.
     """
 
     upstream: Upstream
+    estimate: WorkEstimate | None = None
     without_permit: Sequence[Upstream] = ()
 
 
@@ -67,11 +105,14 @@
         however few run there; in the past unless all are paused, avoided or
         without a permit until then.
     :ivar without_permit: those that lack only a permit.
+    :ivar soonest_s: time until its first event if it waited here for the
+        first slot that is likely to be freed; ``None`` if unknown.
     """
 
     slots: int
     closed_until_s: float = float('-inf')
     without_permit: Sequence[Upstream] = ()
+    soonest_s: float | None = None
 
 
 @final
@@ -88,9 +129,27 @@
 Selection = Selected | AtCapacity | NoneEligible
 
 
+class Candidate(NamedTuple):
+    """An engine that a request could be sent to, and what it would get."""
+
+    upstream: Upstream
+    estimate: WorkEstimate | None
+
+
+class Ranked(NamedTuple):
+    """A candidate with its cost, in parts of the objectives."""
+
+    cost: float
+    candidate: Candidate
+
+
 @final
 class UpstreamSelector:
-    """Selects the better of two random upstreams with free slots.
+    """Selects the best of a few random upstreams with free slots.
+
+    Where the speed of a service's engines is stated, the best one is that
+    with the earliest first event and the least harm to those that run there,
+    by an estimate; elsewhere it is that with the most free slots.
 
     The load caused by other relays is known with a delay of some tenths of
     a second. Relays that all chose the least loaded upstream would choose
@@ -145,6 +204,7 @@
                 sum(one.record.slots for one in eligible),
                 min(closed_until_s(one, now_s) for one in eligible),
                 without_permit,
+                _soonest_s(eligible, requirements, constraints, now_s),
             )
         # Permits expire soon: they are used before free slots elsewhere.
         permitted = [
@@ -153,7 +213,7 @@
             if one.limited and self._is_near(one, constraints)
         ]
         return Selected(
-            self._choose(
+            *self._choose(
                 permitted or available, requirements, constraints, now_s
             ),
             tuple(
@@ -170,7 +230,12 @@
         requirements: Requirements,
         constraints: Constraints,
         now_s: float,
-    ) -> Upstream:
+    ) -> 'Candidate':
+        model = constraints.engines.get(requirements.service)
+        if model is not None:
+            return self._choose_by_estimate(
+                model, available, requirements, constraints, now_s
+            )
         scores = [
             free_slots - self._penalty(one, requirements, constraints, now_s)
             for one, free_slots in available
@@ -178,7 +243,66 @@
         weights = [max(MIN_WEIGHT, score) for score in scores]
         pair = self.random.choices(range(len(available)), weights, k=2)
         upstream, _ = available[max(pair, key=scores.__getitem__)]
-        return upstream
+        return Candidate(upstream, None)
+
+    def _choose_by_estimate(
+        self,
+        model: EngineModel,
+        available: list[tuple[Upstream, float]],
+        requirements: Requirements,
+        constraints: Constraints,
+        now_s: float,
+    ) -> 'Candidate':
+        """Return the best of the preferred engines, or a random other one.
+
+        What this relay knows of the preferred ones is recent. Others are
+        considered only if none of these serves in time.
+        """
+        first: list[tuple[Upstream, float]] = []
+        others: list[tuple[Upstream, float]] = []
+        for upstream, free_slots in available:
+            is_first = upstream.record.upstream_id in constraints.preferred
+            (first if is_first else others).append((upstream, free_slots))
+
+        def rank(upstream: Upstream, free_slots: float) -> Ranked:
+            load = engine_load(model, upstream, free_slots, now_s)
+            estimate = model.estimate(requirements.size, load)
+            cost = _lateness(estimate, requirements) + self._cost(
+                upstream, requirements, constraints, now_s
+            )
+            return Ranked(cost, Candidate(upstream, estimate))
+
+        ranked = list(starmap(rank, first))
+        if others and not any(
+            _is_in_time(known.candidate.estimate, requirements)
+            for known in ranked
+        ):
+            weights = [
+                _free_speed(engine_load(model, *other, now_s))
+                for other in others
+            ]
+            drawn = self.random.choices(others, weights, k=CHOICES)
+            ranked.extend(starmap(rank, drawn))
+        return min(ranked, key=itemgetter(0)).candidate
+
+    def _cost(
+        self,
+        upstream: Upstream,
+        requirements: Requirements,
+        constraints: Constraints,
+        now_s: float,
+    ) -> float:
+        """Return what a choice costs beyond its estimate."""
+        cost = 0.0
+        if upstream.record.zone != self.zone:
+            cost += OTHER_ZONE_COST
+        if not self._is_near(upstream, constraints):
+            cost += OTHER_REGION_COST
+        if _is_outdated(upstream, requirements.model, constraints, now_s):
+            cost += OUTDATED_COST
+        if now_s < upstream.notice.peers_paused_until_s:
+            cost += PEER_PAUSED_COST
+        return cost
 
     def _penalty(
         self,
@@ -282,6 +406,66 @@
     return upstream.free_slots(now_s)
 
 
+def engine_load(
+    model: EngineModel, upstream: Upstream, free_slots: float, now_s: float
+) -> EngineLoad:
+    """Return the load of an engine that has so many free slots."""
+    report = upstream.report
+    pace, at_s = 1.0, float('-inf')
+    if report is not None and now_s - report.received_s < REPORT_TTL_S:
+        pace, at_s = report.pace, report.received_s
+    slots = upstream.record.slots
+    reported = ReportedWork(slots, slots * FILL_SHARE - free_slots, pace, at_s)
+    return upstream.work.load(model, reported, now_s)
+
+
+def _lateness(estimate: WorkEstimate, requirements: Requirements) -> float:
+    """Return first event and pause as parts of their objectives."""
+    objective_s = requirements.objective_s or USUAL_OBJECTIVE_S
+    pause_objective_s = requirements.pause_objective_s or objective_s
+    return estimate.first_s / objective_s + estimate.pause_s / pause_objective_s
+
+
+def _is_in_time(
+    estimate: WorkEstimate | None, requirements: Requirements
+) -> bool:
+    """Return whether a request can be expected to be in time."""
+    if estimate is None:
+        return False
+    objective_s = requirements.objective_s or USUAL_OBJECTIVE_S
+    pause_objective_s = requirements.pause_objective_s or objective_s
+    return (
+        estimate.first_s < SAFE_SHARE * objective_s
+        and estimate.pause_s < SAFE_SHARE * pause_objective_s
+    )
+
+
+def _free_speed(load: EngineLoad) -> float:
+    """Return how many more requests an engine bears at its pace."""
+    return max(MIN_WEIGHT, load.slots / load.pace - load.requests)
+
+
+def _soonest_s(
+    eligible: list[Upstream],
+    requirements: Requirements,
+    constraints: Constraints,
+    now_s: float,
+) -> float | None:
+    """Return when a request that waits could have its first event."""
+    model = constraints.engines.get(requirements.service)
+    if model is None:
+        return None
+    waits: list[float] = []
+    for upstream in eligible:
+        load = engine_load(model, upstream, upstream.free_slots(now_s), now_s)
+        started = load._replace(requests=min(load.requests, load.slots - 1))
+        first_s = model.estimate(requirements.size, started).first_s
+        slot_s = model.slot_wait_s(load) if load.requests >= load.slots else 0
+        closed_s = closed_until_s(upstream, now_s) - now_s
+        waits.append(max(slot_s, closed_s) + first_s)
+    return min(waits)
+
+
 def _is_outdated(
     upstream: Upstream, model: str, constraints: Constraints, now_s: float
 ) -> bool:
--- a/testing/loader/staged_engine.py
+++ b/testing/loader/staged_engine.py
@@ -31,7 +31,7 @@
 )
 from bramleylug.loader.engine_updater import EngineUpdater
 from bramleylug.loader.policy import EngineState
-from bramleylug.relay.upstream_selection import unusable_weights_reason
+from bramleylug.scheduling.placing import unusable_weights_reason
 from bramleylug.weights.manifest import chunk_hash
 from testing.loader.swarm import CHUNK_BYTES, chunks_of
 from testing.relay.builders import (
--- a/testing/relay/builders.py
+++ b/testing/relay/builders.py
@@ -20,7 +20,7 @@
 from bramleylug.loader.settings import LoaderSettings
 from bramleylug.relay.dialect import CallerRequest
 from bramleylug.relay.settings import RelaySettings
-from bramleylug.relay.upstream_selection import Requirements
+from bramleylug.scheduling.placing import Requirements
 from bramleylug.scheduling.figures import RequestSize
 
 REGIONS = {'zone-a': 'north', 'zone-b': 'south'}
--- a/testing/relay/test_handover.py
+++ b/testing/relay/test_handover.py
@@ -13,7 +13,7 @@
 from bramleylug.relay.request_checks import RequestChecks
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.relay.retry_budget import SharedRetryBudget
-from bramleylug.relay.upstream_selection import UpstreamSelector
+from bramleylug.scheduling.placing import UpstreamSelector
 from bramleylug.store.mirror import Mirror
 from testing.relay.builders import (
     build_caller_request,
--- a/testing/relay/fleet_simulation.py
+++ b/testing/scheduling/fleet_simulation.py
@@ -11,7 +11,7 @@
 
 from bramleylug.cluster.subsetting import preferred_subset
 from bramleylug.cluster.upstreams import UpstreamRegistry, UpstreamReport
-from bramleylug.relay.upstream_selection import (
+from bramleylug.scheduling.placing import (
     Constraints,
     Requirements,
     Selected,
--- a/testing/relay/test_upstream_selection.py
+++ b/testing/scheduling/test_placing.py
@@ -12,7 +12,7 @@
     UpstreamRegistry,
     UpstreamReport,
 )
-from bramleylug.relay.upstream_selection import (
+from bramleylug.scheduling.placing import (
     AtCapacity,
     NoneEligible,
     Selected,
--- a/testing/relay/test_placing.py
+++ b/testing/scheduling/test_placing_in_fleets.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from testing.relay.fleet_simulation import FleetSimulation, Shape
+from testing.scheduling.fleet_simulation import FleetSimulation, Shape
 
 LENGTH_S = 4.0
 SMALL = Shape(
