--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -13,6 +13,7 @@
     LocalEngine,
     OrderAnswer,
 )
+from bramleylug.loader.pace_watch import PaceWatch
 from bramleylug.loader.policy import (
     RETRY_S,
     AnnounceClosing,
@@ -60,6 +61,7 @@
 
     :ivar state: last reported state; ``None`` while the engine does not
         answer.
+    :ivar pace_watch: tells when the engine's pace has changed.
     :ivar report: last report in the form that relays get.
     :ivar announcements_due: heartbeats that are still to tell all relays that
         the weights are confirmed.
@@ -81,6 +83,7 @@
         self.chunk_stores = chunk_stores
         self.context = context
         self.clock = clock
+        self.pace_watch = PaceWatch()
         self.policy = LoadPolicy()
         self.state: EngineState | None = None
         self.report: UpstreamReport | None = None
@@ -144,9 +147,14 @@
         self.state = decoded.state
         self.audit.observe(decoded.state)
         self._set_report(decoded.report)
-        if previous is None or decoded.state.version != previous.version:
-            # Otherwise the engine would get no requests until the next
-            # scheduled heartbeat.
+        is_new_pace = self.pace_watch.record(decoded.report.pace, self.clock())
+        if (
+            is_new_pace
+            or previous is None
+            or decoded.state.version != previous.version
+        ):
+            # Otherwise the engine would get no requests, or too many, until
+            # the next scheduled heartbeat.
             self.context.send_heartbeat()
 
     def _set_report(self, report: UpstreamReport) -> None:
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -392,6 +392,13 @@
         'the engine of this host does not answer: {error}',
         'Check the engine if the message repeats.',
     )
+    pace_changed = EventSpec(
+        'BL3022',
+        'INFO',
+        'the engine of this host works at pace {pace} instead of {before}',
+        'Nothing to do; while the pace is above 1, its work takes so many '
+        'times longer and relays send it less. Check its host if that lasts.',
+    )
     load_failed = EventSpec(
         'BL3013',
         'WARNING',
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -67,6 +67,14 @@
     'bramleylug_upstream_silences_total',
     'Times at which an upstream with requests fell silent, by service',
 )
+PLACED = Counter(
+    'bramleylug_placed_total',
+    'Choices of an engine by estimate, by service and place: first or other',
+)
+ENGINE_PACE = Gauge(
+    'bramleylug_engine_pace',
+    'How many times longer than nominal the work of the engine takes',
+)
 REQUEST_SECONDS = Histogram(
     'bramleylug_request_seconds',
     'Time from a request to the end of its answer',
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -11,6 +11,7 @@
 from bramleylug.cluster.upstreams import Upstream
 from bramleylug.observability.metrics import (
     PERMITS,
+    PLACED,
     WAIT_SECONDS,
     WAITING,
     count,
@@ -344,6 +345,13 @@
         """
         upstream = selection.upstream
         context.estimate = selection.estimate
+        if selection.estimate is not None:
+            is_first = upstream.record.upstream_id in self.view.work.preferred
+            count(
+                PLACED,
+                service=upstream.record.service,
+                place='first' if is_first else 'other',
+            )
         if upstream.limited:
             count(PERMITS, event='used')
         upstream.consume(self.clock())
