Usage reports by one relay that holds the duties

Cause: the platform's settings may name a service that takes usage reports from one process at a time; nothing sent them.

Change: duties/ holds a claim in the store under the lease of the process, whose revision is the fencing token; counts of all relays reach the holder in datagrams that are repeated until acknowledged; each report is in the store, on condition, before it is sent. The settings ask for it.

--- a/src/bramleylug/cluster/heartbeats.py
+++ b/src/bramleylug/cluster/heartbeats.py
@@ -144,6 +144,10 @@
         yield from (load.asked_per_s, load.refused_per_s)
     for use in heartbeat.uses:
         yield from (use.slots, use.wanted_slots)
+    usage = heartbeat.usage
+    yield from (usage.clock_s, usage.agreed_s, usage.sent_s)
+    receipt = heartbeat.receipt
+    yield from (receipt.sent_s, receipt.agreed_s, receipt.covered_s)
 
 
 def relay_heartbeat(
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -135,6 +135,7 @@
             feeds.registered.set,
             self._find_earlier if record.role is Role.relay else None,
         )
+        self.presence.clock = clock
         self.make_heartbeat = make_heartbeat
         self.on_clean_up: Callable[[], None] = _ignore
         self.on_heartbeat: Callable[[Beat], None] = self.receive_heartbeat
--- /dev/null
+++ b/src/bramleylug/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that one relay at a time has for all of them."""
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -185,6 +185,64 @@
         '{key} could not be removed: {error}; it expires with its lease',
         'Nothing to do.',
     )
+    duties_held = EventSpec(
+        'BL1030',
+        'INFO',
+        '{holder} holds the duties with token {token}',
+        'Nothing to do.',
+    )
+    duties_left = EventSpec(
+        'BL1031',
+        'INFO',
+        'the duties held with token {token} for {held_s} s have ended: {cause}',
+        'If its lease ended, check the store and the network between it and '
+        'this host; if the service does not answer, check that one.',
+    )
+    duties_not_claimed = EventSpec(
+        'BL1032',
+        'INFO',
+        'the duties were not claimed: {error}',
+        'Nothing to do; another process was first, or it is tried again.',
+    )
+    duties_not_released = EventSpec(
+        'BL1033',
+        'WARNING',
+        'the claim of the duties was not removed: {error}',
+        'It is tried again until the lease of this process ends.',
+    )
+    duties_gone = EventSpec(
+        'BL1038',
+        'INFO',
+        'the claim of the duties with token {token} was removed before',
+        'Nothing to do.',
+    )
+    duty_delayed = EventSpec(
+        'BL1034',
+        'WARNING',
+        'a duty waits for the store: {error}',
+        'Check the store if the message repeats.',
+    )
+    duty_call_failed = EventSpec(
+        'BL1035',
+        'WARNING',
+        'a call of a duty was not accepted: {error}',
+        'It is repeated; check the service that takes reports and orders.',
+    )
+    usage_reported = EventSpec(
+        'BL1036',
+        'INFO',
+        'usage of window {window} was reported, {requests} requests, with '
+        'token {token}',
+        'Nothing to do.',
+    )
+    usage_not_reported = EventSpec(
+        'BL1037',
+        'ERROR',
+        'usage up to window {window} was not reported in time; windows in a '
+        'row: {reports}',
+        'Find out from the earlier messages whether the store or the service '
+        'was away; what the windows held is in the logs of requests.',
+    )
     # 2: requests at the entry
     request_refused = EventSpec(
         'BL2001',
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -87,6 +87,21 @@
 LIMITED_UPSTREAMS = Gauge(
     'bramleylug_limited_upstreams', 'Upstreams that name a limit'
 )
+DUTY_TOKEN = Gauge(
+    'bramleylug_duty_token',
+    'Fencing token with which this process holds the duties; 0 if it does not',
+)
+DUTY_CALLS = Counter(
+    'bramleylug_duty_calls_total',
+    'Reports and orders sent, by outcome: accepted or failed',
+)
+USAGE_WINDOW = Gauge(
+    'bramleylug_usage_window', 'Last window whose usage was reported from here'
+)
+USAGE_MISSED = Counter(
+    'bramleylug_usage_missed_total',
+    'Windows whose usage was not reported in time',
+)
 STORE_AGE = Gauge(
     'bramleylug_store_age_seconds',
     'Age of the data read from the store',
--- a/src/bramleylug/platform/adapter.py
+++ b/src/bramleylug/platform/adapter.py
@@ -16,6 +16,7 @@
     RELAY_PREFIX,
     StoreChangeHandler,
     bar_key,
+    duty_key,
     encode_peer,
     feed_prefix,
     peer_key,
@@ -25,6 +26,7 @@
 from bramleylug.web.exchange import Exchange
 
 if TYPE_CHECKING:
+    from bramleylug.duties.service import DutyService
     from bramleylug.loader.engine import LocalEngine
     from bramleylug.loader.sources import Origin
     from bramleylug.relay.dialect import Dialect
@@ -99,6 +101,17 @@
         """Return the store key of a bar."""
         return bar_key(fingerprint)
 
+    def duty_key(self, name: str) -> str:
+        """Return the store key of what concerns the duties."""
+        return duty_key(name)
+
+    def duty_service(self, address: str) -> 'DutyService':
+        from bramleylug.platform.duty_service import (  # noqa: PLC0415
+            PlatformDutyService,
+        )
+
+        return PlatformDutyService(address)
+
     def encode_peer(self, record: PeerRecord) -> bytes:
         return encode_peer(record)
 
--- a/src/bramleylug/platform/keyvalue.py
+++ b/src/bramleylug/platform/keyvalue.py
@@ -10,6 +10,7 @@
 
 from bramleylug.platform.fields import UnreadableValue, decode_json
 from bramleylug.store.changes import (
+    ConditionFailed,
     HistoryLost,
     Lease,
     LeaseEnded,
@@ -19,6 +20,8 @@
     StoreChanges,
     StoreItem,
     StoreUnavailable,
+    Transaction,
+    Write,
 )
 from bramleylug.store.mirror import ANSWER_LAG_S
 from bramleylug.web.http_client import CALL_ERRORS, CallAnswer, HttpClient
@@ -131,13 +134,20 @@
 
     async def put(self, key: str, value: bytes, lease_id: int) -> None:
         """Write a key unconditionally and attach it to a lease."""
-        entry = {
-            'key': key,
-            'value': b64encode(value).decode(),
-            'lease': lease_id,
-        }
-        transaction = {'expected': [], 'puts': [entry], 'deletes': []}
-        await self._call('POST', '/-/kv-txn', WRITE_TIMEOUT_S, transaction)
+        await self.commit(
+            Transaction(expected={}, writes=(Write(key, value, lease_id),))
+        )
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Apply a transaction and return its revision."""
+        answer = await self._send(
+            'POST', '/-/kv-txn', WRITE_TIMEOUT_S, _encode(transaction)
+        )
+        if answer.status == HTTPStatus.PRECONDITION_FAILED:
+            raise ConditionFailed(', '.join(transaction.expected))
+        return _decode_answer(
+            answer, lambda document: int(document['revision'])
+        )
 
     async def _call(
         self,
@@ -175,6 +185,24 @@
         return answer
 
 
+def _encode(transaction: Transaction) -> dict[str, Any]:
+    return {
+        'expected': [
+            {'key': key, 'revision': revision}
+            for key, revision in transaction.expected.items()
+        ],
+        'puts': [
+            {
+                'key': write.key,
+                'value': b64encode(write.value).decode(),
+                'lease': write.lease_id,
+            }
+            for write in transaction.writes
+        ],
+        'deletes': list(transaction.removals),
+    }
+
+
 def _era_of(answer: CallAnswer) -> int:
     text = answer.headers.get(ERA_HEADER, '')
     return int(text) if ERA.fullmatch(text) else 0
--- a/src/bramleylug/platform/settings.py
+++ b/src/bramleylug/platform/settings.py
@@ -7,6 +7,7 @@
 
 from bramleylug.cluster.descriptors import loader_budget, relay_budget
 from bramleylug.cluster.settings import CHANGE_LIMIT_S, ProcessSettings
+from bramleylug.duties.settings import DutySettings
 from bramleylug.loader.settings import LoaderSettings
 from bramleylug.relay.settings import RelaySettings
 from bramleylug.settings.addresses import is_address
@@ -36,6 +37,11 @@
 # Bounds on how soon relays obey the changes that they read from the store.
 CHANGE_BOUNDS = ('drain_ms', 'config_apply_ms', 'evacuation_ms')
 
+# What the settings name the duties of a single process.
+DUTIES_CONTRACT = 'leader'
+USAGE_DUTY = 'usage'
+SCALING_DUTY = 'scaling'
+
 SettingsT = TypeVar('SettingsT')
 
 
@@ -111,6 +117,9 @@
         'feed_bind',
     )
     addresses = [(name, getattr(settings, name, '')) for name in names]
+    duties = getattr(settings, 'duties', None)
+    if duties is not None:
+        addresses.append(('duties', duties.service))
     return [(name, address) for name, address in addresses if address]
 
 
@@ -159,6 +168,25 @@
         keys_fail_closed=bool(bounds['fail_closed']),
         retry_share=float(bounds['retry_budget_ratio']),
         retry_reserve=float(bounds['budget_slack']),
+        duties=_duty_settings(document),
+    )
+
+
+def _duty_settings(document: Mapping[str, Any]) -> DutySettings | None:
+    """Return the settings of the duties; ``None`` if there are none."""
+    service = document.get('cloud')
+    if service is None or DUTIES_CONTRACT not in document.get('contracts', ()):
+        return None
+    bounds = document['bounds']
+    duties = service.get('duties', ())
+    return DutySettings(
+        service=str(service['address']),
+        lease_s=bounds['lease_ms'] / MILLISECONDS,
+        calls_per_s=float(service['duty_per_s']),
+        reports_usage=USAGE_DUTY in duties,
+        scales=SCALING_DUTY in duties,
+        window_s=float(bounds.get('report_window_s', 0)),
+        late_s=float(bounds.get('usage_late_s', 0)),
     )
 
 
--- a/src/bramleylug/platform/store_changes.py
+++ b/src/bramleylug/platform/store_changes.py
@@ -36,6 +36,7 @@
 PEER_PREFIX = 'bramleylug/peers/'
 BAR_PREFIX = 'bramleylug/bars/'
 FEED_PREFIX = 'bramleylug/feeds/'
+DUTY_PREFIX = 'bramleylug/duties/'
 # Relays watch every key, so that one watch call covers the platform's keys
 # and bramleylug's own.
 RELAY_PREFIX = ''
@@ -167,6 +168,10 @@
     return f'{FEED_PREFIX}{zone}/'
 
 
+def duty_key(name: str) -> str:
+    return f'{DUTY_PREFIX}{name}'
+
+
 def bar_key(fingerprint: bytes) -> str:
     return f'{BAR_PREFIX}{fingerprint.hex()}'
 
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -21,6 +21,7 @@
 )
 from bramleylug.cluster.route_table import CallerLimits, RouteTable
 from bramleylug.cluster.status_pages import serve_metrics, serve_readiness
+from bramleylug.duties.relay_duties import DutyAdapter, RelayDuties
 from bramleylug.entry.reservations import Reservation
 from bramleylug.observability.metrics import LIMITED_UPSTREAMS, REVISION
 from bramleylug.outcomes import NotRun, Reason
@@ -54,7 +55,7 @@
 LAST_ANSWERS_S = 0.3
 
 
-class RelayAdapter(Adapter, Protocol):
+class RelayAdapter(Adapter, DutyAdapter, Protocol):
     """Interface to the platform that a relay needs."""
 
     @property
@@ -121,6 +122,13 @@
             clock,
             self.descriptors,
         )
+        self.duties: RelayDuties | None = None
+        if settings.duties is not None:
+            self.duties = RelayDuties(
+                settings.duties, self.core, adapter, clock
+            )
+            self.relay.on_begun = self.duties.count
+        self.core.on_heartbeat = self.receive_heartbeat
         self.bar_archive = BarArchive(
             self.core.store,
             self.core.view.suspects,
@@ -163,6 +171,8 @@
         self.core.open()
         self.core.loop.supervise('look', self.relay.dispatch_queue.run)
         self.core.loop.supervise('permits', self.core.view.permits.run)
+        if self.duties is not None:
+            self.duties.open()
 
     def close(self) -> None:
         self.core.close()
@@ -171,6 +181,8 @@
         """Direct callers to other relays; serve those that still connect."""
         self.draining_since_s = self.clock()
         self.core.start_draining()
+        if self.duties is not None:
+            self.duties.start_draining()
         ends_s = (
             self.draining_since_s
             + self.settings.stop_time
@@ -232,6 +244,14 @@
             )
         return heartbeat
 
+    def receive_heartbeat(self, heartbeat: Beat) -> None:
+        """Apply a datagram of another process."""
+        if heartbeat.HasField('usage') or heartbeat.HasField('receipt'):
+            if self.duties is not None:
+                self.duties.receive(heartbeat)
+            return
+        self.core.receive_heartbeat(heartbeat)
+
     def tell_limits(self, name: str) -> None:
         """Tell a relay that has started which limits hold."""
         if self.core.view.permits.buckets:
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -76,6 +76,8 @@
         is no limit.
     :ivar running: requests that have not ended.
     :ivar demand: those by service and urgency.
+    :ivar on_begun: called with the workspace of each request that an upstream
+        has begun to answer, once.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         self.running = 0
         self.demand = DemandMeter()
         self.dispatch_queue.demand = self.demand
+        self.on_begun: Callable[[str], None] = _ignore_workspace
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one exchange to its end.
@@ -293,7 +296,9 @@
         attempt.reader.queue_move = partial(
             self.dispatch_queue.queue_move, context.accepted.service
         )
-        attempt.on_answer_started = upstream.record_started
+        attempt.on_answer_started = partial(
+            self._record_started, context, upstream
+        )
         attempt.on_proven = partial(
             self.outcome_recorder.record_proven, context
         )
@@ -304,6 +309,17 @@
         )
         return attempt
 
+    def _record_started(
+        self, context: RequestContext, upstream: Upstream
+    ) -> None:
+        upstream.record_started()
+        self._record_begun(context)
+
+    def _record_begun(self, context: RequestContext) -> None:
+        if not context.has_begun:
+            context.has_begun = True
+            self.on_begun(context.workspace_name)
+
     def _hedge(self, context: RequestContext) -> SecondAttempt | None:
         """Return a second attempt, if another upstream can be tried now."""
         if not self.handover.try_move(context) or context.moving_to is None:
@@ -424,6 +440,8 @@
         if context is not None and isinstance(outcome, NotRun):
             self.demand.of(context.level).refused.record(now_s)
         if context is not None and isinstance(outcome, Ran):
+            if not context.route.streamed:
+                self._record_begun(context)
             if outcome.complete:
                 self.planned_stop.durations.record(context.route.name, took_s)
         table = self.view.table
@@ -506,3 +524,7 @@
 
 def _ignore() -> None:
     """Do nothing."""
+
+
+def _ignore_workspace(workspace: str) -> None:
+    """Do nothing."""
--- a/src/bramleylug/relay/request_context.py
+++ b/src/bramleylug/relay/request_context.py
@@ -42,6 +42,7 @@
         that it was not run.
     :ivar stopped: whether a planned stop of this relay shortens its time
         limit.
+    :ivar has_begun: whether an upstream has begun to answer it.
     :ivar level: what its load is counted under, from its first acceptance.
     """
 
@@ -60,6 +61,7 @@
     hedged_outcome: Outcome | None = None
     may_have_run: bool = False
     stopped: bool = False
+    has_begun: bool = False
     level: Level = Level('', 0)
 
     @classmethod
--- a/src/bramleylug/relay/settings.py
+++ b/src/bramleylug/relay/settings.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from bramleylug.cluster.settings import ProcessSettings
+from bramleylug.duties.settings import DutySettings
 from bramleylug.settings.fields import setting
 
 
@@ -46,3 +47,6 @@
     retry_reserve: float = setting(
         'retries allowed in addition to that share', 100.0
     )
+    duties: DutySettings | None = setting(
+        'duties that one relay at a time has for all; none by default', None
+    )
--- a/src/bramleylug/store/changes.py
+++ b/src/bramleylug/store/changes.py
@@ -1,5 +1,6 @@
 """Interface of a store whose key prefixes are listed and watched."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol, final
 
@@ -113,6 +114,35 @@
     """The lease has expired or was revoked."""
 
 
+class ConditionFailed(Exception):
+    """A key that a transaction depends on has changed; nothing was written."""
+
+
+class Write(NamedTuple):
+    """A key to be written by a transaction.
+
+    :ivar lease_id: lease that the key is bound to; 0 for none.
+    """
+
+    key: str
+    value: bytes
+    lease_id: int = 0
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Transaction:
+    """Writes and removals that take effect together or not at all.
+
+    :ivar expected: revision by key that each must have; 0 if the key must not
+        exist.
+    """
+
+    expected: Mapping[str, int]
+    writes: tuple[Write, ...] = ()
+    removals: tuple[str, ...] = ()
+
+
 class WatchableStore(Protocol):
     """A store with watches and leases.
 
@@ -151,3 +181,10 @@
 
         :raises LeaseEnded: when the lease does not exist.
         """
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Apply a transaction and return its revision.
+
+        :raises ConditionFailed: when a key has another revision.
+        :raises LeaseEnded: when a lease does not exist.
+        """
--- a/src/bramleylug/store/presence.py
+++ b/src/bramleylug/store/presence.py
@@ -23,6 +23,24 @@
     """Do nothing."""
 
 
+def _at_once() -> float:
+    """Return a time for those who need none."""
+    return 0
+
+
+class HeldLease(NamedTuple):
+    """The lease of a process, as far as it knows.
+
+    :ivar era: era of the store that granted it.
+    :ivar ends_s: before this time it has not ended, by the clock of the
+        process: its duration counts from a call that was sent, not answered.
+    """
+
+    lease_id: int
+    era: int
+    ends_s: float
+
+
 class FixedItem(NamedTuple):
     """A key whose value never changes."""
 
@@ -41,6 +59,9 @@
     :param on_registered: called when everything has been written.
     :param before_first: is awaited before anything is written for the first
         time, again if it raises :class:`StoreUnavailable`.
+    :ivar clock: seconds that also count while the host is suspended.
+    :ivar held: the lease, for what else is bound to it; ``None`` while there
+        is none.
     """
 
     def __init__(
@@ -54,6 +75,8 @@
         before_first: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self.before_first = before_first
+        self.clock: Callable[[], float] = _at_once
+        self.held: HeldLease | None = None
         self.lease_s = lease_s
         self.fixed_item = fixed_item
         self.on_registered = on_registered
@@ -81,6 +104,7 @@
                     return
                 emit(LogEvent.lease_ended, key=self.key)
                 self.lease = None
+                self.held = None
                 continue
             except StoreUnavailable:
                 # The watcher of the same store logs the outage.
@@ -90,6 +114,7 @@
     async def withdraw(self) -> None:
         """Revoke the lease, which removes the key, and end :meth:`run`."""
         self.withdrawn = True
+        self.held = None
         await self._end_lease()
 
     async def _end_lease(self) -> None:
@@ -105,10 +130,13 @@
             )
 
     async def _step(self) -> None:
+        sent_s = self.clock()
         if self.lease is not None and self.lease_era == self.store.era:
             await self.store.keep_lease(self.lease.lease_id)
         if self.lease is None or self.lease_era != self.store.era:
             # The renewal may be the first call that a new era answers.
+            self.held = None
+            sent_s = self.clock()
             self.lease = await self.store.grant_lease(self.lease_s)
             self.lease_era = self.store.era
             self.written = None
@@ -119,6 +147,9 @@
         if self.before_first is not None:
             await self.before_first()
             self.before_first = None
+        self.held = HeldLease(
+            self.lease.lease_id, self.lease_era, sent_s + self.lease.ttl_s
+        )
         await self._write(self.lease.lease_id)
         self.on_registered()
 
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -15,6 +15,7 @@
     ReaderTimes,
     StoreChanges,
     StoreItem,
+    Transaction,
     WatchableStore,
 )
 from bramleylug.store.feed import MICROSECONDS, changes_of, decode
@@ -150,6 +151,9 @@
     async def put(self, key: str, value: bytes, lease_id: int) -> None:
         await self.store.put(key, value, lease_id)
 
+    async def commit(self, transaction: Transaction) -> int:
+        return await self.store.commit(transaction)
+
     async def _list_at_reader(self, prefix: str) -> Page | None:
         """Return all items from a reader; ``None`` if none is of use."""
         if prefix not in self.watched:
