Upstreams are ordered by demand; duties in status, metrics and pages

Cause: a service's configuration may limit how many upstreams it has in each zone, and nothing ordered any.

--- a/src/bramleylug/cli/status.py
+++ b/src/bramleylug/cli/status.py
@@ -5,7 +5,7 @@
 import time
 from argparse import Namespace
 from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import suppress
 from http import HTTPStatus
 from http.client import HTTPConnection, HTTPException
@@ -15,6 +15,7 @@
 from bramleylug.cli.parser import ExitCode
 from bramleylug.node.members import MEMBERS_PATH, MemberLine, MembersPage
 
+DUTIES_PATH = '/duties'
 TIMEOUT_S = 5.0
 WATCH_INTERVAL_S = 2.0
 MAX_NAMES_SHOWN = 8
@@ -54,7 +55,18 @@
     status = commands.add_parser(
         'status', help='print members, revisions and weights of each zone'
     )
-    _add_entry_flag(status)
+    queried = status.add_mutually_exclusive_group(required=True)
+    queried.add_argument(
+        '--entry',
+        metavar='HOST:PORT',
+        help='HTTP address of any entry or agent',
+    )
+    queried.add_argument(
+        '--relay',
+        metavar='HOST:PORT',
+        help='metrics address of a relay: print who holds the duties of all '
+        'relays, and what was done',
+    )
     status.add_argument(
         '--json', action='store_true', help='print one JSON object'
     )
@@ -152,6 +164,8 @@
 
 
 def _print_status(namespace: Namespace) -> int:
+    if namespace.relay:
+        return _print_duties(namespace)
     response = fetch_page(namespace.entry, MEMBERS_PATH)
     if response is None:
         return ExitCode.unavailable
@@ -164,6 +178,34 @@
     return ExitCode.ok
 
 
+def _print_duties(namespace: Namespace) -> int:
+    page = fetch_page(namespace.relay, DUTIES_PATH)
+    if page is None:
+        return ExitCode.unavailable
+    if namespace.json:
+        print(json.dumps(page))
+    else:
+        print('\n'.join(format_duties(page)), flush=True)
+    return ExitCode.ok
+
+
+def format_duties(page: Mapping[str, Any]) -> Iterator[str]:
+    """Return lines about the duties as a relay knows them."""
+    yield f'duties: held by {page["holder"] or "nobody"}'
+    if page['token']:
+        yield (
+            f'  with token {page["token"]} for {page["held_for_s"]} s, lease '
+            f'for {page["lease_left_s"]} s at least'
+        )
+    if page['window'] >= 0:
+        yield f'  usage: window {page["window"]} is in the store'
+    for order in page['orders']:
+        yield (
+            f'  {order["service"]} in {order["zone"]}: {order["wanted"]} '
+            f'upstreams ordered, {order["present"]} present'
+        )
+
+
 def _format_page(page: MembersPage) -> Iterator[str]:
     yield f'{page["name"]} has revision {page["revision"]} in force'
     if page['not_ready']:
--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import NamedTuple, final
 
-from bramleylug.scheduling.figures import EngineFigures
+from bramleylug.scheduling.figures import EngineFigures, ScalingLimits
 
 
 @final
@@ -121,6 +121,7 @@
     :ivar origin: address of the weights origin if the service is one; else
         empty.
     :ivar engine: speed of its engines; ``None`` if it is not stated.
+    :ivar scaling: ``None`` if the number of its upstreams is not ordered.
     """
 
     name: str
@@ -129,6 +130,7 @@
     weights: WeightsLayout | None = None
     origin: str = ''
     engine: EngineFigures | None = None
+    scaling: ScalingLimits | None = None
 
 
 class CallerLimits(NamedTuple):
@@ -213,6 +215,11 @@
             for service, urgencies in by_service.items()
         }
 
+    def is_scaled(self, service: str) -> bool:
+        """Return whether the number of a service's upstreams is ordered."""
+        known = self.services.get(service)
+        return known is not None and known.scaling is not None
+
     def origins(self) -> Iterable[Service]:
         """Return the services that are origins of weights."""
         return (service for service in self.services.values() if service.origin)
--- a/src/bramleylug/duties/relay_duties.py
+++ b/src/bramleylug/duties/relay_duties.py
@@ -11,20 +11,36 @@
 from bramleylug.duties.claims import Candidacy, Claim, decode_claim
 from bramleylug.duties.reporter import UsageReporter
 from bramleylug.duties.reports import decode_report
+from bramleylug.duties.scaler import (
+    ServiceState,
+    UpstreamScaler,
+    decode_orders,
+)
+from bramleylug.duties.scaled_services import scaled_services
 from bramleylug.duties.service import DutyService
 from bramleylug.duties.settings import DutySettings
 from bramleylug.duties.steward import ClaimSource, ClaimView, Steward
 from bramleylug.duties.usage import Windows
 from bramleylug.duties.usage_exchange import UsageExchange
 from bramleylug.node.ticks import sleep_until_tick
+from bramleylug.scheduling.demand import (
+    DemandMeter,
+    Level,
+    LevelLoad,
+    ToldDemand,
+)
 from bramleylug.wire.beats_pb2 import Beat
 
 CLAIM = 'claim'
 USAGE = 'usage'
+ORDERS = 'orders'
 TELL_INTERVAL_S = 1.0
 # A relay that stops tells its last counts sooner.
 LAST_TELL_INTERVAL_S = 0.2
 RUN_BITS = 62
+# Of the rest after its start: a relay that started a little later than this one
+# is a candidate as well, else all of a fleet that starts would be the first.
+SETTLED_SHARE = 0.5
 
 
 class DutyAdapter(Protocol):
@@ -37,6 +53,18 @@
         """Return the service that takes reports and orders."""
 
 
+class OrderLine(TypedDict):
+    """Upstreams of a service in a zone.
+
+    :ivar wanted: number ordered last.
+    """
+
+    service: str
+    zone: str
+    wanted: int
+    present: int
+
+
 class DutyStatus(TypedDict):
     """State of the duties as this relay knows it.
 
@@ -52,6 +80,7 @@
     held_for_s: float
     lease_left_s: float
     window: int
+    orders: list[OrderLine]
 
 
 @final
@@ -59,6 +88,7 @@
     """Counts requests, claims the duties and does them.
 
     :param clock: seconds that also count while the host is suspended.
+    :param demand: counts this relay's requests.
     """
 
     def __init__(
@@ -67,11 +97,13 @@
         core: ProcessCore,
         adapter: DutyAdapter,
         clock: Callable[[], float],
+        demand: DemandMeter,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.settings = settings
         self.core = core
         self.clock = clock
+        self.demand = demand
         self.claim_key = adapter.duty_key(CLAIM)
         self.usage_key = adapter.duty_key(USAGE)
         self.own = Claim(core.settings.name, randbits(RUN_BITS))
@@ -101,14 +133,24 @@
             Candidacy.from_start(rest_s, clock()),
             clock,
         )
+        self.scaler = UpstreamScaler(
+            adapter.duty_key(ORDERS),
+            self.claim_key,
+            core.store,
+            self.reporter.service,
+            self._scaled_services,
+            self.exchange.time.now_s,
+        )
         if settings.reports_usage:
-            self.steward.reporter = self.reporter
+            self.steward.duties.append(self.reporter)
+        if settings.scales:
+            self.steward.duties.append(self.scaler)
+            self.exchange.loads = self._loads
 
     def open(self) -> None:
         """Start the background tasks."""
         self.core.loop.supervise('duties', self.steward.run)
-        if self.settings.reports_usage:
-            self.core.loop.supervise('usage', self._tell)
+        self.core.loop.supervise('usage', self._tell)
 
     def start_draining(self) -> None:
         """Leave the duties to another relay."""
@@ -122,6 +164,7 @@
     def receive(self, heartbeat: Beat) -> None:
         """Apply a datagram about usage."""
         if heartbeat.HasField('usage'):
+            self.exchange.receive_loads(heartbeat.name, heartbeat.levels)
             self.exchange.receive(heartbeat.usage)
         else:
             self.exchange.receive_receipt(heartbeat.name, heartbeat.receipt)
@@ -138,8 +181,28 @@
             held_for_s=0 if term is None else round(now_s - term.since_s, 1),
             lease_left_s=0 if held is None else round(held.ends_s - now_s, 1),
             window=self.reporter.schedule.floor,
+            orders=self._order_lines(),
         )
 
+    def _order_lines(self) -> list[OrderLine]:
+        item = self.core.view.mirror.items.get(self.scaler.key)
+        orders = {} if item is None else decode_orders(item.value)
+        services = self._scaled_services()
+        lines = []
+        for (service, zone), order in sorted(orders.items()):
+            state = services.get(service)
+            zones = {} if state is None else state.zones
+            present = zones[zone].present if zone in zones else 0
+            lines.append(
+                OrderLine(
+                    service=service,
+                    zone=zone,
+                    wanted=order.wanted,
+                    present=present,
+                )
+            )
+        return lines
+
     async def _tell(self) -> None:
         while True:
             self.exchange.clean_up()
@@ -171,12 +234,39 @@
     def _candidates(self) -> list[str]:
         """Return the other relays that may claim the duties."""
         candidates = self.core.view.peers.issuer_candidates(
-            self.clock(), self.steward.candidacy.rest_s
+            self.clock(), self.steward.candidacy.rest_s * SETTLED_SHARE
         )
         return [
             one.name for one in candidates if one.settled and not one.draining
         ]
 
+    def _loads(self) -> dict[Level, LevelLoad]:
+        """Return the loads of this relay that the holder decides by."""
+        table = self.core.view.table
+        if table is None:
+            return {}
+        return {
+            level: load
+            for level, load in self.demand.loads(self.clock()).items()
+            if table.is_scaled(level.service)
+        }
+
+    def _scaled_services(self) -> dict[str, ServiceState]:
+        view = self.core.view
+        if view.table is None:
+            return {}
+        return scaled_services(
+            view.table,
+            [one.record for one in view.upstreams.by_id.values()],
+            view.zones_out,
+            self._loads_by_zone(),
+        )
+
+    def _loads_by_zone(self) -> list[ToldDemand]:
+        now_s = self.clock()
+        own = ToldDemand(self.core.record.zone, self._loads(), now_s)
+        return [own, *self.exchange.demand.recent(now_s)]
+
     def _live_relays(self) -> list[str]:
         peers = self.core.view.peers
         return [peer.name for peer in peers.alive(Role.relay, self.clock())]
--- a/src/bramleylug/duties/steward.py
+++ b/src/bramleylug/duties/steward.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import NamedTuple, final
+from typing import NamedTuple, Protocol, final
 
 from bramleylug.duties.claims import (
     CALL_LIMIT_S,
@@ -16,7 +16,6 @@
     place_of,
     token_of,
 )
-from bramleylug.duties.reporter import UsageReporter
 from bramleylug.duties.service import CallFailed, Mandate
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import DUTY_CALLS, DUTY_TOKEN, count
@@ -62,6 +61,27 @@
     candidates: Callable[[], Iterable[str]]
 
 
+class Duty(Protocol):
+    """What a holder does."""
+
+    def begin_term(self) -> None:
+        """Take over from another holder, or begin."""
+
+    def read_again(self) -> None:
+        """Read the store before anything else."""
+
+    async def step(
+        self, term: Term, mandate: Callable[[], Mandate | None]
+    ) -> None:
+        """Do what is due now.
+
+        :param mandate: returns the right to make a call at this moment.
+        :raises CallFailed: when the service did not accept a call.
+        :raises StoreUnavailable: when the store did not answer.
+        :raises ConditionFailed: when another holder may have written.
+        """
+
+
 @final
 class Steward:
     """Holds the duties, or waits until it is its turn.
@@ -71,6 +91,7 @@
     :param presence: keeps the lease that the claim is bound to.
     :param source: where the claim is known from.
     :param clock: seconds that also count while the host is suspended.
+    :ivar duties: what it does while it holds them.
     :ivar leaving: whether the relay stops as planned.
     :ivar unanswered_since_s: since when no call has been answered.
     :ivar ended: era and revision of the last claim that has ended.
@@ -94,7 +115,7 @@
         self.source = source
         self.candidacy = candidacy
         self.clock = clock
-        self.reporter: UsageReporter | None = None
+        self.duties: list[Duty] = []
         self.term: Term | None = None
         self.leaving = False
         self.unanswered_since_s: float | None = None
@@ -195,8 +216,8 @@
         except (ConditionFailed, LeaseEnded, StoreUnavailable) as error:
             # Another holder wrote, or this one did and the answer was lost.
             emit(LogEvent.duty_delayed, error=str(error))
-            if self.reporter is not None:
-                self.reporter.read_again()
+            for duty in self.duties:
+                duty.read_again()
             self.retry_s = self.clock() + CALL_RETRY_S
         if self._is_unanswered():
             await self._release(
@@ -204,9 +225,10 @@
             )
 
     async def _do_duties(self) -> None:
-        if self.reporter is not None and self.term is not None:
-            await self.reporter.step(self.term, self.mandate)
-            self.unanswered_since_s = None
+        for duty in self.duties:
+            if self.term is not None:
+                await duty.step(self.term, self.mandate)
+        self.unanswered_since_s = None
 
     def _record_failure(self, error: CallFailed) -> None:
         now_s = self.clock()
@@ -256,8 +278,8 @@
         self.term = term
         self.unanswered_since_s = None
         self.retry_s = float('-inf')
-        if self.reporter is not None:
-            self.reporter.begin_term()
+        for duty in self.duties:
+            duty.begin_term()
         emit(LogEvent.duties_held, token=term.token, holder=self.own.holder)
         DUTY_TOKEN.set({'instance': self.own.holder}, term.token)
 
--- a/src/bramleylug/duties/usage_exchange.py
+++ b/src/bramleylug/duties/usage_exchange.py
@@ -5,10 +5,15 @@
 would come too late, so that another holder gets them as well.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
 from random import Random
 from typing import final
 
+from bramleylug.cluster.demand_messages import (
+    loads_from_messages,
+    loads_to_messages,
+)
 from bramleylug.cluster.peers import PeerRecord, PeerRegistry, Role
 from bramleylug.duties.agreed_time import AgreedTime
 from bramleylug.duties.claims import Claim
@@ -17,6 +22,12 @@
     windows_to_messages,
 )
 from bramleylug.duties.usage import UsageMeter, UsageTally, Windows
+from bramleylug.scheduling.demand import (
+    FleetDemand,
+    Level,
+    LevelLoad,
+    ToldDemand,
+)
 from bramleylug.wire.beats_pb2 import (
     Beat,
     UsageCounts,
@@ -24,6 +35,7 @@
     UsageWindow,
     WindowReceipt,
 )
+from bramleylug.wire.beats_pb2 import LevelLoad as LoadMessage
 
 # Datagrams without an answer after which another relay passes them on as well.
 DIRECT_TRIES = 2
@@ -33,6 +45,23 @@
 GONE_S = 1.5
 
 
+@final
+@dataclass(slots=True)
+class Told:
+    """What the holder has received from this relay.
+
+    :ivar holder: the claim in the store; ``None`` for none.
+    :ivar acknowledged: sum that it has received, by window.
+    :ivar covered_s: agreed time up to which it has been told everything.
+    :ivar tries: datagrams since its last answer.
+    """
+
+    holder: Claim | None = None
+    acknowledged: dict[int, int] = field(default_factory=dict)
+    covered_s: float = float('-inf')
+    tries: int = 0
+
+
 @final
 class UsageExchange:
     """Counts of this relay, and those that it receives as the holder.
@@ -41,10 +70,9 @@
     :param send: sends a datagram to an address.
     :param is_delayed: whether this process has just stood still, so that
         what it reads says little about the time.
-    :ivar holder: the claim in the store; ``None`` for none.
-    :ivar acknowledged: sum that the holder has received, by window.
-    :ivar told_s: agreed time up to which it has been told everything.
-    :ivar tries: datagrams since its last answer.
+    :ivar loads: returns the loads that the holder is told as well.
+    :ivar demand: those that other relays have told this one.
+    :ivar told: what the present holder knows.
     :ivar hand_overs: how often it is still told what others told this relay.
     :ivar reported: last window whose report is in the store; -1 for none.
     """
@@ -65,15 +93,19 @@
         self.send = send
         self.is_delayed = is_delayed
         self.random = Random(own.holder)  # noqa: S311
+        self.loads: Callable[[], Mapping[Level, LevelLoad]] = dict
+        self.demand = FleetDemand()
         self.meter = UsageMeter()
         self.tally = UsageTally()
-        self.holder: Claim | None = None
-        self.acknowledged: dict[int, int] = {}
-        self.told_s = float('-inf')
-        self.tries = 0
+        self.told = Told()
         self.hand_overs = 0
         self.reported = -1
 
+    @property
+    def holder(self) -> Claim | None:
+        """Return the claim in the store; ``None`` for none."""
+        return self.told.holder
+
     def count(self, workspace: str) -> None:
         """Count a request that began now."""
         if workspace:
@@ -89,10 +121,7 @@
             return
         if self.holder == self.own:
             self.hand_overs = HAND_OVER_TRIES
-        self.holder = holder
-        self.acknowledged.clear()
-        self.told_s = float('-inf')
-        self.tries = 0
+        self.told = Told(holder)
 
     def gather_own(self) -> None:
         """As the holder, count what began at this relay."""
@@ -101,12 +130,13 @@
 
     def clean_up(self) -> None:
         """Forget windows whose reports would come too late."""
+        self.demand.remove_expired(self.time.clock())
         first = self.windows.first_kept(self.time.now_s())
         self.meter.forget_before(first)
         self.tally.forget_before(first)
-        for window in tuple(self.acknowledged):
+        for window in tuple(self.told.acknowledged):
             if window < first:
-                self.acknowledged.pop(window)
+                self.told.acknowledged.pop(window)
 
     def tell(self) -> None:
         """Send the holder what it has not received."""
@@ -116,17 +146,28 @@
             window: counts
             for window, counts in self.meter.windows.items()
             if window > self.reported
-            and counts.total() != self.acknowledged.get(window, 0)
+            and counts.total() != self.told.acknowledged.get(window, 0)
         }
         if self.hand_overs and self.holder is not None:
             self.hand_overs -= 1
             self._hand_over(self.holder.holder)
         agreed_s = self.time.now_s()
         begun_s = self.windows.begin_s(self.windows.at(agreed_s))
-        if not untold and self.told_s >= begun_s:
+        if not (untold or self.loads()) and self.told.covered_s >= begun_s:
             return
         self._tell_all(list(windows_to_messages(untold)), agreed_s)
-        self.tries += 1
+        self.told.tries += 1
+
+    def receive_loads(self, relay: str, loads: Iterable[LoadMessage]) -> None:
+        """Record what load a relay has."""
+        peer = self.peers.known.get(relay)
+        if peer is not None:
+            self.demand.record(
+                relay,
+                ToldDemand(
+                    peer.zone, loads_from_messages(loads), self.time.clock()
+                ),
+            )
 
     def receive(self, message: UsageCounts) -> None:
         """Apply counts as the holder, or pass them on to it."""
@@ -162,11 +203,11 @@
         is_other = self.holder is not None and sender != self.holder.holder
         if is_other or receipt.run != self.own.run:
             return
-        self.tries = 0
-        self.told_s = receipt.covered_s
+        self.told.tries = 0
+        self.told.covered_s = receipt.covered_s
         self.time.adopt(receipt.agreed_s, receipt.sent_s)
         for window in receipt.windows:
-            self.acknowledged[int(window.number)] = int(window.requests)
+            self.told.acknowledged[int(window.number)] = int(window.requests)
 
     def _tell_all(
         self, parts: list[list[UsageWindow]], agreed_s: float
@@ -188,7 +229,9 @@
                 holder=holder,
                 windows=part,
             )
-            self._send(Beat(name=self.own.holder, usage=message), targets)
+            beat = Beat(name=self.own.holder, usage=message)
+            beat.levels.extend(loads_to_messages(self.loads()))
+            self._send(beat, targets)
 
     def _hand_over(self, holder: str) -> None:
         """Tell the next holder what relays told that are gone."""
@@ -241,7 +284,7 @@
 
     def _forwarders(self, holder: PeerRecord | None) -> list[str]:
         """Return the address of a relay that may reach the holder."""
-        if holder is not None and self.tries < DIRECT_TRIES:
+        if holder is not None and self.told.tries < DIRECT_TRIES:
             return []
         now_s = self.time.clock()
         zones = {self.peers.own().zone}
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -243,6 +243,15 @@
         'Find out from the earlier messages whether the store or the service '
         'was away; what the windows held is in the logs of requests.',
     )
+    scaling_decided = EventSpec(
+        'BL1039',
+        'INFO',
+        'service {service} is to have {wanted} upstreams in zone {zone}, where '
+        'it has {present}; of its requests {running} run, {waiting} wait and '
+        '{refused_per_s} a second are refused',
+        'Nothing to do; if they are not there after their time to start, '
+        'check the service that takes the orders.',
+    )
     # 2: requests at the entry
     request_refused = EventSpec(
         'BL2001',
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -102,6 +102,10 @@
     'bramleylug_usage_missed_total',
     'Windows whose usage was not reported in time',
 )
+UPSTREAMS_ORDERED = Gauge(
+    'bramleylug_upstreams_ordered',
+    'Upstreams last ordered from here, by service and zone',
+)
 STORE_AGE = Gauge(
     'bramleylug_store_age_seconds',
     'Age of the data read from the store',
--- a/src/bramleylug/platform/decoding.py
+++ b/src/bramleylug/platform/decoding.py
@@ -31,7 +31,7 @@
     text,
     texts,
 )
-from bramleylug.scheduling.figures import EngineFigures
+from bramleylug.scheduling.figures import EngineFigures, ScalingLimits
 
 MAX_SLOTS = 65_536
 THOUSAND = 1_000
@@ -215,6 +215,19 @@
         weights=layout,
         origin=optional_address(service.get('origin'), 'origin'),
         engine=_engine_figures(engine) if engine.get('step_ms') else None,
+        scaling=_scaling_limits(service.get('scaling')),
+    )
+
+
+def _scaling_limits(scaling: Any) -> ScalingLimits | None:
+    if not scaling:
+        return None
+    limits = mapping(scaling, 'scaling')
+    minimum = integer(limits['minimum'], 'minimum', MAX_COUNT)
+    return ScalingLimits(
+        minimum,
+        integer(limits['maximum'], 'maximum', MAX_COUNT, minimum),
+        number(limits['boot_s'], 'boot_s'),
     )
 
 
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -39,6 +39,7 @@
 from bramleylug.web.server import WebServer
 from bramleylug.wire.beats_pb2 import Beat
 
+DUTIES_PATH = '/duties'
 # The memory of a request is released when both the exchange and the task that
 # serves it have ended.
 RESERVATION_HOLDERS = 2
@@ -125,7 +126,7 @@
         self.duties: RelayDuties | None = None
         if settings.duties is not None:
             self.duties = RelayDuties(
-                settings.duties, self.core, adapter, clock
+                settings.duties, self.core, adapter, clock, self.relay.demand
             )
             self.relay.on_begun = self.duties.count
         self.core.on_heartbeat = self.receive_heartbeat
@@ -324,7 +325,10 @@
         self.core.loop.serve(exchange, lambda: self.core.serve_feed(exchange))
 
     def serve_metrics(self, exchange: Exchange) -> None:
-        """Serve the metrics page."""
+        """Serve the metrics page, and that of the duties."""
+        if exchange.path == DUTIES_PATH and self.duties is not None:
+            exchange.reply_json(HTTPStatus.OK, self.duties.status())
+            return
         serve_metrics(exchange, self.settings.name, self.core.view.store_age_s)
 
     def serve_directory(self, exchange: Exchange) -> None:
--- a/src/bramleylug/scheduling/demand.py
+++ b/src/bramleylug/scheduling/demand.py
@@ -162,7 +162,7 @@
         :param zone: only relays of this zone; ``None`` for all.
         """
         totals: dict[int, LevelLoad] = {}
-        for told in self._recent(now_s):
+        for told in self.recent(now_s):
             if zone is not None and told.zone != zone:
                 continue
             for level, load in told.loads.items():
@@ -177,7 +177,8 @@
             if now_s - told.received_s >= TOLD_TTL_S:
                 self.told.pop(relay)
 
-    def _recent(self, now_s: float) -> Iterable[ToldDemand]:
+    def recent(self, now_s: float) -> Iterable[ToldDemand]:
+        """Return what each relay has told that still counts."""
         return [
             told
             for told in self.told.values()
--- a/src/bramleylug/scheduling/figures.py
+++ b/src/bramleylug/scheduling/figures.py
@@ -50,3 +50,17 @@
     usual_prompt: float
     usual_answer: float
     memory_tokens: int
+
+
+@final
+class ScalingLimits(NamedTuple):
+    """How many upstreams a service may have.
+
+    :ivar minimum: in each availability zone.
+    :ivar maximum: in each availability zone.
+    :ivar boot_s: time from an order until a new upstream has started.
+    """
+
+    minimum: int
+    maximum: int
+    boot_s: float
--- a/testing/duties/world.py
+++ b/testing/duties/world.py
@@ -11,7 +11,12 @@
 from bramleylug.duties.claims import Candidacy, Claim, decode_claim
 from bramleylug.duties.reporter import UsageReporter
 from bramleylug.duties.reports import decode_report
-from bramleylug.duties.service import CallFailed, Mandate, UsageReport
+from bramleylug.duties.service import (
+    CallFailed,
+    Mandate,
+    ScaleOrder,
+    UsageReport,
+)
 from bramleylug.duties.steward import ClaimSource, ClaimView, Steward
 from bramleylug.duties.usage import Windows
 from bramleylug.duties.usage_exchange import UsageExchange
@@ -227,7 +232,7 @@
         self.reporter = UsageReporter(
             USAGE_KEY, CLAIM_KEY, self, self, self.exchange, self.alive
         )
-        self.steward.reporter = self.reporter
+        self.steward.duties = [self.reporter]
 
     @property
     def frozen(self) -> bool:
@@ -349,36 +354,26 @@
             raise StoreUnavailable('lost', uncertain=True)
         return revision
 
-    async def _run(self) -> None:
-        while True:
-            await self.running.wait()
-            self.copy_store()
-            self.hear_others()
-            await self.steward.step()
-            await asyncio.sleep(0.25)
-
-    async def _tell(self) -> None:
-        while True:
-            await self.running.wait()
-            self.exchange.clean_up()
-            self.exchange.tell()
-            await asyncio.sleep(0.2 if self.steward.leaving else 1.0)
+    async def report_usage(self, mandate: Mandate, report: UsageReport) -> None:
+        await self._call(mandate, USAGE, report._asdict())
 
-    def _apply_late(self, transaction: Transaction) -> None:
-        try:
-            self.world.store.commit(transaction)
-        except (ConditionFailed, LeaseEnded):
-            return
+    async def order(self, mandate: Mandate, order: ScaleOrder) -> None:
+        subject = (order.service, order.zone)
+        await self._call(mandate, subject, {'desired_count': order.wanted})
 
-    async def report_usage(self, mandate: Mandate, report: UsageReport) -> None:
+    async def _call(
+        self, mandate: Mandate, subject: tuple[str, ...], document: Any
+    ) -> None:
         self.world.on_event('before call', self)
         is_away = self.world.service_away or self.service_cut
         try:
             await self._pass(is_away)
         except StoreUnavailable as error:
             raise CallFailed('silent', answered=False) from error
-        call = DutyCall(now(), self.name, mandate.holder, mandate.token, USAGE)
-        taken = self.world.record.take(call, report._asdict())
+        call = DutyCall(
+            now(), self.name, mandate.holder, mandate.token, subject
+        )
+        taken = self.world.record.take(call, document)
         self.world.on_event('after call', self)
         is_lost = self.world.random.random() < self.world.lost
         await self.running.wait()
@@ -393,3 +388,24 @@
         await self.running.wait()
         if is_cut:
             raise StoreUnavailable('cut')
+
+    async def _run(self) -> None:
+        while True:
+            await self.running.wait()
+            self.copy_store()
+            self.hear_others()
+            await self.steward.step()
+            await asyncio.sleep(0.25)
+
+    async def _tell(self) -> None:
+        while True:
+            await self.running.wait()
+            self.exchange.clean_up()
+            self.exchange.tell()
+            await asyncio.sleep(0.2 if self.steward.leaving else 1.0)
+
+    def _apply_late(self, transaction: Transaction) -> None:
+        try:
+            self.world.store.commit(transaction)
+        except (ConditionFailed, LeaseEnded):
+            return
