--- a/src/bramleylug/duties/relay_duties.py
+++ b/src/bramleylug/duties/relay_duties.py
@@ -38,6 +38,8 @@
 # A relay that stops tells its last counts sooner.
 LAST_TELL_INTERVAL_S = 0.2
 RUN_BITS = 62
+# Between two renewals it leaves time for a call.
+MIN_LEASE_S = 2.5
 # Of the rest after its start: a relay that started a little later than this one
 # is a candidate as well, else all of a fleet that starts would be the first.
 SETTLED_SHARE = 0.5
@@ -123,6 +125,7 @@
             self.exchange,
             self._live_relays,
         )
+        core.presence.lease_s = max(core.presence.lease_s, MIN_LEASE_S)
         rest_s = max(settings.lease_s, core.presence.lease_s)
         self.steward = Steward(
             self.own,
