--- a/testing/cli/test_status.py
+++ b/testing/cli/test_status.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from bramleylug.cli.status import RevisionCount, summarize
+from bramleylug.cli.status import RevisionCount, format_duties, summarize
+from bramleylug.duties.relay_duties import DutyStatus, OrderLine
 from bramleylug.node.members import MembersPage, describe_member
 from bramleylug.wire.membership_pb2 import HeldVersion
 from testing.builders import build_member
@@ -42,3 +43,34 @@
         self.assertEqual(zone.lagging, ('c',))
         self.assertEqual(zone.draining, ('b',))
         self.assertEqual(zone.versions, {'fitting@2': 1})
+
+
+class TestDuties(unittest.TestCase):
+    """Lines about the duties that one relay at a time has."""
+
+    def test_holder_tells_token_lease_window_and_orders(self) -> None:
+        order = OrderLine(service='advisor', zone='a', wanted=6, present=5)
+        page = DutyStatus(
+            name='front-1',
+            holder='front-1',
+            token=412,
+            held_for_s=31.2,
+            lease_left_s=3.1,
+            window=353445120,
+            orders=[order],
+        )
+
+        self.assertEqual(
+            list(format_duties(page)),
+            [
+                'duties: held by front-1',
+                '  with token 412 for 31.2 s, lease for 3.1 s at least',
+                '  usage: window 353445120 is in the store',
+                '  advisor in a: 6 upstreams ordered, 5 present',
+            ],
+        )
+
+    def test_nobody_holds_them(self) -> None:
+        page = {'holder': '', 'token': 0, 'window': -1, 'orders': []}
+
+        self.assertEqual(list(format_duties(page)), ['duties: held by nobody'])
