--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -201,10 +201,6 @@
         """Return whether callers may be directed to a relay."""
         return not self._is_draining(record) and self.is_alive(record, now_s)
 
-    def is_store_fresh(self) -> bool:
-        """Return whether the copy of the store is current."""
-        return self.store_age_s() < self.max_store_age_s
-
     def zone_peers(self, now_s: float) -> list[PeerRecord]:
         """Return the live other processes of the own zone.
 
