The soak checks the holder of the duties; nothing is sent after a late connect

Relays also tell the holder the last window whose report they have seen, for a store that comes back from an older copy.

--- a/src/bramleylug/duties/claims.py
+++ b/src/bramleylug/duties/claims.py
@@ -53,9 +53,9 @@
     era: int
     since_s: float
 
-    def may_call(self, held: HeldLease | None, now_s: float) -> bool:
+    def may_call(self, held: HeldLease, now_s: float) -> bool:
         """Return whether a call that begins now ends within the lease."""
-        if held is None or self.is_over(held):
+        if self.is_over(held):
             return False
         return now_s + CALL_LIMIT_S + LEASE_MARGIN_S <= held.ends_s
 
--- a/src/bramleylug/duties/relay_duties.py
+++ b/src/bramleylug/duties/relay_duties.py
@@ -183,7 +183,7 @@
             token=0 if term is None else term.token,
             held_for_s=0 if term is None else round(now_s - term.since_s, 1),
             lease_left_s=0 if held is None else round(held.ends_s - now_s, 1),
-            window=self.reporter.schedule.floor,
+            window=self.exchange.reported,
             orders=self._order_lines(),
         )
 
@@ -227,8 +227,7 @@
         stored = items.get(self.usage_key)
         report = None if stored is None else decode_report(stored.value)
         if report is not None:
-            self.reporter.schedule.record_seen(report.window)
-            self.exchange.reported = report.window
+            self.exchange.record_reported(report.window)
         is_current = self.core.view.mirror.loaded
         return ClaimView(
             item, is_current and self.core.view.peers.is_store_fresh()
--- a/src/bramleylug/duties/reporter.py
+++ b/src/bramleylug/duties/reporter.py
@@ -74,6 +74,7 @@
         """
         self.exchange.time.settle()
         self.exchange.gather_own()
+        self.schedule.record_seen(self.exchange.reported)
         if self.schedule.stored is None:
             await self._read()
         relays = tuple(self.live_relays())
--- a/src/bramleylug/duties/scaler.py
+++ b/src/bramleylug/duties/scaler.py
@@ -18,6 +18,8 @@
 from bramleylug.store.changes import Transaction, WatchableStore, Write
 
 DECIDE_INTERVAL_S = 0.5
+# Orders sent in one step, of which there are four a second.
+ORDERS_PER_STEP = 4
 # An order of another holder that is not older than this is sent again.
 RESEND_S = 30.0
 
@@ -125,7 +127,7 @@
             if decided and mandate() is not None:
                 await self._store(term, {**orders, **decided})
                 self.unsent.update(decided)
-        for place in sorted(self.unsent):
+        for place in sorted(self.unsent)[:ORDERS_PER_STEP]:
             await self._send(place, mandate)
 
     def _decide(
--- a/src/bramleylug/duties/scaling.py
+++ b/src/bramleylug/duties/scaling.py
@@ -16,9 +16,9 @@
 
 # Shares of the slots in use: above the first one more upstreams are ordered,
 # below the second one fewer, so many that the third one is reached.
-HIGH_SHARE = 0.75
+HIGH_SHARE = 0.8
 LOW_SHARE = 0.35
-TARGET_SHARE = 0.6
+TARGET_SHARE = 0.7
 # Refusals count while at least this share is in use; else something other
 # than slots is missing.
 REFUSING_SHARE = 0.5
--- a/src/bramleylug/duties/service.py
+++ b/src/bramleylug/duties/service.py
@@ -9,10 +9,13 @@
     """Says on whose behalf a call is made.
 
     :ivar token: number that is greater for each later holder.
+    :ivar until_s: after this time nothing is sent, by the clock that counts
+        suspension: connecting may take long, or the host be suspended.
     """
 
     holder: str
     token: int
+    until_s: float = float('inf')
 
 
 @final
--- a/src/bramleylug/duties/steward.py
+++ b/src/bramleylug/duties/steward.py
@@ -155,11 +155,13 @@
 
     def mandate(self) -> Mandate | None:
         """Return the right to make a call now; ``None`` if there is none."""
+        held = self.presence.held
         if self.term is None or self.term.era != self.store.era:
             return None
-        if not self.term.may_call(self.presence.held, self.clock()):
+        if held is None or not self.term.may_call(held, self.clock()):
             return None
-        return Mandate(self.own.holder, self.term.token)
+        until_s = held.ends_s - LEASE_MARGIN_S
+        return Mandate(self.own.holder, self.term.token, until_s)
 
     def _end_lost_term(self) -> None:
         held = self.presence.held
--- a/src/bramleylug/duties/usage_exchange.py
+++ b/src/bramleylug/duties/usage_exchange.py
@@ -74,7 +74,8 @@
     :ivar demand: those that other relays have told this one.
     :ivar told: what the present holder knows.
     :ivar hand_overs: how often it is still told what others told this relay.
-    :ivar reported: last window whose report is in the store; -1 for none.
+    :ivar reported: last window whose report was seen in the store, here or at
+        a relay that told it; -1 for none.
     """
 
     def __init__(
@@ -123,6 +124,11 @@
             self.hand_overs = HAND_OVER_TRIES
         self.told = Told(holder)
 
+    def record_reported(self, window: int) -> None:
+        """Record that the report of a window was in the store."""
+        if window < self.windows.at(self.time.now_s()):
+            self.reported = max(self.reported, window)
+
     def gather_own(self) -> None:
         """As the holder, count what began at this relay."""
         for window, counts in self.meter.windows.items():
@@ -183,6 +189,7 @@
         agreed_s = self.time.now_s()
         first = self.windows.first_kept(agreed_s)
         last = self.windows.at(agreed_s) + 1
+        self.record_reported(int(message.unreported) - 1)
         receipts = [
             WindowReceipt(
                 number=window,
@@ -228,6 +235,7 @@
                 sent_s=self.time.clock(),
                 holder=holder,
                 windows=part,
+                unreported=self.reported + 1,
             )
             beat = Beat(name=self.own.holder, usage=message)
             beat.levels.extend(loads_to_messages(self.loads()))
--- a/src/bramleylug/fakes/duty_service.py
+++ b/src/bramleylug/fakes/duty_service.py
@@ -89,7 +89,7 @@
 
 @final
 class FakeDutyService(BaseComponent):
-    """Serves ``/usage`` and ``/scale``.
+    """Serves ``/usage`` and ``/scale``, and at ``/breaches`` what was wrong.
 
     :param clock: seconds.
     :ivar outage: whether calls get 503.
@@ -110,6 +110,9 @@
         self.outage = False
 
     def serve(self, exchange: Exchange) -> None:
+        if exchange.path == '/breaches':
+            exchange.reply_json(200, self.record.breaches)
+            return
         if self.outage:
             exchange.reply(503, b'')
             return
--- a/src/bramleylug/platform/duty_service.py
+++ b/src/bramleylug/platform/duty_service.py
@@ -4,10 +4,12 @@
 import json
 import socket
 import struct
+from collections.abc import Callable
 from contextlib import suppress
 from http import HTTPStatus
 from typing import Any, final
 
+from bramleylug.cluster.process import uptime_s
 from bramleylug.duties.claims import CALL_LIMIT_S
 from bramleylug.duties.service import (
     CallFailed,
@@ -31,10 +33,16 @@
 
 @final
 class PlatformDutyService:
-    """Sends reports and orders, each on a connection of its own."""
+    """Sends reports and orders, each on a connection of its own.
 
-    def __init__(self, address: str) -> None:
+    :param clock: seconds that also count while the host is suspended.
+    """
+
+    def __init__(
+        self, address: str, clock: Callable[[], float] = uptime_s
+    ) -> None:
         self.address = address
+        self.clock = clock
 
     async def report_usage(self, mandate: Mandate, report: UsageReport) -> None:
         await self._call(
@@ -67,25 +75,35 @@
         try:
             async with asyncio.timeout(CALL_LIMIT_S):
                 status = await self._send(
-                    ClientRequest('POST', path, headers, body)
+                    mandate, ClientRequest('POST', path, headers, body)
                 )
         except CALL_ERRORS as error:
             raise CallFailed(f'{path}: {error!r}', answered=False) from error
         if status != HTTPStatus.OK:
             raise CallFailed(f'{path}: HTTP {status}', answered=True)
 
-    async def _send(self, request: ClientRequest) -> int:
+    async def _send(self, mandate: Mandate, request: ClientRequest) -> int:
         """Send a request and return the status of its answer."""
         connection = await ClientConnection.open(
             self.address, timeout_s=CONNECT_TIMEOUT_S
         )
         try:
-            _discard_at_close(connection)
-            connection.send(request)
-            head = await connection.read_head()
-            await read_body(connection, MAX_ANSWER_BYTES)
+            return await self._exchange(connection, mandate, request)
         finally:
             connection.close()
+
+    async def _exchange(
+        self,
+        connection: ClientConnection,
+        mandate: Mandate,
+        request: ClientRequest,
+    ) -> int:
+        _discard_at_close(connection)
+        if self.clock() > mandate.until_s:
+            raise CallFailed('too late to send', answered=True)
+        connection.send(request)
+        head = await connection.read_head()
+        await read_body(connection, MAX_ANSWER_BYTES)
         return head.status
 
 
--- a/src/bramleylug/soak/checks.py
+++ b/src/bramleylug/soak/checks.py
@@ -33,6 +33,7 @@
     """Return a description of every violated invariant."""
     return [
         *observations.engine_violations,
+        *observations.duty_violations,
         *_wrong_answers(observations),
         *_refused_but_ran(observations),
         *_repeated_bookings(observations),
--- a/src/bramleylug/soak/deployment.py
+++ b/src/bramleylug/soak/deployment.py
@@ -27,6 +27,10 @@
 # Part of a prompt that crashes every engine of the model, the exit code of an
 # engine that it crashed, and the time until that engine starts again.
 HARMFUL_PART = 'harmful'
+MILLISECONDS = 1000
+# Of the service that takes usage reports.
+DUTY_LEASE_S = 3.0
+DUTIES_PER_S = 50.0
 CRASHED_EXIT = 70
 CRASH_RESTART_S = 2.0
 IDLE_LIMIT_S = 15.0
@@ -141,6 +145,7 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.store_address = free_address()
         self.origin_address = free_address()
+        self.duty_address = free_address()
         self.version = 0
         self.idle_limit_s = IDLE_LIMIT_S
         self.published_s: list[float] = []
@@ -154,6 +159,7 @@
         """
         settings = self.settings
         self._add_fake('store', 'store', self.store_address)
+        self._add_fake('duties', 'duties', self.duty_address)
         origin = {'bind': self.origin_address, 'chunks': settings.chunks}
         self._add_fake('origin', 'origin', json.dumps(origin))
         await self._start_store('store')
@@ -299,6 +305,9 @@
                 store=proxy.address,
                 listen=listen,
                 role_settings=role_settings,
+                duty_address=self.duty_address,
+                duties_per_s=DUTIES_PER_S,
+                duty_lease_ms=DUTY_LEASE_S * MILLISECONDS,
             )
         )
         self.processes[name] = ManagedProcess(
@@ -407,6 +416,7 @@
 zone = "{zone}"
 region = "north"
 internal_ports = [{first_port}, {first_port}]
+contracts = ["leader"]
 {role_settings}
 [zones]
 zone-a = "north"
@@ -428,6 +438,13 @@
 cold_slack = 5
 version_ms = 8000
 ttl_max_s = 5
+lease_ms = {duty_lease_ms}
+report_window_s = 5
+usage_late_s = 10
 [platform]
 address = "{store}"
+[cloud]
+address = "{duty_address}"
+duties = ["usage"]
+duty_per_s = {duties_per_s}
 """
--- a/src/bramleylug/soak/observations.py
+++ b/src/bramleylug/soak/observations.py
@@ -126,6 +126,7 @@
     """Everything observed during a soak; times are Unix times.
 
     :ivar engine_violations: violations that engines reported themselves.
+    :ivar duty_violations: those that the service of the duties reported.
     :ivar corrupt_runs: runs with layers taken from corrupt chunks, however
         recently these had turned corrupt.
     :ivar targets_set_s: when each version became the target version.
@@ -146,6 +147,7 @@
     runs: list[Run] = field(default_factory=list)
     rejections: list[Rejection] = field(default_factory=list)
     engine_violations: list[str] = field(default_factory=list)
+    duty_violations: list[str] = field(default_factory=list)
     corrupt_runs: set[str] = field(default_factory=set)
     targets_set_s: dict[int, float] = field(default_factory=dict)
     revocations: list[Interval] = field(default_factory=list)
--- a/src/bramleylug/soak/soak.py
+++ b/src/bramleylug/soak/soak.py
@@ -199,6 +199,16 @@
                     # Runs since the last poll of a killed engine go unchecked.
                     continue
                 self._record_runs(name, json.loads(raw))
+            await self._poll_duties()
+
+    async def _poll_duties(self) -> None:
+        """Poll what the service of the duties found wrong."""
+        try:
+            raw = await post(self.deployment.duty_address, '/breaches', b'')
+        except (OSError, TimeoutError):
+            # It starts, or the host is busy; the next poll returns it all.
+            return
+        self.observations.duty_violations = json.loads(raw)
 
     def _record_runs(self, name: str, reply: dict[str, list[Any]]) -> None:
         zone = self.deployment.zones[name]
--- a/src/bramleylug/soak/stand_in.py
+++ b/src/bramleylug/soak/stand_in.py
@@ -6,20 +6,25 @@
 import time
 from typing import Any
 
+from bramleylug.fakes.duty_service import DutyRecord, FakeDutyService
 from bramleylug.fakes.metadata_store import FakeMetadataStore
 from bramleylug.fakes.model_engine import (
     FakeModelEngine,
     FakeWeightsOrigin,
     ModelEngineSettings,
 )
-from bramleylug.soak.deployment import CRASHED_EXIT
+from bramleylug.soak.deployment import (
+    CRASHED_EXIT,
+    DUTIES_PER_S,
+    DUTY_LEASE_S,
+)
 
 
 def main() -> None:
     """Run the fake that the arguments ask for.
 
-    Arguments are ``store BIND``, ``origin LAYOUT`` or ``engine SETTINGS``,
-    with the settings as JSON; those of an origin are its address and the
+    Arguments are ``store BIND``, ``duties BIND``, ``origin LAYOUT`` or
+    ``engine SETTINGS``, with the settings as JSON; those of an origin are its address and the
     number of chunks.
     """
     kind, argument = sys.argv[1:]
@@ -27,6 +32,10 @@
     match kind:
         case 'store':
             fake = FakeMetadataStore(argument)
+        case 'duties':
+            fake = FakeDutyService(
+                DutyRecord(DUTY_LEASE_S, DUTIES_PER_S), argument
+            )
         case 'origin':
             layout = ModelEngineSettings(
                 engine_id='',
--- a/testing/duties/world.py
+++ b/testing/duties/world.py
@@ -254,8 +254,7 @@
         stored = self.mirror.get(USAGE_KEY)
         report = None if stored is None else decode_report(stored.value)
         if report is not None:
-            self.reporter.schedule.record_seen(report.window)
-            self.exchange.reported = report.window
+            self.exchange.record_reported(report.window)
         return ClaimView(item, self.mirror_age_s() < MIRROR_TTL_S)
 
     def alive(self) -> list[str]:
--- a/testing/platform/test_duty_service.py
+++ b/testing/platform/test_duty_service.py
@@ -61,6 +61,14 @@
         with self.assertRaisesRegex(CallFailed, 'Refused'):
             asyncio.run(service.report_usage(MANDATE, REPORT))
 
+    def test_nothing_is_sent_after_the_end_of_the_mandate(self) -> None:
+        """Connecting may have taken long."""
+        late = MANDATE._replace(until_s=0.0)
+
+        with self.assertRaisesRegex(CallFailed, 'too late'):
+            asyncio.run(self.service.report_usage(late, REPORT))
+        self.assertEqual(self.record.calls, [])
+
     def test_record_finds_two_reports_of_a_window(self) -> None:
         asyncio.run(self.service.report_usage(MANDATE, REPORT))
         other = REPORT._replace(counts={'garage': 413})
