--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Container, Iterable, Sequence
 from dataclasses import replace
+from functools import partial
 from http import HTTPStatus
 from random import Random
 from typing import Protocol, final
@@ -17,7 +18,7 @@
     HEARTBEAT_RATES,
     HeartbeatSocket,
 )
-from bramleylug.cluster.peers import PeerRecord, Role
+from bramleylug.cluster.peers import PeerRecord, PeerRegistry, Role
 from bramleylug.cluster.settings import ProcessSettings
 from bramleylug.cluster.store_readers import find_reader
 from bramleylug.node.datagrams import BATCH_S
@@ -134,8 +135,11 @@
             settings.calm_window,
             feed_item(adapter, record),
             feeds.registered.set,
-            self._find_earlier if record.role is Role.relay else None,
+            partial(find_earlier_record, self.view.peers, adapter)
+            if record.role is Role.relay
+            else None,
         )
+        self.presence.clock = clock
         self.make_heartbeat = make_heartbeat
         self.on_clean_up: Callable[[], None] = _ignore
         self.on_heartbeat: Callable[[Beat], None] = self.receive_heartbeat
@@ -295,16 +299,6 @@
         self.presence.announce()
         self.send_heartbeat()
 
-    async def _find_earlier(self) -> None:
-        """Find out whether the others know the name of this relay already.
-
-        Its record in the store is then that of an earlier incarnation.
-        """
-        key = self.adapter.peer_key(self.settings.name)
-        page = await self.adapter.store.list_page(key, '')
-        if any(item.key == key for item in page.items):
-            self.view.peers.was_listed_before = True
-
     def _announce(self) -> None:
         self.announcement = None
         self.send_heartbeat()
@@ -363,6 +357,17 @@
     return FixedItem(key, record.feed.encode())
 
 
+async def find_earlier_record(peers: PeerRegistry, adapter: Adapter) -> None:
+    """Find out whether the others know the name of this relay already.
+
+    Its record in the store is then that of an earlier incarnation.
+    """
+    key = adapter.peer_key(peers.own().name)
+    page = await adapter.store.list_page(key, '')
+    if any(item.key == key for item in page.items):
+        peers.was_listed_before = True
+
+
 def uptime_s() -> float:
     """Return seconds that also count while the host is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
