Versions: processes of a zone tell its loaders of a version that was named

Each process that reads a new version in the store tells the loaders of its zone, three times at the interval of heartbeats; heartbeats with holdings carry it as well. A version that was only told is downloaded, and loaded once the store itself has named it. The store is not called more often.

The answers of a loader move to loader/chunk_pages.py, what it downloads and may load to loader/version_targets.py.

--- a/src/bramleylug/cluster/versions.py
+++ b/src/bramleylug/cluster/versions.py
@@ -4,6 +4,9 @@
 from math import isfinite
 from typing import NamedTuple, final
 
+# Datagrams may be lost: a new version is announced this often.
+ANNOUNCEMENTS = 3
+
 
 class Target(NamedTuple):
     """A target version that the operator has set.
@@ -28,10 +31,13 @@
     """Target versions by model.
 
     :param limit_s: how long older versions may serve after a target was set.
+    :ivar announcements: by model, how often its newest version is still to be
+        announced to other processes.
     """
 
     def __init__(self, limit_s: float) -> None:
         self.limit_s = limit_s
+        self.announcements: dict[str, int] = {}
         self.targets: dict[str, list[Target]] = {}
 
     def add_target(
@@ -56,8 +62,22 @@
             version, set_s, set_s + self.limit_s if due_s is None else due_s
         )
         known.append(target)
+        self.announcements[model] = ANNOUNCEMENTS
         return target
 
+    def take_announcement(self) -> Mapping[str, int]:
+        """Return the newest versions to announce now, by model.
+
+        Called at the interval of heartbeats.
+        """
+        due = {model: self.newest(model) for model in self.announcements}
+        self.announcements = {
+            model: left - 1
+            for model, left in self.announcements.items()
+            if left > 1
+        }
+        return due
+
     def newest(self, model: str) -> int:
         """Return the newest target version; 0 if there is none."""
         return max(
--- a/src/bramleylug/loader/chunk_store.py
+++ b/src/bramleylug/loader/chunk_store.py
@@ -1,7 +1,7 @@
 """Holds verified chunks of weights in memory."""
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import final
 
 from bramleylug.weights.chunk_sets import all_chunks, from_indices
@@ -42,19 +42,23 @@
 
 @final
 class ChunkStores:
-    """Chunk stores of the newest versions of one model."""
+    """Chunk stores of the newest versions of one model.
 
-    def __init__(self) -> None:
+    :param may_load: returns whether the engine may load a version; without
+        it, it may load all.
+    """
+
+    def __init__(self, may_load: Callable[[int], bool] | None = None) -> None:
         self.by_version: dict[int, ChunkStore] = {}
+        self.may_load = may_load or bool
 
     def newest_complete(self) -> ChunkStore | None:
         """Return the newest version that is complete, if there is one."""
-        complete = [
-            version
-            for version, chunk_store in self.by_version.items()
-            if chunk_store.complete
-        ]
-        return self.by_version[max(complete)] if complete else None
+        return self._newest(self._complete())
+
+    def newest_loadable(self) -> ChunkStore | None:
+        """Return the newest complete version that the engine may load."""
+        return self._newest(filter(self.may_load, self._complete()))
 
     def find(self, version: int) -> ChunkStore | None:
         """Return the chunk store of a version; version 0 means the newest."""
@@ -72,6 +76,16 @@
             self.by_version.pop(old)
         return chunk_store
 
+    def _complete(self) -> list[int]:
+        return [
+            version
+            for version, chunk_store in self.by_version.items()
+            if chunk_store.complete
+        ]
+
+    def _newest(self, versions: Iterable[int]) -> ChunkStore | None:
+        return self.by_version.get(max(versions, default=-1))
+
 
 def matches_manifest(manifest: Manifest, index: int, chunk: bytes) -> bool:
     """Return whether the hash of a chunk is the one in the manifest."""
--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -2,9 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
-from http import HTTPStatus
 from typing import Protocol, final
-from urllib.parse import parse_qs
 
 from circuits import BaseComponent
 
@@ -19,6 +17,7 @@
 from bramleylug.cluster.report_messages import report_to_message
 from bramleylug.cluster.route_table import WeightsLayout
 from bramleylug.cluster.status_pages import serve_metrics
+from bramleylug.loader.chunk_pages import ChunkPages
 from bramleylug.loader.chunk_store import ChunkStore, ChunkStores
 from bramleylug.loader.downloader import TargetVersion, WeightsDownloader
 from bramleylug.loader.engine import LocalEngine
@@ -31,8 +30,6 @@
 )
 from bramleylug.loader.settings import LoaderSettings
 from bramleylug.loader.sources import (
-    CHUNK_PATH,
-    MANIFEST_PATH,
     Origin,
     OriginRecord,
     PeerClient,
@@ -44,6 +41,7 @@
     Uploads,
     upload_limit,
 )
+from bramleylug.loader.version_targets import VersionTargets
 from bramleylug.routing.rendezvous import place
 from bramleylug.store.changes import (
     StoreChange,
@@ -53,7 +51,6 @@
 from bramleylug.web.descriptors import DescriptorShare, DescriptorUse
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.limits import WebLimits
-from bramleylug.web.queries import integer_parameter
 from bramleylug.web.server import WebServer
 from bramleylug.weights.chunk_sets import to_bytes
 from bramleylug.wire.beats_pb2 import Beat, TransferState
@@ -104,8 +101,12 @@
             settings, adapter, own_record(settings), self.make_heartbeat, clock
         )
         self.core.on_heartbeat = self.receive_heartbeat
-        self.chunk_stores = ChunkStores()
+        self.targets = VersionTargets(
+            self.model, self.core.view.versions, clock
+        )
+        self.chunk_stores = ChunkStores(self.targets.may_load)
         self.uploads = Uploads(Pacer(self.upload_limit, clock))
+        self.pages = ChunkPages(self.chunk_stores, self.uploads)
         engine = adapter.engine(settings.upstream)
         self.engine_updater = EngineUpdater(
             engine, self.chunk_stores, self, clock
@@ -120,7 +121,7 @@
             clock,
         )
         self.downloader = WeightsDownloader(
-            context, self.chunk_stores, engine, self.target_version
+            context, self.chunk_stores, engine, self.targets.to_download
         )
         self.draining_since_s: float | None = None
         self.descriptors = loader_budget(settings.file_descriptors)
@@ -174,6 +175,7 @@
     def receive_heartbeat(self, heartbeat: Beat) -> None:
         """Apply a heartbeat of another process."""
         self.core.receive_heartbeat(heartbeat)
+        self.targets.record(heartbeat.named)
         for state in heartbeat.transfers:
             self.downloader.update_holdings(heartbeat.name, state)
 
@@ -183,12 +185,8 @@
         return '' if layout is None else layout.model
 
     def target_version(self) -> TargetVersion | None:
-        """Return the version to hold; ``None`` while it is unknown."""
-        layout = self._layout()
-        if layout is None:
-            return None
-        newest = self.core.view.versions.newest(layout.model)
-        return TargetVersion(layout.model, newest)
+        """Return the version to load; ``None`` while it is unknown."""
+        return self.targets.to_load()
 
     def observe(
         self, ready_version: int, engine: EngineState | None
@@ -243,25 +241,7 @@
 
     def serve(self, exchange: Exchange) -> None:
         """Answer another loader's request for a manifest or a chunk."""
-        self.core.loop.serve(exchange, lambda: self._answer(exchange))
-
-    async def _answer(self, exchange: Exchange) -> None:
-        query = parse_qs(exchange.query)
-        chunk_store = self.chunk_stores.find(
-            integer_parameter(query, 'version', -1)
-        )
-        if chunk_store is not None and exchange.path == MANIFEST_PATH:
-            exchange.reply(HTTPStatus.OK, chunk_store.manifest.to_json())
-            return
-        chunk = None
-        if chunk_store is not None and exchange.path == CHUNK_PATH:
-            chunk = chunk_store.chunks.get(
-                integer_parameter(query, 'index', -1)
-            )
-        if chunk is None:
-            exchange.reply(HTTPStatus.NOT_FOUND, b'')
-            return
-        await self.uploads.send(exchange, chunk)
+        self.core.loop.serve(exchange, lambda: self.pages.answer(exchange))
 
     async def _send_holdings(self) -> None:
         """Send other loaders heartbeats with the chunks held here."""
@@ -279,6 +259,7 @@
                 name=self.settings.name, boot=self.core.record.boot
             )
             heartbeat.transfers.extend(states)
+            heartbeat.named.extend(self.targets.named())
             self.core.socket.send(heartbeat, [peer.beats for peer in due])
 
     def _transfer_state(self, chunk_store: ChunkStore) -> TransferState:
--- a/src/bramleylug/loader/engine_updater.py
+++ b/src/bramleylug/loader/engine_updater.py
@@ -113,7 +113,7 @@
             return True
         if self.audit.is_due(engine) or self.audit.must_unload(engine):
             return True
-        chunk_store = self.chunk_stores.newest_complete()
+        chunk_store = self.chunk_stores.newest_loadable()
         return chunk_store is not None and not engine.can_serve(
             int(chunk_store.manifest.version)
         )
@@ -166,7 +166,7 @@
     async def _step(self, engine: EngineState) -> None:
         if self.audit.is_outdated(engine):
             return
-        chunk_store = self.chunk_stores.newest_complete()
+        chunk_store = self.chunk_stores.newest_loadable()
         if self.audit.is_due(engine):
             await self._read_back(engine)
         if chunk_store is None:
