--- a/src/bramleylug/cluster/heartbeat_schedule.py
+++ b/src/bramleylug/cluster/heartbeat_schedule.py
@@ -91,6 +91,12 @@
             due.extend(self._due_remote(remote, now_s))
         return due
 
+    def restart(self, peers: Iterable[PeerRecord], now_s: float) -> None:
+        """Count the intervals from now on: all peers get a message now."""
+        self.local_due_s = float('-inf')
+        self.remote_due_s = float('-inf')
+        self.due(peers, now_s)
+
     def _due_remote(
         self, remote: list[PeerRecord], now_s: float
     ) -> Iterable[PeerRecord]:
--- a/src/bramleylug/loader/daemon.py
+++ b/src/bramleylug/loader/daemon.py
@@ -111,6 +111,7 @@
         self.engine_updater = EngineUpdater(
             engine, self.chunk_stores, self, clock
         )
+        self.holdings = HoldingsSchedule(settings.region)
         context = TransferContext(
             settings.name,
             settings.region,
@@ -119,6 +120,7 @@
             adapter.origin,
             PeerClient(),
             clock,
+            self.holdings.hurry,
         )
         self.downloader = WeightsDownloader(
             context, self.chunk_stores, engine, self.targets.to_download
@@ -245,7 +247,7 @@
 
     async def _send_holdings(self) -> None:
         """Send other loaders heartbeats with the chunks held here."""
-        schedule = HoldingsSchedule(self.settings.region)
+        schedule = self.holdings
         while True:
             await schedule.wait(self.clock())
             states = [
@@ -265,17 +267,13 @@
     def _transfer_state(self, chunk_store: ChunkStore) -> TransferState:
         manifest = chunk_store.manifest
         transfer = self.downloader.transfer
-        home_bytes = 0
+        held = HeldChunks()
         if transfer is not None and transfer.chunk_store is chunk_store:
-            home_bytes = transfer.home_bytes
+            held = transfer.held_chunks(self.clock())
+        held.bitmap = to_bytes(chunk_store.held, len(manifest.chunk_hashes))
+        held.free_upload_slots = self.uploads.free_slots
         return TransferState(
-            model=manifest.model,
-            version=int(manifest.version),
-            held=HeldChunks(
-                bitmap=to_bytes(chunk_store.held, len(manifest.chunk_hashes)),
-                duty_bytes=home_bytes,
-                free_upload_slots=self.uploads.free_slots,
-            ),
+            model=manifest.model, version=int(manifest.version), held=held
         )
 
     async def _read_configuration(self) -> None:
--- a/src/bramleylug/loader/downloader.py
+++ b/src/bramleylug/loader/downloader.py
@@ -134,6 +134,19 @@
                 held |= from_bytes(state.held.bitmap, count)
         return held == all_chunks(count)
 
+    def _is_left_behind(self, version: int) -> bool:
+        """Return whether at least half of the others are on a newer version.
+
+        The store may name two versions at once, which some loaders learn of
+        one after the other. The rest does not help to seed the first one.
+        """
+        ahead: set[str] = set()
+        for other, peer_states in self.peer_states.items():
+            if other > version:
+                ahead.update(peer_states)
+        peers = [peer.name for peer in self.context.peers()]
+        return bool(peers) and 2 * len(ahead.intersection(peers)) >= len(peers)
+
     def _newest_held_version(self) -> int:
         chunk_store = self.chunk_stores.newest_complete()
         return -1 if chunk_store is None else int(chunk_store.manifest.version)
@@ -211,10 +224,13 @@
 
         The loaders then hold every chunk together and can finish the
         version without the origin. A newer version is delayed for that, but
-        only within :data:`SEEDING_S` of the start of the transfer.
+        only within :data:`SEEDING_S` of the start of the transfer, and
+        not where most loaders have begun with a newer one.
         """
         if self._is_obtainable(transfer.version):
             return False
+        if self._is_left_behind(transfer.version):
+            return False
         return now_s - transfer.started_s < SEEDING_S
 
     async def _reuse_staged_chunks(self, chunk_store: ChunkStore) -> None:
--- a/src/bramleylug/loader/holdings_schedule.py
+++ b/src/bramleylug/loader/holdings_schedule.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable, Sequence
+from contextlib import suppress
 from typing import final
 
 from bramleylug.cluster.heartbeat_schedule import (
@@ -10,7 +11,7 @@
     HeartbeatSchedule,
 )
 from bramleylug.cluster.peers import PeerRecord
-from bramleylug.node.ticks import sleep_until_tick
+from bramleylug.node.ticks import until_tick_s
 from bramleylug.wire.beats_pb2 import TransferState
 
 # How often changes of the held chunks are looked for between transfers.
@@ -41,6 +42,7 @@
 
     :ivar states: holdings at the last change.
     :ivar known_peers: live loaders, by name and boot id.
+    :ivar hurried: set while a heartbeat to every loader is due.
     """
 
     def __init__(self, region: str) -> None:
@@ -48,6 +50,11 @@
         self.states: list[TransferState] = []
         self.known_peers: frozenset[tuple[str, int]] = frozenset()
         self.changed_s = float('-inf')
+        self.hurried = asyncio.Event()
+
+    def hurry(self) -> None:
+        """Have every loader get a heartbeat at once."""
+        self.hurried.set()
 
     def is_active(self, now_s: float) -> bool:
         """Return whether heartbeats are being sent."""
@@ -55,11 +62,12 @@
 
     async def wait(self, now_s: float) -> None:
         """Wait until heartbeats may be due again."""
+        wait_s = until_tick_s(asyncio.get_running_loop(), IDLE_INTERVAL_S)
         if self.is_active(now_s):
             due_s = self.schedule.next_due_s - now_s
-            await asyncio.sleep(max(HOLDINGS_INTERVAL_S, due_s))
-        else:
-            await sleep_until_tick(IDLE_INTERVAL_S)
+            wait_s = max(HOLDINGS_INTERVAL_S, due_s)
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self.hurried.wait(), wait_s)
 
     def due(
         self,
@@ -74,6 +82,11 @@
             self.states = list(states)
             self.changed_s = now_s
         self.known_peers = known_peers
+        if self.hurried.is_set():
+            self.hurried.clear()
+            self.changed_s = now_s
+            self.schedule.restart(live_peers, now_s)
+            return live_peers
         if not self.is_active(now_s):
             return []
         return self.schedule.due(live_peers, now_s)
--- a/src/bramleylug/loader/transfer.py
+++ b/src/bramleylug/loader/transfer.py
@@ -22,13 +22,14 @@
     ExchangeHoldings,
     ReportCorruptOrigin,
 )
-from bramleylug.weights.chunk_sets import all_chunks, from_bytes
+from bramleylug.weights.chunk_sets import all_chunks, from_bytes, to_bytes
 from bramleylug.weights.in_flight import FromOrigin, FromPeer
 from bramleylug.weights.limits import TransferLimits
 from bramleylug.weights.peers import FailureReason, Holdings
 from bramleylug.weights.planner import Planner
 from bramleylug.weights.sources import held_by_any
 from bramleylug.wire.beats_pb2 import TransferState
+from bramleylug.wire.weights_pb2 import HeldChunks
 
 PLAN_INTERVAL_S = 0.05
 MILLISECONDS = 1000
@@ -52,12 +53,16 @@
     origin_backoff_max_s=1.0,
     peer_backoff_s=0.4,
     peer_backoff_max_s=2.0,
+    probe_s=0.3,
+    silent_s=1.0,
     parallel_fetches=3,
 )
 # Chunks that are open to their homes, as a share of the connections that the
 # origin takes. Some are read twice, and connections of hosts that lost power
 # count until it notices; there must be room for as many chunks beside them.
 ORIGIN_READS_SHARE = 1 / 3
+# For how long hosts tell when bytes of the origin last arrived.
+ORIGIN_NEWS_S = 5.0
 
 
 def limits_for(origin: OriginRecord) -> TransferLimits:
@@ -68,12 +73,17 @@
     return TRANSFER_LIMITS._replace(open_chunks=open_chunks)
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 class TransferContext(NamedTuple):
     """What the transfers of a host share.
 
     :ivar name: name of this loader.
     :ivar peers: returns the live other loaders of the service.
     :ivar origin_record: returns the origin as the configuration has it.
+    :ivar tell: sends all loaders what this host holds and reads, at once.
     """
 
     name: str
@@ -83,6 +93,7 @@
     origin: Origin
     client: PeerClient
     clock: Callable[[], float]
+    tell: Callable[[], None] = _ignore
 
 
 @final
@@ -144,6 +155,23 @@
         """Bytes that this host fetched for its region as a chunk's home."""
         return self.planner.home_bytes
 
+    def held_chunks(self, now_s: float) -> HeldChunks:
+        """Return what this host tells others of the transfer.
+
+        Without the chunks and the upload slots.
+        """
+        origin = self.planner.origin
+        told = HeldChunks(
+            duty_bytes=self.home_bytes,
+            origin_reads=to_bytes(
+                self.planner.fetches.origin_chunks, self.planner.count
+            ),
+        )
+        if now_s - origin.own_heard_s < ORIGIN_NEWS_S:
+            age_s = max(0.0, now_s - origin.own_heard_s)
+            told.origin_age_ms = round(age_s * MILLISECONDS)
+        return told
+
     def is_stalled(self, now_s: float) -> bool:
         """Return whether only the origin could provide more chunks.
 
@@ -168,6 +196,8 @@
 
     async def run(self) -> None:
         """Run until every chunk is held."""
+        # The others learn that this host knows of the version.
+        self.context.tell()
         try:
             while not self.planner.done:
                 self._plan()
@@ -180,14 +210,21 @@
         """Pass the holdings that a peer announced to the planner."""
         if (state.model, state.version) != (self.model, self.version):
             return
+        now_s = self.context.clock()
         held = state.held
         chunks = from_bytes(
             held.bitmap, len(self.chunk_store.manifest.chunk_hashes)
         )
         self.planner.update_holdings(
             peer,
-            Holdings(chunks, int(held.duty_bytes), int(held.free_upload_slots)),
-            self.context.clock(),
+            Holdings(
+                chunks,
+                int(held.duty_bytes),
+                int(held.free_upload_slots),
+                from_bytes(held.origin_reads, self.planner.count),
+                origin_heard_s(held, now_s),
+            ),
+            now_s,
         )
         self.changed.set()
 
@@ -245,6 +282,7 @@
     def _finish_fetch(self, outcome: FetchOutcome) -> None:
         self.fetches.pop(outcome.index, None)
         now_s = self.context.clock()
+        as_home = self.planner.fetches.is_as_home(outcome.index)
         if outcome.reason is None:
             if self.chunk_store.add(outcome.index, outcome.chunk):
                 self.planner.record_progress(
@@ -252,6 +290,9 @@
                 )
                 self.planner.record_chunk(outcome.index)
                 self.progress_s = now_s
+                if as_home:
+                    # The hosts of the region wait for it.
+                    self.context.tell()
             else:
                 outcome.reason = FailureReason.corrupt
         if outcome.reason is not None:
@@ -290,7 +331,12 @@
 
     def _record_input(self, index: int) -> None:
         """Record that at least one byte of a chunk has arrived."""
+        was_away = self.planner.origin.away_since_s is not None
         self.planner.record_progress(index, 1, self.context.clock())
+        if was_away and self.planner.origin.away_since_s is None:
+            # The others wait for it, too.
+            self.context.tell()
+            self.changed.set()
 
     def _find_peer(self, name: str) -> PeerRecord:
         for peer in self.context.peers():
@@ -299,3 +345,10 @@
         raise FetchFailed(
             FailureReason.unreachable, f'loader {name} is not alive'
         )
+
+
+def origin_heard_s(held: HeldChunks, now_s: float) -> float:
+    """Return when bytes of the origin last arrived at the sender."""
+    if not held.HasField('origin_age_ms'):
+        return float('-inf')
+    return now_s - held.origin_age_ms / MILLISECONDS
--- a/src/bramleylug/weights/in_flight.py
+++ b/src/bramleylug/weights/in_flight.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from bramleylug.weights.limits import DEFAULT_LIMITS, TransferLimits
+from bramleylug.weights.origin_reads import OriginReads
 
 # Other fetches that may run beside those that this host makes as a home.
 PEER_FETCHES_BESIDE_HOME = 1
@@ -45,6 +46,17 @@
     progress_s: float
     cancelled: bool = False
 
+    def is_unanswered(self, now_s: float, origin: OriginReads) -> bool:
+        """Return whether it is a read of the origin that reaches nobody."""
+        if not isinstance(self.fetch, FromOrigin):
+            return False
+        if self.progress_s > self.started_s:
+            return False
+        limit_s = origin.first_byte_s(now_s)
+        if self.started_s < origin.returned_s and origin.limits.probe_s:
+            limit_s = origin.limits.probe_s
+        return now_s - self.started_s >= limit_s
+
 
 @final
 class InFlightFetches:
@@ -65,6 +77,15 @@
             chunks |= 1 << index
         return chunks
 
+    @property
+    def origin_chunks(self) -> int:
+        """Set of the chunks that are being read from the origin."""
+        chunks = 0
+        for index, active in self.running.items():
+            if isinstance(active.fetch, FromOrigin):
+                chunks |= 1 << index
+        return chunks
+
     @property
     def has_capacity(self) -> bool:
         """Whether another fetch may start."""
@@ -82,6 +103,11 @@
             not home_fetches or beside < PEER_FETCHES_BESIDE_HOME
         )
 
+    def is_as_home(self, index: int) -> bool:
+        """Return whether this host fetches a chunk as one of its homes."""
+        active = self.running.get(index)
+        return active is not None and active.as_home
+
     def start(self, fetch: Fetch, now_s: float, *, as_home: bool) -> None:
         self.running[fetch.index] = InFlightFetch(fetch, as_home, now_s, now_s)
 
@@ -97,7 +123,9 @@
         for active in self.running.values():
             active.progress_s = now_s
 
-    def collect_stalled(self, now_s: float, peer_chunks: int) -> list[int]:
+    def collect_stalled(
+        self, now_s: float, peer_chunks: int, origin: OriginReads
+    ) -> list[int]:
         """Return the chunks whose fetch is to be cancelled, once each.
 
         :param peer_chunks: set of the chunks that peers of the region hold;
@@ -105,8 +133,10 @@
         """
         stalled = []
         for index, active in self.running.items():
-            if not active.cancelled and self._is_stalled(
-                active, now_s, peer_chunks
+            if active.cancelled:
+                continue
+            if self._is_stalled(active, now_s, peer_chunks) or (
+                active.is_unanswered(now_s, origin)
             ):
                 active.cancelled = True
                 stalled.append(index)
--- a/src/bramleylug/weights/limits.py
+++ b/src/bramleylug/weights/limits.py
@@ -25,6 +25,11 @@
     :ivar origin_backoff_max_s: longest such pause; each failure doubles it.
     :ivar peer_backoff_s: first pause after a peer did not answer.
     :ivar peer_backoff_max_s: longest such pause; each failure doubles it.
+    :ivar probe_s: a read that began while the origin was away ends when no
+        byte has arrived for this long; ``None`` for :attr:`stall_s`.
+    :ivar silent_s: a host that has not told its holdings of the version for
+        this long is taken not to know of it, and is no home of any chunk;
+        ``None`` to count every host.
     :ivar parallel_fetches: fetches that run at once.
     :ivar open_chunks: chunks that the homes of all hosts together may be
         fetching at once; ``None`` for no limit.
@@ -41,6 +46,8 @@
     origin_backoff_max_s: float = 10.0
     peer_backoff_s: float = 1.0
     peer_backoff_max_s: float = 30.0
+    probe_s: float | None = None
+    silent_s: float | None = None
     parallel_fetches: int = 4
     open_chunks: int | None = None
 
--- a/src/bramleylug/weights/peers.py
+++ b/src/bramleylug/weights/peers.py
@@ -31,11 +31,15 @@
     :ivar chunks: set of the chunks it holds.
     :ivar home_bytes: bytes it has fetched as a home; they grow while it
         makes progress.
+    :ivar origin_chunks: set of the chunks that it is reading from the origin.
+    :ivar origin_heard_s: when bytes of the origin last arrived there.
     """
 
     chunks: int
     home_bytes: int = 0
     free_upload_slots: int = 1
+    origin_chunks: int = 0
+    origin_heard_s: float = float('-inf')
 
 
 @final
@@ -44,6 +48,8 @@
     """What this host knows of one peer.
 
     :ivar home_progress_s: when its fetches as a home last made progress.
+    :ivar added_s: since when it is a peer.
+    :ivar origin_chunks: set of the chunks that it is reading from the origin.
     :ivar in_flight: fetches from it that have not ended.
     :ivar exchanged_s: when an exchange of holdings with it last began.
     :ivar exchanges_without_gain: exchanges in a row that brought no new
@@ -58,7 +64,9 @@
     name: str
     region: str
     home_progress_s: float
+    added_s: float = float('-inf')
     chunks: int = 0
+    origin_chunks: int = 0
     home_bytes: int = 0
     free_upload_slots: int = 1
     in_flight: int = 0
@@ -84,6 +92,7 @@
             0 if gained else self.exchanges_without_gain + 1
         )
         self.chunks = holdings.chunks
+        self.origin_chunks = holdings.origin_chunks
         self.free_upload_slots = holdings.free_upload_slots
         self.holdings_known = True
         self.failures = 0
@@ -115,6 +124,12 @@
                 self.failures += 1
         self.avoid_until_s = max(self.avoid_until_s, now_s + pause_s)
 
+    def serves_soon(self, now_s: float) -> bool:
+        """Return whether it serves chunks now, or is only too busy to."""
+        pause_s = self.avoid_until_s - now_s
+        is_busy = self.refusals > 0 and not self.failures
+        return pause_s <= 0 or (is_busy and pause_s <= BUSY_PAUSE_LIMIT_S)
+
     def record_success(self) -> None:
         self.refusals = 0
         self.failures = 0
--- a/src/bramleylug/weights/planner.py
+++ b/src/bramleylug/weights/planner.py
@@ -29,7 +29,13 @@
 from bramleylug.weights.manifest import Manifest
 from bramleylug.weights.origin_reads import OriginReads
 from bramleylug.weights.peers import FailureReason, Holdings, Peer
-from bramleylug.weights.sources import accepts_fetch, choose_source, held_by_any
+from bramleylug.weights.sources import (
+    accepts_fetch,
+    choose_source,
+    chunks_being_read,
+    held_by_any,
+    hosts_that_know,
+)
 from bramleylug.weights.take_over import TakeOver, are_stalled
 
 NEIGHBOURS_LIMIT = 16
@@ -77,7 +83,7 @@
         self.count = len(manifest.chunk_hashes)
         self.homes = Homes(manifest.chunk_hashes, name, region)
         self.homes.replace_hosts({})
-        self.origin = OriginReads(limits)
+        self.origin = OriginReads(random, limits)
         self.peers: dict[str, Peer] = {}
         self.neighbours: frozenset[str] = frozenset()
         self.fetches = InFlightFetches(limits)
@@ -98,20 +104,17 @@
 
         :param regions: region of each peer by its name.
         """
-        if not self.homes.replace_hosts(regions):
-            return
-        for removed in self.peers.keys() - regions.keys():
-            self.peers.pop(removed)
-            self.exchange.running.discard(removed)
-        for name, region in regions.items():
-            if name not in self.peers and name != self.name:
-                self.peers[name] = Peer(name, region, now_s, limits=self.limits)
-        names = [
-            peer.name
-            for peer in self.peers.values()
-            if peer.region == self.region
-        ]
-        self.neighbours = frozenset(rank(self.name, names)[:NEIGHBOURS_LIMIT])
+        others = {**regions}
+        others.pop(self.name, None)
+        if others.keys() != self.peers.keys():
+            self._replace_peers(others, now_s)
+        self.homes.replace_hosts(
+            regions
+            if self.limits.silent_s is None
+            else hosts_that_know(
+                self.peers.values(), self.limits.silent_s, now_s
+            )
+        )
 
     def update_holdings(
         self, name: str, holdings: Holdings | None, now_s: float
@@ -125,6 +128,8 @@
             peer.record_failure(FailureReason.unreachable, 0, now_s)
         else:
             peer.update(holdings, now_s)
+            if self.origin.record_heard(holdings.origin_heard_s, now_s):
+                self._forgive_delays(now_s)
 
     def record_progress(
         self, index: int, piece_bytes: int, now_s: float
@@ -133,6 +138,9 @@
         active = self.fetches.running.get(index)
         if active is not None:
             active.progress_s = now_s
+            if isinstance(active.fetch, FromOrigin):
+                if self.origin.record_bytes(now_s):
+                    self._forgive_delays(now_s)
             if active.as_home:
                 self.home_bytes += piece_bytes
 
@@ -158,7 +166,7 @@
             return
         match active.fetch:
             case FromOrigin():
-                self._record_origin_failure(index, reason, now_s)
+                self._record_origin_failure(active, reason, now_s)
             case FromPeer(peer=name) if name in self.peers:
                 self.peers[name].record_failure(reason, index, now_s)
 
@@ -167,7 +175,9 @@
         actions: list[Action] = list(self.reports)
         self.reports.clear()
         region_chunks = held_by_any(self._region_peers(now_s))
-        stalled = self.fetches.collect_stalled(now_s, region_chunks)
+        stalled = self.fetches.collect_stalled(
+            now_s, region_chunks, self.origin
+        )
         actions.extend(map(CancelFetch, stalled))
         if self.done:
             return actions
@@ -183,6 +193,22 @@
         )
         return actions
 
+    def _replace_peers(self, regions: Mapping[str, str], now_s: float) -> None:
+        for removed in self.peers.keys() - regions.keys():
+            self.peers.pop(removed)
+            self.exchange.running.discard(removed)
+        for name, region in regions.items():
+            if name not in self.peers:
+                self.peers[name] = Peer(
+                    name, region, now_s, now_s, limits=self.limits
+                )
+        names = [
+            peer.name
+            for peer in self.peers.values()
+            if peer.region == self.region
+        ]
+        self.neighbours = frozenset(rank(self.name, names)[:NEIGHBOURS_LIMIT])
+
     def _remove_fetch(self, index: int) -> InFlightFetch | None:
         active = self.fetches.end(index)
         if active is None:
@@ -195,9 +221,10 @@
         return active
 
     def _record_origin_failure(
-        self, index: int, reason: FailureReason, now_s: float
+        self, active: InFlightFetch, reason: FailureReason, now_s: float
     ) -> None:
-        if self.origin.record_failure(reason, index, now_s):
+        index = active.fetch.index
+        if self.origin.record_failure(reason, index, now_s, active.started_s):
             self.reports.append(ReportCorruptOrigin(index))
         if reason is not FailureReason.corrupt:
             # Other homes stall for the same reason: they get time to retry
@@ -206,6 +233,12 @@
             for peer in self.peers.values():
                 peer.home_progress_s = max(peer.home_progress_s, retry_until_s)
 
+    def _forgive_delays(self, now_s: float) -> None:
+        """Count delays of homes from now on: the origin was away."""
+        self.take_over.restart(now_s)
+        for peer in self.peers.values():
+            peer.home_progress_s = max(peer.home_progress_s, now_s)
+
     def _start(self, fetch: Fetch, now_s: float, *, as_home: bool) -> Fetch:
         self.fetches.start(fetch, now_s, as_home=as_home)
         match fetch:
@@ -221,7 +254,13 @@
     def _plan_home_fetches(self, now_s: float) -> Iterable[Fetch]:
         if not self._knows_neighbours(now_s):
             return
-        region_chunks = held_by_any(self._region_peers(now_s)) | self.held
+        holders = [
+            peer for peer in self.peers.values() if peer.serves_soon(now_s)
+        ]
+        known = held_by_any(holders) | self.held
+        region_chunks = self.held | held_by_any(
+            peer for peer in holders if peer.region == self.region
+        )
         needed = [
             index
             for index in self.homes.home_ranks
@@ -230,7 +269,7 @@
         self.take_over.record_own_pace(needed, self.homes, now_s)
         for index in sorted(needed):
             if not self.fetches.has_capacity or not self.take_over.is_open(
-                index, region_chunks.bit_count(), self.count, now_s
+                index, known.bit_count(), self.count, now_s
             ):
                 return
             if index in self.fetches.running or not self._is_due(index, now_s):
@@ -291,13 +330,27 @@
                 for home in self.homes.lead_homes(index)
                 if home in self.peers
             ]
-            for source in homes:
-                if source.chunks >> index & 1 and accepts_fetch(source, now_s):
-                    return FromPeer(index, source.name)
+            holders = [
+                peer
+                for peer in self.peers.values()
+                if peer.chunks >> index & 1 and peer.serves_soon(now_s)
+            ]
+            sources = [peer for peer in holders if accepts_fetch(peer, now_s)]
+            near = [peer for peer in homes if peer in sources] or sources
+            if near:
+                source = choose_source(near, index, self.random)
+                return FromPeer(index, source.name)
+            if holders:
+                return None
             limit_s = self.limits.region_take_over_s
             limit_s += self.homes.home_ranks[index] * self.limits.take_over_s
             if not are_stalled(homes, limit_s, now_s):
                 return None
+        if (
+            chunks_being_read(self.peers.values(), self.limits, now_s) >> index
+            & 1
+        ):
+            return None
         return FromOrigin(index) if self.origin.may_read(index, now_s) else None
 
     def _region_peers(self, now_s: float) -> list[Peer]:
--- a/src/bramleylug/weights/take_over.py
+++ b/src/bramleylug/weights/take_over.py
@@ -41,6 +41,11 @@
         self.own_chunk_s: float | None = None
         self.opened_s: dict[int, float] = {}
 
+    def restart(self, now_s: float) -> None:
+        """Count all times from now on; chunks that are open stay so."""
+        self.started_s = now_s
+        self.opened_s = dict.fromkeys(self.opened_s, now_s)
+
     def is_open(self, index: int, known: int, count: int, now_s: float) -> bool:
         """Return whether a chunk's homes may fetch it yet.
 
--- a/testing/loader/link_origin.py
+++ b/testing/loader/link_origin.py
@@ -1,16 +1,24 @@
-"""An origin behind a link that all reads share, and that is away for a time."""
+"""An origin and hosts behind links that all transfers of a link share.
+
+The origin is away for a time.
+"""
 
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from typing import final
+from typing import Any, final
 
 from bramleylug.loader.sources import FetchFailed
+from bramleylug.loader.uploads import MAX_UPLOADS
 from bramleylug.weights.manifest import Manifest
 from bramleylug.weights.peers import FailureReason
-from testing.loader.swarm import SwarmOrigin
+from testing.loader.swarm import Swarm, SwarmOrigin
 
 TICK_S = 0.01
+# Connections that the origin takes.
+MAX_CONNECTIONS = 48
+# Interval at which loaders hear of each other's holdings in a large fleet.
+ANNOUNCE_S = 0.25
 # A call that reaches nobody ends after this long.
 CONNECT_S = 0.5
 
@@ -85,3 +93,48 @@
         if self._is_dark():
             await asyncio.sleep(CONNECT_S)
             raise FetchFailed(FailureReason.unreachable, 'no connection')
+
+
+@final
+class LinkedSwarm(Swarm):
+    """Hosts whose transfers share the links of both ends.
+
+    :param copy_s: time of one copy on the link of a host.
+    :ivar uploads: running transfers by sending host.
+    """
+
+    def __init__(self, hosts: int, origin: DarkOrigin, copy_s: float) -> None:
+        super().__init__(
+            hosts,
+            '',
+            origin,
+            MAX_CONNECTIONS,
+            ('south', 'north', 'east'),
+            ANNOUNCE_S,
+        )
+        self.host_chunk_s = copy_s / origin.chunk_count
+        self.uploads: Counter[str] = Counter()
+
+    async def chunk(
+        self,
+        peer: Any,
+        model: str,
+        version: int,
+        index: int,
+        on_progress: Callable[[], None],
+    ) -> bytes:
+        chunk_store = self.chunk_stores[peer.name].by_version.get(version)
+        if chunk_store is None or index not in chunk_store.chunks:
+            raise FetchFailed(FailureReason.not_held, f'{index}')
+        if self.uploads[peer.name] >= MAX_UPLOADS:
+            raise FetchFailed(FailureReason.busy, peer.name)
+        self.uploads[peer.name] += 1
+        left = 1.0
+        try:
+            while left > 0:
+                await asyncio.sleep(TICK_S)
+                left -= TICK_S / self.host_chunk_s / self.uploads[peer.name]
+                on_progress()
+        finally:
+            self.uploads[peer.name] -= 1
+        return chunk_store.chunks[index]
--- a/testing/loader/swarm.py
+++ b/testing/loader/swarm.py
@@ -2,10 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from bramleylug.cluster.peers import Role
-from bramleylug.loader.chunk_store import ChunkStores, build_manifest
+from bramleylug.loader.chunk_store import (
+    ChunkStore,
+    ChunkStores,
+    build_manifest,
+)
 from bramleylug.loader.downloader import TargetVersion, WeightsDownloader
 from bramleylug.loader.engine import EngineUnavailable
 from bramleylug.loader.sources import FetchFailed, OriginRecord
@@ -87,7 +92,9 @@
     """Downloaders that fetch chunks from one another and from one origin.
 
     :ivar target: newest announced version.
+    :ivar targets: the version that some hosts know instead, by name.
     :ivar peer_fetch_s: time of one fetch from a peer.
+    :ivar announce_s: interval at which each host hears of the others' holdings.
     :ivar late_host: host that the test starts itself, if any.
     :ivar announcements: task that passes holdings to all other hosts.
     """
@@ -98,8 +105,12 @@
         late_host: str = '',
         origin: SwarmOrigin | None = None,
         max_connections: int = 0,
+        regions: tuple[str, ...] = ('south', 'north'),
+        announce_s: float = ANNOUNCE_INTERVAL_S,
     ) -> None:
         self.target = 1
+        self.targets: dict[str, int] = {}
+        self.announce_s = announce_s
         self.max_connections = max_connections
         self.manifest_calls = 0
         self.late_host = late_host
@@ -109,7 +120,7 @@
             f'host-{index}': build_peer(
                 f'host-{index}',
                 role=Role.loader,
-                region='north' if index % 2 else 'south',
+                region=regions[index % len(regions)],
             )
             for index in range(hosts)
         }
@@ -200,38 +211,41 @@
             self.origin,
             self,
             clock,
+            partial(self._announce, name),
         )
         engine: Any = NoEngine()
         return WeightsDownloader(
             context,
             self.chunk_stores[name],
             engine,
-            lambda: TargetVersion(MODEL, self.target),
+            lambda: TargetVersion(MODEL, self.targets.get(name, self.target)),
         )
 
     async def _announce_holdings(self) -> None:
         while True:
-            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
-            for name, chunk_stores in self.chunk_stores.items():
-                for version, chunk_store in chunk_stores.by_version.items():
-                    held = HeldChunks(
-                        bitmap=to_bytes(
-                            chunk_store.held, self.origin.chunk_count
-                        ),
-                        duty_bytes=self._home_bytes(name, version),
-                        free_upload_slots=2,
-                    )
-                    self._deliver(
-                        name,
-                        TransferState(model=MODEL, version=version, held=held),
-                    )
-
-    def _home_bytes(self, name: str, version: int) -> int:
-        """Return what a host fetched of a version as a home."""
+            await asyncio.sleep(self.announce_s)
+            for name in self.chunk_stores:
+                self._announce(name)
+
+    def _announce(self, name: str) -> None:
+        """Tell the other hosts what a host holds."""
+        for version, chunk_store in self.chunk_stores[name].by_version.items():
+            held = self._held(name, version, chunk_store)
+            self._deliver(
+                name, TransferState(model=MODEL, version=version, held=held)
+            )
+
+    def _held(
+        self, name: str, version: int, chunk_store: ChunkStore
+    ) -> HeldChunks:
+        """Return what a host tells of a version."""
         transfer = self.downloaders[name].transfer
-        if transfer is None or transfer.version != version:
-            return 0
-        return transfer.home_bytes
+        held = HeldChunks()
+        if transfer is not None and transfer.version == version:
+            held = transfer.held_chunks(asyncio.get_running_loop().time())
+        held.bitmap = to_bytes(chunk_store.held, self.origin.chunk_count)
+        held.free_upload_slots = 2
+        return held
 
     def _deliver(self, name: str, state: TransferState) -> None:
         for other, downloader in self.downloaders.items():
--- a/testing/loader/test_downloader.py
+++ b/testing/loader/test_downloader.py
@@ -5,7 +5,7 @@
 
 from bramleylug.loader.downloader import MANIFEST_PEERS
 from bramleylug.loader.manifest_turns import MANIFEST_READERS
-from testing.loader.swarm import CHUNKS, Swarm
+from testing.loader.swarm import CHUNKS, Swarm, SwarmOrigin
 from testing.virtual_time import in_virtual_time
 
 
@@ -120,3 +120,22 @@
             swarm.origin.is_up = True
 
             await swarm.wait_until_complete(2, timeout_s=4)
+
+    @in_virtual_time
+    async def test_two_versions_named_at_once_do_not_divide_the_hosts(
+        self,
+    ) -> None:
+        """Some learned of the second one later, and went on with the first."""
+        origin = SwarmOrigin()
+        origin.fetch_s = 0.5
+        async with Swarm(hosts=9, origin=origin) as swarm:
+            late = ('host-0', 'host-3', 'host-6')
+            swarm.target = 3
+            swarm.targets = dict.fromkeys(late, 2)
+            await asyncio.sleep(0.7)
+            swarm.targets.clear()
+            await swarm.wait_until_complete(3)
+
+            # What the late hosts were reading by then, two chunks each.
+            reads = sum(version == 2 for version, _ in origin.reads)
+            self.assertLessEqual(reads, 2 * len(late))
