--- a/src/bramleylug/loader/transfer.py
+++ b/src/bramleylug/loader/transfer.py
@@ -9,6 +9,7 @@
 
 from bramleylug.cluster.peers import PeerRecord
 from bramleylug.loader.chunk_store import ChunkStore
+from bramleylug.loader.transfer_journal import TransferJournal
 from bramleylug.loader.sources import (
     FetchFailed,
     Origin,
@@ -143,6 +144,7 @@
         self.progress_s = self.started_s
         for index in chunk_store.chunks:
             self.planner.record_chunk(index)
+        self.journal = TransferJournal(self.weights, self.started_s)
         self._replace_peers(self.started_s)
 
     @property
@@ -231,6 +233,7 @@
     def _plan(self) -> None:
         now_s = self.context.clock()
         self._replace_peers(now_s)
+        self.journal.record(self.planner, now_s)
         for action in self.planner.plan(now_s):
             self._execute(action)
 
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -380,6 +380,27 @@
         'the manifest of {weights} was read from {source} after {waited_ms} ms',
         'Nothing to do.',
     )
+    origin_away = EventSpec(
+        'BL3022',
+        'WARNING',
+        'the origin does not answer; {missing} chunks of {weights} are missing',
+        'Nothing to do if it was stopped on purpose; otherwise check it and '
+        'the link to it. Chunks that other loaders hold are fetched meanwhile.',
+    )
+    origin_back = EventSpec(
+        'BL3023',
+        'INFO',
+        'the origin answers again after {away_ms} ms; {missing} chunks of '
+        '{weights} are missing, its answer was noticed by {noticed_by}',
+        'Nothing to do.',
+    )
+    transfer_progress = EventSpec(
+        'BL3024',
+        'INFO',
+        'of {weights} {held} of {count} chunks are held here and {known} by '
+        'all loaders; reading {reading} from the origin, others {others}',
+        'Nothing to do.',
+    )
     version_staged = EventSpec(
         'BL3011',
         'INFO',
