--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -20,7 +20,7 @@
 from bramleylug.cluster.peers import PeerRecord, Role
 from bramleylug.cluster.settings import ProcessSettings
 from bramleylug.cluster.store_readers import find_reader
-from bramleylug.cluster.version_news import named_versions
+from bramleylug.cluster.version_news import due_news
 from bramleylug.node.datagrams import BATCH_S
 from bramleylug.node.loop_thread import LoopThread
 from bramleylug.node.process_pauses import ProcessPauses, watch_pauses
@@ -242,7 +242,10 @@
             )
 
     def send_due_heartbeats(self) -> None:
-        """Send a heartbeat to the relays that are due for one."""
+        """Send a heartbeat to the relays that are due for one.
+
+        Loaders of the zone are told of versions that were just named.
+        """
         now_s = self.clock()
         alive = self.view.peers.alive(Role.relay, now_s)
         due = self.schedule.due(alive, now_s)
@@ -250,27 +253,15 @@
             self.socket.send(
                 self.make_heartbeat(), [peer.beats for peer in due]
             )
-
-    def announce_versions(self) -> None:
-        """Tell the loaders of the zone of versions that were just named.
-
-        They may read the store through a process that is cut off from it.
-        """
-        named = named_versions(self.view.versions.take_announcement())
-        if not named or self.socket is None:
-            return
-        loaders = [
-            peer.beats
-            for peer in self.view.peers.zone_peers(self.clock())
-            if peer.role is Role.loader
-        ]
-        heartbeat = Beat(
-            name=self.settings.name,
-            boot=self.record.boot,
-            draining=self.record.draining,
-            named=named,
-        )
-        self.socket.send(heartbeat, loaders)
+        news = due_news(self.view, now_s)
+        if news.named and self.socket is not None:
+            heartbeat = Beat(
+                name=self.settings.name,
+                boot=self.record.boot,
+                draining=self.record.draining,
+                named=news.named,
+            )
+            self.socket.send(heartbeat, news.addresses)
 
     def receive_heartbeat(self, heartbeat: Beat) -> None:
         """Apply a heartbeat of another process.
@@ -337,7 +328,6 @@
             )
         while True:
             self.send_due_heartbeats()
-            self.announce_versions()
             await sleep_until_tick(HEARTBEAT_INTERVAL_S)
 
     def _collect_s(self) -> float:
--- a/testing/platform/test_told_versions.py
+++ b/testing/platform/test_told_versions.py
@@ -82,7 +82,7 @@
 
     async def run_heartbeats(self) -> None:
         while True:
-            self.relay.announce_versions()
+            self.relay.send_due_heartbeats()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def play(self, watch: Any) -> None:
