--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -21,6 +21,7 @@
 from bramleylug.cluster.peers import PeerRecord, PeerRegistry, Role
 from bramleylug.cluster.settings import ProcessSettings
 from bramleylug.cluster.store_readers import find_reader
+from bramleylug.cluster.version_news import due_news
 from bramleylug.node.datagrams import BATCH_S
 from bramleylug.node.loop_thread import LoopThread
 from bramleylug.node.process_pauses import ProcessPauses, watch_pauses
@@ -257,7 +258,10 @@
             )
 
     def send_due_heartbeats(self) -> None:
-        """Send a heartbeat to the relays that are due for one."""
+        """Send a heartbeat to the relays that are due for one.
+
+        Loaders of the zone are told of versions that were just named.
+        """
         now_s = self.clock()
         alive = self.view.peers.alive(Role.relay, now_s)
         due = self.schedule.due(alive, now_s)
@@ -265,6 +269,15 @@
             self.socket.send(
                 self.make_heartbeat(), [peer.beats for peer in due]
             )
+        news = due_news(self.view, now_s)
+        if news.named and self.socket is not None:
+            heartbeat = Beat(
+                name=self.settings.name,
+                boot=self.record.boot,
+                draining=self.record.draining,
+                named=news.named,
+            )
+            self.socket.send(heartbeat, news.addresses)
 
     def receive_heartbeat(self, heartbeat: Beat) -> None:
         """Apply a heartbeat of another process.
