--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -327,7 +327,10 @@
     def serve_metrics(self, exchange: Exchange) -> None:
         """Serve the metrics page, and that of the duties."""
         if exchange.path == DUTIES_PATH and self.duties is not None:
-            exchange.reply_json(HTTPStatus.OK, self.duties.status())
+            duties = self.duties
+            self.core.loop.serve(
+                exchange, lambda: answer_duties(exchange, duties)
+            )
             return
         serve_metrics(exchange, self.settings.name, self.core.view.store_age_s)
 
@@ -391,6 +394,11 @@
         return server
 
 
+async def answer_duties(exchange: Exchange, duties: RelayDuties) -> None:
+    """Respond with the state of the duties."""
+    exchange.reply_json(HTTPStatus.OK, duties.status())
+
+
 def web_limits(connections: int, limits: CallerLimits) -> WebLimits:
     """Return the limits of the port for callers.
 
--- a/src/bramleylug/soak/stand_in.py
+++ b/src/bramleylug/soak/stand_in.py
@@ -24,8 +24,8 @@
     """Run the fake that the arguments ask for.
 
     Arguments are ``store BIND``, ``duties BIND``, ``origin LAYOUT`` or
-    ``engine SETTINGS``, with the settings as JSON; those of an origin are its address and the
-    number of chunks.
+    ``engine SETTINGS``, with the settings as JSON; those of an origin are its
+    address and the number of chunks.
     """
     kind, argument = sys.argv[1:]
     fake: Any
