Streams wait for another engine for as long as their callers stay

A caller whose route has an objective for pauses stays for four objectives or eight such pauses, whichever is longer; such a stream was cut after 2 s.

--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -12,6 +12,12 @@
 from bramleylug.scheduling.figures import EngineFigures, ScalingLimits
 
 
+# Callers of a stream with an objective for its pauses stay for so many of its
+# objectives, or of these pauses, whichever is longer.
+PATIENCE_OBJECTIVES = 4
+PATIENCE_PAUSES = 8
+
+
 @final
 @unique
 class RetryPolicy(Enum):
@@ -68,6 +74,16 @@
     regions: frozenset[str] = frozenset()
     pause_objective_s: float = 0
 
+    @property
+    def patience_s(self) -> float:
+        """Time without an event after which callers leave; 0 if unknown."""
+        if not self.pause_objective_s:
+            return 0.0
+        return max(
+            PATIENCE_OBJECTIVES * self.objective_s,
+            PATIENCE_PAUSES * self.pause_objective_s,
+        )
+
     def leads_to(self, service: str) -> bool:
         """Return whether requests of the route may go to a service."""
         return any(
--- a/src/bramleylug/relay/handover.py
+++ b/src/bramleylug/relay/handover.py
@@ -68,7 +68,8 @@
         return None
 
     async def _wait(self, context: RequestContext) -> Upstream | None:
-        until_s = context.progress.last_s + CALLER_PATIENCE_S
+        patience_s = max(CALLER_PATIENCE_S, context.route.patience_s)
+        until_s = context.progress.last_s + patience_s
         while self._has_attempts(context):
             if self.dispatch_queue.clock() > until_s:
                 return None
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -491,7 +491,7 @@
             return AttemptTimeouts(
                 STREAM_FIRST_EVENT_S,
                 STREAM_IDLE_S,
-                patience_s=CALLER_PATIENCE_S,
+                patience_s=max(CALLER_PATIENCE_S, route.patience_s),
                 quiet_first_s=QUIET_LIMIT_S,
                 quiet_idle_s=QUIET_STREAM_S,
             )
--- a/src/bramleylug/relay/silence.py
+++ b/src/bramleylug/relay/silence.py
@@ -17,8 +17,8 @@
 RECHECK_INTERVAL_S = 0.2
 # Whether an upstream is silent is checked at this interval.
 CHECK_INTERVAL_S = 0.1
-# A caller abandons a stream after 2 s or more without an event. One that is
-# cut off before may still resume it by itself.
+# A caller abandons a stream after 2 s or more without an event, as its route
+# states. One that is cut off before may still resume it by itself.
 CALLER_PATIENCE_S = 2.0
 
 
--- a/testing/cluster/test_route_table.py
+++ b/testing/cluster/test_route_table.py
@@ -82,3 +82,17 @@
         workspace = Workspace('a', regions=frozenset(('south',)))
 
         self.assertEqual(allowed_regions(route, workspace), frozenset())
+
+
+class TestPatience(unittest.TestCase):
+    """How long callers wait for the next event of a stream."""
+
+    def test_unknown_without_an_objective_for_pauses(self) -> None:
+        self.assertEqual(build_route(objective_s=0.4).patience_s, 0)
+
+    def test_longer_of_objectives_and_pauses(self) -> None:
+        eager = build_route(objective_s=0.4, pause_objective_s=0.4)
+        slow = build_route(objective_s=1.0, pause_objective_s=0.4)
+
+        self.assertAlmostEqual(eager.patience_s, 3.2)
+        self.assertAlmostEqual(slow.patience_s, 4.0)
