Datagrams about requests are limited to 80 a second and relay

Two for each request go to up to twelve relays; beside the heartbeats that is more than control traffic may use at 5 requests a second and relay.

--- a/src/bramleylug/cluster/work_exchange.py
+++ b/src/bramleylug/cluster/work_exchange.py
@@ -15,6 +15,11 @@
 from bramleylug.scheduling.estimate import EngineModel
 from bramleylug.wire.beats_pb2 import RelayWork
 
+# Datagrams a second, of about 80 bytes each, that control traffic leaves
+# beside heartbeats. Without them, heartbeats tell the counts.
+DATAGRAMS_PER_S = 80.0
+DATAGRAM_BURST = 80.0
+
 
 class Fleet(NamedTuple):
     """Relays and engines of a service, each in the order of their shares."""
@@ -32,6 +37,8 @@
     :ivar fleets: by service, those that the shares were computed from.
     :ivar engines: by service, the engines that this relay sends to first.
     :ivar sharers: by engine, the other relays that send there first.
+    :ivar tokens: datagrams that may be sent.
+    :ivar filled_s: when these were counted last.
     :ivar send: sends a message to relays by their names.
     :ivar read: applies messages that have arrived and are being collected.
     """
@@ -46,6 +53,8 @@
         self.fleets: dict[str, Fleet] = {}
         self.engines: dict[str, frozenset[str]] = {}
         self.sharers: dict[str, Sequence[str]] = {}
+        self.tokens = DATAGRAM_BURST
+        self.filled_s = clock()
         self.send: Callable[[Sequence[str], RelayWork], None] = _ignore
         self.read: Callable[[], None] = _read_nothing
 
@@ -76,7 +85,7 @@
         upstream_id = upstream.record.upstream_id
         names = self.sharers.get(upstream_id)
         model = self.models.get(upstream.record.service)
-        if not names or model is None:
+        if not names or model is None or not self._consume(len(names)):
             return
         work = upstream.work
         shown = work.passes.shown(model.write_s(1), self.clock())
@@ -102,6 +111,17 @@
             now_s, int(message.unread), int(message.unread_tokens), message.pace
         )
 
+    def _consume(self, datagrams: int) -> bool:
+        """Return whether so many datagrams may be sent now; count them."""
+        now_s = self.clock()
+        gained = (now_s - self.filled_s) * DATAGRAMS_PER_S
+        self.tokens = min(DATAGRAM_BURST, self.tokens + gained)
+        self.filled_s = now_s
+        if self.tokens < datagrams:
+            return False
+        self.tokens -= datagrams
+        return True
+
     def _share_engines(
         self, service: str, own: str, fleet: Fleet
     ) -> frozenset[str]:
--- a/testing/cluster/test_work_exchange.py
+++ b/testing/cluster/test_work_exchange.py
@@ -126,6 +126,22 @@
 
         self.assertGreater(self.load('relay-3').pace, 4)
 
+    def test_datagrams_are_limited(self) -> None:
+        """A relay with very many requests leaves room for other traffic."""
+        sent = 0
+
+        def count_sent(names, message) -> None:
+            nonlocal sent
+            sent += len(names)
+
+        exchange = self.exchanges['relay-1']
+        exchange.send = count_sent
+        for number in range(2000):
+            self.now_s = number / 200
+            self.send('relay-1', 800)
+
+        self.assertLessEqual(sent * 80, 10 * 8000)
+
     def test_service_without_figures_has_one_preferred_upstream(self) -> None:
         """Nothing is told of it."""
         exchange = self.exchanges['relay-1']
--- a/testing/scheduling/engine_fleet.py
+++ b/testing/scheduling/engine_fleet.py
@@ -43,9 +43,10 @@
 PAUSE_OBJECTIVE_S = 0.4
 RETRY_S = 0.05
 QUEUE = 24
-# Time between reports of an engine, and between heartbeats of a relay, at each
-# of the others; a datagram between two zones.
-REPORT_S = 0.45
+# A loader reads its engine's report and sends every third one, or a changed
+# pace at once. Heartbeats of relays, and a datagram between two zones.
+READ_S = 0.3
+REPORTED_READS = 3
 HEARTBEAT_S = 0.9
 DELAY_S = 0.003
 
@@ -103,6 +104,7 @@
     queue: deque[Stream] = field(default_factory=deque)
     running: list[Stream] = field(default_factory=list)
     is_busy: bool = False
+    reads: int = 0
 
     def begin_pass(self, now_s: float) -> float:
         """Return when the next pass ends."""
@@ -157,7 +159,7 @@
             first_s = self.random.uniform(0, HEARTBEAT_S)
             self._at(first_s, partial(self._send_heartbeat, number))
         for name in self.engines:
-            first_s = self.random.uniform(0, REPORT_S)
+            first_s = self.random.uniform(0, READ_S)
             self._at(first_s, partial(self._send_report, name))
         self._arrive(streams_per_s)
         while self.events[0][0] < length_s:
@@ -281,20 +283,21 @@
                 registry.record_counts(f'relay-{number}', counts, self.now_s)
         self._at(self.now_s + HEARTBEAT_S, lambda: self._send_heartbeat(number))
 
-    def _send_report(self, name: str) -> None:
+    def _send_report(self, name: str, told: float = 1.0) -> None:
+        """Read a report; send it if it is time or the pace has changed."""
         engine = self.engines[name]
-        report = UpstreamReport(
-            1000,
-            len(engine.running),
-            len(engine.queue),
-            {},
-            False,
-            self.now_s,
-            pace=engine.pace.reported or engine.pace.at(self.now_s),
-        )
-        self._at(self.now_s + REPORT_S, lambda: self._deliver(name, report))
-        self._at(self.now_s + REPORT_S, lambda: self._send_report(name))
-
-    def _deliver(self, name: str, report: UpstreamReport) -> None:
-        for registry in self.registries:
-            registry.record_report(name, report)
+        pace = engine.pace.reported or engine.pace.at(self.now_s)
+        engine.reads += 1
+        if pace != told or not engine.reads % REPORTED_READS:
+            report = UpstreamReport(
+                1000,
+                len(engine.running),
+                len(engine.queue),
+                {},
+                False,
+                self.now_s,
+                pace=pace,
+            )
+            for registry in self.registries:
+                registry.record_report(name, report)
+        self._at(self.now_s + READ_S, partial(self._send_report, name, pace))
