--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -127,7 +127,7 @@
             settings, lambda: self.record, self.watchers[0].mirror, clock
         )
         self.view.permits.send = self.send_permits
-        self.view.work.send = self.send_work
+        self.view.work.send = partial(_send_work, self)
         self.apply_changes = adapter.store_change_handler(self.view)
         self.presence = Presence(
             self.store,
@@ -229,17 +229,6 @@
             heartbeat = Beat(name=self.settings.name, permits=messages)
             self.socket.send(heartbeat, [peer.beats])
 
-    def send_work(self, relays: Iterable[str], work: RelayWork) -> None:
-        """Send what this relay has at an engine to other relays."""
-        if self.socket is None:
-            return
-        known = self.view.peers.known
-        heartbeat = Beat(name=self.settings.name, work=[work])
-        self.socket.send(
-            heartbeat,
-            [known[name].beats for name in relays if name in known],
-        )
-
     def send_heartbeat_to(self, name: str) -> None:
         """Send a heartbeat to one relay outside of the schedule."""
         peer = self.view.peers.known.get(name)
@@ -354,6 +343,19 @@
             self.on_clean_up()
 
 
+def _send_work(
+    core: ProcessCore, relays: Iterable[str], work: RelayWork
+) -> None:
+    """Send what a relay has at an engine to other relays."""
+    if core.socket is None:
+        return
+    known = core.view.peers.known
+    core.socket.send(
+        Beat(name=core.settings.name, work=[work]),
+        [known[name].beats for name in relays if name in known],
+    )
+
+
 def _reply_feed(
     exchange: Exchange, feed: ChangeFeed, answer: FeedAnswer
 ) -> None:
