Overflow to engines of other relays is drawn blindly; moves only where it helps

A request that waits at an engine moved to another one that was as late, and the work at the first was lost.

--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -139,7 +139,8 @@
         """Return an upstream that has a free slot now."""
         selection = self._select(context.requirements())
         if isinstance(selection, Selected):
-            return self._claim(context, selection)
+            if self._is_worth_moving(context, selection):
+                return self._claim(context, selection)
         return None
 
     def queue_move(
@@ -338,6 +339,22 @@
             requirements, self.view.constraints(), self.clock()
         )
 
+    def _is_worth_moving(
+        self, context: RequestContext, selection: Selected
+    ) -> bool:
+        """Return whether a request that waits elsewhere gains by a move.
+
+        In a shortage it would wait at the next engine as well, and its work
+        at the first one would be lost. A silent one is left in any case.
+        """
+        estimate = selection.estimate
+        if estimate is None or not context.tried:
+            return True
+        current = self.view.upstreams.by_id.get(context.tried[-1])
+        if current is None or current.responsiveness.silent:
+            return True
+        return estimate.first_s <= context.route.objective_s
+
     def _claim(self, context: RequestContext, selection: Selected) -> Upstream:
         """Count a request against the rates that its upstream takes.
 
--- a/src/bramleylug/scheduling/placing.py
+++ b/src/bramleylug/scheduling/placing.py
@@ -1,6 +1,6 @@
 """Selection of the upstream for a request by eligibility and estimate."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from itertools import starmap
 from operator import itemgetter
@@ -50,6 +50,12 @@
 PEER_PAUSED_COST = 0.5
 # Part of an objective that an estimate may take: it is not exact.
 SAFE_SHARE = 0.8
+# Others that are drawn for one request while the preferred ones are not enough.
+DRAWN = 3
+# Share of an engine's slots that are left to relays that send there first.
+RESERVED_SHARE = 0.25
+# Time between two requests of this relay to others in a shortage.
+OVERFLOW_INTERVAL_S = 0.1
 # Objectives of requests whose route states none.
 USUAL_OBJECTIVE_S = 1.0
 NOT_REGISTERED = 'no upstream of the service is registered'
@@ -158,6 +164,7 @@
     Balancing*, 2001).
 
     :param zone: availability zone of this relay.
+    :ivar overflow_s: when an engine was chosen last that is not preferred.
     """
 
     def __init__(
@@ -171,6 +178,7 @@
         self.zone = zone
         self.region = region
         self.random = random
+        self.overflow_s = float('-inf')
 
     def select(
         self, requirements: Requirements, constraints: Constraints, now_s: float
@@ -194,10 +202,11 @@
         without_permit = tuple(
             one for one, _ in with_room if one.lacks_permit(now_s)
         )
+        allowed = self._allowed(requirements, constraints, eligible, now_s)
         available = [
             (one, free_slots)
             for one, free_slots in with_room
-            if one.may_send(now_s)
+            if allowed(one) and one.may_send(now_s)
         ]
         if not available:
             return AtCapacity(
@@ -206,21 +215,42 @@
                 without_permit,
                 _soonest_s(eligible, requirements, constraints, now_s),
             )
-        # Permits expire soon: they are used before free slots elsewhere.
-        permitted = [
-            (one, free_slots)
-            for one, free_slots in available
-            if one.limited and self._is_near(one, constraints)
-        ]
         return Selected(
-            *self._choose(
-                permitted or available, requirements, constraints, now_s
-            ),
+            *self._choose(available, requirements, constraints, now_s),
             tuple(
                 one for one in without_permit if self._is_near(one, constraints)
             ),
         )
 
+    def _allowed(
+        self,
+        requirements: Requirements,
+        constraints: Constraints,
+        eligible: Sequence[Upstream],
+        now_s: float,
+    ) -> Callable[[Upstream], bool]:
+        """Return whether a request may be sent to an upstream.
+
+        It may be sent to preferred engines and to a few random other ones.
+        The counts of others are old: in a shortage all relays would take the
+        same free one. Its last free slots are left to relays that prefer it,
+        as overflow which takes them makes others overflow in turn (Gibbens,
+        Kelly and Key, *Dynamic Alternative Routing*, 1988).
+        """
+        preferred = constraints.preferred
+        if requirements.service not in constraints.engines or not any(
+            one.record.upstream_id in preferred for one in eligible
+        ):
+            return _is_any
+        allowed = set(preferred)
+        if now_s - self.overflow_s >= OVERFLOW_INTERVAL_S:
+            allowed.update(
+                one.record.upstream_id
+                for one in self.random.choices(eligible, k=DRAWN)
+                if one.free_slots(now_s) >= RESERVED_SHARE * one.record.slots
+            )
+        return lambda one: one.record.upstream_id in allowed
+
     def _is_near(self, upstream: Upstream, constraints: Constraints) -> bool:
         return constraints.regions.get(upstream.record.zone) == self.region
 
@@ -231,6 +261,13 @@
         constraints: Constraints,
         now_s: float,
     ) -> 'Candidate':
+        # Permits expire soon: they are used before free slots elsewhere.
+        permitted = [
+            (one, free_slots)
+            for one, free_slots in available
+            if one.limited and self._is_near(one, constraints)
+        ]
+        available = permitted or available
         model = constraints.engines.get(requirements.service)
         if model is not None:
             return self._choose_by_estimate(
@@ -283,7 +320,10 @@
             ]
             drawn = self.random.choices(others, weights, k=CHOICES)
             ranked.extend(starmap(rank, drawn))
-        return min(ranked, key=itemgetter(0)).candidate
+        candidate = min(ranked, key=itemgetter(0)).candidate
+        if candidate.upstream.record.upstream_id not in constraints.preferred:
+            self.overflow_s = now_s
+        return candidate
 
     def _cost(
         self,
@@ -328,6 +368,10 @@
         return penalty + UNSTARTED_PENALTY * upstream.unstarted
 
 
+def _is_any(upstream: Upstream) -> bool:
+    return True
+
+
 def ineligible_reason(
     upstream: Upstream,
     requirements: Requirements,
--- a/testing/scheduling/test_placing.py
+++ b/testing/scheduling/test_placing.py
@@ -19,12 +19,17 @@
     UpstreamSelector,
     sendable_at_once,
 )
+from bramleylug.scheduling.estimate import EngineModel
 from testing.relay.builders import (
     MODEL,
     build_constraints,
     build_requirements,
     build_upstream_record,
 )
+from testing.scheduling.engine_fleet import FIGURES
+
+
+ENGINE = EngineModel(FIGURES)
 
 
 class TestUpstreamSelector(unittest.TestCase):
@@ -256,6 +261,62 @@
         self.assertEqual(overflow.upstream.record.upstream_id, 'other')
 
 
+class TestOverflow(unittest.TestCase):
+    """Load: the preferred engines of a relay are full; their speed is known."""
+
+    def setUp(self) -> None:
+        """Register an engine that is preferred and one that is not."""
+        self.registry = UpstreamRegistry()
+        self.first = self.registry.register(
+            build_upstream_record('first', slots=12)
+        )
+        self.other = self.registry.register(
+            build_upstream_record('other', slots=12)
+        )
+        self.selector = UpstreamSelector(
+            self.registry, 'zone-a', 'north', Random(1)
+        )
+
+    def chosen(self, preferred=('first',)) -> Counter[str]:
+        """Return how often each is chosen in ten seconds."""
+        constraints = build_constraints(
+            preferred=frozenset(preferred), engines={'advisor': ENGINE}
+        )
+        selections = [
+            self.selector.select(build_requirements(), constraints, now_s)
+            for now_s in range(10)
+        ]
+        return Counter(
+            one.upstream.record.upstream_id
+            for one in selections
+            if isinstance(one, Selected)
+        )
+
+    def test_preferred_engine_gets_all_while_it_serves_in_time(self) -> None:
+        self.first.running = 4
+
+        self.assertEqual(self.chosen(), {'first': 10})
+
+    def test_others_get_some_when_it_is_full(self) -> None:
+        self.first.running = 12
+
+        self.assertEqual(set(self.chosen()), {'other'})
+
+    def test_last_slots_of_others_are_left_to_their_relays(self) -> None:
+        self.first.running = 12
+        self.other.running = 10
+        self.assertEqual(self.chosen().total(), 0)
+
+        self.other.running = 8
+        self.assertGreater(self.chosen()['other'], 0)
+
+    def test_engines_that_none_prefers_are_all_used(self) -> None:
+        """A relay has no preferred one of the newest weights, say."""
+        self.first.running = 11
+
+        self.assertEqual(self.chosen(('gone',)).total(), 10)
+
+
 class TestColdStart(unittest.TestCase):
     """A cold upstream gets a limited rate of requests."""
 
