Fair shares of a short service between workspaces, over all relays

A queue within one relay, which has some requests a second, orders next to nothing between workspaces. Relays now tell the slots that the workspaces with most requests take and want, divide by max-min over the fleet, refuse the part of a workspace that goes beyond while others are short, and choose waiting requests of those below more often. In force only with several workspaces and while a service is short.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -32,6 +32,7 @@
     UpstreamRegistry,
     UpstreamReport,
 )
+from bramleylug.cluster.use_messages import uses_from_messages
 from bramleylug.cluster.versions import VersionRegistry
 from bramleylug.cluster.work_exchange import WorkExchange
 from bramleylug.node.process_pauses import ProcessPauses
@@ -393,6 +394,9 @@
         self.peers.record_demand(
             heartbeat.name, loads_from_messages(heartbeat.levels), now_s
         )
+        if heartbeat.name in self.peers.known_relays:
+            uses = uses_from_messages(heartbeat.uses)
+            self.peers.uses.record(heartbeat.name, uses, now_s)
         if heartbeat.HasField('reading'):
             arrived_s = self.pauses.earliest_arrival_s(now_s)
             report = report_from_message(heartbeat.reading, arrived_s)
--- a/src/bramleylug/cluster/cold_shares.py
+++ b/src/bramleylug/cluster/cold_shares.py
@@ -21,15 +21,13 @@
 from bramleylug.cluster.peers import PeerRegistry
 from bramleylug.cluster.route_table import RouteTable
 from bramleylug.cluster.settings import ProcessSettings
+from bramleylug.cluster.touch import part_in_touch
 from bramleylug.cluster.upstreams import Upstream, UpstreamRecord
 
 # The other relays know one within this time of its registration.
 SETTLING_S = 1.5
 # How long the bucket of an upstream that is gone is kept: it may come back.
 RETENTION_S = 30.0
-# A share is used in full only by a part of the region that is greater than
-# any other part of it can be, and by half of it to this part.
-TIE_SHARE = 0.5
 
 
 @final
@@ -96,7 +94,7 @@
             now_s, SETTLING_S
         ):
             return NO_SHARE
-        part = self._usable_part(now_s)
+        part = part_in_touch(self.peers, now_s)
         if not part:
             return NO_SHARE
         return ColdShare.from_limit(limit, len(holders), part)
@@ -120,18 +118,3 @@
                 record.upstream_id, near, far, limit
             )
         return self.holders[key]
-
-    def _usable_part(self, now_s: float) -> float:
-        """Return which part of its share this relay may use.
-
-        The others take over from a relay that is neither registered nor
-        heard. One that can read the store would know; one that cannot goes on
-        while it hears more than half of its region.
-        """
-        if self.peers.is_store_fresh():
-            return 1.0
-        heard = 2 * self.peers.heard_relays(now_s)
-        registered = self.peers.registered_relays(self.settings.region)
-        if heard > registered:
-            return 1.0
-        return TIE_SHARE if heard == registered else 0
--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -230,6 +230,19 @@
         known = self.services.get(service)
         return known is not None and known.scaling is not None
 
+    @cached_property
+    def shared_services(self) -> frozenset[str]:
+        """Services for which requests of several workspaces compete."""
+        names = {workspace.name for workspace in self.workspaces.values()}
+        if len(names) < 2:  # noqa: PLR2004, WPS432
+            return frozenset()
+        return frozenset(
+            share.service
+            for route in self.routes
+            if not route.public
+            for share in route.shares
+        )
+
     def origins(self) -> Iterable[Service]:
         """Return the services that are origins of weights."""
         return (service for service in self.services.values() if service.origin)
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -363,6 +363,15 @@
         'Nothing to do; while they are unconfirmed, it gets no requests. Look '
         'for BL3017 of its loader if that lasts.',
     )
+    workspace_over_share = EventSpec(
+        'BL2017',
+        'INFO',
+        'workspace {workspace} wants {wanted} slots of {service} and has '
+        '{slots}; {workspaces} workspaces share it, {level} slots each at '
+        'most: part of its requests is refused',
+        'The service is short and others wait. Add upstreams, or find out why '
+        'the workspace sends so much; docs/design/fair-shares.md.',
+    )
     # 3: weights
     staging_full = EventSpec(
         'BL3001',
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -114,6 +114,11 @@
     'bramleylug_upstreams_ordered',
     'Upstreams last ordered from here, by service and zone',
 )
+SHARE_REFUSALS = Counter(
+    'bramleylug_share_refusals_total',
+    'Requests of workspaces far above their share that were refused, by '
+    'service',
+)
 STORE_AGE = Gauge(
     'bramleylug_store_age_seconds',
     'Age of the data read from the store',
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -21,6 +21,7 @@
 )
 from bramleylug.cluster.route_table import CallerLimits, RouteTable
 from bramleylug.cluster.status_pages import serve_metrics, serve_readiness
+from bramleylug.cluster.use_messages import uses_to_messages
 from bramleylug.duties.relay_duties import DutyAdapter, RelayDuties
 from bramleylug.entry.reservations import Reservation
 from bramleylug.observability.metrics import LIMITED_UPSTREAMS, REVISION
@@ -243,6 +244,7 @@
             heartbeat.levels.extend(
                 loads_to_messages(self._told_loads(view.table))
             )
+            heartbeat.uses.extend(uses_to_messages(self.relay.shares.told()))
         return heartbeat
 
     def receive_heartbeat(self, heartbeat: Beat) -> None:
@@ -262,6 +264,7 @@
         """Update what changes rarely, and close unused connections."""
         view = self.core.view
         view.clean_up()
+        self.relay.shares.clean_up()
         LIMITED_UPSTREAMS.set(
             {'instance': self.settings.name},
             sum(one.limited for one in view.upstreams.by_id.values()),
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count as numbers
 from typing import final
 
@@ -32,6 +33,7 @@
     sendable_at_once,
 )
 from bramleylug.relay.wait_queue import Refuse, Wait, WaitQueue
+from bramleylug.relay.workspace_shares import WorkspaceShares
 from bramleylug.scheduling.demand import DemandMeter
 
 # Waiting requests are retried at this interval even if no request of this
@@ -79,6 +81,7 @@
     :ivar has_waiting: set while requests wait.
     :ivar checked_version: configuration that they were checked against.
     :ivar demand: counts the waiting requests by service and urgency.
+    :ivar shares: shares of workspaces at services that are short.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         self.tokens = numbers()
         self.has_waiting = asyncio.Event()
         self.demand = DemandMeter()
+        self.shares = WorkspaceShares(view, selector.random, clock)
         view.on_change = self.apply_change
         view.permits.on_granted = self.wake_waiting
         view.permits.on_deferred = self.ask_further
@@ -116,6 +120,9 @@
         selection = self._select(requirements)
         if isinstance(selection, Selected) and first:
             selection = self._after_waiting(requirements, queue, selection)
+        is_short = isinstance(selection, AtCapacity)
+        if first and self.shares.refuses(context, is_short=is_short):
+            return _overloaded(queue.retry_after_s(self.clock()))
         match selection:
             case Selected():
                 return self._claim(context, selection)
@@ -216,6 +223,7 @@
         until_s: float,
     ) -> Upstream | NotRun:
         began_s = self.clock()
+        queue.queue.weigh = partial(self.shares.weight, requirements.service)
         arrival = Arrival(
             next(self.tokens),
             context.workspace_name,
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -114,6 +114,7 @@
         self.demand = DemandMeter()
         self.dispatch_queue.demand = self.demand
         self.on_begun: Callable[[str], None] = _ignore_workspace
+        self.shares = self.dispatch_queue.shares
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one exchange to its end.
@@ -142,6 +143,7 @@
                 outcome = refusal
             case RequestContext() as context:
                 self.demand.of(context.level).asked.record(arrived_s)
+                self.shares.record_arrival(context)
                 outcome = await self._serve_with_timeout(context)
         writer.on_disconnect = _ignore
         writer.conclude(outcome)
@@ -293,6 +295,7 @@
         )
         self.view.work.announce(upstream)
         self.demand.of(context.level).running += 1
+        self.shares.record_sent(context)
         attempt.on_sent = partial(
             context.tried.append, upstream.record.upstream_id
         )
@@ -456,6 +459,9 @@
                 self._record_begun(context)
             if outcome.complete:
                 self.planned_stop.durations.record(context.route.name, took_s)
+                self.shares.record_duration(
+                    context.accepted.service, took_s - context.waited_s
+                )
         table = self.view.table
         service = '' if context is None else context.accepted.service
         count(REQUESTS, service=service, outcome=run_name(outcome))
