--- a/src/bramleylug/relay/workspace_shares.py
+++ b/src/bramleylug/relay/workspace_shares.py
@@ -143,10 +143,9 @@
         """Return service and workspace of a request, and its slot time."""
         name = context.accepted.service
         table = self.view.table
-        service = None if table is None else table.services.get(name)
         slot_s = slot_time_s(
             context.request.size,
-            None if service is None else service.engine,
+            None if table is None else table.engine_models.get(name),
             self.durations_s.get(name, INITIAL_DURATION_S),
         )
         return name, context.workspace_name, slot_s
--- a/src/bramleylug/scheduling/shares.py
+++ b/src/bramleylug/scheduling/shares.py
@@ -14,7 +14,8 @@
 from math import exp
 from typing import NamedTuple, final
 
-from bramleylug.scheduling.figures import EngineFigures, RequestSize
+from bramleylug.scheduling.estimate import EngineLoad, EngineModel
+from bramleylug.scheduling.figures import RequestSize
 
 # Time constant of the means: a workspace that sends more shows within it.
 MEMORY_S = 3.0
@@ -59,21 +60,17 @@
 
 
 def slot_time_s(
-    size: RequestSize, engine: EngineFigures | None, measured_s: float
+    size: RequestSize, model: EngineModel | None, measured_s: float
 ) -> float:
     """Return how long a request is expected to hold a slot.
 
-    :param engine: figures of the engines; ``None`` if they are not stated.
+    :param model: of the engines; ``None`` if their speed is not stated.
     :param measured_s: how long requests of the service took here, used if
-        there are no figures.
+        it is not.
     """
-    if engine is None:
+    if model is None:
         return measured_s
-    prompt = size.prompt_tokens or engine.usual_prompt
-    answer = size.expected_tokens or size.answer_tokens or engine.usual_answer
-    read_s = prompt / engine.read_per_s if engine.read_per_s else 0.0
-    step_s = engine.step_s + engine.context_token_s * prompt
-    return read_s + answer * step_s or measured_s
+    return model.estimate(size, EngineLoad(slots=1, requests=0)).run_s
 
 
 @final
