--- a/src/bramleylug/scheduling/shares.py
+++ b/src/bramleylug/scheduling/shares.py
@@ -33,6 +33,10 @@
 SAFE_PART = 0.75
 # A workspace is short if it has less than this part of what it could have.
 SHORT_PART = 0.9
+# Nothing is refused unless all want so much more than they take: requests that
+# wait for a moment want a slot, too, and the means of few requests vary.
+EXCESS_PART = 0.2
+EXCESS_SLOTS = 2.0
 # Bounds of how much more or less often a workspace's requests are chosen.
 MIN_WEIGHT = 0.25
 MAX_WEIGHT = 4.0
@@ -215,7 +219,9 @@
         use = self.uses.get(workspace, Use())
         usable = TOLERANCE if is_current else SAFE_PART
         limit = self.level * usable
-        if use.wanted_slots <= limit or not self._others_are_short(workspace):
+        if use.wanted_slots <= limit or not self._is_scarce():
+            return 0.0
+        if not self._others_are_short(workspace):
             return 0.0
         return 1 - limit / use.wanted_slots
 
@@ -227,6 +233,12 @@
         ratio = self.level / max(use.slots, MIN_SLOTS)
         return min(MAX_WEIGHT, max(MIN_WEIGHT, ratio))
 
+    def _is_scarce(self) -> bool:
+        """Return whether the workspaces want clearly more than they get."""
+        taken = sum(use.slots for use in self.uses.values())
+        wanted = sum(use.wanted_slots for use in self.uses.values())
+        return wanted > (1 + EXCESS_PART) * taken + EXCESS_SLOTS
+
     def _others_are_short(self, workspace: str) -> bool:
         return any(
             use.slots < SHORT_PART * min(self.level, use.wanted_slots)
