One upstream is ordered first where they need loaders

Change: where a service has weights, a single upstream is ordered first; none more until its loader should be known, nor while any upstream has none.

--- a/src/bramleylug/duties/relay_duties.py
+++ b/src/bramleylug/duties/relay_duties.py
@@ -262,6 +262,11 @@
             [one.record for one in view.upstreams.by_id.values()],
             view.zones_out,
             self._loads_by_zone(),
+            {
+                peer.serving
+                for peer in view.peers.known.values()
+                if peer.role is Role.loader
+            },
         )
 
     def _loads_by_zone(self) -> list[ToldDemand]:
--- a/src/bramleylug/duties/scaled_services.py
+++ b/src/bramleylug/duties/scaled_services.py
@@ -15,12 +15,14 @@
     upstreams: Iterable[UpstreamRecord],
     zones_out: Collection[str],
     told: Iterable[ToldDemand],
+    with_loaders: Collection[str],
 ) -> dict[str, ServiceState]:
     """Return the state of each service that the configuration has limits for.
 
     A zone that is out of service has none of its upstreams.
 
     :param told: loads of all relays.
+    :param with_loaders: addresses of upstreams with a loader on their host.
     """
     records = [one for one in upstreams if one.zone not in zones_out]
     demand = tuple(told)
@@ -42,6 +44,12 @@
             },
             max((one.slots for one in own), default=0),
             sum_loads(by_zone.values()),
+            needs_loader=service.weights is not None,
+            without_loader=sum(
+                one.address not in with_loaders
+                for one in own
+                if not one.draining
+            ),
         )
     return states
 
--- a/src/bramleylug/duties/scaler.py
+++ b/src/bramleylug/duties/scaler.py
@@ -22,6 +22,9 @@
 ORDERS_PER_STEP = 4
 # An order of another holder that is not older than this is sent again.
 RESEND_S = 30.0
+# Time, beyond the start of the first upstream ordered, until its loader should
+# be known.
+TRIAL_S = 10.0
 
 Place = tuple[str, str]
 
@@ -33,12 +36,17 @@
     :ivar zones: the zones in which it runs; of these, what was ordered is not
         known here.
     :ivar slots: of each upstream.
+    :ivar needs_loader: whether an upstream is of no use without a loader on
+        its host.
+    :ivar without_loader: upstreams that have none.
     """
 
     limits: ScalingLimits
     zones: Mapping[str, ZoneUpstreams]
     slots: int
     load: LevelLoad
+    needs_loader: bool = False
+    without_loader: int = 0
 
 
 @final
@@ -141,7 +149,12 @@
                 zone: _with_order(upstreams, orders.get((service, zone)))
                 for zone, upstreams in state.zones.items()
             }
-            planned = scale.decide(zones, state.slots, state.load, now_s)
+            planned = restrict(
+                scale.decide(zones, state.slots, state.load, now_s),
+                zones,
+                state,
+                now_s,
+            )
             for zone, wanted in planned.items():
                 decided[service, zone] = PlacedOrder(wanted, now_s)
                 emit(
@@ -206,6 +219,38 @@
         self.unsent.discard(place)
 
 
+def restrict(
+    planned: Mapping[str, int],
+    zones: Mapping[str, ZoneUpstreams],
+    state: ServiceState,
+    now_s: float,
+) -> dict[str, int]:
+    """Return the part of a plan that is worth its cost.
+
+    Whether the host of an ordered upstream has a loader is known only when it
+    is there. So a single one is ordered first, where they need loaders; as
+    long as there are some without, no more are.
+
+    :param zones: with what was ordered last.
+    """
+    raised = {
+        zone: number
+        for zone, number in planned.items()
+        if number > zones[zone].present
+    }
+    if not (raised and state.needs_loader):
+        return dict(planned)
+    kept = {zone: planned[zone] for zone in planned if zone not in raised}
+    ordered_s = max(upstreams.ordered_s for upstreams in zones.values())
+    trial_ends_s = ordered_s + state.limits.boot_s + TRIAL_S
+    if state.without_loader or now_s < trial_ends_s:
+        return kept
+    if ordered_s > float('-inf'):
+        return dict(planned)
+    first = max(raised, key=lambda zone: raised[zone] - zones[zone].present)
+    return {**kept, first: zones[first].present + 1}
+
+
 def _with_order(
     upstreams: ZoneUpstreams, order: PlacedOrder | None
 ) -> ZoneUpstreams:
--- a/testing/duties/test_scaling.py
+++ b/testing/duties/test_scaling.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import unittest
+from typing import Any
 
 from bramleylug.duties.scaler import (
     ServiceState,
     UpstreamScaler,
     decode_orders,
+    restrict,
 )
 from bramleylug.duties.scaling import ServiceScale, ZoneUpstreams
 from bramleylug.scheduling.demand import LevelLoad
@@ -16,6 +18,7 @@
 
 LIMITS = ScalingLimits(2, 6, 8.0)
 SLOTS = 10
+NEVER_S = float('-inf')
 CALM = LevelLoad(30, 0, 30, 0)
 FULL = LevelLoad(60, 20, 80, 0)
 ZONES = {
@@ -97,6 +100,40 @@
         self.assertEqual(decide(ServiceScale(LIMITS), FULL, [0, 2], none), {})
 
 
+class TestRestriction(unittest.TestCase):
+    """Where upstreams need loaders, one is ordered to see whether it has."""
+
+    def restrict(
+        self, now_s: float, ordered_s: float, **fields: Any
+    ) -> dict[str, int]:
+        state = ServiceState(LIMITS, ZONES, SLOTS, FULL, **fields)
+        zones = {
+            zone: upstreams._replace(ordered=4, ordered_s=ordered_s)
+            for zone, upstreams in ZONES.items()
+        }
+        return restrict({'zone-a': 6, 'zone-b': 5}, zones, state, now_s)
+
+    def test_whole_plan_where_no_loader_is_needed(self) -> None:
+        self.assertEqual(self.restrict(0, NEVER_S), {'zone-a': 6, 'zone-b': 5})
+
+    def test_first_order_is_one_upstream(self) -> None:
+        self.assertEqual(
+            self.restrict(0, NEVER_S, needs_loader=True), {'zone-a': 4}
+        )
+
+    def test_nothing_more_until_its_loader_should_be_known(self) -> None:
+        self.assertEqual(self.restrict(17, 0, needs_loader=True), {})
+        self.assertEqual(
+            self.restrict(18, 0, needs_loader=True),
+            {'zone-a': 6, 'zone-b': 5},
+        )
+
+    def test_nothing_more_while_some_have_no_loader(self) -> None:
+        self.assertEqual(
+            self.restrict(60, 0, needs_loader=True, without_loader=1), {}
+        )
+
+
 class TestOrders(unittest.TestCase):
     """Orders are in the store before they are sent."""
 
