--- a/src/bramleylug/loader/transfer_journal.py
+++ b/src/bramleylug/loader/transfer_journal.py
@@ -9,6 +9,8 @@
 from bramleylug.weights.sources import held_by_any
 
 INTERVAL_S = 2.0
+# The origin counts as away when that lasts: single reads fail beside others.
+NOTICED_S = 0.5
 # Chunks that a line names at most.
 MAX_NAMED = 16
 MILLISECONDS = 1000
@@ -53,9 +55,8 @@
     def _record_origin(self, planner: Planner, now_s: float) -> None:
         origin = planner.origin
         missing = planner.count - planner.held.bit_count()
-        if self.away_since_s is None and origin.away_since_s is not None:
-            emit(LogEvent.origin_away, weights=self.weights, missing=missing)
-        elif self.away_since_s is not None and origin.away_since_s is None:
+        away_since_s = origin.away_since_s
+        if self.away_since_s is not None and away_since_s is None:
             is_own = origin.own_heard_s >= origin.heard_s
             emit(
                 LogEvent.origin_back,
@@ -64,7 +65,12 @@
                 away_ms=round((now_s - self.away_since_s) * MILLISECONDS),
                 noticed_by='this loader' if is_own else 'another one',
             )
-        self.away_since_s = origin.away_since_s
+            self.away_since_s = None
+        elif self.away_since_s is None and away_since_s is not None:
+            if now_s - away_since_s < NOTICED_S:
+                return
+            emit(LogEvent.origin_away, weights=self.weights, missing=missing)
+            self.away_since_s = away_since_s
 
 
 def _named(chunks: int) -> list[int]:
