Downloads: a version that is replaced at once is not seeded

Where most learn of version 2 first, the check of who is ahead does not help.

A transfer is seeded only if that still takes 1 s at most at the pace so far.

--- a/src/bramleylug/loader/downloader.py
+++ b/src/bramleylug/loader/downloader.py
@@ -26,6 +26,8 @@
 # Within this time of its start, a transfer should have read one copy of every
 # chunk from the origin.
 SEEDING_S = 3.0
+# A newer version waits for that no longer than this from then on.
+SEEDING_LEFT_S = 1.0
 MILLISECONDS = 1000
 
 
@@ -126,13 +128,26 @@
         if chunk_store is None:
             return False
         count = len(chunk_store.manifest.chunk_hashes)
+        return self._held_by_any(version, chunk_store) == all_chunks(count)
+
+    def _held_by_any(self, version: int, chunk_store: ChunkStore) -> int:
+        """Return the set of the chunks that the live loaders hold."""
+        count = len(chunk_store.manifest.chunk_hashes)
         peer_states = self.peer_states.get(version, {})
         held = chunk_store.held
         for peer in self.context.peers():
             state = peer_states.get(peer.name)
             if state is not None:
                 held |= from_bytes(state.held.bitmap, count)
-        return held == all_chunks(count)
+        return held
+
+    def _seeding_left_s(self, transfer: Transfer, now_s: float) -> float:
+        """Return how long seeding still takes, at the pace so far."""
+        held = self._held_by_any(transfer.version, transfer.chunk_store)
+        if not held:
+            return float('inf')
+        left = transfer.planner.count - held.bit_count()
+        return left * (now_s - transfer.started_s) / held.bit_count()
 
     def _is_left_behind(self, version: int) -> bool:
         """Return whether at least half of the others are on a newer version.
@@ -225,12 +240,15 @@
         The loaders then hold every chunk together and can finish the
         version without the origin. A newer version is delayed for that, but
         only within :data:`SEEDING_S` of the start of the transfer, and
-        not where most loaders have begun with a newer one.
+        not where most loaders have begun with a newer one or it would take
+        long: of two versions that are named at once, the first gains nothing.
         """
         if self._is_obtainable(transfer.version):
             return False
         if self._is_left_behind(transfer.version):
             return False
+        if self._seeding_left_s(transfer, now_s) > SEEDING_LEFT_S:
+            return False
         return now_s - transfer.started_s < SEEDING_S
 
     async def _reuse_staged_chunks(self, chunk_store: ChunkStore) -> None:
--- a/testing/loader/test_downloader.py
+++ b/testing/loader/test_downloader.py
@@ -139,3 +139,16 @@
             # What the late hosts were reading by then, two chunks each.
             reads = sum(version == 2 for version, _ in origin.reads)
             self.assertLessEqual(reads, 2 * len(late))
+
+    @in_virtual_time
+    async def test_version_that_is_replaced_at_once_is_not_seeded(self) -> None:
+        """It would serve longer than the one before by a moment only."""
+        origin = SwarmOrigin()
+        origin.fetch_s = 0.5
+        async with Swarm(hosts=9, origin=origin) as swarm:
+            swarm.target = 2
+            await asyncio.sleep(0.4)
+            swarm.target = 3
+            await swarm.wait_until_complete(3)
+
+            self.assertEqual(swarm.held_by_any(2), set())
