--- a/testing/relay/test_handover.py
+++ b/testing/relay/test_handover.py
@@ -8,6 +8,9 @@
 from unittest.mock import Mock
 
 from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.held_weights import HeldWeights
+from bramleylug.cluster.route_table import Service
+from bramleylug.cluster.upstreams import UpstreamReport
 from bramleylug.relay.dispatch_queue import DispatchQueue
 from bramleylug.relay.handover import Handover
 from bramleylug.relay.request_checks import RequestChecks
@@ -16,6 +19,7 @@
 from bramleylug.scheduling.placing import UpstreamSelector
 from bramleylug.store.mirror import Mirror
 from testing.relay.builders import (
+    MODEL,
     build_caller_request,
     build_peer,
     build_route,
@@ -23,6 +27,14 @@
     build_table,
     build_upstream_record,
 )
+from testing.scheduling.engine_fleet import FIGURES
+
+WEIGHTS = {MODEL: HeldWeights(1, whole=True)}
+FAST_ENGINES = {
+    'advisor': Service(
+        name='advisor', max_connections=64, cold_per_s=20, engine=FIGURES
+    )
+}
 
 
 class TestHandover(unittest.IsolatedAsyncioTestCase):
@@ -88,6 +100,23 @@
         self.assertNotIn(True, moved)
         self.assertEqual(self.retries(), 0)
 
+    async def test_request_stays_if_another_engine_is_as_late(self) -> None:
+        """A slow one would take seconds; a silent one is left all the same."""
+        self.view.apply_route_table(
+            build_table(build_route(), version=4, services=FAST_ENGINES)
+        )
+        self.view.upstreams.record_report(
+            '127.0.0.1:1',
+            UpstreamReport(1000, 0, 0, WEIGHTS, False, self.now_s, pace=15),
+        )
+        stays = self.handover.try_move(self.build_context())
+        current = self.view.upstreams.by_id['engine-0']
+        current.responsiveness.record_silence(self.now_s)
+
+        moves = self.handover.try_move(self.build_context())
+
+        self.assertEqual((stays, moves), (False, True))
+
     async def test_last_attempt_does_not_move(self) -> None:
         """The other engine would be free."""
         context = self.build_context(max_attempts=1)
