--- a/testing/scheduling/engine_fleet.py
+++ b/testing/scheduling/engine_fleet.py
@@ -122,6 +122,8 @@
 class EngineFleet:
     """Many relays and engines in one zone, in virtual time.
 
+    :ivar busy_share: part of the streams that comes to the first third of the
+        relays, beside their share of the others.
     :ivar rejected: requests that reached an engine whose queue was full.
     """
 
@@ -133,6 +135,7 @@
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = count(1)
         self.ended: list[Stream] = []
+        self.busy_share = 0.0
         self.asked = 0
         self.rejected = 0
         self.engines = {
@@ -212,7 +215,10 @@
         size = RequestSize(
             min(3900, int(self.random.lognormvariate(6.4, 1.0)) + 40), 270
         )
-        number = self.random.randrange(len(self.registries))
+        relays = len(self.registries)
+        if self.random.random() < self.busy_share:
+            relays //= 3
+        number = self.random.randrange(relays)
         self._dispatch(number, size, self.now_s)
         self._at(
             self.now_s + self.random.expovariate(streams_per_s),
--- a/testing/scheduling/test_placing_by_estimate.py
+++ b/testing/scheduling/test_placing_by_estimate.py
@@ -63,6 +63,19 @@
         self.assertLess(slow / len(fleet.ended), 4 / 27 / SLOW.factor)
 
 
+class TestUnevenDemand(unittest.TestCase):
+    """Load: most streams come to relays that are next to each other."""
+
+    def test_demand_of_one_zone_spills(self) -> None:
+        """Two thirds of it come to a third of the relays."""
+        fleet = EngineFleet(SOME_SLOW, RELAYS)
+        fleet.busy_share = 0.5
+        fleet.run(STREAMS_PER_S, LENGTH_S)
+
+        self.assertGreater(fleet.in_time(), 0.9)
+        self.assertLess(fleet.rejected, 0.003 * fleet.asked)
+
+
 class TestShortage(unittest.TestCase):
     """Load: more streams than the engines bear."""
 
