--- a/src/bramleylug/cluster/engine_work.py
+++ b/src/bramleylug/cluster/engine_work.py
@@ -109,10 +109,10 @@
             len(self.unread) + sum(other.unread for other in told),
             sum(own.tokens for own in self.unread.values())
             + sum(other.unread_tokens for other in told),
-            max(pace, self._lateness(now_s)),
+            max(pace, self.lateness(now_s)),
         )
 
-    def _lateness(self, now_s: float) -> float:
+    def lateness(self, now_s: float) -> float:
         """Return the pace that a late first event shows; 1 if none is late."""
         if not self.unread:
             return 1.0
--- a/src/bramleylug/cluster/work_exchange.py
+++ b/src/bramleylug/cluster/work_exchange.py
@@ -88,13 +88,15 @@
         if not names or model is None or not self._consume(len(names)):
             return
         work = upstream.work
-        shown = work.passes.shown(model.write_s(1), self.clock())
+        now_s = self.clock()
+        shown = work.passes.shown(model.write_s(1), now_s) or 0
+        late = work.lateness(now_s)
         message = RelayWork(
             upstream_id=upstream_id,
             running=max(0, upstream.running),
             unread=len(work.unread),
             unread_tokens=sum(one.tokens for one in work.unread.values()),
-            pace=shown or 0,
+            pace=max(shown, late) if late > 1 else shown,
         )
         self.send(names, message)
 
--- a/testing/cluster/test_work_exchange.py
+++ b/testing/cluster/test_work_exchange.py
@@ -10,7 +10,7 @@
 from bramleylug.cluster.subsetting import shared_subset
 from bramleylug.cluster.upstreams import UpstreamRegistry
 from bramleylug.cluster.work_exchange import WorkExchange
-from bramleylug.scheduling.estimate import EngineModel
+from bramleylug.scheduling.estimate import EngineModel, WorkEstimate
 from bramleylug.scheduling.placing import engine_load
 from testing.relay.builders import build_upstream_record
 from testing.scheduling.engine_fleet import FIGURES
@@ -126,6 +126,17 @@
 
         self.assertGreater(self.load('relay-3').pace, 4)
 
+    def test_late_first_event_is_told(self) -> None:
+        """The engine stands still; one relay has waited for it."""
+        upstream = self.registries['relay-1'].by_id['engine-1']
+        upstream.work.record_sent(
+            7, 800, self.now_s, WorkEstimate(0.1, 1.0, 0.1)
+        )
+        self.now_s = 0.6
+        self.send('relay-1', 800)
+
+        self.assertGreater(self.load('relay-3').pace, 4)
+
     def test_datagrams_are_limited(self) -> None:
         """A relay with very many requests leaves room for other traffic."""
         sent = 0
