Permits for engines that are not preferred are used; outdated ones are left

Found in reading: an engine that names a limit was only considered when it was preferred or drawn, so that permits for others went back unused.

--- a/src/bramleylug/scheduling/placing.py
+++ b/src/bramleylug/scheduling/placing.py
@@ -39,9 +39,6 @@
 # for a pause.
 PEER_PAUSED_SHARE = 0.35
 MIN_WEIGHT = 0.1
-# Engines beside the preferred ones that are drawn for one request. The relays
-# that know little of them would all take the best one of several.
-CHOICES = 1
 # Costs, in parts of the objective, that estimates do not show. Distance
 # decides only between engines that serve equally well.
 OTHER_ZONE_COST = 0.02
@@ -151,11 +148,12 @@
 
 @final
 class UpstreamSelector:
-    """Selects the best of a few random upstreams with free slots.
+    """Selects the best of a few upstreams with free slots.
 
     Where the speed of a service's engines is stated, the best one is that
     with the earliest first event and the least harm to those that run there,
-    by an estimate; elsewhere it is that with the most free slots.
+    by an estimate, among the few that this relay prefers and hears of at
+    once. Elsewhere it is the one of two with more free slots.
 
     The load caused by other relays is known with a delay of some tenths of
     a second. Relays that all chose the least loaded upstream would choose
@@ -206,7 +204,7 @@
         available = [
             (one, free_slots)
             for one, free_slots in with_room
-            if allowed(one) and one.may_send(now_s)
+            if (one.limited or allowed(one)) and one.may_send(now_s)
         ]
         if not available:
             return AtCapacity(
@@ -231,7 +229,8 @@
     ) -> Callable[[Upstream], bool]:
         """Return whether a request may be sent to an upstream.
 
-        It may be sent to preferred engines and to a few random other ones.
+        It may be sent to preferred engines and to a few random other ones;
+        permits for any of them are used.
         The counts of others are old: in a shortage all relays would take the
         same free one. Its last free slots are left to relays that prefer it,
         as overflow which takes them makes others overflow in turn (Gibbens,
@@ -293,7 +292,7 @@
         """Return the best of the preferred engines, or a random other one.
 
         What this relay knows of the preferred ones is recent. Others are
-        considered only if none of these serves in time.
+        considered only if none of these serves in time on the newest weights.
         """
         first: list[tuple[Upstream, float]] = []
         others: list[tuple[Upstream, float]] = []
@@ -312,14 +311,20 @@
         ranked = list(starmap(rank, first))
         if others and not any(
             _is_in_time(known.candidate.estimate, requirements)
+            and not _is_outdated(
+                known.candidate.upstream,
+                requirements.model,
+                constraints,
+                now_s,
+            )
             for known in ranked
         ):
             weights = [
                 _free_speed(engine_load(model, *other, now_s))
                 for other in others
             ]
-            drawn = self.random.choices(others, weights, k=CHOICES)
-            ranked.extend(starmap(rank, drawn))
+            # The best of several would be that of all other relays, too.
+            ranked.append(rank(*self.random.choices(others, weights)[0]))
         candidate = min(ranked, key=itemgetter(0)).candidate
         if candidate.upstream.record.upstream_id not in constraints.preferred:
             self.overflow_s = now_s
