Too little room: levels, waiting and returns are decisions of scheduling/

Cause: a relay of a large fleet gets a few requests a second, so its own queue puts nothing in order; each wait was bounded by the same share of the objective, which refuses the urgent first, as theirs is the shortest; all refused callers were told 0.5 to 2 s by the relay's own completions. Workspaces that all have one urgency hid that of the routes.

Change: scheduling/levels.py (trunk reservation by urgency of the workspace, then of the route, with credits near the limit), scheduling/waiting.py (in time, else whole, else refused at once), scheduling/refusing.py (times to return as room comes, known at all relays by heartbeats); relay/service_queue.py keeps them for a service; relay/wait_queue.py is gone, move_queue.py moved to scheduling/.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -8,7 +8,10 @@
 from bramleylug.cluster.cold_shares import ColdShares
 from bramleylug.cluster.constraints import Constraints
 from bramleylug.cluster.crash_suspects import SharedSuspects
-from bramleylug.cluster.demand_messages import loads_from_messages
+from bramleylug.cluster.demand_messages import (
+    loads_from_messages,
+    returns_from_messages,
+)
 from bramleylug.cluster.issuer_directory import IssuerDirectory
 from bramleylug.cluster.peers import (
     HeartbeatStatus,
@@ -393,6 +396,9 @@
         self.peers.record_demand(
             heartbeat.name, loads_from_messages(heartbeat.levels), now_s
         )
+        self.peers.returns.record_told(
+            returns_from_messages(heartbeat.returns), now_s
+        )
         if heartbeat.HasField('reading'):
             arrived_s = self.pauses.earliest_arrival_s(now_s)
             report = report_from_message(heartbeat.reading, arrived_s)
--- a/src/bramleylug/cluster/demand_messages.py
+++ b/src/bramleylug/cluster/demand_messages.py
@@ -1,9 +1,12 @@
-"""Conversion between loads by level and their protobuf messages."""
+"""Conversion between demand at relays and its protobuf messages."""
 
 from collections.abc import Iterable, Mapping
 
 from bramleylug.scheduling.demand import Level, LevelLoad
 from bramleylug.wire.beats_pb2 import LevelLoad as LevelLoadMessage
+from bramleylug.wire.beats_pb2 import ToldReturn as ToldReturnMessage
+
+MILLISECONDS = 1000
 
 
 def loads_to_messages(
@@ -36,3 +39,28 @@
         )
         for message in messages
     }
+
+
+def returns_to_messages(
+    returns: Mapping[bytes, float],
+) -> list[ToldReturnMessage]:
+    """Return the messages for callers that a relay has refused.
+
+    :param returns: by fingerprint, the seconds after which they return.
+    """
+    return [
+        ToldReturnMessage(
+            fingerprint=fingerprint, due_ms=round(after_s * MILLISECONDS)
+        )
+        for fingerprint, after_s in returns.items()
+    ]
+
+
+def returns_from_messages(
+    messages: Iterable[ToldReturnMessage],
+) -> dict[bytes, float]:
+    """Return the seconds by fingerprint from received messages."""
+    return {
+        bytes(message.fingerprint): message.due_ms / MILLISECONDS
+        for message in messages
+    }
--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -14,6 +14,7 @@
     LevelLoad,
     ToldDemand,
 )
+from bramleylug.scheduling.refusing import KnownReturns
 
 # A peer that is not registered in the store, or whose registration cannot be
 # confirmed, counts as dead if its last heartbeat is older than this. The
@@ -105,6 +106,7 @@
     :ivar was_listed_before: whether it was there when this process started.
     :ivar relays_version: changes with the known relays.
     :ivar demand: load of the other relays.
+    :ivar returns: callers that this relay or another one told to return.
     """
 
     def __init__(
@@ -130,6 +132,7 @@
         self.was_listed_before = False
         self.relays_version = 0
         self.demand = FleetDemand()
+        self.returns = KnownReturns()
 
     def add(self, record: PeerRecord, now_s: float = NEVER_S) -> None:
         """Record that a peer is registered in the store.
--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple, final
 
 from bramleylug.scheduling.estimate import EngineModel
+from bramleylug.scheduling.demand import urgency_rank
 from bramleylug.scheduling.figures import EngineFigures
 
 
@@ -197,18 +198,20 @@
 
     @cached_property
     def urgencies(self) -> Mapping[str, frozenset[int]]:
-        """The urgencies that requests of each service may have."""
-        owned = {
-            workspace.urgency
-            for workspace in self.workspaces.values()
-            if workspace.urgency is not None
-        }
+        """The ranks by urgency that requests of each service may have."""
+        owned = {workspace.urgency for workspace in self.workspaces.values()}
         by_service: defaultdict[str, set[int]] = defaultdict(set)
         for route in self.routes:
+            in_force = {None} if route.public or not owned else owned
+            ranks = {
+                urgency_rank(
+                    route.urgency if urgency is None else urgency,
+                    route.urgency,
+                )
+                for urgency in in_force
+            }
             for share in route.shares:
-                by_service[share.service].add(route.urgency)
-                if not route.public:
-                    by_service[share.service] |= owned
+                by_service[share.service] |= ranks
         return {
             service: frozenset(urgencies)
             for service, urgencies in by_service.items()
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -88,6 +88,19 @@
 WAITING = Gauge(
     'bramleylug_waiting_requests', 'Requests that wait for capacity'
 )
+LEVEL_DECISIONS = Counter(
+    'bramleylug_level_decisions_total',
+    'Requests that were sent at once, sent after waiting or refused, by '
+    'service and level',
+)
+LEVEL_RESERVE = Gauge(
+    'bramleylug_level_reserve_slots',
+    'Free slots that requests of a level leave to more urgent ones',
+)
+LEVEL_FREE = Gauge(
+    'bramleylug_level_free_slots',
+    'Free slots beyond that reserve, negative if it is not kept',
+)
 PERMITS = Counter(
     'bramleylug_permits_total',
     'Permits for upstreams that name a limit: asked, issued, used or unused',
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -9,7 +9,10 @@
 from circuits import BaseComponent
 
 from bramleylug.cluster.bar_archive import BarArchive
-from bramleylug.cluster.demand_messages import loads_to_messages
+from bramleylug.cluster.demand_messages import (
+    loads_to_messages,
+    returns_to_messages,
+)
 from bramleylug.cluster.descriptors import relay_budget
 from bramleylug.cluster.heartbeats import relay_heartbeat
 from bramleylug.cluster.peers import PeerRecord, Requester, Role
@@ -230,6 +233,9 @@
             heartbeat.levels.extend(
                 loads_to_messages(self._told_loads(view.table))
             )
+        heartbeat.returns.extend(
+            returns_to_messages(view.peers.returns.recent(self.clock()))
+        )
         return heartbeat
 
     def tell_limits(self, name: str) -> None:
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -6,20 +6,18 @@
 from itertools import count as numbers
 from typing import final
 
-from bramleylug.admission.queue import Arrival
 from bramleylug.cluster.cluster_view import ClusterView
 from bramleylug.cluster.upstreams import Upstream
 from bramleylug.observability.metrics import (
     PERMITS,
-    PLACED,
     WAIT_SECONDS,
     WAITING,
     count,
 )
 from bramleylug.outcomes import NotRun, Reason
-from bramleylug.relay.move_queue import MoveQueue
 from bramleylug.relay.request_checks import RequestChecks
 from bramleylug.relay.request_context import RequestContext
+from bramleylug.relay.service_queue import ServiceQueue
 from bramleylug.scheduling.placing import (
     AtCapacity,
     NoneEligible,
@@ -27,12 +25,10 @@
     Selected,
     Selection,
     UpstreamSelector,
-    closed_until_s,
-    responsive,
-    sendable_at_once,
 )
-from bramleylug.relay.wait_queue import Refuse, Wait, WaitQueue
 from bramleylug.scheduling.demand import DemandMeter
+from bramleylug.scheduling.refusing import ReturnTimes
+from bramleylug.scheduling.waiting import NOT_CLOSED_S, Refuse, Wait, Waiting
 
 # Waiting requests are retried at this interval even if no request of this
 # relay ends: heartbeats of other processes also change the free slots.
@@ -52,14 +48,12 @@
 
     :ivar requirements: those that it waits with.
     :ivar woken: set when it may be sent, or must not be sent as it waits.
-    :ivar queued: whether it has its place in the queue.
     :ivar asks: permits that it has asked for.
     """
 
     context: RequestContext
     requirements: Requirements
     woken: asyncio.Event = field(default_factory=asyncio.Event)
-    queued: bool = True
     asks: int = 0
 
     def must_move(self, checks: RequestChecks) -> bool:
@@ -74,7 +68,6 @@
     """Assigns requests to upstreams; queues them while none has a free slot.
 
     :ivar queues: waiting requests by service.
-    :ivar moves: by service, requests that wait to leave a silent upstream.
     :ivar waiters: waiting requests, by token.
     :ivar has_waiting: set while requests wait.
     :ivar checked_version: configuration that they were checked against.
@@ -93,8 +86,7 @@
         self.checked_version = 0
         self.selector = selector
         self.clock = clock
-        self.queues: dict[str, WaitQueue] = {}
-        self.moves: dict[str, MoveQueue] = {}
+        self.queues: dict[str, ServiceQueue] = {}
         self.waiters: dict[int, Waiter] = {}
         self.tokens = numbers()
         self.has_waiting = asyncio.Event()
@@ -112,28 +104,33 @@
             queue behind new requests.
         """
         requirements = context.requirements()
-        queue = self.queues.setdefault(requirements.service, WaitQueue())
+        queue = self.queue_of(requirements.service)
+        if first:
+            context.returned = self.view.peers.returns.recognize(
+                context.accepted.fingerprint, context.arrived_s
+            )
         selection = self._select(requirements)
         if isinstance(selection, Selected) and first:
-            selection = self._after_waiting(requirements, queue, selection)
+            selection = self._after_waiting(context, queue, selection)
         match selection:
             case Selected():
                 return self._claim(context, selection)
             case NoneEligible(reason):
                 return _none_eligible(reason)
-        now_s = self.clock()
-        decision = queue.decide(
-            context.route.objective_s,
-            context.until_s - now_s,
-            now_s,
-            selection.closed_until_s,
-            awaits_permit=bool(selection.without_permit),
-        )
-        match decision:
-            case Refuse(retry_after_s):
-                return _overloaded(retry_after_s)
+        match queue.decide(context, selection, self.clock()):
+            case Refuse(closed_until_s):
+                return self._refuse(context, queue, closed_until_s)
             case Wait(until_s):
-                return await self._wait(context, requirements, queue, until_s)
+                return await self._wait(context, queue, until_s)
+
+    def queue_of(self, service: str) -> ServiceQueue:
+        """Return the queue of a service."""
+        queue = self.queues.get(service)
+        if queue is None:
+            returns = ReturnTimes(self.view.peers.returns)
+            queue = ServiceQueue(service, self.view, self.demand, returns)
+            self.queues[service] = queue
+        return queue
 
     def find_free(self, context: RequestContext) -> Upstream | None:
         """Return an upstream that has a free slot now."""
@@ -154,19 +151,21 @@
             request has taken one.
         :returns: what ends the wait.
         """
-        moves = self.moves.setdefault(service, MoveQueue())
-        remove = moves.push(since_s, take_slot)
+        queue = self.queue_of(service)
+        remove = queue.moves.push(since_s, take_slot)
         self.has_waiting.set()
-        self._wake(service, self.queues.setdefault(service, WaitQueue()))
+        self._wake(queue)
         return remove
 
     def record_completion(self, service: str) -> None:
         """Record that a request left an upstream; wake waiting requests."""
-        queue = self.queues.get(service)
-        if queue is None:
-            return
-        queue.record_completion(self.clock())
-        self._wake(service, queue)
+        queue = self.queue_of(service)
+        queue.record_ended(self.clock())
+        self._wake(queue)
+
+    def record_times(self, context: RequestContext, took_s: float) -> None:
+        """Record how long a request took that was answered whole."""
+        self.queue_of(context.level.service).record_times(context, took_s)
 
     def apply_change(self) -> None:
         """Apply changes of the view to the waiting requests."""
@@ -181,8 +180,8 @@
 
     def wake_waiting(self) -> None:
         """Wake the waiting requests of all services for free slots."""
-        for service, queue in self.queues.items():
-            self._wake(service, queue)
+        for queue in self.queues.values():
+            self._wake(queue)
 
     def ask_further(self, upstream: Upstream) -> None:
         """Ask for permits of others, as one will come later."""
@@ -205,34 +204,42 @@
             await self.has_waiting.wait()
             await asyncio.sleep(RETRY_INTERVAL_S)
             self.wake_waiting()
-            if not (self.waiters or any(map(self._moving, self.moves))):
+            if all(queue.is_empty for queue in self.queues.values()):
                 self.has_waiting.clear()
 
+    def _refuse(
+        self,
+        context: RequestContext,
+        queue: ServiceQueue,
+        closed_until_s: float = NOT_CLOSED_S,
+    ) -> NotRun:
+        return NotRun(
+            Reason.overloaded,
+            'no upstream has a free slot in time',
+            queue.refuse(context, self.clock(), closed_until_s),
+        )
+
     async def _wait(
         self,
         context: RequestContext,
-        requirements: Requirements,
-        queue: WaitQueue,
+        queue: ServiceQueue,
         until_s: float,
     ) -> Upstream | NotRun:
         began_s = self.clock()
-        arrival = Arrival(
+        waiting = Waiting(
             next(self.tokens),
             context.workspace_name,
-            -context.accepted.urgency,
-            len(context.request.body),
-            until_s,
+            context.level.urgency,
+            queue.limits(context, began_s),
+            context.returned,
         )
-        selection: Selection | NotRun | None = AtCapacity(0)
         with self.demand.of(context.level).count_waiting():
-            while isinstance(selection, AtCapacity):
-                waiter = Waiter(context, requirements)
-                if not await self._wait_in_queue(arrival, queue, waiter):
-                    break
-                selection = self._select_again(context, requirements)
+            selection = await self._wait_for_room(
+                waiting, context, queue, until_s
+            )
         waited_s = self.clock() - began_s
         context.waited_s += waited_s
-        WAIT_SECONDS.observe({'service': requirements.service}, waited_s)
+        WAIT_SECONDS.observe({'service': queue.service}, waited_s)
         match selection:
             case Selected():
                 return self._claim(context, selection)
@@ -242,7 +249,35 @@
                 return refusal
             case None:
                 return await self.assign(context, first=False)
-        return _overloaded(queue.retry_after_s(self.clock()))
+        return self._refuse(context, queue)
+
+    async def _wait_for_room(
+        self,
+        waiting: Waiting,
+        context: RequestContext,
+        queue: ServiceQueue,
+        until_s: float,
+    ) -> Selection | NotRun | None:
+        """Return what is selected for a request that waits.
+
+        :returns: that there is no room, if it is not to wait any longer, or
+            what else :meth:`_select_again` returns.
+        """
+        requirements = context.requirements()
+        while True:
+            waiter = Waiter(context, requirements)
+            woken = await self._wait_in_queue(waiting, queue, waiter, until_s)
+            selection = self._select_again(context, requirements)
+            if not woken:
+                selection = self._leave_reserve(waiting, queue, selection)
+            if not isinstance(selection, AtCapacity):
+                return selection
+            if woken:
+                continue
+            decision = queue.decide(context, selection, self.clock())
+            if isinstance(decision, Refuse):
+                return selection
+            until_s = decision.until_s
 
     def _select_again(
         self, context: RequestContext, requirements: Requirements
@@ -258,73 +293,82 @@
             return None
         return self._select(requirements)
 
+    def _leave_reserve(
+        self,
+        waiting: Waiting,
+        queue: ServiceQueue,
+        selection: Selection | NotRun | None,
+    ) -> Selection | NotRun | None:
+        """Return what is left of a selection for a level."""
+        if isinstance(selection, Selected):
+            if not queue.admits(waiting.urgency, self.clock()):
+                return AtCapacity(0)
+        return selection
+
     async def _wait_in_queue(
-        self, arrival: Arrival, queue: WaitQueue, waiter: Waiter
+        self,
+        waiting: Waiting,
+        queue: ServiceQueue,
+        waiter: Waiter,
+        until_s: float,
     ) -> bool:
         """Wait until woken; return ``False`` if the time has run out."""
         woken = waiter.woken
-        self.waiters[arrival.token] = waiter
+        self.waiters[waiting.token] = waiter
         self.has_waiting.set()
-        queue.push(arrival)
+        queue.line.push(waiting)
         try:
-            async with asyncio.timeout(arrival.deadline_s - self.clock()):
+            async with asyncio.timeout(until_s - self.clock()):
                 await woken.wait()
         except TimeoutError:
             return woken.is_set()
         finally:
-            self.waiters.pop(arrival.token, None)
-            if waiter.queued:
-                queue.drop(arrival)
+            self.waiters.pop(waiting.token, None)
+            queue.line.drop(waiting.token)
         return True
 
     def _after_waiting(
-        self, requirements: Requirements, queue: WaitQueue, selection: Selection
+        self, context: RequestContext, queue: ServiceQueue, selection: Selection
     ) -> Selection:
         """Return what is left for a new request: those that wait go first.
 
-        Requests that wait to leave a silent upstream may be unable to use any
-        slot, so these are offered to them once.
+        So does the reserve of more urgent requests. Requests that wait to
+        leave a silent upstream may be unable to use any slot, so these are
+        offered to them once.
         """
-        service = requirements.service
-        if queue.size:
+        now_s = self.clock()
+        urgency = context.level.urgency
+        if queue.line.precedes(urgency, queue.rank) or not queue.admits(
+            urgency, now_s
+        ):
             return AtCapacity(0)
-        if not self._moving(service):
+        if not queue.moves.size:
             return selection
-        if self._wake(service, queue):
-            return self._select(requirements)
+        if self._wake(queue):
+            return self._select(context.requirements())
         return AtCapacity(0)
 
-    def _wake(self, service: str, queue: WaitQueue) -> int:
-        """Wake as many waiting requests as there are free slots.
+    def _wake(self, queue: ServiceQueue) -> int:
+        """Wake as many waiting requests as may use free slots.
 
         :returns: how many slots are left.
         """
-        if not (queue.size or self._moving(service)):
+        if queue.is_empty:
             return 0
         now_s = self.clock()
-        relays = self.view.peers.relay_count()
-        WAITING.set({'service': service}, queue.size)
-        free = sum(
-            sendable_at_once(upstream, relays, now_s)
-            for upstream in responsive(
-                list(self.view.upstreams.of_service(service)), now_s
-            )
-            if now_s >= closed_until_s(upstream, now_s)
-        )
-        if self._moving(service):
-            free -= self.moves[service].offer(free)
-        woken = max(0, min(free, queue.size))
-        for _ in range(woken):
-            waiter = self.waiters.get(queue.queue.pop().token)
+        WAITING.set({'service': queue.service}, queue.line.size)
+        free = queue.free_slots(now_s)
+        if queue.moves.size:
+            free -= queue.moves.offer(free)
+        while free > 0:
+            waiting = queue.pop(now_s)
+            if waiting is None:
+                break
+            free -= 1
+            waiter = self.waiters.get(waiting.token)
             if waiter is not None:
-                waiter.queued = False
                 waiter.woken.set()
-        return max(0, free - woken)
-
-    def _moving(self, service: str) -> int:
-        """Return how many requests wait to leave a silent upstream."""
-        moves = self.moves.get(service)
-        return 0 if moves is None else moves.size
+        return max(0, free)
 
     def _select(self, requirements: Requirements) -> Selection:
         selection = self._look(requirements)
@@ -345,26 +389,12 @@
         """
         upstream = selection.upstream
         context.estimate = selection.estimate
-        if selection.estimate is not None:
-            is_first = upstream.record.upstream_id in self.view.work.preferred
-            count(
-                PLACED,
-                service=upstream.record.service,
-                place='first' if is_first else 'other',
-            )
         if upstream.limited:
             count(PERMITS, event='used')
         upstream.consume(self.clock())
+        self.queue_of(upstream.record.service).record_sent(context, upstream)
         return upstream
 
 
 def _none_eligible(reason: str) -> NotRun:
     return NotRun(Reason.no_upstream, reason, NONE_ELIGIBLE_RETRY_S)
-
-
-def _overloaded(retry_after_s: float) -> NotRun:
-    return NotRun(
-        Reason.overloaded,
-        'no upstream has a free slot in time',
-        retry_after_s,
-    )
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -397,11 +397,22 @@
             upstream.record.upstream_id,
             context.workspace_name,
             context.until_s - self.clock(),
-            context.accepted.urgency,
+            self._upstream_urgency(context),
             version,
             context.resume_after,
         )
 
+    def _upstream_urgency(self, context: RequestContext) -> int:
+        """Return the urgency that orders the requests of an upstream."""
+        accepted = context.accepted
+        table = self.view.table
+        if table is None:
+            return accepted.urgency
+        ranks = table.urgencies.get(accepted.service, ())
+        if len(ranks) < 2 or accepted.rank not in ranks:
+            return accepted.urgency
+        return sum(rank < accepted.rank for rank in ranks)
+
     def _timeouts(
         self, context: RequestContext, upstream: Upstream
     ) -> AttemptTimeouts:
@@ -440,6 +451,7 @@
         if context is not None and isinstance(outcome, Ran):
             if outcome.complete:
                 self.planned_stop.durations.record(context.route.name, took_s)
+                self.dispatch_queue.record_times(context, took_s)
         table = self.view.table
         service = '' if context is None else context.accepted.service
         count(REQUESTS, service=service, outcome=run_name(outcome))
@@ -507,6 +519,10 @@
         'upstreams': context.tried,
         'load': context.load,
         'estimate_ms': context.estimate_ms(),
+        'urgency': context.accepted.urgency,
+        'level': context.level.urgency,
+        'returned': context.returned,
+        'expected_wait_ms': round(context.expected_wait_s * MILLISECONDS),
         'waited_ms': round(context.waited_s * MILLISECONDS),
         'first_ms': context.first_piece_ms(),
         'gap_ms': round(context.progress.longest_gap_s * MILLISECONDS),
--- a/src/bramleylug/relay/request_checks.py
+++ b/src/bramleylug/relay/request_checks.py
@@ -17,6 +17,7 @@
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.dialect import CallerRequest
 from bramleylug.relay.settings import RelaySettings
+from bramleylug.scheduling.demand import urgency_rank
 
 # Part of the time limit for revoked keys that is reserved for the way to the
 # upstream and for the store: a pending watch returns nothing for up to 1 s.
@@ -60,6 +61,11 @@
             return self.workspace.urgency
         return self.route.urgency
 
+    @property
+    def rank(self) -> int:
+        """Rank by urgency among the requests of its service."""
+        return urgency_rank(self.urgency, self.route.urgency)
+
 
 class RequestChecks(NamedTuple):
     """Accepts or refuses requests from this process's view of the cluster."""
--- a/src/bramleylug/relay/request_context.py
+++ b/src/bramleylug/relay/request_context.py
@@ -46,6 +46,9 @@
     :ivar stopped: whether a planned stop of this relay shortens its time
         limit.
     :ivar level: what its load is counted under, from its first acceptance.
+    :ivar returned: whether its caller was refused and told to return now.
+    :ivar expected_wait_s: how long it was expected to wait for a slot, when it
+        found none.
     """
 
     request: CallerRequest
@@ -65,6 +68,8 @@
     may_have_run: bool = False
     stopped: bool = False
     level: Level = Level('', 0)
+    returned: bool = False
+    expected_wait_s: float = 0
 
     @classmethod
     def from_request(
@@ -82,7 +87,7 @@
         context = cls(
             request, accepted, writer, arrived_s, until_s, accepted.version
         )
-        context.level = Level(accepted.service, accepted.urgency)
+        context.level = Level(accepted.service, accepted.rank)
         context.accept(accepted)
         return context
 
--- /dev/null
+++ b/src/bramleylug/relay/service_queue.py
@@ -0,0 +1,288 @@
+"""What a relay knows and keeps about the requests for one service."""
+
+from dataclasses import dataclass, field
+from math import isfinite
+from typing import final
+
+from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.upstreams import Upstream
+from bramleylug.observability.metrics import (
+    LEVEL_DECISIONS,
+    LEVEL_FREE,
+    LEVEL_RESERVE,
+    PLACED,
+    count,
+)
+from bramleylug.relay.request_context import RequestContext
+from bramleylug.scheduling.placing import (
+    AtCapacity,
+    closed_until_s,
+    responsive,
+    sendable_at_once,
+    unusable_weights_reason,
+)
+from bramleylug.scheduling.demand import DemandMeter
+from bramleylug.scheduling.levels import FleetLoad, LevelGate, Prospect
+from bramleylug.scheduling.move_queue import MoveQueue
+from bramleylug.scheduling.refusing import Refused, ReturnTimes
+from bramleylug.scheduling.waiting import (
+    CompletionRate,
+    Limits,
+    Refuse,
+    UpstreamTimes,
+    Wait,
+    WaitingLine,
+    Waiting,
+    decide,
+)
+
+# How often the load of the fleet is added up.
+OBSERVE_INTERVAL_S = 0.05
+
+
+@final
+@dataclass(slots=True)
+class ServiceQueue:
+    """Waiting requests of one service, and what decisions on them need.
+
+    :ivar line: requests that wait for a slot.
+    :ivar moves: requests that wait to leave a silent upstream.
+    :ivar gate: room for the urgent; only used if requests differ in urgency.
+    :ivar times: by route, how long requests take at their upstreams.
+    :ivar hold: how long they take on average over the routes.
+    """
+
+    service: str
+    view: ClusterView
+    demand: DemandMeter
+    returns: ReturnTimes
+    line: WaitingLine = field(default_factory=WaitingLine)
+    moves: MoveQueue = field(default_factory=MoveQueue)
+    gate: LevelGate = field(default_factory=LevelGate)
+    completions: CompletionRate = field(default_factory=CompletionRate)
+    times: dict[str, UpstreamTimes] = field(default_factory=dict)
+    hold: UpstreamTimes = field(default_factory=UpstreamTimes)
+
+    @property
+    def has_levels(self) -> bool:
+        """Whether the requests differ in urgency."""
+        table = self.view.table
+        if table is None:
+            return False
+        return len(table.urgencies.get(self.service, ())) > 1
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no request waits."""
+        return not (self.line.size or self.moves.size)
+
+    def admits(self, urgency: int, now_s: float) -> bool:
+        """Return whether a level may use a free slot now."""
+        if not self.has_levels:
+            return True
+        self._observe(now_s)
+        return self.gate.admits(urgency)
+
+    def pop(self, now_s: float) -> Waiting | None:
+        """Return the request that gets the next slot, if any may use it."""
+        if not self.has_levels:
+            return self.line.pop(now_s, _admit_any, self.rank)
+        self._observe(now_s)
+        return self.line.pop(now_s, self.gate.admits, self.rank)
+
+    def rank(self, urgency: int) -> tuple[bool, int]:
+        """Return the place of a level among those that wait."""
+        return self.gate.rank(urgency) if self.has_levels else (False, 0)
+
+    def limits(self, context: RequestContext, now_s: float) -> Limits:
+        """Return when a request must get a slot.
+
+        One that an upstream has turned away or left unfinished counts from
+        now. A stream that has begun does not wait longer than for that: its
+        caller leaves soon.
+        """
+        times = self.times.setdefault(context.route.name, UpstreamTimes())
+        is_new = not (context.tried or context.writer.started)
+        since_s = context.arrived_s if is_new else now_s
+        limits = times.limits(
+            since_s, context.route.objective_s, context.until_s
+        )
+        if context.writer.started:
+            return limits._replace(whole_s=limits.in_time_s)
+        if context.returned:
+            return limits._replace(in_time_s=limits.whole_s)
+        return limits
+
+    def prospect(
+        self, context: RequestContext, now_s: float
+    ) -> Prospect | None:
+        """Return how soon a request would get a slot; ``None`` if unknown."""
+        urgency = context.level.urgency
+        relays = self.view.peers.relay_count()
+        if self.has_levels and self.hold.run_s:
+            self._observe(now_s)
+            prospect = self.gate.prospect(urgency, self.hold.run_s)
+        else:
+            per_s = self.completions.per_s(now_s)
+            if not per_s:
+                return None
+            # The queues of other relays are as long as this one, on average,
+            # so that each relay gets slots as its own requests end.
+            asked = self.demand.of(context.level).asked.value_at(now_s)
+            ahead = self.line.size + 1 / relays - 1
+            prospect = Prospect(ahead, per_s, per_s - asked)
+        if context.returned:
+            ahead = sum(
+                one.urgency < urgency or one.returned
+                for one in self.line.entries.values()
+            )
+            return prospect._replace(ahead=min(prospect.ahead, ahead))
+        return prospect
+
+    def decide(
+        self, context: RequestContext, found: AtCapacity, now_s: float
+    ) -> Wait | Refuse:
+        """Decide whether a request that finds no room waits."""
+        prospect = self.prospect(context, now_s)
+        if prospect is not None and isfinite(prospect.wait_s):
+            context.expected_wait_s = prospect.wait_s
+        if found.without_permit and not self.line.size:
+            # Permits come at another rate than slots are freed.
+            prospect = None
+        limits = self.limits(context, now_s)
+        return decide(limits, prospect, now_s, found.closed_until_s)
+
+    def refuse(
+        self, context: RequestContext, now_s: float, closed_until_s: float
+    ) -> float:
+        """Return after what time the caller of a refused request returns."""
+        self._count(context, 'refused')
+        refused = Refused(
+            context.accepted.fingerprint,
+            context.level.urgency,
+            context.until_s - now_s,
+        )
+        prospect = self._own_part(self.prospect(context, now_s))
+        return self.returns.retry_after_s(
+            refused, prospect, now_s, closed_until_s
+        )
+
+    def free_slots(self, now_s: float) -> int:
+        """Return how many waiting requests may be sent at once."""
+        relays = self.view.peers.relay_count()
+        return sum(
+            sendable_at_once(upstream, relays, now_s)
+            for upstream in self._responsive(now_s)
+            if now_s >= closed_until_s(upstream, now_s)
+        )
+
+    def record_sent(self, context: RequestContext, upstream: Upstream) -> None:
+        """Record that a request is sent to an upstream."""
+        if context.estimate is not None:
+            is_first = upstream.record.upstream_id in self.view.work.preferred
+            count(
+                PLACED,
+                service=self.service,
+                place='first' if is_first else 'other',
+            )
+        self._count(context, 'waited' if context.waited_s else 'sent')
+        if self.has_levels:
+            self.gate.record_sent(context.level.urgency)
+
+    def record_ended(self, now_s: float) -> None:
+        """Record that a request left an upstream."""
+        self.completions.record(now_s)
+        if self.has_levels:
+            self.gate.record_ended()
+
+    def record_times(self, context: RequestContext, took_s: float) -> None:
+        """Record how long a request took that was answered whole."""
+        first_s = context.progress.first_s
+        if first_s is None or len(context.tried) != 1:
+            return
+        started_s = context.arrived_s + context.waited_s
+        run_s = took_s - context.waited_s
+        for times in (
+            self.hold,
+            self.times.setdefault(context.route.name, UpstreamTimes()),
+        ):
+            times.record(first_s - started_s, run_s)
+
+    def _own_part(self, prospect: Prospect | None) -> Prospect | None:
+        """Return how soon this relay's part of the slots comes."""
+        if prospect is None or not self.has_levels or not self.hold.run_s:
+            return prospect
+        return prospect._replace(
+            ahead=prospect.ahead / self.gate.relays,
+            per_s=prospect.per_s / self.gate.relays,
+        )
+
+    def _responsive(self, now_s: float) -> list[Upstream]:
+        upstreams = list(self.view.upstreams.of_service(self.service))
+        return responsive(upstreams, now_s)
+
+    def _model(self) -> str:
+        """Return the model that the upstreams serve; empty if none."""
+        table = self.view.table
+        service = None if table is None else table.services.get(self.service)
+        if service is None or service.weights is None:
+            return ''
+        return service.weights.model
+
+    def _observe(self, now_s: float) -> None:
+        if now_s - self.gate.observed_s < OBSERVE_INTERVAL_S:
+            return
+        self.gate.observe(self._fleet_load(now_s), now_s)
+        for urgency in self.gate.loads:
+            labels = {'service': self.service, 'level': str(urgency)}
+            LEVEL_RESERVE.set(labels, self.gate.reserve(urgency))
+            LEVEL_FREE.set(labels, self.gate.left_over(urgency))
+
+    def _fleet_load(self, now_s: float) -> FleetLoad:
+        upstreams = self._responsive(now_s)
+        usable = self._usable(upstreams, now_s)
+        peers = self.view.peers
+        return FleetLoad(
+            sum(one.record.slots for one in usable),
+            sum(one.free_slots(now_s) for one in usable),
+            sum(one.own_running(now_s) for one in upstreams),
+            {
+                level.urgency: meter.load(now_s)
+                for level, meter in self.demand.meters.items()
+                if level.service == self.service
+            },
+            peers.demand.by_urgency(self.service, now_s),
+            peers.relay_count(),
+            peers.demand.heard(now_s),
+        )
+
+    def _usable(
+        self, upstreams: list[Upstream], now_s: float
+    ) -> list[Upstream]:
+        """Return those that take requests now, however many run there."""
+        constraints = self.view.constraints()
+        model = self._model()
+        return [
+            one
+            for one in upstreams
+            if one.record.zone not in constraints.zones_out
+            and now_s >= closed_until_s(one, now_s)
+            and not one.is_closing(now_s)
+            and not (
+                model
+                and unusable_weights_reason(one, model, constraints, now_s)
+            )
+        ]
+
+    def _count(self, context: RequestContext, decision: str) -> None:
+        LEVEL_DECISIONS.inc(
+            {
+                'service': self.service,
+                'level': str(context.level.urgency),
+                'decision': decision,
+            }
+        )
+
+
+def _admit_any(urgency: int) -> bool:
+    return True
--- a/src/bramleylug/scheduling/demand.py
+++ b/src/bramleylug/scheduling/demand.py
@@ -1,6 +1,6 @@
 """Demand by service and urgency, of one relay and of the fleet."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from math import exp
@@ -15,10 +15,26 @@
 MIN_RATE_PER_S = 0.01
 
 
+# Urgencies of routes that are told apart within one urgency in force.
+ROUTE_URGENCIES = 16
+MAX_URGENCY = 255
+
+
+def urgency_rank(in_force: int, of_route: int) -> int:
+    """Return a number that orders requests by urgency, lowest first.
+
+    The urgency of a workspace goes before that of a route. Where it is the
+    same, as it is for most workspaces, that of the route decides.
+    """
+    first = max(0, min(in_force, MAX_URGENCY))
+    second = max(0, min(of_route, ROUTE_URGENCIES - 1))
+    return first * ROUTE_URGENCIES + second
+
+
 class Level(NamedTuple):
     """Requests that decisions under load treat alike.
 
-    :ivar urgency: 0 is the most urgent.
+    :ivar urgency: rank by urgency; the lowest is the most urgent.
     """
 
     service: str
@@ -171,13 +187,17 @@
                     totals[level.urgency] = total.plus(load)
         return totals
 
+    def heard(self, now_s: float) -> int:
+        """Return how many other relays have told their load lately."""
+        return len(self._recent(now_s))
+
     def remove_expired(self, now_s: float) -> None:
         """Forget relays that have told nothing for a while."""
         for relay, told in tuple(self.told.items()):
             if now_s - told.received_s >= TOLD_TTL_S:
                 self.told.pop(relay)
 
-    def _recent(self, now_s: float) -> Iterable[ToldDemand]:
+    def _recent(self, now_s: float) -> list[ToldDemand]:
         return [
             told
             for told in self.told.values()
--- a/testing/cluster/test_route_table.py
+++ b/testing/cluster/test_route_table.py
@@ -9,6 +9,7 @@
     Workspace,
     allowed_regions,
 )
+from bramleylug.scheduling.demand import urgency_rank
 from testing.relay.builders import build_route, build_table
 
 
@@ -60,6 +61,33 @@
         )
 
 
+class TestUrgencies(unittest.TestCase):
+    """Ranks by urgency that requests of a service may have."""
+
+    def ranks(self, *urgencies, **fields):
+        table = build_table(
+            *(
+                build_route(urgency=urgency, path_prefix=f'/{urgency}/')
+                for urgency in urgencies
+            ),
+            **fields,
+        )
+        return table.urgencies['advisor']
+
+    def test_routes_of_one_urgency_have_one_rank(self) -> None:
+        self.assertEqual(len(self.ranks(1)), 1)
+
+    def test_workspaces_of_one_urgency_leave_those_of_the_routes(self) -> None:
+        """Else no request would be more urgent than another one."""
+        workspaces = {'key-1': Workspace('garage', 1)}
+
+        self.assertEqual(len(self.ranks(0, 2, workspaces=workspaces)), 2)
+
+    def test_urgency_of_a_workspace_goes_first(self) -> None:
+        self.assertLess(urgency_rank(0, 2), urgency_rank(1, 0))
+        self.assertLess(urgency_rank(1, 0), urgency_rank(1, 2))
+
+
 class TestRegions(unittest.TestCase):
     """Restrictions of route and workspace are combined."""
 
--- a/testing/relay/test_move_queue.py
+++ b/testing/scheduling/test_move_queue.py
@@ -3,7 +3,7 @@
 import unittest
 from functools import partial
 
-from bramleylug.relay.move_queue import MoveQueue
+from bramleylug.scheduling.move_queue import MoveQueue
 
 
 class TestMoveQueue(unittest.TestCase):
