--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -317,6 +317,7 @@
         self.waiters[waiting.token] = waiter
         self.has_waiting.set()
         queue.line.push(waiting)
+        WAITING.set({'service': queue.service}, queue.line.size)
         try:
             async with asyncio.timeout(until_s - self.clock()):
                 await woken.wait()
@@ -325,6 +326,7 @@
         finally:
             self.waiters.pop(waiting.token, None)
             queue.line.drop(waiting.token)
+            WAITING.set({'service': queue.service}, queue.line.size)
         return True
 
     def _after_waiting(
@@ -356,7 +358,6 @@
         if queue.is_empty:
             return 0
         now_s = self.clock()
-        WAITING.set({'service': queue.service}, queue.line.size)
         free = queue.free_slots(now_s)
         if queue.moves.size:
             free -= queue.moves.offer(free)
