--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -11,7 +11,6 @@
 from bramleylug.observability.metrics import (
     PERMITS,
     WAIT_SECONDS,
-    WAITING,
     count,
 )
 from bramleylug.outcomes import NotRun, Reason
@@ -316,8 +315,7 @@
         woken = waiter.woken
         self.waiters[waiting.token] = waiter
         self.has_waiting.set()
-        queue.line.push(waiting)
-        WAITING.set({'service': queue.service}, queue.line.size)
+        queue.push(waiting)
         try:
             async with asyncio.timeout(until_s - self.clock()):
                 await woken.wait()
@@ -325,8 +323,7 @@
             return woken.is_set()
         finally:
             self.waiters.pop(waiting.token, None)
-            queue.line.drop(waiting.token)
-            WAITING.set({'service': queue.service}, queue.line.size)
+            queue.drop(waiting)
         return True
 
     def _after_waiting(
--- a/src/bramleylug/relay/service_queue.py
+++ b/src/bramleylug/relay/service_queue.py
@@ -11,6 +11,7 @@
     LEVEL_FREE,
     LEVEL_RESERVE,
     PLACED,
+    WAITING,
     count,
 )
 from bramleylug.relay.request_context import RequestContext
@@ -83,6 +84,16 @@
         self._observe(now_s)
         return self.gate.admits(urgency)
 
+    def push(self, waiting: Waiting) -> None:
+        """Let a request wait."""
+        self.line.push(waiting)
+        WAITING.set({'service': self.service}, self.line.size)
+
+    def drop(self, waiting: Waiting) -> None:
+        """Remove a request that does not wait any longer."""
+        self.line.drop(waiting.token)
+        WAITING.set({'service': self.service}, self.line.size)
+
     def pop(self, now_s: float) -> Waiting | None:
         """Return the request that gets the next slot, if any may use it."""
         if not self.has_levels:
