--- a/src/bramleylug/relay/service_queue.py
+++ b/src/bramleylug/relay/service_queue.py
@@ -5,6 +5,7 @@
 from typing import final
 
 from bramleylug.cluster.cluster_view import ClusterView
+from bramleylug.cluster.route_table import RouteTable
 from bramleylug.cluster.upstreams import Upstream
 from bramleylug.observability.metrics import (
     LEVEL_DECISIONS,
@@ -120,8 +121,6 @@
         )
         if context.writer.started:
             return limits._replace(whole_s=limits.in_time_s)
-        if context.returned:
-            return limits._replace(in_time_s=limits.whole_s)
         return limits
 
     def prospect(
@@ -129,19 +128,14 @@
     ) -> Prospect | None:
         """Return how soon a request would get a slot; ``None`` if unknown."""
         urgency = context.level.urgency
-        relays = self.view.peers.relay_count()
-        if self.has_levels and self.hold.run_s:
-            self._observe(now_s)
+        if self._reserves(now_s):
             prospect = self.gate.prospect(urgency, self.hold.run_s)
         else:
             per_s = self.completions.per_s(now_s)
             if not per_s:
                 return None
-            # The queues of other relays are as long as this one, on average,
-            # so that each relay gets slots as its own requests end.
-            asked = self.demand.of(context.level).asked.value_at(now_s)
-            ahead = self.line.size + 1 / relays - 1
-            prospect = Prospect(ahead, per_s, per_s - asked)
+            # What is left over at other relays is not known here.
+            prospect = Prospect(self.line.size, per_s, 0)
         if context.returned:
             ahead = sum(
                 one.urgency < urgency or one.returned
@@ -173,7 +167,7 @@
             context.level.urgency,
             context.until_s - now_s,
         )
-        prospect = self._own_part(self.prospect(context, now_s))
+        prospect = self._own_part(self.prospect(context, now_s), now_s)
         return self.returns.retry_after_s(
             refused, prospect, now_s, closed_until_s
         )
@@ -219,27 +213,29 @@
         ):
             times.record(first_s - started_s, run_s)
 
-    def _own_part(self, prospect: Prospect | None) -> Prospect | None:
+    def _own_part(
+        self, prospect: Prospect | None, now_s: float
+    ) -> Prospect | None:
         """Return how soon this relay's part of the slots comes."""
-        if prospect is None or not self.has_levels or not self.hold.run_s:
+        if prospect is None or not self._reserves(now_s):
             return prospect
         return prospect._replace(
             ahead=prospect.ahead / self.gate.relays,
             per_s=prospect.per_s / self.gate.relays,
         )
 
+    def _reserves(self, now_s: float) -> bool:
+        """Return whether levels leave slots to more urgent ones now."""
+        if not (self.has_levels and self.hold.run_s):
+            return False
+        self._observe(now_s)
+        loads = self.gate.loads
+        return bool(loads) and self.gate.reserve(max(loads)) >= 1
+
     def _responsive(self, now_s: float) -> list[Upstream]:
         upstreams = list(self.view.upstreams.of_service(self.service))
         return responsive(upstreams, now_s)
 
-    def _model(self) -> str:
-        """Return the model that the upstreams serve; empty if none."""
-        table = self.view.table
-        service = None if table is None else table.services.get(self.service)
-        if service is None or service.weights is None:
-            return ''
-        return service.weights.model
-
     def _observe(self, now_s: float) -> None:
         if now_s - self.gate.observed_s < OBSERVE_INTERVAL_S:
             return
@@ -272,7 +268,7 @@
     ) -> list[Upstream]:
         """Return those that take requests now, however many run there."""
         constraints = self.view.constraints()
-        model = self._model()
+        model = _model_of(self.view.table, self.service)
         return [
             one
             for one in upstreams
@@ -295,5 +291,13 @@
         )
 
 
+def _model_of(table: RouteTable | None, name: str) -> str:
+    """Return the model that a service's upstreams serve; empty if none."""
+    service = None if table is None else table.services.get(name)
+    if service is None or service.weights is None:
+        return ''
+    return service.weights.model
+
+
 def _admit_any(urgency: int) -> bool:
     return True
