--- a/src/bramleylug/relay/service_queue.py
+++ b/src/bramleylug/relay/service_queue.py
@@ -26,7 +26,11 @@
 from bramleylug.scheduling.demand import DemandMeter
 from bramleylug.scheduling.levels import FleetLoad, LevelGate, Prospect
 from bramleylug.scheduling.move_queue import MoveQueue
-from bramleylug.scheduling.refusing import Refused, ReturnTimes
+from bramleylug.scheduling.refusing import (
+    Refused,
+    ReturnTimes,
+    plain_retry_s,
+)
 from bramleylug.scheduling.waiting import (
     CompletionRate,
     Limits,
@@ -113,7 +117,9 @@
         now. A stream that has begun does not wait longer than for that: its
         caller leaves soon.
         """
-        times = self.times.setdefault(context.route.name, UpstreamTimes())
+        times = UpstreamTimes()
+        if self._reserves(now_s):
+            times = self.times.get(context.route.name, times)
         is_new = not (context.tried or context.writer.started)
         since_s = context.arrived_s if is_new else now_s
         limits = times.limits(
@@ -167,7 +173,10 @@
             context.level.urgency,
             context.until_s - now_s,
         )
-        prospect = self._own_part(self.prospect(context, now_s), now_s)
+        prospect = self.prospect(context, now_s)
+        if not self._reserves(now_s):
+            return plain_retry_s(prospect, now_s, closed_until_s)
+        prospect = self._own_part(prospect)
         return self.returns.retry_after_s(
             refused, prospect, now_s, closed_until_s
         )
@@ -213,12 +222,10 @@
         ):
             times.record(first_s - started_s, run_s)
 
-    def _own_part(
-        self, prospect: Prospect | None, now_s: float
-    ) -> Prospect | None:
+    def _own_part(self, prospect: Prospect | None) -> Prospect | None:
         """Return how soon this relay's part of the slots comes."""
-        if prospect is None or not self._reserves(now_s):
-            return prospect
+        if prospect is None:
+            return None
         return prospect._replace(
             ahead=prospect.ahead / self.gate.relays,
             per_s=prospect.per_s / self.gate.relays,
--- a/src/bramleylug/scheduling/refusing.py
+++ b/src/bramleylug/scheduling/refusing.py
@@ -18,6 +18,9 @@
 LONGEST_SHARE = 1 / 3
 # Shortest time until a return: the caller connects to another relay first.
 MIN_RETURN_S = 0.2
+# Bounds of the time to return where no level leaves room to others.
+MIN_PLAIN_S = 0.5
+MAX_PLAIN_S = 2.0
 # Part of a relay's slots that returning callers get; the others are for new
 # requests of equal urgency.
 RETURN_SHARE = 0.5
@@ -50,6 +53,19 @@
     left_s: float
 
 
+def plain_retry_s(
+    prospect: Prospect | None, now_s: float, closed_until_s: float
+) -> float:
+    """Return after what time to return where no level leaves room to others.
+
+    That is about the time in which this relay's queue empties.
+    """
+    if closed_until_s > now_s:
+        return min(MAX_PLAIN_S, closed_until_s - now_s)
+    wait_s = 0.0 if prospect is None else prospect.wait_s
+    return min(MAX_PLAIN_S, max(MIN_PLAIN_S, wait_s))
+
+
 class ToldReturn(NamedTuple):
     """When a refused caller was told to return.
 
--- a/testing/scheduling/test_refusing.py
+++ b/testing/scheduling/test_refusing.py
@@ -13,6 +13,7 @@
     KnownReturns,
     Refused,
     ReturnTimes,
+    plain_retry_s,
 )
 
 ROOM = Prospect(ahead=0, per_s=4.0, spare_per_s=0)
@@ -65,6 +66,24 @@
         self.assertGreaterEqual(retry_s, 1.5)
 
 
+class TestPlainRetry(unittest.TestCase):
+    """Where no level leaves room to others."""
+
+    def test_retry_after_is_the_expected_wait(self) -> None:
+        prospect = Prospect(ahead=10, per_s=10.0, spare_per_s=0)
+
+        self.assertAlmostEqual(plain_retry_s(prospect, 10.0, 0), 1.1)
+
+    def test_long_queue_is_not_waited_for(self) -> None:
+        """Callers wait at most a third of what they have left."""
+        prospect = Prospect(ahead=60, per_s=10.0, spare_per_s=0)
+
+        self.assertEqual(plain_retry_s(prospect, 10.0, 0), 2.0)
+
+    def test_pause_is_waited_for(self) -> None:
+        self.assertAlmostEqual(plain_retry_s(None, 10.0, 10.8), 0.8)
+
+
 class TestRecognition(unittest.TestCase):
     """A caller is known when it returns as it was told."""
 
