--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -35,6 +35,7 @@
     UpstreamRegistry,
     UpstreamReport,
 )
+from bramleylug.cluster.use_messages import uses_from_messages
 from bramleylug.cluster.versions import VersionRegistry
 from bramleylug.cluster.work_exchange import WorkExchange
 from bramleylug.node.process_pauses import ProcessPauses
@@ -399,6 +400,9 @@
         self.peers.returns.record_told(
             returns_from_messages(heartbeat.returns), now_s
         )
+        if heartbeat.name in self.peers.known_relays:
+            uses = uses_from_messages(heartbeat.uses)
+            self.peers.uses.record(heartbeat.name, uses, now_s)
         if heartbeat.HasField('reading'):
             arrived_s = self.pauses.earliest_arrival_s(now_s)
             report = report_from_message(heartbeat.reading, arrived_s)
--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -15,6 +15,7 @@
     ToldDemand,
 )
 from bramleylug.scheduling.refusing import KnownReturns
+from bramleylug.scheduling.shares import FleetUses
 
 # A peer that is not registered in the store, or whose registration cannot be
 # confirmed, counts as dead if its last heartbeat is older than this. The
@@ -107,6 +108,7 @@
     :ivar relays_version: changes with the known relays.
     :ivar demand: load of the other relays.
     :ivar returns: callers that this relay or another one told to return.
+    :ivar uses: slots of workspaces at the other relays.
     """
 
     def __init__(
@@ -133,6 +135,7 @@
         self.relays_version = 0
         self.demand = FleetDemand()
         self.returns = KnownReturns()
+        self.uses = FleetUses()
 
     def add(self, record: PeerRecord, now_s: float = NEVER_S) -> None:
         """Record that a peer is registered in the store.
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Container, Iterable, Sequence
 from dataclasses import replace
+from functools import partial
 from http import HTTPStatus
 from random import Random
 from typing import Protocol, final
@@ -17,9 +18,10 @@
     HEARTBEAT_RATES,
     HeartbeatSocket,
 )
-from bramleylug.cluster.peers import PeerRecord, Role
+from bramleylug.cluster.peers import PeerRecord, PeerRegistry, Role
 from bramleylug.cluster.settings import ProcessSettings
 from bramleylug.cluster.store_readers import find_reader
+from bramleylug.cluster.version_news import due_news
 from bramleylug.node.datagrams import BATCH_S
 from bramleylug.node.loop_thread import LoopThread
 from bramleylug.node.process_pauses import ProcessPauses, watch_pauses
@@ -125,7 +127,7 @@
             settings, lambda: self.record, self.watchers[0].mirror, clock
         )
         self.view.permits.send = self.send_permits
-        self.view.work.send = self.send_work
+        self.view.work.send = partial(_send_work, self)
         self.apply_changes = adapter.store_change_handler(self.view)
         self.presence = Presence(
             self.store,
@@ -134,8 +136,11 @@
             settings.calm_window,
             feed_item(adapter, record),
             feeds.registered.set,
-            self._find_earlier if record.role is Role.relay else None,
+            partial(find_earlier_record, self.view.peers, adapter)
+            if record.role is Role.relay
+            else None,
         )
+        self.presence.clock = clock
         self.make_heartbeat = make_heartbeat
         self.on_clean_up: Callable[[], None] = _ignore
         self.on_heartbeat: Callable[[Beat], None] = self.receive_heartbeat
@@ -224,17 +229,6 @@
             heartbeat = Beat(name=self.settings.name, permits=messages)
             self.socket.send(heartbeat, [peer.beats])
 
-    def send_work(self, relays: Iterable[str], work: RelayWork) -> None:
-        """Send what this relay has at an engine to other relays."""
-        if self.socket is None:
-            return
-        known = self.view.peers.known
-        heartbeat = Beat(name=self.settings.name, work=[work])
-        self.socket.send(
-            heartbeat,
-            [known[name].beats for name in relays if name in known],
-        )
-
     def send_heartbeat_to(self, name: str) -> None:
         """Send a heartbeat to one relay outside of the schedule."""
         peer = self.view.peers.known.get(name)
@@ -253,7 +247,10 @@
             )
 
     def send_due_heartbeats(self) -> None:
-        """Send a heartbeat to the relays that are due for one."""
+        """Send a heartbeat to the relays that are due for one.
+
+        Loaders of the zone are told of versions that were just named.
+        """
         now_s = self.clock()
         alive = self.view.peers.alive(Role.relay, now_s)
         due = self.schedule.due(alive, now_s)
@@ -261,6 +258,15 @@
             self.socket.send(
                 self.make_heartbeat(), [peer.beats for peer in due]
             )
+        news = due_news(self.view, now_s)
+        if news.named and self.socket is not None:
+            heartbeat = Beat(
+                name=self.settings.name,
+                boot=self.record.boot,
+                draining=self.record.draining,
+                named=news.named,
+            )
+            self.socket.send(heartbeat, news.addresses)
 
     def receive_heartbeat(self, heartbeat: Beat) -> None:
         """Apply a heartbeat of another process.
@@ -295,16 +301,6 @@
         self.presence.announce()
         self.send_heartbeat()
 
-    async def _find_earlier(self) -> None:
-        """Find out whether the others know the name of this relay already.
-
-        Its record in the store is then that of an earlier incarnation.
-        """
-        key = self.adapter.peer_key(self.settings.name)
-        page = await self.adapter.store.list_page(key, '')
-        if any(item.key == key for item in page.items):
-            self.view.peers.was_listed_before = True
-
     def _announce(self) -> None:
         self.announcement = None
         self.send_heartbeat()
@@ -347,6 +343,19 @@
             self.on_clean_up()
 
 
+def _send_work(
+    core: ProcessCore, relays: Iterable[str], work: RelayWork
+) -> None:
+    """Send what a relay has at an engine to other relays."""
+    if core.socket is None:
+        return
+    known = core.view.peers.known
+    core.socket.send(
+        Beat(name=core.settings.name, work=[work]),
+        [known[name].beats for name in relays if name in known],
+    )
+
+
 def _reply_feed(
     exchange: Exchange, feed: ChangeFeed, answer: FeedAnswer
 ) -> None:
@@ -363,6 +372,17 @@
     return FixedItem(key, record.feed.encode())
 
 
+async def find_earlier_record(peers: PeerRegistry, adapter: Adapter) -> None:
+    """Find out whether the others know the name of this relay already.
+
+    Its record in the store is then that of an earlier incarnation.
+    """
+    key = adapter.peer_key(peers.own().name)
+    page = await adapter.store.list_page(key, '')
+    if any(item.key == key for item in page.items):
+        peers.was_listed_before = True
+
+
 def uptime_s() -> float:
     """Return seconds that also count while the host is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/bramleylug/cluster/route_table.py
+++ b/src/bramleylug/cluster/route_table.py
@@ -8,9 +8,15 @@
 from random import Random
 from typing import NamedTuple, final
 
-from bramleylug.scheduling.estimate import EngineModel
 from bramleylug.scheduling.demand import urgency_rank
-from bramleylug.scheduling.figures import EngineFigures
+from bramleylug.scheduling.estimate import EngineModel
+from bramleylug.scheduling.figures import EngineFigures, ScalingLimits
+
+
+# Callers of a stream with an objective for its pauses stay for so many of its
+# objectives, or of these pauses, whichever is longer.
+PATIENCE_OBJECTIVES = 4
+PATIENCE_PAUSES = 8
 
 
 @final
@@ -69,6 +75,16 @@
     regions: frozenset[str] = frozenset()
     pause_objective_s: float = 0
 
+    @property
+    def patience_s(self) -> float:
+        """Time without an event after which callers leave; 0 if unknown."""
+        if not self.pause_objective_s:
+            return 0.0
+        return max(
+            PATIENCE_OBJECTIVES * self.objective_s,
+            PATIENCE_PAUSES * self.pause_objective_s,
+        )
+
     def leads_to(self, service: str) -> bool:
         """Return whether requests of the route may go to a service."""
         return any(
@@ -123,6 +139,7 @@
     :ivar origin: address of the weights origin if the service is one; else
         empty.
     :ivar engine: speed of its engines; ``None`` if it is not stated.
+    :ivar scaling: ``None`` if the number of its upstreams is not ordered.
     """
 
     name: str
@@ -131,6 +148,7 @@
     weights: WeightsLayout | None = None
     origin: str = ''
     engine: EngineFigures | None = None
+    scaling: ScalingLimits | None = None
 
 
 class CallerLimits(NamedTuple):
@@ -226,6 +244,24 @@
             if service.engine is not None
         }
 
+    def is_scaled(self, service: str) -> bool:
+        """Return whether the number of a service's upstreams is ordered."""
+        known = self.services.get(service)
+        return known is not None and known.scaling is not None
+
+    @cached_property
+    def shared_services(self) -> frozenset[str]:
+        """Services for which requests of several workspaces compete."""
+        names = {workspace.name for workspace in self.workspaces.values()}
+        if len(names) < 2:  # noqa: PLR2004, WPS432
+            return frozenset()
+        return frozenset(
+            share.service
+            for route in self.routes
+            if not route.public
+            for share in route.shares
+        )
+
     def origins(self) -> Iterable[Service]:
         """Return the services that are origins of weights."""
         return (service for service in self.services.values() if service.origin)
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -185,6 +185,73 @@
         '{key} could not be removed: {error}; it expires with its lease',
         'Nothing to do.',
     )
+    duties_held = EventSpec(
+        'BL1030',
+        'INFO',
+        '{holder} holds the duties with token {token}',
+        'Nothing to do.',
+    )
+    duties_left = EventSpec(
+        'BL1031',
+        'INFO',
+        'the duties held with token {token} for {held_s} s have ended: {cause}',
+        'If its lease ended, check the store and the network between it and '
+        'this host; if the service does not answer, check that one.',
+    )
+    duties_not_claimed = EventSpec(
+        'BL1032',
+        'INFO',
+        'the duties were not claimed: {error}',
+        'Nothing to do; another process was first, or it is tried again.',
+    )
+    duties_not_released = EventSpec(
+        'BL1033',
+        'WARNING',
+        'the claim of the duties was not removed: {error}',
+        'It is tried again until the lease of this process ends.',
+    )
+    duties_gone = EventSpec(
+        'BL1038',
+        'INFO',
+        'the claim of the duties with token {token} was removed before',
+        'Nothing to do.',
+    )
+    duty_delayed = EventSpec(
+        'BL1034',
+        'WARNING',
+        'a duty waits for the store: {error}',
+        'Check the store if the message repeats.',
+    )
+    duty_call_failed = EventSpec(
+        'BL1035',
+        'WARNING',
+        'a call of a duty was not accepted: {error}',
+        'It is repeated; check the service that takes reports and orders.',
+    )
+    usage_reported = EventSpec(
+        'BL1036',
+        'INFO',
+        'usage of window {window} was reported, {requests} requests, with '
+        'token {token}',
+        'Nothing to do.',
+    )
+    usage_not_reported = EventSpec(
+        'BL1037',
+        'ERROR',
+        'usage up to window {window} was not reported in time; windows in a '
+        'row: {reports}',
+        'Find out from the earlier messages whether the store or the service '
+        'was away; what the windows held is in the logs of requests.',
+    )
+    scaling_decided = EventSpec(
+        'BL1039',
+        'INFO',
+        'service {service} is to have {wanted} upstreams in zone {zone}, where '
+        'it has {present}; of its requests {running} run, {waiting} wait and '
+        '{refused_per_s} a second are refused',
+        'Nothing to do; if they are not there after their time to start, '
+        'check the service that takes the orders.',
+    )
     # 2: requests at the entry
     request_refused = EventSpec(
         'BL2001',
@@ -296,6 +363,15 @@
         'Nothing to do; while they are unconfirmed, it gets no requests. Look '
         'for BL3017 of its loader if that lasts.',
     )
+    workspace_over_share = EventSpec(
+        'BL2017',
+        'INFO',
+        'workspace {workspace} wants {wanted} slots of {service} and has '
+        '{slots}; {workspaces} workspaces share it, {level} slots each at '
+        'most: part of its requests is refused',
+        'The service is short and others wait. Add upstreams, or find out why '
+        'the workspace sends so much; docs/design/fair-shares.md.',
+    )
     # 3: weights
     staging_full = EventSpec(
         'BL3001',
@@ -380,6 +456,27 @@
         'the manifest of {weights} was read from {source} after {waited_ms} ms',
         'Nothing to do.',
     )
+    origin_away = EventSpec(
+        'BL3022',
+        'WARNING',
+        'the origin does not answer; {missing} chunks of {weights} are missing',
+        'Nothing to do if it was stopped on purpose; otherwise check it and '
+        'the link to it. Chunks that other loaders hold are fetched meanwhile.',
+    )
+    origin_back = EventSpec(
+        'BL3023',
+        'INFO',
+        'the origin answers again after {away_ms} ms; {missing} chunks of '
+        '{weights} are missing, its answer was noticed by {noticed_by}',
+        'Nothing to do.',
+    )
+    transfer_progress = EventSpec(
+        'BL3024',
+        'INFO',
+        'of {weights} {held} of {count} chunks are held here and {known} by '
+        'all loaders; reading {reading} from the origin, others {others}',
+        'Nothing to do.',
+    )
     version_staged = EventSpec(
         'BL3011',
         'INFO',
@@ -393,7 +490,7 @@
         'Check the engine if the message repeats.',
     )
     pace_changed = EventSpec(
-        'BL3022',
+        'BL3025',
         'INFO',
         'the engine of this host works at pace {pace} instead of {before}',
         'Nothing to do; while the pace is above 1, its work takes so many '
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -24,6 +24,8 @@
 )
 from bramleylug.cluster.route_table import CallerLimits, RouteTable
 from bramleylug.cluster.status_pages import serve_metrics, serve_readiness
+from bramleylug.cluster.use_messages import uses_to_messages
+from bramleylug.duties.relay_duties import DutyAdapter, RelayDuties
 from bramleylug.entry.reservations import Reservation
 from bramleylug.observability.metrics import LIMITED_UPSTREAMS, REVISION
 from bramleylug.outcomes import NotRun, Reason
@@ -41,6 +43,7 @@
 from bramleylug.web.server import WebServer
 from bramleylug.wire.beats_pb2 import Beat
 
+DUTIES_PATH = '/duties'
 # The memory of a request is released when both the exchange and the task that
 # serves it have ended.
 RESERVATION_HOLDERS = 2
@@ -57,7 +60,7 @@
 LAST_ANSWERS_S = 0.3
 
 
-class RelayAdapter(Adapter, Protocol):
+class RelayAdapter(Adapter, DutyAdapter, Protocol):
     """Interface to the platform that a relay needs."""
 
     @property
@@ -124,6 +127,13 @@
             clock,
             self.descriptors,
         )
+        self.duties: RelayDuties | None = None
+        if settings.duties is not None:
+            self.duties = RelayDuties(
+                settings.duties, self.core, adapter, clock, self.relay.demand
+            )
+            self.relay.on_begun = self.duties.count
+        self.core.on_heartbeat = self.receive_heartbeat
         self.bar_archive = BarArchive(
             self.core.store,
             self.core.view.suspects,
@@ -166,6 +176,8 @@
         self.core.open()
         self.core.loop.supervise('look', self.relay.dispatch_queue.run)
         self.core.loop.supervise('permits', self.core.view.permits.run)
+        if self.duties is not None:
+            self.duties.open()
 
     def close(self) -> None:
         self.core.close()
@@ -174,6 +186,8 @@
         """Direct callers to other relays; serve those that still connect."""
         self.draining_since_s = self.clock()
         self.core.start_draining()
+        if self.duties is not None:
+            self.duties.start_draining()
         ends_s = (
             self.draining_since_s
             + self.settings.stop_time
@@ -233,11 +247,20 @@
             heartbeat.levels.extend(
                 loads_to_messages(self._told_loads(view.table))
             )
+            heartbeat.uses.extend(uses_to_messages(self.relay.shares.told()))
         heartbeat.returns.extend(
             returns_to_messages(view.peers.returns.recent(self.clock()))
         )
         return heartbeat
 
+    def receive_heartbeat(self, heartbeat: Beat) -> None:
+        """Apply a datagram of another process."""
+        if heartbeat.HasField('usage') or heartbeat.HasField('receipt'):
+            if self.duties is not None:
+                self.duties.receive(heartbeat)
+            return
+        self.core.receive_heartbeat(heartbeat)
+
     def tell_limits(self, name: str) -> None:
         """Tell a relay that has started which limits hold."""
         if self.core.view.permits.buckets:
@@ -247,6 +270,7 @@
         """Update what changes rarely, and close unused connections."""
         view = self.core.view
         view.clean_up()
+        self.relay.shares.clean_up()
         LIMITED_UPSTREAMS.set(
             {'instance': self.settings.name},
             sum(one.limited for one in view.upstreams.by_id.values()),
@@ -310,7 +334,13 @@
         self.core.loop.serve(exchange, lambda: self.core.serve_feed(exchange))
 
     def serve_metrics(self, exchange: Exchange) -> None:
-        """Serve the metrics page."""
+        """Serve the metrics page, and that of the duties."""
+        if exchange.path == DUTIES_PATH and self.duties is not None:
+            duties = self.duties
+            self.core.loop.serve(
+                exchange, lambda: answer_duties(exchange, duties)
+            )
+            return
         serve_metrics(exchange, self.settings.name, self.core.view.store_age_s)
 
     def serve_directory(self, exchange: Exchange) -> None:
@@ -373,6 +403,11 @@
         return server
 
 
+async def answer_duties(exchange: Exchange, duties: RelayDuties) -> None:
+    """Respond with the state of the duties."""
+    exchange.reply_json(HTTPStatus.OK, duties.status())
+
+
 def web_limits(connections: int, limits: CallerLimits) -> WebLimits:
     """Return the limits of the port for callers.
 
--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count as numbers
 from typing import final
 
@@ -25,6 +26,7 @@
     Selection,
     UpstreamSelector,
 )
+from bramleylug.relay.workspace_shares import WorkspaceShares
 from bramleylug.scheduling.demand import DemandMeter
 from bramleylug.scheduling.refusing import ReturnTimes
 from bramleylug.scheduling.waiting import NOT_CLOSED_S, Refuse, Wait, Waiting
@@ -71,6 +73,7 @@
     :ivar has_waiting: set while requests wait.
     :ivar checked_version: configuration that they were checked against.
     :ivar demand: counts the waiting requests by service and urgency.
+    :ivar shares: shares of workspaces at services that are short.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         self.tokens = numbers()
         self.has_waiting = asyncio.Event()
         self.demand = DemandMeter()
+        self.shares = WorkspaceShares(view, selector.random, clock)
         view.on_change = self.apply_change
         view.permits.on_granted = self.wake_waiting
         view.permits.on_deferred = self.ask_further
@@ -111,6 +115,9 @@
         selection = self._select(requirements)
         if isinstance(selection, Selected) and first:
             selection = self._after_waiting(context, queue, selection)
+        is_short = isinstance(selection, AtCapacity)
+        if first and self.shares.refuses(context, is_short=is_short):
+            return self._refuse(context, queue)
         match selection:
             case Selected():
                 return self._claim(context, selection)
@@ -128,6 +135,7 @@
         if queue is None:
             returns = ReturnTimes(self.view.peers.returns)
             queue = ServiceQueue(service, self.view, self.demand, returns)
+            queue.line.weigh = partial(self.shares.weight, service)
             self.queues[service] = queue
         return queue
 
@@ -135,7 +143,8 @@
         """Return an upstream that has a free slot now."""
         selection = self._select(context.requirements())
         if isinstance(selection, Selected):
-            return self._claim(context, selection)
+            if self._is_worth_moving(context, selection):
+                return self._claim(context, selection)
         return None
 
     def queue_move(
@@ -380,6 +389,22 @@
             requirements, self.view.constraints(), self.clock()
         )
 
+    def _is_worth_moving(
+        self, context: RequestContext, selection: Selected
+    ) -> bool:
+        """Return whether a request that waits elsewhere gains by a move.
+
+        In a shortage it would wait at the next engine as well, and its work
+        at the first one would be lost. A silent one is left in any case.
+        """
+        estimate = selection.estimate
+        if estimate is None or not context.tried:
+            return True
+        current = self.view.upstreams.by_id.get(context.tried[-1])
+        if current is None or current.responsiveness.silent:
+            return True
+        return estimate.first_s <= context.route.objective_s
+
     def _claim(self, context: RequestContext, selection: Selected) -> Upstream:
         """Count a request against the rates that its upstream takes.
 
--- a/src/bramleylug/scheduling/demand.py
+++ b/src/bramleylug/scheduling/demand.py
@@ -178,7 +178,7 @@
         :param zone: only relays of this zone; ``None`` for all.
         """
         totals: dict[int, LevelLoad] = {}
-        for told in self._recent(now_s):
+        for told in self.recent(now_s):
             if zone is not None and told.zone != zone:
                 continue
             for level, load in told.loads.items():
@@ -189,7 +189,7 @@
 
     def heard(self, now_s: float) -> int:
         """Return how many other relays have told their load lately."""
-        return len(self._recent(now_s))
+        return len(self.recent(now_s))
 
     def remove_expired(self, now_s: float) -> None:
         """Forget relays that have told nothing for a while."""
@@ -197,7 +197,8 @@
             if now_s - told.received_s >= TOLD_TTL_S:
                 self.told.pop(relay)
 
-    def _recent(self, now_s: float) -> list[ToldDemand]:
+    def recent(self, now_s: float) -> list[ToldDemand]:
+        """Return what each relay has told that still counts."""
         return [
             told
             for told in self.told.values()
--- a/src/bramleylug/scheduling/waiting.py
+++ b/src/bramleylug/scheduling/waiting.py
@@ -173,6 +173,10 @@
     return Refuse(closed_until_s)
 
 
+def _weigh_equally(workspace: str) -> float:
+    return 1.0
+
+
 @final
 @dataclass(slots=True)
 class WaitingLine:
@@ -184,12 +188,15 @@
     limit decides within one.
 
     :ivar entries: the waiting requests by token.
-    :ivar turns: by workspace, number of its last turn.
+    :ivar turns: by workspace, when it is its turn again.
+    :ivar weigh: returns how much more often than usual requests of a workspace
+        are chosen; more than 0.
     """
 
     entries: dict[int, Waiting] = field(default_factory=dict)
-    turns: dict[str, int] = field(default_factory=dict)
-    last_turn: int = 0
+    turns: dict[str, float] = field(default_factory=dict)
+    last_turn: float = 0
+    weigh: Callable[[str], float] = _weigh_equally
 
     @property
     def size(self) -> int:
@@ -238,7 +245,7 @@
                 ranks[one.urgency],
                 not one.returned,
                 now_s > one.limits.in_time_s,
-                self.turns.get(one.workspace, 0),
+                self._turn(one.workspace),
                 one.limits.in_time_s,
             ),
         )
@@ -246,9 +253,13 @@
         self._record_turn(chosen.workspace)
         return chosen
 
+    def _turn(self, workspace: str) -> float:
+        """Return when it is a workspace's turn, as start-time fair queueing."""
+        return max(self.turns.get(workspace, 0), self.last_turn)
+
     def _record_turn(self, workspace: str) -> None:
         if not self.entries:
             self.turns.clear()
             return
-        self.last_turn += 1
-        self.turns[workspace] = self.last_turn
+        self.last_turn = self._turn(workspace)
+        self.turns[workspace] = self.last_turn + 1 / self.weigh(workspace)
