--- a/src/bramleylug/relay/dispatch_queue.py
+++ b/src/bramleylug/relay/dispatch_queue.py
@@ -29,7 +29,7 @@
 from bramleylug.relay.workspace_shares import WorkspaceShares
 from bramleylug.scheduling.demand import DemandMeter
 from bramleylug.scheduling.refusing import ReturnTimes
-from bramleylug.scheduling.waiting import NOT_CLOSED_S, Refuse, Wait, Waiting
+from bramleylug.scheduling.waiting import Refuse, Wait, Waiting
 
 # Waiting requests are retried at this interval even if no request of this
 # relay ends: heartbeats of other processes also change the free slots.
@@ -117,7 +117,7 @@
             selection = self._after_waiting(context, queue, selection)
         is_short = isinstance(selection, AtCapacity)
         if first and self.shares.refuses(context, is_short=is_short):
-            return self._refuse(context, queue)
+            return queue.refuse(context, self.clock())
         match selection:
             case Selected():
                 return self._claim(context, selection)
@@ -125,7 +125,7 @@
                 return _none_eligible(reason)
         match queue.decide(context, selection, self.clock()):
             case Refuse(closed_until_s):
-                return self._refuse(context, queue, closed_until_s)
+                return queue.refuse(context, self.clock(), closed_until_s)
             case Wait(until_s):
                 return await self._wait(context, queue, until_s)
 
@@ -171,10 +171,6 @@
         queue.record_ended(self.clock())
         self._wake(queue)
 
-    def record_times(self, context: RequestContext, took_s: float) -> None:
-        """Record how long a request took that was answered whole."""
-        self.queue_of(context.level.service).record_times(context, took_s)
-
     def apply_change(self) -> None:
         """Apply changes of the view to the waiting requests."""
         table = self.view.table
@@ -215,18 +211,6 @@
             if all(queue.is_empty for queue in self.queues.values()):
                 self.has_waiting.clear()
 
-    def _refuse(
-        self,
-        context: RequestContext,
-        queue: ServiceQueue,
-        closed_until_s: float = NOT_CLOSED_S,
-    ) -> NotRun:
-        return NotRun(
-            Reason.overloaded,
-            'no upstream has a free slot in time',
-            queue.refuse(context, self.clock(), closed_until_s),
-        )
-
     async def _wait(
         self,
         context: RequestContext,
@@ -257,7 +241,7 @@
                 return refusal
             case None:
                 return await self.assign(context, first=False)
-        return self._refuse(context, queue)
+        return queue.refuse(context, self.clock())
 
     async def _wait_for_room(
         self,
@@ -277,7 +261,9 @@
             woken = await self._wait_in_queue(waiting, queue, waiter, until_s)
             selection = self._select_again(context, requirements)
             if not woken:
-                selection = self._leave_reserve(waiting, queue, selection)
+                selection = queue.leave_reserve(
+                    waiting.urgency, selection, self.clock()
+                )
             if not isinstance(selection, AtCapacity):
                 return selection
             if woken:
@@ -301,18 +287,6 @@
             return None
         return self._select(requirements)
 
-    def _leave_reserve(
-        self,
-        waiting: Waiting,
-        queue: ServiceQueue,
-        selection: Selection | NotRun | None,
-    ) -> Selection | NotRun | None:
-        """Return what is left of a selection for a level."""
-        if isinstance(selection, Selected):
-            if not queue.admits(waiting.urgency, self.clock()):
-                return AtCapacity(0)
-        return selection
-
     async def _wait_in_queue(
         self,
         waiting: Waiting,
--- a/src/bramleylug/relay/relay.py
+++ b/src/bramleylug/relay/relay.py
@@ -470,7 +470,8 @@
                 self._record_begun(context)
             if outcome.complete:
                 self.planned_stop.durations.record(context.route.name, took_s)
-                self.dispatch_queue.record_times(context, took_s)
+                queue = self.dispatch_queue.queue_of(context.level.service)
+                queue.record_times(context, took_s)
                 self.shares.record_duration(
                     context.accepted.service, took_s - context.waited_s
                 )
--- a/src/bramleylug/relay/service_queue.py
+++ b/src/bramleylug/relay/service_queue.py
@@ -15,9 +15,12 @@
     WAITING,
     count,
 )
+from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.request_context import RequestContext
 from bramleylug.scheduling.placing import (
     AtCapacity,
+    Selected,
+    Selection,
     closed_until_s,
     responsive,
     sendable_at_once,
@@ -32,6 +35,7 @@
     plain_retry_s,
 )
 from bramleylug.scheduling.waiting import (
+    NOT_CLOSED_S,
     CompletionRate,
     Limits,
     Refuse,
@@ -163,22 +167,26 @@
         limits = self.limits(context, now_s)
         return decide(limits, prospect, now_s, found.closed_until_s)
 
+    def leave_reserve(
+        self, urgency: int, found: Selection | NotRun | None, now_s: float
+    ) -> Selection | NotRun | None:
+        """Return what is left of a selection for a level."""
+        if isinstance(found, Selected) and not self.admits(urgency, now_s):
+            return AtCapacity(0)
+        return found
+
     def refuse(
-        self, context: RequestContext, now_s: float, closed_until_s: float
-    ) -> float:
-        """Return after what time the caller of a refused request returns."""
-        self._count(context, 'refused')
-        refused = Refused(
-            context.accepted.fingerprint,
-            context.level.urgency,
-            context.until_s - now_s,
-        )
-        prospect = self.prospect(context, now_s)
-        if not self._reserves(now_s):
-            return plain_retry_s(prospect, now_s, closed_until_s)
-        prospect = self._own_part(prospect)
-        return self.returns.retry_after_s(
-            refused, prospect, now_s, closed_until_s
+        self,
+        context: RequestContext,
+        now_s: float,
+        closed_until_s: float = NOT_CLOSED_S,
+    ) -> NotRun:
+        """Return the refusal of a request, with the time to return."""
+        _count_decision(context, 'refused')
+        return NotRun(
+            Reason.overloaded,
+            'no upstream has a free slot in time',
+            self._retry_after_s(context, now_s, closed_until_s),
         )
 
     def free_slots(self, now_s: float) -> int:
@@ -199,7 +207,7 @@
                 service=self.service,
                 place='first' if is_first else 'other',
             )
-        self._count(context, 'waited' if context.waited_s else 'sent')
+        _count_decision(context, 'waited' if context.waited_s else 'sent')
         if self.has_levels:
             self.gate.record_sent(context.level.urgency)
 
@@ -222,13 +230,19 @@
         ):
             times.record(first_s - started_s, run_s)
 
-    def _own_part(self, prospect: Prospect | None) -> Prospect | None:
-        """Return how soon this relay's part of the slots comes."""
-        if prospect is None:
-            return None
-        return prospect._replace(
-            ahead=prospect.ahead / self.gate.relays,
-            per_s=prospect.per_s / self.gate.relays,
+    def _retry_after_s(
+        self, context: RequestContext, now_s: float, closed_until_s: float
+    ) -> float:
+        prospect = self.prospect(context, now_s)
+        if not self._reserves(now_s):
+            return plain_retry_s(prospect, now_s, closed_until_s)
+        refused = Refused(
+            context.accepted.fingerprint,
+            context.level.urgency,
+            context.until_s - now_s,
+        )
+        return self.returns.retry_after_s(
+            refused, _part_of(prospect, self.gate.relays), now_s, closed_until_s
         )
 
     def _reserves(self, now_s: float) -> bool:
@@ -288,14 +302,23 @@
             )
         ]
 
-    def _count(self, context: RequestContext, decision: str) -> None:
-        LEVEL_DECISIONS.inc(
-            {
-                'service': self.service,
-                'level': str(context.level.urgency),
-                'decision': decision,
-            }
-        )
+
+def _part_of(prospect: Prospect | None, relays: int) -> Prospect | None:
+    """Return how soon one relay's part of the slots comes."""
+    if prospect is None:
+        return None
+    return prospect._replace(
+        ahead=prospect.ahead / relays, per_s=prospect.per_s / relays
+    )
+
+
+def _count_decision(context: RequestContext, decision: str) -> None:
+    count(
+        LEVEL_DECISIONS,
+        service=context.level.service,
+        level=str(context.level.urgency),
+        decision=decision,
+    )
 
 
 def _model_of(table: RouteTable | None, name: str) -> str:
