--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -14,6 +14,7 @@
     LevelLoad,
     ToldDemand,
 )
+from bramleylug.scheduling.refusing import KnownReturns
 from bramleylug.scheduling.shares import FleetUses
 
 # A peer that is not registered in the store, or whose registration cannot be
@@ -106,6 +107,7 @@
     :ivar was_listed_before: whether it was there when this process started.
     :ivar relays_version: changes with the known relays.
     :ivar demand: load of the other relays.
+    :ivar returns: callers that this relay or another one told to return.
     :ivar uses: slots of workspaces at the other relays.
     """
 
@@ -132,6 +134,7 @@
         self.was_listed_before = False
         self.relays_version = 0
         self.demand = FleetDemand()
+        self.returns = KnownReturns()
         self.uses = FleetUses()
 
     def add(self, record: PeerRecord, now_s: float = NEVER_S) -> None:
--- a/src/bramleylug/relay/request_context.py
+++ b/src/bramleylug/relay/request_context.py
@@ -47,6 +47,9 @@
         limit.
     :ivar has_begun: whether an upstream has begun to answer it.
     :ivar level: what its load is counted under, from its first acceptance.
+    :ivar returned: whether its caller was refused and told to return now.
+    :ivar expected_wait_s: how long it was expected to wait for a slot, when it
+        found none.
     """
 
     request: CallerRequest
@@ -67,6 +70,8 @@
     stopped: bool = False
     has_begun: bool = False
     level: Level = Level('', 0)
+    returned: bool = False
+    expected_wait_s: float = 0
 
     @classmethod
     def from_request(
@@ -84,7 +89,7 @@
         context = cls(
             request, accepted, writer, arrived_s, until_s, accepted.version
         )
-        context.level = Level(accepted.service, accepted.urgency)
+        context.level = Level(accepted.service, accepted.rank)
         context.accept(accepted)
         return context
 
