Soak: settings of duties are apart from those that tests share

Cause: the template of a process's settings required the duties' fields, and the play of endless answers and that of a built program did not give them, so that test_endless_answers failed in a whole run.

--- a/src/bramleylug/soak/deployment.py
+++ b/src/bramleylug/soak/deployment.py
@@ -27,8 +27,7 @@
 # Part of a prompt that crashes every engine of the model, the exit code of an
 # engine that it crashed, and the time until that engine starts again.
 HARMFUL_PART = 'harmful'
-MILLISECONDS = 1000
-# Of the service that takes usage reports.
+# Of the service that takes usage reports; the lease as in SETTINGS_TEMPLATE.
 DUTY_LEASE_S = 3.0
 DUTIES_PER_S = 50.0
 CRASHED_EXIT = 70
@@ -296,20 +295,19 @@
         await proxy.open()
         self.proxies[f'{name} to store'] = proxy
         path = self.folder / f'{name}.toml'
-        path.write_text(
-            SETTINGS_TEMPLATE.format(
-                name=name,
-                host=OWN_HOST,
-                zone=ZONES[index % len(ZONES)],
-                first_port=free_port_pair(),
-                store=proxy.address,
-                listen=listen,
-                role_settings=role_settings,
-                duty_address=self.duty_address,
-                duties_per_s=DUTIES_PER_S,
-                duty_lease_ms=DUTY_LEASE_S * MILLISECONDS,
-            )
+        settings = SETTINGS_TEMPLATE.format(
+            name=name,
+            host=OWN_HOST,
+            zone=ZONES[index % len(ZONES)],
+            first_port=free_port_pair(),
+            store=proxy.address,
+            listen=listen,
+            role_settings=f'{DUTY_CONTRACTS}\n{role_settings}',
+        )
+        duties = DUTY_TEMPLATE.format(
+            address=self.duty_address, per_s=DUTIES_PER_S
         )
+        path.write_text(settings + duties)
         self.processes[name] = ManagedProcess(
             name,
             ['-m', 'bramleylug.platform', role, '--metrics-port', '0'],
@@ -416,7 +414,6 @@
 zone = "{zone}"
 region = "north"
 internal_ports = [{first_port}, {first_port}]
-contracts = ["leader"]
 {role_settings}
 [zones]
 zone-a = "north"
@@ -438,13 +435,16 @@
 cold_slack = 5
 version_ms = 8000
 ttl_max_s = 5
-lease_ms = {duty_lease_ms}
+lease_ms = 3000
 report_window_s = 5
 usage_late_s = 10
 [platform]
 address = "{store}"
-[cloud]
-address = "{duty_address}"
+"""
+# Top-level settings and table of processes with duties.
+DUTY_CONTRACTS = 'contracts = ["leader"]'
+DUTY_TEMPLATE = """[cloud]
+address = "{address}"
 duties = ["usage"]
-duty_per_s = {duties_per_s}
+duty_per_s = {per_s}
 """
