What the new parts wrote twice is in one place; dead weights of FairQueue are gone

Cause: WaitingLine orders the relay's waiting requests by the weights of workspaces, so FairQueue's were used by a test only, which showed nothing of the queue in use. Two parsers checked the same range of statuses, three callers looked for one key on a page, two modules spelled the path of the duties' page, and two sets of chunks were built by hand beside from_indices.

Behaviour is the same.

--- a/src/bramleylug/admission/queue.py
+++ b/src/bramleylug/admission/queue.py
@@ -1,6 +1,5 @@
 """Queue of waiting requests with fair sharing between workspaces."""
 
-from collections.abc import Callable
 from heapq import heapify, heappop, heappush
 from itertools import count
 from typing import NamedTuple, final
@@ -45,8 +44,6 @@
     Priorities order the requests within one workspace only; they give it no
     advantage over other workspaces.
 
-    :ivar weigh: returns how much more often than usual requests of a
-        workspace are chosen; more than 0.
     :ivar body_bytes: total body size of the waiting requests.
     :ivar exclusive_count: waiting requests that have to run exclusively.
     """
@@ -58,7 +55,6 @@
         self.body_bytes = 0
         self.size = 0
         self.exclusive_count = 0
-        self.weigh: Callable[[str], float] = _weigh_equally
 
     def push(self, arrival: Arrival) -> None:
         heap = self.heaps.setdefault(arrival.workspace, [])
@@ -82,7 +78,7 @@
                 arrival = heappop(heap).arrival
                 self._record_removal(arrival)
                 return arrival
-            self.deficits[workspace] += QUANTUM * self.weigh(workspace)
+            self.deficits[workspace] += QUANTUM
             self.heaps[workspace] = self.heaps.pop(workspace)
 
     def drop(self, arrival: Arrival) -> None:
@@ -115,7 +111,3 @@
         if not self.heaps[arrival.workspace]:
             del self.heaps[arrival.workspace]
             del self.deficits[arrival.workspace]
-
-
-def _weigh_equally(workspace: str) -> float:
-    return 1.0
--- a/src/bramleylug/cli/status.py
+++ b/src/bramleylug/cli/status.py
@@ -13,9 +13,9 @@
 from urllib.parse import quote
 
 from bramleylug.cli.parser import ExitCode
+from bramleylug.duties.settings import DUTIES_PATH
 from bramleylug.node.members import MEMBERS_PATH, MemberLine, MembersPage
 
-DUTIES_PATH = '/duties'
 TIMEOUT_S = 5.0
 WATCH_INTERVAL_S = 2.0
 MAX_NAMES_SHOWN = 8
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -379,7 +379,7 @@
     """
     key = adapter.peer_key(peers.own().name)
     page = await adapter.store.list_page(key, '')
-    if any(item.key == key for item in page.items):
+    if page.find(key) is not None:
         peers.was_listed_before = True
 
 
--- a/src/bramleylug/duties/relay_duties.py
+++ b/src/bramleylug/duties/relay_duties.py
@@ -18,7 +18,7 @@
 )
 from bramleylug.duties.scaled_services import scaled_services
 from bramleylug.duties.service import DutyService
-from bramleylug.duties.settings import DutySettings
+from bramleylug.duties.settings import DUTIES_PATH, DutySettings
 from bramleylug.duties.steward import ClaimSource, ClaimView, Steward
 from bramleylug.duties.usage import Windows
 from bramleylug.duties.usage_exchange import UsageExchange
@@ -172,6 +172,10 @@
         else:
             self.exchange.receive_receipt(heartbeat.name, heartbeat.receipt)
 
+    def serves(self, path: str) -> bool:
+        """Return whether a path is that of the page about the duties."""
+        return path == DUTIES_PATH
+
     def status(self) -> DutyStatus:
         term = self.steward.term
         held = self.core.presence.held
--- a/src/bramleylug/duties/reporter.py
+++ b/src/bramleylug/duties/reporter.py
@@ -97,11 +97,10 @@
 
     async def _read(self) -> None:
         page = await self.store.list_page(self.key, '')
+        item = page.find(self.key)
         stored = StoredReport(None, 0)
-        for item in page.items:
-            if item.key == self.key:
-                report = decode_report(item.value)
-                stored = StoredReport(report, item.revision)
+        if item is not None:
+            stored = StoredReport(decode_report(item.value), item.revision)
         self.schedule.record_stored(stored, self.exchange.time.now_s())
 
     async def _store(self, term: Term, report: UsageReport) -> None:
--- a/src/bramleylug/duties/scaler.py
+++ b/src/bramleylug/duties/scaler.py
@@ -171,12 +171,9 @@
 
     async def _read(self, now_s: float) -> dict[Place, PlacedOrder]:
         page = await self.store.list_page(self.key, '')
-        orders: dict[Place, PlacedOrder] = {}
-        self.revision = 0
-        for item in page.items:
-            if item.key == self.key:
-                orders = decode_orders(item.value)
-                self.revision = item.revision
+        item = page.find(self.key)
+        orders = {} if item is None else decode_orders(item.value)
+        self.revision = 0 if item is None else item.revision
         self.orders = orders
         # Whoever placed one lately may not have sent it.
         self.unsent.update(
--- a/src/bramleylug/duties/settings.py
+++ b/src/bramleylug/duties/settings.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple, final
 
+# Page about the duties, at the metrics address of a relay.
+DUTIES_PATH = '/duties'
+
 
 @final
 class DutySettings(NamedTuple):
--- a/src/bramleylug/relay/daemon.py
+++ b/src/bramleylug/relay/daemon.py
@@ -43,7 +43,6 @@
 from bramleylug.web.server import WebServer
 from bramleylug.wire.beats_pb2 import Beat
 
-DUTIES_PATH = '/duties'
 # The memory of a request is released when both the exchange and the task that
 # serves it have ended.
 RESERVATION_HOLDERS = 2
@@ -335,8 +334,8 @@
 
     def serve_metrics(self, exchange: Exchange) -> None:
         """Serve the metrics page, and that of the duties."""
-        if exchange.path == DUTIES_PATH and self.duties is not None:
-            duties = self.duties
+        duties = self.duties
+        if duties is not None and duties.serves(exchange.path):
             self.core.loop.serve(
                 exchange, lambda: answer_duties(exchange, duties)
             )
--- a/src/bramleylug/store/changes.py
+++ b/src/bramleylug/store/changes.py
@@ -65,6 +65,10 @@
     era: int = 0
     reader_times: ReaderTimes | None = None
 
+    def find(self, key: str) -> StoreItem | None:
+        """Return the item of a key; ``None`` if it is not on the page."""
+        return next((item for item in self.items if item.key == key), None)
+
 
 @final
 @dataclass(frozen=True, slots=True)
--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -215,7 +215,6 @@
                 case h11.InformationalResponse():
                     interim_count += 1
                 case h11.Response():
-                    _check_status(event.status_code)
                     return _answer_head(event)
                 case _:
                     raise ConnectionBroken('connection ended before an answer')
@@ -350,14 +349,12 @@
         return MalformedAnswer(str(error))
 
 
-def _check_status(status: int) -> None:
-    """Check that a number is the status of a final answer.
+def is_final_status(status: int) -> bool:
+    """Return whether a number is the status of a final answer.
 
-    :raises MalformedAnswer: when it is none (RFC 9110, 15); h11 accepts any
-        of three digits.
+    Parsers accept others, as any of three digits (RFC 9110, 15).
     """
-    if not HTTPStatus.OK <= status <= MAX_STATUS:
-        raise MalformedAnswer(f'{status} is no status of an answer')
+    return HTTPStatus.OK <= status <= MAX_STATUS
 
 
 def _ignore() -> None:
@@ -365,6 +362,12 @@
 
 
 def _answer_head(event: Any) -> AnswerHead:
+    """Return the head of a final answer.
+
+    :raises MalformedAnswer: when its status is none of such an answer.
+    """
+    if not is_final_status(event.status_code):
+        raise MalformedAnswer(f'{event.status_code} is no status of an answer')
     pairs = tuple(
         (name.decode('latin-1'), text.decode('latin-1'))
         for name, text in event.headers.raw_items()
--- a/src/bramleylug/web/response.py
+++ b/src/bramleylug/web/response.py
@@ -1,10 +1,9 @@
 """Responses for ``http.client`` that are rejected when their head is cut."""
 
-from http import HTTPStatus
 from http.client import BadStatusLine, HTTPException, HTTPResponse
 from typing import Any, cast, final
 
-from bramleylug.web.client_connection import MAX_STATUS
+from bramleylug.web.client_connection import is_final_status
 
 # They end the headers, and the trailers after the last chunk.
 EMPTY_LINES = frozenset((b'\r\n', b'\n'))
@@ -57,7 +56,7 @@
         if self.reader.last_line not in EMPTY_LINES:
             self.close()
             raise IncompleteHead('connection ended inside the head')
-        if not HTTPStatus.OK <= self.status <= MAX_STATUS:
+        if not is_final_status(self.status):
             self.close()
             raise BadStatusLine(str(self.status))
 
--- a/src/bramleylug/weights/in_flight.py
+++ b/src/bramleylug/weights/in_flight.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import final
 
+from bramleylug.weights.chunk_sets import from_indices
 from bramleylug.weights.limits import DEFAULT_LIMITS, TransferLimits
 from bramleylug.weights.origin_reads import OriginReads
 
@@ -72,19 +73,16 @@
     @property
     def chunks(self) -> int:
         """Set of the chunks that are being fetched."""
-        chunks = 0
-        for index in self.running:
-            chunks |= 1 << index
-        return chunks
+        return from_indices(self.running)
 
     @property
     def origin_chunks(self) -> int:
         """Set of the chunks that are being read from the origin."""
-        chunks = 0
-        for index, active in self.running.items():
-            if isinstance(active.fetch, FromOrigin):
-                chunks |= 1 << index
-        return chunks
+        return from_indices(
+            index
+            for index, active in self.running.items()
+            if isinstance(active.fetch, FromOrigin)
+        )
 
     @property
     def has_capacity(self) -> bool:
--- a/testing/relay/test_workspace_shares.py
+++ b/testing/relay/test_workspace_shares.py
@@ -4,12 +4,12 @@
 from random import Random
 from types import SimpleNamespace
 
-from bramleylug.admission.queue import Arrival, FairQueue
 from bramleylug.cluster.cluster_view import ClusterView
 from bramleylug.cluster.route_table import Workspace
 from bramleylug.relay.workspace_shares import WorkspaceShares
 from bramleylug.scheduling.figures import RequestSize
 from bramleylug.scheduling.shares import Use
+from bramleylug.scheduling.waiting import Limits, Waiting, WaitingLine
 from bramleylug.store.mirror import Mirror
 from testing.relay.builders import build_peer, build_settings, build_table
 
@@ -95,10 +95,14 @@
     """A workspace of more weight is chosen more often."""
 
     def test_weights_are_kept(self) -> None:
-        queue = FairQueue()
-        queue.weigh = {'garage': 0.25, 'depot': 1.0}.__getitem__
+        line = WaitingLine()
+        line.weigh = {'garage': 0.25, 'depot': 1.0}.__getitem__
         for token in range(40):
-            for workspace in ('garage', 'depot'):
-                queue.push(Arrival(token, workspace, 0, 0, 1.0))
-        chosen = [queue.pop().workspace for _ in range(20)]
+            for place, workspace in enumerate(('garage', 'depot')):
+                limits = Limits(in_time_s=1.0, whole_s=2.0)
+                line.push(Waiting(2 * token + place, workspace, 0, limits))
+        chosen = [
+            line.pop(0.0, lambda _: True, lambda _: (False, 0)).workspace
+            for _ in range(20)
+        ]
         self.assertEqual(chosen.count('depot'), 16)
