Selection at capacity computes no time that nothing reads; one decaying rate

Cause: each selection that found no room estimated every eligible engine for AtCapacity.soonest_s, which no decision reads, in a shortage with every retry. DecayingSlots of the shares was DecayingRate with another time constant.

Change: soonest_s and what computed it are gone; DecayingRate takes its time constant and an amount. Behaviour is the same.

--- a/src/bramleylug/scheduling/demand.py
+++ b/src/bramleylug/scheduling/demand.py
@@ -74,21 +74,24 @@
 @final
 @dataclass(slots=True)
 class DecayingRate:
-    """Events a second, averaged with exponential decay.
+    """Amount a second, averaged with exponential decay.
 
+    :ivar memory_s: time constant of the decay.
     :ivar per_s: the rate when it was last updated.
     """
 
+    memory_s: float = RATE_MEMORY_S
     per_s: float = 0
     updated_s: float = float('-inf')
 
-    def record(self, now_s: float) -> None:
-        self.per_s = self.value_at(now_s) + 1 / RATE_MEMORY_S
+    def record(self, now_s: float, amount: float = 1) -> None:
+        """Record an event, or an amount of something at one moment."""
+        self.per_s = self.value_at(now_s) + amount / self.memory_s
         self.updated_s = now_s
 
     def value_at(self, now_s: float) -> float:
         passed_s = max(0, now_s - self.updated_s)
-        return self.per_s * exp(-passed_s / RATE_MEMORY_S)
+        return self.per_s * exp(-passed_s / self.memory_s)
 
 
 @final
--- a/src/bramleylug/scheduling/estimate.py
+++ b/src/bramleylug/scheduling/estimate.py
@@ -107,12 +107,6 @@
         run_s = first_s + load.pace * passes * self.usual_pass_s(running + 1)
         return WorkEstimate(first_s, run_s, load.pace * next_s)
 
-    def slot_wait_s(self, load: EngineLoad) -> float:
-        """Return the time until an engine that is full frees a slot."""
-        usual_s = self.usual_pass_s(load.slots)
-        excess = max(1.0, load.requests + 1 - load.slots)
-        return load.pace * excess * self.usual_passes * usual_s / load.slots
-
     def _unread_s(self, size: RequestSize, load: EngineLoad) -> float:
         """Return the time to read the prompts of this relay and a new one."""
         prompt = size.prompt_tokens or self.figures.usual_prompt
--- a/src/bramleylug/scheduling/placing.py
+++ b/src/bramleylug/scheduling/placing.py
@@ -108,14 +108,11 @@
         however few run there; in the past unless all are paused, avoided or
         without a permit until then.
     :ivar without_permit: those that lack only a permit.
-    :ivar soonest_s: time until its first event if it waited here for the
-        first slot that is likely to be freed; ``None`` if unknown.
     """
 
     slots: int
     closed_until_s: float = float('-inf')
     without_permit: Sequence[Upstream] = ()
-    soonest_s: float | None = None
 
 
 @final
@@ -211,7 +208,6 @@
                 sum(one.record.slots for one in eligible),
                 min(closed_until_s(one, now_s) for one in eligible),
                 without_permit,
-                _soonest_s(eligible, requirements, constraints, now_s),
             )
         return Selected(
             *self._choose(available, requirements, constraints, now_s),
@@ -494,27 +490,6 @@
     return max(MIN_WEIGHT, load.slots / load.pace - load.requests)
 
 
-def _soonest_s(
-    eligible: list[Upstream],
-    requirements: Requirements,
-    constraints: Constraints,
-    now_s: float,
-) -> float | None:
-    """Return when a request that waits could have its first event."""
-    model = constraints.engines.get(requirements.service)
-    if model is None:
-        return None
-    waits: list[float] = []
-    for upstream in eligible:
-        load = engine_load(model, upstream, upstream.free_slots(now_s), now_s)
-        started = load._replace(requests=min(load.requests, load.slots - 1))
-        first_s = model.estimate(requirements.size, started).first_s
-        slot_s = model.slot_wait_s(load) if load.requests >= load.slots else 0
-        closed_s = closed_until_s(upstream, now_s) - now_s
-        waits.append(max(slot_s, closed_s) + first_s)
-    return min(waits)
-
-
 def _is_outdated(
     upstream: Upstream, model: str, constraints: Constraints, now_s: float
 ) -> bool:
--- a/src/bramleylug/scheduling/shares.py
+++ b/src/bramleylug/scheduling/shares.py
@@ -11,9 +11,9 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from math import exp
 from typing import NamedTuple, final
 
+from bramleylug.scheduling.demand import DecayingRate
 from bramleylug.scheduling.estimate import EngineLoad, EngineModel
 from bramleylug.scheduling.figures import RequestSize
 
@@ -77,25 +77,6 @@
     return model.estimate(size, EngineLoad(slots=1, requests=0)).run_s
 
 
-@final
-@dataclass(slots=True)
-class DecayingSlots:
-    """Slots that requests hold, as an exponentially decaying mean."""
-
-    slots: float = 0
-    updated_s: float = 0
-
-    def add(self, slot_s: float, now_s: float) -> None:
-        """Add a request that holds a slot for a time."""
-        self.slots = self.value_at(now_s) + slot_s / MEMORY_S
-        self.updated_s = now_s
-
-    def value_at(self, now_s: float) -> float:
-        """Return the mean at a time."""
-        passed_s = max(0.0, now_s - self.updated_s)
-        return self.slots * exp(-passed_s / MEMORY_S)
-
-
 @final
 class UseMeter:
     """Slots that the requests of this relay take and want.
@@ -104,30 +85,30 @@
     """
 
     def __init__(self) -> None:
-        self.taken: dict[tuple[str, str], DecayingSlots] = {}
-        self.wanted: dict[tuple[str, str], DecayingSlots] = {}
+        self.taken: dict[tuple[str, str], DecayingRate] = {}
+        self.wanted: dict[tuple[str, str], DecayingRate] = {}
 
     def record_wanted(
         self, service: str, workspace: str, slot_s: float, now_s: float
     ) -> None:
         """Record a request that arrives, also one that repeats another."""
         key = service, workspace
-        self.wanted.setdefault(key, DecayingSlots()).add(slot_s, now_s)
+        self.wanted.setdefault(key, _slots()).record(now_s, slot_s)
 
     def record_taken(
         self, service: str, workspace: str, slot_s: float, now_s: float
     ) -> None:
         """Record a request that is sent to an upstream."""
         key = service, workspace
-        self.taken.setdefault(key, DecayingSlots()).add(slot_s, now_s)
+        self.taken.setdefault(key, _slots()).record(now_s, slot_s)
 
     def uses(self, now_s: float) -> dict[tuple[str, str], Use]:
         """Return the uses, without those that have decayed."""
         uses: dict[tuple[str, str], Use] = {}
         keys = {*self.taken, *self.wanted}
         for key in keys:
-            taken = self.taken.get(key, DecayingSlots()).value_at(now_s)
-            wanted = self.wanted.get(key, DecayingSlots()).value_at(now_s)
+            taken = self.taken.get(key, _slots()).value_at(now_s)
+            wanted = self.wanted.get(key, _slots()).value_at(now_s)
             if max(taken, wanted) < MIN_SLOTS:
                 self.taken.pop(key, None)
                 self.wanted.pop(key, None)
@@ -136,6 +117,11 @@
         return uses
 
 
+def _slots() -> DecayingRate:
+    """Return a mean of slots: slot time a second."""
+    return DecayingRate(MEMORY_S)
+
+
 def largest(uses: Uses, count: int = MAX_TOLD) -> Uses:
     """Return the uses of those that want most."""
     ranked = sorted(uses, key=lambda key: -uses[key].wanted_slots)
