--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -289,6 +289,203 @@
         return True
 
 
+def model_chunk(model, version, number, size):
+    """Return the sound bytes of a piece."""
+    seed = hashlib.sha256(f'{model}/{version}/{number}'.encode()).digest()
+    return (seed * (size // len(seed) + 1))[:size]
+
+
+class Origin(Server):
+    """The service that provides manifests and pieces of weights."""
+
+    def __init__(self, model, chunks, chunk_bytes, layers, ip='127.0.0.1'):
+        super().__init__(ip)
+        self.model, self.chunks = model, chunks
+        self.chunk_bytes, self.layers = chunk_bytes, layers
+        self.newest = 1
+
+    async def handle(self, request, writer):
+        _, target, _, _ = request
+        url = urlsplit(target)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        version = int(query.get('version', self.newest))
+        pieces = [model_chunk(self.model, version, number, self.chunk_bytes)
+                  for number in range(self.chunks)]
+        if '/-/manifest/' in url.path:
+            raw = json.dumps({
+                'model': self.model, 'version': version,
+                'chunk_bytes': self.chunk_bytes, 'layers': self.layers,
+                'digests': [hashlib.sha256(piece).hexdigest()
+                            for piece in pieces]}).encode()
+            writer.write(response(200, raw,
+                                  [('Content-Type', 'application/json')]))
+        else:
+            writer.write(response(200, pieces[int(query['number'])]))
+        return True
+
+
+class ModelEngine(Server):
+    """An engine that serves streams from weights that a loader staged.
+
+    :ivar late_orders: for each of the next orders, by how many seconds it is
+        accepted late, without an answer; 0 for at once.
+    :ivar flaws: of the layers that it holds: piece, and for how long it had
+        been bad when the layers were taken; ``None`` for another version.
+    """
+
+    def __init__(self, engine_id, service, zone, model, chunks, chunk_bytes,
+                 layers, store, warm_s=0.3, ip='127.0.0.1'):
+        super().__init__(ip)
+        self.engine_id, self.service, self.zone = engine_id, service, zone
+        self.model, self.chunks, self.layers = model, chunks, layers
+        self.chunk_bytes, self.store, self.warm_s = chunk_bytes, store, warm_s
+        self.version, self.whole, self.busy = 1, True, False
+        self.sequence, self.born = 0, int(time.time() * 1000)
+        self.staged = {n: model_chunk(model, 1, n, chunk_bytes)
+                       for n in range(chunks)}
+        self.bad_since, self.flaws = {}, []
+        self.late_orders, self.active = [], 0
+        self.tokens, self.note = [], lambda text: None
+        self.on_order = lambda order, late_s: None
+
+    def register(self):
+        self.store.put(f'servers/{self.engine_id}', {
+            'service': self.service, 'address': self.address,
+            'zone': self.zone, 'version': 'v1', 'slots': 16,
+            'state': 'ready', 'cold_remaining_ms': 0,
+            'sequence': self.sequence, 'born': self.born, **self.fields()})
+
+    def fields(self):
+        return {'models': [{'name': self.model, 'version': self.version,
+                            'adapters': []}],
+                'layers': {'from': 0, 'to': self.layers if self.whole else 0,
+                           'version': self.version}}
+
+    def spoil(self, number):
+        chunk = self.staged[number]
+        self.staged[number] = bytes([chunk[0] ^ 1]) + chunk[1:]
+        self.bad_since[number] = time.monotonic()
+        self.note(f'piece {number} that lies at {self.engine_id} turns bad')
+
+    async def handle(self, request, writer):
+        method, target, headers, body = request
+        url = urlsplit(target)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if url.path == '/-/report':
+            raw = json.dumps({
+                'stage': 'both', 'busy': self.busy, 'sequence': self.sequence,
+                'queue_depth': 0, 'active_requests': self.active,
+                'kv_used': 0, 'kv_total': 90000, 'handles': 0, 'pace': 1.0,
+                'born': self.born, **self.fields()}).encode()
+            writer.write(response(200, raw,
+                                  [('Content-Type', 'application/json')]))
+        elif url.path.startswith('/-/stage-put/'):
+            number = int(query['number'])
+            self.staged[number] = body
+            self.bad_since.pop(number, None)
+            writer.write(response(200))
+        elif url.path.startswith('/-/stage-get/'):
+            if 'number' in query:
+                chunk = self.staged.get(int(query['number']))
+                writer.write(response(200, chunk) if chunk is not None
+                             else response(404))
+            else:
+                raw = json.dumps({'held': sorted(self.staged)}).encode()
+                writer.write(response(200, raw))
+        elif url.path == '/-/order':
+            return await self.receive_order(json.loads(body), writer)
+        else:
+            await self.stream(headers, writer)
+        return True
+
+    async def receive_order(self, order, writer):
+        late_s = self.late_orders.pop(0) if self.late_orders else 0
+        self.on_order(order, late_s)
+        if late_s:
+            self.note(f'{self.engine_id} gets {order}, accepts it late')
+            asyncio.get_running_loop().call_later(
+                late_s, self.accept, order, 'late')
+            await asyncio.sleep(late_s)
+            return False
+        writer.write(response(self.accept(order, 'at once')))
+        return True
+
+    def accept(self, order, when):
+        unload = order.get('to') == 0
+        status = 202
+        if self.busy or order.get('expected', self.sequence) != self.sequence:
+            status = 409
+        elif unload and not self.whole:
+            status = 200
+        elif not unload and self.whole and self.version == order['version']:
+            status = 200
+        self.note(f'{self.engine_id} answers {status} {when} to {order}')
+        if status == 202:
+            self.sequence += 1
+            self.busy = True
+            flaws = [] if unload else self.take(order['version'])
+            asyncio.create_task(self.load(order, unload, flaws))
+        return status
+
+    def take(self, version):
+        """Return what is wrong with the staged pieces of a version now."""
+        flaws = []
+        for number in range(self.chunks):
+            sound = model_chunk(self.model, version, number, self.chunk_bytes)
+            if self.staged.get(number) == sound:
+                continue
+            since = self.bad_since.get(number)
+            flaws.append((number, None if since is None else
+                          time.monotonic() - since))
+        return flaws
+
+    async def load(self, order, unload, flaws):
+        while self.active and order.get('mode') == 'wait':
+            await asyncio.sleep(0.01)
+        self.whole = False
+        await asyncio.sleep(0 if unload else self.warm_s)
+        self.busy = False
+        if not unload:
+            self.version, self.whole, self.flaws = order['version'], True, flaws
+        self.note(f'{self.engine_id} holds '
+                  f'{"no layers" if unload else "version %d" % self.version}'
+                  f'{", flaws: %s" % self.flaws if not unload else ""}')
+        self.register()
+
+    async def stream(self, headers, writer):
+        request_id = headers.get('x-request-id', '')
+        base = [('X-Request-Id', request_id)]
+        expected = headers.get('x-expect-instance')
+        version = headers.get('x-expect-version')
+        if (expected and expected != self.engine_id) or (
+                version and int(version) != self.version):
+            writer.write(response(421, b'', [*base, ('X-Not-Executed', '1')]))
+            return
+        if self.busy or not self.whole or self.active >= 16:
+            writer.write(response(503, b'', [*base, ('X-Not-Executed', '1')]))
+            return
+        self.active += 1
+        try:
+            head = [f'X-Request-Id: {request_id}',
+                    f'X-Response-Signature: {self.engine_id}.{request_id}',
+                    f'X-Weight-Versions: {self.version}',
+                    'Content-Type: text/event-stream',
+                    'Transfer-Encoding: chunked']
+            writer.write(('HTTP/1.1 200 OK\r\n' + '\r\n'.join(head)
+                          + '\r\n\r\n').encode())
+            first = int(headers.get('last-event-id', 0) or 0) + 1
+            for number in range(first, 6):
+                self.tokens.append((time.time(), request_id, self.version,
+                                    tuple(self.flaws)))
+                event = f'id: {number}\ndata: {request_id}\n\n'.encode()
+                writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+                await writer.drain()
+                await asyncio.sleep(0.01)
+            writer.write(b'0\r\n\r\n')
+        finally:
+            self.active -= 1
+
+
 BOUNDS = {
     'seed_lag_s': 3, 'reuse_after_s': 2, 'stable_window_ms': 3000,
     'ack_ms': 4000, 'catch_up_s': 4, 'drain_ms': 2000, 'grace_s': 8,
@@ -319,22 +516,18 @@
     return '\n'.join(lines) + '\n'
 
 
-class Relay:
-    """A process of the role ``relay``, with the command of the deploy file."""
+class Process:
+    """A process of the system, with the command of the deploy file."""
 
-    def __init__(self, folder, name, ip, zone, zones, store, memory_mb=300,
-                 bounds=None):
+    role = ''
+
+    def __init__(self, folder, name, ip, zone, zones, store, fields, tables,
+                 limits, bounds=None):
         self.folder, self.name, self.ip = Path(folder), name, ip
-        self.memory_mb = memory_mb
         internal = free_ports(ip, 4)
-        front = free_ports(ip, 4)
-        self.front = f'{ip}:{front}'
-        self.ready = f'{ip}:{front + 1}'
-        self.directory = f'{ip}:{front + 2}'
-        self.metrics_port = front + 3
+        self.metrics_port = free_ports(ip, 1)
         fields = {
-            'node_name': name, 'role': 'relay', 'machine_class': 'front',
-            'serves': ['front', 'directory'], 'ip': ip, 'zone': zone,
+            'node_name': name, 'role': self.role, 'ip': ip, 'zone': zone,
             'region': zones[zone], 'internal_ports': [internal, internal + 3],
             'seeds': [], 'first_start': True, 'counts_as_loss': False,
             'discovery': 'platform', 'entry': 'directory',
@@ -342,14 +535,12 @@
                 'base', 'drain', 'config', 'cost', 'retry', 'recover',
                 'engine', 'stream', 'tenants', 'places', 'pressure',
                 'platform', 'chunks'],
+            **fields,
         }
         tables = {
-            'zones': zones,
-            'listen': {'front': self.front, 'ready': self.ready,
-                       'directory': self.directory},
-            'limits': {'cpu_share': 0.537, 'cpu_cores': 2,
-                       'memory_mb': memory_mb, 'file_descriptors': 4200,
-                       'link_mbps': 1000.0, 'disk_mb': 0},
+            'zones': zones, **tables,
+            'limits': {'cpu_share': 0.537, 'cpu_cores': 2, 'disk_mb': 0,
+                       **limits},
             'fault_tolerance': {'machines': 2, 'zones': 1, 'regions': 0},
             'bounds': {**BOUNDS, **(bounds or {})},
             'platform': {'address': store, 'form': 'kv', 'writes_per_s': 400,
@@ -370,7 +561,7 @@
         # The command of the deploy file; the metrics port is moved, as all
         # machines of this case share one address space.
         self.process = subprocess.Popen(
-            ['python3', '-m', 'bramleylug.platform', 'relay',
+            ['python3', '-m', 'bramleylug.platform', self.role,
              '--metrics-port', str(self.metrics_port)],
             cwd=ROOT, env=environment, stdout=self.log, stderr=self.log)
 
@@ -391,6 +582,42 @@
         return 0.0
 
 
+class Relay(Process):
+    """A process of the role ``relay``."""
+
+    role = 'relay'
+
+    def __init__(self, folder, name, ip, zone, zones, store, memory_mb=300,
+                 bounds=None):
+        front = free_ports(ip, 3)
+        self.front = f'{ip}:{front}'
+        self.ready = f'{ip}:{front + 1}'
+        self.directory = f'{ip}:{front + 2}'
+        super().__init__(
+            folder, name, ip, zone, zones, store,
+            {'machine_class': 'front', 'serves': ['front', 'directory']},
+            {'listen': {'front': self.front, 'ready': self.ready,
+                        'directory': self.directory}},
+            {'memory_mb': memory_mb, 'file_descriptors': 4200,
+             'link_mbps': 1000.0}, bounds)
+
+
+class Loader(Process):
+    """A process of the role ``loader``."""
+
+    role = 'loader'
+
+    def __init__(self, folder, name, ip, zone, zones, store, engine,
+                 bounds=None):
+        super().__init__(
+            folder, name, ip, zone, zones, store,
+            {'machine_class': 'side', 'serves': ['side'],
+             'app': engine.address, 'service': engine.service},
+            {'listen': {}},
+            {'memory_mb': 168, 'file_descriptors': 1124, 'link_mbps': 9.4},
+            bounds)
+
+
 async def call(address, method, target, headers=None, body=b'', timeout_s=3.0):
     """Send one request on a new connection; return status, headers, body."""
     ip, port = address.rsplit(':', 1)
