The feed of a relay keeps the value of each key once, and leaves replaced ones

Cause: ChangeFeed kept the last 4,096 changes with their values for processes that poll it, a limit by number on items of up to 1 MB. Configurations of 0.43 MB in quick succession made a relay grow by 0.43 MB each, to 154 MB of 152 MB after some 240. FeedEncoder kept the bytes of four answers as keys of its cache, and an answer to a process that had missed changes held all of them.

Change: the value of a change is dropped once a later change of its key is read. Key, revision and time of 4,096 changes stay, as limits on older weights count from the first change that a process missed. What the feed still refers to is what the mirror holds, and an answer is at most as large as a listing. Compressed answers are found by digest. A poll looks at the changes after its revision instead of at all.

--- a/src/bramleylug/store/feed.py
+++ b/src/bramleylug/store/feed.py
@@ -10,6 +10,9 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from contextlib import suppress
+from dataclasses import dataclass
+from hashlib import sha256
+from itertools import takewhile
 from typing import Any, NamedTuple, final
 
 from bramleylug.store.changes import Removal, StoreChange, StoreItem
@@ -47,20 +50,34 @@
     arrived_s: float
 
 
-class FeedRecord(NamedTuple):
-    """A change, and a time after which it was written to the store."""
+@final
+@dataclass(slots=True)
+class FeedRecord:
+    """A change that was read from the store.
+
+    :ivar written_after_s: time after which it was written to the store.
+    :ivar change: ``None`` once a later change of the same key has been read,
+        so that a replaced value does not stay in memory.
+    """
 
-    change: StoreChange
+    key: str
+    revision: int
     written_after_s: float
+    change: StoreChange | None
 
 
 @final
 class ChangeFeed:
     """Changes that this process read, for processes that poll it.
 
+    A poll gets the latest change of each key, and so at most as many bytes as
+    a listing.
+
     :param mirror: copy of the store of this process, of all keys.
     :param clock: seconds that also count while the host is suspended.
-    :ivar records: changes since ``start_revision``.
+    :ivar records: changes since ``start_revision``, in the order of their
+        revisions.
+    :ivar latest: record of the latest change by key.
     :ivar news: set, and replaced, after each answer of the store.
     :ivar encoder: encodes the answers.
     """
@@ -69,23 +86,23 @@
         self.mirror = mirror
         self.clock = clock
         self.records: deque[FeedRecord] = deque()
+        self.latest: dict[str, FeedRecord] = {}
         self.start_revision = 0
         self.news = asyncio.Event()
         self.encoder = FeedEncoder()
 
     def record(self, changes: Iterable[StoreChange]) -> None:
         """Record an answer of the store; the mirror has applied it."""
-        written_after_s = self.mirror.changes_written_after_s
-        self.records.extend(
-            FeedRecord(change, written_after_s) for change in changes
-        )
+        for change in sorted(changes, key=_revision):
+            self._append(change)
         while len(self.records) > MAX_CHANGES:
-            self.start_revision = self.records.popleft().change.revision
+            self._drop_oldest()
         self._announce()
 
     def restart(self) -> None:
         """Record that the mirror has been replaced by a full listing."""
         self.records.clear()
+        self.latest.clear()
         self.start_revision = self.mirror.revision
         self._announce()
 
@@ -112,8 +129,13 @@
             answer.history_lost = True
             return answer
         found = self._find(poll)
-        answer.changes.extend(_to_message(record.change) for record in found)
+        answer.changes.extend(
+            _to_message(record.change)
+            for record in found
+            if record.change is not None
+        )
         if found:
+            # Time limits may count from a change that was replaced since.
             written_after_s = min(record.written_after_s for record in found)
             answer.written_after_us = _offset_us(
                 written_after_s, poll.arrived_s
@@ -145,13 +167,37 @@
             return True
         return poll.after < self.start_revision or bool(self._find(poll))
 
+    def _append(self, change: StoreChange) -> None:
+        replaced = self.latest.get(change.key)
+        if replaced is not None:
+            if change.revision <= replaced.revision:
+                return
+            replaced.change = None
+        record = FeedRecord(
+            change.key,
+            change.revision,
+            self.mirror.changes_written_after_s,
+            change,
+        )
+        self.latest[change.key] = record
+        self.records.append(record)
+
+    def _drop_oldest(self) -> None:
+        oldest = self.records.popleft()
+        self.start_revision = oldest.revision
+        if oldest.change is not None:
+            self.latest.pop(oldest.key)
+
     def _find(self, poll: Poll) -> list[FeedRecord]:
-        return [
-            record
-            for record in self.records
-            if record.change.revision > poll.after
-            and record.change.key.startswith(poll.prefix)
+        """Return the records that a poll has not seen, the oldest first."""
+        later = takewhile(
+            lambda record: record.revision > poll.after, reversed(self.records)
+        )
+        found = [
+            record for record in later if record.key.startswith(poll.prefix)
         ]
+        found.reverse()
+        return found
 
     def _announce(self) -> None:
         self.news.set()
@@ -172,7 +218,8 @@
 class FeedEncoder:
     """Encodes answers; changes that many of them share are compressed once.
 
-    :ivar recent: compressed changes by their bytes, the latest one last.
+    :ivar recent: compressed changes by the digest of their bytes, the latest
+        one last.
     """
 
     def __init__(self) -> None:
@@ -197,12 +244,13 @@
         return shared.start + rest, True
 
     def _compress(self, changes: bytes) -> _CompressedChanges:
-        found = self.recent.pop(changes, None)
+        digest = sha256(changes).digest()
+        found = self.recent.pop(digest, None)
         if found is None:
             stream = zlib.compressobj(COMPRESSION_LEVEL)
             start = stream.compress(changes) + stream.flush(zlib.Z_FULL_FLUSH)
             found = _CompressedChanges(start, stream)
-        self.recent[changes] = found
+        self.recent[digest] = found
         for oldest in tuple(self.recent)[:-MAX_SHARED]:
             self.recent.pop(oldest)
         return found
@@ -236,6 +284,10 @@
     return tuple(_from_message(change) for change in answer.changes)
 
 
+def _revision(change: StoreChange) -> int:
+    return change.revision
+
+
 def _offset_us(at_s: float, arrived_s: float) -> int:
     return int((at_s - arrived_s) * MICROSECONDS)
 
--- a/testing/store/test_feed.py
+++ b/testing/store/test_feed.py
@@ -3,6 +3,9 @@
 import asyncio
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from bramleylug.store.changes import (
     HistoryLost,
     ReaderTimes,
@@ -22,9 +25,15 @@
 from bramleylug.store.zone_store import AVOID_S, ZoneStore, times_of
 from bramleylug.web.http_client import CallAnswer
 from bramleylug.wire.feed_pb2 import FeedAnswer
+from testing.store.held_bytes import held_bytes
 from testing.store.scripted import ScriptedStore
 from testing.virtual_time import in_virtual_time
 
+# As many bytes as a configuration of 1,400 routes.
+VALUE_BYTES = 430_000
+# A poll, or a change of a key: whether it is written or removed.
+STEPS = st.just('poll') | st.tuples(st.sampled_from('abc'), st.booleans())
+
 
 def item(key: str, revision: int, value: bytes = b'') -> StoreItem:
     """Return an item without a lease."""
@@ -156,6 +165,73 @@
         self.assertEqual(list(answer.changes), [])
 
 
+class TestReplacedChanges(unittest.TestCase):
+    """Only the latest change of each key is kept and passed on."""
+
+    def setUp(self) -> None:
+        self.reader = Reader()
+
+    def test_replaced_values_leave_the_memory(self) -> None:
+        """Guards against relays killed over their memory limit (LOST)."""
+        for revision in range(6, 306):
+            value = revision.to_bytes(2) * (VALUE_BYTES // 2)
+            self.reader.read(item('config', revision, value), revision=revision)
+
+        self.assertLess(held_bytes(self.reader.feed.records), 2 * VALUE_BYTES)
+
+    def test_poll_after_many_configurations_gets_one(self) -> None:
+        """Guards against answers too large for a relay that woke up."""
+        for revision in range(6, 31):
+            self.reader.read(
+                item('config', revision, b'route'), revision=revision
+            )
+
+        answer = self.reader.feed.answer(self.reader.poll())
+
+        self.assertEqual(
+            list(changes_of(answer)), [item('config', 30, b'route')]
+        )
+
+    def test_time_counts_from_the_first_replaced_change(self) -> None:
+        """Guards against older weights kept too long after two versions."""
+        for revision in (6, 7):
+            self.reader.now_s += 1
+            self.reader.read(item('version', revision), revision=revision)
+        self.reader.now_s += 1
+
+        unseen = self.reader.feed.answer(self.reader.poll(5))
+        half_seen = self.reader.feed.answer(self.reader.poll(6))
+
+        self.assertEqual(unseen.written_after_us, -3_000_000)
+        self.assertEqual(half_seen.written_after_us, -2_000_000)
+
+    @given(st.lists(STEPS, max_size=40))
+    def test_followers_have_what_the_reader_has(self, steps) -> None:
+        """Whichever changes are replaced between two polls."""
+        reader = Reader()
+        follower = Mirror(3.0)
+        follower.replace([item('a', 5)], 5, reader.now_s, era=1)
+        for revision, step in enumerate(steps, start=6):
+            match step:
+                case 'poll':
+                    follow(reader, follower)
+                case (key, False):
+                    reader.read(Removal(key, revision), revision=revision)
+                case (key, _):
+                    value = b'%d' % revision
+                    reader.read(item(key, revision, value), revision=revision)
+        follow(reader, follower)
+
+        self.assertEqual(follower.items, reader.mirror.items)
+        self.assertEqual(follower.revision, reader.mirror.revision)
+
+
+def follow(reader: Reader, follower: Mirror) -> None:
+    """Apply what a poll of the reader answers."""
+    answer = reader.feed.answer(reader.poll(follower.revision))
+    follower.apply(changes_of(answer), int(answer.revision), reader.now_s)
+
+
 class ScriptedClients:
     """Answers the calls of a reader with one message, or fails."""
 
--- a/testing/store/test_feed_size.py
+++ b/testing/store/test_feed_size.py
@@ -10,6 +10,7 @@
     decode,
 )
 from bramleylug.wire.feed_pb2 import FeedAnswer, FeedChange
+from testing.store.held_bytes import held_bytes
 
 
 class TestDecoding(unittest.TestCase):
@@ -78,3 +79,9 @@
 
             self.assertEqual(decode(raw, compressed=packed), answer)
         self.assertEqual(len(self.encoder.recent), MAX_SHARED)
+
+    def test_kept_changes_are_held_in_compressed_form_only(self) -> None:
+        """Guards against relays killed over their memory limit (LOST)."""
+        self.encoder.encode(self.answer(-1, keys=10_000))
+
+        self.assertLess(held_bytes(self.encoder.recent), 100_000)
