A watch whose answer cannot be taken is followed by a listing, not repeated

Cause: the store answers a watch with all that changed since a revision, here with more than the 8 MiB that HttpClient reads. PlatformStore reported that as a store that does not answer, and StoreWatcher asked again from the same revision, for an answer that only grows, until the store drops its history. The same held for an answer that arrives for longer than its limit and for a body that is no answer. The log had one line, of a time-out, and could not be told from an outage.

Change: an answer that the store gave and that cannot be taken raises AnswerUnusable. The watcher then lists all items, whose pages have a limited size, and watches on from there, after a growing delay if it repeats. An answer whose Content-Length is too large is rejected before it arrives. BL1024 names the cause.

--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -84,6 +84,14 @@
         'reading all keys again',
         'Nothing to do.',
     )
+    store_answer_unusable = EventSpec(
+        'BL1024',
+        'WARNING',
+        'the store answered, but its answer after revision {revision} cannot '
+        'be taken: {error}; reading all keys again',
+        'Nothing to do after a pause of this process or of its links; check '
+        'the store if it repeats.',
+    )
     store_restored = EventSpec(
         'BL1019',
         'WARNING',
--- a/src/bramleylug/platform/keyvalue.py
+++ b/src/bramleylug/platform/keyvalue.py
@@ -10,6 +10,7 @@
 
 from bramleylug.platform.fields import UnreadableValue, decode_json
 from bramleylug.store.changes import (
+    AnswerUnusable,
     ConditionFailed,
     HistoryLost,
     Lease,
@@ -24,7 +25,13 @@
     Write,
 )
 from bramleylug.store.mirror import ANSWER_LAG_S
-from bramleylug.web.http_client import CALL_ERRORS, CallAnswer, HttpClient
+from bramleylug.web.client_connection import MalformedAnswer
+from bramleylug.web.http_client import (
+    CALL_ERRORS,
+    AnswerOverdue,
+    CallAnswer,
+    HttpClient,
+)
 
 MILLISECONDS = 1000
 CONNECT_TIMEOUT_S = 0.5
@@ -173,6 +180,8 @@
             answer = await self.client.call(
                 method, target, body, timeout_s=timeout_s, limit_s=limit_s
             )
+        except (MalformedAnswer, AnswerOverdue) as error:
+            raise AnswerUnusable(repr(error), uncertain=True) from error
         except CALL_ERRORS as error:
             raise StoreUnavailable(repr(error), uncertain=True) from error
         era = _era_of(answer)
@@ -225,14 +234,14 @@
 ) -> AnswerT:
     """Return what a function builds from the JSON body of an answer.
 
-    :raises StoreUnavailable: on a malformed body, and as
-        :func:`_check_status`.
+    :raises AnswerUnusable: on a malformed body.
+    :raises StoreUnavailable: as :func:`_check_status`.
     """
     _check_status(answer)
     try:
         return decode_json(answer.body or b'{}', build)
     except UnreadableValue as error:
-        raise StoreUnavailable(str(error), uncertain=True) from error
+        raise AnswerUnusable(str(error), uncertain=True) from error
 
 
 def _change(entry: Any) -> StoreChange:
--- a/src/bramleylug/store/changes.py
+++ b/src/bramleylug/store/changes.py
@@ -114,6 +114,14 @@
         self.uncertain = uncertain
 
 
+class AnswerUnusable(StoreUnavailable):
+    """The store answered, but its answer cannot be taken.
+
+    The same call may well end like this again: an answer that is too large or
+    too slow has what changed since the requested revision, and that grows.
+    """
+
+
 class LeaseEnded(Exception):
     """The lease has expired or was revoked."""
 
@@ -150,7 +158,8 @@
 class WatchableStore(Protocol):
     """A store with watches and leases.
 
-    Every call may raise :class:`StoreUnavailable`.
+    Every call may raise :class:`StoreUnavailable`, and where the store has
+    answered :class:`AnswerUnusable`.
 
     Answers of earlier eras than :attr:`era` are discarded. Leases of earlier
     eras no longer exist, and their ids may have been granted again to others.
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -8,6 +8,7 @@
 from bramleylug.node.ticks import sleep_until_tick
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.store.changes import (
+    AnswerUnusable,
     HistoryLost,
     Page,
     StoreChange,
@@ -40,6 +41,9 @@
         changes. Only an answer confirms the mirror, and each wait costs one
         call.
     :param pauses: when this process stood still.
+    :ivar failures: calls in a row that the store did not answer.
+    :ivar unusable: answers that could not be taken since the last watch whose
+        answer was.
     :ivar unreported: changes that the mirror holds and ``on_changes`` has not
         taken yet.
     """
@@ -63,6 +67,7 @@
         self.feed = ChangeFeed(self.mirror, clock)
         self.must_reload = True
         self.failures = 0
+        self.unusable = 0
         self.unreported: list[StoreChange] = []
 
     async def run(self) -> None:
@@ -70,6 +75,8 @@
         while True:
             try:
                 await self._step()
+            except AnswerUnusable as error:
+                await self._start_over(error)
             except StoreUnavailable as error:
                 await self._back_off(error)
 
@@ -100,6 +107,7 @@
                 self.must_reload = True
             case StoreChanges(changes=changes, revision=revision):
                 self._confirm(sent_s, answer)
+                self.unusable = 0
                 now_s = self.clock()
                 applied = self.mirror.apply(changes, revision, now_s)
                 self.feed.record(changes)
@@ -156,6 +164,23 @@
             self.on_changes(tuple(self.unreported))
             self.unreported.clear()
 
+    async def _start_over(self, error: AnswerUnusable) -> None:
+        """List all items next, whose pages have a limited size.
+
+        A watch from the same revision would be answered with the same changes
+        and those since.
+        """
+        if not self.unusable:
+            emit(
+                LogEvent.store_answer_unusable,
+                error=str(error),
+                revision=self.mirror.revision,
+            )
+        self.must_reload = True
+        delay_s = _retry_delay_s(self.unusable)
+        self.unusable += 1
+        await asyncio.sleep(delay_s)
+
     async def _back_off(self, error: StoreUnavailable) -> None:
         if not self.failures:
             emit(
@@ -163,6 +188,12 @@
                 error=str(error),
                 revision=self.mirror.revision,
             )
-        factor = 1 << min(self.failures, MAX_DOUBLINGS)
+        delay_s = _retry_delay_s(self.failures)
         self.failures += 1
-        await asyncio.sleep(min(RETRY_MAX_S, RETRY_MIN_S * factor))
+        await asyncio.sleep(delay_s)
+
+
+def _retry_delay_s(failures: int) -> float:
+    """Return the time until the next call, after so many failed ones."""
+    factor = 1 << min(failures, MAX_DOUBLINGS)
+    return min(RETRY_MAX_S, RETRY_MIN_S * factor)
--- a/src/bramleylug/web/client_connection.py
+++ b/src/bramleylug/web/client_connection.py
@@ -47,6 +47,10 @@
     """The peer sent bytes that are not a valid HTTP response."""
 
 
+class AnswerTooLarge(MalformedAnswer):
+    """The body of an answer is larger than the caller reads."""
+
+
 class ClientRequest(NamedTuple):
     """A request to send.
 
@@ -402,7 +406,7 @@
     """Return the rest of the body, up to its end.
 
     :param max_bytes: largest body; ``None`` for no limit.
-    :raises MalformedAnswer: when the body is larger.
+    :raises AnswerTooLarge: when the body is larger.
     """
     pieces = []
     received_bytes = 0
@@ -410,5 +414,5 @@
         pieces.append(piece)
         received_bytes += len(piece)
         if max_bytes is not None and received_bytes > max_bytes:
-            raise MalformedAnswer(f'body has more than {max_bytes} bytes')
+            raise AnswerTooLarge(f'body has more than {max_bytes} bytes')
     return b''.join(pieces)
--- a/src/bramleylug/web/http_client.py
+++ b/src/bramleylug/web/http_client.py
@@ -7,6 +7,7 @@
 
 from bramleylug.web.client_connection import (
     AnswerHead,
+    AnswerTooLarge,
     ClientConnection,
     ClientRequest,
     ConnectionBroken,
@@ -23,6 +24,10 @@
 CALL_ERRORS = (OSError, ConnectionBroken, MalformedAnswer, TimeoutError)
 
 
+class AnswerOverdue(TimeoutError):
+    """The answer was still arriving when the longest time of the call ended."""
+
+
 @final
 class CallAnswer(NamedTuple):
     """A complete answer.
@@ -62,6 +67,11 @@
         if limit_s is not None:
             self.latest_s = self.loop.time() + limit_s
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether input has moved the time limit to its latest value."""
+        return self.timeout.when() == self.latest_s
+
     def record_input(self) -> None:
         """Record that bytes of the answer have arrived."""
         self.on_input()
@@ -113,10 +123,12 @@
             time without input.
         :param limit_s: longest time of a call whose answer is arriving.
         :param on_input: called when bytes of the answer have arrived.
+        :raises AnswerOverdue: when the answer took longer than the limit.
         :raises OSError: when the request could not be sent or its answer was
             lost; :data:`CALL_ERRORS` lists everything that is raised.
         """
         self.running += 1
+        progress: CallProgress | None = None
         try:
             async with asyncio.timeout(timeout_s) as timeout:
                 progress = CallProgress(
@@ -125,6 +137,10 @@
                 return await self._call(
                     method, target, body, progress.record_input
                 )
+        except TimeoutError as error:
+            if progress is not None and progress.is_limited:
+                raise AnswerOverdue(f'answer took over {limit_s} s') from error
+            raise
         finally:
             self.running -= 1
 
@@ -254,6 +270,19 @@
     sent_s = time.monotonic()
     head = await connection.read_head()
     first_byte_after_s = time.monotonic() - sent_s
+    _check_length(head)
     body = await read_body(connection, MAX_ANSWER_BYTES)
     answer = CallAnswer(head.status, body, first_byte_after_s, head.headers)
     return head, answer
+
+
+def _check_length(head: AnswerHead) -> None:
+    """Reject an answer that says it is too large, before it arrives.
+
+    :raises AnswerTooLarge: when its body is larger than is read.
+    """
+    length_bytes = int(head.headers.get('content-length', 0))
+    if length_bytes > MAX_ANSWER_BYTES:
+        raise AnswerTooLarge(
+            f'body has {length_bytes} bytes, more than {MAX_ANSWER_BYTES}'
+        )
--- a/testing/store/test_watcher.py
+++ b/testing/store/test_watcher.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bramleylug.store.changes import (
+    AnswerUnusable,
     HistoryLost,
     Page,
     Removal,
@@ -11,7 +12,7 @@
     StoreItem,
 )
 from bramleylug.store.read_schedule import ReadSchedule
-from bramleylug.store.watcher import StoreWatcher
+from bramleylug.store.watcher import RETRY_MAX_S, StoreWatcher
 from testing.store.scripted import ScriptedStore, unanswered
 from testing.virtual_time import in_virtual_time
 
@@ -109,6 +110,42 @@
 
         self.assertEqual(await self.watch(store), [item('b', 4)])
 
+    @in_virtual_time
+    async def test_answer_that_cannot_be_taken_is_not_asked_for_again(
+        self,
+    ) -> None:
+        """Guards against configurations that stay old after a pause."""
+        store = ScriptedStore(
+            unanswered(),
+            AnswerUnusable('too large'),
+            pages=[
+                Page((item('a', 5),), 5, more=False),
+                Page((item('a', 30),), 30, more=False),
+            ],
+        )
+
+        changes = await self.watch(store)
+
+        self.assertEqual(changes, [item('a', 5), item('a', 30)])
+        self.assertEqual(store.calls[-2:], [('list', ''), ('wait', 30)])
+
+    @in_virtual_time
+    async def test_store_whose_answers_are_odd_is_called_less_often(
+        self,
+    ) -> None:
+        """Guards against a store that is busy with listings only."""
+        answers = 20
+        store = ScriptedStore(
+            *(AnswerUnusable('odd') for _ in range(answers)),
+            pages=[Page((), 5, more=False) for _ in range(answers + 1)],
+        )
+        began_s = asyncio.get_running_loop().time()
+
+        await self.watch(store)
+
+        took_s = asyncio.get_running_loop().time() - began_s
+        self.assertGreater(took_s, answers * RETRY_MAX_S * 0.8)
+
     async def watch(self, store: ScriptedStore) -> list[object]:
         """Watch until the script is used up; return the reported changes."""
         changes: list[object] = []
--- a/testing/web/test_http_client.py
+++ b/testing/web/test_http_client.py
@@ -3,9 +3,12 @@
 import asyncio
 import unittest
 
+from bramleylug.web.client_connection import AnswerTooLarge
 from bramleylug.web.http_client import (
     CALL_ERRORS,
+    MAX_ANSWER_BYTES,
     MAX_IDLE_ADDRESSES,
+    AnswerOverdue,
     CallAnswer,
     HttpClient,
     HttpClients,
@@ -139,19 +142,36 @@
     async def test_answer_that_stops_is_given_up(self) -> None:
         self.peer.stops_after = len(ANSWER) // 2
 
-        with self.assertRaises(TimeoutError):
-            await self.client.call(
-                'GET', '/', timeout_s=self.whole_s / 3, limit_s=60
-            )
+        failure = await self.failure_of_call(limit_s=60)
+
+        self.assertIs(failure, TimeoutError)
 
     async def test_answer_that_takes_longer_than_its_limit(self) -> None:
-        with self.assertRaises(TimeoutError):
+        """The same call would end like this again."""
+        failure = await self.failure_of_call(limit_s=self.whole_s / 2)
+
+        self.assertIs(failure, AnswerOverdue)
+
+    async def failure_of_call(self, limit_s: float) -> type[Exception] | None:
+        """Return how a call ends; ``None`` if it is answered."""
+        try:
             await self.client.call(
-                'GET',
-                '/',
-                timeout_s=self.whole_s / 3,
-                limit_s=self.whole_s / 2,
+                'GET', '/', timeout_s=self.whole_s / 3, limit_s=limit_s
             )
+        except TimeoutError as error:
+            return type(error)
+        return None
+
+    async def test_answer_that_is_too_large_is_not_awaited(self) -> None:
+        """Guards against memory and links filled by what is thrown away."""
+        length_bytes = MAX_ANSWER_BYTES + 1
+        head = b'HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n'
+        peer = await PacedServer(head % length_bytes, 0).open()
+        self.addAsyncCleanup(peer.close)
+        client = HttpClient(peer.address, connect_timeout_s=1)
+
+        with self.assertRaises(AnswerTooLarge):
+            await client.call('GET', '/', timeout_s=60)
 
     async def test_time_limit_without_another_one_holds_for_the_call(
         self,
