The watcher holds and reports the latest change of each key only

Change: changes that have not been taken are held by key. A batch with several changes of a key reports the last one, as a listing does, so that a relay that catches up decodes one configuration instead of each.

--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -34,8 +34,9 @@
 class StoreWatcher:
     """Lists the items under a prefix and watches them for changes.
 
-    :param on_changes: called with each batch of changes. If it raises, it is
-        called with them again after the next answer of the store.
+    :param on_changes: called with each batch of changes, the latest one of each
+        key. If it raises, it is called with them again after the next answer of
+        the store.
     :param clock: seconds that also count while the host is suspended.
     :param schedule: how long the store may hold a call until something
         changes. Only an answer confirms the mirror, and each wait costs one
@@ -45,7 +46,7 @@
     :ivar unusable: answers that could not be taken since the last watch whose
         answer was.
     :ivar unreported: changes that the mirror holds and ``on_changes`` has not
-        taken yet.
+        taken yet, by key.
     """
 
     def __init__(
@@ -68,7 +69,7 @@
         self.must_reload = True
         self.failures = 0
         self.unusable = 0
-        self.unreported: list[StoreChange] = []
+        self.unreported: dict[str, StoreChange] = {}
 
     async def run(self) -> None:
         """Watch until cancelled, with back-off while the store is down."""
@@ -159,9 +160,12 @@
         self.failures = 0
 
     def _notify(self, changes: Sequence[StoreChange]) -> None:
-        self.unreported.extend(changes)
+        for change in changes:
+            # Reported in the order of the latest changes.
+            self.unreported.pop(change.key, None)
+            self.unreported[change.key] = change
         if self.unreported:
-            self.on_changes(tuple(self.unreported))
+            self.on_changes(tuple(self.unreported.values()))
             self.unreported.clear()
 
     async def _start_over(self, error: AnswerUnusable) -> None:
--- a/testing/store/test_watcher.py
+++ b/testing/store/test_watcher.py
@@ -13,6 +13,7 @@
 )
 from bramleylug.store.read_schedule import ReadSchedule
 from bramleylug.store.watcher import RETRY_MAX_S, StoreWatcher
+from testing.store.held_bytes import held_bytes
 from testing.store.scripted import ScriptedStore, unanswered
 from testing.virtual_time import in_virtual_time
 
@@ -22,6 +23,11 @@
     return StoreItem(key, b'', revision)
 
 
+def reject(changes: object) -> None:
+    """Take no changes."""
+    raise RuntimeError('not taken')
+
+
 class TestStoreWatcher(unittest.TestCase):
     """No change is missed, whatever goes wrong at the store."""
 
@@ -146,6 +152,31 @@
         took_s = asyncio.get_running_loop().time() - began_s
         self.assertGreater(took_s, answers * RETRY_MAX_S * 0.8)
 
+    @in_virtual_time
+    async def test_changes_that_are_not_taken_are_held_once_a_key(
+        self,
+    ) -> None:
+        """Guards against relays that an error makes exceed their memory."""
+        configurations = [
+            StoreItem('op/config', revision.to_bytes(2) * 50_000, revision)
+            for revision in range(6, 26)
+        ]
+        watcher = StoreWatcher(
+            ScriptedStore(
+                *(StoreChanges((one,), one.revision) for one in configurations),
+                pages=[Page((), 5, more=False)],
+            ),
+            '',
+            reject,
+            asyncio.get_running_loop().time,
+            ReadSchedule(2.0, 0.01),
+        )
+        for _ in configurations:
+            with self.assertRaises(RuntimeError):
+                await watcher.run()
+
+        self.assertLess(held_bytes(watcher.unreported), 2 * 100_000)
+
     async def watch(self, store: ScriptedStore) -> list[object]:
         """Watch until the script is used up; return the reported changes."""
         changes: list[object] = []
