Soak: a relay is paused while large configurations come

The soak paused relays and changed configurations, but the configurations were small, so that a relay never missed more than one answer of the store holds.

The existing checks judge it.

--- a/src/bramleylug/soak/deployment.py
+++ b/src/bramleylug/soak/deployment.py
@@ -189,9 +189,13 @@
         for task in self.tasks:
             task.cancel()
 
-    async def publish(self, keys: Iterable[str]) -> None:
+    async def publish(
+        self, keys: Iterable[str], unused_routes: int = 0
+    ) -> None:
         """Publish a configuration that accepts these API keys.
 
+        :param unused_routes: number of routes that no client uses.
+
         Publications are serialized, so that the versions also increase in
         the order in which the store applies them.
         """
@@ -204,6 +208,9 @@
                 self.idle_limit_s,
                 self.settings.chunks,
             )
+            document['routes'].extend(
+                _unused_route(number) for number in range(unused_routes)
+            )
             self.published_s.append(time.time())
             await self.control({'put': 'op/config', 'document': document})
 
@@ -377,6 +384,23 @@
     }
 
 
+def _unused_route(number: int) -> dict[str, Any]:
+    return {
+        'name': f'unused-{number}',
+        'host': f'unused-{number}.example',
+        'path_prefix': f'/unused/{number}/',
+        'kind': 'streaming',
+        'service': 'advisor',
+        'timeout_ms': 5000,
+        'target_latency_ms': 400,
+        'priority': 1,
+        'public': True,
+        'max_attempts': 2,
+        'resumable': True,
+        'allowed_regions': [],
+    }
+
+
 async def post(address: str, path: str, body: bytes) -> bytes:
     """Send a POST request and return the body of the answer.
 
--- a/src/bramleylug/soak/fault_injector.py
+++ b/src/bramleylug/soak/fault_injector.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import final
 
+from bramleylug.soak.configuration_faults import ConfigurationFaults
 from bramleylug.soak.crowd import crowd_relay
 from bramleylug.soak.deployment import (
     IDLE_LIMIT_S,
@@ -77,6 +78,9 @@
         spoilage_faults = SpoilageFaults(
             deployment, self._weights_named, self.pause_faults.pause
         )
+        configuration_faults = ConfigurationFaults(
+            deployment, observations, self._publish, self._zone_out
+        )
         self.version = 1
         self.revoked: set[str] = set()
         self.handlers: dict[Kind, Callable[[Fault], Awaitable[None]]] = {
@@ -103,6 +107,9 @@
             Kind.host_paused: self.pause_faults.host_paused,
             Kind.naming_missed: self.pause_faults.naming_missed,
             Kind.staged_spoilt: spoilage_faults.staged_spoilt,
+            Kind.configurations_missed: (
+                configuration_faults.configurations_missed
+            ),
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -228,10 +235,10 @@
         self.revoked.remove(key)
         await self._publish()
 
-    async def _publish(self) -> None:
+    async def _publish(self, unused_routes: int = 0) -> None:
         """Publish a configuration without the keys that are revoked now."""
         valid = [key for key in KEYS if key not in self.revoked]
-        await self.deployment.publish(valid)
+        await self.deployment.publish(valid, unused_routes)
 
     async def _odd_entry(self, fault: Fault) -> None:
         key, text = build_odd_entry(fault)
--- a/src/bramleylug/soak/fault_schedule.py
+++ b/src/bramleylug/soak/fault_schedule.py
@@ -48,6 +48,7 @@
     host_paused = 'engines but one paused with their loaders'
     naming_missed = 'relay and loader paused while new weights are named'
     staged_spoilt = 'staged chunks spoil and the host that loads is paused'
+    configurations_missed = 'relay paused while large configurations come'
 
 
 # Relative frequency of the kinds; 1 for those that are absent.
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -82,6 +82,12 @@
 
         self.assertEqual(summary['violations'], [])
 
+    def test_relay_that_missed_large_configurations_follows(self) -> None:
+        """A relay repeated a watch whose answer was too large for it."""
+        summary = run_soak(6404, 1.1, (Kind.configurations_missed,))
+
+        self.assertEqual(summary['violations'], [])
+
     def test_requests_run_on_no_layer_taken_from_corrupt_chunks(self) -> None:
         """Hosts of engines were paused as they staged new weights."""
         summary = run_soak(4806, 3.0, (Kind.staged_spoilt,))
