--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -88,7 +88,7 @@
         'BL1024',
         'WARNING',
         'the store answered, but its answer after revision {revision} cannot '
-        'be taken: {error}; reading all keys again',
+        'be used: {error}; reading all keys again',
         'Nothing to do after a pause of this process or of its links; check '
         'the store if it repeats.',
     )
--- a/src/bramleylug/soak/deployment.py
+++ b/src/bramleylug/soak/deployment.py
@@ -194,10 +194,10 @@
     ) -> None:
         """Publish a configuration that accepts these API keys.
 
-        :param unused_routes: number of routes that no client uses.
-
         Publications are serialized, so that the versions also increase in
         the order in which the store applies them.
+
+        :param unused_routes: number of routes that no client uses.
         """
         async with self.publish_lock:
             self.version += 3
--- a/src/bramleylug/store/changes.py
+++ b/src/bramleylug/store/changes.py
@@ -115,10 +115,10 @@
 
 
 class AnswerUnusable(StoreUnavailable):
-    """The store answered, but its answer cannot be taken.
+    """The store answered, but its answer cannot be used.
 
-    The same call may well end like this again: an answer that is too large or
-    too slow has what changed since the requested revision, and that grows.
+    A watch that is repeated from the same revision is likely to end like this
+    again: its answer holds the same changes and later ones.
     """
 
 
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -43,8 +43,8 @@
         call.
     :param pauses: when this process stood still.
     :ivar failures: calls in a row that the store did not answer.
-    :ivar unusable: answers that could not be taken since the last watch whose
-        answer was.
+    :ivar unusable: answers that could not be used since the last one to a
+        watch that could.
     :ivar unreported: changes that the mirror holds and ``on_changes`` has not
         taken yet, by key.
     """
@@ -169,11 +169,7 @@
             self.unreported.clear()
 
     async def _start_over(self, error: AnswerUnusable) -> None:
-        """List all items next, whose pages have a limited size.
-
-        A watch from the same revision would be answered with the same changes
-        and those since.
-        """
+        """Continue with a listing, whose pages have a limited size."""
         if not self.unusable:
             emit(
                 LogEvent.store_answer_unusable,
