Duties: a claim that a restored store has lost is no claim of the new era

Cause: after the store came back from an older copy, the mirror keeps for 3 s what the copy lacks. Lease ids start anew; a relay whose new lease had the id of its old one took the kept claim for its own of the new era (own_term), while another relay claimed the key once the removal was due.

Change: the duties look at the claim that the store has; one whose removal is deferred is none. Nothing else uses it.

Tests of duties, mirror and service of duties pass.

--- a/src/bramleylug/duties/relay_duties.py
+++ b/src/bramleylug/duties/relay_duties.py
@@ -221,18 +221,20 @@
             )
 
     def _look(self) -> ClaimView:
-        items = self.core.view.mirror.items
-        item = items.get(self.claim_key)
+        mirror = self.core.view.mirror
+        # A claim whose removal is deferred may bear the id of a lease that the
+        # store, back from an older copy, has granted again.
+        item = mirror.stored_item(self.claim_key)
         holder = None if item is None else decode_claim(item.value)
         if holder == self.own and not self.steward.holds():
             # The copy of the store is old, or this relay leaves the duties.
             holder = None
         self.exchange.follow(holder)
-        stored = items.get(self.usage_key)
+        stored = mirror.items.get(self.usage_key)
         report = None if stored is None else decode_report(stored.value)
         if report is not None:
             self.exchange.record_reported(report.window)
-        is_current = self.core.view.mirror.loaded
+        is_current = mirror.loaded
         return ClaimView(
             item, is_current and self.core.view.peers.is_store_fresh()
         )
--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -133,6 +133,13 @@
                 return True
         return False
 
+    def stored_item(self, key: str) -> StoreItem | None:
+        """Return an item that the store has, as far as known.
+
+        One whose removal is deferred is none.
+        """
+        return None if key in self.deferred_removals else self.items.get(key)
+
     def stored_items(self) -> Iterable[StoreItem]:
         """Return the items that the store has, as far as known.
 
