--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -134,10 +134,7 @@
         return False
 
     def stored_item(self, key: str) -> StoreItem | None:
-        """Return an item that the store has, as far as known.
-
-        One whose removal is deferred is none.
-        """
+        """Return an item; ``None`` also if its removal is deferred."""
         return None if key in self.deferred_removals else self.items.get(key)
 
     def stored_items(self) -> Iterable[StoreItem]:
