Watcher: one back-off for both kinds of failure; soak: one route for streams

Read again as a whole, the change had written three things twice: the first-line log and the delay of StoreWatcher for answers that cannot be used beside those for a store that does not answer; the fields of the soak's unused routes beside those of its route for streams, added to the configuration after it was built; and two words for the same answers in the names of two tests.

Change: _back_off takes the event and the number of failures; build_configuration builds the unused routes from the route for streams. The two tests are renamed. Behaviour and assertions are the same; the configurations of the soak are equal to those before, with and without unused routes.

Result: formatter, linter, types, and the tests of the watcher, of waits, odd values, events, endless answers, silent readers and starts pass.

--- a/src/bramleylug/soak/deployment.py
+++ b/src/bramleylug/soak/deployment.py
@@ -207,9 +207,7 @@
                 self.origin_address,
                 self.idle_limit_s,
                 self.settings.chunks,
-            )
-            document['routes'].extend(
-                _unused_route(number) for number in range(unused_routes)
+                unused_routes,
             )
             self.published_s.append(time.time())
             await self.control({'put': 'op/config', 'document': document})
@@ -329,8 +327,12 @@
     origin: str,
     idle_limit_s: float,
     chunks: int,
+    unused_routes: int = 0,
 ) -> dict[str, Any]:
-    """Return a configuration with a route for streams and one for bookings."""
+    """Return a configuration with a route for streams and one for bookings.
+
+    :param unused_routes: number of further routes, which no client uses.
+    """
     route = {
         'host': 'advisor.example',
         'timeout_ms': 5000,
@@ -338,18 +340,19 @@
         'priority': 1,
         'public': False,
     }
+    stream_route = {
+        **route,
+        'name': 'ask',
+        'path_prefix': '/ask/',
+        'kind': 'streaming',
+        'service': 'advisor',
+        'max_attempts': 2,
+        'resumable': True,
+    }
     return {
         'version': version,
         'routes': [
-            {
-                **route,
-                'name': 'ask',
-                'path_prefix': '/ask/',
-                'kind': 'streaming',
-                'service': 'advisor',
-                'max_attempts': 2,
-                'resumable': True,
-            },
+            stream_route,
             {
                 **route,
                 'name': 'book',
@@ -358,6 +361,17 @@
                 'service': 'bookings',
                 'max_attempts': 2,
             },
+            *(
+                {
+                    **stream_route,
+                    'name': f'unused-{number}',
+                    'host': f'unused-{number}.example',
+                    'path_prefix': f'/unused/{number}/',
+                    'public': True,
+                    'allowed_regions': [],
+                }
+                for number in range(unused_routes)
+            ),
         ],
         'services': [
             {
@@ -384,23 +398,6 @@
     }
 
 
-def _unused_route(number: int) -> dict[str, Any]:
-    return {
-        'name': f'unused-{number}',
-        'host': f'unused-{number}.example',
-        'path_prefix': f'/unused/{number}/',
-        'kind': 'streaming',
-        'service': 'advisor',
-        'timeout_ms': 5000,
-        'target_latency_ms': 400,
-        'priority': 1,
-        'public': True,
-        'max_attempts': 2,
-        'resumable': True,
-        'allowed_regions': [],
-    }
-
-
 async def post(address: str, path: str, body: bytes) -> bytes:
     """Send a POST request and return the body of the answer.
 
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -77,9 +77,17 @@
             try:
                 await self._step()
             except AnswerUnusable as error:
-                await self._start_over(error)
+                # The pages of a listing have a limited size.
+                self.must_reload = True
+                self.unusable += 1
+                await self._back_off(
+                    LogEvent.store_answer_unusable, error, self.unusable
+                )
             except StoreUnavailable as error:
-                await self._back_off(error)
+                self.failures += 1
+                await self._back_off(
+                    LogEvent.store_unreachable, error, self.failures
+                )
 
     async def run_deferred_removals(self) -> None:
         """Apply deferred removals when they are due, until cancelled."""
@@ -168,32 +176,14 @@
             self.on_changes(tuple(self.unreported.values()))
             self.unreported.clear()
 
-    async def _start_over(self, error: AnswerUnusable) -> None:
-        """Continue with a listing, whose pages have a limited size."""
-        if not self.unusable:
-            emit(
-                LogEvent.store_answer_unusable,
-                error=str(error),
-                revision=self.mirror.revision,
-            )
-        self.must_reload = True
-        delay_s = _retry_delay_s(self.unusable)
-        self.unusable += 1
-        await asyncio.sleep(delay_s)
-
-    async def _back_off(self, error: StoreUnavailable) -> None:
-        if not self.failures:
-            emit(
-                LogEvent.store_unreachable,
-                error=str(error),
-                revision=self.mirror.revision,
-            )
-        delay_s = _retry_delay_s(self.failures)
-        self.failures += 1
-        await asyncio.sleep(delay_s)
-
-
-def _retry_delay_s(failures: int) -> float:
-    """Return the time until the next call, after so many failed ones."""
-    factor = 1 << min(failures, MAX_DOUBLINGS)
-    return min(RETRY_MAX_S, RETRY_MIN_S * factor)
+    async def _back_off(
+        self, event: LogEvent, error: StoreUnavailable, failures: int
+    ) -> None:
+        """Log the first of some failures in a row, and wait after each.
+
+        :param failures: number of those so far, this one included.
+        """
+        if failures == 1:
+            emit(event, error=str(error), revision=self.mirror.revision)
+        factor = 1 << min(failures - 1, MAX_DOUBLINGS)
+        await asyncio.sleep(min(RETRY_MAX_S, RETRY_MIN_S * factor))
--- a/testing/platform/test_store_waits.py
+++ b/testing/platform/test_store_waits.py
@@ -112,7 +112,7 @@
 
         self.assertEqual(self.versions, [1, newest])
 
-    async def test_answer_that_cannot_be_taken_is_no_outage(self) -> None:
+    async def test_answer_that_cannot_be_used_is_no_outage(self) -> None:
         """Guards against watches repeated for an answer that only grows."""
         store = PlatformStore('127.0.0.1:1')
         for error in (AnswerTooLarge('large'), AnswerOverdue('slow')):
--- a/testing/store/test_watcher.py
+++ b/testing/store/test_watcher.py
@@ -117,7 +117,7 @@
         self.assertEqual(await self.watch(store), [item('b', 4)])
 
     @in_virtual_time
-    async def test_answer_that_cannot_be_taken_is_not_asked_for_again(
+    async def test_answer_that_cannot_be_used_is_not_asked_for_again(
         self,
     ) -> None:
         """Guards against configurations that stay old after a pause."""
