Logs and counters that tell a full link from a silent store

A relay wrote one line (BL1006) when the store fell silent and nothing more for ten seconds, so that calls that time out behind other traffic could not be told from a store that is away. BL1025 repeats how calls end while the silence lasts, BL1026 names answers that are late, BL1014 says by what the age of a target version was found; bytes and calls of the store are counted.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -331,11 +331,17 @@
         # of a store that answers bounds it only while this process runs.
         written_s = self.mirror.changes_written_after_s
         lag_s = max(MIN_STORE_LAG_S, self.settings.change_limit)
-        set_s = max(
-            written_s, now_s - lag_s - self.pauses.paused_s(written_s, now_s)
-        )
+        bounds = {
+            'the read before': written_s,
+            'the lag of a store that answers': now_s
+            - lag_s
+            - self.pauses.paused_s(written_s, now_s),
+        }
+        basis = max(bounds, key=bounds.__getitem__)
+        set_s = bounds[basis]
         due_s = None
         if self.is_initial_load or written_s == float('-inf'):
+            basis = 'the start of this process'
             set_s = float('-inf')
             due_s = (
                 self.started_s
@@ -349,6 +355,7 @@
                 model=model,
                 version=version,
                 age_s=target.describe_age(now_s),
+                basis=basis,
                 left_s=round(target.due_s - now_s, 2),
             )
 
--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -71,6 +71,15 @@
         'revision {revision}',
         'Check the store and the network between it and this host.',
     )
+    store_still_unreachable = EventSpec(
+        'BL1025',
+        'WARNING',
+        'the store still does not answer after {silent_s} s and {failures} '
+        'calls, the last after {took_s} s: {error}; continuing with data of '
+        'store revision {revision}',
+        'Compare with other hosts: if the store answers them, check the links '
+        'between it and this host, and what else they carry.',
+    )
     store_reachable = EventSpec(
         'BL1007',
         'INFO',
@@ -127,6 +136,14 @@
         'listed {prefix!r}: {items} items from {source} in {took_ms} ms',
         'Nothing to do; one that takes seconds shows a slow link to the store.',
     )
+    store_answer_late = EventSpec(
+        'BL1026',
+        'WARNING',
+        'an answer for {prefix!r} with {changes} changes from {source} took '
+        '{late_ms} ms longer than it was held open',
+        'Check the links between this host and the store, and what else they '
+        'carry.',
+    )
     value_unreadable = EventSpec(
         'BL1009',
         'WARNING',
@@ -165,7 +182,7 @@
         'BL1014',
         'INFO',
         'the target version of {model} is now {version}, maximum age in s: '
-        '{age_s}; older versions may serve for {left_s} s',
+        '{age_s}, by {basis}; older versions may serve for {left_s} s',
         'Nothing to do. The age of a version that this process found when it '
         'started is unknown.',
     )
--- a/src/bramleylug/observability/metrics.py
+++ b/src/bramleylug/observability/metrics.py
@@ -132,6 +132,15 @@
     'Requests of workspaces far above their share that were refused, by '
     'service',
 )
+STORE_BYTES = Counter(
+    'bramleylug_store_bytes_total',
+    'Bytes of answers that were read of the store, by source: the store or a '
+    'reader',
+)
+STORE_CALLS = Counter(
+    'bramleylug_store_calls_total',
+    'Calls of the store, by outcome: answered or failed',
+)
 STORE_AGE = Gauge(
     'bramleylug_store_age_seconds',
     'Age of the data read from the store',
@@ -148,6 +157,11 @@
     counter.inc(labels)
 
 
+def add(counter: Any, amount: float, **labels: str) -> None:
+    """Add to a counter of a quantity."""
+    counter.add(labels, amount)
+
+
 def set_build_info(instance: str) -> None:
     """Report what a process runs, as labels of a constant."""
     BUILD_INFO.set({'instance': instance, **build_info()._asdict()}, 1)
--- a/src/bramleylug/platform/keyvalue.py
+++ b/src/bramleylug/platform/keyvalue.py
@@ -8,6 +8,12 @@
 from typing import Any, TypeVar, final
 from urllib.parse import quote
 
+from bramleylug.observability.metrics import (
+    STORE_BYTES,
+    STORE_CALLS,
+    add,
+    count,
+)
 from bramleylug.platform.fields import UnreadableValue, decode_json
 from bramleylug.store.changes import (
     AnswerUnusable,
@@ -181,9 +187,13 @@
                 method, target, body, timeout_s=timeout_s, limit_s=limit_s
             )
         except (MalformedAnswer, AnswerOverdue) as error:
+            count(STORE_CALLS, outcome='failed')
             raise AnswerUnusable(repr(error), uncertain=True) from error
         except CALL_ERRORS as error:
+            count(STORE_CALLS, outcome='failed')
             raise StoreUnavailable(repr(error), uncertain=True) from error
+        count(STORE_CALLS, outcome='answered')
+        add(STORE_BYTES, len(answer.body), source='store')
         era = _era_of(answer)
         if era < self.era:
             raise StoreUnavailable(
--- a/src/bramleylug/store/watcher.py
+++ b/src/bramleylug/store/watcher.py
@@ -28,6 +28,8 @@
 # Two waits plus this margin without an answer count as an outage.
 OUTAGE_MARGIN_S = 1.0
 MAX_DOUBLINGS = 4
+# Interval of log lines while the store stays silent.
+SILENCE_LOG_S = 2.0
 
 
 @final
@@ -43,6 +45,8 @@
         call.
     :param pauses: when this process stood still.
     :ivar failures: calls in a row that the store did not answer.
+    :ivar sent_s: when the last call was sent.
+    :ivar silence_logged_s: when the silence of the store was logged last.
     :ivar unusable: answers that could not be used since the last one to a
         watch that could.
     :ivar unreported: changes that the mirror holds and ``on_changes`` has not
@@ -68,6 +72,8 @@
         self.feed = ChangeFeed(self.mirror, clock)
         self.must_reload = True
         self.failures = 0
+        self.sent_s = float('-inf')
+        self.silence_logged_s = float('-inf')
         self.unusable = 0
         self.unreported: dict[str, StoreChange] = {}
 
@@ -85,6 +91,7 @@
                 )
             except StoreUnavailable as error:
                 self.failures += 1
+                self._log_silence(error)
                 await self._back_off(
                     LogEvent.store_unreachable, error, self.failures
                 )
@@ -101,6 +108,7 @@
         if self.must_reload:
             await self._reload()
         sent_s = self.clock()
+        self.sent_s = sent_s
         answer = await self.store.wait_for_changes(
             self.prefix, self.mirror.revision, self.wait_s
         )
@@ -127,6 +135,7 @@
 
     async def _reload(self) -> None:
         sent_s = self.clock()
+        self.sent_s = sent_s
         page = await self.store.list_page(self.prefix, '')
         first_page, first_revision = page, page.revision
         items: list[StoreItem] = list(page.items)
@@ -176,6 +185,23 @@
             self.on_changes(tuple(self.unreported.values()))
             self.unreported.clear()
 
+    def _log_silence(self, error: StoreUnavailable) -> None:
+        """Log at intervals that calls fail, after the line for the first."""
+        now_s = self.clock()
+        if self.failures == 1:
+            self.silence_logged_s = now_s
+        if now_s - self.silence_logged_s < SILENCE_LOG_S:
+            return
+        self.silence_logged_s = now_s
+        emit(
+            LogEvent.store_still_unreachable,
+            silent_s=round(self.mirror.age_s(now_s), 1),
+            failures=self.failures,
+            took_s=round(now_s - self.sent_s, 2),
+            error=str(error),
+            revision=self.mirror.revision,
+        )
+
     async def _back_off(
         self, event: LogEvent, error: StoreUnavailable, failures: int
     ) -> None:
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -8,6 +8,7 @@
 from google.protobuf.message import DecodeError
 
 from bramleylug.observability.events import LogEvent, emit
+from bramleylug.observability.metrics import STORE_BYTES, add
 from bramleylug.store.changes import (
     HistoryLost,
     Lease,
@@ -42,6 +43,8 @@
 # A reader that failed, or whose own copy of the store is too old, is left
 # alone for this long.
 AVOID_S = 2.0
+# An answer that is later than this is logged.
+LATE_ANSWER_S = 0.5
 FORGET_S = 60.0
 MILLISECONDS = 1000
 CHANGES_PATH = '/changes'
@@ -225,6 +228,7 @@
             f'&wait_ms={int(reader_wait_s * MILLISECONDS)}'
             f'&confirms={int(self.confirms)}'
         )
+        sent_s = self.clock()
         answer = await self._call(
             reader, prefix, target, reader_wait_s + WAIT_MARGIN_S
         )
@@ -232,6 +236,8 @@
             return None
         if answer.history_lost:
             return HistoryLost()
+        late_s = self.clock() - sent_s - reader_wait_s
+        _log_late(prefix, 'a reader', late_s, len(answer.changes))
         return StoreChanges(
             tuple(changes_of(answer)),
             int(answer.revision),
@@ -242,10 +248,14 @@
     async def _wait_at_store(
         self, prefix: str, after_revision: int, wait_s: float
     ) -> StoreChanges | HistoryLost:
+        sent_s = self.clock()
         answer = await self.store.wait_for_changes(
             prefix, after_revision, wait_s
         )
         self.heard_s[prefix] = self.clock()
+        if isinstance(answer, StoreChanges):
+            late_s = self.clock() - sent_s - wait_s
+            _log_late(prefix, 'the store', late_s, len(answer.changes))
         return answer
 
     async def _call(
@@ -262,11 +272,11 @@
             limit_s = self._left_s(prefix) + POLL_LAG_S
             timeout_s = min(timeout_s, limit_s)
         try:
-            answer = _decode(
-                await self.clients.get(
-                    reader, target, timeout_s=timeout_s, limit_s=limit_s
-                )
+            raw = await self.clients.get(
+                reader, target, timeout_s=timeout_s, limit_s=limit_s
             )
+            add(STORE_BYTES, len(raw.body), source='reader')
+            answer = _decode(raw)
         except FEED_ERRORS as error:
             self._avoid(reader, repr(error))
             return None
@@ -328,6 +338,17 @@
     return ''
 
 
+def _log_late(prefix: str, source: str, late_s: float, changes: int) -> None:
+    if late_s > LATE_ANSWER_S:
+        emit(
+            LogEvent.store_answer_late,
+            prefix=prefix,
+            source=source,
+            late_ms=round(late_s * MILLISECONDS),
+            changes=changes,
+        )
+
+
 def _decode(answer: CallAnswer) -> FeedAnswer:
     if answer.status != OK_STATUS:
         raise ValueError(f'reader answered with status {answer.status}')
--- a/testing/store/test_watcher.py
+++ b/testing/store/test_watcher.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+from loguru import logger
+
 from bramleylug.store.changes import (
     AnswerUnusable,
     HistoryLost,
@@ -177,6 +179,25 @@
 
         self.assertLess(held_bytes(watcher.unreported), 2 * 100_000)
 
+    @in_virtual_time
+    async def test_silence_of_the_store_is_logged_while_it_lasts(
+        self,
+    ) -> None:
+        """With what the last call ended with, and after which time."""
+        logged: list[str] = []
+        sink = logger.add(lambda message: logged.append(str(message)), level=0)
+        self.addCleanup(logger.remove, sink)
+        store = ScriptedStore(
+            *(unanswered() for _ in range(20)),
+            pages=[Page((), 5, more=False)],
+        )
+
+        await self.watch(store)
+
+        silences = [line for line in logged if 'BL1025' in line]
+        self.assertEqual(len(silences), 4)
+        self.assertIn('the last after 0.0 s: silent', silences[0])
+
     async def watch(self, store: ScriptedStore) -> list[object]:
         """Watch until the script is used up; return the reported changes."""
         changes: list[object] = []
