Limit of older weights: late answers are no outage while peers have the store

What callers saw: streams began on older weights after version_limit, sent by relays that read the new version late, as their answers of the store waited behind other traffic of the fleet.

Cause: record_target_version took a version for at most 2.5 s old when it was read, later than the read before proves. A store that answers returns a change within that time; a link that is full does not.

Fix: each heartbeat of relays and loaders tells how long ago its sender heard of the store (store_heard_age_ms, 5 bytes at most). StoreContact finds from these the last time in which no peer heard of it for longer than a copy may be old (2.6 s), and the 2.5 s count from the end of that outage. As long as peers hear of the store, the limit counts from the read before, which is certain. Without heartbeats that tell, or if nobody has told an answer for 2.6 s, it counts from the reading, as before; the new bound is never later than the old one.

After an outage for all the limit counts from at most 2.5 s before its end, before and now.

--- a/src/bramleylug/cluster/cluster_view.py
+++ b/src/bramleylug/cluster/cluster_view.py
@@ -28,6 +28,7 @@
 from bramleylug.cluster.report_messages import report_from_message
 from bramleylug.cluster.route_table import RouteTable
 from bramleylug.cluster.settings import ProcessSettings
+from bramleylug.cluster.store_contact import StoreContact
 from bramleylug.cluster.suspect_messages import suspect_from_message
 from bramleylug.cluster.upstreams import (
     Upstream,
@@ -110,6 +111,7 @@
             Random(settings.name),  # noqa: S311
             settings.confirm_interval,
         )
+        self._contact = StoreContact(self.peers.max_store_age_s)
         self._cold_shares = ColdShares(
             settings, self.peers, lambda: self.table, clock
         )
@@ -328,12 +330,13 @@
         now_s = self.clock()
         # A change may arrive late, as transfers of weights use the same link.
         # The earliest time at which it can have been written counts. The lag
-        # of a store that answers bounds it only while this process runs.
+        # of a store that answers bounds it only after an outage for all, and
+        # while this process runs.
         written_s = self.mirror.changes_written_after_s
         lag_s = max(MIN_STORE_LAG_S, self.settings.change_limit)
         bounds = {
             'the read before': written_s,
-            'the lag of a store that answers': now_s
+            'the lag of a store that answers': self._contact.since_s(now_s)
             - lag_s
             - self.pauses.paused_s(written_s, now_s),
         }
@@ -399,6 +402,11 @@
         )
         if previous is None or heartbeat.boot > previous.boot:
             self.on_peer_started(heartbeat.name)
+        if heartbeat.HasField('store_heard_age_ms'):
+            self._contact.record_heard(
+                self.pauses.earliest_arrival_s(now_s)
+                - heartbeat.store_heard_age_ms / MILLISECONDS
+            )
         counts = {item.upstream_id: item.running for item in heartbeat.counts}
         self.upstreams.record_counts(heartbeat.name, counts, now_s)
         self.peers.record_demand(
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -43,6 +43,8 @@
 # An upstream that ends cuts many requests at once; one heartbeat tells of all.
 ANNOUNCE_DELAY_S = 0.02
 MILLISECONDS = 1000
+# Heartbeats tell no longer silence of the store.
+MAX_TOLD_AGE_S = 600.0
 # Longest time for which a poll of another process is held open.
 MAX_POLL_S = 10.0
 
@@ -215,12 +217,20 @@
         """Remove this process from the store."""
         self.loop.spawn(self.presence.withdraw)
 
+    def full_heartbeat(self) -> Beat:
+        """Return the heartbeat for the relays, with the news of the store."""
+        heartbeat = self.make_heartbeat()
+        age_s = self.clock() - self.view.mirror.heard_s
+        if age_s <= MAX_TOLD_AGE_S:
+            heartbeat.store_heard_age_ms = round(age_s * MILLISECONDS)
+        return heartbeat
+
     def send_heartbeat(self) -> None:
         """Send a heartbeat to every relay that is alive."""
         if self.socket is None:
             return
         alive = self.view.peers.alive(Role.relay, self.clock())
-        self.socket.send(self.make_heartbeat(), [peer.beats for peer in alive])
+        self.socket.send(self.full_heartbeat(), [peer.beats for peer in alive])
 
     def send_permits(self, relay: str, messages: list[PermitMessage]) -> None:
         """Send messages about permits to a relay."""
@@ -234,7 +244,7 @@
         peer = self.view.peers.known.get(name)
         is_relay = peer is not None and peer.role is Role.relay
         if peer is not None and is_relay and self.socket is not None:
-            self.socket.send(self.make_heartbeat(), [peer.beats])
+            self.socket.send(self.full_heartbeat(), [peer.beats])
 
     def announce_soon(self) -> None:
         """Send one heartbeat to every relay for what happens at this moment.
@@ -256,7 +266,7 @@
         due = self.schedule.due(alive, now_s)
         if due and self.socket is not None:
             self.socket.send(
-                self.make_heartbeat(), [peer.beats for peer in due]
+                self.full_heartbeat(), [peer.beats for peer in due]
             )
         news = due_news(self.view, now_s)
         if news.named and self.socket is not None:
--- a/testing/cluster/test_cluster_view.py
+++ b/testing/cluster/test_cluster_view.py
@@ -189,6 +189,59 @@
         self.assertTrue(self.upstream.may_send(self.now_s))
 
 
+class TestVersionsReadLate(ViewCase):
+    """A version is read at 110 s by a process that read at 100 s before."""
+
+    def setUp(self) -> None:
+        """Read the store at 99 s and at 100 s."""
+        super().setUp()
+        self.view.is_initial_load = False
+        for sent_s in (99.0, 100.0):
+            self.view.mirror.confirm(sent_s, sent_s)
+
+    def tell(self, at_s: float, **fields: int) -> None:
+        self.now_s = at_s
+        self.view.receive_heartbeat(Beat(name='relay-2', boot=1, **fields))
+
+    def read_version(self) -> float:
+        """Read a version at 110 s; return since when its limit counts."""
+        self.now_s = 110.0
+        self.view.mirror.confirm(109.0, self.now_s)
+        self.view.record_target_version('fitting', 2)
+        return self.view.versions.set_times('fitting')[2]
+
+    def test_limit_counts_from_the_read_before_while_peers_read(self) -> None:
+        """Guards against older weights that serve too long (VERSION)."""
+        for at_s in range(100, 110):
+            self.tell(float(at_s), store_heard_age_ms=500)
+
+        self.assertEqual(self.read_version(), 100.0)
+
+    def test_limit_counts_from_the_end_of_an_outage_for_all(self) -> None:
+        """Guards against engines that are all outdated at once (SHORT)."""
+        for at_s in range(100, 109):
+            self.tell(float(at_s), store_heard_age_ms=(at_s - 100) * 1000)
+        self.tell(109.0, store_heard_age_ms=500)
+
+        self.assertEqual(self.read_version(), 106.0)
+
+    def test_peers_of_earlier_releases_tell_nothing(self) -> None:
+        for at_s in range(100, 110):
+            self.tell(float(at_s))
+
+        self.assertEqual(self.read_version(), 107.5)
+
+    def test_heartbeats_of_an_ended_incarnation_tell_nothing(self) -> None:
+        self.tell(100.0)
+        for at_s in range(100, 110):
+            self.tell(float(at_s))
+            self.view.receive_heartbeat(
+                Beat(name='relay-2', boot=0, store_heard_age_ms=0)
+            )
+
+        self.assertEqual(self.read_version(), 107.5)
+
+
 class TestStarts(ViewCase):
     """A peer that has started is noticed by its first heartbeat."""
 
--- a/testing/cluster/test_process.py
+++ b/testing/cluster/test_process.py
@@ -90,6 +90,32 @@
         self.assertEqual((core.record.boot, core.socket.sent), (400, []))
 
 
+class TestStoreNews(unittest.TestCase):
+    """Heartbeats tell when their sender heard of the store last."""
+
+    def told(self, heard_s: float) -> Beat:
+        core = build_core('relay-1', 1)
+        core.view.mirror.heard_s = heard_s
+        core.send_heartbeat_to('relay-2')
+        return core.socket.sent[-1][1]
+
+    def test_age_of_the_last_answer_is_told(self) -> None:
+        self.assertEqual(self.told(98.5).store_heard_age_ms, 1500)
+
+    def test_process_that_has_heard_nothing_tells_nothing(self) -> None:
+        for heard_s in (float('-inf'), -600.0):
+            with self.subTest(heard_s):
+                heartbeat = self.told(heard_s)
+
+                self.assertFalse(heartbeat.HasField('store_heard_age_ms'))
+
+    def test_news_of_the_store_takes_five_bytes(self) -> None:
+        """Ninety heartbeats a second share 17 kB/s with all others."""
+        news = Beat(store_heard_age_ms=600000)
+
+        self.assertEqual(news.ByteSize(), 5)
+
+
 class TestEarlierRecord(unittest.IsolatedAsyncioTestCase):
     """A relay whose name the others know need not wait for its share."""
 
