Readers of a zone stay readers while the store is away

Cause: a relay that cannot confirm API keys takes no callers, and tells its peers so as if it were leaving.

Fix: who reads for others depends on what relays registered: one that leaves says so there. One that is cut off alone is still avoided, by its answers.

Evidence: the model of the region has relays that tell this now.

--- a/src/bramleylug/cluster/peers.py
+++ b/src/bramleylug/cluster/peers.py
@@ -210,7 +210,8 @@
     def zone_peers(self, now_s: float) -> list[PeerRecord]:
         """Return the live other processes of the own zone.
 
-        Without those that are leaving, or cannot confirm what they know. A
+        Without those that are leaving. One that only takes no callers at the
+        moment is among them: in an outage of the store that is each relay. A
         loader hears no heartbeats of relays and goes by their registrations.
         """
         own = self.own()
@@ -221,7 +222,7 @@
             if record.zone == own.zone
             and record.name != own.name
             and self._is_alive(record, now_s, is_fresh=is_fresh)
-            and not self._is_draining(record)
+            and not record.draining
         ]
 
     def relay_count(self) -> int:
--- a/testing/store/region_outage.py
+++ b/testing/store/region_outage.py
@@ -183,14 +183,20 @@
         return {'serving': f'{host}:80', 'beats': f'{host}:81'}
 
     async def run_heartbeats(self) -> None:
-        """Let relays hear all other processes; loaders hear none."""
+        """Let relays hear all other processes; loaders hear none.
+
+        A relay whose copy of the store is old takes no callers, and says so.
+        """
         while True:
             now_s = asyncio.get_running_loop().time()
             for core in self.relays():
                 for other in self.cores.values():
+                    is_ready = other.view.peers.is_store_fresh()
                     core.view.peers.record_heartbeat(
                         other.record.name,
-                        HeartbeatStatus(other.record.boot, now_s, False),
+                        HeartbeatStatus(
+                            other.record.boot, now_s, draining=not is_ready
+                        ),
                     )
             await asyncio.sleep(HEARTBEAT_S)
 
