Readers after an outage: wait for them for a time, and ask others when alone

Readers that lag behind after an outage are avoided for 6 s, so that a third one takes over where two are of no use.

--- a/src/bramleylug/store/zone_readers.py
+++ b/src/bramleylug/store/zone_readers.py
@@ -1,7 +1,7 @@
 """The processes of a zone through which others read the store."""
 
 from collections.abc import Callable, Container
-from typing import Protocol, final
+from typing import NamedTuple, Protocol, final
 from urllib.parse import quote
 
 from google.protobuf.message import DecodeError
@@ -41,6 +41,17 @@
 FEED_ERRORS = (*CALL_ERRORS, DecodeError, ValueError)
 
 
+class Wanted(NamedTuple):
+    """News that a reader is waited for.
+
+    :ivar position: state of the store that has them.
+    :ivar avoid_s: how long a reader that does not get them is avoided.
+    """
+
+    position: Position
+    avoid_s: float
+
+
 class ReaderChoice(Protocol):
     """Chooses the reader of a process."""
 
@@ -172,27 +183,30 @@
         prefix: str,
         after_revision: int,
         wait_s: float,
-        at_least: Position | None = None,
+        wanted: Wanted | None = None,
     ) -> StoreChanges | HistoryLost | None:
         """Wait for changes at a reader; ``None`` if it is of no use.
 
         One that was of no use before is first asked for what it has now.
 
-        :param at_least: state of the store that is waited for.
+        :param wanted: news that are waited for, instead of any.
         """
         target = f'{CHANGES_PATH}?prefix={quote(prefix)}&after={after_revision}'
-        if at_least is None:
+        margin_s = WAIT_MARGIN_S
+        if wanted is None:
             wait_s = self._reader_wait_s(reader, prefix, wait_s)
         else:
-            target = f'{target}&era={at_least.era}&at_least={at_least.revision}'
+            newest = wanted.position
+            target = f'{target}&era={newest.era}&at_least={newest.revision}'
+            margin_s = min(margin_s, wait_s)
         sent_s = self.clock()
         answer = await self._call(
             reader,
             prefix,
             f'{target}&wait_ms={int(wait_s * MILLISECONDS)}'
             f'&confirms={int(self.confirms)}',
-            wait_s + WAIT_MARGIN_S,
-            at_least,
+            wait_s + margin_s,
+            wanted,
         )
         if answer is None:
             return None
@@ -219,7 +233,7 @@
         prefix: str,
         target: str,
         timeout_s: float,
-        at_least: Position | None = None,
+        wanted: Wanted | None = None,
     ) -> FeedAnswer | None:
         """Return the answer of the reader; ``None`` if it is of no use.
 
@@ -227,8 +241,9 @@
         until the store counts as silent.
         """
         sent_s = self.clock()
+        avoid_s = AVOID_S if wanted is None else wanted.avoid_s
         limit_s = timeout_s + LISTING_LIMIT_S
-        if prefix in self.watched and at_least is None:
+        if prefix in self.watched and wanted is None:
             limit_s = self.left_s(prefix) + POLL_LAG_S
             timeout_s = min(timeout_s, limit_s)
         try:
@@ -238,12 +253,12 @@
             add(STORE_BYTES, len(raw.body), source='reader')
             answer = _decode(raw)
         except FEED_ERRORS as error:
-            self._avoid(reader, repr(error))
+            self._avoid(reader, repr(error), avoid_s)
             return None
         heard_s = sent_s + times_of(answer).heard_after_s
-        cause = self._rejection_cause(answer, heard_s, at_least)
+        cause = self._rejection_cause(answer, heard_s, wanted)
         if cause:
-            self._avoid_outdated(reader, cause)
+            self._avoid_outdated(reader, cause, avoid_s)
             return None
         self.avoid_until_s.pop(reader, None)
         self.answered_era = int(answer.era)
@@ -251,7 +266,7 @@
         return answer
 
     def _rejection_cause(
-        self, answer: FeedAnswer, heard_s: float, at_least: Position | None
+        self, answer: FeedAnswer, heard_s: float, wanted: Wanted | None
     ) -> str:
         """Return why an answer is of no use; empty if it is."""
         if answer.era < self.era:
@@ -259,26 +274,27 @@
         age_s = self.clock() - heard_s
         if age_s > self.schedule.silence_s:
             return f'it heard of the store {age_s:.1f} s ago'
-        if at_least and Position(answer.era, answer.revision) < at_least:
-            return f'it has no revision {at_least.revision} yet'
+        position = Position(int(answer.era), int(answer.revision))
+        if wanted is not None and position < wanted.position:
+            return f'it has no revision {wanted.position.revision} yet'
         return ''
 
-    def _avoid_outdated(self, reader: str, cause: str) -> None:
+    def _avoid_outdated(self, reader: str, cause: str, avoid_s: float) -> None:
         """Avoid a reader that answers; logged once while nobody has news."""
         if reader in self.outdated:
-            self.avoid_until_s[reader] = self.clock() + AVOID_S
+            self.avoid_until_s[reader] = self.clock() + avoid_s
             return
         self.outdated.add(reader)
-        self._avoid(reader, cause)
+        self._avoid(reader, cause, avoid_s)
 
-    def _avoid(self, reader: str, cause: str) -> None:
+    def _avoid(self, reader: str, cause: str, avoid_s: float) -> None:
         self.avoid_until_s = {
             other: until_s
             for other, until_s in self.avoid_until_s.items()
             if until_s + FORGET_S > self.clock()
         }
-        self.avoid_until_s[reader] = self.clock() + AVOID_S
-        emit(LogEvent.reader_avoided, reader=reader, cause=cause, for_s=AVOID_S)
+        self.avoid_until_s[reader] = self.clock() + avoid_s
+        emit(LogEvent.reader_avoided, reader=reader, cause=cause, for_s=avoid_s)
 
 
 def log_late(prefix: str, source: str, late_s: float, changes: int) -> None:
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -16,7 +16,13 @@
     WatchableStore,
 )
 from bramleylug.store.reader_patience import ReaderPatience
-from bramleylug.store.zone_readers import MILLISECONDS, ZoneReaders, log_late
+from bramleylug.store.zone_readers import (
+    AVOID_S,
+    MILLISECONDS,
+    Wanted,
+    ZoneReaders,
+    log_late,
+)
 
 # Wait for a reader that is itself reading the store for the first time, and
 # the readers that are tried one after the other, with a pause in which the next
@@ -25,6 +31,11 @@
 START_READERS = 4
 START_PAUSE_S = 0.25
 START_LIMIT_S = 6.0
+# A reader that lags behind the others after an outage is left alone for as
+# long as they may need.
+LAGGING_AVOID_S = 6.0
+# Readers that are tried when the store does not answer this process.
+OTHER_READERS = 3
 # Wait of a call that asks the store what it has now.
 CHECK_WAIT_S = 0.001
 
@@ -63,7 +74,7 @@
         self.clock = clock
         self.find_feed = find_feed or _find_none
         self.probe_prefix = probe_prefix
-        self.patience = ReaderPatience()
+        self.patience = ReaderPatience(clock)
 
     @property
     def era(self) -> int:
@@ -162,23 +173,47 @@
         """Return what the store has now, from a reader that gets it in time.
 
         Its revision is asked for first: the news themselves may be large, and
-        other processes may want them over the same link. Readers that were
-        outdated a moment ago are asked again, as they may have them now.
+        other processes may want them over the same link.
         """
-        newest = await self._probe()
-        was_crowded = self.patience.is_crowded
-        if was_crowded or newest.revision != after_revision:
-            self.readers.forgive_outdated()
+        try:
+            newest = await self._probe()
+        except StoreUnavailable:
+            answer = await self._ask_others(prefix, after_revision)
+            if answer is None:
+                raise
+            return answer
+        return await self._read_news(prefix, after_revision, newest)
+
+    async def _ask_others(
+        self, prefix: str, after_revision: int
+    ) -> StoreChanges | HistoryLost | None:
+        """Read what some other readers have, which the store may answer."""
+        answer = None
+        tried = 0
+        while answer is None and tried < OTHER_READERS:
+            tried += 1
+            reader = self.readers.find()
+            if not reader:
+                break
+            answer = await self.readers.poll(reader, prefix, after_revision, 0)
+        return answer
+
+    async def _read_news(
+        self, prefix: str, after_revision: int, newest: Position
+    ) -> StoreChanges | HistoryLost:
         if newest.revision == after_revision:
             self.readers.record_heard(prefix)
-            self._record_news()
             return StoreChanges((), after_revision, era=newest.era)
+        is_long = self.patience.is_long
+        if not is_long:
+            # The first reader may have the news since it was asked last.
+            self.readers.forgive_outdated()
         answer = await self._catch_up(prefix, after_revision, newest)
-        if answer is None and not was_crowded and await self._is_filling():
+        if answer is None and not is_long and await self._is_filling():
             answer = await self._catch_up(prefix, after_revision, newest)
         if answer is None:
             return await self._call_store(prefix, after_revision, CHECK_WAIT_S)
-        self._record_news()
+        self.readers.record_news()
         return answer
 
     async def _is_filling(self) -> bool:
@@ -186,7 +221,7 @@
         if not self.readers.find(first=True):
             return False
         await self._probe()
-        return self.patience.is_crowded
+        return self.patience.is_long
 
     async def _probe(self) -> Position:
         """Return the state of the store, by a small call."""
@@ -194,9 +229,12 @@
         try:
             page = await self.store.list_page(self.probe_prefix, '')
         except StoreUnavailable:
-            self._record_failure()
+            self.patience.record_failure()
             raise
         self.patience.record_answer(self.clock() - sent_s)
+        if self.patience.take_return():
+            # Readers that had not heard of the store either may hear of it now.
+            self.readers.forgive_outdated()
         return Position(page.era, page.revision)
 
     async def _catch_up(
@@ -205,28 +243,26 @@
         """Read news through readers that get them in time, if there are any.
 
         All processes of the zone wait for the same reader, and the next one
-        in their common order takes its place.
+        in their common order takes its place. One that fails at once costs no
+        part of the time.
         """
-        first_wait_s, next_wait_s = self.patience.waits_s
-        answer = await self._ask_first(
-            prefix, after_revision, newest, first_wait_s
+        wanted = Wanted(
+            newest, LAGGING_AVOID_S if self.patience.is_long else AVOID_S
         )
-        if answer is None:
-            answer = await self._ask_first(
-                prefix, after_revision, newest, next_wait_s
+        waits_s = list(self.patience.waits_s)
+        while waits_s:
+            reader = self.readers.find(first=True)
+            if not reader:
+                break
+            began_s = self.clock()
+            answer = await self.readers.poll(
+                reader, prefix, after_revision, waits_s[0], wanted
             )
-        return answer
-
-    async def _ask_first(
-        self, prefix: str, after_revision: int, newest: Position, wait_s: float
-    ) -> StoreChanges | HistoryLost | None:
-        """Read news through the first reader, if that is not this process."""
-        reader = self.readers.find(first=True)
-        if not reader:
-            return None
-        return await self.readers.poll(
-            reader, prefix, after_revision, wait_s, newest
-        )
+            if answer is not None:
+                return answer
+            if self.clock() - began_s >= waits_s[0]:
+                waits_s.pop(0)
+        return None
 
     async def _wait_at_store(
         self, prefix: str, after_revision: int, wait_s: float
@@ -235,10 +271,12 @@
 
         After a call without an answer a small one goes first. It arrives when
         the link has passed what was sent before; the same news once more would
-        only lengthen that.
+        only lengthen that. Then another reader may be of use again.
         """
-        if self.patience.is_crowded:
-            await self._probe()
+        if self.patience.is_long:
+            newest = await self._probe()
+            if self.readers.find(first=True):
+                return await self._read_news(prefix, after_revision, newest)
         return await self._call_store(prefix, after_revision, wait_s)
 
     async def _call_store(
@@ -250,28 +288,15 @@
                 prefix, after_revision, wait_s
             )
         except StoreUnavailable:
-            self._record_failure()
+            self.patience.record_failure()
             raise
         self.readers.record_heard(prefix)
-        self._record_news()
+        self.readers.record_news()
         if isinstance(answer, StoreChanges):
             late_s = self.clock() - sent_s - wait_s
             log_late(prefix, 'the store', late_s, len(answer.changes))
         return answer
 
-    def _record_failure(self) -> None:
-        """Record that the store did not answer.
-
-        Readers that had not heard of it either may hear of it next.
-        """
-        self.patience.record_failure()
-        self.readers.forgive_outdated()
-
-    def _record_news(self) -> None:
-        """Record that this process has what the store had."""
-        self.patience.record_news()
-        self.readers.record_news()
-
 
 async def _find_none(avoided: Container[str]) -> str:
     """Return no reader."""
--- a/testing/store/test_reader_patience.py
+++ b/testing/store/test_reader_patience.py
@@ -2,14 +2,19 @@
 
 import unittest
 
-from bramleylug.store.reader_patience import CROWDED_S, ReaderPatience
+from bramleylug.store.reader_patience import (
+    CROWDED_S,
+    RECOVERY_S,
+    ReaderPatience,
+)
 
 
 class TestReaderPatience(unittest.TestCase):
     """Short where the store answers, long where its answers are delayed."""
 
     def setUp(self) -> None:
-        self.patience = ReaderPatience()
+        self.now_s = 100.0
+        self.patience = ReaderPatience(lambda: self.now_s)
         self.short_s = sum(self.patience.waits_s)
 
     def test_store_that_answers_at_once_is_read_soon(self) -> None:
@@ -22,12 +27,19 @@
 
         self.assertGreater(sum(self.patience.waits_s), 10 * self.short_s)
 
-    def test_outage_lengthens_the_wait_until_there_are_news(self) -> None:
-        """The first answers after it are quick."""
+    def test_wait_is_long_for_a_while_after_an_outage(self) -> None:
+        """The first answers after it are quick, and hold nothing new."""
         self.patience.record_failure()
         self.patience.record_answer(CROWDED_S / 2)
         self.assertGreater(sum(self.patience.waits_s), 10 * self.short_s)
 
-        self.patience.record_news()
+        self.now_s += RECOVERY_S
 
         self.assertEqual(sum(self.patience.waits_s), self.short_s)
+
+    def test_first_answer_after_an_outage_is_told_once(self) -> None:
+        self.patience.record_failure()
+        self.patience.record_failure()
+
+        self.assertTrue(self.patience.take_return())
+        self.assertFalse(self.patience.take_return())
--- a/testing/store/test_region_outage.py
+++ b/testing/store/test_region_outage.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from itertools import product
 
-from bramleylug.cluster.store_readers import find_reader
 from bramleylug.platform.decoding import CONFIG_KEY
+from bramleylug.routing.rendezvous import rank
 from bramleylug.store.changes import StoreItem
 from testing.store.region_outage import OutageRegion, OutageStore
 from testing.store.region_start import build_large_config
@@ -22,6 +24,10 @@
 OUTAGE_S = 8.0
 # Bound of the users for a configuration, from its acknowledgement on.
 APPLY_S = 3.0
+# Bound of other users for a change, of a process with that limit.
+DRAIN_S = 2.0
+# Of it, for the way of a request to its engine.
+SEND_S = 0.15
 # The relay that reads for the others, and one more where that was late.
 MAX_COPIES = 2
 # Of a change: JSON around each value, which is Base64.
@@ -51,10 +57,7 @@
 
         :param unchanged_s: time from the outage to the first configuration.
         """
-        async with self.region.starting():
-            beats = asyncio.create_task(self.region.run_heartbeats())
-            await self.region.wait_until_loaded(RELAYS + LOADERS, CALM_S)
-            await asyncio.sleep(CALM_S)
+        async with self.running():
             self.store.leave(is_silent=is_silent)
             if cuts_reader:
                 self.names.remove(self.cut_reader())
@@ -64,22 +67,64 @@
             self.store.told.clear()
             await asyncio.sleep(unchanged_s)
             async with asyncio.timeout(60):
-                late_s = await self.write_configurations()
-            beats.cancel()
-        return late_s
+                return await self.write_configurations()
+
+    async def run_beside_relays_turned_away(self, places: set[int]) -> float:
+        """Return how long a change takes that some relays cannot read.
+
+        Those before the first other one have no reader.
+
+        :param places: of these relays in the order of readers.
+        """
+        async with self.running():
+            names = self.readers()
+            self.store.cut.update(names[place] for place in places)
+            await asyncio.sleep(CALM_S)
+            first = min(set(range(RELAYS)) - places)
+            return await self.write_change(set(names[first:]))
+
+    async def run_with_a_later_cut(self, later_s: float) -> float:
+        """Return how long a change takes after an outage and a cut reader.
+
+        :param later_s: time between these.
+        """
+        async with self.running():
+            self.store.leave(is_silent=False)
+            await asyncio.sleep(OUTAGE_S)
+            self.store.is_away = False
+            await asyncio.sleep(later_s)
+            self.names.remove(self.cut_reader())
+            return await self.write_change(self.names)
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Run all processes, and wait until they are calm."""
+        async with self.region.starting():
+            beats = asyncio.create_task(self.region.run_heartbeats())
+            await self.region.wait_until_loaded(RELAYS + LOADERS, CALM_S)
+            await asyncio.sleep(CALM_S)
+            try:
+                yield
+            finally:
+                beats.cancel()
+
+    def readers(self) -> list[str]:
+        """Return the relays in the order in which they read for the others."""
+        zone = self.region.cores['relay-0'].record.zone
+        return rank(zone, {f'relay-{number}' for number in range(RELAYS)})
 
     def cut_reader(self) -> str:
         """Cut off the relay that reads the store for the others."""
-        records = [core.record for core in self.region.cores.values()]
-        reader = next(
-            one.name
-            for one in records
-            if find_reader(one, [peer for peer in records if peer is not one])
-            is None
-        )
+        reader = self.readers()[0]
         self.store.cut.add(reader)
         return reader
 
+    async def write_change(self, names: set[str]) -> float:
+        """Write a small configuration; return how long relays take."""
+        revision = self.write(build_large_config(ROUTES))
+        async with asyncio.timeout(60):
+            return await self.region.wait_until_known(revision, names)
+
     async def write_configurations(self) -> float:
         """Write some in quick succession, the last one with many routes."""
         small = build_large_config(ROUTES)
@@ -128,10 +173,43 @@
     async def test_region_whose_reader_stays_cut_off_applies_them_in_time(
         self,
     ) -> None:
-        for share in LINK_SHARES:
-            with self.subTest(share=share):
+        for share, is_silent, unchanged_s in product(
+            LINK_SHARES, (False, True), (0, 0.2, 1.0)
+        ):
+            with self.subTest(
+                share=share, is_silent=is_silent, unchanged_s=unchanged_s
+            ):
                 play = Play(share)
-                late_s = await play.run(cuts_reader=True)
+                late_s = await play.run(
+                    is_silent=is_silent,
+                    cuts_reader=True,
+                    unchanged_s=unchanged_s,
+                )
 
                 self.assertLessEqual(late_s, APPLY_S)
                 self.assertLessEqual(play.copies_sent(), MAX_COPIES)
+
+
+class TestReadersWithoutTheStore(unittest.TestCase):
+    """Guards against configurations that stay old behind them (CONFIG)."""
+
+    @in_virtual_time
+    async def test_relays_that_are_turned_away_with_their_reader(self) -> None:
+        """They find one that the store answers."""
+        for places in ({0, 3, 6, 9}, {0, 1, 2, 9, 12, 15}):
+            with self.subTest(places=places):
+                play = Play(1.0)
+                late_s = await play.run_beside_relays_turned_away(places)
+
+                self.assertLessEqual(late_s, APPLY_S)
+
+    @in_virtual_time
+    async def test_reader_that_is_cut_off_some_time_after_an_outage(
+        self,
+    ) -> None:
+        """The limits are those of a calm cluster again."""
+        for later_s in (6.0, 6.74, 7.85):
+            with self.subTest(later_s=later_s):
+                late_s = await Play(1.0).run_with_a_later_cut(later_s)
+
+                self.assertLessEqual(late_s, DRAIN_S - SEND_S)
