Fair shares count free slots, so that they don't go on refusing after an outage

Cause: the level divided what was taken, a mean that is near 0 by then; refusing by it keeps it there.

Fix: a workspace may also have its level in a division of the slots that are taken and those that are free now at upstreams that may serve, but for a fifth of those taken and 2: so many are free for a moment in any shortage. Without a free slot, and at a relay that is cut off, nothing changes. ServiceQueue's rule of which upstreams take requests moves to usable_upstreams.py and is shared.

Not in it: cold upstreams count 0, and for some seconds after an outage the largest workspace is still refused more than it need be, as the means of what is taken rise later than slots fill.

--- a/src/bramleylug/relay/service_queue.py
+++ b/src/bramleylug/relay/service_queue.py
@@ -5,7 +5,6 @@
 from typing import final
 
 from bramleylug.cluster.cluster_view import ClusterView
-from bramleylug.cluster.route_table import RouteTable
 from bramleylug.cluster.upstreams import Upstream
 from bramleylug.observability.metrics import (
     LEVEL_DECISIONS,
@@ -17,14 +16,13 @@
 )
 from bramleylug.outcomes import NotRun, Reason
 from bramleylug.relay.request_context import RequestContext
+from bramleylug.relay.usable_upstreams import responsive_upstreams, usable
 from bramleylug.scheduling.placing import (
     AtCapacity,
     Selected,
     Selection,
     closed_until_s,
-    responsive,
     sendable_at_once,
-    unusable_weights_reason,
 )
 from bramleylug.scheduling.demand import DemandMeter
 from bramleylug.scheduling.levels import FleetLoad, LevelGate, Prospect
@@ -194,7 +192,7 @@
         relays = self.view.peers.relay_count()
         return sum(
             sendable_at_once(upstream, relays, now_s)
-            for upstream in self._responsive(now_s)
+            for upstream in responsive_upstreams(self.view, self.service, now_s)
             if now_s >= closed_until_s(upstream, now_s)
         )
 
@@ -253,10 +251,6 @@
         loads = self.gate.loads
         return bool(loads) and self.gate.reserve(max(loads)) >= 1
 
-    def _responsive(self, now_s: float) -> list[Upstream]:
-        upstreams = list(self.view.upstreams.of_service(self.service))
-        return responsive(upstreams, now_s)
-
     def _observe(self, now_s: float) -> None:
         if now_s - self.gate.observed_s < OBSERVE_INTERVAL_S:
             return
@@ -267,12 +261,12 @@
             LEVEL_FREE.set(labels, self.gate.left_over(urgency))
 
     def _fleet_load(self, now_s: float) -> FleetLoad:
-        upstreams = self._responsive(now_s)
-        usable = self._usable(upstreams, now_s)
+        upstreams = responsive_upstreams(self.view, self.service, now_s)
+        open_now = usable(upstreams, self.view, self.service, now_s)
         peers = self.view.peers
         return FleetLoad(
-            sum(one.record.slots for one in usable),
-            sum(one.free_slots(now_s) for one in usable),
+            sum(one.record.slots for one in open_now),
+            sum(one.free_slots(now_s) for one in open_now),
             sum(one.own_running(now_s) for one in upstreams),
             {
                 level.urgency: meter.load(now_s)
@@ -284,24 +278,6 @@
             peers.demand.heard(now_s),
         )
 
-    def _usable(
-        self, upstreams: list[Upstream], now_s: float
-    ) -> list[Upstream]:
-        """Return those that take requests now, however many run there."""
-        constraints = self.view.constraints()
-        model = _model_of(self.view.table, self.service)
-        return [
-            one
-            for one in upstreams
-            if one.record.zone not in constraints.zones_out
-            and now_s >= closed_until_s(one, now_s)
-            and not one.is_closing(now_s)
-            and not (
-                model
-                and unusable_weights_reason(one, model, constraints, now_s)
-            )
-        ]
-
 
 def _part_of(prospect: Prospect | None, relays: int) -> Prospect | None:
     """Return how soon one relay's part of the slots comes."""
@@ -321,13 +297,5 @@
     )
 
 
-def _model_of(table: RouteTable | None, name: str) -> str:
-    """Return the model that a service's upstreams serve; empty if none."""
-    service = None if table is None else table.services.get(name)
-    if service is None or service.weights is None:
-        return ''
-    return service.weights.model
-
-
 def _admit_any(urgency: int) -> bool:
     return True
--- a/src/bramleylug/relay/workspace_shares.py
+++ b/src/bramleylug/relay/workspace_shares.py
@@ -9,6 +9,7 @@
 from bramleylug.observability.events import LogEvent, emit
 from bramleylug.observability.metrics import SHARE_REFUSALS, count
 from bramleylug.relay.request_context import RequestContext
+from bramleylug.relay.usable_upstreams import usable_slots
 from bramleylug.scheduling.shares import (
     FairShares,
     UseMeter,
@@ -155,7 +156,8 @@
         if shares is None or now_s - computed_s >= SHARES_TTL_S:
             own = self.meter.uses(now_s)
             shares = FairShares.from_uses(
-                self.view.peers.uses.of_service(service, own)
+                self.view.peers.uses.of_service(service, own),
+                usable_slots(self.view, service, now_s),
             )
             self.known[service] = now_s, shares
         return shares
--- a/src/bramleylug/scheduling/shares.py
+++ b/src/bramleylug/scheduling/shares.py
@@ -34,7 +34,8 @@
 # A workspace is short if it has less than this part of what it could have.
 SHORT_PART = 0.9
 # Nothing is refused unless all want so much more than they take: requests that
-# wait for a moment want a slot, too, and the means of few requests vary.
+# wait for a moment want a slot, too, and the means of few requests vary. In a
+# shortage so many slots are free for a moment.
 EXCESS_PART = 0.2
 EXCESS_SLOTS = 2.0
 # Bounds of how much more or less often a workspace's requests are chosen.
@@ -181,30 +182,45 @@
 
     :ivar uses: by workspace, over the fleet.
     :ivar level: most slots that a workspace has in a fair division.
+    :ivar full_level: the same in a division of the free slots, too, but for
+        those that are usually free for a moment.
     """
 
     uses: Mapping[str, Use]
     level: float
+    full_level: float
 
     @classmethod
-    def from_uses(cls, uses: Mapping[str, Use]) -> 'FairShares':
-        """Return the shares in the slots that are taken now."""
+    def from_uses(
+        cls, uses: Mapping[str, Use], free_slots: float = 0
+    ) -> 'FairShares':
+        """Return the shares in the slots that are taken or free now.
+
+        By those taken alone, a service that served nothing for a while would
+        go on to refuse: the level would follow what refusals leave.
+        """
         taken = sum(use.slots for use in uses.values())
         wanted = [max(use) for use in uses.values()]
-        return cls(uses, fair_level(wanted, taken))
+        usual = EXCESS_PART * taken + EXCESS_SLOTS
+        return cls(
+            uses,
+            fair_level(wanted, taken),
+            fair_level(wanted, taken + max(0, free_slots - usual)),
+        )
 
     def refused_part(self, workspace: str, *, is_current: bool = True) -> float:
         """Return which part of a workspace's requests is to be refused.
 
         None is while no other workspace is short. The rest of its requests
-        adds up to the level and a tolerance.
+        adds up to the level and a tolerance, or to the full level.
 
         :param is_current: whether the uses of the other relays are known; of
             a relay that is cut off, a workspace gets a safe part of its share.
         """
         use = self.uses.get(workspace, Use())
-        usable = TOLERANCE if is_current else SAFE_PART
-        limit = self.level * usable
+        limit = self.level * SAFE_PART
+        if is_current:
+            limit = max(self.level * TOLERANCE, self.full_level)
         if use.wanted_slots <= limit or not self._is_scarce():
             return 0.0
         if not self._others_are_short(workspace):
--- a/testing/scheduling/shares_play.py
+++ b/testing/scheduling/shares_play.py
@@ -32,6 +32,7 @@
         warm-up on, and are not heard.
     :ivar served: requests served after the warm-up, by workspace.
     :ivar shares_used: whether shares are applied.
+    :ivar away_s: begin and end of a time in which nothing can be served.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.shares_used = shares_used
         self.meters = [UseMeter() for _ in range(relays)]
         self.fleets = [FleetUses() for _ in range(relays)]
+        self.away_s = END_S, END_S
         self.busy_until_s: list[float] = []
         self.served: Counter[str] = Counter()
         self.now_s = 0.0
@@ -100,15 +102,16 @@
         meter = self.meters[relay]
         meter.record_wanted(SERVICE, workspace, HOLD_S, self.now_s)
         if self.shares_used:
-            shares = FairShares.from_uses(
-                self.fleets[relay].of_service(SERVICE, meter.uses(self.now_s))
+            uses = self.fleets[relay].of_service(
+                SERVICE, meter.uses(self.now_s)
             )
+            shares = FairShares.from_uses(uses, self._free_slots())
             part = shares.refused_part(
                 workspace, is_current=not self._is_cut(relay)
             )
             if self.random.random() < part:
                 return False
-        if len(self.busy_until_s) >= self.slots:
+        if not self._free_slots():
             return False
         self.busy_until_s.append(self.now_s + HOLD_S)
         meter.record_taken(SERVICE, workspace, HOLD_S, self.now_s)
@@ -116,6 +119,12 @@
             self.served[workspace] += 1
         return True
 
+    def _free_slots(self) -> int:
+        begin_s, end_s = self.away_s
+        if begin_s <= self.now_s < end_s:
+            return 0
+        return self.slots - len(self.busy_until_s)
+
     def _is_cut(self, relay: int) -> bool:
         return relay < self.cut and self.now_s >= WARM_UP_S / 2
 
--- a/testing/scheduling/test_shares.py
+++ b/testing/scheduling/test_shares.py
@@ -9,12 +9,18 @@
     FairShares,
     FleetUses,
     Use,
+    UseMeter,
     fair_level,
     largest,
     slot_time_s,
 )
 from bramleylug.wire.beats_pb2 import Beat
-from testing.scheduling.shares_play import SERVICE, SharesPlay
+from testing.scheduling.shares_play import (
+    END_S,
+    SERVICE,
+    WARM_UP_S,
+    SharesPlay,
+)
 
 # They want 120 requests a second of the 160 that the engines can run.
 SMALL = {f'small-{number}': 6.0 for number in range(20)}
@@ -72,6 +78,17 @@
         play = SharesPlay(rates, SLOTS, 6).run()
         self.assertGreaterEqual(sum(map(play.served_per_s, rates)), 0.9 * 160)
 
+    def test_service_is_used_after_an_outage(self) -> None:
+        rates = {'large': 100.0, 'medium': 30.0, 'small': 20.0}
+        play = SharesPlay(rates, SLOTS, 7)
+        play.away_s = 6.0, 12.0
+        play.run()
+        part = (END_S - 12.0) / (END_S - WARM_UP_S)
+        for name, per_s in rates.items():
+            self.assertGreaterEqual(
+                play.served_per_s(name), LEAST_PART * part * per_s
+            )
+
     def assert_fair(self, play: SharesPlay) -> None:
         play.run()
         small = [play.served_per_s(name) / 6.0 for name in SMALL]
@@ -117,6 +134,39 @@
         self.assertEqual(shares.weight('unknown'), 1.0)
 
 
+class TestFreeSlots(unittest.TestCase):
+    """Nothing was taken for 6 s; two workspaces want 15 slots since."""
+
+    def setUp(self) -> None:
+        meter = UseMeter()
+        for step in range(120):
+            for workspace, slots in (('a', 10), ('b', 5)):
+                key = SERVICE, workspace
+                meter.record_wanted(*key, 0.1 * slots, 0.1 * step)
+                if step < 60 and workspace == 'a':
+                    meter.record_taken(*key, 0.1 * slots, 0.1 * step)
+        self.uses = FleetUses().of_service(SERVICE, meter.uses(12.0))
+
+    def test_none_is_refused_while_there_are_enough(self) -> None:
+        shares = FairShares.from_uses(self.uses, 20.0)
+        self.assertEqual(list(map(shares.refused_part, 'ab')), [0.0, 0.0])
+
+    def test_shares_act_again_as_they_fill(self) -> None:
+        parts = [
+            FairShares.from_uses(self.uses, free_slots).refused_part('a')
+            for free_slots in (20.0, 10.0, 6.0, 0.0)
+        ]
+        self.assertEqual(parts, sorted(parts))
+        self.assertGreater(parts[1], 0.0)
+
+    def test_few_that_are_free_for_a_moment_change_nothing(self) -> None:
+        uses = {'a': Use(9, 20), 'b': Use(1, 8)}
+        self.assertEqual(
+            FairShares.from_uses(uses, 4.0).refused_part('a'),
+            FairShares.from_uses(uses).refused_part('a'),
+        )
+
+
 class TestUses(unittest.TestCase):
     """Relays tell each other what workspaces use."""
 
