--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -201,6 +201,10 @@
     async def _read_news(
         self, prefix: str, after_revision: int, newest: Position
     ) -> StoreChanges | HistoryLost:
+        """Return what is new, and nothing if the store has no other revision.
+
+        :param newest: state that the store was in a moment ago.
+        """
         if newest.revision == after_revision:
             self.readers.record_heard(prefix)
             return StoreChanges((), after_revision, era=newest.era)
