Crash simulation: its connections can be waited for

A hedge waits for the input of the first connection, which the stand-in lacked, so that a request ended with an internal error as soon as one was hedged. The stand-in does as a connection does; no check changed.

--- a/testing/relay/crash_simulation.py
+++ b/testing/relay/crash_simulation.py
@@ -53,6 +53,7 @@
 from testing.virtual_time import VirtualLoop
 
 STABLE_WINDOW_S = 3.0
+INPUT_CHECK_S = 0.005
 COUNTED_CRASHES = 5
 # Fewer requests than this say nothing about the share that is served.
 MIN_COUNTED = 20
@@ -219,6 +220,7 @@
         self.call: Call | None = None
         self.resume_after = 0
         self.head_sent = False
+        self.ended = False
 
     def send(self, request: ClientRequest) -> None:
         """Hand a request to the engine.
@@ -238,6 +240,16 @@
     async def read_piece(self) -> bytes:
         return await self._receive()
 
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes were received that have not been read."""
+        return self.received.qsize() > int(self.ended)
+
+    async def wait_for_input(self) -> None:
+        """Wait for input or the end of the connection; read nothing."""
+        while not (self.has_input or self.ended):
+            await asyncio.sleep(INPUT_CHECK_S)
+
     def close(self) -> None:
         self.engine.drop(self)
 
@@ -372,6 +384,7 @@
             if is_inside and connection.head_sent:
                 connection.received.put_nowait(b'id: ')
             connection.received.put_nowait(ConnectionBroken('reset by peer'))
+            connection.ended = True
         self.running.clear()
         self.waiting.clear()
 
