Log from where a process reads what its reader lacked

The log told that a reader was of no use, but not who then read the news from where, nor how long that took: many processes that each read them from the store could not be told from one reader that was waited for in vain, nor from a link full of other traffic.

BL1040 names the source, the time and both revisions. It is written only by a process whose reader lacked news, so that a calm zone logs none.

--- a/src/bramleylug/observability/events.py
+++ b/src/bramleylug/observability/events.py
@@ -144,6 +144,14 @@
         'Check the links between this host and the store, and what else they '
         'carry.',
     )
+    store_news_read = EventSpec(
+        'BL1040',
+        'INFO',
+        'read what was missing up to revision {revision} from {source} in '
+        '{took_ms} ms, after the store had told of revision {newest}',
+        'Nothing to do; many processes of a zone that read the same from the '
+        'store itself fill their link to it.',
+    )
     value_unreadable = EventSpec(
         'BL1009',
         'WARNING',
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -208,6 +208,23 @@
         if newest.revision == after_revision:
             self.readers.record_heard(prefix)
             return StoreChanges((), after_revision, era=newest.era)
+        began_s = self.clock()
+        answer = await self._read_from_any(prefix, after_revision, newest)
+        if isinstance(answer, StoreChanges):
+            from_store = answer.reader_times is None
+            emit(
+                LogEvent.store_news_read,
+                revision=answer.revision,
+                newest=newest.revision,
+                source='the store' if from_store else 'a reader',
+                took_ms=round((self.clock() - began_s) * MILLISECONDS),
+            )
+        return answer
+
+    async def _read_from_any(
+        self, prefix: str, after_revision: int, newest: Position
+    ) -> StoreChanges | HistoryLost:
+        """Return what is new from a reader that gets it, or the store."""
         is_long = self.patience.is_long
         if not is_long:
             # The first reader may have the news since it was asked last.
