--- a/testing/store/test_region_outage.py
+++ b/testing/store/test_region_outage.py
@@ -37,9 +37,14 @@
 
 
 class Play:
-    """A region on virtual time, with configurations after an outage."""
+    """A region on virtual time, with configurations after an outage.
 
-    def __init__(self, link_share: float) -> None:
+    :param link_share: share of the link that is left for the store.
+    :param routes: routes of a configuration beside readers that are cut off.
+    """
+
+    def __init__(self, link_share: float, routes: int = MORE_ROUTES) -> None:
+        self.routes = routes
         config = StoreItem(CONFIG_KEY, build_large_config(ROUTES), 1)
         self.store = OutageStore(LINK_BYTES_PER_S * link_share, config)
         self.region = OutageRegion(self.store, RELAYS, LOADERS)
@@ -96,6 +101,18 @@
             self.cut_off(1)
             return await self.write_change(self.names)
 
+    async def run_beside_cut_readers(self, count: int, later_s: float) -> float:
+        """Return how long a configuration of many routes takes.
+
+        :param count: how many of the first readers are cut off.
+        :param later_s: time from the cut to the configuration.
+        """
+        async with self.running():
+            self.store.sent_bytes = 0
+            self.cut_off(count)
+            await asyncio.sleep(later_s)
+            return await self.write_change(self.names, self.routes)
+
     @asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Run all processes, and wait until they are calm."""
@@ -119,9 +136,11 @@
         self.store.cut.update(cut)
         self.names.difference_update(cut)
 
-    async def write_change(self, names: set[str]) -> float:
-        """Write a small configuration; return how long relays take."""
-        revision = self.write(build_large_config(ROUTES))
+    async def write_change(
+        self, names: set[str], routes: int = ROUTES
+    ) -> float:
+        """Write a configuration; return how long relays take to know it."""
+        revision = self.write(build_large_config(routes))
         async with asyncio.timeout(60):
             return await self.region.wait_until_known(revision, names)
 
@@ -217,6 +236,30 @@
 
                 self.assertLessEqual(late_s, APPLY_S)
 
+    @in_virtual_time
+    async def test_configuration_behind_a_reader_that_is_cut_off(self) -> None:
+        """One other process reads it, however long it is on its way."""
+        for routes, later_s in product(
+            (600, 1000, 1400, 1654, 2200), (0, 1.0, 2.0)
+        ):
+            with self.subTest(routes=routes, later_s=later_s):
+                await self.check_cut_readers(Play(1.0, routes), 1, later_s)
+
+    @in_virtual_time
+    async def test_configuration_behind_readers_that_are_cut_off(self) -> None:
+        """They are passed over one after the other."""
+        for count, share in product((2, 4), LINK_SHARES):
+            with self.subTest(count=count, share=share):
+                await self.check_cut_readers(Play(share), count, 0)
+
+    async def check_cut_readers(
+        self, play: Play, count: int, later_s: float
+    ) -> None:
+        late_s = await play.run_beside_cut_readers(count, later_s)
+
+        self.assertLessEqual(late_s, APPLY_S)
+        self.assertLessEqual(play.copies_sent(), MAX_COPIES)
+
     @in_virtual_time
     async def test_reader_that_is_cut_off_some_time_after_an_outage(
         self,
