Wait for the reader that the store answers

The store and all other relays were sound.

All processes of a zone notice the silence of their reader within 0.1 s, and ask the next one in their common order for the news. They gave it 0.05 and 0.1 s. It needs 0.2 to 0.34 s to read 1,000 to 1,654 routes over 15.5 Mbit/s, so all gave up at the same moment and read the news from the store at once, 15 copies over one link. A small call was to tell whether the link was full, but waited only for the rest of the first copy: below its bound of 0.25 s. The time of a call says nothing on what the other side is doing.

A reader that is asked for a state that it lacks now asks the store for it by a small call, and says in its answers whether the store answers it. It also ends its own wait for another reader at once, so that it need not notice the silence by itself. The others wait for the first one that the store answers, pass over those that it does not, and read the store themselves only when none is left. A failed call that was sent before the latest answer is no news, and no small call is made beside a read, which it would wait behind.

ReaderPatience.waits_s is gone, and its three tests with it: they held the lengths of waits that no longer exist. Their places take tests of the same cases for wait_s: a store that answers at once, a late small call, the time after an outage; besides each outcome of asking a reader.

--- a/src/bramleylug/cluster/feed_pages.py
+++ b/src/bramleylug/cluster/feed_pages.py
@@ -4,7 +4,8 @@
 from urllib.parse import parse_qs
 
 from bramleylug.store.changes import Position
-from bramleylug.store.feed import ChangeFeed, Poll
+from bramleylug.store.feed import REACH_NUMBERS, ChangeFeed, Poll
+from bramleylug.store.store_reach import StoreReach
 from bramleylug.store.zone_readers import CHANGES_PATH, ITEMS_PATH
 from bramleylug.web.exchange import Exchange
 from bramleylug.web.queries import integer_parameter
@@ -15,7 +16,9 @@
 MAX_POLL_S = 10.0
 
 
-async def serve_feed(exchange: Exchange, feed: ChangeFeed) -> None:
+async def serve_feed(
+    exchange: Exchange, feed: ChangeFeed, reach: StoreReach
+) -> None:
     """Answer with items or changes; 503 before the store has been read."""
     arrived_s = feed.clock()
     query = parse_qs(exchange.query)
@@ -36,11 +39,25 @@
             arrived_s,
             _wanted_position(query),
         )
-        _reply(exchange, feed, await feed.wait(poll))
+        _reply(exchange, feed, await _wait(feed, reach, poll))
     else:
         exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE, b'')
 
 
+async def _wait(feed: ChangeFeed, reach: StoreReach, poll: Poll) -> FeedAnswer:
+    """Return the news for a poll.
+
+    If this process lacks what the poll waits for, it asks the store itself.
+    """
+    wanted = poll.at_least
+    if wanted is None or feed.mirror.position >= wanted:
+        return await feed.wait(poll)
+    reach.seek(wanted)
+    answer = await feed.wait(poll, reach.has_failed)
+    answer.store_reach = REACH_NUMBERS[reach.state]
+    return answer
+
+
 def _wanted_position(query: dict[str, list[str]]) -> Position | None:
     """Return the state of the store that a poll waits for, if any."""
     revision = integer_parameter(query, 'at_least', 0)
--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -125,6 +125,7 @@
             )
             for prefix in adapter.watched_prefixes(record.role)
         ]
+        self.store.reach.on_failure = self.watchers[0].feed.announce
         self.view = ClusterView(
             settings, lambda: self.record, self.watchers[0].mirror, clock
         )
@@ -173,7 +174,7 @@
 
     async def serve_feed(self, exchange: Exchange) -> None:
         """Answer another process that reads the store through this one."""
-        await serve_feed(exchange, self.watchers[0].feed)
+        await serve_feed(exchange, self.watchers[0].feed, self.store.reach)
 
     def open(self) -> None:
         """Start the background tasks, outside the circuits loop."""
--- a/src/bramleylug/store/feed.py
+++ b/src/bramleylug/store/feed.py
@@ -22,7 +22,14 @@
     StoreItem,
 )
 from bramleylug.store.mirror import Mirror
-from bramleylug.wire.feed_pb2 import FeedAnswer, FeedChange
+from bramleylug.store.store_reach import Reach
+from bramleylug.wire.feed_pb2 import (
+    STORE_REACH_ANSWERED,
+    STORE_REACH_FAILED,
+    STORE_REACH_UNKNOWN,
+    FeedAnswer,
+    FeedChange,
+)
 
 MICROSECONDS = 1_000_000
 # Changes that a poll may be behind; one that is further behind is told to
@@ -37,6 +44,12 @@
 MAX_SHARED = 4
 # A short compressed answer may stand for any number of bytes.
 MAX_DECODED_BYTES = 33554432
+REACH_NUMBERS = {
+    Reach.unknown: STORE_REACH_UNKNOWN,
+    Reach.answered: STORE_REACH_ANSWERED,
+    Reach.failed: STORE_REACH_FAILED,
+}
+REACH_BY_NUMBER = {number: reach for reach, number in REACH_NUMBERS.items()}
 
 
 class Poll(NamedTuple):
@@ -105,14 +118,19 @@
             self._append(change)
         while len(self.records) > MAX_CHANGES:
             self._drop_oldest()
-        self._announce()
+        self.announce()
 
     def restart(self) -> None:
         """Record that the mirror has been replaced by a full listing."""
         self.records.clear()
         self.latest.clear()
         self.start_revision = self.mirror.revision
-        self._announce()
+        self.announce()
+
+    def announce(self) -> None:
+        """Let all that wait look again."""
+        self.news.set()
+        self.news = asyncio.Event()
 
     async def wait_until_loaded(self, wait_s: float) -> None:
         """Wait until the mirror is loaded, for so long at most."""
@@ -121,12 +139,21 @@
                 while not self.mirror.loaded:
                     await self.news.wait()
 
-    async def wait(self, poll: Poll) -> FeedAnswer:
-        """Return the news for a poll, or an answer without any in the end."""
+    async def wait(
+        self, poll: Poll, is_hopeless: Callable[[], bool] | None = None
+    ) -> FeedAnswer:
+        """Return the news for a poll, or an answer without any in the end.
+
+        :param is_hopeless: whether no news can be expected; looked at again
+            after each call of :meth:`announce`.
+        """
         known_s = self.mirror.confirmed_s
         with suppress(TimeoutError):
             async with asyncio.timeout(poll.wait_s):
-                while not self._has_news(poll, known_s):
+                while not (
+                    self._has_news(poll, known_s)
+                    or (is_hopeless and is_hopeless())
+                ):
                     await self.news.wait()
         return self.answer(poll)
 
@@ -209,10 +236,6 @@
         found.reverse()
         return found
 
-    def _announce(self) -> None:
-        self.news.set()
-        self.news = asyncio.Event()
-
 
 class _CompressedChanges(NamedTuple):
     """The start of a compressed answer.
@@ -294,6 +317,14 @@
     return tuple(_from_message(change) for change in answer.changes)
 
 
+def reach_of(answer: FeedAnswer) -> Reach:
+    """Return whether the store answers the sender of an answer.
+
+    Unknown where that is a process of another version.
+    """
+    return REACH_BY_NUMBER.get(answer.store_reach, Reach.unknown)
+
+
 def _revision(change: StoreChange) -> int:
     return change.revision
 
--- a/src/bramleylug/store/reader_patience.py
+++ b/src/bramleylug/store/reader_patience.py
@@ -3,23 +3,31 @@
 A process that finds out that the store has news which its reader lacks can
 wait until the reader has them, or read them from the store. The first is late
 if the reader is cut off. The second sends the same news over the same link
-once for each process: after an outage, or when the link is full, these copies
-delay each other until their calls time out and are repeated.
+once for each process: these copies delay each other until their calls time out
+and are repeated. So a process waits for a reader that the store answers, and
+looks for another one otherwise.
 """
 
 from collections.abc import Callable
 from typing import final
 
+from bramleylug.store.store_reach import Reach
+
 # A small call that takes longer shows that the way to the store is full.
 CROWDED_S = 0.25
 # Afterwards other processes may still be catching up for this time.
 RECOVERY_S = 3.0
-# The first reader may have the news since it was asked; the one that takes its
-# place may notice its silence a little later than others.
-TAKEOVERS_S = (0.05, 0.1)
-# The first reader that is waited for calls the store again within the first
-# time; each one that takes its place reads what was missed in another.
-RECOVERY_WAITS_S = (0.5, 2.0, 2.0, 2.0)
+# Wait until a reader knows whether the store answers it. The next one is asked
+# after it, and one that lags behind on a full link is waited for longer.
+CONTACT_S = 0.1
+CROWDED_CONTACT_S = 0.25
+# Wait for a reader that the store answers. One whose answer stalls on its way
+# says so; a second copy would share the link with the first.
+READING_S = 4.0
+# It answers in between, so that one that stands still is noticed.
+HOLD_S = 0.5
+# Least wait that is worth a call.
+MIN_CALL_S = 0.01
 
 
 @final
@@ -41,10 +49,22 @@
         """Whether the store failed to answer, or was late, a moment ago."""
         return self.clock() < self.recovers_s
 
-    @property
-    def waits_s(self) -> tuple[float, ...]:
-        """Seconds for each reader that is waited for, one after the other."""
-        return RECOVERY_WAITS_S if self.is_long else TAKEOVERS_S
+    def wait_s(self, reach: Reach, waited_s: float) -> float:
+        """Return how long the next call of a reader may wait for news.
+
+        :param reach: whether the store answers it.
+        :param waited_s: time since it was asked first.
+        :returns: 0 to ask another one.
+        """
+        match reach:
+            case Reach.failed:
+                return 0
+            case Reach.answered:
+                limit_s = READING_S
+            case Reach.unknown:
+                limit_s = CROWDED_CONTACT_S if self.is_long else CONTACT_S
+        left_s = min(HOLD_S, limit_s - waited_s)
+        return left_s if left_s >= MIN_CALL_S else 0
 
     def record_failure(self) -> None:
         """Record that the store did not answer this process."""
--- /dev/null
+++ b/src/bramleylug/store/store_reach.py
@@ -0,0 +1,137 @@
+"""Whether the store answers a process through which others read it.
+
+A process that lacks news asks the readers of its zone for them. One that does
+not have them either finds out, by a small call, whether the store answers it,
+and says so: one that the store answers is worth waiting for, since it reads
+the news once for all, and the others leave the link to it.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from enum import Enum
+from typing import final
+
+from bramleylug.store.changes import Position, StoreUnavailable
+
+# Least time between two calls on behalf of others. One that was sent while the
+# store was away may hang for longer.
+SEEK_S = 0.1
+# A later state does not put an answer in doubt that is so recent.
+RECENT_S = 0.5
+
+
+class Reach(Enum):
+    """What is known of the calls of a process to the store."""
+
+    unknown = 'unknown'
+    answered = 'answered'
+    failed = 'failed'
+
+
+@final
+class StoreReach:
+    """Finds out whether the store answers this process.
+
+    :param probe: asks the store for its state, by a small call.
+    :param clock: seconds that also count while the host is suspended.
+    :ivar newest: latest state that the store told this process itself.
+    :ivar answered_s: when it did so last.
+    :ivar reading: number of reads of news from the store that are running.
+    :ivar on_failure: called when a call of the store has failed.
+    :ivar sought_s: when the last small call on behalf of others was sent.
+    :ivar probing: such calls that are running.
+    :ivar waits: waits for news that end when the store tells of a new state.
+    """
+
+    def __init__(
+        self,
+        probe: Callable[[], Awaitable[Position]],
+        clock: Callable[[], float],
+    ) -> None:
+        self.probe = probe
+        self.clock = clock
+        self.newest = Position(0, 0)
+        self.answered_s = float('-inf')
+        self.state = Reach.unknown
+        self.reading = 0
+        self.on_failure: Callable[[], None] = _ignore
+        self.sought_s = float('-inf')
+        self.probing: set[asyncio.Task[None]] = set()
+        self.waits: set[asyncio.Timeout] = set()
+
+    def record_answer(self, newest: Position) -> None:
+        """Record that the store answered, and the state that it was in."""
+        self.state = Reach.answered
+        self.answered_s = self.clock()
+        self.newest = max(self.newest, newest)
+
+    def record_failure(self, sent_s: float) -> None:
+        """Record that the store did not answer a call.
+
+        :param sent_s: when it was sent; a later call may have been answered.
+        """
+        if sent_s < self.answered_s:
+            return
+        self.state = Reach.failed
+        self.on_failure()
+
+    def has_failed(self) -> bool:
+        """Return whether the last call of the store failed."""
+        return self.state is Reach.failed
+
+    def seek(self, wanted: Position) -> None:
+        """Find out whether the store answers, as others know a later state.
+
+        :param wanted: a state that the store is in.
+        """
+        if self.reading or self.clock() < self.sought_s + SEEK_S:
+            # A small call would wait behind what is being read.
+            return
+        if self.state is Reach.answered and self.newest >= wanted:
+            return
+        if self.has_failed() or self.clock() > self.answered_s + RECENT_S:
+            self.state = Reach.unknown
+        self.sought_s = self.clock()
+        probing = asyncio.create_task(self._probe())
+        self.probing.add(probing)
+        probing.add_done_callback(self.probing.discard)
+
+    @contextmanager
+    def reading_news(self) -> Iterator[None]:
+        """Mark the time in which news are read from the store.
+
+        The store answers meanwhile, or the read fails within its time limit.
+        """
+        self.reading += 1
+        try:
+            yield
+        finally:
+            self.reading -= 1
+
+    @asynccontextmanager
+    async def until_new_state(self) -> AsyncIterator[None]:
+        """Limit a wait to the time until the store tells of a new state.
+
+        :raises TimeoutError: when it does.
+        """
+        async with asyncio.timeout(None) as wait:
+            self.waits.add(wait)
+            try:
+                yield
+            finally:
+                self.waits.discard(wait)
+
+    async def _probe(self) -> None:
+        try:
+            await self.probe()
+        except StoreUnavailable:
+            return
+        now_s = asyncio.get_running_loop().time()
+        for wait in self.waits:
+            if not wait.expired():
+                wait.reschedule(now_s)
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/src/bramleylug/store/zone_readers.py
+++ b/src/bramleylug/store/zone_readers.py
@@ -1,6 +1,7 @@
 """The processes of a zone through which others read the store."""
 
 from collections.abc import Callable, Container
+from dataclasses import dataclass
 from typing import NamedTuple, Protocol, final
 from urllib.parse import quote
 
@@ -16,8 +17,14 @@
     StoreChanges,
     StoreItem,
 )
-from bramleylug.store.feed import MICROSECONDS, changes_of, decode
+from bramleylug.store.feed import (
+    MICROSECONDS,
+    changes_of,
+    decode,
+    reach_of,
+)
 from bramleylug.store.read_schedule import POLL_LAG_S, ReadSchedule
+from bramleylug.store.store_reach import Reach
 from bramleylug.web.http_client import CALL_ERRORS, CallAnswer, HttpClients
 from bramleylug.wire.feed_pb2 import FeedAnswer
 
@@ -52,6 +59,17 @@
     avoid_s: float
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Behind:
+    """A reader answered that does not have the wanted news.
+
+    :ivar reach: whether the store answers it.
+    """
+
+    reach: Reach
+
+
 class ReaderChoice(Protocol):
     """Chooses the reader of a process."""
 
@@ -151,6 +169,16 @@
         for reader in self.outdated:
             self.avoid_until_s.pop(reader, None)
 
+    def avoid(self, reader: str, cause: str, avoid_s: float = AVOID_S) -> None:
+        """Leave a reader alone for a while; logged."""
+        self.avoid_until_s = {
+            other: until_s
+            for other, until_s in self.avoid_until_s.items()
+            if until_s + FORGET_S > self.clock()
+        }
+        self.avoid_until_s[reader] = self.clock() + avoid_s
+        emit(LogEvent.reader_avoided, reader=reader, cause=cause, for_s=avoid_s)
+
     async def list_items(
         self, reader: str, prefix: str, wait_s: float
     ) -> Page | None:
@@ -181,47 +209,62 @@
         )
 
     async def poll(
-        self,
-        reader: str,
-        prefix: str,
-        after_revision: int,
-        wait_s: float,
-        wanted: Wanted | None = None,
+        self, reader: str, prefix: str, after_revision: int, wait_s: float
     ) -> StoreChanges | HistoryLost | None:
         """Wait for changes at a reader; ``None`` if it is of no use.
 
         One that was of no use before is first asked for what it has now.
-
-        :param wanted: news that are waited for, instead of any.
         """
-        target = f'{CHANGES_PATH}?prefix={quote(prefix)}&after={after_revision}'
-        margin_s = WAIT_MARGIN_S
-        if wanted is None:
-            wait_s = self._reader_wait_s(reader, prefix, wait_s)
-        else:
-            newest = wanted.position
-            target = f'{target}&era={newest.era}&at_least={newest.revision}'
-            margin_s = min(margin_s, wait_s / 2)
+        wait_s = self._reader_wait_s(reader, prefix, wait_s)
+        target = self._poll_target(prefix, after_revision, wait_s)
         sent_s = self.clock()
         answer = await self._call(
-            reader,
+            reader, prefix, target, wait_s + WAIT_MARGIN_S
+        )
+        if answer is None:
+            return None
+        log_late(
             prefix,
-            f'{target}&wait_ms={int(wait_s * MILLISECONDS)}'
-            f'&confirms={int(self.confirms)}',
-            wait_s + margin_s,
-            wanted,
+            'a reader',
+            self.clock() - sent_s - wait_s,
+            len(answer.changes),
+        )
+        return _changes_in(answer)
+
+    async def poll_for(
+        self,
+        reader: str,
+        prefix: str,
+        after_revision: int,
+        wait_s: float,
+        wanted: Wanted,
+    ) -> StoreChanges | HistoryLost | Behind | None:
+        """Wait for certain news at a reader; ``None`` if it is of no use."""
+        position = wanted.position
+        target = (
+            f'{self._poll_target(prefix, after_revision, wait_s)}'
+            f'&era={position.era}&at_least={position.revision}'
+        )
+        timeout_s = wait_s + min(WAIT_MARGIN_S, wait_s / 2)
+        sent_s = self.clock()
+        answer = await self._request(
+            reader, target, timeout_s, timeout_s + LISTING_LIMIT_S
         )
         if answer is None:
             return None
-        if answer.history_lost:
-            return HistoryLost()
-        late_s = self.clock() - sent_s - wait_s
-        log_late(prefix, 'a reader', late_s, len(answer.changes))
-        return StoreChanges(
-            tuple(changes_of(answer)),
-            int(answer.revision),
-            era=int(answer.era),
-            reader_times=times_of(answer),
+        if _position(answer) < position:
+            return Behind(reach_of(answer))
+        if self._accept(reader, prefix, answer, sent_s):
+            return _changes_in(answer)
+        return None
+
+    def _poll_target(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> str:
+        return (
+            f'{CHANGES_PATH}?prefix={quote(prefix)}&after={after_revision}'
+            f'&wait_ms={int(wait_s * MILLISECONDS)}'
+            f'&confirms={int(self.confirms)}'
         )
 
     def _reader_wait_s(self, reader: str, prefix: str, wait_s: float) -> float:
@@ -231,12 +274,7 @@
         return min(wait_s, MAX_READER_WAIT_S, self.left_s(prefix))
 
     async def _call(
-        self,
-        reader: str,
-        prefix: str,
-        target: str,
-        timeout_s: float,
-        wanted: Wanted | None = None,
+        self, reader: str, prefix: str, target: str, timeout_s: float
     ) -> FeedAnswer | None:
         """Return the answer of the reader; ``None`` if it is of no use.
 
@@ -244,60 +282,62 @@
         until the store counts as silent.
         """
         sent_s = self.clock()
-        avoid_s = AVOID_S if wanted is None else wanted.avoid_s
         limit_s = timeout_s + LISTING_LIMIT_S
-        if prefix in self.watched and wanted is None:
+        if prefix in self.watched:
             limit_s = self.left_s(prefix) + POLL_LAG_S
             timeout_s = min(timeout_s, limit_s)
+        answer = await self._request(reader, target, timeout_s, limit_s)
+        if answer is None or not self._accept(reader, prefix, answer, sent_s):
+            return None
+        return answer
+
+    async def _request(
+        self, reader: str, target: str, timeout_s: float, limit_s: float
+    ) -> FeedAnswer | None:
+        """Return the answer of the reader; ``None`` if there is none."""
         try:
             raw = await self.clients.get(
                 reader, target, timeout_s=timeout_s, limit_s=limit_s
             )
             add(STORE_BYTES, len(raw.body), source='reader')
-            answer = _decode(raw)
+            return _decode(raw)
         except FEED_ERRORS as error:
-            self._avoid(reader, repr(error), avoid_s)
+            self.avoid(reader, repr(error))
             return None
+
+    def _accept(
+        self, reader: str, prefix: str, answer: FeedAnswer, sent_s: float
+    ) -> bool:
+        """Return whether an answer is of use; avoid its sender otherwise.
+
+        :param sent_s: when the reader was called.
+        """
         heard_s = sent_s + times_of(answer).heard_after_s
-        cause = self._rejection_cause(answer, heard_s, wanted)
+        cause = self._rejection_cause(answer, heard_s)
         if cause:
-            self._avoid_outdated(reader, cause, avoid_s)
-            return None
+            self._avoid_outdated(reader, cause)
+            return False
         self.avoid_until_s.pop(reader, None)
         self.answered_era = int(answer.era)
         self.heard_s[prefix] = max(heard_s, self.heard_s.get(prefix, heard_s))
-        return answer
+        return True
 
-    def _rejection_cause(
-        self, answer: FeedAnswer, heard_s: float, wanted: Wanted | None
-    ) -> str:
+    def _rejection_cause(self, answer: FeedAnswer, heard_s: float) -> str:
         """Return why an answer is of no use; empty if it is."""
         if answer.era < self.era:
             return f'it is in era {answer.era}'
         age_s = self.clock() - heard_s
         if age_s > self.schedule.silence_s:
             return f'it heard of the store {age_s:.1f} s ago'
-        position = Position(int(answer.era), int(answer.revision))
-        if wanted is not None and position < wanted.position:
-            return f'it has no revision {wanted.position.revision} yet'
         return ''
 
-    def _avoid_outdated(self, reader: str, cause: str, avoid_s: float) -> None:
+    def _avoid_outdated(self, reader: str, cause: str) -> None:
         """Avoid a reader that answers; logged once while nobody has news."""
         if reader in self.outdated:
-            self.avoid_until_s[reader] = self.clock() + avoid_s
+            self.avoid_until_s[reader] = self.clock() + AVOID_S
             return
         self.outdated.add(reader)
-        self._avoid(reader, cause, avoid_s)
-
-    def _avoid(self, reader: str, cause: str, avoid_s: float) -> None:
-        self.avoid_until_s = {
-            other: until_s
-            for other, until_s in self.avoid_until_s.items()
-            if until_s + FORGET_S > self.clock()
-        }
-        self.avoid_until_s[reader] = self.clock() + avoid_s
-        emit(LogEvent.reader_avoided, reader=reader, cause=cause, for_s=avoid_s)
+        self.avoid(reader, cause)
 
 
 def log_late(prefix: str, source: str, late_s: float, changes: int) -> None:
@@ -312,6 +352,21 @@
         )
 
 
+def _position(answer: FeedAnswer) -> Position:
+    return Position(int(answer.era), int(answer.revision))
+
+
+def _changes_in(answer: FeedAnswer) -> StoreChanges | HistoryLost:
+    if answer.history_lost:
+        return HistoryLost()
+    return StoreChanges(
+        tuple(changes_of(answer)),
+        int(answer.revision),
+        era=int(answer.era),
+        reader_times=times_of(answer),
+    )
+
+
 def _decode(answer: CallAnswer) -> FeedAnswer:
     if answer.status != OK_STATUS:
         raise ValueError(f'reader answered with status {answer.status}')
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -16,9 +16,11 @@
     WatchableStore,
 )
 from bramleylug.store.reader_patience import ReaderPatience
+from bramleylug.store.store_reach import Reach, StoreReach
 from bramleylug.store.zone_readers import (
     AVOID_S,
     MILLISECONDS,
+    Behind,
     Wanted,
     ZoneReaders,
     log_late,
@@ -75,6 +77,7 @@
         self.find_feed = find_feed or _find_none
         self.probe_prefix = probe_prefix
         self.patience = ReaderPatience(clock)
+        self.reach = StoreReach(self._probe, clock)
 
     @property
     def era(self) -> int:
@@ -108,9 +111,15 @@
         """
         self.readers.watched.add(prefix)
         while reader := self.readers.find():
-            answer = await self.readers.poll(
-                reader, prefix, after_revision, wait_s
-            )
+            try:
+                async with self.reach.until_new_state():
+                    answer = await self.readers.poll(
+                        reader, prefix, after_revision, wait_s
+                    )
+            except TimeoutError:
+                return await self._read_news(
+                    prefix, after_revision, self.reach.newest
+                )
             if answer is not None:
                 return answer
             if not self.readers.left_s(prefix):
@@ -225,64 +234,77 @@
         self, prefix: str, after_revision: int, newest: Position
     ) -> StoreChanges | HistoryLost:
         """Return what is new from a reader that gets it, or the store."""
-        is_long = self.patience.is_long
-        if not is_long:
-            # The first reader may have the news since it was asked last.
-            self.readers.forgive_outdated()
+        # Those that had not heard of the store may be reading the news now.
+        self.readers.forgive_outdated()
         answer = await self._catch_up(prefix, after_revision, newest)
-        if answer is None and not is_long and await self._is_filling():
-            answer = await self._catch_up(prefix, after_revision, newest)
         if answer is None:
-            return await self._call_store(prefix, after_revision, CHECK_WAIT_S)
+            with self.reach.reading_news():
+                return await self._call_store(
+                    prefix, after_revision, CHECK_WAIT_S
+                )
         self.readers.record_news()
         return answer
 
-    async def _is_filling(self) -> bool:
-        """Return whether what the first reader reads now fills the link."""
-        if not self.readers.find(first=True):
-            return False
-        await self._probe()
-        return self.patience.is_long
-
     async def _probe(self) -> Position:
         """Return the state of the store, by a small call."""
         sent_s = self.clock()
         try:
             page = await self.store.list_page(self.probe_prefix, '')
         except StoreUnavailable:
-            self.patience.record_failure()
+            self._record_failure(sent_s)
             raise
+        newest = Position(page.era, page.revision)
+        self.reach.record_answer(newest)
         self.patience.record_answer(self.clock() - sent_s)
         if self.patience.take_return():
             # Readers that had not heard of the store either may hear of it now.
             self.readers.forgive_outdated()
-        return Position(page.era, page.revision)
+        return newest
 
     async def _catch_up(
         self, prefix: str, after_revision: int, newest: Position
     ) -> StoreChanges | HistoryLost | None:
         """Read news through readers that get them in time, if there are any.
 
-        All processes of the zone wait for the same reader, and the next one
-        in their common order takes its place. One that fails at once costs no
-        part of the time.
+        All processes of the zone wait for the same reader, the first one of
+        their common order that the store answers. It reads the news once for
+        all.
         """
         wanted = Wanted(
             newest, LAGGING_AVOID_S if self.patience.is_long else AVOID_S
         )
-        waits_s = list(self.patience.waits_s)
-        while waits_s:
-            reader = self.readers.find(first=True)
-            if not reader:
+        tried: set[str] = set()
+        while reader := self.readers.find(first=True):
+            if reader in tried:
                 break
-            began_s = self.clock()
-            answer = await self.readers.poll(
-                reader, prefix, after_revision, waits_s[0], wanted
-            )
+            tried.add(reader)
+            answer = await self._follow(reader, prefix, after_revision, wanted)
             if answer is not None:
                 return answer
-            if self.clock() - began_s >= waits_s[0]:
-                waits_s.pop(0)
+        return None
+
+    async def _follow(
+        self, reader: str, prefix: str, after_revision: int, wanted: Wanted
+    ) -> StoreChanges | HistoryLost | None:
+        """Read news through a reader for as long as it may get them."""
+        began_s = self.clock()
+        reach = Reach.unknown
+        while wait_s := self.patience.wait_s(reach, self.clock() - began_s):
+            answer = await self.readers.poll_for(
+                reader, prefix, after_revision, wait_s, wanted
+            )
+            match answer:
+                case Behind(reach=reach):
+                    pass
+                case _:
+                    return answer
+        revision = wanted.position.revision
+        self.readers.avoid(
+            reader,
+            f'it has no revision {revision} yet, and of its calls of the '
+            f'store the last is {reach.name}',
+            wanted.avoid_s,
+        )
         return None
 
     async def _wait_at_store(
@@ -309,15 +331,20 @@
                 prefix, after_revision, wait_s
             )
         except StoreUnavailable:
-            self.patience.record_failure()
+            self._record_failure(sent_s)
             raise
         self.readers.record_heard(prefix)
         self.readers.record_news()
         if isinstance(answer, StoreChanges):
+            self.reach.record_answer(Position(answer.era, answer.revision))
             late_s = self.clock() - sent_s - wait_s
             log_late(prefix, 'the store', late_s, len(answer.changes))
         return answer
 
+    def _record_failure(self, sent_s: float) -> None:
+        self.patience.record_failure()
+        self.reach.record_failure(sent_s)
+
 
 async def _find_none(avoided: Container[str]) -> str:
     """Return no reader."""
