Mark every read of news, whichever way a process comes to it

A relay that comes to read the news by a plain watch after a failed call, as the first reader of a zone does after an outage, did not count as reading. A small call on behalf of others then waits behind the news on the same link, and one that times out tells the others that the store does not answer, so that the next relay reads the news once more.

A call of the store now counts as a read of news where the store had told of a later revision than the one that it is to continue from.

--- a/src/bramleylug/store/store_reach.py
+++ b/src/bramleylug/store/store_reach.py
@@ -98,16 +98,17 @@
         probing.add_done_callback(self.probing.discard)
 
     @contextmanager
-    def reading_news(self) -> Iterator[None]:
-        """Mark the time in which news are read from the store.
+    def reading_after(self, revision: int) -> Iterator[None]:
+        """Mark a read, which brings news if the store told of later ones.
 
         The store answers meanwhile, or the read fails within its time limit.
         """
-        self.reading += 1
+        brings_news = self.newest.revision > revision
+        self.reading += brings_news
         try:
             yield
         finally:
-            self.reading -= 1
+            self.reading -= brings_news
 
     @asynccontextmanager
     async def until_new_state(self) -> AsyncIterator[None]:
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -238,10 +238,7 @@
         self.readers.forgive_outdated()
         answer = await self._catch_up(prefix, after_revision, newest)
         if answer is None:
-            with self.reach.reading_news():
-                return await self._call_store(
-                    prefix, after_revision, CHECK_WAIT_S
-                )
+            return await self._call_store(prefix, after_revision, CHECK_WAIT_S)
         self.readers.record_news()
         return answer
 
@@ -327,9 +324,10 @@
     ) -> StoreChanges | HistoryLost:
         sent_s = self.clock()
         try:
-            answer = await self.store.wait_for_changes(
-                prefix, after_revision, wait_s
-            )
+            with self.reach.reading_after(after_revision):
+                answer = await self.store.wait_for_changes(
+                    prefix, after_revision, wait_s
+                )
         except StoreUnavailable:
             self._record_failure(sent_s)
             raise
--- a/testing/store/test_store_reach.py
+++ b/testing/store/test_store_reach.py
@@ -110,17 +110,19 @@
                 self.assertIs(probes.reach.state, state)
 
     @in_virtual_time
-    async def test_store_is_not_asked_beside_a_read(self) -> None:
+    async def test_store_is_not_asked_beside_a_read_of_news(self) -> None:
         """The answer would come behind the news themselves."""
-        probes = Probes()
-        probes.reach.record_answer(NEWEST)
-        with probes.reach.reading_news():
-            await asyncio.sleep(2 * RECENT_S)
-            probes.reach.seek(Position(1, 8))
-            await asyncio.sleep(SEEK_S)
+        for revision, sent in ((NEWEST.revision - 1, 0), (NEWEST.revision, 1)):
+            with self.subTest(revision=revision):
+                probes = Probes()
+                probes.reach.record_answer(NEWEST)
+                with probes.reach.reading_after(revision):
+                    await asyncio.sleep(2 * RECENT_S)
+                    probes.reach.seek(Position(1, 8))
+                    await asyncio.sleep(SEEK_S)
 
-        self.assertIs(probes.reach.state, Reach.answered)
-        self.assertEqual(probes.sent, 0)
+                self.assertIs(probes.reach.state, Reach.answered)
+                self.assertEqual(probes.sent, sent)
 
     @in_virtual_time
     async def test_wait_for_news_ends_when_the_store_tells_of_them(
