Keep items that an older listing cannot know

A process that lists all keys anew, after its history was dropped, may get them from a relay that lags behind what it knows already. Keys that were written after that listing counted as removed, with a revision above their own, so that the watch, which repeats them, could not bring them back: the evacuation of a zone, or an upstream, was forgotten until its key was written again.

A listing now removes only keys whose last change is not later than its revision. The test fails without the change.

--- a/src/bramleylug/store/mirror.py
+++ b/src/bramleylug/store/mirror.py
@@ -178,6 +178,9 @@
     ) -> list[StoreChange]:
         """Apply a complete listing; keys that it lacks are removed.
 
+        It may be that of a reader that lags behind, and says nothing of keys
+        that were written after it.
+
         :param era: era of the store in which it was listed.
         """
         listed = tuple(items)
@@ -187,8 +190,8 @@
         present = {item.key for item in listed}
         missing = [
             Removal(key, max(revision, self.revisions.get(key, 0) + 1))
-            for key in self.items
-            if key not in present
+            for key, item in self.items.items()
+            if key not in present and item.revision <= revision
         ]
         return self.apply((*listed, *missing), revision, now_s)
 
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -46,6 +46,21 @@
 
         self.assertEqual(changes, [item(8, 'other'), Removal('engine', 9)])
 
+    def test_item_is_kept_that_an_older_listing_lacks(self) -> None:
+        """Guards against evacuations and engines that are forgotten."""
+        changes = self.mirror.replace([item(2, 'other')], 4, 1)
+
+        self.assertEqual(changes, [item(2, 'other')])
+        self.assertIn('engine', self.mirror.items)
+
+    def test_removal_is_applied_after_an_older_listing(self) -> None:
+        """The watch goes on from the listing."""
+        self.mirror.replace([], 4, 1)
+
+        self.mirror.apply([item(5), Removal('engine', 6)], 6, 2)
+
+        self.assertNotIn('engine', self.mirror.items)
+
     def test_item_written_after_the_listing_is_kept(self) -> None:
         """The removal gets the listing's revision, not a later one."""
         self.mirror.replace([], 9, 1)
