Ask a reader that may not get the news only once

A reader of an earlier release answers at once, whatever revision it is asked for, and does not say whether the store answers it. It was asked again and again for the 0.1 s that a reader has to find out; with a clock that stands still (test_reader_of_an_earlier_release_is_not_waited_for) without end.

The first call of a reader has that time. Only a reader that then says that the store answers it is called again.

--- a/src/bramleylug/store/reader_patience.py
+++ b/src/bramleylug/store/reader_patience.py
@@ -49,22 +49,24 @@
         """Whether the store failed to answer, or was late, a moment ago."""
         return self.clock() < self.recovers_s
 
-    def wait_s(self, reach: Reach, waited_s: float) -> float:
+    @property
+    def contact_s(self) -> float:
+        """How long the first call of a reader may wait for news."""
+        return CROWDED_CONTACT_S if self.is_long else CONTACT_S
+
+    def next_wait_s(self, reach: Reach, waited_s: float) -> float:
         """Return how long the next call of a reader may wait for news.
 
-        :param reach: whether the store answers it.
+        :param reach: whether the store answers it, by its last answer.
         :param waited_s: time since it was asked first.
         :returns: 0 to ask another one.
         """
         match reach:
-            case Reach.failed:
-                return 0
             case Reach.answered:
-                limit_s = READING_S
-            case Reach.unknown:
-                limit_s = CROWDED_CONTACT_S if self.is_long else CONTACT_S
-        left_s = min(HOLD_S, limit_s - waited_s)
-        return left_s if left_s >= MIN_CALL_S else 0
+                left_s = min(HOLD_S, READING_S - waited_s)
+                return left_s if left_s >= MIN_CALL_S else 0
+            case Reach.failed | Reach.unknown:
+                return 0
 
     def record_failure(self) -> None:
         """Record that the store did not answer this process."""
--- a/src/bramleylug/store/zone_readers.py
+++ b/src/bramleylug/store/zone_readers.py
@@ -241,9 +241,11 @@
     ) -> StoreChanges | HistoryLost | Behind | None:
         """Wait for certain news at a reader; ``None`` if it is of no use."""
         position = wanted.position
-        target = (
-            f'{self._poll_target(prefix, after_revision, wait_s)}'
-            f'&era={position.era}&at_least={position.revision}'
+        target = self._poll_target(
+            prefix,
+            after_revision,
+            wait_s,
+            f'&era={position.era}&at_least={position.revision}',
         )
         timeout_s = wait_s + min(WAIT_MARGIN_S, wait_s / 2)
         sent_s = self.clock()
@@ -259,11 +261,11 @@
         return None
 
     def _poll_target(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after_revision: int, wait_s: float, wanted: str = ''
     ) -> str:
         return (
             f'{CHANGES_PATH}?prefix={quote(prefix)}&after={after_revision}'
-            f'&wait_ms={int(wait_s * MILLISECONDS)}'
+            f'{wanted}&wait_ms={int(wait_s * MILLISECONDS)}'
             f'&confirms={int(self.confirms)}'
         )
 
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -286,13 +286,15 @@
         """Read news through a reader for as long as it may get them."""
         began_s = self.clock()
         reach = Reach.unknown
-        while wait_s := self.patience.wait_s(reach, self.clock() - began_s):
+        wait_s = self.patience.contact_s
+        while wait_s:
             answer = await self.readers.poll_for(
                 reader, prefix, after_revision, wait_s, wanted
             )
             match answer:
                 case Behind(reach=reach):
-                    pass
+                    waited_s = self.clock() - began_s
+                    wait_s = self.patience.next_wait_s(reach, waited_s)
                 case _:
                     return answer
         revision = wanted.position.revision
