Do not wait for a relay that waits for another one

Of the two relays of a zone one was being stopped. A relay that is stopping does not count itself as a reader, the other one did not know that yet, so that each came before the other in its own order. The store had told both that there was news, both said that it answers them, and each waited for the other for 3.9 s (BL1040: "from the store in 3862 ms").

A process that waits for a reader the store answers now tells others at once that they cannot expect the news from it. They ask the next one, or the store.

--- a/src/bramleylug/cluster/feed_pages.py
+++ b/src/bramleylug/cluster/feed_pages.py
@@ -53,8 +53,8 @@
     if wanted is None or feed.mirror.position >= wanted:
         return await feed.wait(poll)
     reach.seek(wanted)
-    answer = await feed.wait(poll, reach.has_failed)
-    answer.store_reach = REACH_NUMBERS[reach.state]
+    answer = await feed.wait(poll, reach.is_hopeless)
+    answer.store_reach = REACH_NUMBERS[reach.told]
     return answer
 
 
--- a/src/bramleylug/store/store_reach.py
+++ b/src/bramleylug/store/store_reach.py
@@ -38,7 +38,8 @@
     :ivar newest: latest state that the store told this process itself.
     :ivar answered_s: when it did so last.
     :ivar reading: number of reads of news from the store that are running.
-    :ivar on_failure: called when a call of the store has failed.
+    :ivar following: waits for the news of other readers that are running.
+    :ivar on_failure: called when this process may not get the news.
     :ivar sought_s: when the last small call on behalf of others was sent.
     :ivar probing: such calls that are running.
     :ivar waits: waits for news that end when the store tells of a new state.
@@ -55,6 +56,7 @@
         self.answered_s = float('-inf')
         self.state = Reach.unknown
         self.reading = 0
+        self.following = 0
         self.on_failure: Callable[[], None] = _ignore
         self.sought_s = float('-inf')
         self.probing: set[asyncio.Task[None]] = set()
@@ -76,9 +78,17 @@
         self.state = Reach.failed
         self.on_failure()
 
-    def has_failed(self) -> bool:
-        """Return whether the last call of the store failed."""
-        return self.state is Reach.failed
+    @property
+    def told(self) -> Reach:
+        """What others are told.
+
+        Processes that disagree on their order may wait for each other.
+        """
+        return Reach.unknown if self.following else self.state
+
+    def is_hopeless(self) -> bool:
+        """Return whether others had better ask another reader."""
+        return bool(self.following) or self.state is Reach.failed
 
     def seek(self, wanted: Position) -> None:
         """Find out whether the store answers, as others know a later state.
@@ -90,7 +100,10 @@
             return
         if self.state is Reach.answered and self.newest >= wanted:
             return
-        if self.has_failed() or self.clock() > self.answered_s + RECENT_S:
+        if (
+            self.state is Reach.failed
+            or self.clock() > self.answered_s + RECENT_S
+        ):
             self.state = Reach.unknown
         self.sought_s = self.clock()
         probing = asyncio.create_task(self._probe())
@@ -110,6 +123,16 @@
         finally:
             self.reading -= brings_news
 
+    @contextmanager
+    def following_reader(self) -> Iterator[None]:
+        """Mark the time in which another reader is waited for."""
+        self.following += 1
+        self.on_failure()
+        try:
+            yield
+        finally:
+            self.following -= 1
+
     @asynccontextmanager
     async def until_new_state(self) -> AsyncIterator[None]:
         """Limit a wait to the time until the store tells of a new state.
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -285,18 +285,22 @@
     ) -> StoreChanges | HistoryLost | None:
         """Read news through a reader for as long as it may get them."""
         began_s = self.clock()
+        answer = await self.readers.poll_for(
+            reader, prefix, after_revision, self.patience.contact_s, wanted
+        )
         reach = Reach.unknown
-        wait_s = self.patience.contact_s
-        while wait_s:
-            answer = await self.readers.poll_for(
-                reader, prefix, after_revision, wait_s, wanted
-            )
-            match answer:
-                case Behind(reach=reach):
-                    waited_s = self.clock() - began_s
-                    wait_s = self.patience.next_wait_s(reach, waited_s)
-                case _:
-                    return answer
+        with self.reach.following_reader():
+            while isinstance(answer, Behind):
+                reach = answer.reach
+                waited_s = self.clock() - began_s
+                wait_s = self.patience.next_wait_s(reach, waited_s)
+                if not wait_s:
+                    break
+                answer = await self.readers.poll_for(
+                    reader, prefix, after_revision, wait_s, wanted
+                )
+        if not isinstance(answer, Behind):
+            return answer
         revision = wanted.position.revision
         self.readers.avoid(
             reader,
--- a/testing/store/test_store_reach.py
+++ b/testing/store/test_store_reach.py
@@ -69,7 +69,7 @@
         await asyncio.sleep(1.0)
 
         self.assertEqual(told_s, [CALL_S])
-        self.assertTrue(probes.reach.has_failed())
+        self.assertTrue(probes.reach.is_hopeless())
 
     @in_virtual_time
     async def test_store_that_failed_is_asked_again(self) -> None:
@@ -124,6 +124,19 @@
                 self.assertIs(probes.reach.state, Reach.answered)
                 self.assertEqual(probes.sent, sent)
 
+    @in_virtual_time
+    async def test_process_that_waits_for_another_is_not_waited_for(
+        self,
+    ) -> None:
+        """Guards against two relays that wait for each other (CONFIG)."""
+        reach = Probes().reach
+        reach.record_answer(NEWEST)
+        with reach.following_reader():
+            self.assertIs(reach.told, Reach.unknown)
+            self.assertTrue(reach.is_hopeless())
+
+        self.assertIs(reach.told, Reach.answered)
+
     @in_virtual_time
     async def test_wait_for_news_ends_when_the_store_tells_of_them(
         self,
