Pass the wanted position to readers as it is

A reader is given up in one place since it is waited for by what it says, so that the time for which it is avoided need no longer travel with the news that are wanted: Wanted is gone. The callback of StoreReach is named for when it is called: the process may not get the news, also without a call that failed.

No change of behaviour.

--- a/src/bramleylug/cluster/process.py
+++ b/src/bramleylug/cluster/process.py
@@ -125,7 +125,7 @@
             )
             for prefix in adapter.watched_prefixes(record.role)
         ]
-        self.store.reach.on_failure = self.watchers[0].feed.announce
+        self.store.reach.on_hopeless = self.watchers[0].feed.announce
         self.view = ClusterView(
             settings, lambda: self.record, self.watchers[0].mirror, clock
         )
--- a/src/bramleylug/store/store_reach.py
+++ b/src/bramleylug/store/store_reach.py
@@ -39,7 +39,7 @@
     :ivar answered_s: when it did so last.
     :ivar reading: number of reads of news from the store that are running.
     :ivar following: waits for the news of other readers that are running.
-    :ivar on_failure: called when this process may not get the news.
+    :ivar on_hopeless: called when this process may not get the news.
     :ivar sought_s: when the last small call on behalf of others was sent.
     :ivar probing: such calls that are running.
     :ivar waits: waits for news that end when the store tells of a new state.
@@ -57,7 +57,7 @@
         self.state = Reach.unknown
         self.reading = 0
         self.following = 0
-        self.on_failure: Callable[[], None] = _ignore
+        self.on_hopeless: Callable[[], None] = _ignore
         self.sought_s = float('-inf')
         self.probing: set[asyncio.Task[None]] = set()
         self.waits: set[asyncio.Timeout] = set()
@@ -76,7 +76,7 @@
         if sent_s < self.answered_s:
             return
         self.state = Reach.failed
-        self.on_failure()
+        self.on_hopeless()
 
     @property
     def told(self) -> Reach:
@@ -127,7 +127,7 @@
     def following_reader(self) -> Iterator[None]:
         """Mark the time in which another reader is waited for."""
         self.following += 1
-        self.on_failure()
+        self.on_hopeless()
         try:
             yield
         finally:
--- a/src/bramleylug/store/zone_readers.py
+++ b/src/bramleylug/store/zone_readers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Container
 from dataclasses import dataclass
-from typing import NamedTuple, Protocol, final
+from typing import Protocol, final
 from urllib.parse import quote
 
 from google.protobuf.message import DecodeError
@@ -48,17 +48,6 @@
 FEED_ERRORS = (*CALL_ERRORS, DecodeError, ValueError)
 
 
-class Wanted(NamedTuple):
-    """News that a reader is waited for.
-
-    :ivar position: state of the store that has them.
-    :ivar avoid_s: how long a reader that does not get them is avoided.
-    """
-
-    position: Position
-    avoid_s: float
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class Behind:
@@ -237,15 +226,17 @@
         prefix: str,
         after_revision: int,
         wait_s: float,
-        wanted: Wanted,
+        wanted: Position,
     ) -> StoreChanges | HistoryLost | Behind | None:
-        """Wait for certain news at a reader; ``None`` if it is of no use."""
-        position = wanted.position
+        """Wait for certain news at a reader; ``None`` if it is of no use.
+
+        :param wanted: state of the store that has them.
+        """
         target = self._poll_target(
             prefix,
             after_revision,
             wait_s,
-            f'&era={position.era}&at_least={position.revision}',
+            f'&era={wanted.era}&at_least={wanted.revision}',
         )
         timeout_s = wait_s + min(WAIT_MARGIN_S, wait_s / 2)
         sent_s = self.clock()
@@ -254,7 +245,7 @@
         )
         if answer is None:
             return None
-        if _position(answer) < position:
+        if _position(answer) < wanted:
             return Behind(reach_of(answer))
         if self._accept(reader, prefix, answer, sent_s):
             return _changes_in(answer)
--- a/src/bramleylug/store/zone_store.py
+++ b/src/bramleylug/store/zone_store.py
@@ -16,12 +16,11 @@
     WatchableStore,
 )
 from bramleylug.store.reader_patience import ReaderPatience
-from bramleylug.store.store_reach import Reach, StoreReach
+from bramleylug.store.store_reach import StoreReach
 from bramleylug.store.zone_readers import (
     AVOID_S,
     MILLISECONDS,
     Behind,
-    Wanted,
     ZoneReaders,
     log_late,
 )
@@ -267,48 +266,42 @@
         their common order that the store answers. It reads the news once for
         all.
         """
-        wanted = Wanted(
-            newest, LAGGING_AVOID_S if self.patience.is_long else AVOID_S
-        )
+        avoid_s = LAGGING_AVOID_S if self.patience.is_long else AVOID_S
         tried: set[str] = set()
         while reader := self.readers.find(first=True):
             if reader in tried:
                 break
             tried.add(reader)
-            answer = await self._follow(reader, prefix, after_revision, wanted)
-            if answer is not None:
-                return answer
+            answer = await self._follow(reader, prefix, after_revision, newest)
+            match answer:
+                case Behind(reach):
+                    cause = (
+                        f'it has no revision {newest.revision} yet, and of its '
+                        f'calls of the store the last is {reach.name}'
+                    )
+                    self.readers.avoid(reader, cause, avoid_s)
+                case StoreChanges() | HistoryLost():
+                    return answer
         return None
 
     async def _follow(
-        self, reader: str, prefix: str, after_revision: int, wanted: Wanted
-    ) -> StoreChanges | HistoryLost | None:
+        self, reader: str, prefix: str, after_revision: int, wanted: Position
+    ) -> StoreChanges | HistoryLost | Behind | None:
         """Read news through a reader for as long as it may get them."""
         began_s = self.clock()
         answer = await self.readers.poll_for(
             reader, prefix, after_revision, self.patience.contact_s, wanted
         )
-        reach = Reach.unknown
         with self.reach.following_reader():
             while isinstance(answer, Behind):
-                reach = answer.reach
                 waited_s = self.clock() - began_s
-                wait_s = self.patience.next_wait_s(reach, waited_s)
+                wait_s = self.patience.next_wait_s(answer.reach, waited_s)
                 if not wait_s:
                     break
                 answer = await self.readers.poll_for(
                     reader, prefix, after_revision, wait_s, wanted
                 )
-        if not isinstance(answer, Behind):
-            return answer
-        revision = wanted.position.revision
-        self.readers.avoid(
-            reader,
-            f'it has no revision {revision} yet, and of its calls of the '
-            f'store the last is {reach.name}',
-            wanted.avoid_s,
-        )
-        return None
+        return answer
 
     async def _wait_at_store(
         self, prefix: str, after_revision: int, wait_s: float
--- a/testing/store/test_store_reach.py
+++ b/testing/store/test_store_reach.py
@@ -63,7 +63,7 @@
         probes = Probes()
         probes.fails = True
         told_s = []
-        probes.reach.on_failure = lambda: told_s.append(probes.reach.clock())
+        probes.reach.on_hopeless = lambda: told_s.append(probes.reach.clock())
 
         probes.reach.seek(NEWEST)
         await asyncio.sleep(1.0)
